--- /dev/null
+++ b/crates/daisyyard/src/command.rs
@@ -0,0 +1,94 @@
+//! The command line.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use getopts::Options;
+
+use crate::{embedded, node, settings};
+
+/// Exit code of a command that was not understood or whose settings are at fault.
+const EXIT_USAGE: u8 = 2;
+
+/// General help.
+const HELP: &str = "\
+Usage: daisyyard COMMAND [OPTIONS]
+
+Commands:
+  serve --config FILE   run a node
+  check FILE            check a settings file and list every fault
+  try                   run a small fleet on loopback and check the promises
+  help                  show this help
+";
+
+/// Runs a command and returns the exit code of the process.
+pub fn run(arguments: &[String]) -> ExitCode {
+    let (name, rest) = arguments
+        .split_first()
+        .map_or(("help", &[][..]), |(n, r)| (n.as_str(), r));
+    let result = match name {
+        "serve" => serve(rest),
+        "check" => check(rest),
+        "try" => attempt(rest),
+        "help" | "--help" | "-h" => {
+            print!("{HELP}");
+            Ok(ExitCode::SUCCESS)
+        }
+        _ => Err(anyhow::anyhow!(
+            "unknown command {name:?}; `daisyyard help` lists the commands"
+        )),
+    };
+    result.unwrap_or_else(|error| {
+        eprintln!("daisyyard: {error:#}");
+        ExitCode::from(EXIT_USAGE)
+    })
+}
+
+/// Runs a node until it is told to stop.
+fn serve(arguments: &[String]) -> anyhow::Result<ExitCode> {
+    let mut options = Options::new();
+    options.reqopt("c", "config", "settings file", "FILE");
+    let matches = options.parse(arguments)?;
+    let path = matches.opt_str("config").unwrap_or_default();
+    let settings = settings::load(Path::new(&path))?;
+    runtime()?.block_on(node::run(settings))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Checks a settings file.
+fn check(arguments: &[String]) -> anyhow::Result<ExitCode> {
+    let matches = Options::new().parse(arguments)?;
+    let path = matches.free.first();
+    let path = path.ok_or_else(|| anyhow::anyhow!("name a file: daisyyard check FILE"))?;
+    settings::load(Path::new(path))?;
+    println!("{path}: no faults");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Runs the embedded fleet.
+fn attempt(arguments: &[String]) -> anyhow::Result<ExitCode> {
+    let mut options = Options::new();
+    options.optopt(
+        "d",
+        "deployment",
+        "sizes and zones to use",
+        "association|pit-works",
+    );
+    let matches = options.parse(arguments)?;
+    let deployment = matches
+        .opt_str("deployment")
+        .unwrap_or_else(|| "association".to_owned());
+    let held = runtime()?.block_on(embedded::run(&deployment))?;
+    Ok(if held {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+/// Creates the runtime of the process.
+fn runtime() -> anyhow::Result<tokio::runtime::Runtime> {
+    Ok(tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?)
+}
--- /dev/null
+++ b/crates/daisyyard/src/refusal.rs
@@ -0,0 +1,89 @@
+//! Refusals: what a caller is told when it does not get its answer.
+
+use std::time::Duration;
+
+use daisyyard_core::attempt::Outcome;
+use daisyyard_derive::value;
+use daisyyard_http::Body;
+use hyper::{Response, StatusCode};
+use serde_json::json;
+
+/// Why a request was not answered.
+#[value]
+pub(crate) struct Refusal {
+    /// Kind of the refusal.
+    pub(crate) kind: Kind,
+    /// What the caller can do about it.
+    pub(crate) message: String,
+    /// Whether the request was run.
+    pub(crate) outcome: Outcome,
+    /// When asking again may help.
+    pub(crate) retry_after: Option<Duration>,
+}
+
+/// Kinds of refusal, each with a stable code.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// The request is malformed.
+    Malformed,
+    /// The credential is missing or unknown.
+    Unauthorized,
+    /// No such path, service or stream exists.
+    Missing,
+    /// The fleet has no room for the request in time.
+    Overloaded,
+    /// The endpoint was lost while the request was in progress.
+    Interrupted,
+}
+
+impl Kind {
+    /// Returns the stable code.
+    pub(crate) fn code(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::Unauthorized => "unauthorized",
+            Self::Missing => "missing",
+            Self::Overloaded => "overloaded",
+            Self::Interrupted => "interrupted",
+        }
+    }
+
+    /// Returns the HTTP status.
+    fn status(self) -> StatusCode {
+        match self {
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
+            Self::Missing => StatusCode::NOT_FOUND,
+            Self::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Interrupted => StatusCode::BAD_GATEWAY,
+        }
+    }
+}
+
+impl Refusal {
+    /// Creates a refusal of a request that was not run.
+    pub(crate) fn not_run(kind: Kind, message: impl Into<String>) -> Self {
+        Self {
+            kind,
+            message: message.into(),
+            outcome: Outcome::NotRun,
+            retry_after: None,
+        }
+    }
+
+    /// Returns the refusal's JSON form.
+    pub(crate) fn json(&self) -> serde_json::Value {
+        json!({
+            "code": self.kind.code(),
+            "message": self.message,
+            "outcome": self.outcome.name(),
+            "retry_after_ms": self.retry_after.map(|wait| wait.as_millis() as u64),
+        })
+    }
+}
+
+impl From<Refusal> for Response<Body> {
+    fn from(refusal: Refusal) -> Self {
+        daisyyard_http::json(refusal.kind.status(), &json!({"error": refusal.json()}))
+    }
+}
--- /dev/null
+++ b/crates/daisyyard_core/src/id.rs
@@ -0,0 +1,57 @@
+//! Type aliases for identifiers, and the stable hash that turns names into them.
+
+use twox_hash::{XxHash3_64, XxHash3_128};
+
+/// Identifies an instance that runs a node.
+pub type InstanceId = u64;
+
+/// Identifies an availability zone.
+pub type ZoneId = u64;
+
+/// Identifies a region.
+pub type RegionId = u64;
+
+/// Identifies an engine or an endpoint of a plain service.
+pub type EndpointId = u64;
+
+/// Identifies a service, which is one model or one plain service.
+pub type ServiceId = u64;
+
+/// Identifies a client account.
+pub type AccountId = u64;
+
+/// Identifies one generation at one engine.
+pub type GenerationId = u64;
+
+/// Identifies one request at the node that received it.
+pub type RequestId = u64;
+
+/// Identifies the content of a request.
+pub type Fingerprint = u128;
+
+/// Numbers the revisions of the preset document.
+pub type Revision = u64;
+
+/// Numbers the starts of one instance.
+pub type Incarnation = u64;
+
+/// Counts tokens.
+pub type Tokens = u64;
+
+/// Numbers a token within its generation, from zero.
+pub type Offset = u64;
+
+/// Seed of the name hash; all nodes must agree on it because ids cross the wire.
+const NAME_SEED: u64 = 0x6461_6973_7979_6172;
+
+/// Returns the identifier of a named object, the same on every node.
+///
+/// With 46,000 names the chance of any collision is about 6e-11.
+pub fn of(name: &str) -> u64 {
+    XxHash3_64::oneshot_with_seed(NAME_SEED, name.as_bytes())
+}
+
+/// Returns the fingerprint of a request's content under a seed.
+pub fn fingerprint(seed: u64, content: &[u8]) -> Fingerprint {
+    XxHash3_128::oneshot_with_seed(seed, content)
+}
--- /dev/null
+++ b/crates/daisyyard_core/src/stream.rs
@@ -0,0 +1,116 @@
+//! Streams: each token reaches its caller once, in order, from one generation only.
+
+use daisyyard_derive::token;
+
+use crate::id::{GenerationId, Offset};
+
+/// Position of one caller in the one generation that it receives.
+#[derive(Debug)]
+pub struct Cursor {
+    /// Generation that the caller receives, once one is known.
+    generation: Option<GenerationId>,
+    /// Offset of the next token to deliver.
+    next: Offset,
+    /// Whether anything has been delivered to the caller.
+    begun: bool,
+}
+
+/// What to do with a token that arrived from an engine.
+#[token]
+pub enum Step {
+    /// Deliver the token to the caller.
+    Deliver,
+    /// Drop the token, which the caller already has.
+    Duplicate,
+    /// Drop the token and resume the generation from this offset, because tokens are missing.
+    Resume(Offset),
+    /// Drop the token, which belongs to another generation.
+    Foreign,
+}
+
+/// What to do when the engine or the link to it is lost.
+#[token]
+pub enum Loss {
+    /// Start a new generation; the caller has received nothing.
+    Restart,
+    /// Resume the same generation from this offset.
+    Resume(Offset),
+    /// End the stream and tell the caller the offset that it reached.
+    Interrupt(Offset),
+}
+
+impl Cursor {
+    /// Creates the cursor of a new request.
+    pub fn new() -> Self {
+        Self {
+            generation: None,
+            next: 0,
+            begun: false,
+        }
+    }
+
+    /// Creates the cursor of a caller that reconnects and expects the given offset next.
+    pub fn resume(generation: GenerationId, next: Offset) -> Self {
+        Self {
+            generation: Some(generation),
+            next,
+            begun: true,
+        }
+    }
+
+    /// Binds the cursor to a generation unless tokens of another one were delivered.
+    pub fn bind(&mut self, generation: GenerationId) -> bool {
+        if self.begun && self.generation != Some(generation) {
+            return false;
+        }
+        if self.generation != Some(generation) {
+            self.next = 0;
+        }
+        self.generation = Some(generation);
+        true
+    }
+
+    /// Decides what to do with a token.
+    pub fn accept(&mut self, generation: GenerationId, offset: Offset) -> Step {
+        if self.generation != Some(generation) {
+            return Step::Foreign;
+        }
+        match offset.cmp(&self.next) {
+            std::cmp::Ordering::Less => Step::Duplicate,
+            std::cmp::Ordering::Greater => Step::Resume(self.next),
+            std::cmp::Ordering::Equal => {
+                self.next += 1;
+                self.begun = true;
+                Step::Deliver
+            }
+        }
+    }
+
+    /// Decides what to do when the link to the engine is lost; `alive` says whether the engine
+    /// answers on a fresh connection.
+    pub fn lose(&self, alive: bool) -> Loss {
+        if alive && self.generation.is_some() {
+            Loss::Resume(self.next)
+        } else if self.begun {
+            Loss::Interrupt(self.next)
+        } else {
+            Loss::Restart
+        }
+    }
+
+    /// Returns the offset of the next token to deliver.
+    pub fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// Returns the generation that the cursor is bound to.
+    pub fn generation(&self) -> Option<GenerationId> {
+        self.generation
+    }
+}
+
+impl Default for Cursor {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/daisyyard_http/src/lib.rs
@@ -0,0 +1,127 @@
+//! HTTP/1.1 pieces over hyper that the node and the stand-ins share.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+
+use anyhow::Context;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+/// Body of a response.
+pub type Body = UnsyncBoxBody<Bytes, Infallible>;
+
+/// Largest request body that is read, in bytes.
+const MAX_BODY: usize = 4 << 20;
+
+/// Returns a body that holds the given bytes.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).boxed_unsync()
+}
+
+/// Returns a response with a JSON body.
+pub fn json(status: StatusCode, value: &serde_json::Value) -> Response<Body> {
+    let mut response = Response::new(full(value.to_string()));
+    *response.status_mut() = status;
+    let kind = hyper::header::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, kind);
+    response
+}
+
+/// Returns a body that passes on the chunks of a channel until the sender is dropped.
+pub fn channel(receiver: mpsc::Receiver<Bytes>) -> Body {
+    let stream = futures_util::stream::unfold(receiver, |mut receiver| async move {
+        let chunk = receiver.recv().await?;
+        Some((Ok(Frame::data(chunk)), receiver))
+    });
+    BodyExt::boxed_unsync(StreamBody::new(stream.boxed()))
+}
+
+/// Reads a request body up to a limit.
+pub async fn read(body: Incoming) -> anyhow::Result<Bytes> {
+    let limited = http_body_util::Limited::new(body, MAX_BODY);
+    let collected = limited.collect().await;
+    let collected = collected.map_err(|error| anyhow::anyhow!("cannot read the body: {error}"))?;
+    Ok(collected.to_bytes())
+}
+
+/// Accepts connections until the task is aborted, with one task per connection.
+pub fn serve<F, R>(listener: TcpListener, handler: F) -> JoinHandle<()>
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<Body>> + Send + 'static,
+{
+    tokio::spawn(async move {
+        let mut connections = tokio::task::JoinSet::new();
+        while let Ok((socket, _)) = listener.accept().await {
+            let handler = handler.clone();
+            connections.spawn(async move {
+                let service = service_fn(move |request| {
+                    let answer = handler(request);
+                    async move { Ok::<_, Infallible>(answer.await) }
+                });
+                // A connection that the other end breaks needs no answer.
+                let _ = http1::Builder::new()
+                    .serve_connection(TokioIo::new(socket), service)
+                    .await;
+            });
+            while connections.try_join_next().is_some() {}
+        }
+    })
+}
+
+/// Sends one request on a connection of its own and reads the whole answer.
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> anyhow::Result<(StatusCode, Bytes)> {
+    let response = open(address, method, path, headers, body).await?;
+    let status = response.status();
+    let collected = response
+        .into_body()
+        .collect()
+        .await
+        .context("the answer broke off")?;
+    Ok((status, collected.to_bytes()))
+}
+
+/// Sends one request on a connection of its own and returns the response with its body unread.
+pub async fn open(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> anyhow::Result<Response<Incoming>> {
+    let socket = TcpStream::connect(address).await;
+    let socket = socket.with_context(|| format!("cannot connect to {address}; is it running?"))?;
+    socket.set_nodelay(true).context("cannot set TCP_NODELAY")?;
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(socket)).await?;
+    tokio::spawn(connection);
+    let mut request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "daisyyard");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request
+        .body(Full::new(body.into()))
+        .context("the request is malformed")?;
+    Ok(sender.send_request(request).await?)
+}
--- /dev/null
+++ b/crates/daisyyard_lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Experiments in virtual time over the decisions of `daisyyard_core`.
