Report every fault of a settings file at once

Cause: settings were read by serde, which stops at the first fault and names no line. Conclusion: an operator corrects a file in one pass.

--- a/crates/daisyyard/src/command.rs
+++ b/crates/daisyyard/src/command.rs
@@ -60,7 +60,9 @@
     let matches = Options::new().parse(arguments)?;
     let path = matches.free.first();
     let path = path.ok_or_else(|| anyhow::anyhow!("name a file: daisyyard check FILE"))?;
-    settings::load(Path::new(path))?;
+    for warning in settings::load(Path::new(path))?.warnings() {
+        println!("{path}: warning: {warning}");
+    }
     println!("{path}: no faults");
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/daisyyard/src/embedded.rs
+++ b/crates/daisyyard/src/embedded.rs
@@ -134,8 +134,8 @@
         store: SocketAddr,
     ) -> anyhow::Result<Settings> {
         let credential = Credential {
-            account: "member-1".to_owned(),
-            token: "token-1".to_owned(),
+            name: "member-1".to_owned(),
+            token: "member-1-token-0".to_owned(),
         };
         Ok(Settings {
             name: format!("node-{index}"),
@@ -145,15 +145,20 @@
             peer: "127.0.0.1:0".parse()?,
             list,
             store,
-            key: "embedded".to_owned(),
+            key: "embedded-fleet-key".to_owned(),
+            services: vec![self.model.0.to_owned(), self.plain.0.to_owned()],
             accounts: vec![credential],
+            operators: Vec::new(),
+            stall: Settings::STALL,
+            address_ttl: Settings::ADDRESS_TTL,
+            log: Settings::LOG,
         })
     }
 }
 
 /// Headers of the embedded caller.
 const HEADERS: [(&str, &str); 2] = [
-    ("authorization", "Bearer token-1"),
+    ("authorization", "Bearer member-1-token-0"),
     ("content-type", "application/json"),
 ];
 
--- a/crates/daisyyard/src/event.rs
+++ b/crates/daisyyard/src/event.rs
@@ -1,12 +1,19 @@
 //! Numbered log events; `docs/log-events.md` is their catalogue.
 
-use spdlog::Level;
+use anyhow::Context;
+use spdlog::formatter::{Formatter, FullFormatter, JsonFormatter};
+use spdlog::sink::StdStreamSink;
+use spdlog::{LevelFilter, Logger};
+
+use crate::settings::{Format, Level, Log};
 
 /// An event that is logged, with a number that never changes its meaning.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Event {
     /// The node accepts requests.
     NodeStarted = 1,
+    /// A setting works but is probably not meant.
+    SettingDoubtful = 2,
     /// The node has ended.
     NodeStopped = 3,
     /// A request to the instance list failed.
@@ -17,15 +24,50 @@
 
 impl Event {
     /// Returns the level at which the event is logged.
-    fn level(self) -> Level {
+    fn level(self) -> spdlog::Level {
         match self {
-            Self::NodeStarted | Self::NodeStopped => Level::Info,
-            Self::ListUnavailable | Self::StreamInterrupted => Level::Warn,
+            Self::NodeStarted | Self::NodeStopped => spdlog::Level::Info,
+            Self::SettingDoubtful | Self::ListUnavailable | Self::StreamInterrupted => {
+                spdlog::Level::Warn
+            }
         }
     }
 }
 
-/// Logs an event with details.
+/// Logs an event with details in the form `key=value`.
 pub(crate) fn emit(event: Event, details: &str) {
     spdlog::log!(event.level(), "DY{:04} {event:?} {details}", event as u32);
 }
+
+/// Sets the level and form of the process's log, which goes to the standard error stream.
+pub(crate) fn configure(log: Log) -> anyhow::Result<()> {
+    match log.format {
+        Format::Text => install(log.level, FullFormatter::new()),
+        Format::Json => install(log.level, JsonFormatter::new()),
+    }
+}
+
+/// Installs the logger of the process.
+fn install<F: Formatter + 'static>(level: Level, formatter: F) -> anyhow::Result<()> {
+    let sink = StdStreamSink::builder()
+        .stderr()
+        .formatter(formatter)
+        .build_arc();
+    let sink = sink.context("cannot open the standard error stream for the log")?;
+    let logger = Logger::builder()
+        .sink(sink)
+        .level_filter(filter(level))
+        .build_arc();
+    spdlog::set_default_logger(logger.context("cannot build the logger")?);
+    Ok(())
+}
+
+/// Returns the filter for a level.
+fn filter(level: Level) -> LevelFilter {
+    LevelFilter::MoreSevereEqual(match level {
+        Level::Debug => spdlog::Level::Debug,
+        Level::Info => spdlog::Level::Info,
+        Level::Warn => spdlog::Level::Warn,
+        Level::Error => spdlog::Level::Error,
+    })
+}
--- a/crates/daisyyard/src/front.rs
+++ b/crates/daisyyard/src/front.rs
@@ -37,7 +37,7 @@
 
 /// Starts the listener.
 pub(crate) fn spawn(listener: TcpListener, settings: &Settings, actors: Actors) -> JoinHandle<()> {
-    let account = |c: &crate::settings::Credential| (c.token.clone(), Account::new(&c.account));
+    let account = |c: &crate::settings::Credential| (c.token.clone(), Account::new(&c.name));
     let accounts = settings.accounts.iter().map(account).collect();
     let front = Front { accounts, actors };
     http::serve(listener, move |request| {
--- a/crates/daisyyard/src/lib.rs
+++ b/crates/daisyyard/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod node;
 pub(crate) mod refusal;
 pub(crate) mod roster;
+pub mod scan;
 pub mod settings;
 pub(crate) mod upstream;
--- a/crates/daisyyard/src/node.rs
+++ b/crates/daisyyard/src/node.rs
@@ -34,7 +34,7 @@
         let dispatch = dispatch::spawn(Zone::new(&settings.zone, &settings.region));
         let endpoints = roster::poll(settings.list).await.unwrap_or_default();
         let _ = dispatch.send(dispatch::Adopt(endpoints)).await;
-        let preset = Preset::ordinary(&["asistente", "assay-model"]);
+        let preset = Preset::ordinary(&settings.services);
         let admission = admission::spawn(preset, dispatch.clone());
         let roster = roster::spawn(settings.list, dispatch.clone());
         let actors = Actors {
@@ -64,6 +64,10 @@
 
 /// Runs a node until the process is told to stop.
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
+    event::configure(settings.log)?;
+    for warning in settings.warnings() {
+        event::emit(Event::SettingDoubtful, &warning);
+    }
     let node = Node::start(settings).await?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- /dev/null
+++ b/crates/daisyyard/src/scan.rs
@@ -0,0 +1,398 @@
+//! Reads settings from JSON with comments and collects every fault with its place.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use daisyyard_derive::value;
+use jsonc_parser::ast::{Object, ObjectProp, Value};
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+
+/// One fault in a settings file.
+#[value]
+pub struct Fault {
+    /// File that has the fault.
+    pub file: PathBuf,
+    /// Line of the fault, from 1.
+    pub line: usize,
+    /// Path of the key, such as `accounts[0].token`.
+    pub key: String,
+    /// What was found.
+    pub found: String,
+    /// What was expected.
+    pub expected: String,
+    /// A value that would be accepted.
+    pub example: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            file,
+            line,
+            key,
+            found,
+            expected,
+            example,
+        } = self;
+        let file = file.display();
+        write!(
+            f,
+            "{file}:{line}: {key}: found {found}, expected {expected}, e.g. {example}"
+        )
+    }
+}
+
+/// All faults of a settings file.
+#[derive(Debug, thiserror::Error)]
+#[error("correct {} of the settings:\n{}", plural(.0.len()), lines(.0))]
+pub struct Faults(pub Vec<Fault>);
+
+/// Returns the number of faults in words.
+fn plural(count: usize) -> String {
+    if count == 1 {
+        "1 fault".to_owned()
+    } else {
+        format!("{count} faults")
+    }
+}
+
+/// Returns one line for each fault.
+fn lines(faults: &[Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+/// What a key must hold, for the message of a fault.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Shape {
+    /// What is expected.
+    pub(crate) expected: &'static str,
+    /// A value that would be accepted.
+    pub(crate) example: &'static str,
+}
+
+/// A settings file with the faults found so far.
+#[derive(Debug)]
+pub(crate) struct Scan<'a> {
+    /// Path of the file.
+    file: &'a Path,
+    /// Text of the file.
+    text: &'a str,
+    /// Faults found so far.
+    faults: Vec<Fault>,
+}
+
+/// One object of the file whose keys are being read.
+#[derive(Debug)]
+pub(crate) struct Section<'a> {
+    /// Path of the object, empty for the root.
+    path: String,
+    /// Offset of the object in the text, for faults about missing keys.
+    start: usize,
+    /// Keys that have not been read.
+    unread: Vec<ObjectProp<'a>>,
+    /// Keys that the object may have.
+    known: Vec<&'static str>,
+}
+
+impl<'a> Scan<'a> {
+    /// Reads the root object of a file.
+    pub(crate) fn open(file: &'a Path, text: &'a str) -> Result<(Self, Section<'a>), Faults> {
+        let mut scan = Self {
+            file,
+            text,
+            faults: Vec::new(),
+        };
+        let options = ParseOptions {
+            allow_missing_commas: false,
+            ..ParseOptions::default()
+        };
+        let root = match parse_to_ast(text, &CollectOptions::default(), &options) {
+            Ok(parsed) => parsed.value,
+            Err(error) => {
+                let shape = Shape {
+                    expected: "JSON with comments",
+                    example: "{ \"name\": \"a\" }",
+                };
+                scan.fault(error.range().start, "", &error.kind().to_string(), shape);
+                return Err(Faults(scan.faults));
+            }
+        };
+        let Some(Value::Object(root)) = root else {
+            let shape = Shape {
+                expected: "an object",
+                example: "{ \"name\": \"a\" }",
+            };
+            scan.fault(0, "", "another value", shape);
+            return Err(Faults(scan.faults));
+        };
+        let section = Section::new(String::new(), root);
+        Ok((scan, section))
+    }
+
+    /// Returns the value if no fault was found.
+    pub(crate) fn finish<T>(self, value: T) -> Result<T, Faults> {
+        if self.faults.is_empty() {
+            Ok(value)
+        } else {
+            Err(Faults(self.faults))
+        }
+    }
+
+    /// Records a fault.
+    fn fault(&mut self, offset: usize, key: &str, found: &str, shape: Shape) {
+        let line = self.text[..offset].matches('\n').count() + 1;
+        let key = if key.is_empty() { "file" } else { key };
+        self.faults.push(Fault {
+            file: self.file.to_owned(),
+            line,
+            key: key.to_owned(),
+            found: found.to_owned(),
+            expected: shape.expected.to_owned(),
+            example: shape.example.to_owned(),
+        });
+    }
+
+    /// Reads a key with a function that accepts its value; a key that is missing is a fault.
+    fn required<T>(
+        &mut self,
+        section: &mut Section<'a>,
+        key: &'static str,
+        shape: Shape,
+        accept: impl FnOnce(&Value<'a>) -> Option<T>,
+    ) -> Option<T> {
+        let Some(property) = section.take(key) else {
+            self.fault(section.start, &section.name(key), "nothing", shape);
+            return None;
+        };
+        let accepted = accept(&property.value);
+        if accepted.is_none() {
+            let offset = property.value.range().start;
+            let found = property.value.range();
+            let found = abridge(&self.text[found.start..found.end]);
+            self.fault(offset, &section.name(key), &found, shape);
+        }
+        accepted
+    }
+
+    /// Reads a text that is not empty.
+    pub(crate) fn text(
+        &mut self,
+        section: &mut Section<'a>,
+        key: &'static str,
+        example: &'static str,
+    ) -> String {
+        let shape = Shape {
+            expected: "a text that is not empty",
+            example,
+        };
+        let accept = |value: &Value<'a>| {
+            let text = value.as_string_lit()?.value.trim().to_owned();
+            (!text.is_empty()).then_some(text)
+        };
+        self.required(section, key, shape, accept)
+            .unwrap_or_default()
+    }
+
+    /// Reads a secret of at least 16 bytes.
+    pub(crate) fn secret(&mut self, section: &mut Section<'a>, key: &'static str) -> String {
+        let expected = "a secret of at least 16 bytes";
+        let shape = Shape {
+            expected,
+            example: "\"use 16 bytes or more from a random source\"",
+        };
+        let accept = |value: &Value<'a>| {
+            let text = value.as_string_lit()?.value.to_string();
+            (text.len() >= 16).then_some(text)
+        };
+        self.required(section, key, shape, accept)
+            .unwrap_or_default()
+    }
+
+    /// Reads an IP address with a port.
+    pub(crate) fn address(&mut self, section: &mut Section<'a>, key: &'static str) -> SocketAddr {
+        let shape = Shape {
+            expected: "an IP address and port",
+            example: "\"10.0.0.7:8080\"",
+        };
+        let accept = |value: &Value<'a>| value.as_string_lit()?.value.parse().ok();
+        let unset = SocketAddr::from(([0, 0, 0, 0], 0));
+        self.required(section, key, shape, accept).unwrap_or(unset)
+    }
+
+    /// Reads a time in milliseconds within bounds; a missing key takes the default.
+    pub(crate) fn millis(
+        &mut self,
+        section: &mut Section<'a>,
+        key: &'static str,
+        bounds: std::ops::RangeInclusive<u64>,
+        default: Duration,
+    ) -> Duration {
+        if !section.has(key) {
+            section.known.push(key);
+            return default;
+        }
+        let expected = "a number of milliseconds within the documented bounds";
+        let shape = Shape {
+            expected,
+            example: "1000",
+        };
+        let accept = |value: &Value<'a>| {
+            let millis: u64 = value.as_number_lit()?.value.parse().ok()?;
+            bounds
+                .contains(&millis)
+                .then_some(Duration::from_millis(millis))
+        };
+        self.required(section, key, shape, accept)
+            .unwrap_or(default)
+    }
+
+    /// Reads one of several names; a missing key takes the first.
+    pub(crate) fn choice<T: Copy>(
+        &mut self,
+        section: &mut Section<'a>,
+        key: &'static str,
+        shape: Shape,
+        choices: &[(&str, T)],
+    ) -> T {
+        if !section.has(key) {
+            section.known.push(key);
+            return choices[0].1;
+        }
+        let accept = |value: &Value<'a>| {
+            let name = &value.as_string_lit()?.value;
+            choices
+                .iter()
+                .find(|(choice, _)| choice == name)
+                .map(|(_, value)| *value)
+        };
+        self.required(section, key, shape, accept)
+            .unwrap_or(choices[0].1)
+    }
+
+    /// Reads a list of texts; a missing key takes an empty list.
+    pub(crate) fn texts(
+        &mut self,
+        section: &mut Section<'a>,
+        key: &'static str,
+        example: &'static str,
+    ) -> Vec<String> {
+        if !section.has(key) {
+            section.known.push(key);
+            return Vec::new();
+        }
+        let shape = Shape {
+            expected: "a list of texts",
+            example,
+        };
+        let accept = |value: &Value<'a>| {
+            let text = |item: &Value<'a>| Some(item.as_string_lit()?.value.to_string());
+            value.as_array()?.elements.iter().map(text).collect()
+        };
+        self.required(section, key, shape, accept)
+            .unwrap_or_default()
+    }
+
+    /// Reads a list of objects with a function that reads one; a missing key takes an empty list.
+    pub(crate) fn sections<T>(
+        &mut self,
+        section: &mut Section<'a>,
+        key: &'static str,
+        example: &'static str,
+        read: impl Fn(&mut Self, &mut Section<'a>) -> T,
+    ) -> Vec<T> {
+        let Some(property) = section.take(key) else {
+            return Vec::new();
+        };
+        let shape = Shape {
+            expected: "a list of objects",
+            example,
+        };
+        let name = section.name(key);
+        let start = property.range.start;
+        let Value::Array(array) = property.value else {
+            self.fault(start, &name, "another value", shape);
+            return Vec::new();
+        };
+        let mut items = Vec::new();
+        for (index, element) in array.elements.into_iter().enumerate() {
+            let name = format!("{name}[{index}]");
+            let start = element.range().start;
+            let Value::Object(object) = element else {
+                self.fault(start, &name, "another value", shape);
+                continue;
+            };
+            let mut inner = Section::new(name, object);
+            items.push(read(self, &mut inner));
+            self.close(inner);
+        }
+        items
+    }
+
+    /// Records a fault for each key of a section that was not read.
+    pub(crate) fn close(&mut self, section: Section<'a>) {
+        let known = section.known.join(", ");
+        for property in section.unread {
+            let key = property.name.into_string();
+            let name = section.path.clone() + if section.path.is_empty() { "" } else { "." } + &key;
+            let shape = Shape {
+                expected: "a known key",
+                example: "see `known keys`",
+            };
+            let found = format!("an unknown key (known keys: {known})");
+            self.fault(property.range.start, &name, &found, shape);
+        }
+    }
+}
+
+impl<'a> Section<'a> {
+    /// Starts reading an object.
+    fn new(path: String, object: Object<'a>) -> Self {
+        let start = object.range.start;
+        Self {
+            path,
+            start,
+            unread: object.properties,
+            known: Vec::new(),
+        }
+    }
+
+    /// Returns whether a key is present and unread.
+    fn has(&self, key: &str) -> bool {
+        self.unread
+            .iter()
+            .any(|property| property.name.as_str() == key)
+    }
+
+    /// Takes a key.
+    fn take(&mut self, key: &'static str) -> Option<ObjectProp<'a>> {
+        self.known.push(key);
+        let place = self
+            .unread
+            .iter()
+            .position(|property| property.name.as_str() == key)?;
+        Some(self.unread.remove(place))
+    }
+
+    /// Returns the path of a key of this object.
+    fn name(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{}.{key}", self.path)
+        }
+    }
+}
+
+/// Returns a value's text, shortened for a message.
+fn abridge(text: &str) -> String {
+    const LONGEST: usize = 40;
+    if text.chars().count() <= LONGEST {
+        return text.to_owned();
+    }
+    let start: String = text.chars().take(LONGEST).collect();
+    format!("{start}...")
+}
--- a/crates/daisyyard/src/settings.rs
+++ b/crates/daisyyard/src/settings.rs
@@ -2,14 +2,15 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 use anyhow::Context;
-use jsonc_parser::ParseOptions;
-use serde::Deserialize;
+use daisyyard_derive::value;
+
+use crate::scan::{Faults, Scan, Section, Shape};
 
 /// Settings of one node.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[value]
 pub struct Settings {
     /// Name of the instance.
     pub name: String,
@@ -17,7 +18,7 @@
     pub zone: String,
     /// Region of the availability zone.
     pub region: String,
-    /// Address for callers.
+    /// Address for callers and operators.
     pub listen: SocketAddr,
     /// Address for other nodes.
     pub peer: SocketAddr,
@@ -27,26 +28,164 @@
     pub store: SocketAddr,
     /// Key shared by all nodes, for the authentication of peers and stream identifiers.
     pub key: String,
+    /// Services that the built-in preset covers until a document exists.
+    pub services: Vec<String>,
     /// Client accounts and their credentials.
     pub accounts: Vec<Credential>,
+    /// Operators and their credentials.
+    pub operators: Vec<Credential>,
+    /// Time without a byte from an engine after which its connection is probed.
+    pub stall: Duration,
+    /// Time for which callers may keep an answer of `/addresses`.
+    pub address_ttl: Duration,
+    /// How events are logged.
+    pub log: Log,
 }
 
-/// Credential of one client account.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
+/// Credential of a client account or an operator.
+#[value]
 pub struct Credential {
-    /// Name of the client account.
-    pub account: String,
-    /// Bearer token that the account's callers present.
+    /// Name of the client account or operator.
+    pub name: String,
+    /// Bearer token that is presented.
     pub token: String,
 }
 
+/// How events are logged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Log {
+    /// Least severe level that is logged.
+    pub level: Level,
+    /// Form of the lines.
+    pub format: Format,
+}
+
+/// Level of log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Level {
+    /// Everything.
+    Debug,
+    /// What happens in ordinary service.
+    Info,
+    /// What may need an operator.
+    Warn,
+    /// What needs an operator.
+    Error,
+}
+
+/// Form of log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Format {
+    /// Lines for people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+impl Settings {
+    /// Time without a byte from an engine after which its connection is probed, unless set.
+    pub const STALL: Duration = Duration::from_millis(1_062);
+    /// Time for which callers may keep an answer of `/addresses`, unless set.
+    pub const ADDRESS_TTL: Duration = Duration::from_secs(10);
+    /// How events are logged unless set.
+    pub const LOG: Log = Log {
+        level: Level::Info,
+        format: Format::Text,
+    };
+
+    /// Returns warnings about settings that work but are probably not meant.
+    pub fn warnings(&self) -> Vec<String> {
+        let mut warnings = Vec::new();
+        if self.accounts.is_empty() {
+            warnings.push("accounts is empty: every caller will be refused".to_owned());
+        }
+        if self.operators.is_empty() {
+            warnings.push("operators is empty: no preset can be changed here".to_owned());
+        }
+        if self.services.is_empty() {
+            warnings.push("services is empty: nothing is served before a preset exists".to_owned());
+        }
+        warnings
+    }
+}
+
 /// Loads the settings from a file.
 pub fn load(path: &Path) -> anyhow::Result<Settings> {
     let text = std::fs::read_to_string(path)
         .with_context(|| format!("cannot read {}; give a readable file", path.display()))?;
-    let value = jsonc_parser::parse_to_serde_value(&text, &ParseOptions::default())
-        .with_context(|| format!("{} is not JSON with comments", path.display()))?;
-    let value: serde_json::Value = value;
-    serde_json::from_value(value).with_context(|| path.display().to_string())
+    Ok(parse(path, &text)?)
+}
+
+/// Reads the settings from the text of a file, or lists every fault.
+pub fn parse(path: &Path, text: &str) -> Result<Settings, Faults> {
+    let (mut scan, mut root) = Scan::open(path, text)?;
+    let (s, r) = (&mut scan, &mut root);
+    let settings = Settings {
+        name: s.text(r, "name", "\"entry-1\""),
+        zone: s.text(r, "zone", "\"costa-a\""),
+        region: s.text(r, "region", "\"costa\""),
+        listen: s.address(r, "listen"),
+        peer: s.address(r, "peer"),
+        list: s.address(r, "list"),
+        store: s.address(r, "store"),
+        key: s.secret(r, "key"),
+        services: s.texts(r, "services", "[\"asistente\"]"),
+        accounts: s.sections(
+            r,
+            "accounts",
+            "[{ \"account\": \"a\", \"token\": \"t\" }]",
+            |s, r| credential(s, r, "account"),
+        ),
+        operators: s.sections(
+            r,
+            "operators",
+            "[{ \"operator\": \"o\", \"token\": \"t\" }]",
+            |s, r| credential(s, r, "operator"),
+        ),
+        stall: s.millis(r, "stall_ms", 100..=60_000, Settings::STALL),
+        address_ttl: s.millis(r, "address_ttl_ms", 100..=600_000, Settings::ADDRESS_TTL),
+        log: Log {
+            level: level(s, r),
+            format: format(s, r),
+        },
+    };
+    scan.close(root);
+    scan.finish(settings)
+}
+
+/// Reads one credential.
+fn credential<'a>(scan: &mut Scan<'a>, section: &mut Section<'a>, key: &'static str) -> Credential {
+    Credential {
+        name: scan.text(section, key, "\"name\""),
+        token: scan.secret(section, "token"),
+    }
+}
+
+/// Reads the log level.
+fn level<'a>(scan: &mut Scan<'a>, section: &mut Section<'a>) -> Level {
+    let shape = Shape {
+        expected: "one of info, debug, warn, error",
+        example: "\"info\"",
+    };
+    let choices = [
+        ("info", Level::Info),
+        ("debug", Level::Debug),
+        ("warn", Level::Warn),
+        ("error", Level::Error),
+    ];
+    scan.choice(section, "log_level", shape, &choices)
+}
+
+/// Reads the form of log lines.
+fn format<'a>(scan: &mut Scan<'a>, section: &mut Section<'a>) -> Format {
+    let shape = Shape {
+        expected: "one of text, json",
+        example: "\"json\"",
+    };
+    scan.choice(
+        section,
+        "log_format",
+        shape,
+        &[("text", Format::Text), ("json", Format::Json)],
+    )
 }
--- a/crates/daisyyard_core/src/preset.rs
+++ b/crates/daisyyard_core/src/preset.rs
@@ -65,7 +65,7 @@
 
 impl Preset {
     /// Returns the built-in preset for ordinary days.
-    pub fn ordinary(services: &[&str]) -> Self {
+    pub fn ordinary(services: &[String]) -> Self {
         let terms = services
             .iter()
             .map(|name| (id::of(name), Terms::ordinary(name)))
