Add lease-fenced orders and placement of models

Cause: orders to engines need one sender at a time, also on engines that ignore fencing numbers, and model changes must not take a model out of service. Change: order::Holder decides about the lease and permits each order; placement::Planner plans drains and loads with hysteresis, a load limit and a minimum per model. Conclusion: the decisions stand; no task sends orders yet.

--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod id;
 pub mod instance;
 pub mod ledger;
+pub mod order;
+pub mod placement;
 pub mod preset;
 pub mod route;
 pub mod stream;
--- /dev/null
+++ b/crates/daisyyard_core/tests/model_moves.rs
@@ -0,0 +1,124 @@
+//! Guards against placement that takes a model out of service, loads too much at once, or
+//! changes back and forth.
+
+use std::time::{Duration, Instant};
+
+use daisyyard_core::placement::{Engine, Phase, Planner, Step, Wish};
+use proptest::prelude::*;
+
+/// Carries out steps at once, as engines would after a while.
+fn carry_out(engines: &mut [Engine], steps: &[Step]) {
+    for step in steps {
+        let (Step::Drain(id, model) | Step::Load(id, model)) = *step;
+        let engine = engines
+            .iter_mut()
+            .find(|engine| engine.id == id)
+            .expect("a known engine");
+        match step {
+            Step::Drain(..) => engine.phase = Phase::Draining(model),
+            Step::Load(..) => {
+                engine.phase = Phase::Loading;
+                engine.model = model;
+            }
+        }
+    }
+}
+
+proptest! {
+    /// Whatever the demand does, each wished model that is served stays served, and at most one
+    /// engine in ten loads at a time.
+    #[test]
+    fn stays_served(demands in proptest::collection::vec((0.0_f64..12.0, 0.0_f64..12.0), 1..60)) {
+        let mut now = Instant::now();
+        let mut planner = Planner::new();
+        let mut engines: Vec<Engine> = (0..12)
+            .map(|id| Engine { id, model: id % 2, phase: Phase::Serving, running: 1 })
+            .collect();
+        for (one, two) in demands {
+            let wishes = [
+                Wish { model: 0, minimum: 1, demand: one },
+                Wish { model: 1, minimum: 1, demand: two },
+            ];
+            let steps = planner.plan(&engines, &wishes, now);
+            carry_out(&mut engines, &steps);
+            let loading = engines.iter().filter(|e| e.phase == Phase::Loading).count();
+            prop_assert!(loading <= 2);
+            for model in [0, 1] {
+                let served = engines.iter().any(|e| e.model == model && e.phase == Phase::Serving);
+                prop_assert!(served, "model {} is not served", model);
+            }
+            for engine in &mut engines {
+                match engine.phase {
+                    Phase::Draining(_) => engine.running = 0,
+                    Phase::Loading => engine.phase = Phase::Serving,
+                    Phase::Serving => engine.running = 1,
+                }
+            }
+            now += Duration::from_secs(45);
+        }
+    }
+}
+
+/// A demand that flips every half minute moves no engine.
+#[test]
+fn no_flapping() {
+    let mut now = Instant::now();
+    let mut planner = Planner::new();
+    let engines: Vec<Engine> = (0..10)
+        .map(|id| Engine {
+            id,
+            model: id % 2,
+            phase: Phase::Serving,
+            running: 1,
+        })
+        .collect();
+    for round in 0..40 {
+        let (one, two) = if round % 2 == 0 {
+            (9.0, 1.0)
+        } else {
+            (1.0, 9.0)
+        };
+        let wishes = [
+            Wish {
+                model: 0,
+                minimum: 1,
+                demand: one,
+            },
+            Wish {
+                model: 1,
+                minimum: 1,
+                demand: two,
+            },
+        ];
+        assert!(planner.plan(&engines, &wishes, now).is_empty());
+        now += Duration::from_secs(30);
+    }
+}
+
+/// A model that no engine serves gets one without waiting.
+#[test]
+fn unserved_model() {
+    let mut planner = Planner::new();
+    let engines: Vec<Engine> = (0..4)
+        .map(|id| Engine {
+            id,
+            model: 0,
+            phase: Phase::Serving,
+            running: 0,
+        })
+        .collect();
+    let wishes = [
+        Wish {
+            model: 0,
+            minimum: 1,
+            demand: 1.0,
+        },
+        Wish {
+            model: 5,
+            minimum: 1,
+            demand: 0.0,
+        },
+    ];
+    let steps = planner.plan(&engines, &wishes, Instant::now());
+    assert!(matches!(steps[..], [Step::Drain(_, 5)]));
+}
