Decide admission, fairness and routing under load

Cause: the ledger admitted first come first served within a rank, against a fixed expected length, and routing knew neither memory, age nor prefixes.

Change: add `length`, `queue`, `prefix` and `budget`, and rebuild `ledger` and `route` on them. The ledger admits by the expected peak of memory with a headroom that follows the measured error, limits concurrency by the measured time between tokens, keeps floors by rank, serves accounts by start-time fair queueing, and refuses early. Its parts are `admit`, `capacity`, `grant` and `memory`. The node sends a freed place to a waiting request at once.

Conclusion: the interface of `Ask`, `Answer`, `Next`, `Digest`, `Ledger` and `Table` stays; `Ledger::progress` now returns whether the grant is known.

--- a/crates/daisyyard/src/admission.rs
+++ b/crates/daisyyard/src/admission.rs
@@ -178,7 +178,12 @@
     async fn handle(&mut self, message: Release, _: &mut Context<Self>) {
         self.waiting.remove(&message.request);
         if let Some(ledger) = self.ledgers.get_mut(&message.endpoint) {
-            ledger.release(message.request, message.made, Instant::now());
+            let now = Instant::now();
+            ledger.release(message.request, message.made, now);
+            // What was freed goes to a waiting request at once.
+            for next in ledger.tick(now) {
+                self.carry_out(&next);
+            }
         }
         self.share(message.endpoint).await;
     }
--- a/crates/daisyyard/src/dispatch.rs
+++ b/crates/daisyyard/src/dispatch.rs
@@ -60,13 +60,13 @@
     type Return = Target;
 
     async fn handle(&mut self, message: Route, _: &mut Context<Self>) -> Target {
-        let seed = rand::random();
+        let (now, seed) = (Instant::now(), rand::random());
         match self
             .table
-            .choose(&message.request, &message.tried, Instant::now(), seed)
+            .choose(&message.request, &message.tried, now, seed)
         {
             Choice::Ask(id) => {
-                self.table.sent(id);
+                self.table.send(id, &message.request, now);
                 self.table
                     .get(id)
                     .cloned()
--- /dev/null
+++ b/crates/daisyyard_core/src/grant.rs
@@ -0,0 +1,173 @@
+//! The running generations of one engine, with their sums by rank and their orders.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use crate::contract::Rank;
+use crate::id::{AccountId, InstanceId, RequestId, Tokens};
+use crate::memory::Profile;
+
+/// A generation that holds a share of the engine.
+#[derive(Debug, Clone)]
+pub(crate) struct Grant {
+    /// Node that holds the request.
+    pub(crate) node: InstanceId,
+    /// Client account of the request.
+    pub(crate) account: AccountId,
+    /// Rank of the request.
+    pub(crate) rank: Rank,
+    /// Tokens of the prompt.
+    pub(crate) prompt: Tokens,
+    /// Tokens that the engine repeats if the generation is given up, beside those made.
+    pub(crate) fresh: Tokens,
+    /// Output tokens that the node expects.
+    pub(crate) expected: Tokens,
+    /// Output tokens made.
+    pub(crate) made: Tokens,
+    /// Output tokens estimated in all.
+    pub(crate) total: Tokens,
+    /// Output tokens estimated at admission.
+    pub(crate) first: Tokens,
+    /// Tokens charged to the account in the fair queue.
+    pub(crate) charged: Tokens,
+    /// Tokens taken from the account's rate limit.
+    pub(crate) taken: Tokens,
+    /// When it was granted.
+    pub(crate) granted: Instant,
+    /// When progress was last reported.
+    pub(crate) progressed: Instant,
+    /// When the grant ends unless progress renews it.
+    pub(crate) expires: Instant,
+    /// When the node was told to give it up.
+    pub(crate) yielded: Option<Instant>,
+}
+
+impl Grant {
+    /// Returns the tokens of memory in use.
+    pub(crate) fn held(&self) -> Tokens {
+        self.prompt + self.made
+    }
+
+    /// Returns the tokens that the generation is expected to add.
+    pub(crate) fn remaining(&self) -> Tokens {
+        self.total.saturating_sub(self.made)
+    }
+
+    /// Returns the work that is lost if the generation is given up.
+    fn lost(&self) -> Tokens {
+        self.fresh + self.made
+    }
+
+    /// Returns whether the generation may be told to yield.
+    fn may_yield(&self) -> bool {
+        self.rank == Rank::Deferrable && self.yielded.is_none()
+    }
+}
+
+/// Sums over the generations of one rank.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct Sum {
+    /// Number of generations.
+    pub(crate) count: usize,
+    /// Number of generations that were not told to yield.
+    pub(crate) active: usize,
+    /// Tokens of memory in use, without generations that were told to yield.
+    pub(crate) held: Tokens,
+    /// Tokens of memory expected at the end, each for itself.
+    pub(crate) reserved: Tokens,
+}
+
+/// The running generations.
+#[derive(Debug, Default)]
+pub(crate) struct Grants {
+    /// Generations by request.
+    running: BTreeMap<RequestId, Grant>,
+    /// Requests by expiry.
+    expiry: BTreeSet<(Instant, RequestId)>,
+    /// Requests that may yield, by the work lost.
+    victims: BTreeSet<(Tokens, RequestId)>,
+    /// Expected memory over time.
+    pub(crate) profile: Profile,
+    /// Sums by rank.
+    pub(crate) sums: [Sum; 2],
+}
+
+impl Grants {
+    /// Adds a generation.
+    pub(crate) fn insert(&mut self, request: RequestId, grant: Grant) {
+        self.expiry.insert((grant.expires, request));
+        if grant.may_yield() {
+            self.victims.insert((grant.lost(), request));
+        }
+        self.profile.add(grant.held(), grant.remaining());
+        let sum = &mut self.sums[grant.rank as usize];
+        sum.count += 1;
+        sum.reserved += grant.held() + grant.remaining();
+        if grant.yielded.is_none() {
+            sum.active += 1;
+            sum.held += grant.held();
+        }
+        self.running.insert(request, grant);
+    }
+
+    /// Removes a generation.
+    pub(crate) fn remove(&mut self, request: RequestId) -> Option<Grant> {
+        let grant = self.running.remove(&request)?;
+        self.expiry.remove(&(grant.expires, request));
+        self.victims.remove(&(grant.lost(), request));
+        self.profile.remove(grant.held(), grant.remaining());
+        let sum = &mut self.sums[grant.rank as usize];
+        sum.count -= 1;
+        sum.reserved -= grant.held() + grant.remaining();
+        if grant.yielded.is_none() {
+            sum.active -= 1;
+            sum.held -= grant.held();
+        }
+        Some(grant)
+    }
+
+    /// Changes a generation.
+    pub(crate) fn update(&mut self, request: RequestId, change: impl FnOnce(&mut Grant)) {
+        if let Some(mut grant) = self.remove(request) {
+            change(&mut grant);
+            self.insert(request, grant);
+        }
+    }
+
+    /// Returns a generation.
+    pub(crate) fn get(&self, request: RequestId) -> Option<&Grant> {
+        self.running.get(&request)
+    }
+
+    /// Returns a generation whose grant has ended.
+    pub(crate) fn expired(&self, now: Instant) -> Option<RequestId> {
+        let (expires, request) = *self.expiry.first()?;
+        (expires <= now).then_some(request)
+    }
+
+    /// Returns the generation that may yield and loses the least work.
+    pub(crate) fn victim(&self) -> Option<RequestId> {
+        self.victims.first().map(|(_, request)| *request)
+    }
+
+    /// Returns all generations in the order of their requests.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (RequestId, &Grant)> {
+        self.running
+            .iter()
+            .map(|(request, grant)| (*request, grant))
+    }
+
+    /// Returns the number of generations.
+    pub(crate) fn len(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the number and the memory in use of the generations that were not told to yield.
+    pub(crate) fn active(&self) -> (usize, Tokens) {
+        let [urgent, deferrable] = self.sums;
+        (
+            urgent.active + deferrable.active,
+            urgent.held + deferrable.held,
+        )
+    }
+}
--- a/crates/daisyyard_core/src/ledger.rs
+++ b/crates/daisyyard_core/src/ledger.rs
@@ -1,18 +1,30 @@
-//! The ledger of one engine, kept by the engine's home node: admission by slots and memory.
+//! The ledger of one engine, kept by the engine's home node: admission by pace and memory.
 
-use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use daisyyard_derive::{record, value};
 
+use crate::account::{self, Bucket};
+use crate::admit::{GRANTS, LOOKAHEAD, fair_cost, fresh, retry_after};
+use crate::capacity::Capacity;
 use crate::contract::Rank;
 use crate::endpoint::{Endpoint, Load};
+use crate::grant::Grants;
 use crate::id::{AccountId, EndpointId, InstanceId, RequestId, Tokens};
+use crate::length::Estimator;
 use crate::preset::Terms;
+use crate::queue::{self, Entry, Queue};
+use crate::recent::Recent;
 
 /// Time after which a grant ends unless progress renews it.
 pub const GRANT_LIFETIME: Duration = Duration::from_secs(10);
 
+/// Accounts whose rate limit one ledger remembers.
+const BUCKETS: usize = 2048;
+/// Time after which a generation that was told to yield and still runs may be told again.
+const YIELD_REPEAT: Duration = Duration::from_secs(1);
+/// Weight of a new residence time in the mean.
+const RESIDENCE_WEIGHT: f64 = 1.0 / 32.0;
 /// A node's request to run a generation on the engine.
 #[value]
 pub struct Ask {
@@ -81,60 +93,64 @@
 pub struct Digest {
     /// Engine that the digest describes.
     pub endpoint: EndpointId,
-    /// Granted generations.
+    /// Generations at the engine, those of other homes included.
     pub running: u32,
     /// Requests that wait for a grant.
     pub queued: u32,
-    /// Tokens of memory that are neither used nor promised.
+    /// Tokens of memory that are neither used nor promised nor kept as headroom.
     pub free: Tokens,
     /// Mean time between tokens in the last load report.
     pub gap: Duration,
 }
 
-/// A generation that holds a share of the engine.
-#[derive(Debug)]
-struct Grant {
-    /// Node that holds the request.
-    node: InstanceId,
-    /// Tokens of memory promised to the generation.
-    reserved: Tokens,
-    /// When the grant ends unless progress renews it.
-    expires: Instant,
-}
-
 /// The ledger of one engine.
 #[derive(Debug)]
 pub struct Ledger {
     /// Engine that the ledger describes.
-    endpoint: EndpointId,
+    pub(crate) endpoint: EndpointId,
     /// Terms of the engine's service in the preset in force.
-    terms: Terms,
-    /// Generations that the engine may run at the same time.
-    slots: u32,
-    /// Tokens that the engine's memory holds.
-    memory: Tokens,
+    pub(crate) terms: Terms,
+    /// What the engine can run.
+    pub(crate) capacity: Capacity,
     /// Running generations.
-    grants: HashMap<RequestId, Grant>,
-    /// Requests that wait, first come first served within each rank.
-    queues: [VecDeque<(Ask, Instant)>; 2],
-    /// Last load report.
-    load: Option<Load>,
+    pub(crate) grants: Grants,
+    /// Requests that wait.
+    pub(crate) queue: Queue,
+    /// Output lengths at this engine.
+    pub(crate) lengths: Estimator,
+    /// Rate limits by account.
+    pub(crate) buckets: Recent<AccountId, Bucket>,
+    /// Mean time in seconds from a grant to its end, once measured.
+    pub(crate) residence: Option<f64>,
+    /// Refusals of displaced requests that the next tick returns.
+    pub(crate) displaced: Vec<Next>,
 }
 
 impl Ledger {
     /// Creates the ledger of an engine.
-    pub fn new(endpoint: &Endpoint, terms: Terms, _now: Instant) -> Self {
+    pub fn new(endpoint: &Endpoint, terms: Terms, now: Instant) -> Self {
         Self {
             endpoint: endpoint.id,
             terms,
-            slots: endpoint.slots,
-            memory: endpoint.memory,
-            grants: HashMap::new(),
-            queues: [VecDeque::new(), VecDeque::new()],
-            load: None,
+            capacity: Capacity::new(endpoint, now),
+            grants: Grants::default(),
+            queue: Queue::new(queue::CAPACITY),
+            lengths: Estimator::new(),
+            buckets: Recent::new(BUCKETS),
+            residence: None,
+            displaced: Vec::new(),
         }
     }
 
+    /// Creates the ledger that a node uses for itself while the engine's home does not answer:
+    /// an equal share of the engine for each of the live nodes.
+    pub fn local(endpoint: &Endpoint, terms: Terms, nodes: u32, now: Instant) -> Self {
+        let mut share = endpoint.clone();
+        share.slots = (endpoint.slots / nodes.max(1)).max(1);
+        share.memory = endpoint.memory / u64::from(nodes.max(1));
+        Self::new(&share, terms, now)
+    }
+
     /// Takes the terms of a new preset into force.
     pub fn adopt(&mut self, terms: Terms) {
         self.terms = terms;
@@ -142,110 +158,175 @@
 
     /// Answers a node that asks to run a generation.
     pub fn ask(&mut self, ask: Ask, now: Instant) -> Answer {
-        if self.queues.iter().all(VecDeque::is_empty) && self.fits(&ask) {
-            self.grant(&ask, now);
+        // A repeated question gets the answer again, because the first one may be lost.
+        if self.grants.get(ask.request).is_some() {
+            return Answer::Grant;
+        }
+        if self.queue.contains(ask.request) {
+            return Answer::Wait;
+        }
+        let total = self.estimate(&ask, 0, now);
+        let wait = self.wait(&ask, total, now);
+        let contract = self.terms.contract(ask.rank);
+        let patience = ask
+            .deadline
+            .saturating_duration_since(now)
+            .min(contract.queue);
+        if patience.is_zero() || ask.prompt >= self.capacity.memory {
+            let retry_after = retry_after(&ask, wait, patience);
+            return Answer::Refuse { retry_after };
+        }
+        if ask.rank == Rank::Urgent {
+            let sum = self.grants.sums[Rank::Urgent as usize];
+            let urgent = sum.count + self.queue.len(Rank::Urgent) + 1;
+            self.capacity
+                .demand(urgent, sum.reserved + ask.prompt + total, now);
+        }
+        let first = self.queue.len(ask.rank) == 0 && self.may_pass(ask.rank, now);
+        let admit = first && self.fits(&ask, total, now);
+        if !admit && wait > patience {
+            let retry_after = retry_after(&ask, wait, patience);
+            return Answer::Refuse { retry_after };
+        }
+        let taken = fresh(&ask) + total;
+        let limit = &self.terms.limit;
+        let bucket = self.buckets.touch(ask.account, || Bucket::new(limit, now));
+        if let account::Next::Defer(wait) = bucket.take(limit, taken as f64, now) {
+            let retry_after = retry_after(&ask, wait, Duration::ZERO);
+            return Answer::Refuse { retry_after };
+        }
+        if admit {
+            self.grant(&ask, total, taken, now);
             return Answer::Grant;
         }
-        self.queues[ask.rank as usize].push_back((ask, now));
-        Answer::Wait
+        let entry = Entry {
+            since: now,
+            expires: now + patience,
+            taken,
+            ask,
+        };
+        self.enqueue(entry, now)
     }
 
-    /// Records the tokens that a generation has made and renews its grant.
-    pub fn progress(&mut self, request: RequestId, made: Tokens, now: Instant) {
-        if let Some(grant) = self.grants.get_mut(&request) {
-            grant.reserved = grant.reserved.max(made);
+    /// Records the tokens that a generation has made and renews its grant; returns whether the
+    /// generation is known.
+    pub fn progress(&mut self, request: RequestId, made: Tokens, now: Instant) -> bool {
+        let Some(grant) = self.grants.get(request) else {
+            return false;
+        };
+        let (kind, before) = (self.kind(grant.account, grant.rank), grant.total);
+        let made = made.max(grant.made);
+        let quantile = self.capacity.spread.quantile();
+        let total = self
+            .lengths
+            .total(kind, made, quantile, grant.expected, now);
+        if made > before {
+            self.lengths.outlive(kind, made, now);
+        }
+        let charged = grant.charged.max(fair_cost(grant.fresh, made));
+        let (rank, account, charged_before) = (grant.rank, grant.account, grant.charged);
+        if charged > charged_before {
+            self.queue.correct(rank, account, charged_before, charged);
+        }
+        self.grants.update(request, |grant| {
+            grant.made = made;
+            grant.total = total;
+            grant.charged = charged;
+            grant.progressed = now;
             grant.expires = now + GRANT_LIFETIME;
+            let repeat = |told| now.saturating_duration_since(told) > YIELD_REPEAT;
+            if grant.yielded.is_some_and(repeat) {
+                grant.yielded = None;
+            }
+        });
+        true
+    }
+
+    /// Takes over a running generation that a former home of the engine granted.
+    pub fn restore(&mut self, ask: &Ask, made: Tokens, now: Instant) {
+        if self.grants.get(ask.request).is_none() && self.grants.len() < GRANTS {
+            self.queue.remove(ask.request);
+            let total = self.estimate(ask, made, now);
+            self.grant(ask, total, 0, now);
         }
+        self.progress(ask.request, made, now);
     }
 
     /// Ends a generation or withdraws a waiting request.
-    pub fn release(&mut self, request: RequestId, _made: Tokens, _now: Instant) {
-        self.grants.remove(&request);
-        for queue in &mut self.queues {
-            queue.retain(|(ask, _)| ask.request != request);
+    pub fn release(&mut self, request: RequestId, made: Tokens, now: Instant) {
+        if let Some(entry) = self.queue.remove(request) {
+            self.give_back(&entry, now);
+        }
+        let Some(grant) = self.grants.remove(request) else {
+            return;
+        };
+        let made = made.max(grant.made);
+        self.end(&grant, made, now);
+        if grant.yielded.is_none() {
+            self.lengths
+                .observe(self.kind(grant.account, grant.rank), made, now);
+            self.capacity.spread.record(grant.first, made);
+            let time = now.saturating_duration_since(grant.granted).as_secs_f64();
+            let mean = self.residence.get_or_insert(time);
+            *mean += (time - *mean) * RESIDENCE_WEIGHT;
         }
     }
 
     /// Takes a load report of the engine.
-    pub fn report(&mut self, load: Load, _now: Instant) {
-        self.memory = load.memory;
-        self.load = Some(load);
+    pub fn report(&mut self, load: Load, now: Instant) {
+        let gap = self.capacity.gap_or_target(now, &self.terms);
+        let (mut running, mut held) = (0, 0);
+        for (_, grant) in self
+            .grants
+            .iter()
+            .filter(|(_, grant)| grant.granted <= load.taken)
+        {
+            // Progress arrives each second; the tokens made since are part of the report.
+            let lag = load
+                .taken
+                .saturating_duration_since(grant.progressed)
+                .min(LOOKAHEAD);
+            running += 1;
+            held += grant.held() + (lag.as_secs_f64() / gap) as Tokens;
+        }
+        self.capacity.report(load, running, held, &self.terms);
     }
 
-    /// Grants and refuses waiting requests after time passed or capacity changed.
+    /// Grants and refuses waiting requests, and ends grants, after time passed or capacity
+    /// changed.
     pub fn tick(&mut self, now: Instant) -> Vec<Next> {
-        self.grants.retain(|_, grant| grant.expires > now);
-        let mut next = Vec::new();
-        for rank in Rank::ALL {
-            self.admit(rank, now, &mut next);
+        let mut next = std::mem::take(&mut self.displaced);
+        while let Some(request) = self.grants.expired(now) {
+            if let Some(grant) = self.grants.remove(request) {
+                self.end(&grant, grant.made, now);
+            }
+        }
+        while let Some(entry) = self.queue.expire(now) {
+            self.give_back(&entry, now);
+            next.push(self.refuse(&entry, now));
         }
+        self.relieve(now, &mut next);
+        self.admit(now, &mut next);
+        self.make_room(now, &mut next);
         next
     }
 
     /// Returns what nodes need to know for their routing.
-    pub fn digest(&self, _now: Instant) -> Digest {
+    pub fn digest(&self, now: Instant) -> Digest {
+        let waiting = Rank::ALL.into_iter().map(|rank| self.queue.len(rank));
+        let budget = self.capacity.budget(self.grants.len(), now);
         Digest {
             endpoint: self.endpoint,
-            running: self.grants.len() as u32,
-            queued: self.queues.iter().map(|queue| queue.len() as u32).sum(),
-            free: self.free(),
-            gap: self.load.as_ref().map_or(Duration::ZERO, |load| load.gap),
-        }
-    }
-
-    /// Grants waiting requests of one rank while they fit and refuses those that waited too long.
-    fn admit(&mut self, rank: Rank, now: Instant, next: &mut Vec<Next>) {
-        let patience = self.terms.contract(rank).queue;
-        while let Some((ask, since)) = self.queues[rank as usize].pop_front() {
-            if now > ask.deadline || now.saturating_duration_since(since) > patience {
-                let (node, request) = (ask.node, ask.request);
-                next.push(Next::Refuse {
-                    node,
-                    request,
-                    retry_after: patience,
-                });
-            } else if self.fits(&ask) {
-                self.grant(&ask, now);
-                next.push(Next::Grant {
-                    node: ask.node,
-                    request: ask.request,
-                });
-            } else {
-                self.queues[rank as usize].push_front((ask, since));
-                return;
-            }
+            running: self.grants.len() as u32 + self.capacity.foreign,
+            queued: waiting.sum::<usize>() as u32,
+            free: budget.saturating_sub(self.grants.profile.peak(0, 0)),
+            gap: self.capacity.gap(),
         }
     }
 
-    /// Returns whether a generation fits the free slots and memory.
-    fn fits(&self, ask: &Ask) -> bool {
-        let slots = self.grants.len() < self.slots as usize;
-        slots && (self.grants.is_empty() || ask.prompt + ask.expected <= self.free())
-    }
-
-    /// Returns the tokens of memory that are neither used nor promised.
-    fn free(&self) -> Tokens {
-        let reserved = self.grants.values().map(|grant| grant.reserved).sum();
-        self.memory.saturating_sub(reserved)
-    }
-
-    /// Gives a request its share of the engine.
-    fn grant(&mut self, ask: &Ask, now: Instant) {
-        let reserved = ask.prompt + ask.expected;
-        let expires = now + GRANT_LIFETIME;
-        self.grants.insert(
-            ask.request,
-            Grant {
-                node: ask.node,
-                reserved,
-                expires,
-            },
-        );
-    }
-
     /// Returns the requests of a node that hold a grant.
     pub fn held_by(&self, node: InstanceId) -> Vec<RequestId> {
         let held = self.grants.iter().filter(|(_, grant)| grant.node == node);
-        held.map(|(request, _)| *request).collect()
+        held.map(|(request, _)| request).collect()
     }
 }
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -6,14 +6,23 @@
 //! do next. The node, the experiments and the protocol checker all drive this same code.
 
 pub mod account;
+mod admit;
 pub mod attempt;
+pub mod budget;
+mod capacity;
 pub mod contract;
 pub mod endpoint;
+mod grant;
 pub mod home;
 pub mod id;
 pub mod instance;
 pub mod ledger;
+pub mod length;
+mod memory;
+pub mod prefix;
 pub mod preset;
+pub mod queue;
+mod recent;
 pub mod route;
 pub mod stream;
 pub mod zone;
--- /dev/null
+++ b/crates/daisyyard_core/src/queue.rs
@@ -0,0 +1,305 @@
+//! The fair queue of one engine: ranks, then accounts by the tokens that they were served.
+//!
+//! Within a rank this is start-time fair queueing: each account has a virtual time that grows
+//! with the tokens served to it, and the account with the lowest goes first.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Instant;
+
+use daisyyard_derive::value;
+
+use crate::contract::Rank;
+use crate::id::{AccountId, RequestId, Tokens};
+use crate::ledger::Ask;
+
+/// Requests that wait at one engine at most.
+pub const CAPACITY: usize = 1024;
+/// Part of the places that the urgent rank leaves to the deferrable one.
+const LEFT_PART: usize = 16;
+/// Tokens by which an account that was idle may lag behind the virtual time.
+const CREDIT: Tokens = 1024;
+/// Accounts without waiting requests whose debt is remembered.
+const IDLE: usize = 2048;
+/// First virtual time, so that credit and refunds never reach zero.
+const START: Tokens = 1 << 40;
+
+/// A request that waits.
+#[value]
+pub struct Entry {
+    /// What the request asks for.
+    pub ask: Ask,
+    /// When it began to wait.
+    pub since: Instant,
+    /// When it is refused.
+    pub expires: Instant,
+    /// Tokens taken from the account's rate limit.
+    pub taken: Tokens,
+}
+
+/// What became of a request that was to wait.
+#[value]
+pub enum Step {
+    /// It waits.
+    Queued,
+    /// It waits in the place of another request, which must be refused.
+    Displaced(Box<Entry>),
+    /// It cannot wait, because the queue is full.
+    Full,
+}
+
+/// One account in one rank.
+#[derive(Debug, Default)]
+struct Flow {
+    /// Virtual time of the account.
+    tag: Tokens,
+    /// Requests by their order of arrival.
+    waiting: BTreeMap<u64, Entry>,
+}
+
+/// One rank.
+#[derive(Debug)]
+struct Lane {
+    /// Virtual time: the tag of the account that was served last, never decreasing.
+    time: Tokens,
+    /// Accounts by identifier.
+    flows: BTreeMap<AccountId, Flow>,
+    /// Accounts with waiting requests by tag.
+    order: BTreeSet<(Tokens, AccountId)>,
+    /// Accounts with waiting requests by the number of these.
+    backlog: BTreeSet<(usize, AccountId)>,
+    /// Accounts without waiting requests by tag.
+    idle: BTreeSet<(Tokens, AccountId)>,
+    /// Waiting requests.
+    len: usize,
+}
+
+/// The fair queue of one engine.
+#[derive(Debug)]
+pub struct Queue {
+    /// Requests that wait at most.
+    capacity: usize,
+    /// Ranks, most urgent first.
+    lanes: [Lane; 2],
+    /// Rank, account and arrival number by request.
+    index: HashMap<RequestId, (Rank, AccountId, u64)>,
+    /// Requests by the time when they are refused.
+    expiry: BTreeSet<(Instant, RequestId)>,
+    /// Number of the next arrival.
+    arrival: u64,
+}
+
+impl Queue {
+    /// Creates an empty queue for at most `capacity` requests.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            lanes: [Lane::new(), Lane::new()],
+            index: HashMap::new(),
+            expiry: BTreeSet::new(),
+            arrival: 0,
+        }
+    }
+
+    /// Puts a request at the end of its account's requests.
+    ///
+    /// A full queue makes room for urgent work at the cost of deferrable work, and within a rank
+    /// for accounts with few requests at the cost of the account with the most.
+    pub fn push(&mut self, entry: Entry) -> Step {
+        let rank = entry.ask.rank;
+        let left = self.capacity / LEFT_PART;
+        let urgent_full = rank == Rank::Urgent && self.len(rank) + left >= self.capacity;
+        let mut displaced = None;
+        if urgent_full || self.index.len() >= self.capacity {
+            let Some(victim) = self.victim(&entry.ask, left, urgent_full) else {
+                return Step::Full;
+            };
+            displaced = self.remove(victim);
+        }
+        self.arrival += 1;
+        let (request, account) = (entry.ask.request, entry.ask.account);
+        self.index.insert(request, (rank, account, self.arrival));
+        self.expiry.insert((entry.expires, request));
+        self.lanes[rank as usize].push(account, self.arrival, entry);
+        displaced.map_or(Step::Queued, |entry| Step::Displaced(Box::new(entry)))
+    }
+
+    /// Returns the next request of a rank.
+    pub fn peek(&self, rank: Rank) -> Option<&Entry> {
+        let lane = &self.lanes[rank as usize];
+        let (_, account) = lane.order.first()?;
+        lane.flows.get(account)?.waiting.values().next()
+    }
+
+    /// Takes the next request of a rank.
+    pub fn pop(&mut self, rank: Rank) -> Option<Entry> {
+        let request = self.peek(rank)?.ask.request;
+        self.remove(request)
+    }
+
+    /// Withdraws a request.
+    pub fn remove(&mut self, request: RequestId) -> Option<Entry> {
+        let (rank, account, arrival) = self.index.remove(&request)?;
+        let entry = self.lanes[rank as usize].remove(account, arrival)?;
+        self.expiry.remove(&(entry.expires, request));
+        Some(entry)
+    }
+
+    /// Takes a request that has waited as long as it may.
+    pub fn expire(&mut self, now: Instant) -> Option<Entry> {
+        let (expires, request) = *self.expiry.first()?;
+        if expires > now {
+            return None;
+        }
+        self.remove(request)
+    }
+
+    /// Charges an account for a request that begins to run.
+    pub fn begin(&mut self, rank: Rank, account: AccountId, cost: Tokens) {
+        let lane = &mut self.lanes[rank as usize];
+        let start = lane.lift(account);
+        lane.time = lane.time.max(start);
+        lane.retag(account, start + cost);
+        lane.prune();
+    }
+
+    /// Charges an account for tokens beyond those charged before, or returns unused ones.
+    pub fn correct(&mut self, rank: Rank, account: AccountId, charged: Tokens, used: Tokens) {
+        let lane = &mut self.lanes[rank as usize];
+        // An account that was forgotten has caught up with the virtual time.
+        let known = lane.flows.get(&account).map(|flow| flow.tag);
+        let tag = known.unwrap_or(lane.time);
+        lane.retag(account, (tag + used).saturating_sub(charged));
+        lane.prune();
+    }
+
+    /// Returns whether a request waits.
+    pub fn contains(&self, request: RequestId) -> bool {
+        self.index.contains_key(&request)
+    }
+
+    /// Returns the number of waiting requests of a rank.
+    pub fn len(&self, rank: Rank) -> usize {
+        self.lanes[rank as usize].len
+    }
+
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.index.is_empty()
+    }
+
+    /// Returns an upper bound of the requests of the rank that go before a new one of the account.
+    pub fn ahead(&self, rank: Rank, account: AccountId) -> usize {
+        let lane = &self.lanes[rank as usize];
+        let own = lane
+            .flows
+            .get(&account)
+            .map_or(0, |flow| flow.waiting.len());
+        // Accounts take turns, so each goes before at most as often as the account itself waits.
+        lane.len.min((own + 1) * lane.order.len())
+    }
+
+    /// Returns the request that a full queue gives up for a new one.
+    fn victim(&self, ask: &Ask, left: usize, urgent_full: bool) -> Option<RequestId> {
+        let deferrable = &self.lanes[Rank::Deferrable as usize];
+        if ask.rank == Rank::Urgent && !urgent_full && deferrable.len > left {
+            return deferrable.newest_of_longest(0);
+        }
+        let lane = &self.lanes[ask.rank as usize];
+        let own = lane
+            .flows
+            .get(&ask.account)
+            .map_or(0, |flow| flow.waiting.len());
+        lane.newest_of_longest(own + 1)
+    }
+}
+
+impl Lane {
+    /// Creates an empty rank.
+    fn new() -> Self {
+        Self {
+            time: START,
+            flows: BTreeMap::new(),
+            order: BTreeSet::new(),
+            backlog: BTreeSet::new(),
+            idle: BTreeSet::new(),
+            len: 0,
+        }
+    }
+
+    /// Adds a waiting request.
+    fn push(&mut self, account: AccountId, arrival: u64, entry: Entry) {
+        self.lift(account);
+        let flow = self.flows.entry(account).or_default();
+        let before = flow.waiting.len();
+        if before == 0 {
+            self.idle.remove(&(flow.tag, account));
+            self.order.insert((flow.tag, account));
+        } else {
+            self.backlog.remove(&(before, account));
+        }
+        flow.waiting.insert(arrival, entry);
+        self.backlog.insert((before + 1, account));
+        self.len += 1;
+    }
+
+    /// Removes a waiting request.
+    fn remove(&mut self, account: AccountId, arrival: u64) -> Option<Entry> {
+        let flow = self.flows.get_mut(&account)?;
+        let before = flow.waiting.len();
+        let entry = flow.waiting.remove(&arrival)?;
+        self.backlog.remove(&(before, account));
+        if before == 1 {
+            self.order.remove(&(flow.tag, account));
+            self.idle.insert((flow.tag, account));
+        } else {
+            self.backlog.insert((before - 1, account));
+        }
+        self.len -= 1;
+        Some(entry)
+    }
+
+    /// Returns the tag of an account, after bringing that of an idle one near the virtual time.
+    fn lift(&mut self, account: AccountId) -> Tokens {
+        let least = self.time - CREDIT;
+        let flow = self.flows.get(&account);
+        let tag = flow.map_or(least, |flow| flow.tag);
+        if flow.is_none_or(|flow| flow.waiting.is_empty()) {
+            self.retag(account, tag.max(least));
+        }
+        self.flows[&account].tag
+    }
+
+    /// Changes the tag of an account.
+    fn retag(&mut self, account: AccountId, tag: Tokens) {
+        let flow = self.flows.entry(account).or_default();
+        let set = if flow.waiting.is_empty() {
+            &mut self.idle
+        } else {
+            &mut self.order
+        };
+        set.remove(&(flow.tag, account));
+        set.insert((tag, account));
+        flow.tag = tag;
+    }
+
+    /// Forgets idle accounts without debt, and beyond the bound those with the least debt.
+    fn prune(&mut self) {
+        while let Some(&(tag, account)) = self.idle.first() {
+            if tag > self.time - CREDIT && self.idle.len() <= IDLE {
+                return;
+            }
+            self.idle.remove(&(tag, account));
+            self.flows.remove(&account);
+        }
+    }
+
+    /// Returns the newest request of the account with the most, if these are more than `least`.
+    fn newest_of_longest(&self, least: usize) -> Option<RequestId> {
+        let (count, account) = self.backlog.last()?;
+        if *count <= least {
+            return None;
+        }
+        let newest = self.flows.get(account)?.waiting.values().next_back()?;
+        Some(newest.ask.request)
+    }
+}
--- /dev/null
+++ b/crates/daisyyard_core/src/recent.rs
@@ -0,0 +1,72 @@
+//! Bounded map that forgets the entry used least recently.
+
+use std::collections::BTreeMap;
+
+/// Map of at most `capacity` entries.
+#[derive(Debug)]
+pub(crate) struct Recent<K, V> {
+    /// Entries that the map holds at most.
+    capacity: usize,
+    /// Number of the next use.
+    clock: u64,
+    /// Entries with the number of their last use.
+    entries: BTreeMap<K, (u64, V)>,
+    /// Keys by the number of their last use.
+    order: BTreeMap<u64, K>,
+}
+
+impl<K: Ord + Clone, V> Recent<K, V> {
+    /// Creates an empty map.
+    pub(crate) fn new(capacity: usize) -> Self {
+        Self {
+            capacity: capacity.max(1),
+            clock: 0,
+            entries: BTreeMap::new(),
+            order: BTreeMap::new(),
+        }
+    }
+
+    /// Returns an entry without counting this as a use.
+    pub(crate) fn get_mut(&mut self, key: &K) -> Option<&mut V> {
+        self.entries.get_mut(key).map(|(_, value)| value)
+    }
+
+    /// Returns an entry as the one used last, creating it and evicting another if necessary.
+    pub(crate) fn touch(&mut self, key: K, create: impl FnOnce() -> V) -> &mut V {
+        self.clock += 1;
+        let clock = self.clock;
+        if let Some((last, _)) = self.entries.get(&key) {
+            self.order.remove(last);
+        } else if self.entries.len() >= self.capacity
+            && let Some((_, oldest)) = self.order.pop_first()
+        {
+            self.entries.remove(&oldest);
+        }
+        self.order.insert(clock, key.clone());
+        let entry = self.entries.entry(key).or_insert_with(|| (clock, create()));
+        entry.0 = clock;
+        &mut entry.1
+    }
+
+    /// Removes an entry.
+    pub(crate) fn remove(&mut self, key: &K) {
+        if let Some((last, _)) = self.entries.remove(key) {
+            self.order.remove(&last);
+        }
+    }
+
+    /// Returns the entries with keys in a range, in the order of their keys.
+    pub(crate) fn range(
+        &self,
+        range: std::ops::RangeInclusive<K>,
+    ) -> impl Iterator<Item = (&K, &V)> {
+        self.entries
+            .range(range)
+            .map(|(key, (_, value))| (key, value))
+    }
+
+    /// Returns the number of entries.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+}
