Serve on-time requests first under overload

Cause: in a simulated engine at three times its capacity, urgent work was granted up to 1.9 s after its ask and missed its first-token target; at 16,384 tokens of memory 82 of 400 generations yielded.

Change: requests that missed the target wait behind those that can meet it, and a request that is expected to miss it is refused early. Refused urgent work raises the share kept for the rank. Pressure counts the generations that end soon, and a rank's floor may be held in memory as well as in places.

--- a/crates/daisyyard_core/src/admit.rs
+++ b/crates/daisyyard_core/src/admit.rs
@@ -16,7 +16,7 @@
 /// time until a node has given up a generation.
 pub(crate) const LOOKAHEAD: Duration = Duration::from_secs(2);
 /// Part of the first-token target that urgent work waits before deferrable work yields to it.
-const YIELD_WAIT: u32 = 4;
+const YIELD_WAIT: u32 = 2;
 /// Computed prompt tokens that cost an account as much as one output token.
 const PROMPT_DIVISOR: Tokens = 2;
 /// Shortest and longest time after which a refused caller is told to ask again.
@@ -52,12 +52,17 @@
         let own = (self.queue.ahead(ask.rank, ask.account) + 1) as f64;
         let others = self.queue.len(other) as f64;
         let floor = |rank| self.terms.contract(rank).floor;
+        let most = match ask.rank {
+            Rank::Urgent if self.has_claim(now) => self.terms.urgent.first_token / YIELD_WAIT,
+            _ => Duration::MAX,
+        };
         let turns = match ask.rank {
             Rank::Urgent if others > 0.0 => own / (1.0 - floor(other)).max(0.1),
             Rank::Urgent => own,
             Rank::Deferrable => (own + others).min(own / floor(ask.rank).max(0.01)),
         };
-        Duration::try_from_secs_f64(turn * turns).unwrap_or(Duration::MAX)
+        let wait = Duration::try_from_secs_f64(turn * turns);
+        wait.unwrap_or(Duration::MAX).min(most)
     }
 
     /// Returns whether a rank may be granted while others wait: urgent first, but deferrable work
@@ -68,10 +73,19 @@
             || !self.above_floor(Rank::Deferrable, now)
     }
 
-    /// Returns whether a rank runs more generations than its floor.
+    /// Returns whether deferrable work yields to urgent work that waits, because urgent work has
+    /// less than its floor and deferrable work has more than its own.
+    fn has_claim(&self, now: Instant) -> bool {
+        !self.above_floor(Rank::Urgent, now) && self.above_floor(Rank::Deferrable, now)
+    }
+
+    /// Returns whether a rank has its floor share of the places or of the memory.
     fn above_floor(&self, rank: Rank, now: Instant) -> bool {
-        let floor = self.terms.contract(rank).floor * self.capacity.limit(now);
-        self.grants.sums[rank as usize].count as f64 >= floor
+        let floor = self.terms.contract(rank).floor;
+        let sum = self.grants.sums[rank as usize];
+        let budget = self.capacity.budget(self.grants.len(), now) as f64;
+        sum.count as f64 >= floor * self.capacity.limit(now)
+            || sum.reserved as f64 >= floor * budget
     }
 
     /// Returns whether a request fits the engine beside what runs and what is kept for the other
@@ -180,8 +194,8 @@
         let gap = self.capacity.gap_or_target(now, &self.terms);
         let growth = (LOOKAHEAD.as_secs_f64() / gap) as Tokens;
         loop {
-            let (count, held) = self.grants.active();
-            let soon = self.capacity.foreign_held + held + count as u64 * growth;
+            let own = self.grants.profile.soon(growth);
+            let soon = self.capacity.foreign_held + own.saturating_sub(self.grants.yielding());
             if soon <= self.capacity.memory || !self.yield_one(now, next) {
                 return;
             }
@@ -197,9 +211,9 @@
         let sum = self.grants.sums[Rank::Deferrable as usize];
         let yielding = sum.count - sum.active;
         if waited >= self.terms.urgent.first_token / YIELD_WAIT
+            && head.target > now
             && yielding < self.queue.len(Rank::Urgent)
-            && !self.above_floor(Rank::Urgent, now)
-            && self.above_floor(Rank::Deferrable, now)
+            && self.has_claim(now)
         {
             self.yield_one(now, next);
         }
--- a/crates/daisyyard_core/src/capacity.rs
+++ b/crates/daisyyard_core/src/capacity.rs
@@ -194,6 +194,14 @@
         self.need = ([slots.max(slots_before), memory.max(memory_before)], now);
     }
 
+    /// Records an urgent request that was refused, which is demand too.
+    pub(crate) fn miss(&mut self, reserved: Tokens, now: Instant) {
+        let [slots, memory] = self.need(now);
+        let slots = slots + 1.0 / self.limit(now);
+        let memory = memory + reserved as f64 / self.memory.max(1) as f64;
+        self.need = ([slots.min(1.0), memory.min(1.0)], now);
+    }
+
     /// Returns the shares of the limit and of the memory that the urgent rank needed recently.
     fn need(&self, now: Instant) -> [f64; 2] {
         let age = now.saturating_duration_since(self.need.1).as_secs_f64();
@@ -208,11 +216,17 @@
     /// Urgent work gets what it needed recently even if none waits, because deferrable work that
     /// runs cannot be displaced without losing tokens.
     pub(crate) fn kept(&self, rank: Rank, waits: bool, now: Instant, terms: &Terms) -> [f64; 2] {
-        let floor = terms.contract(rank).floor;
+        let floor = if waits {
+            terms.contract(rank).floor
+        } else {
+            0.0
+        };
         match rank {
-            _ if waits => [floor; 2],
-            Rank::Urgent => self.need(now).map(|need| floor.min(need)),
-            Rank::Deferrable => [0.0; 2],
+            Rank::Urgent => {
+                let most = 1.0 - terms.deferrable.floor;
+                self.need(now).map(|need| need.max(floor).min(most))
+            }
+            Rank::Deferrable => [floor; 2],
         }
     }
 }
--- a/crates/daisyyard_core/src/grant.rs
+++ b/crates/daisyyard_core/src/grant.rs
@@ -71,8 +71,8 @@
     pub(crate) count: usize,
     /// Number of generations that were not told to yield.
     pub(crate) active: usize,
-    /// Tokens of memory in use, without generations that were told to yield.
-    pub(crate) held: Tokens,
+    /// Tokens of memory in use by generations that were told to yield.
+    pub(crate) yielding: Tokens,
     /// Tokens of memory expected at the end, each for itself.
     pub(crate) reserved: Tokens,
 }
@@ -105,7 +105,8 @@
         sum.reserved += grant.held() + grant.remaining();
         if grant.yielded.is_none() {
             sum.active += 1;
-            sum.held += grant.held();
+        } else {
+            sum.yielding += grant.held();
         }
         self.running.insert(request, grant);
     }
@@ -121,7 +122,8 @@
         sum.reserved -= grant.held() + grant.remaining();
         if grant.yielded.is_none() {
             sum.active -= 1;
-            sum.held -= grant.held();
+        } else {
+            sum.yielding -= grant.held();
         }
         Some(grant)
     }
@@ -162,12 +164,8 @@
         self.running.len()
     }
 
-    /// Returns the number and the memory in use of the generations that were not told to yield.
-    pub(crate) fn active(&self) -> (usize, Tokens) {
-        let [urgent, deferrable] = self.sums;
-        (
-            urgent.active + deferrable.active,
-            urgent.held + deferrable.held,
-        )
+    /// Returns the memory in use of the generations that were told to yield.
+    pub(crate) fn yielding(&self) -> Tokens {
+        self.sums.iter().map(|sum| sum.yielding).sum()
     }
 }
--- a/crates/daisyyard_core/src/ledger.rs
+++ b/crates/daisyyard_core/src/ledger.rs
@@ -23,6 +23,8 @@
 const BUCKETS: usize = 2048;
 /// Time after which a generation that was told to yield and still runs may be told again.
 const YIELD_REPEAT: Duration = Duration::from_secs(1);
+/// Part of the first-token target that a request may wait, so that time for its prompt is left.
+const TARGET_SHARE: f64 = 0.8;
 /// Weight of a new residence time in the mean.
 const RESIDENCE_WEIGHT: f64 = 1.0 / 32.0;
 /// A node's request to run a generation on the engine.
@@ -172,6 +174,7 @@
             .deadline
             .saturating_duration_since(now)
             .min(contract.queue);
+        let target = contract.first_token.mul_f64(TARGET_SHARE).min(patience);
         if patience.is_zero() || ask.prompt >= self.capacity.memory {
             let retry_after = retry_after(&ask, wait, patience);
             return Answer::Refuse { retry_after };
@@ -184,8 +187,11 @@
         }
         let first = self.queue.len(ask.rank) == 0 && self.may_pass(ask.rank, now);
         let admit = first && self.fits(&ask, total, now);
-        if !admit && wait > patience {
-            let retry_after = retry_after(&ask, wait, patience);
+        if !admit && wait > target {
+            if ask.rank == Rank::Urgent {
+                self.capacity.miss(ask.prompt + total, now);
+            }
+            let retry_after = retry_after(&ask, wait, target);
             return Answer::Refuse { retry_after };
         }
         let taken = fresh(&ask) + total;
@@ -201,6 +207,7 @@
         }
         let entry = Entry {
             since: now,
+            target: now + target,
             expires: now + patience,
             taken,
             ask,
--- a/crates/daisyyard_core/src/memory.rs
+++ b/crates/daisyyard_core/src/memory.rs
@@ -65,6 +65,16 @@
 
     /// Returns the expected peak, with one more generation of the given figures.
     pub(crate) fn peak(&self, held: Tokens, remaining: Tokens) -> Tokens {
+        self.within(held, remaining, Tokens::MAX)
+    }
+
+    /// Returns the expected peak until each generation has added `growth` tokens or has ended.
+    pub(crate) fn soon(&self, growth: Tokens) -> Tokens {
+        self.within(0, 0, growth)
+    }
+
+    /// Returns the expected peak of the memory while `growth` tokens are added to each generation.
+    fn within(&self, held: Tokens, remaining: Tokens, growth: Tokens) -> Tokens {
         let extra = (held + remaining > 0).then(|| group(remaining));
         let (mut count, mut kept, mut peak) = (0, 0, 0);
         for (index, group) in self.groups.iter().enumerate().rev() {
@@ -77,10 +87,12 @@
             if group.count == 0 {
                 continue;
             }
-            kept += group.held;
-            let mean = group.remaining / group.count;
-            peak = peak.max(kept + group.remaining + count * mean);
+            // When this group ends, those with less remaining are gone and the others have grown
+            // as much.
             count += group.count;
+            kept += group.held;
+            let mean = group.remaining.div_ceil(group.count);
+            peak = peak.max(kept + count * mean.min(growth));
         }
         peak
     }
--- a/crates/daisyyard_core/src/queue.rs
+++ b/crates/daisyyard_core/src/queue.rs
@@ -30,6 +30,8 @@
     pub ask: Ask,
     /// When it began to wait.
     pub since: Instant,
+    /// When it is too late to meet the first-token target.
+    pub target: Instant,
     /// When it is refused.
     pub expires: Instant,
     /// Tokens taken from the account's rate limit.
@@ -52,7 +54,7 @@
 struct Flow {
     /// Virtual time of the account.
     tag: Tokens,
-    /// Requests by their order of arrival.
+    /// Requests that can meet their target by their order of arrival.
     waiting: BTreeMap<u64, Entry>,
 }
 
@@ -69,8 +71,11 @@
     backlog: BTreeSet<(usize, AccountId)>,
     /// Accounts without waiting requests by tag.
     idle: BTreeSet<(Tokens, AccountId)>,
-    /// Waiting requests.
-    len: usize,
+    /// Waiting requests that can meet their target.
+    punctual: usize,
+    /// Requests that missed their target by their order of arrival. They run when no other waits:
+    /// serving them first would make all others miss their target too.
+    late: BTreeMap<u64, Entry>,
 }
 
 /// The fair queue of one engine.
@@ -82,7 +87,7 @@
     lanes: [Lane; 2],
     /// Rank, account and arrival number by request.
     index: HashMap<RequestId, (Rank, AccountId, u64)>,
-    /// Requests by the time when they are refused.
+    /// Requests by the time when they become late or are refused.
     expiry: BTreeSet<(Instant, RequestId)>,
     /// Number of the next arrival.
     arrival: u64,
@@ -118,7 +123,8 @@
         self.arrival += 1;
         let (request, account) = (entry.ask.request, entry.ask.account);
         self.index.insert(request, (rank, account, self.arrival));
-        self.expiry.insert((entry.expires, request));
+        self.expiry
+            .insert((entry.target.min(entry.expires), request));
         self.lanes[rank as usize].push(account, self.arrival, entry);
         displaced.map_or(Step::Queued, |entry| Step::Displaced(Box::new(entry)))
     }
@@ -126,7 +132,9 @@
     /// Returns the next request of a rank.
     pub fn peek(&self, rank: Rank) -> Option<&Entry> {
         let lane = &self.lanes[rank as usize];
-        let (_, account) = lane.order.first()?;
+        let Some((_, account)) = lane.order.first() else {
+            return lane.late.values().next();
+        };
         lane.flows.get(account)?.waiting.values().next()
     }
 
@@ -139,18 +147,33 @@
     /// Withdraws a request.
     pub fn remove(&mut self, request: RequestId) -> Option<Entry> {
         let (rank, account, arrival) = self.index.remove(&request)?;
-        let entry = self.lanes[rank as usize].remove(account, arrival)?;
-        self.expiry.remove(&(entry.expires, request));
+        let lane = &mut self.lanes[rank as usize];
+        if let Some(entry) = lane.late.remove(&arrival) {
+            self.expiry.remove(&(entry.expires, request));
+            return Some(entry);
+        }
+        let entry = lane.remove(account, arrival)?;
+        let expiry = entry.target.min(entry.expires);
+        self.expiry.remove(&(expiry, request));
         Some(entry)
     }
 
-    /// Takes a request that has waited as long as it may.
+    /// Takes a request that has waited as long as it may, and sets those aside that are late.
     pub fn expire(&mut self, now: Instant) -> Option<Entry> {
-        let (expires, request) = *self.expiry.first()?;
-        if expires > now {
-            return None;
+        while let Some(&(expiry, request)) = self.expiry.first()
+            && expiry <= now
+        {
+            let entry = self.remove(request)?;
+            if entry.expires <= now {
+                return Some(entry);
+            }
+            self.arrival += 1;
+            let (rank, account) = (entry.ask.rank, entry.ask.account);
+            self.index.insert(request, (rank, account, self.arrival));
+            self.expiry.insert((entry.expires, request));
+            self.lanes[rank as usize].late.insert(self.arrival, entry);
         }
-        self.remove(request)
+        None
     }
 
     /// Charges an account for a request that begins to run.
@@ -179,7 +202,8 @@
 
     /// Returns the number of waiting requests of a rank.
     pub fn len(&self, rank: Rank) -> usize {
-        self.lanes[rank as usize].len
+        let lane = &self.lanes[rank as usize];
+        lane.punctual + lane.late.len()
     }
 
     /// Returns whether nothing waits.
@@ -195,21 +219,19 @@
             .get(&account)
             .map_or(0, |flow| flow.waiting.len());
         // Accounts take turns, so each goes before at most as often as the account itself waits.
-        lane.len.min((own + 1) * lane.order.len())
+        lane.punctual.min((own + 1) * lane.order.len())
     }
 
     /// Returns the request that a full queue gives up for a new one.
     fn victim(&self, ask: &Ask, left: usize, urgent_full: bool) -> Option<RequestId> {
-        let deferrable = &self.lanes[Rank::Deferrable as usize];
-        if ask.rank == Rank::Urgent && !urgent_full && deferrable.len > left {
-            return deferrable.newest_of_longest(0);
-        }
         let lane = &self.lanes[ask.rank as usize];
-        let own = lane
-            .flows
-            .get(&ask.account)
-            .map_or(0, |flow| flow.waiting.len());
-        lane.newest_of_longest(own + 1)
+        let flow = lane.flows.get(&ask.account);
+        let own = flow.map_or(0, |flow| flow.waiting.len());
+        if ask.rank == Rank::Urgent && !urgent_full && self.len(Rank::Deferrable) > left {
+            let deferrable = &self.lanes[Rank::Deferrable as usize];
+            return deferrable.dispensable(0);
+        }
+        lane.dispensable(own + 1)
     }
 }
 
@@ -222,7 +244,8 @@
             order: BTreeSet::new(),
             backlog: BTreeSet::new(),
             idle: BTreeSet::new(),
-            len: 0,
+            punctual: 0,
+            late: BTreeMap::new(),
         }
     }
 
@@ -239,7 +262,7 @@
         }
         flow.waiting.insert(arrival, entry);
         self.backlog.insert((before + 1, account));
-        self.len += 1;
+        self.punctual += 1;
     }
 
     /// Removes a waiting request.
@@ -254,7 +277,7 @@
         } else {
             self.backlog.insert((before - 1, account));
         }
-        self.len -= 1;
+        self.punctual -= 1;
         Some(entry)
     }
 
@@ -293,8 +316,12 @@
         }
     }
 
-    /// Returns the newest request of the account with the most, if these are more than `least`.
-    fn newest_of_longest(&self, least: usize) -> Option<RequestId> {
+    /// Returns the oldest late request, or the newest one of the account with the most if these
+    /// are more than `least`.
+    fn dispensable(&self, least: usize) -> Option<RequestId> {
+        if let Some(late) = self.late.values().next() {
+            return Some(late.ask.request);
+        }
         let (count, account) = self.backlog.last()?;
         if *count <= least {
             return None;
