--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -6,17 +6,26 @@
 //! do next. The node, the experiments and the protocol checker all drive this same code.
 
 pub mod account;
+mod admit;
 pub mod attempt;
 pub mod burn;
+pub mod budget;
+mod capacity;
 pub mod contract;
 pub mod endpoint;
+mod grant;
 pub mod home;
 pub mod id;
 pub mod instance;
 pub mod ledger;
 pub mod order;
 pub mod placement;
+pub mod length;
+mod memory;
+pub mod prefix;
 pub mod preset;
+pub mod queue;
+mod recent;
 pub mod route;
 pub mod stream;
 pub mod zone;
