Add the call registry: claims by compare-and-swap, one run per key

Change: core modules `record` and `call` (`Partition`: group commit, merge after a lost compare-and-swap, read-back after a lost response, replay, release, retention, roll-over into archives that are only ever created); prost encoding in `registry`; small client `kv`; actor `calls`; `once::run_once` for the HTTP side. The stand-in store gets the faults down, delay and lost responses, and no longer stores an empty value when a request body breaks off. Log events 80 to 82.

Tests on real sockets: one key at two nodes at the same time (40 callers), first claimant dead at six points, store down, slow, and with lost responses.

Conclusion: in these tests one key ran at most once, and a refusal that says `not_run` was true.

--- a/crates/daisyyard/src/event.rs
+++ b/crates/daisyyard/src/event.rs
@@ -13,14 +13,23 @@
     ListUnavailable = 10,
     /// A stream ended before its generation did.
     StreamInterrupted = 20,
+    /// A partition of the call registry cannot be read or written.
+    RegistryUnavailable = 80,
+    /// A partition of the call registry can be written again.
+    RegistryRestored = 81,
+    /// The outcome of a call could not be kept until it is written.
+    OutcomeDropped = 82,
 }
 
 impl Event {
     /// Returns the level at which the event is logged.
     fn level(self) -> Level {
         match self {
-            Self::NodeStarted | Self::NodeStopped => Level::Info,
-            Self::ListUnavailable | Self::StreamInterrupted => Level::Warn,
+            Self::NodeStarted | Self::NodeStopped | Self::RegistryRestored => Level::Info,
+            Self::ListUnavailable
+            | Self::StreamInterrupted
+            | Self::RegistryUnavailable
+            | Self::OutcomeDropped => Level::Warn,
         }
     }
 }
--- a/crates/daisyyard/src/lib.rs
+++ b/crates/daisyyard/src/lib.rs
@@ -2,6 +2,7 @@
 //! operators.
 
 pub(crate) mod admission;
+pub mod calls;
 pub mod command;
 pub(crate) mod completion;
 pub(crate) mod dispatch;
@@ -9,8 +10,11 @@
 pub(crate) mod event;
 pub(crate) mod front;
 pub(crate) mod generation;
+pub(crate) mod kv;
 pub mod node;
+pub mod once;
 pub(crate) mod refusal;
+pub(crate) mod registry;
 pub(crate) mod roster;
 pub mod settings;
 pub(crate) mod upstream;
--- /dev/null
+++ b/crates/daisyyard/src/once.rs
@@ -0,0 +1,97 @@
+//! Runs one call at most once: claim, send, and record how it ended.
+
+use bytes::Bytes;
+use daisyyard_core::attempt::{Outcome, Progress};
+use xtra::Address;
+
+use crate::calls::{self, Calls, Claim, Finish, Release, Verdict};
+
+/// How far the sending of a call got.
+#[derive(Debug)]
+pub struct Sent {
+    /// How far the request got; `Unsent` and `Declined` must be certain.
+    pub progress: Progress,
+    /// Status and body of the answer, if there was one.
+    pub answer: Option<(u16, Bytes)>,
+}
+
+/// How a call ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Final {
+    /// The endpoint's answer to this call.
+    Answer(u16, Bytes),
+    /// The endpoint's answer to an earlier call with the same key and body.
+    Replay(u16, Bytes),
+    /// An earlier call with the same key ran; its answer was too long to keep.
+    NotKept(u16),
+    /// The endpoint did not run the call; the key may be used again.
+    NotSent(Progress),
+    /// The call may have run or may be running.
+    Unknown,
+    /// The key was used with another body.
+    KeyReused,
+    /// The call registry could not confirm the claim; nothing was sent.
+    Unavailable,
+}
+
+impl Final {
+    /// Returns whether the call was run.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Self::Answer(..) | Self::Replay(..) | Self::NotKept(_) => Outcome::Run,
+            Self::Unknown => Outcome::Unknown,
+            Self::NotSent(_) | Self::KeyReused | Self::Unavailable => Outcome::NotRun,
+        }
+    }
+}
+
+/// Runs a call at most once over all nodes.
+///
+/// `send` runs at most once, and only after the claim was confirmed. The run goes on in a task of
+/// its own, so that a caller who disconnects does not cut off the record of the outcome.
+pub async fn run_once<S, F>(calls: Address<Calls>, claim: Claim, send: S) -> Final
+where
+    S: FnOnce() -> F + Send + 'static,
+    F: Future<Output = Sent> + Send + 'static,
+{
+    let run = tokio::spawn(run(calls, claim, send));
+    // A panic leaves the claim in place, so the call cannot run again.
+    run.await.unwrap_or(Final::Unknown)
+}
+
+/// Claims, sends and records the outcome.
+async fn run<S, F>(calls: Address<Calls>, claim: Claim, send: S) -> Final
+where
+    S: FnOnce() -> F,
+    F: Future<Output = Sent>,
+{
+    let attempt = match calls::claim(&calls, claim).await {
+        Verdict::Send(attempt) => attempt,
+        Verdict::Replay(answer) => {
+            return match answer.body {
+                Some(body) => Final::Replay(answer.status, Bytes::from(body)),
+                None => Final::NotKept(answer.status),
+            };
+        }
+        Verdict::Unknown => return Final::Unknown,
+        Verdict::KeyReused => return Final::KeyReused,
+        Verdict::Unavailable => return Final::Unavailable,
+    };
+    let Sent { progress, answer } = send().await;
+    match (progress, answer) {
+        (Progress::Unsent | Progress::Declined, _) => {
+            let _ = calls.send(Release(attempt)).await;
+            Final::NotSent(progress)
+        }
+        (Progress::Answered, Some((status, body))) => {
+            let finish = Finish {
+                attempt,
+                status,
+                body: body.to_vec(),
+            };
+            let _ = calls.send(finish).await;
+            Final::Answer(status, body)
+        }
+        (Progress::Written | Progress::Answered, _) => Final::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/daisyyard/src/registry.rs
@@ -0,0 +1,201 @@
+//! Encoding of the call registry's head and archive values.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anyhow::Context;
+use bytes::Bytes;
+use daisyyard_core::record::{self, Attempt, State};
+use prost::Message;
+
+/// Encoded head of a partition.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Head {
+    /// Records, oldest first.
+    #[prost(message, repeated, tag = "1")]
+    records: Vec<Record>,
+    /// Archives, oldest first.
+    #[prost(message, repeated, tag = "2")]
+    archives: Vec<Entry>,
+    /// Number of the next archive.
+    #[prost(uint64, tag = "3")]
+    next: u64,
+}
+
+/// Encoded archive of a partition.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Archive {
+    /// Records, oldest first.
+    #[prost(message, repeated, tag = "1")]
+    records: Vec<Record>,
+}
+
+/// Encoded entry of an archive in the head.
+#[derive(Clone, PartialEq, Message)]
+struct Entry {
+    /// Number of the archive.
+    #[prost(uint64, tag = "1")]
+    number: u64,
+    /// Time of the newest record, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    newest: u64,
+}
+
+/// Encoded record of one key.
+#[derive(Clone, PartialEq, Message)]
+struct Record {
+    /// Key hash, 16 bytes, little endian.
+    #[prost(bytes = "bytes", tag = "1")]
+    key: Bytes,
+    /// Body fingerprint, 16 bytes, little endian.
+    #[prost(bytes = "bytes", tag = "2")]
+    fingerprint: Bytes,
+    /// Attempt identifier, 16 bytes, little endian.
+    #[prost(bytes = "bytes", tag = "3")]
+    attempt: Bytes,
+    /// Time of the claim, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "4")]
+    time: u64,
+    /// 1 claimed, 2 done, 3 released; zero is invalid, so that a missing field is detected.
+    #[prost(uint32, tag = "5")]
+    state: u32,
+    /// Status of the answer, if done.
+    #[prost(uint32, tag = "6")]
+    status: u32,
+    /// Body of the answer, if done and kept.
+    #[prost(bytes = "bytes", optional, tag = "7")]
+    body: Option<Bytes>,
+}
+
+/// Encodes a head.
+pub(crate) fn head(head: &record::Head) -> Bytes {
+    let entry = |archive: &record::Archive| Entry {
+        number: archive.number,
+        newest: millis(archive.newest),
+    };
+    let head = Head {
+        records: head.records.iter().map(Record::from).collect(),
+        archives: head.archives.iter().map(entry).collect(),
+        next: head.next,
+    };
+    Bytes::from(head.encode_to_vec())
+}
+
+/// Encodes an archive.
+pub(crate) fn archive(records: &[record::Record]) -> Bytes {
+    let records = records.iter().map(Record::from).collect();
+    Bytes::from(Archive { records }.encode_to_vec())
+}
+
+impl TryFrom<Bytes> for Head {
+    type Error = anyhow::Error;
+
+    fn try_from(value: Bytes) -> anyhow::Result<Self> {
+        Self::decode(value).context("the head of a call partition is malformed")
+    }
+}
+
+impl TryFrom<Bytes> for Archive {
+    type Error = anyhow::Error;
+
+    fn try_from(value: Bytes) -> anyhow::Result<Self> {
+        Self::decode(value).context("an archive of a call partition is malformed")
+    }
+}
+
+impl TryFrom<Head> for record::Head {
+    type Error = anyhow::Error;
+
+    fn try_from(head: Head) -> anyhow::Result<Self> {
+        let entry = |entry: Entry| record::Archive {
+            number: entry.number,
+            newest: time(entry.newest),
+        };
+        Ok(Self {
+            records: records(head.records)?,
+            archives: head.archives.into_iter().map(entry).collect(),
+            next: head.next,
+        })
+    }
+}
+
+impl TryFrom<Archive> for Vec<record::Record> {
+    type Error = anyhow::Error;
+
+    fn try_from(archive: Archive) -> anyhow::Result<Self> {
+        records(archive.records)
+    }
+}
+
+impl From<&record::Record> for Record {
+    fn from(record: &record::Record) -> Self {
+        let bytes = |number: u128| Bytes::copy_from_slice(&number.to_le_bytes());
+        let (state, status, body) = match &record.state {
+            State::Claimed => (1, 0, None),
+            State::Done(answer) => {
+                let body = answer.body.as_deref().map(Bytes::copy_from_slice);
+                (2, u32::from(answer.status), body)
+            }
+            State::Released => (3, 0, None),
+        };
+        Self {
+            key: bytes(record.attempt.key),
+            fingerprint: bytes(record.attempt.fingerprint),
+            attempt: bytes(record.attempt.id),
+            time: millis(record.time),
+            state,
+            status,
+            body,
+        }
+    }
+}
+
+impl TryFrom<Record> for record::Record {
+    type Error = anyhow::Error;
+
+    fn try_from(record: Record) -> anyhow::Result<Self> {
+        let attempt = Attempt {
+            key: number(&record.key)?,
+            fingerprint: number(&record.fingerprint)?,
+            id: number(&record.attempt)?,
+        };
+        let state = match record.state {
+            1 => State::Claimed,
+            2 => State::Done(record::Answer {
+                status: u16::try_from(record.status).context("a status is out of range")?,
+                body: record.body.map(Vec::from),
+            }),
+            3 => State::Released,
+            state => anyhow::bail!("{state} is not the state of a call"),
+        };
+        Ok(Self {
+            attempt,
+            state,
+            time: time(record.time),
+        })
+    }
+}
+
+/// Converts all records.
+fn records(records: Vec<Record>) -> anyhow::Result<Vec<record::Record>> {
+    records.into_iter().map(record::Record::try_from).collect()
+}
+
+/// Reads a 128-bit number.
+fn number(bytes: &Bytes) -> anyhow::Result<u128> {
+    let bytes: [u8; 16] = bytes[..]
+        .try_into()
+        .context("an identifier is not 16 bytes long")?;
+    Ok(u128::from_le_bytes(bytes))
+}
+
+/// Returns the milliseconds since the Unix epoch.
+fn millis(time: SystemTime) -> u64 {
+    let age = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns the time at some milliseconds since the Unix epoch.
+fn time(millis: u64) -> SystemTime {
+    let time = UNIX_EPOCH.checked_add(Duration::from_millis(millis));
+    time.unwrap_or(UNIX_EPOCH)
+}
--- /dev/null
+++ b/crates/daisyyard/tests/claim_race.rs
@@ -0,0 +1,82 @@
+//! Guards against a call that runs twice when its key is used at several nodes at the same time.
+
+use daisyyard::calls;
+use daisyyard::once::{Final, run_once};
+use daisyyard_core::attempt::Progress;
+use daisyyard_standin::plain::Service;
+use daisyyard_standin::store::Store;
+
+mod fixture;
+
+/// Forty callers at two nodes use one key: one run, and everybody else learns of it truthfully.
+#[tokio::test]
+async fn two_nodes() {
+    let store = Store::start().await.expect("the store starts");
+    let service = Service::start().await.expect("the service starts");
+    let nodes = [calls::spawn(store.address), calls::spawn(store.address)];
+    let mut callers = tokio::task::JoinSet::new();
+    for caller in 0..40 {
+        let (node, service) = (nodes[caller % 2].clone(), service.address);
+        let claim = fixture::claim("one", "body");
+        callers.spawn(run_once(node, claim, move || fixture::pay(service)));
+    }
+    let finals = callers.join_all().await;
+    let answered = |end: &&Final| matches!(end, Final::Answer(..));
+    assert_eq!(finals.iter().filter(answered).count(), 1, "{finals:?}");
+    for end in &finals {
+        let truthful = matches!(end, Final::Answer(..) | Final::Replay(..) | Final::Unknown);
+        assert!(truthful, "{end:?}");
+    }
+    assert_eq!(service.runs().await.len(), 1);
+    for node in nodes {
+        let repeat = run_once(node, fixture::claim("one", "body"), move || async {
+            panic!("a repeated call must not be sent")
+        });
+        assert_eq!(repeat.await, Final::Replay(200, fixture::first()));
+    }
+}
+
+/// A key with another body is refused before and after the first call ends, on both nodes.
+#[tokio::test]
+async fn other_body() {
+    let store = Store::start().await.expect("the store starts");
+    let service = Service::start().await.expect("the service starts");
+    let nodes = [calls::spawn(store.address), calls::spawn(store.address)];
+    let address = service.address;
+    let first = run_once(nodes[0].clone(), fixture::claim("key", "a"), move || {
+        fixture::pay(address)
+    });
+    assert_eq!(first.await, Final::Answer(200, fixture::first()));
+    for node in nodes {
+        let other = run_once(node, fixture::claim("key", "b"), move || {
+            fixture::pay(address)
+        });
+        assert_eq!(other.await, Final::KeyReused);
+    }
+    assert_eq!(service.runs().await.len(), 1);
+}
+
+/// A call that was certainly not sent leaves its key free for the next call, at any node.
+#[tokio::test]
+async fn release_frees() {
+    let store = Store::start().await.expect("the store starts");
+    let service = Service::start().await.expect("the service starts");
+    let nodes = [calls::spawn(store.address), calls::spawn(store.address)];
+    let unsent = run_once(
+        nodes[0].clone(),
+        fixture::claim("key", "a"),
+        move || async {
+            daisyyard::once::Sent {
+                progress: Progress::Unsent,
+                answer: None,
+            }
+        },
+    );
+    assert_eq!(unsent.await, Final::NotSent(Progress::Unsent));
+    tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+    let address = service.address;
+    let again = run_once(nodes[1].clone(), fixture::claim("key", "b"), move || {
+        fixture::pay(address)
+    });
+    assert_eq!(again.await, Final::Answer(200, fixture::first()));
+}
--- /dev/null
+++ b/crates/daisyyard/tests/lost_write.rs
@@ -0,0 +1,135 @@
+//! Guards against false outcomes while the configuration service is down, slow or loses responses.
+
+use std::time::Duration;
+
+use daisyyard::calls::{self, Count};
+use daisyyard::once::{Final, run_once};
+use daisyyard_standin::fault::Plan;
+use daisyyard_standin::plain::Service;
+use daisyyard_standin::store::Store;
+
+mod fixture;
+
+/// Runs one call at a new node under a fault that ends after a while; returns the end and the runs.
+async fn call_under(plan: Plan, lasts: Duration) -> (Final, usize) {
+    let store = Store::start().await.expect("the store starts");
+    let service = Service::start().await.expect("the service starts");
+    store.faults.set(plan);
+    let calls = calls::spawn(store.address);
+    let address = service.address;
+    let claim = fixture::claim("key", "body");
+    let run = run_once(calls, claim, move || fixture::pay(address));
+    let run = tokio::spawn(run);
+    tokio::time::sleep(lasts).await;
+    store.faults.set(Plan::default());
+    let end = run.await.expect("the call ends");
+    (end, service.runs().await.len())
+}
+
+/// A call in a long outage is refused as not run, and it was not run.
+#[tokio::test]
+async fn down() {
+    let plan = Plan {
+        down: true,
+        ..Plan::default()
+    };
+    let end = call_under(plan, Duration::from_secs(4)).await;
+    assert_eq!(end, (Final::Unavailable, 0));
+}
+
+/// A call in a short outage runs once the outage ends.
+#[tokio::test]
+async fn short_outage() {
+    let plan = Plan {
+        down: true,
+        ..Plan::default()
+    };
+    let end = call_under(plan, Duration::from_millis(300)).await;
+    assert_eq!(end, (Final::Answer(200, fixture::first()), 1));
+}
+
+/// A slow configuration service delays the call only.
+#[tokio::test]
+async fn slow() {
+    let plan = Plan {
+        delay: Duration::from_millis(400),
+        ..Plan::default()
+    };
+    let end = call_under(plan, Duration::from_secs(2)).await;
+    assert_eq!(end, (Final::Answer(200, fixture::first()), 1));
+}
+
+/// A claim whose response was lost after the write took effect is found by reading back.
+#[tokio::test]
+async fn lost_response() {
+    let store = Store::start().await.expect("the store starts");
+    let service = Service::start().await.expect("the service starts");
+    let address = service.address;
+    let nodes = [calls::spawn(store.address), calls::spawn(store.address)];
+    let key = fixture::claim("key", "body");
+    // Both nodes know the head before the fault, so that their next call is a write.
+    for node in &nodes {
+        let warm = run_once(node.clone(), key.clone(), move || async {
+            daisyyard::once::Sent {
+                progress: daisyyard_core::attempt::Progress::Unsent,
+                answer: None,
+            }
+        });
+        assert!(matches!(warm.await, Final::NotSent(_)));
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    store.faults.set(Plan {
+        lose: true,
+        ..Plan::default()
+    });
+    let runs = nodes.each_ref().map(|node| {
+        let run = run_once(node.clone(), key.clone(), move || fixture::pay(address));
+        tokio::spawn(run)
+    });
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    store.faults.set(Plan::default());
+    let mut answered = 0;
+    for run in runs {
+        let end = run.await.expect("the call ends");
+        answered += usize::from(matches!(end, Final::Answer(..)));
+    }
+    assert_eq!((answered, service.runs().await.len()), (1, 1));
+}
+
+/// An outcome that could not be written during an outage is written after it.
+#[tokio::test]
+async fn late_outcome() {
+    let store = Store::start().await.expect("the store starts");
+    let service = Service::start().await.expect("the service starts");
+    let address = service.address;
+    let nodes = [calls::spawn(store.address), calls::spawn(store.address)];
+    let (claimed, confirmed) = tokio::sync::oneshot::channel();
+    let (resume, resumed) = tokio::sync::oneshot::channel::<()>();
+    let key = fixture::claim("key", "body");
+    let run = run_once(nodes[0].clone(), key.clone(), move || async move {
+        let _ = claimed.send(());
+        let _ = resumed.await;
+        fixture::pay(address).await
+    });
+    let run = tokio::spawn(run);
+    confirmed.await.expect("the claim is confirmed");
+    store.faults.set(Plan {
+        down: true,
+        ..Plan::default()
+    });
+    let _ = resume.send(());
+    let end = run.await.expect("the call ends");
+    assert_eq!(end, Final::Answer(200, fixture::first()));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    store.faults.set(Plan::default());
+    for _ in 0..100 {
+        let stats = nodes[0].send(Count).await.expect("the actor runs");
+        if stats.unwritten == 0 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let repeat = run_once(nodes[1].clone(), key, || async { panic!("sent twice") });
+    assert_eq!(repeat.await, Final::Replay(200, fixture::first()));
+    assert_eq!(service.runs().await.len(), 1);
+}
--- /dev/null
+++ b/crates/daisyyard/tests/run_once.rs
@@ -0,0 +1,176 @@
+//! Guards against a second run after the first claimant died, at each point of its call.
+
+use std::time::Duration;
+
+use daisyyard::calls;
+use daisyyard::once::{Final, Sent, run_once};
+use daisyyard_core::attempt::Progress;
+use daisyyard_standin::fault::Plan;
+use daisyyard_standin::plain::Service;
+use daisyyard_standin::store::Store;
+use tokio::runtime::{Builder, Runtime};
+
+mod fixture;
+
+/// Where the first claimant dies.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Point {
+    /// The claim is on its way to a slow configuration service.
+    Claiming,
+    /// The claim took effect and its response was lost.
+    Claimed,
+    /// The claim is confirmed and nothing was sent.
+    Confirmed,
+    /// The request was sent and its answer not read.
+    Sent,
+    /// The answer was delivered and not recorded, because the configuration service is down.
+    Answered,
+    /// The answer was recorded.
+    Recorded,
+}
+
+/// Starts the runtime of a node that a test ends abruptly.
+fn runtime() -> Runtime {
+    let mut builder = Builder::new_multi_thread();
+    let builder = builder.worker_threads(1).enable_all();
+    builder.build().expect("a runtime starts")
+}
+
+/// Ends the first node at a point; returns what a repeat at a second node gives, and the runs.
+async fn die(point: Point) -> (Final, usize) {
+    let store = Store::start().await.expect("the store starts");
+    let service = Service::start().await.expect("the service starts");
+    let address = service.address;
+    if point == Point::Claiming {
+        store.faults.set(Plan {
+            delay: Duration::from_millis(300),
+            ..Plan::default()
+        });
+    }
+    let node = runtime();
+    let at = store.address;
+    let (ready, mut reached) = tokio::sync::mpsc::unbounded_channel();
+    let (resume, resumed) = tokio::sync::oneshot::channel::<()>();
+    let first = node.spawn(async move {
+        let calls = calls::spawn(at);
+        if point == Point::Claimed {
+            // Learns the head first, so that the next call is the write whose response is lost.
+            let unsent = || async {
+                Sent {
+                    progress: Progress::Unsent,
+                    answer: None,
+                }
+            };
+            let warm = run_once(calls.clone(), fixture::claim("key", "body"), unsent);
+            assert_eq!(warm.await, Final::NotSent(Progress::Unsent));
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+        let _ = ready.send(());
+        let mut resumed = Some(resumed);
+        if point == Point::Claimed {
+            let _ = resumed.take().expect("not yet awaited").await;
+        }
+        let hook = ready.clone();
+        let send = move || async move {
+            if point == Point::Confirmed {
+                let _ = hook.send(());
+                std::future::pending::<()>().await;
+            }
+            if point == Point::Answered {
+                let _ = hook.send(());
+                let _ = resumed.expect("not yet awaited").await;
+            }
+            let sent = fixture::pay(address).await;
+            if point == Point::Sent {
+                let _ = hook.send(());
+                std::future::pending::<()>().await;
+            }
+            sent
+        };
+        let end = run_once(calls.clone(), fixture::claim("key", "body"), send).await;
+        if point == Point::Answered {
+            let again = fixture::claim("key", "body");
+            let repeat = run_once(calls.clone(), again, || async { panic!("sent twice") });
+            assert_eq!(repeat.await, Final::Replay(200, fixture::first()));
+        }
+        let _ = ready.send(());
+        std::future::pending::<()>().await;
+        drop(calls);
+        end
+    });
+    let _ = reached.recv().await;
+    match point {
+        Point::Claiming => tokio::time::sleep(Duration::from_millis(100)).await,
+        Point::Claimed => {
+            store.faults.set(Plan {
+                lose: true,
+                ..Plan::default()
+            });
+            let _ = resume.send(());
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+        Point::Answered => {
+            let _ = reached.recv().await;
+            store.faults.set(Plan {
+                down: true,
+                ..Plan::default()
+            });
+            let _ = resume.send(());
+            let _ = reached.recv().await;
+        }
+        Point::Confirmed | Point::Sent => {
+            let _ = reached.recv().await;
+        }
+        Point::Recorded => {
+            let _ = reached.recv().await;
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+    }
+    node.shutdown_background();
+    drop(first);
+    store.faults.set(Plan::default());
+    let calls = calls::spawn(store.address);
+    let repeat = run_once(calls, fixture::claim("key", "body"), move || {
+        fixture::pay(address)
+    });
+    let end = repeat.await;
+    (end, service.runs().await.len())
+}
+
+/// A claim that never took effect leaves the key free.
+#[tokio::test]
+async fn dies_claiming() {
+    let (end, runs) = die(Point::Claiming).await;
+    assert_eq!((end, runs), (Final::Answer(200, fixture::first()), 1));
+}
+
+/// A claim that took effect unseen blocks the key, although nothing was sent.
+#[tokio::test]
+async fn dies_claimed() {
+    assert_eq!(die(Point::Claimed).await, (Final::Unknown, 0));
+}
+
+/// A confirmed claim blocks the key.
+#[tokio::test]
+async fn dies_confirmed() {
+    assert_eq!(die(Point::Confirmed).await, (Final::Unknown, 0));
+}
+
+/// A call that was sent is not sent again.
+#[tokio::test]
+async fn dies_sent() {
+    assert_eq!(die(Point::Sent).await, (Final::Unknown, 1));
+}
+
+/// An outcome that could not be written is answered from memory, and lost with the node.
+#[tokio::test]
+async fn dies_answered() {
+    assert_eq!(die(Point::Answered).await, (Final::Unknown, 1));
+}
+
+/// A recorded outcome is replayed by another node.
+#[tokio::test]
+async fn dies_recorded() {
+    let (end, runs) = die(Point::Recorded).await;
+    assert_eq!((end, runs), (Final::Replay(200, fixture::first()), 1));
+}
--- a/crates/daisyyard_core/src/id.rs
+++ b/crates/daisyyard_core/src/id.rs
@@ -29,7 +29,16 @@
 /// Identifies the content of a request.
 pub type Fingerprint = u128;
 
-/// Numbers the revisions of the preset document.
+/// Identifies an idempotency key of one account at one service.
+pub type KeyHash = u128;
+
+/// Identifies one attempt to claim a call; unique over all nodes.
+pub type AttemptId = u128;
+
+/// Numbers the archives of one partition of the call registry, never reused.
+pub type ArchiveNumber = u64;
+
+/// Numbers the revisions of a value in the configuration service, such as the preset document.
 pub type Revision = u64;
 
 /// Numbers the starts of one instance.
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod account;
 pub mod attempt;
+pub mod call;
 pub mod contract;
 pub mod endpoint;
 pub mod home;
@@ -14,6 +15,7 @@
 pub mod instance;
 pub mod ledger;
 pub mod preset;
+pub mod record;
 pub mod route;
 pub mod stream;
 pub mod zone;
--- a/crates/daisyyard_derive/src/lib.rs
+++ b/crates/daisyyard_derive/src/lib.rs
@@ -19,6 +19,12 @@
     )
 }
 
+/// Derives `Debug`, `Clone`, `PartialEq`, `Eq` and `Hash`: a state that the protocol checker stores.
+#[proc_macro_attribute]
+pub fn state(_attributes: TokenStream, item: TokenStream) -> TokenStream {
+    derive("Debug, Clone, PartialEq, Eq, Hash", item)
+}
+
 /// Derives `Debug`, `Clone` and `PartialEq`: an owned value with floating-point fields.
 #[proc_macro_attribute]
 pub fn record(_attributes: TokenStream, item: TokenStream) -> TokenStream {
--- /dev/null
+++ b/crates/daisyyard_standin/src/fault.rs
@@ -0,0 +1,58 @@
+//! Faults of a stand-in: down, slow, and responses that are lost after the call took effect.
+
+use std::time::Duration;
+
+use hyper::{Response, StatusCode};
+use serde_json::json;
+use tokio::sync::watch;
+
+use daisyyard_http::{self as http, Body};
+
+/// Faults that are in force.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Plan {
+    /// Calls are refused without effect.
+    pub down: bool,
+    /// Time that each call waits before it takes effect.
+    pub delay: Duration,
+    /// Calls take effect but are not answered while this holds.
+    pub lose: bool,
+}
+
+/// Switch for the faults of one stand-in.
+#[derive(Debug)]
+pub struct Faults {
+    /// Faults in force.
+    plan: watch::Sender<Plan>,
+}
+
+impl Faults {
+    /// Creates a switch without faults, and the view of it that handlers take.
+    pub fn new() -> (Self, watch::Receiver<Plan>) {
+        let (plan, view) = watch::channel(Plan::default());
+        (Self { plan }, view)
+    }
+
+    /// Puts faults into force for calls that arrive from now on.
+    pub fn set(&self, plan: Plan) {
+        self.plan.send_replace(plan);
+    }
+}
+
+/// Runs a handler under the faults in force when the call arrives.
+pub async fn wrap(
+    mut view: watch::Receiver<Plan>,
+    answer: impl Future<Output = Response<Body>>,
+) -> Response<Body> {
+    let plan = *view.borrow();
+    if plan.down {
+        return http::json(StatusCode::SERVICE_UNAVAILABLE, &json!({"error": "down"}));
+    }
+    tokio::time::sleep(plan.delay).await;
+    let answer = answer.await;
+    if plan.lose {
+        // Holds the response until the fault ends, by which time the caller has given up.
+        let _ = view.wait_for(|plan| !plan.lose).await;
+    }
+    answer
+}
--- a/crates/daisyyard_standin/src/lib.rs
+++ b/crates/daisyyard_standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! to fail.
 
 pub mod engine;
+pub mod fault;
 pub mod list;
 pub mod plain;
 pub mod store;
--- a/crates/daisyyard_standin/src/store.rs
+++ b/crates/daisyyard_standin/src/store.rs
@@ -14,11 +14,15 @@
 
 use daisyyard_http::{self as http, Body};
 
+use crate::fault::{self, Faults};
+
 /// A running configuration service; dropping it ends the service.
 #[derive(Debug)]
 pub struct Store {
     /// Address on which the service accepts calls.
     pub address: SocketAddr,
+    /// Faults of the service.
+    pub faults: Faults,
     /// Tasks of the service.
     tasks: Vec<JoinHandle<()>>,
 }
@@ -56,9 +60,13 @@
         let address = listener.local_addr()?;
         let (commands, receiver) = mpsc::unbounded_channel();
         let owner = tokio::spawn(own(receiver));
-        let server = http::serve(listener, move |request| handle(request, commands.clone()));
+        let (faults, view) = Faults::new();
+        let server = http::serve(listener, move |request| {
+            fault::wrap(view.clone(), handle(request, commands.clone()))
+        });
         Ok(Self {
             address,
+            faults,
             tasks: vec![owner, server],
         })
     }
@@ -142,7 +150,9 @@
         let error = json!({"error": "add ?expected=<revision>"});
         return http::json(StatusCode::BAD_REQUEST, &error);
     };
-    let value = http::read(request.into_body()).await.unwrap_or_default();
+    let Ok(value) = http::read(request.into_body()).await else {
+        return http::json(StatusCode::BAD_REQUEST, &json!({"error": "body broke off"}));
+    };
     let (reply, answer) = oneshot::channel();
     let _ = commands.send(Command::Swap {
         key,
