--- a/crates/daisyyard/src/event.rs
+++ b/crates/daisyyard/src/event.rs
@@ -20,16 +20,20 @@
     ListUnavailable = 10,
     /// A stream ended before its generation did.
     StreamInterrupted = 20,
+    /// A partition of the call registry cannot be read or written.
+    RegistryUnavailable = 80,
+    /// A partition of the call registry can be written again.
+    RegistryRestored = 81,
+    /// The outcome of a call could not be kept until it is written.
+    OutcomeDropped = 82,
 }
 
 impl Event {
     /// Returns the level at which the event is logged.
     fn level(self) -> spdlog::Level {
         match self {
-            Self::NodeStarted | Self::NodeStopped => spdlog::Level::Info,
-            Self::SettingDoubtful | Self::ListUnavailable | Self::StreamInterrupted => {
-                spdlog::Level::Warn
-            }
+            Self::NodeStarted | Self::NodeStopped | Self::RegistryRestored => spdlog::Level::Info,
+            _ => spdlog::Level::Warn,
         }
     }
 }
