Pace registry writes over all nodes, bound the archives, and measure

Cause: a property test showed that the bound on archives was never enforced; and a measurement showed that writes grow with the number of nodes: 2,462/s with 8 nodes at 3,000 claims/s, over what the configuration service accepts.

Change: a full partition refuses new claims and still takes outcomes. Heads count their writes; a node that saw k writes by others takes (k + 1) x 200 ms as its period, up to 1.6 s, and reads the head just before it writes.

More nodes need one writer per partition.

--- /dev/null
+++ b/crates/daisyyard/examples/claim_rate.rs
@@ -0,0 +1,108 @@
+//! Measures writes and latency of the call registry: `claim_rate NODES CLAIMS_PER_S SECONDS
+//! OUTAGE_S`.
+//!
+//! Claims arrive at a fixed rate whatever the answers take. The configuration service is down for
+//! the last `OUTAGE_S` seconds of the run.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use daisyyard::calls::{self, Claim, Count};
+use daisyyard::once::{Final, Sent, run_once};
+use daisyyard_core::attempt::Progress;
+use daisyyard_core::id;
+use daisyyard_standin::fault::Plan;
+use daisyyard_standin::store::Store;
+use hdrhistogram::Histogram;
+
+/// Claims that are started together.
+const TICK: Duration = Duration::from_millis(5);
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let mut numbers = std::env::args().skip(1).map(|text| text.parse::<u32>());
+    let mut number = |default| numbers.next().unwrap_or(Ok(default));
+    let (nodes, rate) = (number(1)?, number(3000)?);
+    let (seconds, outage) = (number(10)?, number(0)?);
+    let store = Store::start().await?;
+    let nodes: Vec<_> = (0..nodes).map(|_| calls::spawn(store.address)).collect();
+    let start = Instant::now();
+    let mut runs = tokio::task::JoinSet::new();
+    let mut interval = tokio::time::interval(TICK);
+    let length = Duration::from_secs(seconds.into());
+    let down = length.saturating_sub(Duration::from_secs(outage.into()));
+    let mut started = 0;
+    while start.elapsed() < length {
+        interval.tick().await;
+        if outage > 0 && start.elapsed() > down {
+            store.faults.set(Plan {
+                down: true,
+                ..Plan::default()
+            });
+        }
+        let due = (start.elapsed().as_secs_f64() * f64::from(rate)) as usize;
+        for number in started..due {
+            let claim = Claim {
+                account: 1,
+                service: 2,
+                key: number.to_string(),
+                fingerprint: id::fingerprint(0, b"body"),
+            };
+            let calls = nodes[number % nodes.len()].clone();
+            runs.spawn(async move {
+                let asked = Instant::now();
+                let (reached, at) = tokio::sync::oneshot::channel();
+                let send = move || async move {
+                    let _ = reached.send(Instant::now());
+                    Sent {
+                        progress: Progress::Answered,
+                        answer: Some((200, Bytes::from_static(b"{\"ok\":true}"))),
+                    }
+                };
+                let end = run_once(calls, claim, send).await;
+                let confirmed = at.await.unwrap_or_else(|_| Instant::now());
+                (end, confirmed - asked)
+            });
+        }
+        started = due;
+    }
+    let mut latency: BTreeMap<&str, Histogram<u64>> = BTreeMap::new();
+    while let Some(run) = runs.join_next().await {
+        let (end, took) = run?;
+        let name = match end {
+            Final::Answer(..) => "answered",
+            Final::Unavailable => "refused not_run",
+            _ => "other",
+        };
+        let histogram = latency.entry(name).or_insert(Histogram::new(3)?);
+        histogram.record(took.as_micros() as u64)?;
+    }
+    let mut writes = 0;
+    let mut reads = 0;
+    let mut unwritten = 0;
+    for node in &nodes {
+        let stats = node.send(Count).await?;
+        writes += stats.writes;
+        reads += stats.reads;
+        unwritten += stats.unwritten;
+    }
+    let elapsed = start.elapsed().as_secs_f64();
+    println!("claims {started} in {elapsed:.2} s, {} nodes", nodes.len());
+    println!(
+        "writes {writes} ({:.1}/s), reads {reads} ({:.1}/s), outcomes not yet written {unwritten}",
+        writes as f64 / elapsed,
+        reads as f64 / elapsed,
+    );
+    for (name, histogram) in latency {
+        let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1e3;
+        println!(
+            "{name}: {}, p50 {:.1} ms, p99 {:.1} ms, max {:.1} ms",
+            histogram.len(),
+            at(0.5),
+            at(0.99),
+            at(1.0)
+        );
+    }
+    Ok(())
+}
--- a/crates/daisyyard/src/calls.rs
+++ b/crates/daisyyard/src/calls.rs
@@ -15,6 +15,9 @@
 
 /// Least time between two writes of one partition; claims that arrive meanwhile share the next.
 const WRITE_PERIOD: Duration = Duration::from_millis(200);
+/// Longest time between two writes of one partition by one node when others write it too; it
+/// stays below [`CLAIM_WAIT`], so that a claim sees at least one write.
+const MAX_PERIOD: Duration = Duration::from_millis(1600);
 /// Time after which a claim that is not confirmed is given up.
 const CLAIM_WAIT: Duration = Duration::from_secs(3);
 /// Time between two checks for claims that waited too long.
@@ -46,6 +49,8 @@
     waiting: HashMap<Attempt, Waiting>,
     /// When the next round of calls may start.
     next: Instant,
+    /// Time between two writes by this node; longer when other nodes write too.
+    period: Duration,
     /// Whether a message that starts the next round is under way.
     woken: bool,
     /// Failures in a row.
@@ -154,6 +159,7 @@
         partition: Partition::new(Limits::NODE),
         waiting: HashMap::new(),
         next: Instant::now(),
+        period: WRITE_PERIOD,
         woken: false,
         failures: 0,
     };
@@ -210,7 +216,8 @@
             Step::WriteArchive(..) => self.stats.writes += 1,
             Step::Write(..) => {
                 self.stats.writes += 1;
-                slot.next = now + WRITE_PERIOD;
+                // The jitter keeps nodes that write the same partition from staying in step.
+                slot.next = now + slot.period.mul_f64(rand::random_range(0.9..1.1));
             }
         }
         let (store, address) = (self.store, address.clone());
@@ -241,6 +248,9 @@
             Reply::Archive(number, records) => self.partition.archive(number, records),
             Reply::Wrote(written) => {
                 self.partition.wrote(written);
+                if matches!(written, Written::Done(_)) {
+                    self.share();
+                }
                 return matches!(written, Written::Done(_) | Written::Conflict);
             }
             Reply::Failed => {
@@ -251,6 +261,20 @@
         true
     }
 
+    /// Sets the pace after a write by what other nodes wrote since the last one.
+    ///
+    /// A node that sees k writes by others in its period takes (k + 1) x 200 ms as the next one,
+    /// so all nodes together approach 5 writes a second.
+    fn share(&mut self) {
+        let foreign = self.partition.foreign();
+        let target = WRITE_PERIOD.saturating_mul(foreign.saturating_add(1).min(100) as u32);
+        self.period = ((self.period + target) / 2).clamp(WRITE_PERIOD, MAX_PERIOD);
+        if foreign > 0 {
+            // A read just before the write avoids a conflict, which would cost a write.
+            self.partition.doubt();
+        }
+    }
+
     /// Sets the time of the next round after a failed step, with full jitter.
     fn back_off(&mut self) {
         let ceiling = FIRST_BACKOFF.saturating_mul(1 << self.failures.min(10));
--- a/crates/daisyyard/src/registry.rs
+++ b/crates/daisyyard/src/registry.rs
@@ -19,6 +19,9 @@
     /// Number of the next archive.
     #[prost(uint64, tag = "3")]
     next: u64,
+    /// Writes of the head so far.
+    #[prost(uint64, tag = "4")]
+    writes: u64,
 }
 
 /// Encoded archive of a partition.
@@ -76,6 +79,7 @@
         records: head.records.iter().map(Record::from).collect(),
         archives: head.archives.iter().map(entry).collect(),
         next: head.next,
+        writes: head.writes,
     };
     Bytes::from(head.encode_to_vec())
 }
@@ -114,6 +118,7 @@
             records: records(head.records)?,
             archives: head.archives.into_iter().map(entry).collect(),
             next: head.next,
+            writes: head.writes,
         })
     }
 }
--- /dev/null
+++ b/crates/daisyyard/tests/roll_over.rs
@@ -0,0 +1,75 @@
+//! Guards against records that are lost when the head of a partition rolls over into an archive.
+
+use bytes::Bytes;
+use daisyyard::calls::{self, Claim, Count};
+use daisyyard::once::{Final, Sent, run_once};
+use daisyyard_core::attempt::Progress;
+use daisyyard_core::{id, record};
+use daisyyard_standin::store::Store;
+
+/// Calls of one partition, with answers of 1 KiB, fill the 64 KiB head more than twice.
+const CALLS: usize = 200;
+
+/// Returns an answer that differs for each key.
+fn answer(key: &str) -> Bytes {
+    Bytes::from(format!("{key:>1024}"))
+}
+
+/// Returns the claim of a key.
+fn claim(key: &str) -> Claim {
+    Claim {
+        account: id::of("importer"),
+        service: id::of("libro-socios"),
+        key: key.to_owned(),
+        fingerprint: 1,
+    }
+}
+
+/// A node that starts later replays every call, from the head or from an archive.
+#[tokio::test]
+async fn keeps_all() {
+    let store = Store::start().await.expect("the store starts");
+    let hash = |key: &String| record::key(id::of("importer"), id::of("libro-socios"), key);
+    let keys = (0..).map(|number| format!("key-{number}"));
+    let keys: Vec<String> = keys
+        .filter(|key| record::partition(hash(key)) == 0)
+        .take(CALLS)
+        .collect();
+    let node = calls::spawn(store.address);
+    for batch in keys.chunks(50) {
+        let mut callers = tokio::task::JoinSet::new();
+        for key in batch {
+            let body = answer(key);
+            let sent = Sent {
+                progress: Progress::Answered,
+                answer: Some((201, body)),
+            };
+            callers.spawn(run_once(
+                node.clone(),
+                claim(key),
+                move || async move { sent },
+            ));
+        }
+        for end in callers.join_all().await {
+            assert!(matches!(end, Final::Answer(201, _)), "{end:?}");
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+    }
+    let stats = node.send(Count).await.expect("the actor runs");
+    assert_eq!(stats.unwritten, 0);
+    let second = daisyyard_http::call(
+        store.address,
+        hyper::Method::GET,
+        "/kv/calls/0/archive/1",
+        &[],
+        "",
+    )
+    .await
+    .expect("the store answers");
+    assert_eq!(second.0, 200, "the head did not roll over twice");
+    let later = calls::spawn(store.address);
+    for key in &keys {
+        let end = run_once(later.clone(), claim(key), || async { panic!("sent twice") });
+        assert_eq!(end.await, Final::Replay(201, answer(key)));
+    }
+}
--- a/crates/daisyyard_core/src/call.rs
+++ b/crates/daisyyard_core/src/call.rs
@@ -131,6 +131,8 @@
     revision: Revision,
     /// Known head.
     head: Head,
+    /// Writes by other nodes that were seen since the last own write.
+    foreign: u64,
     /// Whether the known head was read or written since the last doubt.
     current: bool,
     /// Archives that were read or written.
@@ -154,6 +156,7 @@
             limits,
             revision: 0,
             head: Head::default(),
+            foreign: 0,
             current: false,
             archives: BTreeMap::new(),
             doubtful: None,
@@ -239,6 +242,7 @@
     /// Takes the head that was read; revision zero stands for no value.
     pub fn read(&mut self, revision: Revision, head: Head) {
         self.flight = None;
+        self.foreign += head.writes.saturating_sub(self.head.writes);
         self.revision = revision;
         self.head = head;
         self.current = true;
@@ -258,6 +262,16 @@
         }
     }
 
+    /// Has the head read before the next write, because other nodes write it as well.
+    pub fn doubt(&mut self) {
+        self.current = false;
+    }
+
+    /// Returns how many writes by other nodes were seen since the last call.
+    pub fn foreign(&mut self) -> u64 {
+        std::mem::take(&mut self.foreign)
+    }
+
     /// Learns that a read failed.
     pub fn failed(&mut self) {
         self.flight = None;
@@ -380,16 +394,17 @@
     fn write(&mut self, now: SystemTime) -> Step {
         let mut head = self.head.clone();
         head.expire(now);
+        head.writes += 1;
         let changes = std::mem::take(&mut self.changes);
         for change in &changes {
             self.apply(&mut head, change);
         }
-        let full = head.archives.len() >= self.limits.archives && head.weight() > self.limits.head;
+        let full = head.archives.len() >= self.limits.archives;
         let mut claims = Vec::new();
         for claim in std::mem::take(&mut self.claims) {
             let attempt = claim.attempt;
             match self.judge(&head, &attempt, now) {
-                Next::Write if full && !claim.doubtful => {
+                Next::Write if full && !claim.doubtful && head.weight() >= self.limits.head => {
                     let next = Next::Refuse(Reason::Full);
                     self.answers.push((attempt, next));
                 }
--- a/crates/daisyyard_core/src/record.rs
+++ b/crates/daisyyard_core/src/record.rs
@@ -80,6 +80,8 @@
     pub archives: Vec<Archive>,
     /// Number of the next archive.
     pub next: ArchiveNumber,
+    /// Writes of the head so far, by which nodes see how much others write.
+    pub writes: u64,
 }
 
 /// Returns the hash of an idempotency key.
