Check the core protocols by exhaustive exploration: `daisyyard verify`

Cause: the promises P1, P3, P4 and P7 and the fencing of orders were tested at random or not at all; no run showed that all interleavings hold.

Change: `daisyyard_lab::check` explores specifications breadth first with `pathfinding`; `check_stream` drives the real `Cursor`, `check_calls` the real `Partition`; `check_config` and `check_orders` state their rules until `config::Held` and `order::Holder` exist. Each invariant has broken variants that must be rejected, and an exploration that is given up counts as a failure. `Cursor` can now be compared and hashed.

--- a/crates/daisyyard/src/command.rs
+++ b/crates/daisyyard/src/command.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+use daisyyard_lab::check;
 use getopts::Options;
 
 use crate::{embedded, node, settings};
@@ -18,6 +19,7 @@
   serve --config FILE   run a node
   check FILE            check a settings file and list every fault
   try                   run a small fleet on loopback and check the promises
+  verify [--json]       check the core protocols against their specifications
   help                  show this help
 ";
 
@@ -30,6 +32,7 @@
         "serve" => serve(rest),
         "check" => check(rest),
         "try" => attempt(rest),
+        "verify" => verify(rest),
         "help" | "--help" | "-h" => {
             print!("{HELP}");
             Ok(ExitCode::SUCCESS)
@@ -86,6 +89,24 @@
     })
 }
 
+/// Checks the core protocols and prints the result.
+fn verify(arguments: &[String]) -> anyhow::Result<ExitCode> {
+    let mut options = Options::new();
+    options.optflag("j", "json", "print JSON");
+    let matches = options.parse(arguments)?;
+    let rows = check::all();
+    if matches.opt_present("json") {
+        println!("{:#}", check::json(&rows));
+    } else {
+        print!("{}", check::table(&rows));
+    }
+    Ok(if rows.iter().all(check::Row::holds) {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
 /// Creates the runtime of the process.
 fn runtime() -> anyhow::Result<tokio::runtime::Runtime> {
     Ok(tokio::runtime::Builder::new_multi_thread()
--- a/crates/daisyyard_core/src/stream.rs
+++ b/crates/daisyyard_core/src/stream.rs
@@ -1,11 +1,11 @@
 //! Streams: each token reaches its caller once, in order, from one generation only.
 
-use daisyyard_derive::token;
+use daisyyard_derive::{state, token};
 
 use crate::id::{GenerationId, Offset};
 
 /// Position of one caller in the one generation that it receives.
-#[derive(Debug)]
+#[state]
 pub struct Cursor {
     /// Generation that the caller receives, once one is known.
     generation: Option<GenerationId>,
