Admit by the expected course of memory

Cause: each generation was expected to end at one quantile of its length, so that a batch seemed to peak all at once.

Change: a generation counts as four equally likely lengths, whose quantiles move with the measured error. Urgent work below its floor needs room for the near future only. A yield frees about what is missing instead of starting with many small generations. Concurrency starts at 64 and grows in proportion to the gap target, at most by half for each report.

--- a/crates/daisyyard_core/src/admit.rs
+++ b/crates/daisyyard_core/src/admit.rs
@@ -8,10 +8,13 @@
 use crate::id::{AccountId, Tokens};
 use crate::ledger::{Answer, Ask, GRANT_LIFETIME, Ledger, Next};
 use crate::length::Kind;
+use crate::memory::{Estimate, Profile};
 use crate::queue::{Entry, Step};
 
 /// Generations that one engine runs at most.
 pub(crate) const GRANTS: usize = 4096;
+/// Time between two progress reports of a generation.
+const PROGRESS_PERIOD: Duration = Duration::from_secs(1);
 /// Time ahead for which running generations must fit the memory: one progress period plus the
 /// time until a node has given up a generation.
 pub(crate) const LOOKAHEAD: Duration = Duration::from_secs(2);
@@ -33,10 +36,22 @@
     }
 
     /// Returns the output tokens that a request is estimated to make in all.
-    pub(crate) fn estimate(&self, ask: &Ask, made: Tokens, now: Instant) -> Tokens {
+    pub(crate) fn estimate(&self, ask: &Ask, made: Tokens, now: Instant) -> Estimate {
         let kind = self.kind(ask.account, ask.rank);
-        let quantile = self.capacity.spread.quantile();
-        self.lengths.total(kind, made, quantile, ask.expected, now)
+        self.forecast(kind, made, ask.expected, now)
+    }
+
+    /// Returns the output tokens that a generation is estimated to make in all.
+    pub(crate) fn forecast(
+        &self,
+        kind: Kind,
+        made: Tokens,
+        expected: Tokens,
+        now: Instant,
+    ) -> Estimate {
+        let quantiles = self.capacity.spread.quantiles();
+        let [total, parts @ ..] = self.lengths.totals(kind, made, quantiles, expected, now);
+        Estimate { total, parts }
     }
 
     /// Returns the expected time until a new request is granted.
@@ -91,7 +106,7 @@
 
     /// Returns whether a request fits the engine beside what runs and what is kept for the other
     /// rank.
-    pub(crate) fn fits(&self, ask: &Ask, total: Tokens, now: Instant) -> bool {
+    pub(crate) fn fits(&self, ask: &Ask, estimate: &Estimate, now: Instant) -> bool {
         let count = self.grants.len();
         if count == 0 && self.capacity.foreign == 0 {
             return true;
@@ -110,13 +125,39 @@
             let kept = (memory * budget as f64) as Tokens;
             budget -= kept.saturating_sub(theirs.reserved).min(budget);
         }
-        let peak = || self.grants.profile.peak(ask.prompt, total);
-        count < GRANTS && (count + 1) as f64 <= limit && peak() <= budget
+        count < GRANTS
+            && (count + 1) as f64 <= limit
+            && self.fits_memory(ask, estimate, budget, now)
+    }
+
+    /// Returns whether a request fits the memory.
+    ///
+    /// Urgent work below its floor needs room beside other urgent work, and beside all work for
+    /// the near future only: deferrable work yields if it needs the memory later.
+    fn fits_memory(&self, ask: &Ask, estimate: &Estimate, budget: Tokens, now: Instant) -> bool {
+        let [urgent, deferrable] = &self.grants.profiles;
+        if ask.rank == Rank::Urgent && !self.above_floor(Rank::Urgent, now) {
+            let urgent = urgent.with(ask.prompt, estimate);
+            let soon = self.soon(&urgent.merge(deferrable), now);
+            return urgent.peak() <= budget && soon <= self.capacity.memory;
+        }
+        let all = urgent.merge(deferrable).with(ask.prompt, estimate);
+        all.peak() <= budget
+    }
+
+    /// Returns the memory that the engine needs in the near future with the given generations.
+    fn soon(&self, profile: &Profile, now: Instant) -> Tokens {
+        let gap = self.capacity.gap_or_target(now, &self.terms);
+        let growth = |time: Duration| (time.as_secs_f64() / gap) as Tokens;
+        // Progress is known up to one period late, and generations that ended since are few.
+        let known = profile.soon(0) + profile.count() * growth(PROGRESS_PERIOD);
+        let expected = profile.soon(growth(LOOKAHEAD));
+        known.max(expected) + self.capacity.foreign_held
     }
 
     /// Gives a request its share of the engine.
-    pub(crate) fn grant(&mut self, ask: &Ask, total: Tokens, taken: Tokens, now: Instant) {
-        let charged = fair_cost(fresh(ask), total);
+    pub(crate) fn grant(&mut self, ask: &Ask, estimate: Estimate, taken: Tokens, now: Instant) {
+        let charged = fair_cost(fresh(ask), estimate.total);
         self.queue.begin(ask.rank, ask.account, charged);
         let grant = Grant {
             node: ask.node,
@@ -126,8 +167,8 @@
             fresh: fresh(ask),
             expected: ask.expected,
             made: 0,
-            total,
-            first: total,
+            estimate,
+            first: estimate.total,
             charged,
             taken,
             granted: now,
@@ -163,7 +204,7 @@
             }
             Step::Full => {
                 self.give_back(&refused, now);
-                let total = self.estimate(&refused.ask, 0, now);
+                let total = self.estimate(&refused.ask, 0, now).total;
                 let wait = self.wait(&refused.ask, total, now);
                 let retry_after = retry_after(&refused.ask, wait, Duration::ZERO);
                 Answer::Refuse { retry_after }
@@ -180,7 +221,7 @@
 
     /// Returns the refusal of a request that waited.
     pub(crate) fn refuse(&self, entry: &Entry, now: Instant) -> Next {
-        let total = self.estimate(&entry.ask, 0, now);
+        let total = self.estimate(&entry.ask, 0, now).total;
         let wait = self.wait(&entry.ask, total, now);
         let patience = entry.expires.saturating_duration_since(entry.since);
         Next::Refuse {
@@ -192,12 +233,11 @@
 
     /// Tells deferrable generations to yield until the rest fits the memory for the near future.
     pub(crate) fn relieve(&mut self, now: Instant, next: &mut Vec<Next>) {
-        let gap = self.capacity.gap_or_target(now, &self.terms);
-        let growth = (LOOKAHEAD.as_secs_f64() / gap) as Tokens;
         loop {
-            let own = self.grants.profile.soon(growth);
-            let soon = self.capacity.foreign_held + own.saturating_sub(self.grants.yielding());
-            if soon <= self.capacity.memory || !self.yield_one(now, next) {
+            let soon = self.soon(&self.grants.profile(), now);
+            let kept = soon.saturating_sub(self.grants.yielding());
+            let excess = kept.saturating_sub(self.capacity.memory);
+            if excess == 0 || !self.yield_one(excess, now, next) {
                 return;
             }
         }
@@ -216,13 +256,14 @@
             && yielding < self.queue.len(Rank::Urgent)
             && self.has_claim(now)
         {
-            self.yield_one(now, next);
+            self.yield_one(0, now, next);
         }
     }
 
-    /// Tells the deferrable generation that loses the least work to yield.
-    fn yield_one(&mut self, now: Instant, next: &mut Vec<Next>) -> bool {
-        let Some(request) = self.grants.victim() else {
+    /// Tells the deferrable generation to yield that frees about `need` tokens with the least
+    /// work lost.
+    fn yield_one(&mut self, need: Tokens, now: Instant, next: &mut Vec<Next>) -> bool {
+        let Some(request) = self.grants.victim(need) else {
             return false;
         };
         self.grants.update(request, |grant| {
@@ -239,8 +280,8 @@
             let Some(entry) = self.queue.pop(rank) else {
                 return;
             };
-            let total = self.estimate(&entry.ask, 0, now);
-            self.grant(&entry.ask, total, entry.taken, now);
+            let estimate = self.estimate(&entry.ask, 0, now);
+            self.grant(&entry.ask, estimate, entry.taken, now);
             next.push(Next::Grant {
                 node: entry.ask.node,
                 request: entry.ask.request,
@@ -251,8 +292,8 @@
     /// Returns whether the next request of a rank can be granted.
     fn ready(&self, rank: Rank, now: Instant) -> bool {
         let fits = |entry: &Entry| {
-            let total = self.estimate(&entry.ask, 0, now);
-            self.fits(&entry.ask, total, now)
+            let estimate = self.estimate(&entry.ask, 0, now);
+            self.fits(&entry.ask, &estimate, now)
         };
         self.may_pass(rank, now) && self.queue.peek(rank).is_some_and(fits)
     }
--- a/crates/daisyyard_core/src/capacity.rs
+++ b/crates/daisyyard_core/src/capacity.rs
@@ -19,10 +19,12 @@
 const GAP_AIM: f64 = 0.9;
 /// Least factor of one reduction, so that one wrong report does little harm.
 const LEAST_REDUCTION: f64 = 0.5;
-/// Growth of the concurrency for each report that shows the engine to be fast enough.
-const GROWTH: f64 = 0.06;
+/// Largest factor of one raise.
+const GROWTH: f64 = 1.5;
+/// Generations at an engine of which no load report has arrived yet.
+const FIRST_LIMIT: f64 = 64.0;
 /// Time for which urgent requests determine the token-gap target after the last one.
-const URGENT_MEMORY: Duration = Duration::from_secs(30);
+const URGENT_MEMORY: Duration = Duration::from_mins(5);
 /// Time in which the remembered need of the urgent rank halves.
 const NEED_HALF_LIFE: f64 = 15.0;
 /// Generations that ended recently and may still be part of the next load report.
@@ -75,7 +77,7 @@
         Self {
             slots,
             memory: endpoint.memory,
-            limit: slots,
+            limit: slots.min(FIRST_LIMIT),
             lowered: None,
             created: now,
             load: None,
@@ -123,7 +125,10 @@
             self.limit = self.limit.min(running * factor).max(1.0);
             self.lowered = Some(load.taken);
         } else if gap < target * GAP_LOW && running >= self.limit * GAP_LOW {
-            self.limit = (self.limit + (self.limit * GROWTH).max(1.0)).min(self.slots);
+            // A step takes a fixed time and some for each generation, so growth in proportion to
+            // the gap stays below the target.
+            let aim = running * (target * GAP_AIM / gap);
+            self.limit = aim.min(self.limit * GROWTH).max(self.limit).min(self.slots);
         }
     }
 
--- a/crates/daisyyard_core/src/grant.rs
+++ b/crates/daisyyard_core/src/grant.rs
@@ -5,7 +5,7 @@
 
 use crate::contract::Rank;
 use crate::id::{AccountId, InstanceId, RequestId, Tokens};
-use crate::memory::Profile;
+use crate::memory::{Estimate, Profile};
 
 /// A generation that holds a share of the engine.
 #[derive(Debug, Clone)]
@@ -25,7 +25,7 @@
     /// Output tokens made.
     pub(crate) made: Tokens,
     /// Output tokens estimated in all.
-    pub(crate) total: Tokens,
+    pub(crate) estimate: Estimate,
     /// Output tokens estimated at admission.
     pub(crate) first: Tokens,
     /// Tokens charged to the account in the fair queue.
@@ -48,9 +48,9 @@
         self.prompt + self.made
     }
 
-    /// Returns the tokens that the generation is expected to add.
-    pub(crate) fn remaining(&self) -> Tokens {
-        self.total.saturating_sub(self.made)
+    /// Returns the tokens of memory expected at the end.
+    pub(crate) fn reserved(&self) -> Tokens {
+        self.prompt + self.estimate.mean().max(self.made)
     }
 
     /// Returns the work that is lost if the generation is given up.
@@ -86,8 +86,8 @@
     expiry: BTreeSet<(Instant, RequestId)>,
     /// Requests that may yield, by the work lost.
     victims: BTreeSet<(Tokens, RequestId)>,
-    /// Expected memory over time.
-    pub(crate) profile: Profile,
+    /// Expected memory over time by rank.
+    pub(crate) profiles: [Profile; 2],
     /// Sums by rank.
     pub(crate) sums: [Sum; 2],
 }
@@ -99,10 +99,10 @@
         if grant.may_yield() {
             self.victims.insert((grant.lost(), request));
         }
-        self.profile.add(grant.held(), grant.remaining());
+        self.profiles[grant.rank as usize].add(grant.held(), grant.made, &grant.estimate);
         let sum = &mut self.sums[grant.rank as usize];
         sum.count += 1;
-        sum.reserved += grant.held() + grant.remaining();
+        sum.reserved += grant.reserved();
         if grant.yielded.is_none() {
             sum.active += 1;
         } else {
@@ -116,10 +116,10 @@
         let grant = self.running.remove(&request)?;
         self.expiry.remove(&(grant.expires, request));
         self.victims.remove(&(grant.lost(), request));
-        self.profile.remove(grant.held(), grant.remaining());
+        self.profiles[grant.rank as usize].remove(grant.held(), grant.made, &grant.estimate);
         let sum = &mut self.sums[grant.rank as usize];
         sum.count -= 1;
-        sum.reserved -= grant.held() + grant.remaining();
+        sum.reserved -= grant.reserved();
         if grant.yielded.is_none() {
             sum.active -= 1;
         } else {
@@ -147,9 +147,20 @@
         (expires <= now).then_some(request)
     }
 
-    /// Returns the generation that may yield and loses the least work.
-    pub(crate) fn victim(&self) -> Option<RequestId> {
-        self.victims.first().map(|(_, request)| *request)
+    /// Returns the generation that may yield and frees about `need` tokens with the least work
+    /// lost.
+    ///
+    /// The smallest that suffices goes, unless it is more than twice as large as necessary. Giving
+    /// up many small ones instead would lose as much work and stall more callers.
+    pub(crate) fn victim(&self, need: Tokens) -> Option<RequestId> {
+        let enough = self.victims.range((need, 0)..).next();
+        let less = self.victims.range(..(need, 0)).next_back();
+        let (_, request) = match (enough, less) {
+            (Some(enough), Some(less)) if enough.0 > 2 * need => less,
+            (Some(enough), _) => enough,
+            (None, less) => less?,
+        };
+        Some(*request)
     }
 
     /// Returns all generations in the order of their requests.
@@ -159,6 +170,12 @@
             .map(|(request, grant)| (*request, grant))
     }
 
+    /// Returns the expected memory of both ranks over time.
+    pub(crate) fn profile(&self) -> Profile {
+        let [urgent, deferrable] = &self.profiles;
+        urgent.merge(deferrable)
+    }
+
     /// Returns the number of generations.
     pub(crate) fn len(&self) -> usize {
         self.running.len()
--- a/crates/daisyyard_core/src/ledger.rs
+++ b/crates/daisyyard_core/src/ledger.rs
@@ -167,7 +167,8 @@
         if self.queue.contains(ask.request) {
             return Answer::Wait;
         }
-        let total = self.estimate(&ask, 0, now);
+        let estimate = self.estimate(&ask, 0, now);
+        let total = estimate.total;
         let wait = self.wait(&ask, total, now);
         let contract = self.terms.contract(ask.rank);
         let patience = ask
@@ -183,13 +184,13 @@
             let sum = self.grants.sums[Rank::Urgent as usize];
             let urgent = sum.count + self.queue.len(Rank::Urgent) + 1;
             self.capacity
-                .demand(urgent, sum.reserved + ask.prompt + total, now);
+                .demand(urgent, sum.reserved + ask.prompt + estimate.mean(), now);
         }
         let first = self.queue.len(ask.rank) == 0 && self.may_pass(ask.rank, now);
-        let admit = first && self.fits(&ask, total, now);
+        let admit = first && self.fits(&ask, &estimate, now);
         if !admit && wait > target {
             if ask.rank == Rank::Urgent {
-                self.capacity.miss(ask.prompt + total, now);
+                self.capacity.miss(ask.prompt + estimate.mean(), now);
             }
             let retry_after = retry_after(&ask, wait, target);
             return Answer::Refuse { retry_after };
@@ -202,7 +203,7 @@
             return Answer::Refuse { retry_after };
         }
         if admit {
-            self.grant(&ask, total, taken, now);
+            self.grant(&ask, estimate, taken, now);
             return Answer::Grant;
         }
         let entry = Entry {
@@ -221,12 +222,9 @@
         let Some(grant) = self.grants.get(request) else {
             return false;
         };
-        let (kind, before) = (self.kind(grant.account, grant.rank), grant.total);
+        let (kind, before) = (self.kind(grant.account, grant.rank), grant.estimate.total);
         let made = made.max(grant.made);
-        let quantile = self.capacity.spread.quantile();
-        let total = self
-            .lengths
-            .total(kind, made, quantile, grant.expected, now);
+        let estimate = self.forecast(kind, made, grant.expected, now);
         if made > before {
             self.lengths.outlive(kind, made, now);
         }
@@ -237,7 +235,7 @@
         }
         self.grants.update(request, |grant| {
             grant.made = made;
-            grant.total = total;
+            grant.estimate = estimate;
             grant.charged = charged;
             grant.progressed = now;
             grant.expires = now + GRANT_LIFETIME;
@@ -253,8 +251,8 @@
     pub fn restore(&mut self, ask: &Ask, made: Tokens, now: Instant) {
         if self.grants.get(ask.request).is_none() && self.grants.len() < GRANTS {
             self.queue.remove(ask.request);
-            let total = self.estimate(ask, made, now);
-            self.grant(ask, total, 0, now);
+            let estimate = self.estimate(ask, made, now);
+            self.grant(ask, estimate, 0, now);
         }
         self.progress(ask.request, made, now);
     }
@@ -326,7 +324,7 @@
             endpoint: self.endpoint,
             running: self.grants.len() as u32 + self.capacity.foreign,
             queued: waiting.sum::<usize>() as u32,
-            free: budget.saturating_sub(self.grants.profile.peak(0, 0)),
+            free: budget.saturating_sub(self.grants.profile().peak()),
             gap: self.capacity.gap(),
         }
     }
--- a/crates/daisyyard_core/src/length.rs
+++ b/crates/daisyyard_core/src/length.rs
@@ -109,34 +109,20 @@
         expected: Tokens,
         now: Instant,
     ) -> Tokens {
+        self.totals(kind, made, [quantile], expected, now)[0]
+    }
+
+    /// Returns the whole output lengths at several quantiles.
+    pub fn totals<const COUNT: usize>(
+        &self,
+        kind: Kind,
+        made: Tokens,
+        quantiles: [f64; COUNT],
+        expected: Tokens,
+        now: Instant,
+    ) -> [Tokens; COUNT] {
         let weights = self.weights(kind, expected, now);
-        let start = position(made);
-        let above = |position: f64| mass_above(&weights, position);
-        let target = above(start) * (1.0 - quantile.clamp(0.0, 1.0));
-        let outgrown = || (made as f64 * OUTGROWN).ceil() as Tokens + 1;
-        if above(start) <= f64::EPSILON {
-            return outgrown();
-        }
-        // Finds the bucket whose upper end leaves less than the target above it.
-        let mut low = start;
-        loop {
-            let high = (low.floor() + 1.0).min(BUCKETS as f64);
-            if high <= low {
-                return outgrown();
-            }
-            let (more, less) = (above(low), above(high));
-            if less <= target {
-                let share = if more > less {
-                    (more - target) / (more - less)
-                } else {
-                    1.0
-                };
-                let found = low + (high - low) * share;
-                let length = (found / PER_OCTAVE).exp2().round() as Tokens;
-                return length.max(made + 1);
-            }
-            low = high;
-        }
+        quantiles.map(|quantile| at_quantile(&weights, made, quantile))
     }
 
     /// Adds a sample to the class of the kind and to all accounts together.
@@ -264,6 +250,31 @@
     counts
 }
 
+/// Returns the whole length at a quantile of the lengths above `made`.
+fn at_quantile(weights: &Weights, made: Tokens, quantile: f64) -> Tokens {
+    let start = position(made);
+    let mut more = mass_above(weights, start);
+    let target = more * (1.0 - quantile.clamp(0.0, 1.0));
+    let mut low = start;
+    // Finds the bucket whose upper end leaves no more than the target above it.
+    while more > f64::EPSILON && low < BUCKETS as f64 {
+        let high = low.floor() + 1.0;
+        let less = mass_above(weights, high);
+        if less <= target {
+            let share = if more > less {
+                (more - target) / (more - less)
+            } else {
+                1.0
+            };
+            let found = low + (high - low) * share;
+            let length = (found / PER_OCTAVE).exp2().round() as Tokens;
+            return length.max(made + 1);
+        }
+        (low, more) = (high, less);
+    }
+    (made as f64 * OUTGROWN).ceil() as Tokens + 1
+}
+
 /// Returns a distribution around an expected length that halves with each bucket of distance.
 fn prior(expected: Tokens) -> Weights {
     let centre = bucket(expected);
--- a/crates/daisyyard_core/src/memory.rs
+++ b/crates/daisyyard_core/src/memory.rs
@@ -6,20 +6,22 @@
 const GROUPS: usize = 24;
 /// Groups per doubling of the remaining tokens.
 const PER_OCTAVE: f64 = 1.5;
+/// Equally likely lengths that stand for the distribution of one generation's length.
+pub(crate) const PARTS: usize = 4;
 /// Weight of a new error in the mean of the errors.
 const ERROR_WEIGHT: f64 = 1.0 / 64.0;
 /// Share of generations that must not outlive their estimate.
 const COVERAGE: f64 = 0.7;
 /// Step of the quantile for each generation that ends.
-const QUANTILE_STEP: f64 = 0.02;
+const QUANTILE_STEP: f64 = 0.03;
 /// Bounds of the quantile.
 const QUANTILES: (f64, f64) = (0.5, 0.95);
 /// Standard deviations of the summed error that the headroom covers.
-const DEVIATIONS: f64 = 2.0;
+const DEVIATIONS: f64 = 1.5;
 /// Bounds of the headroom as a share of the memory.
 const HEADROOM: (f64, f64) = (0.02, 0.4);
 /// Headroom as a share of the memory while too few generations have ended to measure the error.
-const HEADROOM_UNKNOWN: f64 = 0.1;
+const HEADROOM_UNKNOWN: f64 = 0.2;
 /// Ended generations from which the error counts as measured.
 const MEASURED: u32 = 16;
 /// Bounds of the factor by which preemptions raise the headroom.
@@ -36,10 +38,27 @@
     remaining: Tokens,
 }
 
+/// Estimated output length of a generation.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Estimate {
+    /// Length at the quantile that follows the measured error.
+    pub(crate) total: Tokens,
+    /// Lengths that are equally likely.
+    pub(crate) parts: [Tokens; PARTS],
+}
+
+impl Estimate {
+    /// Returns the mean length.
+    pub(crate) fn mean(&self) -> Tokens {
+        self.parts.iter().sum::<Tokens>() / PARTS as Tokens
+    }
+}
+
 /// Memory that the running generations are expected to need over time.
 ///
 /// All generations of a batch grow at the same pace, and each frees its memory when it ends. So
-/// the peak is lower than the sum of all final sizes.
+/// the peak is lower than the sum of all final sizes. Each generation counts as [`PARTS`] equally
+/// likely ones; all figures of a group are in units of such a part.
 #[derive(Debug, Default)]
 pub(crate) struct Profile {
     /// Groups, shortest remaining first.
@@ -47,46 +66,64 @@
 }
 
 impl Profile {
-    /// Adds a generation.
-    pub(crate) fn add(&mut self, held: Tokens, remaining: Tokens) {
-        let group = &mut self.groups[group(remaining)];
-        group.count += 1;
-        group.held += held;
-        group.remaining += remaining;
+    /// Adds a generation that made some tokens and holds more with its prompt.
+    pub(crate) fn add(&mut self, held: Tokens, made: Tokens, estimate: &Estimate) {
+        for part in estimate.parts {
+            let remaining = part.saturating_sub(made);
+            let group = &mut self.groups[group(remaining)];
+            group.count += 1;
+            group.held += held;
+            group.remaining += remaining;
+        }
     }
 
     /// Removes a generation that was added with the same figures.
-    pub(crate) fn remove(&mut self, held: Tokens, remaining: Tokens) {
-        let group = &mut self.groups[group(remaining)];
-        group.count -= 1;
-        group.held -= held;
-        group.remaining -= remaining;
+    pub(crate) fn remove(&mut self, held: Tokens, made: Tokens, estimate: &Estimate) {
+        for part in estimate.parts {
+            let remaining = part.saturating_sub(made);
+            let group = &mut self.groups[group(remaining)];
+            group.count -= 1;
+            group.held -= held;
+            group.remaining -= remaining;
+        }
     }
 
-    /// Returns the expected peak, with one more generation of the given figures.
-    pub(crate) fn peak(&self, held: Tokens, remaining: Tokens) -> Tokens {
-        self.within(held, remaining, Tokens::MAX)
+    /// Returns the number of generations.
+    pub(crate) fn count(&self) -> u64 {
+        self.groups.iter().map(|group| group.count).sum::<u64>() / PARTS as u64
     }
 
-    /// Returns the expected peak until each generation has added `growth` tokens or has ended.
-    pub(crate) fn soon(&self, growth: Tokens) -> Tokens {
-        self.within(0, 0, growth)
+    /// Returns the expected peak.
+    pub(crate) fn peak(&self) -> Tokens {
+        self.soon(Tokens::MAX)
     }
 
-    /// Returns the expected peak of the memory while `growth` tokens are added to each generation.
-    fn within(&self, held: Tokens, remaining: Tokens, growth: Tokens) -> Tokens {
-        let extra = (held + remaining > 0).then(|| group(remaining));
-        let (mut count, mut kept, mut peak) = (0, 0, 0);
-        for (index, group) in self.groups.iter().enumerate().rev() {
-            let mut group = *group;
-            if extra == Some(index) {
-                group.count += 1;
-                group.held += held;
-                group.remaining += remaining;
-            }
-            if group.count == 0 {
-                continue;
+    /// Returns the profile with one more generation that begins.
+    pub(crate) fn with(&self, prompt: Tokens, estimate: &Estimate) -> Self {
+        let mut with = Self {
+            groups: self.groups,
+        };
+        with.add(prompt, 0, estimate);
+        with
+    }
+
+    /// Returns the profile of the generations of both profiles.
+    pub(crate) fn merge(&self, other: &Self) -> Self {
+        let groups = std::array::from_fn(|index| {
+            let (one, two) = (self.groups[index], other.groups[index]);
+            Group {
+                count: one.count + two.count,
+                held: one.held + two.held,
+                remaining: one.remaining + two.remaining,
             }
+        });
+        Self { groups }
+    }
+
+    /// Returns the expected peak until each generation has added `growth` tokens or has ended.
+    pub(crate) fn soon(&self, growth: Tokens) -> Tokens {
+        let (mut count, mut kept, mut peak) = (0, 0, 0);
+        for group in self.groups.iter().rev().filter(|group| group.count > 0) {
             // When this group ends, those with less remaining are gone and the others have grown
             // as much.
             count += group.count;
@@ -94,7 +131,7 @@
             let mean = group.remaining.div_ceil(group.count);
             peak = peak.max(kept + count * mean.min(growth));
         }
-        peak
+        peak / PARTS as Tokens
     }
 }
 
@@ -153,9 +190,14 @@
         self.factor = (self.factor * change).clamp(FACTOR.0, FACTOR.1);
     }
 
-    /// Returns the quantile at which lengths are estimated.
-    pub(crate) fn quantile(&self) -> f64 {
-        self.quantile
+    /// Returns the quantile at which lengths are estimated, followed by those of the parts of an
+    /// estimate, which move with it.
+    pub(crate) fn quantiles(&self) -> [f64; 1 + PARTS] {
+        let moved = self.quantile - COVERAGE;
+        std::array::from_fn(|index| match index {
+            0 => self.quantile,
+            part => ((part as f64 - 0.5) / PARTS as f64 + moved).clamp(0.02, 0.98),
+        })
     }
 
     /// Returns the memory to leave free beside `count` running generations.
