Decide link health, drains, suspects, presence and retry budgets

Cause: the node had no decision for a silent or broken link, an endpoint that leaves the list, a request that crashes engines, a planned stop, or the number of retries.

Change: core modules `link` (watch over the connections of a stream, health of an endpoint with ejection and trial), `presence`, `suspect`, `drain`, `budget`; `instance::nearest`; `Cursor::reset` for answers that are buffered at the node.

--- a/crates/daisyyard_core/src/instance.rs
+++ b/crates/daisyyard_core/src/instance.rs
@@ -4,8 +4,9 @@
 
 use daisyyard_derive::{token, value};
 
+use crate::home;
 use crate::id::{self, Incarnation, InstanceId};
-use crate::zone::Zone;
+use crate::zone::{Distance, Zone};
 
 /// An instance that runs one node.
 #[value]
@@ -54,3 +55,20 @@
         }
     }
 }
+
+/// Returns the addresses of live instances that a caller in a zone should use: those of the zone
+/// first, then those of its region, each group in an order that follows from the seed.
+pub fn nearest(instances: &[Instance], zone: &Zone, seed: u64, count: usize) -> Vec<SocketAddr> {
+    let live = instances.iter().filter(|one| one.state == State::Live);
+    let mut ranked: Vec<&Instance> = live.collect();
+    ranked.sort_by_key(|one| {
+        let distance = match zone.distance(&one.zone) {
+            Distance::Local => 0,
+            Distance::Regional => 1,
+            Distance::Remote => 2,
+        };
+        (distance, home::weight(seed, one.id))
+    });
+    let addresses = ranked.iter().map(|one| one.address);
+    addresses.take(count).collect()
+}
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -7,13 +7,18 @@
 
 pub mod account;
 pub mod attempt;
+pub mod budget;
 pub mod contract;
+pub mod drain;
 pub mod endpoint;
 pub mod home;
 pub mod id;
 pub mod instance;
 pub mod ledger;
+pub mod link;
+pub mod presence;
 pub mod preset;
 pub mod route;
 pub mod stream;
+pub mod suspect;
 pub mod zone;
--- a/crates/daisyyard_core/src/route.rs
+++ b/crates/daisyyard_core/src/route.rs
@@ -102,6 +102,18 @@
         }
     }
 
+    /// Changes whether an endpoint may receive new work.
+    pub fn mark(&mut self, endpoint: EndpointId, state: State) {
+        if let Some(candidate) = self.candidates.get_mut(&endpoint) {
+            candidate.endpoint.state = state;
+        }
+    }
+
+    /// Returns the endpoints of a service.
+    pub fn members(&self, service: ServiceId) -> &[EndpointId] {
+        self.services.get(&service).map_or(&[], Vec::as_slice)
+    }
+
     /// Returns an endpoint.
     pub fn get(&self, endpoint: EndpointId) -> Option<&Endpoint> {
         self.candidates
--- a/crates/daisyyard_core/src/stream.rs
+++ b/crates/daisyyard_core/src/stream.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Forgets what was delivered, because the caller's answer was buffered and is discarded.
+    pub fn reset(&mut self) {
+        *self = Self::new();
+    }
+
     /// Decides what to do when the link to the engine is lost; `alive` says whether the engine
     /// answers on a fresh connection.
     pub fn lose(&self, alive: bool) -> Loss {
--- /dev/null
+++ b/crates/daisyyard_core/tests/list_presence.rs
@@ -0,0 +1,44 @@
+//! Guards against endpoints that are dropped because one answer of the instance list was cut
+//! short, and against work for endpoints that are gone.
+
+use std::time::{Duration, Instant};
+
+use daisyyard_core::presence::{Next, Presence};
+
+/// An endpoint is gone after 10 s of absence, and forgotten after two minutes.
+#[test]
+fn needs_time() {
+    let start = Instant::now();
+    let mut presence = Presence::new();
+    let mut gone = None;
+    let mut forgotten = None;
+    for second in 0..200 {
+        let now = start + Duration::from_secs(second);
+        for next in presence.compare(&[1, 2], &[2], now) {
+            match next {
+                Next::Leave(1) => gone = gone.or(Some(second)),
+                Next::Forget(1) => forgotten = forgotten.or(Some(second)),
+                other => panic!("{other:?} for a listed endpoint"),
+            }
+        }
+    }
+    assert_eq!((gone, forgotten), (Some(10), Some(120)));
+}
+
+/// Empty answers are no evidence, and neither is one cut answer after a pause of the list.
+#[test]
+fn ignores_empty() {
+    let start = Instant::now();
+    let mut presence = Presence::new();
+    for second in 0..1000 {
+        let now = start + Duration::from_secs(second);
+        assert!(presence.compare(&[1, 2], &[], now).is_empty());
+    }
+    let mut presence = Presence::new();
+    assert!(presence.compare(&[1, 2], &[2], start).is_empty());
+    let later = start + Duration::from_mins(1);
+    assert!(presence.compare(&[1, 2], &[2], later).is_empty());
+    assert!(presence.compare(&[1, 2], &[1, 2], later).is_empty());
+    let latest = later + Duration::from_secs(11);
+    assert!(presence.compare(&[1, 2], &[2], latest).is_empty());
+}
