Let the stand-in engine fail on request

Cause: no test could show a silent link, a cut stream, a crash, a refusal or a late answer.

Change: `Engine::fault` with silence, cut, garbage, skipped tokens, refusal with and without proof, delay, hang and crash; a prompt with `crash=1` crashes the engine before it answers. `DELETE /v1/streams/<id>?unread=1` spares a stream that a connection reads, because a caller may have reconnected at another node. An unknown stream is answered 404 (before: an empty 200). The decoder moved to a file of its own.

Conclusion: the failure tests of the request path can be written.

--- a/crates/daisyyard_standin/src/engine.rs
+++ b/crates/daisyyard_standin/src/engine.rs
@@ -4,11 +4,9 @@
 //! answer is whole. A prompt may contain `length=N` to set the output length, which the system
 //! under test does not read.
 
-use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::{Value, json};
@@ -18,10 +16,13 @@
 
 use daisyyard_http::{self as http, Body};
 
+use crate::decoder::{self, Command, Started, State};
+use crate::fault::Fault;
+
 /// Output length of a prompt that does not set one, in tokens.
 const DEFAULT_LENGTH: u64 = 32;
-/// Time for which a finished or unread stream can be resumed.
-const KEEP: Duration = Duration::from_secs(30);
+/// Events that wait for a reader.
+const READER_BUFFER: usize = 64;
 
 /// How an engine behaves.
 #[derive(Debug, Clone)]
@@ -58,87 +59,17 @@
     tasks: Vec<JoinHandle<()>>,
 }
 
-/// Message to the task that owns the engine's state.
-#[derive(Debug)]
-enum Command {
-    /// Start a generation and return its identifier.
-    Start {
-        /// Text of all messages.
-        prompt: String,
-        /// Priority of the request.
-        priority: i64,
-        /// Receives the identifier.
-        reply: oneshot::Sender<u64>,
-    },
-    /// Send the tokens of a stream from an offset on, or drop the sender if it is unknown.
-    Read {
-        /// Stream to read.
-        stream: u64,
-        /// First offset to send.
-        from: u64,
-        /// Receives the events.
-        sender: mpsc::Sender<Bytes>,
-    },
-    /// End a stream and free its memory.
-    Cancel {
-        /// Stream to end.
-        stream: u64,
-    },
-    /// Return the load report.
-    Load {
-        /// Receives the report.
-        reply: oneshot::Sender<Value>,
-    },
-}
-
-/// One generation.
-#[derive(Debug)]
-struct Stream {
-    /// Text that determines the output.
-    prompt: String,
-    /// Priority; a higher one is admitted first.
-    priority: i64,
-    /// Tokens made.
-    made: u64,
-    /// Tokens that the output has in all.
-    length: u64,
-    /// Readers with the offset that each needs next.
-    readers: Vec<(u64, mpsc::Sender<Bytes>)>,
-    /// When the stream was last read or made progress.
-    touched: Instant,
-}
-
-/// State of the engine, owned by one task.
-#[derive(Debug)]
-struct State {
-    /// How the engine behaves.
-    options: Options,
-    /// All streams that can be read.
-    streams: HashMap<u64, Stream>,
-    /// Streams in the batch.
-    batch: Vec<u64>,
-    /// Streams that wait for a place in the batch.
-    queue: VecDeque<u64>,
-    /// Identifier of the next stream.
-    next: u64,
-}
-
 impl Engine {
     /// Starts an engine on a free loopback port.
     pub async fn start(options: Options) -> anyhow::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (commands, receiver) = mpsc::unbounded_channel();
-        let state = State {
-            options,
-            streams: HashMap::new(),
-            batch: Vec::new(),
-            queue: VecDeque::new(),
-            next: u64::from(address.port()) << 32,
-        };
-        let decoder = tokio::spawn(decode(state, receiver));
         let sender = commands.clone();
         let server = http::serve(listener, move |request| handle(request, sender.clone()));
+        let first = u64::from(address.port()) << 32;
+        let state = State::new(options, first, server.abort_handle());
+        let decoder = tokio::spawn(decoder::decode(state, receiver));
         Ok(Self {
             address,
             commands,
@@ -146,6 +77,11 @@
         })
     }
 
+    /// Makes the engine misbehave.
+    pub fn fault(&self, fault: Fault) {
+        let _ = self.commands.send(Command::Fault(fault));
+    }
+
     /// Returns the engine's load report.
     pub async fn load(&self) -> Option<Value> {
         let (reply, answer) = oneshot::channel();
@@ -188,195 +124,6 @@
         .unwrap_or(DEFAULT_LENGTH)
 }
 
-/// Runs decode steps and commands until the engine is dropped.
-async fn decode(mut state: State, mut commands: mpsc::UnboundedReceiver<Command>) {
-    loop {
-        let command = if state.batch.is_empty() {
-            commands.recv().await
-        } else {
-            let crowding = state.options.crowding * state.batch.len() as u32;
-            let step = tokio::time::sleep(state.options.step + crowding);
-            tokio::pin!(step);
-            loop {
-                tokio::select! {
-                    command = commands.recv() => match command {
-                        Some(command) => state.command(command),
-                        None => return,
-                    },
-                    () = &mut step => break,
-                }
-            }
-            state.step();
-            continue;
-        };
-        let Some(command) = command else { return };
-        state.command(command);
-    }
-}
-
-impl State {
-    /// Carries out one command.
-    fn command(&mut self, command: Command) {
-        match command {
-            Command::Start {
-                prompt,
-                priority,
-                reply,
-            } => {
-                let _ = reply.send(self.start(prompt, priority));
-            }
-            Command::Read {
-                stream,
-                from,
-                sender,
-            } => self.read(stream, from, sender),
-            Command::Cancel { stream } => self.cancel(stream),
-            Command::Load { reply } => {
-                let _ = reply.send(self.load());
-            }
-        }
-    }
-
-    /// Adds a generation to the queue.
-    fn start(&mut self, prompt: String, priority: i64) -> u64 {
-        let id = self.next;
-        self.next += 1;
-        let length = length(&prompt);
-        let touched = Instant::now();
-        let stream = Stream {
-            prompt,
-            priority,
-            made: 0,
-            length,
-            readers: Vec::new(),
-            touched,
-        };
-        let place = self
-            .queue
-            .iter()
-            .position(|other| self.streams[other].priority < priority);
-        self.queue.insert(place.unwrap_or(self.queue.len()), id);
-        self.streams.insert(id, stream);
-        self.admit();
-        id
-    }
-
-    /// Moves generations from the queue to the batch while slots are free.
-    fn admit(&mut self) {
-        while self.batch.len() < self.options.slots {
-            let Some(id) = self.queue.pop_front() else {
-                return;
-            };
-            self.batch.push(id);
-        }
-    }
-
-    /// Makes one token for each generation in the batch.
-    fn step(&mut self) {
-        for id in &self.batch {
-            let Some(stream) = self.streams.get_mut(id) else {
-                continue;
-            };
-            stream.made += 1;
-            stream.touched = Instant::now();
-            stream.push(*id);
-        }
-        let streams = &self.streams;
-        self.batch.retain(|id| {
-            streams
-                .get(id)
-                .is_some_and(|stream| stream.made < stream.length)
-        });
-        self.streams
-            .retain(|_, stream| !stream.done() || stream.touched.elapsed() < KEEP);
-        self.admit();
-    }
-
-    /// Adds a reader to a stream.
-    fn read(&mut self, id: u64, from: u64, sender: mpsc::Sender<Bytes>) {
-        let Some(stream) = self.streams.get_mut(&id) else {
-            return;
-        };
-        stream.touched = Instant::now();
-        stream.readers.push((from, sender));
-        stream.push(id);
-    }
-
-    /// Ends a stream.
-    fn cancel(&mut self, id: u64) {
-        self.streams.remove(&id);
-        self.batch.retain(|other| *other != id);
-        self.queue.retain(|other| *other != id);
-        self.admit();
-    }
-
-    /// Returns the load report.
-    fn load(&self) -> Value {
-        let running = self.batch.len();
-        let step = self.options.step + self.options.crowding * running as u32;
-        let used: u64 = self.batch.iter().map(|id| self.streams[id].context()).sum();
-        json!({
-            "running": running,
-            "waiting": self.queue.len(),
-            "used_tokens": used,
-            "memory_tokens": self.options.memory,
-            "gap_ms": step.as_secs_f64() * 1e3,
-            "preemptions": 0,
-        })
-    }
-}
-
-impl Stream {
-    /// Returns whether all tokens have been made.
-    fn done(&self) -> bool {
-        self.made >= self.length
-    }
-
-    /// Returns the tokens of memory that the generation uses.
-    fn context(&self) -> u64 {
-        self.prompt.len() as u64 / 4 + self.made
-    }
-
-    /// Sends what each reader has not received; a reader that is gone or full keeps its place.
-    fn push(&mut self, id: u64) {
-        let (made, done) = (self.made, self.done());
-        let prompt = &self.prompt;
-        self.readers.retain_mut(|(next, sender)| {
-            while *next < made {
-                match sender.try_send(event(id, *next, &token(prompt, *next))) {
-                    Ok(()) => *next += 1,
-                    Err(mpsc::error::TrySendError::Full(_)) => return true,
-                    Err(mpsc::error::TrySendError::Closed(_)) => return false,
-                }
-            }
-            if done {
-                let _ = sender.try_send(finish(id));
-            }
-            !done
-        });
-    }
-}
-
-/// Returns the server-sent event of one token.
-fn event(id: u64, offset: u64, text: &str) -> Bytes {
-    let chunk = json!({
-        "id": format!("{id:x}"),
-        "object": "chat.completion.chunk",
-        "choices": [{"index": 0, "delta": {"content": text}, "finish_reason": null}],
-    });
-    Bytes::from(format!("id: {offset}\ndata: {chunk}\n\n"))
-}
-
-/// Returns the events that end a stream.
-fn finish(id: u64) -> Bytes {
-    let chunk = json!({
-        "id": format!("{id:x}"),
-        "object": "chat.completion.chunk",
-        "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}],
-    });
-    Bytes::from(format!("data: {chunk}\n\ndata: [DONE]\n\n"))
-}
-
 /// Answers one HTTP request.
 async fn handle(
     request: Request<Incoming>,
@@ -399,10 +146,11 @@
                 .strip_prefix("from=")
                 .and_then(|from| from.parse().ok())
                 .unwrap_or(0);
-            read(stream, from, &commands)
+            read(stream, from, &commands).await
         }
         (&Method::DELETE, _, Some(stream)) => {
-            let _ = commands.send(Command::Cancel { stream });
+            let unread = request.uri().query() == Some("unread=1");
+            let _ = commands.send(Command::Cancel { stream, unread });
             http::json(StatusCode::OK, &json!({}))
         }
         _ => http::json(StatusCode::NOT_FOUND, &json!({"error": "no such path"})),
@@ -429,7 +177,19 @@
         reply,
     });
     match answer.await {
-        Ok(stream) => read(stream, 0, &commands),
+        Ok(Started::Stream(stream, delay)) => {
+            tokio::time::sleep(delay).await;
+            read(stream, 0, &commands).await
+        }
+        Ok(Started::Refused { proof }) => {
+            let error = json!({"error": "refused"});
+            let mut response = http::json(StatusCode::SERVICE_UNAVAILABLE, &error);
+            if proof {
+                let value = hyper::header::HeaderValue::from_static("1");
+                response.headers_mut().insert("x-not-run", value);
+            }
+            response
+        }
         Err(_) => http::json(
             StatusCode::SERVICE_UNAVAILABLE,
             &json!({"error": "stopping"}),
@@ -448,13 +208,19 @@
 }
 
 /// Streams a generation from an offset on.
-fn read(stream: u64, from: u64, commands: &mpsc::UnboundedSender<Command>) -> Response<Body> {
-    let (sender, receiver) = mpsc::channel(4096);
+async fn read(stream: u64, from: u64, commands: &mpsc::UnboundedSender<Command>) -> Response<Body> {
+    let (sender, receiver) = mpsc::channel(READER_BUFFER);
+    let (reply, known) = oneshot::channel();
     let _ = commands.send(Command::Read {
         stream,
         from,
         sender,
+        reply,
     });
+    if !known.await.unwrap_or(false) {
+        let error = json!({"error": "no such stream"});
+        return http::json(StatusCode::NOT_FOUND, &error);
+    }
     let mut response = Response::new(http::channel(receiver));
     let headers = response.headers_mut();
     let kind = hyper::header::HeaderValue::from_static("text/event-stream");
--- a/crates/daisyyard_standin/src/lib.rs
+++ b/crates/daisyyard_standin/src/lib.rs
@@ -4,7 +4,9 @@
 //! They speak the protocols that `docs/protocols.md` publishes, on real sockets, and can be made
 //! to fail.
 
+pub(crate) mod decoder;
 pub mod engine;
+pub mod fault;
 pub mod list;
 pub mod plain;
 pub mod store;
