--- /dev/null
+++ b/crates/daisyyard/src/delivery.rs
@@ -0,0 +1,145 @@
+//! What a generation delivers to the task of its caller, and the two forms of the answer.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use daisyyard_core::id::Offset;
+use daisyyard_http::{self as http, Body};
+use futures_util::StreamExt;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use tokio::sync::mpsc;
+
+use crate::completion;
+use crate::refusal::{Kind, Refusal};
+
+/// Tokens that are buffered for a caller before the engine's link is held back.
+pub(crate) const BUFFER: usize = 256;
+
+/// What a generation delivers.
+#[derive(Debug)]
+pub(crate) enum Delivery {
+    /// One token, already in order.
+    Token {
+        /// Name of the generation.
+        generation: String,
+        /// Offset of the token.
+        offset: Offset,
+        /// Text of the token.
+        text: String,
+    },
+    /// All earlier tokens are void; only an answer that is not streamed receives this.
+    Restart,
+    /// The generation is whole.
+    Finish(String),
+    /// The generation did not start or broke off at an offset.
+    Refuse(Refusal, Offset),
+}
+
+/// Turns deliveries into events, and ends every stream with a finish or an error.
+#[derive(Debug)]
+struct Events {
+    /// Delivery that was received before the answer began.
+    first: Option<Delivery>,
+    /// Further deliveries.
+    deliveries: mpsc::Receiver<Delivery>,
+    /// Offset that the caller expects next.
+    next: Offset,
+    /// Whether the stream has ended.
+    ended: bool,
+}
+
+impl Events {
+    /// Returns the bytes of the next event.
+    async fn next(&mut self) -> Option<Bytes> {
+        if self.ended {
+            return None;
+        }
+        let delivery = match self.first.take() {
+            Some(first) => Some(first),
+            None => self.deliveries.recv().await,
+        };
+        Some(match delivery {
+            Some(Delivery::Token {
+                generation,
+                offset,
+                text,
+            }) => {
+                self.next = offset + 1;
+                completion::token(&generation, offset, &text)
+            }
+            Some(Delivery::Finish(generation)) => {
+                self.ended = true;
+                completion::finish(&generation)
+            }
+            Some(Delivery::Refuse(refusal, offset)) => {
+                self.ended = true;
+                completion::broken(&refusal, offset)
+            }
+            Some(Delivery::Restart) | None => {
+                self.ended = true;
+                completion::broken(&abandoned(), self.next)
+            }
+        })
+    }
+}
+
+/// Answers with a stream of events once the first delivery is there.
+pub(crate) async fn stream(
+    mut deliveries: mpsc::Receiver<Delivery>,
+    from: Offset,
+) -> Result<Response<Body>, Refusal> {
+    let first = match deliveries.recv().await {
+        Some(Delivery::Refuse(refusal, _)) => return Err(refusal),
+        Some(first) => first,
+        None => return Err(abandoned()),
+    };
+    let events = Events {
+        first: Some(first),
+        deliveries,
+        next: from,
+        ended: false,
+    };
+    let stream = futures_util::stream::unfold(events, |mut events| async move {
+        let bytes = events.next().await?;
+        Some((Ok::<_, Infallible>(Frame::data(bytes)), events))
+    });
+    let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(stream.boxed())));
+    let kind = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    Ok(response)
+}
+
+/// Answers with the whole text.
+pub(crate) async fn collect(
+    mut deliveries: mpsc::Receiver<Delivery>,
+) -> Result<Response<Body>, Refusal> {
+    let mut text = String::new();
+    let mut tokens = 0;
+    while let Some(delivery) = deliveries.recv().await {
+        match delivery {
+            Delivery::Token { text: token, .. } => {
+                text.push_str(&token);
+                tokens += 1;
+            }
+            Delivery::Restart => {
+                text.clear();
+                tokens = 0;
+            }
+            Delivery::Finish(name) => {
+                let answer = completion::whole(&name, &text, tokens);
+                return Ok(http::json(StatusCode::OK, &answer));
+            }
+            Delivery::Refuse(refusal, _) => return Err(refusal),
+        }
+    }
+    Err(abandoned())
+}
+
+/// Returns the refusal for a generation whose task ended without a result.
+fn abandoned() -> Refusal {
+    let message = "the answer was not read in time or the node stopped; resume from next_offset";
+    Refusal::unknown(Kind::Interrupted, message)
+}
--- a/crates/daisyyard/src/dispatch.rs
+++ b/crates/daisyyard/src/dispatch.rs
@@ -1,19 +1,46 @@
 //! The actor that routes requests to endpoints.
 
+use std::collections::HashMap;
 use std::time::Instant;
 
-use daisyyard_core::endpoint::Endpoint;
-use daisyyard_core::id::EndpointId;
+use daisyyard_core::budget::{self, Budget};
+use daisyyard_core::endpoint::{Endpoint, State};
+use daisyyard_core::id::{AccountId, EndpointId, Fingerprint, RequestId, ServiceId};
+use daisyyard_core::instance::{self, Instance};
 use daisyyard_core::ledger::Digest;
+use daisyyard_core::link::{self, Link, Signal};
+use daisyyard_core::presence::{self, Presence};
 use daisyyard_core::route::{Choice, Request, Table};
+use daisyyard_core::suspect::{Record, Register, Verdict};
 use daisyyard_core::zone::Zone;
 use xtra::{Actor, Address, Context, Handler, Mailbox};
 
-/// Owns the route table.
+use crate::event::{self, Event};
+
+/// Retries that each request of an account earns at a service.
+const RETRY_SHARE: f64 = 0.1;
+/// Retry budgets that are kept; all are dropped when there are more.
+const MAX_BUDGETS: usize = 8192;
+/// Addresses that a caller is told.
+const MAX_ADDRESSES: usize = 3;
+
+/// Owns the route table, the health of endpoints, the retry budgets and the suspects.
 #[derive(Debug, Actor)]
 pub(crate) struct Dispatch {
+    /// Availability zone of the node.
+    zone: Zone,
     /// Endpoints and what is known about them.
     table: Table,
+    /// Endpoints that the instance list shows no more.
+    presence: Presence,
+    /// Health of endpoints that requests had trouble with.
+    links: HashMap<EndpointId, Link>,
+    /// Retry budgets by account and service.
+    budgets: HashMap<(AccountId, ServiceId), Budget>,
+    /// Requests that were in progress when an endpoint crashed.
+    suspects: Register,
+    /// Instances that run nodes.
+    nodes: Vec<Instance>,
 }
 
 /// Asks for an endpoint; the answer is the endpoint or the refusal.
@@ -21,6 +48,8 @@
 pub(crate) struct Route {
     /// Request to route.
     pub(crate) request: Request,
+    /// Account and content of the request.
+    pub(crate) key: Fingerprint,
     /// Endpoints that were tried before.
     pub(crate) tried: Vec<EndpointId>,
 }
@@ -29,6 +58,10 @@
 #[derive(Debug)]
 pub(crate) struct Adopt(pub(crate) Vec<Endpoint>);
 
+/// Replaces the known instances that run nodes.
+#[derive(Debug)]
+pub(crate) struct AdoptNodes(pub(crate) Vec<Instance>);
+
 /// Passes on a digest from an engine's home.
 #[derive(Debug)]
 pub(crate) struct Learn(pub(crate) Digest);
@@ -37,6 +70,40 @@
 #[derive(Debug)]
 pub(crate) struct Find(pub(crate) EndpointId);
 
+/// Reports what a request learned about an endpoint.
+#[derive(Debug)]
+pub(crate) struct Observe(pub(crate) EndpointId, pub(crate) Signal);
+
+/// Reports that a request ended at an endpoint that was routed to.
+#[derive(Debug)]
+pub(crate) struct Done {
+    /// Endpoint.
+    pub(crate) endpoint: EndpointId,
+    /// Request at this node.
+    pub(crate) request: RequestId,
+    /// Whether the endpoint crashed while the request was in progress.
+    pub(crate) crashed: bool,
+}
+
+/// Asks for a retry within the budget of an account at a service.
+#[derive(Debug)]
+pub(crate) struct Retry(pub(crate) AccountId, pub(crate) ServiceId);
+
+/// Asks for the suspects, so that they can be told to other nodes.
+#[derive(Debug)]
+pub(crate) struct ReportSuspects;
+
+/// Passes on suspects of other nodes.
+#[derive(Debug)]
+pub(crate) struct LearnSuspects(pub(crate) Vec<Record>);
+
+/// Asks for the addresses that a caller should use; the node's own one is left out when it leaves.
+#[derive(Debug)]
+pub(crate) struct Addresses {
+    /// Instance of this node.
+    pub(crate) own: Instance,
+}
+
 /// Where a request goes.
 #[derive(Debug)]
 pub(crate) enum Target {
@@ -44,36 +111,130 @@
     Endpoint(Endpoint),
     /// No endpoint of the service may receive work.
     Nowhere,
+    /// The request crashed endpoints.
+    Suspected,
 }
 
 /// Starts the actor.
 pub(crate) fn spawn(zone: Zone) -> Address<Dispatch> {
-    xtra::spawn_tokio(
-        Dispatch {
-            table: Table::new(zone),
-        },
-        Mailbox::unbounded(),
-    )
+    let actor = Dispatch {
+        table: Table::new(zone.clone()),
+        zone,
+        presence: Presence::new(),
+        links: HashMap::new(),
+        budgets: HashMap::new(),
+        suspects: Register::new(),
+        nodes: Vec::new(),
+    };
+    xtra::spawn_tokio(actor, Mailbox::unbounded())
+}
+
+impl Dispatch {
+    /// Returns the budget of an account at a service.
+    fn budget(&mut self, account: AccountId, service: ServiceId) -> &mut Budget {
+        let key = (account, service);
+        if self.budgets.len() >= MAX_BUDGETS && !self.budgets.contains_key(&key) {
+            self.budgets.clear();
+        }
+        let create = || Budget::new(RETRY_SHARE);
+        self.budgets.entry(key).or_insert_with(create)
+    }
+
+    /// Chooses an endpoint that is healthy and, for a suspect, runs no other suspect.
+    fn choose(&self, message: &Route, isolate: bool, now: Instant) -> Choice {
+        let mut excluded = message.tried.clone();
+        let unusable = self.links.iter().filter(|(_, link)| !link.usable(now));
+        excluded.extend(unusable.map(|(id, _)| *id));
+        if isolate {
+            excluded.extend(self.suspects.occupied(message.key, now));
+        }
+        let seed = rand::random();
+        self.table.choose(&message.request, &excluded, now, seed)
+    }
 }
 
 impl Handler<Route> for Dispatch {
     type Return = Target;
 
     async fn handle(&mut self, message: Route, _: &mut Context<Self>) -> Target {
-        let seed = rand::random();
-        match self
-            .table
-            .choose(&message.request, &message.tried, Instant::now(), seed)
-        {
-            Choice::Ask(id) => {
-                self.table.sent(id);
-                self.table
-                    .get(id)
-                    .cloned()
-                    .map_or(Target::Nowhere, Target::Endpoint)
-            }
-            Choice::Refuse { .. } => Target::Nowhere,
+        let now = Instant::now();
+        let verdict = self.suspects.verdict(message.key, now);
+        if verdict == Verdict::Refuse {
+            return Target::Suspected;
+        }
+        if message.tried.is_empty() {
+            let (account, service) = (message.request.account, message.request.service);
+            self.budget(account, service).earn();
+        }
+        let choice = self.choose(&message, verdict == Verdict::Isolate, now);
+        let Choice::Ask(id) = choice else {
+            return Target::Nowhere;
+        };
+        let Some(endpoint) = self.table.get(id).cloned() else {
+            return Target::Nowhere;
+        };
+        self.table.sent(id);
+        self.suspects.start(id, message.request.id, message.key);
+        if let Some(link) = self.links.get_mut(&id) {
+            link.send(now);
         }
+        Target::Endpoint(endpoint)
+    }
+}
+
+impl Handler<Done> for Dispatch {
+    type Return = ();
+
+    async fn handle(&mut self, message: Done, _: &mut Context<Self>) {
+        let Done {
+            endpoint,
+            request,
+            crashed,
+        } = message;
+        if !crashed {
+            self.suspects.end(endpoint, request);
+            return;
+        }
+        for record in self.suspects.crash(endpoint, request, Instant::now()) {
+            let details = format!(
+                "endpoint={endpoint:x} request={:x} crashes={} alone={}",
+                record.key, record.crashes, record.alone
+            );
+            event::emit(Event::SuspectRecorded, &details);
+        }
+    }
+}
+
+impl Handler<Observe> for Dispatch {
+    type Return = ();
+
+    async fn handle(&mut self, message: Observe, _: &mut Context<Self>) {
+        let Observe(id, signal) = message;
+        let Some(service) = self.table.get(id).map(|endpoint| endpoint.service) else {
+            return;
+        };
+        let members = self.table.members(service);
+        let ejected = |id: &&EndpointId| self.links.get(*id).is_some_and(Link::ejected);
+        let room = link::room(members.len(), members.iter().filter(ejected).count());
+        if signal == Signal::Served && !self.links.contains_key(&id) {
+            return;
+        }
+        let link = self.links.entry(id).or_default();
+        if link.observe(signal, room, Instant::now()) == link::Next::Eject {
+            let details = format!("endpoint={id:x} signal={signal:?}");
+            event::emit(Event::EndpointEjected, &details);
+        }
+        if signal == Signal::Served {
+            self.links.remove(&id);
+        }
+    }
+}
+
+impl Handler<Retry> for Dispatch {
+    type Return = budget::Next;
+
+    async fn handle(&mut self, message: Retry, _: &mut Context<Self>) -> budget::Next {
+        self.budget(message.0, message.1).spend()
     }
 }
 
@@ -81,12 +242,45 @@
     type Return = ();
 
     async fn handle(&mut self, message: Adopt, _: &mut Context<Self>) {
+        let known: Vec<EndpointId> = self.table.endpoints().map(|one| one.id).collect();
+        let listed: Vec<EndpointId> = message.0.iter().map(|one| one.id).collect();
+        for next in self.presence.compare(&known, &listed, Instant::now()) {
+            match next {
+                presence::Next::Leave(id) => self.table.mark(id, State::Gone),
+                presence::Next::Forget(id) => {
+                    self.table.remove(id);
+                    self.links.remove(&id);
+                }
+            }
+        }
         for endpoint in message.0 {
             self.table.insert(endpoint);
         }
     }
 }
 
+impl Handler<AdoptNodes> for Dispatch {
+    type Return = ();
+
+    async fn handle(&mut self, message: AdoptNodes, _: &mut Context<Self>) {
+        // An empty answer of the list is no evidence that all nodes are gone.
+        if !message.0.is_empty() {
+            self.nodes = message.0;
+        }
+    }
+}
+
+impl Handler<Addresses> for Dispatch {
+    type Return = Vec<std::net::SocketAddr>;
+
+    async fn handle(&mut self, message: Addresses, _: &mut Context<Self>) -> Self::Return {
+        let own = message.own.id;
+        let others = self.nodes.iter().filter(|node| node.id != own).cloned();
+        let nodes: Vec<Instance> = others.chain([message.own]).collect();
+        instance::nearest(&nodes, &self.zone, rand::random(), MAX_ADDRESSES)
+    }
+}
+
 impl Handler<Learn> for Dispatch {
     type Return = ();
 
@@ -102,3 +296,22 @@
         self.table.get(message.0).cloned()
     }
 }
+
+impl Handler<ReportSuspects> for Dispatch {
+    type Return = Vec<Record>;
+
+    async fn handle(&mut self, _: ReportSuspects, _: &mut Context<Self>) -> Vec<Record> {
+        self.suspects.records(Instant::now())
+    }
+}
+
+impl Handler<LearnSuspects> for Dispatch {
+    type Return = ();
+
+    async fn handle(&mut self, message: LearnSuspects, _: &mut Context<Self>) {
+        let now = Instant::now();
+        for record in message.0 {
+            self.suspects.learn(record, now);
+        }
+    }
+}
--- a/crates/daisyyard/src/embedded.rs
+++ b/crates/daisyyard/src/embedded.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 
 use crate::node::Node;
-use crate::settings::{Credential, Settings};
+use crate::settings::{Credential, Settings, Timing};
 
 /// Names of one deployment.
 #[derive(Debug)]
@@ -147,6 +147,7 @@
             store,
             key: "embedded".to_owned(),
             accounts: vec![credential],
+            timing: Timing::default(),
         })
     }
 }
--- a/crates/daisyyard/src/generation.rs
+++ b/crates/daisyyard/src/generation.rs
@@ -1,32 +1,37 @@
-//! One task per generation: admission, the stream from the engine, and its delivery.
+//! One task per generation: admission, attempts at engines, and the truthful end.
 
-use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use bytes::Bytes;
 use daisyyard_core::attempt::{Attempt, Next, Outcome, Progress};
+use daisyyard_core::budget;
 use daisyyard_core::contract::Rank;
 use daisyyard_core::endpoint::Endpoint;
-use daisyyard_core::id::{EndpointId, InstanceId};
+use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, Offset};
 use daisyyard_core::ledger;
+use daisyyard_core::link::Signal;
 use daisyyard_core::route::Request;
-use daisyyard_core::stream::{Cursor, Loss, Step};
+use daisyyard_core::stream::{Cursor, Loss};
 use tokio::sync::{mpsc, oneshot};
+use tokio_util::task::TaskTracker;
 use xtra::Address;
 
 use crate::admission::{self, Admission, Decision};
-use crate::completion::{self, Completion};
-use crate::dispatch::{Dispatch, Route, Target};
+use crate::completion::Completion;
+use crate::delivery::Delivery;
+use crate::dispatch::{Dispatch, Done, Observe, Retry, Route, Target};
 use crate::event::{self, Event};
+use crate::reader::{End, Reader};
 use crate::refusal::{Kind, Refusal};
-use crate::upstream::{self, Piece};
+use crate::settings::Timing;
+use crate::signature::Signer;
+use crate::upstream::{self, Error};
 
 /// Output tokens that are expected before any length is known.
 const EXPECTED_OUTPUT: u64 = 256;
-/// Time between two progress reports of a generation.
-const PROGRESS_PERIOD: Duration = Duration::from_secs(1);
+/// Engines that one request is sent to at most.
+const MAX_ATTEMPTS: usize = 3;
 
-/// The actors that a generation talks to.
+/// What a generation needs of its node.
 #[derive(Debug, Clone)]
 pub(crate) struct Actors {
     /// Node that holds the request.
@@ -35,6 +40,12 @@
     pub(crate) dispatch: Address<Dispatch>,
     /// Admits the request.
     pub(crate) admission: Address<Admission>,
+    /// Signs generation ids.
+    pub(crate) signer: Signer,
+    /// Time limits.
+    pub(crate) timing: Timing,
+    /// Tasks of requests, which a planned stop waits for.
+    pub(crate) tasks: TaskTracker,
 }
 
 /// A generation that a caller asked for.
@@ -42,80 +53,93 @@
 pub(crate) struct Generation {
     /// What routing needs to know.
     pub(crate) request: Request,
+    /// Account and content of the request.
+    pub(crate) key: Fingerprint,
     /// Body of the request.
     pub(crate) completion: Completion,
     /// When admission is of no more use.
     pub(crate) deadline: Instant,
 }
 
-/// What a generation delivers.
-#[derive(Debug)]
-pub(crate) enum Delivery {
-    /// One token, already in order.
-    Token {
-        /// Name of the generation.
-        generation: String,
-        /// Offset of the token.
-        offset: u64,
-        /// Text of the token.
-        text: String,
-    },
-    /// The generation is whole.
-    Finish(String),
-    /// The generation did not start or broke off at an offset.
-    Refuse(Refusal, u64),
-}
-
-/// How the reading of one stream ended.
-enum End {
-    /// The generation is whole.
-    Whole,
-    /// The caller is gone.
-    Unread,
-    /// The engine or the link to it is lost.
-    Lost,
+/// One caller's progress through the attempts of its request.
+struct Run<'a> {
+    /// The request.
+    generation: &'a Generation,
+    /// What the node offers.
+    actors: &'a Actors,
+    /// Task of the caller's connection.
+    caller: &'a mpsc::Sender<Delivery>,
+    /// Position of the caller.
+    cursor: Cursor,
+    /// What may have reached an engine.
+    attempt: Attempt,
 }
 
 impl Generation {
     /// Runs the generation to its end and sends what happens to the caller's task.
     pub(crate) async fn run(self, actors: Actors, caller: mpsc::Sender<Delivery>) {
-        let mut cursor = Cursor::new();
-        let mut attempt = Attempt::new(true);
+        let mut run = Run {
+            generation: &self,
+            actors: &actors,
+            caller: &caller,
+            cursor: Cursor::new(),
+            attempt: Attempt::new(true),
+        };
         let mut tried = Vec::new();
         loop {
-            let endpoint = match self.admit(&actors, &tried).await {
+            let endpoint = match self.admit(&actors, &tried, &caller).await {
                 Ok(endpoint) => endpoint,
-                Err(refusal) => {
-                    let _ = caller.send(Delivery::Refuse(refusal, cursor.next())).await;
+                Err(mut refusal) => {
+                    // An earlier attempt may have run, whatever the reason of this refusal.
+                    refusal.outcome = run.attempt.outcome();
+                    let delivery = Delivery::Refuse(refusal, run.cursor.next());
+                    let _ = caller.send(delivery).await;
                     return;
                 }
             };
             tried.push(endpoint.id);
-            let end = self
-                .relay(&endpoint, &actors, &mut cursor, &mut attempt, &caller)
+            let end = run.relay(&endpoint).await;
+            let crashed = matches!(end, End::Crashed);
+            self.release(&actors, endpoint.id, run.cursor.next(), crashed)
                 .await;
-            self.release(&actors, endpoint.id, cursor.next()).await;
             match end {
                 End::Whole | End::Unread => return,
-                End::Lost => {}
+                End::Answered(status) => {
+                    let message = Error::Answered(status).to_string();
+                    let _ = caller.send(run.refuse(Kind::Rejected, message)).await;
+                    return;
+                }
+                End::Lost | End::Crashed => {}
             }
-            let budget = tried.len() < 3 && matches!(cursor.lose(false), Loss::Restart);
-            if let Next::Finish(outcome) = attempt.fail(budget) {
-                let _ = caller.send(broken(outcome, cursor.next())).await;
+            if let Some(refusal) = run.retry(tried.len()).await {
+                let _ = caller.send(refusal).await;
                 return;
             }
         }
     }
 
     /// Finds an engine that grants the request.
-    async fn admit(&self, actors: &Actors, tried: &[EndpointId]) -> Result<Endpoint, Refusal> {
+    async fn admit(
+        &self,
+        actors: &Actors,
+        tried: &[EndpointId],
+        caller: &mpsc::Sender<Delivery>,
+    ) -> Result<Endpoint, Refusal> {
         let route = Route {
             request: self.request.clone(),
+            key: self.key,
             tried: tried.to_vec(),
         };
-        let Ok(Target::Endpoint(endpoint)) = actors.dispatch.send(route).await else {
-            let message = "no engine of this service may receive work; ask again later";
-            return Err(Refusal::not_run(Kind::Overloaded, message));
+        let endpoint = match actors.dispatch.send(route).await {
+            Ok(Target::Endpoint(endpoint)) => endpoint,
+            Ok(Target::Suspected) => {
+                let message = "this request crashed engines; change it or ask again in 10 minutes";
+                return Err(Refusal::not_run(Kind::Suspected, message));
+            }
+            Ok(Target::Nowhere) | Err(_) => {
+                let message = "no engine of this service may receive work; ask again later";
+                return Err(Refusal::not_run(Kind::Overloaded, message));
+            }
         };
         let terms = ledger::Ask {
             request: self.request.id,
@@ -134,176 +158,139 @@
             reply,
         };
         let _ = actors.admission.send(ask).await;
-        match decision.await {
-            Ok(Decision::Grant) => Ok(endpoint),
-            Ok(Decision::Refuse { retry_after }) => {
+        let decision = tokio::select! {
+            decision = decision => decision.ok(),
+            () = caller.closed() => None,
+        };
+        let refusal = match decision {
+            Some(Decision::Grant) => return Ok(endpoint),
+            Some(Decision::Refuse { retry_after }) => {
                 let message = "the service is overloaded; ask again after retry_after_ms";
                 let refusal = Refusal::not_run(Kind::Overloaded, message);
-                Err(Refusal {
+                Refusal {
                     retry_after: Some(retry_after),
                     ..refusal
-                })
+                }
             }
-            Err(_) => Err(Refusal::not_run(Kind::Overloaded, "the node is stopping")),
-        }
+            None => Refusal::not_run(Kind::Overloaded, "the node is stopping; use another one"),
+        };
+        self.release(actors, endpoint.id, 0, false).await;
+        Err(refusal)
     }
 
+    /// Gives back what the generation held.
+    async fn release(&self, actors: &Actors, endpoint: EndpointId, made: u64, crashed: bool) {
+        let request = self.request.id;
+        let release = admission::Release {
+            endpoint,
+            request,
+            made,
+        };
+        let _ = actors.admission.send(release).await;
+        let done = Done {
+            endpoint,
+            request,
+            crashed,
+        };
+        let _ = actors.dispatch.send(done).await;
+    }
+}
+
+impl Run<'_> {
     /// Starts the generation at an engine and delivers its tokens.
-    async fn relay(
-        &self,
-        endpoint: &Endpoint,
-        actors: &Actors,
-        cursor: &mut Cursor,
-        attempt: &mut Attempt,
-        caller: &mpsc::Sender<Delivery>,
-    ) -> End {
-        let priority = match self.request.rank {
+    async fn relay(&mut self, endpoint: &Endpoint) -> End {
+        let priority = match self.generation.request.rank {
             Rank::Urgent => 1,
             Rank::Deferrable => 0,
         };
-        let stream = match upstream::start(endpoint.address, self.completion.body(priority)).await {
+        let body = self.generation.completion.body(priority);
+        let stream = match upstream::start(endpoint.address, body).await {
             Ok(stream) => stream,
-            Err(upstream::Error::Unsent(_)) => return End::Lost,
-            Err(upstream::Error::Declined(_)) => {
-                attempt.reach(Progress::Declined);
-                return End::Lost;
-            }
-            Err(upstream::Error::Lost(_)) => {
-                attempt.reach(Progress::Written);
-                return End::Lost;
-            }
+            Err(error) => return self.failed(endpoint, error).await,
         };
-        attempt.reach(Progress::Written);
-        let name = format!("{:x}-{}", endpoint.id, stream.name);
-        let id = daisyyard_core::id::of(&name);
-        if !cursor.bind(id) {
+        self.attempt.reach(Progress::Written);
+        let account = self.generation.request.account;
+        let name = self.actors.signer.sign(account, endpoint.id, &stream.name);
+        if !self.cursor.bind(daisyyard_core::id::of(&name)) {
             return End::Lost;
         }
-        let mut reader = Reader {
-            endpoint,
-            actors,
-            name,
-            id,
-            stream,
-            caller,
-        };
-        reader.read(self, cursor).await
+        let request = Some(self.generation.request.id);
+        let reader = Reader::new(endpoint, self.actors, name, stream, self.caller, request);
+        reader.read(&mut self.cursor).await
     }
 
-    /// Gives back what the generation held.
-    async fn release(&self, actors: &Actors, endpoint: EndpointId, made: u64) {
-        let release = admission::Release {
-            endpoint,
-            request: self.request.id,
-            made,
+    /// Records why an attempt did not start.
+    async fn failed(&mut self, endpoint: &Endpoint, error: Error) -> End {
+        let (progress, signal) = match error {
+            Error::Unconnected { .. } => (Progress::Unsent, Some(Signal::Dead)),
+            Error::Unsent => (Progress::Unsent, Some(Signal::Broken)),
+            Error::Declined(_) => (Progress::Declined, None),
+            Error::Answered(_) => (Progress::Written, None),
+            Error::Lost => (Progress::Written, Some(Signal::Broken)),
         };
-        let _ = actors.admission.send(release).await;
+        self.attempt.reach(progress);
+        if let Error::Answered(status) = error {
+            return End::Answered(status);
+        }
+        let mut crashed = false;
+        if error == Error::Lost {
+            crashed = upstream::probe(endpoint.address).await == upstream::Probe::Refused;
+        }
+        if let Some(signal) = signal {
+            let signal = if crashed { Signal::Dead } else { signal };
+            let _ = self
+                .actors
+                .dispatch
+                .send(Observe(endpoint.id, signal))
+                .await;
+        }
+        if crashed { End::Crashed } else { End::Lost }
     }
-}
-
-/// Reads one generation from its engine, over as many connections as it takes.
-struct Reader<'a> {
-    /// Engine that runs the generation.
-    endpoint: &'a Endpoint,
-    /// Actors to report to.
-    actors: &'a Actors,
-    /// Name of the generation towards the caller.
-    name: String,
-    /// Identifier of the generation.
-    id: u64,
-    /// Open stream.
-    stream: upstream::Stream,
-    /// Task of the caller's connection.
-    caller: &'a mpsc::Sender<Delivery>,
-}
 
-impl Reader<'_> {
-    /// Delivers tokens until the generation ends.
-    async fn read(&mut self, generation: &Generation, cursor: &mut Cursor) -> End {
-        let mut reported = Instant::now();
-        loop {
-            let step = match self.stream.pieces.recv().await {
-                Some(Piece::Token { offset, text }) => {
-                    (cursor.accept(self.id, offset), offset, text)
-                }
-                Some(Piece::Finish) => {
-                    let _ = self.caller.send(Delivery::Finish(self.name.clone())).await;
-                    return End::Whole;
-                }
-                Some(Piece::Broken) | None => (Step::Resume(cursor.next()), 0, String::new()),
-            };
-            match step {
-                (Step::Deliver, offset, text) => {
-                    let generation = self.name.clone();
-                    let token = Delivery::Token {
-                        generation,
-                        offset,
-                        text,
-                    };
-                    if self.caller.send(token).await.is_err() {
-                        upstream::cancel(self.endpoint.address, &self.stream.name).await;
-                        return End::Unread;
-                    }
-                }
-                (Step::Resume(from), ..) => {
-                    if !self.resume(self.endpoint.address, from).await {
-                        return End::Lost;
-                    }
+    /// Prepares another attempt, or returns the truthful end.
+    async fn retry(&mut self, attempts: usize) -> Option<Delivery> {
+        let buffered = !self.generation.completion.stream;
+        let restartable = buffered || self.cursor.lose(false) == Loss::Restart;
+        let mut allowed = restartable && attempts < MAX_ATTEMPTS;
+        if allowed {
+            let request = &self.generation.request;
+            let retry = Retry(request.account, request.service);
+            let next = self.actors.dispatch.send(retry).await;
+            allowed = matches!(next, Ok(budget::Next::Retry));
+        }
+        match self.attempt.fail(allowed) {
+            Next::Retry => {
+                if buffered {
+                    self.cursor.reset();
+                    let _ = self.caller.send(Delivery::Restart).await;
                 }
-                (Step::Duplicate | Step::Foreign, ..) => {}
+                None
             }
-            if reported.elapsed() >= PROGRESS_PERIOD {
-                reported = Instant::now();
-                self.report(generation, cursor.next()).await;
+            Next::Finish(Outcome::NotRun) => {
+                let message = "no engine took the request; ask again later";
+                Some(self.refuse(Kind::Unavailable, message.to_owned()))
             }
-        }
-    }
-
-    /// Resumes the stream on a fresh connection.
-    async fn resume(&mut self, address: SocketAddr, from: u64) -> bool {
-        match upstream::resume(address, &self.stream.name, from).await {
-            Ok(stream) => {
-                self.stream = stream;
-                true
+            Next::Finish(_) => {
+                interrupted(self.cursor.next());
+                let message = "the engine was lost; what was delivered is valid up to next_offset";
+                Some(self.refuse(Kind::Interrupted, message.to_owned()))
             }
-            Err(_) => false,
         }
     }
 
-    /// Reports progress to the engine's ledger.
-    async fn report(&self, generation: &Generation, made: u64) {
-        let request = generation.request.id;
-        let progress = admission::Progress {
-            endpoint: self.endpoint.id,
-            request,
-            made,
+    /// Returns a refusal with the outcome that is known.
+    fn refuse(&self, kind: Kind, message: String) -> Delivery {
+        let refusal = Refusal {
+            kind,
+            message,
+            outcome: self.attempt.outcome(),
+            retry_after: None,
         };
-        let _ = self.actors.admission.send(progress).await;
+        Delivery::Refuse(refusal, self.cursor.next())
     }
 }
 
-/// Returns the delivery that ends a generation which is not whole.
-fn broken(outcome: Outcome, offset: u64) -> Delivery {
+/// Logs that a stream ended before its generation did.
+pub(crate) fn interrupted(offset: Offset) {
     event::emit(Event::StreamInterrupted, &format!("offset={offset}"));
-    let message = "the engine was lost; what was delivered is valid up to next_offset";
-    let refusal = Refusal {
-        kind: Kind::Interrupted,
-        message: message.to_owned(),
-        outcome,
-        retry_after: None,
-    };
-    Delivery::Refuse(refusal, offset)
-}
-
-/// Returns the bytes of the event that carries a delivery to a streaming caller.
-pub(crate) fn event(delivery: &Delivery) -> Bytes {
-    match delivery {
-        Delivery::Token {
-            generation,
-            offset,
-            text,
-        } => completion::token(generation, *offset, text),
-        Delivery::Finish(generation) => completion::finish(generation),
-        Delivery::Refuse(refusal, offset) => completion::broken(refusal, *offset),
-    }
 }
--- a/crates/daisyyard/src/node.rs
+++ b/crates/daisyyard/src/node.rs
@@ -1,18 +1,23 @@
-//! One node: starts its tasks and waits for the signal to stop.
+//! One node: starts its tasks and stops them as planned.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use anyhow::Context;
+use daisyyard_core::drain::{Drain, Next};
 use daisyyard_core::id;
 use daisyyard_core::preset::Preset;
 use daisyyard_core::zone::Zone;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio_util::task::TaskTracker;
 
 use crate::event::{self, Event};
+use crate::front::Phase;
 use crate::generation::Actors;
 use crate::settings::Settings;
+use crate::signature::Signer;
 use crate::{admission, dispatch, front, roster};
 
 /// A running node; dropping it ends its tasks at once.
@@ -22,36 +27,75 @@
     pub address: SocketAddr,
     /// Tasks of the node.
     tasks: Vec<JoinHandle<()>>,
+    /// Task that accepts connections and ends after the last one.
+    front: JoinHandle<()>,
+    /// Tasks of requests.
+    requests: TaskTracker,
+    /// How far a planned stop has come.
+    phase: watch::Sender<Phase>,
+    /// Planned stop.
+    drain: Drain,
 }
 
 impl Node {
     /// Starts a node.
     pub async fn start(settings: Settings) -> anyhow::Result<Self> {
-        let listener = TcpListener::bind(settings.listen).await;
-        let listener = listener
+        let listener = front::listen(settings.listen)
             .with_context(|| format!("cannot listen on {}; is it in use?", settings.listen))?;
         let address = listener.local_addr()?;
         let dispatch = dispatch::spawn(Zone::new(&settings.zone, &settings.region));
-        let endpoints = roster::poll(settings.list).await.unwrap_or_default();
-        let _ = dispatch.send(dispatch::Adopt(endpoints)).await;
+        let listed = roster::poll(settings.list).await.unwrap_or_default();
+        let _ = dispatch.send(dispatch::AdoptNodes(listed.nodes)).await;
+        let _ = dispatch.send(dispatch::Adopt(listed.endpoints)).await;
         let preset = Preset::ordinary(&["asistente", "assay-model"]);
         let admission = admission::spawn(preset, dispatch.clone());
         let roster = roster::spawn(settings.list, dispatch.clone());
+        let requests = TaskTracker::new();
         let actors = Actors {
             node: id::of(&settings.name),
             dispatch,
             admission,
+            signer: Signer::new(&settings.key),
+            timing: settings.timing,
+            tasks: requests.clone(),
         };
-        let front = front::spawn(listener, &settings, actors);
+        let (phase, shown) = watch::channel(Phase::Serving);
+        let front = front::spawn(listener, address, &settings, actors, shown);
         event::emit(
             Event::NodeStarted,
             &format!("name={} address={address}", settings.name),
         );
         Ok(Self {
             address,
-            tasks: vec![roster, front],
+            tasks: vec![roster],
+            front,
+            requests,
+            phase,
+            drain: Drain::new(settings.timing.addresses()),
         })
     }
+
+    /// Stops the node as planned: callers are told to leave, and every request is finished.
+    pub async fn drain(mut self) {
+        event::emit(Event::NodeLeaving, &format!("address={}", self.address));
+        self.drain.order(Instant::now());
+        loop {
+            let open = usize::from(!self.front.is_finished()) + self.requests.len();
+            match self.drain.next(open, Instant::now()) {
+                Next::Announce(until) => {
+                    self.phase.send_replace(Phase::Leaving);
+                    tokio::time::sleep_until(until.into()).await;
+                }
+                Next::Finish => {
+                    self.phase.send_replace(Phase::Finishing);
+                    let _ = (&mut self.front).await;
+                    self.requests.close();
+                    self.requests.wait().await;
+                }
+                Next::Serve | Next::Exit => return,
+            }
+        }
+    }
 }
 
 impl Drop for Node {
@@ -59,18 +103,21 @@
         for task in &self.tasks {
             task.abort();
         }
+        self.front.abort();
     }
 }
 
 /// Runs a node until the process is told to stop.
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
     let node = Node::start(settings).await?;
+    let address = node.address;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    event::emit(Event::NodeStopped, &format!("address={}", node.address));
+    node.drain().await;
+    event::emit(Event::NodeStopped, &format!("address={address}"));
     Ok(())
 }
--- /dev/null
+++ b/crates/daisyyard/src/plain.rs
@@ -0,0 +1,257 @@
+//! Calls of plain services: `ANY /services/<name>/<path>`.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use daisyyard_core::attempt::{Attempt, Next, Outcome, Progress};
+use daisyyard_core::budget;
+use daisyyard_core::contract::Rank;
+use daisyyard_core::endpoint::Endpoint;
+use daisyyard_core::id::{self, AccountId};
+use daisyyard_core::link::Signal;
+use daisyyard_core::route::Request as Routed;
+use daisyyard_http::{self as http, Body};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response, StatusCode};
+
+use crate::connection::{self, Answer, Failure};
+use crate::dispatch::{Done, Observe, Retry, Route, Target};
+use crate::front;
+use crate::generation::Actors;
+use crate::refusal::{Kind, Refusal};
+
+/// Time for an endpoint to answer a call.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest answer of an endpoint, in bytes.
+const MAX_ANSWER: usize = 16 << 20;
+/// Endpoints that one call is sent to at most.
+const MAX_ATTEMPTS: usize = 3;
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// A call of a plain service.
+#[derive(Debug)]
+struct Call {
+    /// Head of the call, as the endpoint receives it.
+    head: Parts,
+    /// Body of the call.
+    body: Bytes,
+    /// What routing needs to know.
+    routed: Routed,
+}
+
+/// Passes a call on to a live endpoint of its service.
+pub(crate) async fn call(
+    actors: &Actors,
+    account: AccountId,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Refusal> {
+    let call = Call::read(account, request).await?;
+    if call.head.headers.contains_key("idempotency-key") {
+        return run_once(&call);
+    }
+    call.run(actors).await
+}
+
+/// Runs a call with a key at most once.
+fn run_once(_call: &Call) -> Result<Response<Body>, Refusal> {
+    let message = "calls with an Idempotency-Key are not available; ask again later";
+    Err(Refusal::not_run(Kind::Unavailable, message))
+}
+
+impl Call {
+    /// Reads a call from its caller.
+    async fn read(account: AccountId, request: Request<Incoming>) -> Result<Self, Refusal> {
+        let path = request.uri().path_and_query();
+        let path = path.map_or("/", |path| path.as_str());
+        let rest = path.strip_prefix("/services/").unwrap_or_default();
+        let (name, rest) = match rest.find(['/', '?']) {
+            Some(end) => rest.split_at(end),
+            None => (rest, ""),
+        };
+        let service = id::of(name);
+        let target = if rest.starts_with('/') {
+            rest.to_owned()
+        } else {
+            format!("/{rest}")
+        };
+        let mut builder = Request::builder().method(request.method()).uri(target);
+        if let Some(headers) = builder.headers_mut() {
+            *headers = forwarded(request.headers());
+            headers.remove(AUTHORIZATION);
+            headers.remove(HOST);
+            headers.remove(CONTENT_LENGTH);
+        }
+        let head = builder.body(()).map_err(|error| {
+            Refusal::not_run(Kind::Malformed, format!("the call is malformed: {error}"))
+        })?;
+        let head = head.into_parts().0;
+        let routed = Routed {
+            id: rand::random(),
+            service,
+            account,
+            rank: Rank::Urgent,
+            prompt: 0,
+            prefix: Vec::new(),
+        };
+        let body = front::read(request).await?;
+        Ok(Self { head, body, routed })
+    }
+
+    /// Sends the call to endpoints until one answers or no further attempt is permitted.
+    async fn run(&self, actors: &Actors) -> Result<Response<Body>, Refusal> {
+        let idempotent = matches!(self.head.method, Method::GET | Method::HEAD);
+        let mut attempt = Attempt::new(idempotent);
+        let mut tried = Vec::new();
+        loop {
+            let route = Route {
+                request: self.routed.clone(),
+                key: id::fingerprint(self.routed.account, &self.content()),
+                tried: tried.clone(),
+            };
+            let endpoint = match actors.dispatch.send(route).await {
+                Ok(Target::Endpoint(endpoint)) => endpoint,
+                Ok(Target::Suspected) => {
+                    let message = "this call crashed endpoints; change it or wait 10 minutes";
+                    return Err(refuse(Kind::Suspected, message, &attempt));
+                }
+                Ok(Target::Nowhere) | Err(_) => {
+                    let message = "no endpoint of this service may receive work; ask again later";
+                    return Err(refuse(Kind::Unavailable, message, &attempt));
+                }
+            };
+            tried.push(endpoint.id);
+            let sent = self.send(&endpoint).await;
+            let (signal, lost) = match sent {
+                Ok(_) => (Signal::Served, false),
+                Err(Failure::Refused | Failure::Unreachable) => (Signal::Dead, false),
+                Err(Failure::Broken | Failure::Partial) => (Signal::Broken, true),
+                Err(Failure::Unwritten | Failure::Silent) => (Signal::Broken, false),
+            };
+            self.learn(actors, &endpoint, signal, lost).await;
+            match sent {
+                Ok(Sent::Answered(response)) => return Ok(response),
+                Ok(Sent::Declined) => attempt.reach(Progress::Declined),
+                Err(Failure::Refused | Failure::Unreachable | Failure::Unwritten) => {
+                    attempt.reach(Progress::Unsent);
+                }
+                Err(Failure::Partial | Failure::Broken | Failure::Silent) => {
+                    attempt.reach(Progress::Written);
+                }
+            }
+            let mut allowed = tried.len() < MAX_ATTEMPTS;
+            if allowed {
+                let retry = Retry(self.routed.account, self.routed.service);
+                let next = actors.dispatch.send(retry).await;
+                allowed = matches!(next, Ok(budget::Next::Retry));
+            }
+            if let Next::Finish(outcome) = attempt.fail(allowed) {
+                let (kind, message) = match outcome {
+                    Outcome::NotRun => (Kind::Unavailable, "no endpoint took the call; ask again"),
+                    _ => (
+                        Kind::Interrupted,
+                        "the endpoint was lost; check whether the call took effect",
+                    ),
+                };
+                return Err(refuse(kind, message, &attempt));
+            }
+        }
+    }
+
+    /// Sends the call to one endpoint and reads its whole answer.
+    async fn send(&self, endpoint: &Endpoint) -> Result<Sent, Failure> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = self.head.headers.clone();
+        let host = endpoint.address.to_string();
+        if let Ok(host) = host.parse() {
+            request.headers_mut().insert(HOST, host);
+        }
+        let Answer { response, driver } =
+            connection::open(endpoint.address, request, ANSWER_TIMEOUT).await?;
+        let (head, body) = response.into_parts();
+        let declines = [
+            StatusCode::TOO_MANY_REQUESTS,
+            StatusCode::SERVICE_UNAVAILABLE,
+        ];
+        let proof = head.headers.get("x-not-run");
+        if declines.contains(&head.status) && proof.is_some_and(|proof| proof.as_bytes() == b"1") {
+            return Ok(Sent::Declined);
+        }
+        let body = Limited::new(body, MAX_ANSWER).collect();
+        let body = tokio::time::timeout(ANSWER_TIMEOUT, body).await;
+        let Ok(Ok(body)) = body else {
+            return Err(Failure::Broken);
+        };
+        drop(driver);
+        let mut answer = Response::new(http::full(body.to_bytes()));
+        *answer.status_mut() = head.status;
+        *answer.headers_mut() = forwarded(&head.headers);
+        Ok(Sent::Answered(answer))
+    }
+
+    /// Reports what the call learned about an endpoint; `lost` says that the connection broke
+    /// after a byte was written.
+    async fn learn(&self, actors: &Actors, endpoint: &Endpoint, signal: Signal, lost: bool) {
+        let _ = actors.dispatch.send(Observe(endpoint.id, signal)).await;
+        let done = Done {
+            endpoint: endpoint.id,
+            request: self.routed.id,
+            crashed: lost && connection::refused(endpoint.address).await,
+        };
+        let _ = actors.dispatch.send(done).await;
+    }
+
+    /// Returns the bytes that identify the content of the call.
+    fn content(&self) -> Vec<u8> {
+        let mut content = format!("{} {}\n", self.head.method, self.head.uri).into_bytes();
+        content.extend_from_slice(&self.body);
+        content
+    }
+}
+
+/// What an endpoint did with a call.
+#[derive(Debug)]
+enum Sent {
+    /// It answered.
+    Answered(Response<Body>),
+    /// It stated that it did not run the call.
+    Declined,
+}
+
+/// Returns the headers without those that concern one connection only.
+fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let keep = |name: &HeaderName| !HOP_BY_HOP.contains(&name.as_str()) && !named.contains(name);
+    let kept = headers.iter().filter(|(name, _)| keep(name));
+    kept.map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+/// Returns a refusal with the outcome that is known.
+fn refuse(kind: Kind, message: &str, attempt: &Attempt) -> Refusal {
+    Refusal {
+        outcome: attempt.outcome(),
+        ..Refusal::not_run(kind, message)
+    }
+}
--- /dev/null
+++ b/crates/daisyyard/src/reader.rs
@@ -0,0 +1,314 @@
+//! Reads one generation from its engine, over as many connections as it takes.
+
+use std::time::Duration;
+
+use daisyyard_core::endpoint::Endpoint;
+use daisyyard_core::id::{AccountId, GenerationId, Offset, RequestId};
+use daisyyard_core::link::{Next, Signal, Watch};
+use daisyyard_core::stream::{Cursor, Step};
+use hyper::StatusCode;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::admission;
+use crate::delivery::{self, Delivery};
+use crate::dispatch::{Find, Observe};
+use crate::event::{self, Event};
+use crate::generation::{self, Actors};
+use crate::refusal::{Kind, Refusal};
+use crate::sse::Piece;
+use crate::upstream::{self, Error, Item, Probe, Stream};
+
+/// Time between two progress reports of a generation.
+const PROGRESS_PERIOD: Duration = Duration::from_secs(1);
+
+/// How the reading of one generation ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum End {
+    /// The generation is whole.
+    Whole,
+    /// The caller is gone or does not read.
+    Unread,
+    /// The engine answered with something other than a stream.
+    Answered(StatusCode),
+    /// The engine or the link to it is lost.
+    Lost,
+    /// The engine crashed and lost its streams.
+    Crashed,
+}
+
+/// Reader of one generation.
+#[derive(Debug)]
+pub(crate) struct Reader<'a> {
+    /// Engine that runs the generation.
+    endpoint: &'a Endpoint,
+    /// What the node offers.
+    actors: &'a Actors,
+    /// Name of the generation towards the caller.
+    name: String,
+    /// Identifier of the generation.
+    id: GenerationId,
+    /// Name of the stream at the engine.
+    stream: String,
+    /// Items of the open connection; none after it was given up.
+    link: Option<Stream>,
+    /// Task of the caller's connection.
+    caller: &'a mpsc::Sender<Delivery>,
+    /// Request whose grant is kept alive; none for a resumed stream, whose first node keeps it.
+    request: Option<RequestId>,
+    /// Watch over the connections.
+    watch: Watch,
+}
+
+impl<'a> Reader<'a> {
+    /// Creates a reader with its first connection.
+    pub(crate) fn new(
+        endpoint: &'a Endpoint,
+        actors: &'a Actors,
+        name: String,
+        link: Stream,
+        caller: &'a mpsc::Sender<Delivery>,
+        request: Option<RequestId>,
+    ) -> Self {
+        Self {
+            id: daisyyard_core::id::of(&name),
+            stream: link.name.clone(),
+            watch: Watch::new(actors.timing.stall()),
+            endpoint,
+            actors,
+            name,
+            link: Some(link),
+            caller,
+            request,
+        }
+    }
+
+    /// Delivers tokens until the generation ends.
+    pub(crate) async fn read(mut self, cursor: &mut Cursor) -> End {
+        let end = self.follow(cursor).await;
+        match end {
+            End::Whole => self.observe(Signal::Served).await,
+            End::Unread => self.abandon(cursor.next()).await,
+            End::Crashed => self.observe(Signal::Dead).await,
+            End::Lost => {
+                self.observe(Signal::Broken).await;
+                // The generation may still run where nobody will read it.
+                let (address, stream) = (self.endpoint.address, self.stream.clone());
+                let cancel = async move { upstream::cancel(address, &stream).await };
+                self.actors.tasks.spawn(cancel);
+            }
+            End::Answered(_) => {}
+        }
+        end
+    }
+
+    /// Follows the stream over its connections.
+    async fn follow(&mut self, cursor: &mut Cursor) -> End {
+        let mut reports = tokio::time::interval(PROGRESS_PERIOD);
+        let mut heard = Instant::now();
+        loop {
+            let Some(link) = &mut self.link else {
+                return End::Lost;
+            };
+            let patience = heard + self.watch.patience();
+            let received = tokio::select! {
+                received = tokio::time::timeout_at(patience, link.items.recv()) => received,
+                () = self.caller.closed() => return End::Unread,
+                _ = reports.tick() => {
+                    self.report(cursor.next()).await;
+                    continue;
+                }
+            };
+            let end = match received {
+                Ok(Some(Item::Alive)) => None,
+                Ok(Some(Item::Piece(Piece::Finish))) => {
+                    let finish = Delivery::Finish(self.name.clone());
+                    Some(
+                        self.deliver(finish, cursor.next())
+                            .await
+                            .unwrap_or(End::Whole),
+                    )
+                }
+                Ok(Some(Item::Piece(Piece::Token { offset, text }))) => {
+                    self.token(cursor, offset, text).await
+                }
+                Ok(Some(Item::Fault(fault))) => {
+                    event::emit(Event::StreamMalformed, &self.details(&fault.to_string()));
+                    self.broken(cursor.next()).await
+                }
+                Ok(None) => self.broken(cursor.next()).await,
+                Err(_) => self.silent(cursor.next()).await,
+            };
+            heard = Instant::now();
+            if let Some(end) = end {
+                return end;
+            }
+        }
+    }
+
+    /// Takes a token that arrived.
+    async fn token(&mut self, cursor: &mut Cursor, offset: Offset, text: String) -> Option<End> {
+        match cursor.accept(self.id, offset) {
+            Step::Deliver => {
+                self.watch.progress();
+                let generation = self.name.clone();
+                let token = Delivery::Token {
+                    generation,
+                    offset,
+                    text,
+                };
+                self.deliver(token, cursor.next()).await
+            }
+            Step::Resume(from) => {
+                event::emit(Event::StreamGap, &self.details(&format!("from={from}")));
+                self.broken(from).await
+            }
+            Step::Duplicate | Step::Foreign => None,
+        }
+    }
+
+    /// Hands a delivery to the caller's task; a caller that does not read ends the stream.
+    async fn deliver(&self, delivery: Delivery, made: Offset) -> Option<End> {
+        let limit = Instant::now() + self.actors.timing.slow_caller();
+        let mut reports =
+            tokio::time::interval_at(Instant::now() + PROGRESS_PERIOD, PROGRESS_PERIOD);
+        loop {
+            tokio::select! {
+                permit = self.caller.reserve() => {
+                    let Ok(permit) = permit else {
+                        return Some(End::Unread);
+                    };
+                    permit.send(delivery);
+                    return None;
+                }
+                () = tokio::time::sleep_until(limit) => {
+                    event::emit(Event::CallerSlow, &self.details(&format!("offset={made}")));
+                    return Some(End::Unread);
+                }
+                _ = reports.tick() => self.report(made).await,
+            }
+        }
+    }
+
+    /// Handles a connection that ended early or carried unusable bytes.
+    async fn broken(&mut self, from: Offset) -> Option<End> {
+        self.link = None;
+        match self.watch.broken() {
+            Next::Probe => self.resume(from).await,
+            _ => Some(End::Lost),
+        }
+    }
+
+    /// Handles a connection on which nothing arrived for the patience.
+    async fn silent(&mut self, from: Offset) -> Option<End> {
+        if self.watch.silent() != Next::Probe {
+            return Some(End::Lost);
+        }
+        match upstream::probe(self.endpoint.address).await {
+            Probe::Answers => {
+                event::emit(Event::LinkSilent, &self.details(&format!("from={from}")));
+                self.link = None;
+                self.observe(Signal::Slow).await;
+                self.resume(from).await
+            }
+            Probe::Refused => Some(End::Crashed),
+            Probe::Silent => {
+                self.observe(Signal::Dead).await;
+                Some(End::Lost)
+            }
+        }
+    }
+
+    /// Resumes the stream on a fresh connection.
+    async fn resume(&mut self, from: Offset) -> Option<End> {
+        loop {
+            match upstream::resume(self.endpoint.address, &self.stream, from).await {
+                Ok(stream) => {
+                    self.link = Some(stream);
+                    return None;
+                }
+                // An engine that does not know a stream that is being read has restarted.
+                Err(
+                    Error::Unconnected { refused: true } | Error::Answered(StatusCode::NOT_FOUND),
+                ) => {
+                    return Some(End::Crashed);
+                }
+                Err(Error::Unconnected { refused: false }) => return Some(End::Lost),
+                Err(_) if self.watch.broken() == Next::Probe => {}
+                Err(_) => return Some(End::Lost),
+            }
+        }
+    }
+
+    /// Waits for the caller to reconnect, here or at another node, and then ends the stream
+    /// unless somebody reads it.
+    async fn abandon(&mut self, made: Offset) {
+        self.link = None;
+        let until = Instant::now() + self.actors.timing.grace();
+        while Instant::now() < until {
+            let wait = (until - Instant::now()).min(PROGRESS_PERIOD);
+            tokio::time::sleep(wait).await;
+            self.report(made).await;
+        }
+        upstream::cancel(self.endpoint.address, &self.stream).await;
+    }
+
+    /// Reports progress to the engine's ledger.
+    async fn report(&self, made: Offset) {
+        let Some(request) = self.request else {
+            return;
+        };
+        let progress = admission::Progress {
+            endpoint: self.endpoint.id,
+            request,
+            made,
+        };
+        let _ = self.actors.admission.send(progress).await;
+    }
+
+    /// Reports what was learned about the engine.
+    async fn observe(&self, signal: Signal) {
+        let observe = Observe(self.endpoint.id, signal);
+        let _ = self.actors.dispatch.send(observe).await;
+    }
+
+    /// Returns the details of a log event.
+    fn details(&self, more: &str) -> String {
+        format!(
+            "endpoint={} stream={} {more}",
+            self.endpoint.name, self.stream
+        )
+    }
+}
+
+/// Finds the engine of a generation id and opens its stream at an offset for a caller that
+/// reconnects; the answer is a receiver of the deliveries.
+pub(crate) async fn reconnect(
+    actors: &Actors,
+    account: AccountId,
+    name: &str,
+    from: Offset,
+) -> Result<mpsc::Receiver<Delivery>, Refusal> {
+    let missing = || Refusal::unknown(Kind::Missing, "no such stream belongs to this account");
+    let (endpoint, stream) = actors.signer.verify(account, name).ok_or_else(missing)?;
+    let endpoint = actors.dispatch.send(Find(endpoint)).await.ok().flatten();
+    let lost = "the engine no longer has this stream; ask again from the start";
+    let endpoint = endpoint.ok_or_else(|| Refusal::unknown(Kind::Interrupted, lost))?;
+    let opened = upstream::resume(endpoint.address, &stream, from).await;
+    let link = opened.map_err(|_error| Refusal::unknown(Kind::Interrupted, lost))?;
+    let (sender, receiver) = mpsc::channel(delivery::BUFFER);
+    let (actors, name) = (actors.clone(), name.to_owned());
+    let tasks = actors.tasks.clone();
+    tasks.spawn(async move {
+        let mut cursor = Cursor::resume(daisyyard_core::id::of(&name), from);
+        let reader = Reader::new(&endpoint, &actors, name, link, &sender, None);
+        let end = reader.read(&mut cursor).await;
+        if matches!(end, End::Lost | End::Crashed | End::Answered(_)) {
+            generation::interrupted(cursor.next());
+            let message = "the engine was lost; what was delivered is valid up to next_offset";
+            let refusal = Refusal::unknown(Kind::Interrupted, message);
+            let _ = sender.send(Delivery::Refuse(refusal, cursor.next())).await;
+        }
+    });
+    Ok(receiver)
+}
--- a/crates/daisyyard/src/refusal.rs
+++ b/crates/daisyyard/src/refusal.rs
@@ -34,6 +34,12 @@
     Overloaded,
     /// The endpoint was lost while the request was in progress.
     Interrupted,
+    /// No endpoint took the request.
+    Unavailable,
+    /// The endpoint answered with something other than a stream.
+    Rejected,
+    /// The request crashed endpoints.
+    Suspected,
 }
 
 impl Kind {
@@ -45,6 +51,9 @@
             Self::Missing => "missing",
             Self::Overloaded => "overloaded",
             Self::Interrupted => "interrupted",
+            Self::Unavailable => "unavailable",
+            Self::Rejected => "rejected",
+            Self::Suspected => "suspected_crash",
         }
     }
 
@@ -54,8 +63,9 @@
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::Missing => StatusCode::NOT_FOUND,
-            Self::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Interrupted => StatusCode::BAD_GATEWAY,
+            Self::Overloaded | Self::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Interrupted | Self::Rejected => StatusCode::BAD_GATEWAY,
+            Self::Suspected => StatusCode::UNPROCESSABLE_ENTITY,
         }
     }
 }
@@ -71,6 +81,14 @@
         }
     }
 
+    /// Creates a refusal of a request that may have run.
+    pub(crate) fn unknown(kind: Kind, message: impl Into<String>) -> Self {
+        Self {
+            outcome: Outcome::Unknown,
+            ..Self::not_run(kind, message)
+        }
+    }
+
     /// Returns the refusal's JSON form.
     pub(crate) fn json(&self) -> serde_json::Value {
         json!({
--- a/crates/daisyyard/src/roster.rs
+++ b/crates/daisyyard/src/roster.rs
@@ -5,13 +5,14 @@
 
 use anyhow::Context;
 use daisyyard_core::endpoint::{Endpoint, Kind, State};
+use daisyyard_core::instance::{self, Instance};
 use daisyyard_core::zone::Zone;
 use hyper::Method;
 use serde::Deserialize;
 use tokio::task::JoinHandle;
 use xtra::Address;
 
-use crate::dispatch::{Adopt, Dispatch};
+use crate::dispatch::{Adopt, AdoptNodes, Dispatch};
 use crate::event::{self, Event};
 
 /// Time between two polls of the list.
@@ -39,6 +40,8 @@
     region: String,
     /// Address for requests.
     address: SocketAddr,
+    /// Address for other nodes.
+    peer: SocketAddr,
     /// `live` or `leaving`.
     state: String,
 }
@@ -61,6 +64,26 @@
     }
 }
 
+impl From<Entry> for Instance {
+    fn from(entry: Entry) -> Self {
+        let zone = Zone::new(&entry.zone, &entry.region);
+        let mut instance = Self::new(&entry.name, zone, entry.address, entry.peer);
+        if entry.state == "leaving" {
+            instance.state = instance::State::Leaving;
+        }
+        instance
+    }
+}
+
+/// Endpoints and nodes of one answer of the list.
+#[derive(Debug, Default)]
+pub(crate) struct Roster {
+    /// Endpoints.
+    pub(crate) endpoints: Vec<Endpoint>,
+    /// Instances that run nodes.
+    pub(crate) nodes: Vec<Instance>,
+}
+
 /// Starts the task.
 pub(crate) fn spawn(list: SocketAddr, dispatch: Address<Dispatch>) -> JoinHandle<()> {
     tokio::spawn(async move {
@@ -68,8 +91,10 @@
         loop {
             interval.tick().await;
             match poll(list).await {
-                Ok(endpoints) => {
-                    if dispatch.send(Adopt(endpoints)).await.is_err() {
+                Ok(roster) => {
+                    let nodes = dispatch.send(AdoptNodes(roster.nodes)).await;
+                    let endpoints = dispatch.send(Adopt(roster.endpoints)).await;
+                    if nodes.and(endpoints).is_err() {
                         return;
                     }
                 }
@@ -80,15 +105,19 @@
 }
 
 /// Reads the list once.
-pub(crate) async fn poll(list: SocketAddr) -> anyhow::Result<Vec<Endpoint>> {
+pub(crate) async fn poll(list: SocketAddr) -> anyhow::Result<Roster> {
     let call = daisyyard_http::call(list, Method::GET, "/instances", &[], "");
     let (_, body) = tokio::time::timeout(PERIOD, call)
         .await
         .context("the list is slow")??;
     let list: List = serde_json::from_slice(&body).context("the list is malformed")?;
-    Ok(list
-        .instances
-        .into_iter()
-        .filter_map(|entry| Endpoint::try_from(entry).ok())
-        .collect())
+    let mut roster = Roster::default();
+    for entry in list.instances {
+        if entry.role == "node" {
+            roster.nodes.push(entry.into());
+        } else if let Ok(endpoint) = Endpoint::try_from(entry) {
+            roster.endpoints.push(endpoint);
+        }
+    }
+    Ok(roster)
 }
--- a/crates/daisyyard/src/settings.rs
+++ b/crates/daisyyard/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 use anyhow::Context;
 use jsonc_parser::ParseOptions;
@@ -29,6 +30,57 @@
     pub key: String,
     /// Client accounts and their credentials.
     pub accounts: Vec<Credential>,
+    /// Time limits of the request path.
+    #[serde(default)]
+    pub timing: Timing,
+}
+
+/// Time limits of the request path, in milliseconds.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Timing {
+    /// Time without bytes after which a connection to an engine is probed.
+    pub stall_ms: u64,
+    /// Time for which a generation goes on after its caller is gone.
+    pub grace_ms: u64,
+    /// Time without progress after which the stream to a slow caller is ended.
+    pub slow_caller_ms: u64,
+    /// Time for which callers keep the addresses that they were given.
+    pub addresses_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            // Twice the target of 31 ms between tokens, plus 1 s.
+            stall_ms: 1_062,
+            grace_ms: 5_000,
+            slow_caller_ms: 60_000,
+            addresses_ms: 5_000,
+        }
+    }
+}
+
+impl Timing {
+    /// Returns the stall limit.
+    pub fn stall(&self) -> Duration {
+        Duration::from_millis(self.stall_ms)
+    }
+
+    /// Returns the grace period after a caller is gone.
+    pub fn grace(&self) -> Duration {
+        Duration::from_millis(self.grace_ms)
+    }
+
+    /// Returns the limit on slow callers.
+    pub fn slow_caller(&self) -> Duration {
+        Duration::from_millis(self.slow_caller_ms)
+    }
+
+    /// Returns the time to live of address answers.
+    pub fn addresses(&self) -> Duration {
+        Duration::from_millis(self.addresses_ms)
+    }
 }
 
 /// Credential of one client account.
--- /dev/null
+++ b/crates/daisyyard/src/signature.rs
@@ -0,0 +1,76 @@
+//! Generation ids towards callers: they name an engine and its stream, and are signed for one
+//! client account, so that any node can resume a stream without shared state.
+
+use daisyyard_core::id::{AccountId, EndpointId};
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+
+/// Separates this use of the shared key from others.
+const PURPOSE: &[u8] = b"daisyyard generation id 1\0";
+/// Bytes of the signature in an id.
+const SIZE: usize = 16;
+/// Longest stream name of an engine that is accepted.
+const MAX_STREAM: usize = 64;
+
+/// Signs and verifies generation ids.
+#[derive(Clone)]
+pub struct Signer {
+    /// Keyed hash before any input.
+    mac: Hmac<Sha256>,
+}
+
+impl std::fmt::Debug for Signer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Signer")
+    }
+}
+
+impl Signer {
+    /// Creates a signer with the key that all nodes share.
+    pub fn new(key: &str) -> Self {
+        let mac = Hmac::new_from_slice(key.as_bytes()).expect("HMAC accepts keys of any length");
+        Self { mac }
+    }
+
+    /// Returns the generation id of an engine's stream for one account.
+    pub fn sign(&self, account: AccountId, endpoint: EndpointId, stream: &str) -> String {
+        let digest = self
+            .input(account, endpoint, stream)
+            .finalize()
+            .into_bytes();
+        let mut bytes = [0; SIZE];
+        bytes.copy_from_slice(&digest[..SIZE]);
+        let signature = u128::from_be_bytes(bytes);
+        format!("{endpoint:016x}-{stream}-{signature:032x}")
+    }
+
+    /// Returns the engine and stream of a generation id if it was signed for the account.
+    pub fn verify(&self, account: AccountId, id: &str) -> Option<(EndpointId, String)> {
+        let (endpoint, rest) = id.split_once('-')?;
+        let (stream, signature) = rest.rsplit_once('-')?;
+        if endpoint.len() != 16 || signature.len() != 2 * SIZE || !valid(stream) {
+            return None;
+        }
+        let endpoint = EndpointId::from_str_radix(endpoint, 16).ok()?;
+        let signature = u128::from_str_radix(signature, 16).ok()?.to_be_bytes();
+        let input = self.input(account, endpoint, stream);
+        input.verify_truncated_left(&signature).ok()?;
+        Some((endpoint, stream.to_owned()))
+    }
+
+    /// Returns the keyed hash over what an id states.
+    fn input(&self, account: AccountId, endpoint: EndpointId, stream: &str) -> Hmac<Sha256> {
+        let mut mac = self.mac.clone();
+        mac.update(PURPOSE);
+        mac.update(&account.to_be_bytes());
+        mac.update(&endpoint.to_be_bytes());
+        mac.update(stream.as_bytes());
+        mac
+    }
+}
+
+/// Returns whether an engine's stream name can be part of a path and a header.
+pub fn valid(stream: &str) -> bool {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
+    !stream.is_empty() && stream.len() <= MAX_STREAM && stream.bytes().all(plain)
+}
--- a/crates/daisyyard/src/upstream.rs
+++ b/crates/daisyyard/src/upstream.rs
@@ -5,54 +5,81 @@
 
 use bytes::Bytes;
 use daisyyard_core::id::Offset;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
-use hyper::{Method, Response, StatusCode};
-use serde_json::Value;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode};
 use tokio::sync::mpsc;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::connection::{self, Answer, Failure};
+use crate::signature;
+use crate::sse::{Fault, Parser, Piece};
 
 /// Tokens that are buffered between an engine and its reader before the link is held back.
 const BUFFER: usize = 256;
-/// Time to connect to an engine and receive the head of its answer.
+/// Time to receive the head of an engine's answer.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for an engine to answer a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Connections that may break before a probe fails.
+const PROBES: u32 = 5;
+/// Time between two connections of a probe.
+const PROBE_PAUSE: Duration = Duration::from_millis(20);
 
-/// What a connection to an engine reports.
-#[derive(Debug)]
-pub(crate) enum Piece {
-    /// A token with its offset.
-    Token {
-        /// Offset within the generation.
-        offset: Offset,
-        /// Text of the token.
-        text: String,
-    },
-    /// The generation is whole.
-    Finish,
-    /// The connection broke before the generation was whole.
-    Broken,
-}
-
-/// An open stream from an engine.
+/// An open stream from an engine; dropping it closes the connection.
 #[derive(Debug)]
 pub(crate) struct Stream {
     /// Name of the stream at the engine.
     pub(crate) name: String,
-    /// Pieces in the order in which they arrived.
-    pub(crate) pieces: mpsc::Receiver<Piece>,
+    /// Items in the order in which they arrived; the channel ends when the connection does.
+    pub(crate) items: mpsc::Receiver<Item>,
+    /// Task that owns the connection.
+    _reader: AbortOnDropHandle<()>,
+}
+
+/// What a connection to an engine reports.
+#[derive(Debug)]
+pub(crate) enum Item {
+    /// Bytes arrived that complete no piece.
+    Alive,
+    /// A token or the end of the generation.
+    Piece(Piece),
+    /// The engine sent bytes that cannot be used.
+    Fault(Fault),
 }
 
 /// Why no stream could be opened.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum Error {
-    /// Nothing reached the engine.
-    #[error("the engine at {0} did not accept a connection; another engine may")]
-    Unsent(SocketAddr),
-    /// The engine declined the request.
+    /// The engine did not accept a connection.
+    #[error("the engine did not accept a connection; another engine may")]
+    Unconnected {
+        /// Whether no process listens at the engine's address.
+        refused: bool,
+    },
+    /// The engine cannot have received the whole request.
+    #[error("the connection broke before the request was written; another engine may accept it")]
+    Unsent,
+    /// The engine stated that it did not run the request.
     #[error("the engine declined the request with status {0}; another engine may accept it")]
     Declined(StatusCode),
+    /// The engine answered with something other than a stream.
+    #[error("the engine answered with status {0}; correct the request or ask its operators")]
+    Answered(StatusCode),
     /// The request may have reached the engine.
-    #[error("the connection to the engine at {0} broke; ask again")]
-    Lost(SocketAddr),
+    #[error("the connection to the engine broke; ask again")]
+    Lost,
+}
+
+impl From<Failure> for Error {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::Refused => Self::Unconnected { refused: true },
+            Failure::Unreachable => Self::Unconnected { refused: false },
+            // An engine cannot run a body of JSON that is incomplete.
+            Failure::Unwritten | Failure::Partial => Self::Unsent,
+            Failure::Broken | Failure::Silent => Self::Lost,
+        }
+    }
 }
 
 /// Starts a generation at an engine.
@@ -66,12 +93,54 @@
     open(address, Method::GET, &path, Bytes::new()).await
 }
 
-/// Ends a stream and frees what it holds at the engine.
+/// Ends a stream at the engine unless another connection reads it, as after a reconnect of the
+/// caller at another node.
 pub(crate) async fn cancel(address: SocketAddr, name: &str) {
-    let path = format!("/v1/streams/{name}");
-    let call = daisyyard_http::call(address, Method::DELETE, &path, &[], Bytes::new());
+    let path = format!("/v1/streams/{name}?unread=1");
+    let request = request(Method::DELETE, &path, Bytes::new());
     // The engine ends unread streams by itself, so a lost cancel costs only time.
-    let _ = tokio::time::timeout(OPEN_TIMEOUT, call).await;
+    if let Some(request) = request {
+        let _ = connection::open(address, request, OPEN_TIMEOUT).await;
+    }
+}
+
+/// What a fresh connection says about an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Probe {
+    /// The engine answers.
+    Answers,
+    /// No process listens at the engine's address.
+    Refused,
+    /// The engine does not answer in time.
+    Silent,
+}
+
+/// Asks an engine for its load on a fresh connection.
+pub(crate) async fn probe(address: SocketAddr) -> Probe {
+    for _ in 0..PROBES {
+        let Some(request) = request(Method::GET, "/load", Bytes::new()) else {
+            return Probe::Silent;
+        };
+        match connection::open(address, request, PROBE_TIMEOUT).await {
+            Ok(answer) if answer.response.status() == StatusCode::OK => return Probe::Answers,
+            Ok(_) | Err(Failure::Silent | Failure::Unreachable) => return Probe::Silent,
+            Err(Failure::Refused) => return Probe::Refused,
+            // The system of a process that ends accepts connections until its socket is closed.
+            Err(Failure::Unwritten | Failure::Partial | Failure::Broken) => {
+                tokio::time::sleep(PROBE_PAUSE).await;
+            }
+        }
+    }
+    Probe::Silent
+}
+
+/// Creates a request; a path that cannot be sent gives none.
+fn request(method: Method, path: &str, body: Bytes) -> Option<Request<Full<Bytes>>> {
+    let builder = Request::builder().method(method).uri(path);
+    let builder = builder
+        .header("host", "daisyyard")
+        .header("content-type", "application/json");
+    builder.body(Full::new(body)).ok()
 }
 
 /// Sends a request and starts the task that reads the answer.
@@ -81,67 +150,62 @@
     path: &str,
     body: Bytes,
 ) -> Result<Stream, Error> {
-    let headers = [("content-type", "application/json")];
-    let call = daisyyard_http::open(address, method, path, &headers, body);
-    let response = match tokio::time::timeout(OPEN_TIMEOUT, call).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(error)) if error.downcast_ref::<std::io::Error>().is_some() => {
-            return Err(Error::Unsent(address));
+    let request = request(method, path, body).ok_or(Error::Unsent)?;
+    let answer = connection::open(address, request, OPEN_TIMEOUT).await?;
+    let status = answer.response.status();
+    let headers = answer.response.headers();
+    let declined = headers
+        .get("x-not-run")
+        .is_some_and(|value| value.as_bytes() == b"1");
+    match status {
+        StatusCode::OK => {}
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE if declined => {
+            return Err(Error::Declined(status));
         }
-        _ => return Err(Error::Lost(address)),
-    };
-    if response.status() != StatusCode::OK {
-        return Err(Error::Declined(response.status()));
+        _ => return Err(Error::Answered(status)),
     }
-    let name = response
-        .headers()
+    let name = headers
         .get("x-stream-id")
         .and_then(|name| name.to_str().ok());
-    let name = name.unwrap_or_default().to_owned();
-    let (sender, pieces) = mpsc::channel(BUFFER);
-    tokio::spawn(read(response, sender));
-    Ok(Stream { name, pieces })
+    let name = name.filter(|name| signature::valid(name));
+    let name = name.ok_or(Error::Lost)?.to_owned();
+    let (sender, items) = mpsc::channel(BUFFER);
+    let reader = AbortOnDropHandle::new(tokio::spawn(read(answer, sender)));
+    Ok(Stream {
+        name,
+        items,
+        _reader: reader,
+    })
 }
 
-/// Reads the events of an answer until it ends, breaks or nobody listens.
-async fn read(response: Response<Incoming>, sender: mpsc::Sender<Piece>) {
+/// Reads the events of an answer until it ends, breaks, is unusable or has no reader.
+async fn read(answer: Answer, sender: mpsc::Sender<Item>) {
+    let Answer { response, driver } = answer;
     let mut body = response.into_body();
-    let mut buffer = Vec::new();
+    let mut parser = Parser::new();
     while let Some(Ok(frame)) = body.frame().await {
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        buffer.extend_from_slice(&data);
-        while let Some(end) = find(&buffer) {
-            let event: Vec<u8> = buffer.drain(..end + 2).collect();
-            let Some(piece) = parse(&event) else { continue };
-            let last = matches!(piece, Piece::Finish);
-            if sender.send(piece).await.is_err() || last {
+        parser.push(&data);
+        let mut items = 0;
+        loop {
+            let item = match parser.parse() {
+                Ok(Some(piece)) => Item::Piece(piece),
+                Ok(None) if items == 0 => Item::Alive,
+                Ok(None) => break,
+                Err(fault) => Item::Fault(fault),
+            };
+            items += 1;
+            let last = matches!(item, Item::Piece(Piece::Finish) | Item::Fault(_));
+            let idle = matches!(item, Item::Alive);
+            if sender.send(item).await.is_err() || last {
                 return;
             }
+            if idle {
+                break;
+            }
         }
     }
-    let _ = sender.send(Piece::Broken).await;
-}
-
-/// Returns where the first event in the buffer ends.
-fn find(buffer: &[u8]) -> Option<usize> {
-    buffer.windows(2).position(|pair| pair == b"\n\n")
-}
-
-/// Returns the piece that an event carries, if any.
-fn parse(event: &[u8]) -> Option<Piece> {
-    let event = std::str::from_utf8(event).ok()?;
-    let data = event.lines().find_map(|line| line.strip_prefix("data: "))?;
-    if data == "[DONE]" {
-        return Some(Piece::Finish);
-    }
-    let offset = event
-        .lines()
-        .find_map(|line| line.strip_prefix("id: "))?
-        .parse()
-        .ok()?;
-    let value: Value = serde_json::from_str(data).ok()?;
-    let text = value["choices"][0]["delta"]["content"].as_str()?.to_owned();
-    Some(Piece::Token { offset, text })
+    drop(driver);
 }
--- /dev/null
+++ b/crates/daisyyard/tests/event_parser.rs
@@ -0,0 +1,95 @@
+//! Guards against event streams that are misread when they arrive in pieces, and against input
+//! that makes the parser panic, grow without bound or scan bytes again and again.
+
+use std::time::{Duration, Instant};
+
+use assert_matches::assert_matches;
+use daisyyard::sse::{Fault, MAX_EVENT, Parser, Piece};
+use proptest::prelude::*;
+
+/// Returns all pieces of a stream that arrives in chunks of the given sizes.
+fn parse(bytes: &[u8], sizes: &[usize]) -> Result<Vec<Piece>, Fault> {
+    let mut parser = Parser::new();
+    let mut pieces = Vec::new();
+    let mut rest = bytes;
+    let mut sizes = sizes.iter().copied().cycle();
+    while !rest.is_empty() {
+        let size = sizes.next().unwrap_or(rest.len()).clamp(1, rest.len());
+        let (chunk, after) = rest.split_at(size);
+        rest = after;
+        parser.push(chunk);
+        while let Some(piece) = parser.parse()? {
+            pieces.push(piece);
+        }
+    }
+    Ok(pieces)
+}
+
+proptest! {
+    /// Tokens survive every way in which a stream can be split, and both kinds of line end.
+    #[test]
+    fn ignores_chunks(
+        texts in proptest::collection::vec(".{0,20}", 0..20),
+        sizes in proptest::collection::vec(1_usize..50, 1..10),
+        crlf in any::<bool>(),
+    ) {
+        let end = if crlf { "\r\n" } else { "\n" };
+        let mut stream = format!(": comment{end}{end}");
+        let mut expected = Vec::new();
+        for (offset, text) in (0..).zip(texts) {
+            let choice = serde_json::json!({"choices": [{"delta": {"content": text}}]});
+            let (offset_text, choice) = (offset.to_string(), choice.to_string());
+            stream.extend(["id: ", &offset_text, end, "data: ", &choice, end, end]);
+            expected.push(Piece::Token { offset, text });
+        }
+        stream.extend(["data: [DONE]", end, end]);
+        expected.push(Piece::Finish);
+        prop_assert_eq!(parse(stream.as_bytes(), &sizes), Ok(expected));
+    }
+
+    /// Arbitrary bytes give pieces or a fault, never a panic.
+    #[test]
+    fn survives_noise(
+        bytes in proptest::collection::vec(any::<u8>(), 0..2000),
+        sizes in proptest::collection::vec(1_usize..50, 1..10),
+    ) {
+        let _ = parse(&bytes, &sizes);
+    }
+
+    /// Text that resembles events gives the same result in any chunks.
+    #[test]
+    fn agrees_on_fragments(
+        fragments in proptest::collection::vec(
+            prop::sample::select(vec![
+                "id: 1", "id:", "data: ", "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}",
+                "\n", "\n", "\n", "\r\n", "[DONE]", "data: [DONE]", ": x", "event: error",
+            ]),
+            0..40,
+        ),
+        sizes in proptest::collection::vec(1_usize..9, 1..10),
+    ) {
+        let stream = fragments.concat();
+        let whole = parse(stream.as_bytes(), &[usize::MAX]);
+        prop_assert_eq!(parse(stream.as_bytes(), &sizes), whole);
+    }
+}
+
+/// An event above the limit is a fault, whether it is one line or many.
+#[test]
+fn bounds_events() {
+    let line = vec![b'x'; MAX_EVENT + 1];
+    assert_matches!(parse(&line, &[1000]), Err(Fault::Oversized));
+    let lines = b"data: x\n".repeat(MAX_EVENT / 8 + 1);
+    assert_matches!(parse(&lines, &[1000]), Err(Fault::Oversized));
+}
+
+/// A large event that arrives byte by byte is scanned once: the time stays far below that of
+/// scanning the buffer again for each byte, which takes 2 * 10^9 steps.
+#[test]
+fn scans_once() {
+    let mut stream = vec![b' '; MAX_EVENT - 100];
+    stream.extend_from_slice(b"\n\ndata: [DONE]\n\n");
+    let started = Instant::now();
+    assert_matches!(parse(&stream, &[1]), Ok(pieces) => assert_eq!(pieces, [Piece::Finish]));
+    assert!(started.elapsed() < Duration::from_secs(1));
+}
--- /dev/null
+++ b/crates/daisyyard/tests/fleet/mod.rs
@@ -0,0 +1,337 @@
+//! A small fleet on loopback, and callers that read its answers event by event.
+
+#![allow(dead_code, reason = "each test file uses a part of the fleet")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use daisyyard::node::Node;
+use daisyyard::settings::{Credential, Settings, Timing};
+use daisyyard_standin::engine::{Engine, Options};
+use daisyyard_standin::fault::Fault;
+use daisyyard_standin::list::{Entry, List};
+use daisyyard_standin::plain::Service;
+use daisyyard_standin::store::Store;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Method, Response, StatusCode};
+use serde_json::{Value, json};
+
+/// Time within which anything that a test waits for must happen.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+/// Path of generations.
+pub const COMPLETIONS: &str = "/v1/chat/completions";
+/// Service of the engines.
+pub const MODEL: &str = "asistente";
+
+/// Nodes, engines and the platform.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Nodes.
+    pub nodes: Vec<Node>,
+    /// Engines.
+    pub engines: Vec<Engine>,
+    /// Endpoints of the plain service.
+    pub services: Vec<Service>,
+    /// Instance list.
+    pub list: List,
+    /// Configuration service.
+    pub store: Store,
+}
+
+/// Short time limits, so that tests take little time.
+pub fn timing() -> Timing {
+    Timing {
+        stall_ms: 200,
+        grace_ms: 300,
+        slow_caller_ms: 500,
+        addresses_ms: 400,
+    }
+}
+
+/// Returns an entry of the instance list.
+pub fn entry(name: &str, role: &str, service: &str, address: SocketAddr) -> Entry {
+    Entry {
+        name: name.to_owned(),
+        role: role.to_owned(),
+        service: service.to_owned(),
+        zone: "costa-a".to_owned(),
+        region: "costa".to_owned(),
+        address,
+        peer: address,
+        state: "live".to_owned(),
+    }
+}
+
+/// Returns the settings of a node for two accounts.
+pub fn settings(name: &str, list: SocketAddr, store: SocketAddr, timing: Timing) -> Settings {
+    let credential = |number: u32| Credential {
+        account: format!("member-{number}"),
+        token: format!("token-{number}"),
+    };
+    let free = SocketAddr::from(([127, 0, 0, 1], 0));
+    Settings {
+        name: name.to_owned(),
+        zone: "costa-a".to_owned(),
+        region: "costa".to_owned(),
+        listen: free,
+        peer: free,
+        list,
+        store,
+        key: "shared".to_owned(),
+        accounts: vec![credential(1), credential(2)],
+        timing,
+    }
+}
+
+impl Fleet {
+    /// Starts engines, two plain endpoints and nodes.
+    pub async fn start(engines: usize, nodes: usize, timing: Timing) -> Self {
+        Self::with(Options::default(), engines, nodes, timing).await
+    }
+
+    /// Starts a fleet whose engines behave as the options say.
+    pub async fn with(options: Options, engines: usize, nodes: usize, timing: Timing) -> Self {
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            list: List::start(Vec::new()).await.expect("a port is free"),
+            store: Store::start().await.expect("a port is free"),
+        };
+        let mut entries = Vec::new();
+        for index in 0..engines {
+            let engine = Engine::start(options.clone()).await;
+            let engine = engine.expect("a port is free");
+            let name = format!("engine-{index}");
+            entries.push(entry(&name, "engine", MODEL, engine.address));
+            fleet.engines.push(engine);
+        }
+        for index in 0..2 {
+            let service = Service::start().await.expect("a port is free");
+            let name = format!("plain-{index}");
+            entries.push(entry(&name, "plain", "libro-socios", service.address));
+            fleet.services.push(service);
+        }
+        fleet.list.show(entries);
+        for index in 0..nodes {
+            let (list, store) = (fleet.list.address, fleet.store.address);
+            let settings = settings(&format!("node-{index}"), list, store, timing);
+            let node = Node::start(settings).await.expect("the node starts");
+            fleet.nodes.push(node);
+        }
+        fleet
+    }
+
+    /// Makes every engine misbehave.
+    pub fn fault(&self, fault: &Fault) {
+        for engine in &self.engines {
+            engine.fault(fault.clone());
+        }
+    }
+
+    /// Returns the engine that runs a generation, once there is one.
+    pub async fn busy(&self) -> &Engine {
+        for _ in 0..1000 {
+            for engine in &self.engines {
+                let load = engine.load().await.unwrap_or_default();
+                if load["running"].as_u64() > Some(0) {
+                    return engine;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        panic!("no engine runs anything");
+    }
+
+    /// Returns the streams that all engines keep.
+    pub async fn streams(&self) -> u64 {
+        let mut streams = 0;
+        for engine in &self.engines {
+            let load = engine.load().await.unwrap_or_default();
+            streams += load["streams"].as_u64().unwrap_or(0);
+        }
+        streams
+    }
+
+    /// Asks a node for a stream.
+    pub async fn stream(&self, node: usize, prompt: &str) -> Caller {
+        Caller::post(self.nodes[node].address, &body(prompt, true)).await
+    }
+
+    /// Asks a node for an answer that is not streamed.
+    pub async fn ask(&self, node: usize, prompt: &str) -> (StatusCode, Value) {
+        ask(self.nodes[node].address, prompt).await
+    }
+}
+
+/// Returns the body of a request.
+pub fn body(prompt: &str, stream: bool) -> Value {
+    json!({
+        "model": MODEL,
+        "stream": stream,
+        "messages": [{"role": "user", "content": prompt}],
+    })
+}
+
+/// Asks an address for an answer that is not streamed.
+pub async fn ask(address: SocketAddr, prompt: &str) -> (StatusCode, Value) {
+    let body = body(prompt, false).to_string();
+    let headers = [("authorization", "Bearer token-1")];
+    let call = daisyyard_http::call(address, Method::POST, COMPLETIONS, &headers, body);
+    let answer = tokio::time::timeout(PATIENCE, call).await;
+    let (status, bytes) = answer.expect("an answer in time").expect("an answer");
+    let value = serde_json::from_slice(&bytes).expect("an answer in JSON");
+    (status, value)
+}
+
+/// Returns the text of an answer that is not streamed.
+pub fn text(answer: &Value) -> &str {
+    let text = answer["choices"][0]["message"]["content"].as_str();
+    text.unwrap_or_default()
+}
+
+/// Reads an address with GET as account 1.
+pub async fn get(address: SocketAddr, path: &str) -> (StatusCode, Value) {
+    let headers = [("authorization", "Bearer token-1")];
+    let call = daisyyard_http::call(address, Method::GET, path, &headers, "");
+    let answer = tokio::time::timeout(PATIENCE, call).await;
+    let (status, bytes) = answer.expect("an answer in time").expect("an answer");
+    (status, serde_json::from_slice(&bytes).unwrap_or_default())
+}
+
+/// One event of a stream, as its caller sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// A token with the id of its event.
+    Token(String, String),
+    /// The stream is whole.
+    Done,
+    /// The stream ended with an error.
+    Error(Value),
+    /// The connection ended without an end of the stream.
+    Cut,
+}
+
+/// A caller that reads a stream.
+#[derive(Debug)]
+pub struct Caller {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Answer.
+    response: Response<Incoming>,
+    /// Text that is not parsed yet.
+    buffer: String,
+}
+
+impl Caller {
+    /// Asks for a stream as account 1.
+    pub async fn post(address: SocketAddr, body: &Value) -> Self {
+        let headers = [("authorization", "Bearer token-1")];
+        let body = body.to_string();
+        let call = daisyyard_http::open(address, Method::POST, COMPLETIONS, &headers, body);
+        Self::new(call.await.expect("an answer"))
+    }
+
+    /// Resumes a stream.
+    pub async fn resume(address: SocketAddr, token: &str, id: &str, last: Option<&str>) -> Self {
+        let path = format!("/v1/streams/{id}");
+        let bearer = format!("Bearer {token}");
+        let mut headers = vec![("authorization", bearer.as_str())];
+        headers.extend(last.map(|last| ("last-event-id", last)));
+        let call = daisyyard_http::open(address, Method::GET, &path, &headers, "");
+        Self::new(call.await.expect("an answer"))
+    }
+
+    /// Creates a caller from the head of an answer.
+    fn new(response: Response<Incoming>) -> Self {
+        let status = response.status();
+        Self {
+            status,
+            response,
+            buffer: String::new(),
+        }
+    }
+
+    /// Returns the next event.
+    pub async fn next(&mut self) -> Event {
+        loop {
+            if let Some((event, rest)) = self.buffer.split_once("\n\n") {
+                let (event, rest) = (event.to_owned(), rest.to_owned());
+                self.buffer = rest;
+                match parse(&event) {
+                    Some(event) => return event,
+                    None => continue,
+                }
+            }
+            let frame = tokio::time::timeout(PATIENCE, self.response.frame()).await;
+            match frame.expect("a stream that goes on") {
+                Some(Ok(frame)) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    self.buffer.push_str(&String::from_utf8_lossy(&data));
+                }
+                _ => return Event::Cut,
+            }
+        }
+    }
+
+    /// Reads some tokens and returns their text and the id of the last event.
+    pub async fn read(&mut self, count: usize) -> (String, String) {
+        let mut text = String::new();
+        let mut last = String::new();
+        for _ in 0..count {
+            match self.next().await {
+                Event::Token(id, token) => {
+                    text.push_str(&token);
+                    last = id;
+                }
+                other => panic!("{other:?} instead of a token"),
+            }
+        }
+        (text, last)
+    }
+
+    /// Reads to the end and returns the text, the offsets and the last event.
+    pub async fn rest(&mut self) -> (String, Vec<u64>, Event) {
+        let mut text = String::new();
+        let mut offsets = Vec::new();
+        loop {
+            match self.next().await {
+                Event::Token(id, token) => {
+                    text.push_str(&token);
+                    let offset = id.rsplit_once(':').expect("an offset").1;
+                    offsets.push(offset.parse().expect("an offset"));
+                }
+                last => return (text, offsets, last),
+            }
+        }
+    }
+
+    /// Reads the body of an answer that is a refusal.
+    pub async fn refusal(self) -> Value {
+        let body = self.response.into_body().collect().await;
+        let body = body.expect("a whole refusal").to_bytes();
+        let value: Value = serde_json::from_slice(&body).expect("a refusal in JSON");
+        value["error"].clone()
+    }
+}
+
+/// Returns the generation of an event's id.
+pub fn generation(id: &str) -> &str {
+    id.rsplit_once(':').expect("an offset").0
+}
+
+/// Parses one event.
+fn parse(event: &str) -> Option<Event> {
+    let field = |name: &str| event.lines().find_map(|line| line.strip_prefix(name));
+    let data = field("data: ")?;
+    if data == "[DONE]" {
+        return Some(Event::Done);
+    }
+    let value: Value = serde_json::from_str(data).expect("data in JSON");
+    if field("event: ") == Some("error") {
+        return Some(Event::Error(value["error"].clone()));
+    }
+    let text = value["choices"][0]["delta"]["content"].as_str()?;
+    Some(Event::Token(field("id: ")?.to_owned(), text.to_owned()))
+}
--- /dev/null
+++ b/crates/daisyyard/tests/honest_outcome.rs
@@ -0,0 +1,79 @@
+//! Guards against refusals that say `not_run` when the request may have run, or `unknown` when it
+//! certainly did not.
+
+mod fleet;
+
+use std::time::Duration;
+
+use daisyyard_standin::engine;
+use daisyyard_standin::fault::Fault;
+use fleet::Fleet;
+use hyper::StatusCode;
+use serde_json::Value;
+
+/// Prompt of the requests.
+const PROMPT: &str = "is this certificate valid? length=5";
+
+/// Returns code and outcome of a refusal.
+fn refusal(answer: &Value) -> (&str, &str) {
+    let field = |name: &str| answer["error"][name].as_str().unwrap_or_default();
+    (field("code"), field("outcome"))
+}
+
+/// Engines that prove that they ran nothing, or accept no connection, are not asked twice and
+/// leave no doubt.
+#[tokio::test]
+async fn says_not_run() {
+    let fleet = Fleet::start(2, 1, fleet::timing()).await;
+    fleet.engines[0].fault(Fault::Refuse { proof: true });
+    fleet.engines[1].fault(Fault::Crash);
+    let (status, answer) = fleet.ask(0, PROMPT).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(refusal(&answer).1, "not_run");
+}
+
+/// A declined request runs on the engine that accepts it.
+#[tokio::test]
+async fn moves_on() {
+    let fleet = Fleet::start(3, 1, fleet::timing()).await;
+    fleet.engines[0].fault(Fault::Refuse { proof: true });
+    fleet.engines[1].fault(Fault::Crash);
+    for _ in 0..5 {
+        let (_, answer) = fleet.ask(0, PROMPT).await;
+        assert_eq!(fleet::text(&answer), engine::text(PROMPT));
+    }
+}
+
+/// A status without proof is the answer; it is neither retried nor called `not_run`.
+#[tokio::test]
+async fn needs_proof() {
+    let fleet = Fleet::start(3, 1, fleet::timing()).await;
+    fleet.fault(&Fault::Refuse { proof: false });
+    let (status, answer) = fleet.ask(0, PROMPT).await;
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+    assert_eq!(refusal(&answer), ("rejected", "unknown"));
+}
+
+/// When one of several attempts may have run, the last refusal says so, even if the last attempt
+/// was declined with proof.
+#[tokio::test]
+async fn remembers_doubt() {
+    let fleet = Fleet::start(2, 1, fleet::timing()).await;
+    fleet.fault(&Fault::Delay(Duration::from_mins(1)));
+    let fault = async {
+        let busy = fleet.busy().await.address;
+        for engine in &fleet.engines {
+            if engine.address != busy {
+                engine.fault(Fault::Refuse { proof: true });
+            }
+        }
+        for engine in &fleet.engines {
+            if engine.address == busy {
+                engine.fault(Fault::Crash);
+            }
+        }
+    };
+    let ((status, answer), ()) = tokio::join!(fleet.ask(0, PROMPT), fault);
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(refusal(&answer).1, "unknown");
+}
--- /dev/null
+++ b/crates/daisyyard/tests/leaving_endpoint.rs
@@ -0,0 +1,49 @@
+//! Guards against new work for engines that are leaving, and against engines that lose their work
+//! because the instance list failed.
+
+mod fleet;
+
+use assert_matches::assert_matches;
+use daisyyard_standin::engine;
+use fleet::{Event, Fleet, generation};
+
+/// Returns whether a generation ran at an engine of the fleet.
+fn ran_at(generation: &str, index: usize) -> bool {
+    let id = daisyyard_core::id::of(&format!("engine-{index}"));
+    generation.starts_with(&format!("{id:016x}-"))
+}
+
+/// An engine that is marked as leaving gets no new work within seconds and finishes what it has;
+/// an empty list changes nothing.
+#[tokio::test]
+async fn stops_work() {
+    let fleet = Fleet::start(2, 1, fleet::timing()).await;
+    let prompt = "a customs declaration length=600";
+    let mut caller = fleet.stream(0, prompt).await;
+    let (text, last) = caller.read(1).await;
+    let leaving = usize::from(ran_at(generation(&last), 1));
+    let mut entries = fleet.list.entries();
+    entries[leaving].state = "leaving".to_owned();
+    fleet.list.show(entries);
+    let mut elsewhere = 0;
+    // By chance alone, 20 requests in a row avoid one of two engines once in a million times.
+    for _ in 0..2000 {
+        let (_, answer) = fleet.ask(0, "x length=2").await;
+        let id = answer["id"].as_str().expect("a generation");
+        elsewhere = if ran_at(id, leaving) {
+            0
+        } else {
+            elsewhere + 1
+        };
+        if elsewhere == 20 {
+            break;
+        }
+    }
+    assert_eq!(elsewhere, 20, "the leaving engine still gets new work");
+    fleet.list.show(Vec::new());
+    let (rest, _, end) = caller.rest().await;
+    assert_eq!(text + &rest, engine::text(prompt));
+    assert_matches!(end, Event::Done);
+    let (_, answer) = fleet.ask(0, "x length=2").await;
+    assert_eq!(fleet::text(&answer), engine::text("x length=2"));
+}
--- /dev/null
+++ b/crates/daisyyard/tests/plain_service.rs
@@ -0,0 +1,199 @@
+//! Guards against plain calls that run twice, lose parts on their way or disclose credentials.
+
+mod fleet;
+
+use std::net::SocketAddr;
+
+use assert_matches::assert_matches;
+use daisyyard_standin::list::Entry;
+use fleet::Fleet;
+use hyper::{Method, StatusCode};
+use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+/// Service of the endpoints in these tests.
+const SERVICE: &str = "space";
+
+/// Starts an endpoint that reports each request and sends a fixed answer, or closes the connection
+/// if the answer is empty.
+async fn endpoint(answer: &'static str) -> (SocketAddr, mpsc::UnboundedReceiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let (sender, requests) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            let mut request = String::new();
+            let mut buffer = [0; 4096];
+            while !whole(&request) {
+                match socket.read(&mut buffer).await {
+                    Ok(size) if size > 0 => {
+                        request += &String::from_utf8_lossy(&buffer[..size]);
+                    }
+                    _ => break,
+                }
+            }
+            // The node may look whether the port is open, which sends no request.
+            if request.is_empty() {
+                continue;
+            }
+            let _ = sender.send(request);
+            let _ = socket.write_all(answer.as_bytes()).await;
+        }
+    });
+    (address, requests)
+}
+
+/// Returns whether a request has arrived with its body.
+fn whole(request: &str) -> bool {
+    let Some((head, body)) = request.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let lengths = head.lines().filter_map(|line| line.split_once(": "));
+    let mut lengths = lengths.filter(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+    let length = lengths
+        .next()
+        .map_or(0, |(_, value)| value.parse().unwrap_or(0));
+    body.len() >= length
+}
+
+/// Starts a node before the given endpoints.
+async fn fleet(addresses: &[SocketAddr]) -> Fleet {
+    let mut fleet = Fleet::start(0, 0, fleet::timing()).await;
+    let numbered = addresses.iter().enumerate();
+    let entries: Vec<Entry> = numbered
+        .map(|(index, address)| fleet::entry(&format!("space-{index}"), "plain", SERVICE, *address))
+        .collect();
+    fleet.list.show(entries);
+    let settings = fleet::settings(
+        "node-0",
+        fleet.list.address,
+        fleet.store.address,
+        fleet::timing(),
+    );
+    let node = daisyyard::node::Node::start(settings).await;
+    fleet.nodes.push(node.expect("the node starts"));
+    fleet
+}
+
+/// Calls the service.
+async fn call(fleet: &Fleet, method: Method, more: &[(&str, &str)]) -> (StatusCode, String) {
+    let mut headers = vec![("authorization", "Bearer token-1")];
+    headers.extend_from_slice(more);
+    let body = if method == Method::GET {
+        ""
+    } else {
+        "two containers"
+    };
+    let path = "/services/space/book/it?day=3";
+    let call = daisyyard_http::call(fleet.nodes[0].address, method, path, &headers, body);
+    let (status, answer) = call.await.expect("an answer");
+    (status, String::from_utf8_lossy(&answer).into_owned())
+}
+
+/// Returns the outcome of a refusal.
+fn outcome(answer: &str) -> String {
+    let value: Value = serde_json::from_str(answer).expect("a refusal in JSON");
+    value["error"]["outcome"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned()
+}
+
+/// Method, path, query, body, headers and status arrive; the credential and headers of the
+/// connection do not.
+#[tokio::test]
+async fn passes_on() {
+    let answer = "HTTP/1.1 201 Created\r\nConnection: close, x-private\r\nX-Private: 1\r\n\
+                  X-Public: 2\r\nContent-Length: 6\r\n\r\nbooked";
+    let (address, mut requests) = endpoint(answer).await;
+    let fleet = fleet(&[address]).await;
+    let more = [
+        ("connection", "x-secret"),
+        ("x-secret", "3"),
+        ("x-open", "4"),
+    ];
+    let (status, body) = call(&fleet, Method::PUT, &more).await;
+    assert_eq!((status, body.as_str()), (StatusCode::CREATED, "booked"));
+    let request = requests.recv().await.expect("a request").to_lowercase();
+    assert!(
+        request.starts_with("put /book/it?day=3 http/1.1\r\n"),
+        "{request}"
+    );
+    assert!(request.ends_with("\r\n\r\ntwo containers"), "{request}");
+    assert!(request.contains("x-open: 4"), "{request}");
+    for absent in ["authorization", "token-1", "x-secret"] {
+        assert!(!request.contains(absent), "{request}");
+    }
+}
+
+/// A call that is not idempotent is sent once when its connection breaks; a read is sent again.
+#[tokio::test]
+async fn repeats_reads_only() {
+    let (one, mut first) = endpoint("").await;
+    let (two, mut second) = endpoint("").await;
+    let fleet = fleet(&[one, two]).await;
+    for (method, sent) in [(Method::POST, 1), (Method::DELETE, 1), (Method::GET, 2)] {
+        let (status, answer) = call(&fleet, method.clone(), &[]).await;
+        assert!(status.is_server_error());
+        assert_eq!(outcome(&answer), "unknown", "{method}");
+        let mut requests = 0;
+        while first.try_recv().is_ok() || second.try_recv().is_ok() {
+            requests += 1;
+        }
+        assert_eq!(requests, sent, "{method}");
+    }
+}
+
+/// A call moves on from endpoints that accept no connection or prove that they ran nothing, and
+/// without any other endpoint it is refused as not run.
+#[tokio::test]
+async fn moves_on() {
+    let closed = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let dead = closed.local_addr().expect("an address");
+    drop(closed);
+    let busy = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    let (busy, _declined) = endpoint(busy).await;
+    let (good, mut requests) = endpoint("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").await;
+    let all = fleet(&[dead, busy, good]).await;
+    for _ in 0..3 {
+        let (status, answer) = call(&all, Method::POST, &[]).await;
+        assert_eq!((status, answer.as_str()), (StatusCode::OK, "ok"));
+        requests.recv().await.expect("a request");
+    }
+    assert!(requests.try_recv().is_err(), "a call was sent twice");
+    let none = fleet(&[dead, busy]).await;
+    let (status, answer) = call(&none, Method::POST, &[]).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(outcome(&answer), "not_run");
+}
+
+/// A status without proof is the answer, and an answer that breaks off is not passed on as whole.
+#[tokio::test]
+async fn keeps_answers() {
+    let (address, mut requests) =
+        endpoint("HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy").await;
+    let plain = fleet(&[address, address]).await;
+    let (status, answer) = call(&plain, Method::GET, &[]).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(answer, "busy");
+    requests.recv().await.expect("a request");
+    assert!(requests.try_recv().is_err(), "the call was sent twice");
+    let (address, _requests) = endpoint("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf").await;
+    let half = fleet(&[address]).await;
+    let (status, answer) = call(&half, Method::POST, &[]).await;
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+    assert_eq!(outcome(&answer), "unknown");
+}
+
+/// A call with a key reaches no endpoint while no registry can claim it.
+#[tokio::test]
+async fn holds_keyed() {
+    let (address, mut requests) = endpoint("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+    let fleet = fleet(&[address]).await;
+    let (status, answer) = call(&fleet, Method::POST, &[("idempotency-key", "k")]).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(outcome(&answer), "not_run");
+    assert_matches!(requests.try_recv(), Err(_));
+}
--- /dev/null
+++ b/crates/daisyyard/tests/planned_stop.rs
@@ -0,0 +1,85 @@
+//! Guards against planned stops that cut off a request or turn callers away too early.
+
+mod fleet;
+
+use std::process::{Command, Stdio};
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use daisyyard_standin::engine;
+use fleet::{Caller, Event, Fleet, PATIENCE};
+use hyper::StatusCode;
+use serde_json::json;
+
+/// A leaving node says so, still accepts callers who were given its address, and finishes a
+/// stream that is longer than the time to live of its address.
+#[tokio::test]
+async fn finishes_requests() {
+    let mut fleet = Fleet::start(2, 2, fleet::timing()).await;
+    let prompt = "a customs declaration length=250";
+    let mut caller = fleet.stream(0, prompt).await;
+    let (text, _) = caller.read(3).await;
+    let node = fleet.nodes.remove(0);
+    let address = node.address;
+    let (status, listed) = fleet::get(address, "/addresses").await;
+    assert_eq!(status, StatusCode::OK);
+    assert_eq!(listed["ttl_ms"], 400);
+    assert_eq!(listed["addresses"], json!([address.to_string()]));
+
+    let stop = tokio::spawn(node.drain());
+    while fleet::get(address, "/readyz").await.0 == StatusCode::OK {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let (_, listed) = fleet::get(address, "/addresses").await;
+    assert_eq!(listed["addresses"], json!([]));
+    let late = "is this certificate valid? length=3";
+    let (_, answer) = fleet::ask(address, late).await;
+    assert_eq!(fleet::text(&answer), engine::text(late));
+
+    let (rest, _, last) = caller.rest().await;
+    assert_eq!(text + &rest, engine::text(prompt));
+    assert_matches!(last, Event::Done);
+    let stopped = tokio::time::timeout(PATIENCE, stop).await;
+    stopped.expect("the node stops").expect("no panic");
+    assert_matches!(tokio::net::TcpStream::connect(address).await, Err(_));
+}
+
+/// A process that receives SIGTERM finishes its streams and exits with 0.
+#[tokio::test]
+async fn exits_clean() {
+    let fleet = Fleet::start(1, 0, fleet::timing()).await;
+    let port = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = port.local_addr().expect("an address");
+    drop(port);
+    let settings = json!({
+        "name": "node-0", "zone": "costa-a", "region": "costa",
+        "listen": address, "peer": "127.0.0.1:0",
+        "list": fleet.list.address, "store": fleet.store.address,
+        "key": "shared", "accounts": [{"account": "member-1", "token": "token-1"}],
+        "timing": {"addresses_ms": 200},
+    });
+    let path = std::env::temp_dir().join(format!("daisyyard-stop-{}.json", address.port()));
+    std::fs::write(&path, settings.to_string()).expect("a settings file");
+    let mut process = Command::new(env!("CARGO_BIN_EXE_daisyyard"))
+        .args(["serve", "--config"])
+        .arg(&path)
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the node starts");
+    while tokio::net::TcpStream::connect(address).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    std::fs::remove_file(&path).expect("the settings file is there");
+    let prompt = "a customs declaration length=150";
+    let mut caller = Caller::post(address, &fleet::body(prompt, true)).await;
+    let (text, _) = caller.read(2).await;
+    let signalled = Command::new("kill").arg(process.id().to_string()).status();
+    assert!(signalled.expect("kill runs").success());
+    let (rest, _, last) = caller.rest().await;
+    assert_eq!(text + &rest, engine::text(prompt));
+    assert_matches!(last, Event::Done);
+    let code = tokio::task::spawn_blocking(move || process.wait()).await;
+    let code = code.expect("no panic").expect("an exit code");
+    assert!(code.success());
+}
--- /dev/null
+++ b/crates/daisyyard/tests/resume_anywhere.rs
@@ -0,0 +1,149 @@
+//! Guards against streams that a caller cannot continue at another node, that another account
+//! can read, or that run on for nobody.
+
+mod fleet;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use daisyyard::signature::Signer;
+use daisyyard_standin::engine::{self, Options};
+use fleet::{Caller, Event, Fleet, generation};
+use hyper::StatusCode;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
+
+/// Prompt of the streams.
+const PROMPT: &str = "a customs declaration length=80";
+
+/// A stream that began at one node goes on at another, without a gap or a repeated token.
+#[tokio::test]
+async fn continues_elsewhere() {
+    let fleet = Fleet::start(2, 2, fleet::timing()).await;
+    let mut caller = fleet.stream(0, PROMPT).await;
+    let (mut text, last) = caller.read(5).await;
+    drop(caller);
+    let address = fleet.nodes[1].address;
+    let id = generation(&last).to_owned();
+    let mut caller = Caller::resume(address, "token-1", &id, Some(&last)).await;
+    assert_eq!(caller.status, StatusCode::OK);
+    // Longer than the grace period of the first node, which must not end the stream.
+    text += &caller.read(5).await.0;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let (rest, offsets, end) = caller.rest().await;
+    assert_eq!(text + &rest, engine::text(PROMPT));
+    assert_eq!(offsets, (10..80).collect::<Vec<u64>>());
+    assert_matches!(end, Event::Done);
+
+    let mut caller = Caller::resume(address, "token-1", &id, None).await;
+    assert_eq!(caller.rest().await.0, engine::text(PROMPT));
+}
+
+/// Another account, a forged id and a wrong position get nothing.
+#[tokio::test]
+async fn refuses_strangers() {
+    let fleet = Fleet::start(1, 1, fleet::timing()).await;
+    let mut caller = fleet.stream(0, PROMPT).await;
+    let (_, last) = caller.read(2).await;
+    let address = fleet.nodes[0].address;
+    let id = generation(&last);
+    let stranger = Caller::resume(address, "token-2", id, Some(&last)).await;
+    assert_eq!(stranger.status, StatusCode::NOT_FOUND);
+    let (signed, signature) = id.rsplit_once('-').expect("a signature");
+    let mut forged = vec![
+        format!("{signed}-{}", "0".repeat(signature.len())),
+        signed.to_owned(),
+        "x".to_owned(),
+        String::new(),
+        "-".repeat(200),
+    ];
+    forged.push(id.replacen('0', "1", 1));
+    for forged in forged {
+        let caller = Caller::resume(address, "token-1", &forged, None).await;
+        assert_eq!(caller.status, StatusCode::NOT_FOUND, "{forged}");
+    }
+    for position in [
+        "7",
+        "other:3",
+        &format!("{id}:x"),
+        &format!("{id}:{}", u64::MAX),
+    ] {
+        let caller = Caller::resume(address, "token-1", id, Some(position)).await;
+        assert_eq!(caller.status, StatusCode::BAD_REQUEST, "{position}");
+    }
+}
+
+/// A signature holds for one account, engine and stream under one key.
+#[test]
+fn signs_all_parts() {
+    let signer = Signer::new("shared");
+    let id = signer.sign(1, 2, "a-b");
+    assert_eq!(signer.verify(1, &id), Some((2, "a-b".to_owned())));
+    assert_eq!(signer.verify(2, &id), None);
+    assert_eq!(Signer::new("other").verify(1, &id), None);
+    assert_ne!(signer.sign(1, 2, "a"), signer.sign(1, 3, "a"));
+    assert_eq!(signer.verify(1, &id.replace("a-b", "a-c")), None);
+}
+
+/// A generation whose caller is gone is cancelled at its engine after the grace period.
+#[tokio::test]
+async fn cancels_unread() {
+    let fleet = Fleet::start(1, 1, fleet::timing()).await;
+    let mut caller = fleet.stream(0, "a long declaration length=100000").await;
+    caller.read(3).await;
+    assert_eq!(fleet.streams().await, 1);
+    drop(caller);
+    for _ in 0..500 {
+        if fleet.streams().await == 0 {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the engine still runs the generation");
+}
+
+/// A caller that does not read holds a bounded part of the stream and is cut off in time, and
+/// what it then reads ends with the truth.
+#[tokio::test]
+async fn ends_slow_caller() {
+    let options = Options {
+        step: Duration::ZERO,
+        ..Options::default()
+    };
+    let fleet = Fleet::with(options, 1, 1, fleet::timing()).await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    // A small window keeps the stream out of the operating system's buffers.
+    socket.set_recv_buffer_size(4096).expect("a small buffer");
+    let mut socket = socket
+        .connect(fleet.nodes[0].address)
+        .await
+        .expect("a node");
+    let body = fleet::body("a long declaration length=1000000", true).to_string();
+    let head = format!(
+        "POST {} HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer token-1\r\n\
+         Content-Length: {}\r\nConnection: close\r\n\r\n",
+        fleet::COMPLETIONS,
+        body.len()
+    );
+    let request = head + &body;
+    socket
+        .write_all(request.as_bytes())
+        .await
+        .expect("a request");
+    fleet.busy().await;
+    for _ in 0..1500 {
+        if fleet.streams().await == 0 {
+            let mut answer = String::new();
+            socket.read_to_string(&mut answer).await.expect("an end");
+            assert!(!answer.contains("[DONE]"));
+            let error = answer.rsplit_once("event: error").expect("an error").1;
+            assert!(
+                error.contains("interrupted") && error.contains("unknown"),
+                "{error}"
+            );
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the engine still runs the generation");
+}
