Free what callers hold that are stuck or gone, and keep plain calls from engines

Cause: review of the request path. A caller that never reads kept its connection, and so a planned stop, for ever. A caller that cannot know its generation's name still had the grace period, during which the engine decoded for nobody. `/services/<model>/orders` reached the interface of an engine. The table of accounts was copied for each request. A buffered answer had no limit.

Change: `socket` fails a write that waits for three slow-caller limits; the grace period applies only to streams that began; `Route` carries the kind of endpoint; the listener shares one `Front`; buffered answers end at 16 MiB.

Conclusion: stops end, and engines are reached by generations only.

--- a/crates/daisyyard/src/delivery.rs
+++ b/crates/daisyyard/src/delivery.rs
@@ -18,6 +18,9 @@
 /// Tokens that are buffered for a caller before the engine's link is held back.
 pub(crate) const BUFFER: usize = 256;
 
+/// Largest answer that is buffered for a caller that does not stream, in bytes.
+const MAX_TEXT: usize = 16 << 20;
+
 /// What a generation delivers.
 #[derive(Debug)]
 pub(crate) enum Delivery {
@@ -123,6 +126,10 @@
             Delivery::Token { text: token, .. } => {
                 text.push_str(&token);
                 tokens += 1;
+                if text.len() > MAX_TEXT {
+                    let message = "the answer exceeds 16 MiB; ask for a stream";
+                    return Err(Refusal::unknown(Kind::Rejected, message));
+                }
             }
             Delivery::Restart => {
                 text.clear();
--- a/crates/daisyyard/src/dispatch.rs
+++ b/crates/daisyyard/src/dispatch.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use daisyyard_core::budget::{self, Budget};
-use daisyyard_core::endpoint::{Endpoint, State};
+use daisyyard_core::endpoint::{Endpoint, Kind, State};
 use daisyyard_core::id::{AccountId, EndpointId, Fingerprint, RequestId, ServiceId};
 use daisyyard_core::instance::{self, Instance};
 use daisyyard_core::ledger::Digest;
@@ -50,6 +50,8 @@
     pub(crate) request: Request,
     /// Account and content of the request.
     pub(crate) key: Fingerprint,
+    /// Kind of endpoint that can serve the request.
+    pub(crate) kind: Kind,
     /// Endpoints that were tried before.
     pub(crate) tried: Vec<EndpointId>,
 }
@@ -170,7 +172,9 @@
         let Choice::Ask(id) = choice else {
             return Target::Nowhere;
         };
-        let Some(endpoint) = self.table.get(id).cloned() else {
+        // A call of a plain service must never reach the interface of an engine.
+        let suited = |endpoint: &&Endpoint| endpoint.kind == message.kind;
+        let Some(endpoint) = self.table.get(id).filter(suited).cloned() else {
             return Target::Nowhere;
         };
         self.table.sent(id);
--- a/crates/daisyyard/src/front.rs
+++ b/crates/daisyyard/src/front.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -32,6 +33,7 @@
 use crate::reader;
 use crate::refusal::{Kind, Refusal};
 use crate::settings::Settings;
+use crate::socket::Socket;
 
 /// Deadline of a request that does not set one.
 const DEFAULT_DEADLINE: Duration = Duration::from_mins(1);
@@ -42,6 +44,9 @@
 const SEND_BUFFER: u32 = 64 << 10;
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
+/// Limits on slow callers after which a connection is closed on which nothing can be written; a
+/// stream is ended earlier, after one.
+const STUCK_LIMITS: u32 = 3;
 /// Time for a caller to send the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -57,7 +62,7 @@
 }
 
 /// What the listener needs for each request.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 struct Front {
     /// Accounts by credential.
     accounts: HashMap<String, Account>,
@@ -100,53 +105,10 @@
         actors,
         phase,
     };
-    tokio::spawn(front.accept(listener))
+    tokio::spawn(accept(Arc::new(front), listener))
 }
 
 impl Front {
-    /// Accepts connections until the node finishes, and waits until all have ended.
-    async fn accept(mut self, listener: TcpListener) {
-        let mut open = tokio::task::JoinSet::new();
-        loop {
-            tokio::select! {
-                accepted = listener.accept() => match accepted {
-                    Ok((socket, _)) => {
-                        let front = self.clone();
-                        open.spawn(front.serve(socket));
-                    }
-                    // Out of file descriptors: wait until requests have ended.
-                    Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
-                },
-                _ = open.join_next(), if !open.is_empty() => {}
-                () = finishing(&mut self.phase) => break,
-            }
-        }
-        drop(listener);
-        while open.join_next().await.is_some() {}
-    }
-
-    /// Serves one connection; when the node finishes, the request in progress is the last one.
-    async fn serve(self, socket: TcpStream) {
-        let mut phase = self.phase.clone();
-        let service = service_fn(move |request| {
-            let front = self.clone();
-            async move { Ok::<_, Infallible>(front.answer(request).await) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .serve_connection(TokioIo::new(socket), service);
-        tokio::pin!(connection);
-        // A connection that the other end breaks needs no answer.
-        tokio::select! {
-            _ = connection.as_mut() => {}
-            () = finishing(&mut phase) => {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
-            }
-        }
-    }
-
     /// Answers one request; a leaving node asks its callers to connect elsewhere.
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let answer = self.handle(request).await;
@@ -266,6 +228,51 @@
     }
 }
 
+/// Accepts connections until the node finishes, and waits until all have ended.
+async fn accept(front: Arc<Front>, listener: TcpListener) {
+    let mut phase = front.phase.clone();
+    let mut open = tokio::task::JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((socket, _)) => {
+                    open.spawn(serve(Arc::clone(&front), socket));
+                }
+                // Out of file descriptors: wait until requests have ended.
+                Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+            },
+            _ = open.join_next(), if !open.is_empty() => {}
+            () = finishing(&mut phase) => break,
+        }
+    }
+    drop(listener);
+    while open.join_next().await.is_some() {}
+}
+
+/// Serves one connection; when the node finishes, the request in progress is the last one.
+async fn serve(front: Arc<Front>, socket: TcpStream) {
+    let mut phase = front.phase.clone();
+    let limit = front.actors.timing.slow_caller() * STUCK_LIMITS;
+    let socket = Socket::new(socket, limit);
+    let service = service_fn(move |request| {
+        let front = Arc::clone(&front);
+        async move { Ok::<_, Infallible>(front.answer(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .serve_connection(TokioIo::new(socket), service);
+    tokio::pin!(connection);
+    // A connection that the other end breaks needs no answer.
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = finishing(&mut phase) => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+}
+
 /// Waits until the node finishes.
 async fn finishing(phase: &mut watch::Receiver<Phase>) {
     // A node that is gone finishes as well.
--- a/crates/daisyyard/src/generation.rs
+++ b/crates/daisyyard/src/generation.rs
@@ -5,7 +5,7 @@
 use daisyyard_core::attempt::{Attempt, Next, Outcome, Progress};
 use daisyyard_core::budget;
 use daisyyard_core::contract::Rank;
-use daisyyard_core::endpoint::Endpoint;
+use daisyyard_core::endpoint::{self, Endpoint};
 use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, Offset};
 use daisyyard_core::ledger;
 use daisyyard_core::link::Signal;
@@ -128,6 +128,7 @@
         let route = Route {
             request: self.request.clone(),
             key: self.key,
+            kind: endpoint::Kind::Engine,
             tried: tried.to_vec(),
         };
         let endpoint = match actors.dispatch.send(route).await {
@@ -215,8 +216,15 @@
             return End::Lost;
         }
         let request = Some(self.generation.request.id);
-        let reader = Reader::new(endpoint, self.actors, name, stream, self.caller, request);
-        reader.read(&mut self.cursor).await
+        let mut reader = Reader::new(endpoint, self.actors, name, stream, self.caller, request);
+        let end = reader.read(&mut self.cursor).await;
+        if end == End::Unread {
+            let streamed = self.generation.completion.stream;
+            // Only a caller that was told the generation's name can reconnect.
+            let known = streamed && self.cursor.next() > 0;
+            reader.abandon(self.cursor.next(), known).await;
+        }
+        end
     }
 
     /// Records why an attempt did not start.
--- a/crates/daisyyard/src/lib.rs
+++ b/crates/daisyyard/src/lib.rs
@@ -18,5 +18,6 @@
 pub(crate) mod roster;
 pub mod settings;
 pub mod signature;
+pub(crate) mod socket;
 pub mod sse;
 pub(crate) mod upstream;
--- a/crates/daisyyard/src/plain.rs
+++ b/crates/daisyyard/src/plain.rs
@@ -6,7 +6,7 @@
 use daisyyard_core::attempt::{Attempt, Next, Outcome, Progress};
 use daisyyard_core::budget;
 use daisyyard_core::contract::Rank;
-use daisyyard_core::endpoint::Endpoint;
+use daisyyard_core::endpoint::{self, Endpoint};
 use daisyyard_core::id::{self, AccountId};
 use daisyyard_core::link::Signal;
 use daisyyard_core::route::Request as Routed;
@@ -120,6 +120,7 @@
             let route = Route {
                 request: self.routed.clone(),
                 key: id::fingerprint(self.routed.account, &self.content()),
+                kind: endpoint::Kind::Plain,
                 tried: tried.clone(),
             };
             let endpoint = match actors.dispatch.send(route).await {
--- a/crates/daisyyard/src/reader.rs
+++ b/crates/daisyyard/src/reader.rs
@@ -84,11 +84,10 @@
     }
 
     /// Delivers tokens until the generation ends.
-    pub(crate) async fn read(mut self, cursor: &mut Cursor) -> End {
+    pub(crate) async fn read(&mut self, cursor: &mut Cursor) -> End {
         let end = self.follow(cursor).await;
         match end {
             End::Whole => self.observe(Signal::Served).await,
-            End::Unread => self.abandon(cursor.next()).await,
             End::Crashed => self.observe(Signal::Dead).await,
             End::Lost => {
                 self.observe(Signal::Broken).await;
@@ -97,7 +96,7 @@
                 let cancel = async move { upstream::cancel(address, &stream).await };
                 self.actors.tasks.spawn(cancel);
             }
-            End::Answered(_) => {}
+            End::Unread | End::Answered(_) => {}
         }
         end
     }
@@ -240,11 +239,12 @@
         }
     }
 
-    /// Waits for the caller to reconnect, here or at another node, and then ends the stream
-    /// unless somebody reads it.
-    async fn abandon(&mut self, made: Offset) {
+    /// Ends the stream unless somebody reads it; a caller that knows the generation's name has
+    /// the grace period to reconnect, here or at another node.
+    pub(crate) async fn abandon(&mut self, made: Offset, known: bool) {
         self.link = None;
-        let until = Instant::now() + self.actors.timing.grace();
+        let grace = self.actors.timing.grace();
+        let until = Instant::now() + if known { grace } else { Duration::ZERO };
         while Instant::now() < until {
             let wait = (until - Instant::now()).min(PROGRESS_PERIOD);
             tokio::time::sleep(wait).await;
@@ -301,8 +301,11 @@
     let tasks = actors.tasks.clone();
     tasks.spawn(async move {
         let mut cursor = Cursor::resume(daisyyard_core::id::of(&name), from);
-        let reader = Reader::new(&endpoint, &actors, name, link, &sender, None);
+        let mut reader = Reader::new(&endpoint, &actors, name, link, &sender, None);
         let end = reader.read(&mut cursor).await;
+        if end == End::Unread {
+            reader.abandon(cursor.next(), true).await;
+        }
         if matches!(end, End::Lost | End::Crashed | End::Answered(_)) {
             generation::interrupted(cursor.next());
             let message = "the engine was lost; what was delivered is valid up to next_offset";
--- /dev/null
+++ b/crates/daisyyard/src/socket.rs
@@ -0,0 +1,92 @@
+//! Socket of a caller, with a limit on the time for which nothing can be written.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep};
+
+/// A socket whose writes fail when the other end takes nothing for a while.
+///
+/// Without the limit, a caller that never reads would hold its connection, and with it a planned
+/// stop of the node, for ever.
+#[derive(Debug)]
+pub(crate) struct Socket {
+    /// The socket.
+    inner: TcpStream,
+    /// Time without a written byte after which a write fails.
+    limit: Duration,
+    /// Runs while a write waits.
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl Socket {
+    /// Puts a limit on a socket.
+    pub(crate) fn new(inner: TcpStream, limit: Duration) -> Self {
+        Self {
+            inner,
+            limit,
+            timer: None,
+        }
+    }
+
+    /// Passes on the result of a write, or an error when writes have waited for too long.
+    fn limit<T>(&mut self, cx: &mut Context<'_>, poll: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if poll.is_ready() {
+            self.timer = None;
+            return poll;
+        }
+        let until = Instant::now() + self.limit;
+        let create = || Box::pin(tokio::time::sleep_until(until));
+        let timer = self.timer.get_or_insert_with(create);
+        match timer.as_mut().poll(cx) {
+            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.inner).poll_write(cx, buf);
+        self.limit(cx, poll)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        self.limit(cx, poll)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- a/crates/daisyyard/tests/plain_service.rs
+++ b/crates/daisyyard/tests/plain_service.rs
@@ -197,3 +197,41 @@
     assert_eq!(outcome(&answer), "not_run");
     assert_matches!(requests.try_recv(), Err(_));
 }
+
+/// No call of a plain service reaches the interface of an engine.
+#[tokio::test]
+async fn spares_engines() {
+    let (address, mut requests) = endpoint("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+    let fleet = fleet(&[address]).await;
+    let mut entries = fleet.list.entries();
+    entries[0].role = "engine".to_owned();
+    fleet.list.show(entries);
+    let settings = fleet::settings(
+        "node-1",
+        fleet.list.address,
+        fleet.store.address,
+        fleet::timing(),
+    );
+    let node = daisyyard::node::Node::start(settings)
+        .await
+        .expect("the node starts");
+    let headers = [("authorization", "Bearer token-1")];
+    let path = "/services/space/orders";
+    let call = daisyyard_http::call(node.address, Method::POST, path, &headers, "");
+    let (status, _) = call.await.expect("an answer");
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_matches!(requests.try_recv(), Err(_));
+}
+
+/// The answer to `HEAD` has the length that the endpoint states, and no body.
+#[tokio::test]
+async fn answers_head() {
+    let (address, _requests) = endpoint("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n").await;
+    let fleet = fleet(&[address]).await;
+    let headers = [("authorization", "Bearer token-1")];
+    let (node, path) = (fleet.nodes[0].address, "/services/space/x");
+    let response = daisyyard_http::open(node, Method::HEAD, path, &headers, "").await;
+    let response = response.expect("an answer");
+    assert_eq!(response.status(), StatusCode::OK);
+    assert_eq!(response.headers()["content-length"], "5");
+}
--- a/crates/daisyyard/tests/planned_stop.rs
+++ b/crates/daisyyard/tests/planned_stop.rs
@@ -6,10 +6,13 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use daisyyard_standin::engine;
+use daisyyard::settings::Timing;
+use daisyyard_standin::engine::{self, Options};
 use fleet::{Caller, Event, Fleet, PATIENCE};
 use hyper::StatusCode;
 use serde_json::json;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 
 /// A leaving node says so, still accepts callers who were given its address, and finishes a
 /// stream that is longer than the time to live of its address.
@@ -44,6 +47,39 @@
     assert_matches!(tokio::net::TcpStream::connect(address).await, Err(_));
 }
 
+/// Callers that send nothing or read nothing do not hold up a stop for ever.
+#[tokio::test]
+async fn ends_stuck_callers() {
+    let timing = Timing {
+        slow_caller_ms: 300,
+        ..fleet::timing()
+    };
+    let options = Options {
+        step: Duration::ZERO,
+        ..Options::default()
+    };
+    let mut fleet = Fleet::with(options, 1, 1, timing).await;
+    let node = fleet.nodes.remove(0);
+    let _idle = tokio::net::TcpStream::connect(node.address).await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("a small buffer");
+    let mut stuck = socket.connect(node.address).await.expect("a node");
+    let body = fleet::body("a long declaration length=1000000", true).to_string();
+    let request = format!(
+        "POST {} HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer token-1\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        fleet::COMPLETIONS,
+        body.len()
+    );
+    stuck
+        .write_all(request.as_bytes())
+        .await
+        .expect("a request");
+    fleet.busy().await;
+    let stopped = tokio::time::timeout(PATIENCE, node.drain()).await;
+    stopped.expect("the node stops");
+}
+
 /// A process that receives SIGTERM finishes its streams and exits with 0.
 #[tokio::test]
 async fn exits_clean() {
--- a/crates/daisyyard/tests/resume_anywhere.rs
+++ b/crates/daisyyard/tests/resume_anywhere.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use daisyyard::settings::Timing;
 use daisyyard::signature::Signer;
 use daisyyard_standin::engine::{self, Options};
+use daisyyard_standin::fault::Fault;
 use fleet::{Caller, Event, Fleet, generation};
 use hyper::StatusCode;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -102,6 +104,34 @@
     panic!("the engine still runs the generation");
 }
 
+/// A generation whose caller cannot know its name is cancelled without a grace period.
+#[tokio::test]
+async fn cancels_unknown() {
+    let timing = Timing {
+        grace_ms: 3_600_000,
+        ..fleet::timing()
+    };
+    let fleet = Fleet::start(1, 1, timing).await;
+    for caller in ["buffered", "unstarted"] {
+        if caller == "unstarted" {
+            fleet.fault(&Fault::Delay(Duration::from_millis(100)));
+        }
+        let prompt = "a long declaration length=100000";
+        tokio::select! {
+            _ = fleet.stream(0, prompt), if caller == "unstarted" => panic!("an early answer"),
+            _ = fleet.ask(0, prompt), if caller == "buffered" => panic!("an early answer"),
+            _ = fleet.busy() => {}
+        }
+        let gone = async {
+            while fleet.streams().await > 0 {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let gone = tokio::time::timeout(fleet::PATIENCE, gone).await;
+        gone.unwrap_or_else(|_| panic!("the engine runs the generation of a {caller} caller"));
+    }
+}
+
 /// A caller that does not read holds a bounded part of the stream and is cut off in time, and
 /// what it then reads ends with the truth.
 #[tokio::test]
