--- a/crates/daisyyard/examples/claim_rate.rs
+++ b/crates/daisyyard/examples/claim_rate.rs
@@ -12,7 +12,7 @@
 use daisyyard::once::{Final, Sent, run_once};
 use daisyyard_core::attempt::Progress;
 use daisyyard_core::id;
-use daisyyard_standin::fault::Plan;
+use daisyyard_standin::outage::Plan;
 use daisyyard_standin::store::Store;
 use hdrhistogram::Histogram;
 
--- a/crates/daisyyard/src/embedded.rs
+++ b/crates/daisyyard/src/embedded.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 
 use crate::node::Node;
-use crate::settings::{Credential, Settings};
+use crate::settings::{Credential, Settings, Timing};
 
 /// Names of one deployment.
 #[derive(Debug)]
@@ -149,8 +149,7 @@
             services: vec![self.model.0.to_owned(), self.plain.0.to_owned()],
             accounts: vec![credential],
             operators: Vec::new(),
-            stall: Settings::STALL,
-            address_ttl: Settings::ADDRESS_TTL,
+            timing: Timing::default(),
             log: Settings::LOG,
         })
     }
--- a/crates/daisyyard/src/event.rs
+++ b/crates/daisyyard/src/event.rs
@@ -26,13 +26,29 @@
     RegistryRestored = 81,
     /// The outcome of a call could not be kept until it is written.
     OutcomeDropped = 82,
+    /// A connection was silent, but its engine answers on a fresh one.
+    LinkSilent = 21,
+    /// An engine sent bytes that cannot be used.
+    StreamMalformed = 22,
+    /// An engine skipped tokens of a stream.
+    StreamGap = 23,
+    /// A caller did not read its stream in time.
+    CallerSlow = 24,
+    /// An endpoint receives no new work for a while.
+    EndpointEjected = 25,
+    /// A request was in progress when an endpoint crashed.
+    SuspectRecorded = 26,
+    /// The node was told to stop and finishes its requests.
+    NodeLeaving = 27,
 }
 
 impl Event {
     /// Returns the level at which the event is logged.
     fn level(self) -> spdlog::Level {
         match self {
-            Self::NodeStarted | Self::NodeStopped | Self::RegistryRestored => spdlog::Level::Info,
+            Self::NodeStarted | Self::NodeStopped | Self::RegistryRestored | Self::NodeLeaving => {
+                spdlog::Level::Info
+            }
             _ => spdlog::Level::Warn,
         }
     }
--- a/crates/daisyyard/src/refusal.rs
+++ b/crates/daisyyard/src/refusal.rs
@@ -34,6 +34,18 @@
     Overloaded,
     /// The endpoint was lost while the request was in progress.
     Interrupted,
+    /// No endpoint took the request.
+    Unavailable,
+    /// The endpoint answered with something other than a stream.
+    Rejected,
+    /// The request crashed endpoints.
+    Suspected,
+    /// The idempotency key was used with another body.
+    KeyReused,
+    /// An earlier call with the same key may have run.
+    Uncertain,
+    /// An earlier call with the same key ran, and its answer was too long to keep.
+    NotKept,
 }
 
 impl Kind {
@@ -45,6 +57,12 @@
             Self::Missing => "missing",
             Self::Overloaded => "overloaded",
             Self::Interrupted => "interrupted",
+            Self::Unavailable => "unavailable",
+            Self::Rejected => "rejected",
+            Self::Suspected => "suspected_crash",
+            Self::KeyReused => "key_reused",
+            Self::Uncertain => "uncertain",
+            Self::NotKept => "answer_not_kept",
         }
     }
 
@@ -54,8 +72,10 @@
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::Missing => StatusCode::NOT_FOUND,
-            Self::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Interrupted => StatusCode::BAD_GATEWAY,
+            Self::Overloaded | Self::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Interrupted | Self::Rejected => StatusCode::BAD_GATEWAY,
+            Self::Suspected | Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::Uncertain | Self::NotKept => StatusCode::CONFLICT,
         }
     }
 }
@@ -71,6 +91,14 @@
         }
     }
 
+    /// Creates a refusal of a request that may have run.
+    pub(crate) fn unknown(kind: Kind, message: impl Into<String>) -> Self {
+        Self {
+            outcome: Outcome::Unknown,
+            ..Self::not_run(kind, message)
+        }
+    }
+
     /// Returns the refusal's JSON form.
     pub(crate) fn json(&self) -> serde_json::Value {
         json!({
--- a/crates/daisyyard/src/scan.rs
+++ b/crates/daisyyard/src/scan.rs
@@ -296,6 +296,30 @@
             .unwrap_or_default()
     }
 
+    /// Reads an object with a function; a missing key gives nothing.
+    pub(crate) fn section<T>(
+        &mut self,
+        section: &mut Section<'a>,
+        key: &'static str,
+        read: impl FnOnce(&mut Self, &mut Section<'a>) -> T,
+    ) -> Option<T> {
+        let property = section.take(key)?;
+        let name = section.name(key);
+        let start = property.range.start;
+        let Value::Object(object) = property.value else {
+            let shape = Shape {
+                expected: "an object",
+                example: "{}",
+            };
+            self.fault(start, &name, "another value", shape);
+            return None;
+        };
+        let mut inner = Section::new(name, object);
+        let value = read(self, &mut inner);
+        self.close(inner);
+        Some(value)
+    }
+
     /// Reads a list of objects with a function that reads one; a missing key takes an empty list.
     pub(crate) fn sections<T>(
         &mut self,
--- a/crates/daisyyard/src/settings.rs
+++ b/crates/daisyyard/src/settings.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use daisyyard_derive::value;
+use daisyyard_derive::{token, value};
 
 use crate::scan::{Faults, Scan, Section, Shape};
 
@@ -34,14 +34,37 @@
     pub accounts: Vec<Credential>,
     /// Operators and their credentials.
     pub operators: Vec<Credential>,
-    /// Time without a byte from an engine after which its connection is probed.
-    pub stall: Duration,
-    /// Time for which callers may keep an answer of `/addresses`.
-    pub address_ttl: Duration,
+    /// Time limits of the request path.
+    pub timing: Timing,
     /// How events are logged.
     pub log: Log,
 }
 
+/// Time limits of the request path.
+#[token]
+pub struct Timing {
+    /// Time without bytes after which a connection to an engine is probed.
+    pub stall: Duration,
+    /// Time for which a generation goes on after its caller is gone.
+    pub grace: Duration,
+    /// Time without progress after which the stream to a slow caller is ended.
+    pub slow_caller: Duration,
+    /// Time for which callers keep the addresses that they were given.
+    pub addresses: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            // Twice the target of 31 ms between tokens, plus 1 s.
+            stall: Duration::from_millis(1_062),
+            grace: Duration::from_secs(5),
+            slow_caller: Duration::from_mins(1),
+            addresses: Duration::from_secs(10),
+        }
+    }
+}
+
 /// Credential of a client account or an operator.
 #[value]
 pub struct Credential {
@@ -83,10 +106,6 @@
 }
 
 impl Settings {
-    /// Time without a byte from an engine after which its connection is probed, unless set.
-    pub const STALL: Duration = Duration::from_millis(1_062);
-    /// Time for which callers may keep an answer of `/addresses`, unless set.
-    pub const ADDRESS_TTL: Duration = Duration::from_secs(10);
     /// How events are logged unless set.
     pub const LOG: Log = Log {
         level: Level::Info,
@@ -142,8 +161,7 @@
             "[{ \"operator\": \"o\", \"token\": \"t\" }]",
             |s, r| credential(s, r, "operator"),
         ),
-        stall: s.millis(r, "stall_ms", 100..=60_000, Settings::STALL),
-        address_ttl: s.millis(r, "address_ttl_ms", 100..=600_000, Settings::ADDRESS_TTL),
+        timing: s.section(r, "timing", timing).unwrap_or_default(),
         log: Log {
             level: level(s, r),
             format: format(s, r),
@@ -161,6 +179,17 @@
     }
 }
 
+/// Reads the time limits.
+fn timing<'a>(s: &mut Scan<'a>, r: &mut Section<'a>) -> Timing {
+    let default = Timing::default();
+    Timing {
+        stall: s.millis(r, "stall_ms", 100..=60_000, default.stall),
+        grace: s.millis(r, "grace_ms", 0..=600_000, default.grace),
+        slow_caller: s.millis(r, "slow_caller_ms", 1_000..=3_600_000, default.slow_caller),
+        addresses: s.millis(r, "addresses_ms", 100..=600_000, default.addresses),
+    }
+}
+
 /// Reads the log level.
 fn level<'a>(scan: &mut Scan<'a>, section: &mut Section<'a>) -> Level {
     let shape = Shape {
--- a/crates/daisyyard/tests/lost_write.rs
+++ b/crates/daisyyard/tests/lost_write.rs
@@ -4,7 +4,7 @@
 
 use daisyyard::calls::{self, Count};
 use daisyyard::once::{Final, run_once};
-use daisyyard_standin::fault::Plan;
+use daisyyard_standin::outage::Plan;
 use daisyyard_standin::plain::Service;
 use daisyyard_standin::store::Store;
 
--- a/crates/daisyyard/tests/run_once.rs
+++ b/crates/daisyyard/tests/run_once.rs
@@ -5,7 +5,7 @@
 use daisyyard::calls;
 use daisyyard::once::{Final, Sent, run_once};
 use daisyyard_core::attempt::Progress;
-use daisyyard_standin::fault::Plan;
+use daisyyard_standin::outage::Plan;
 use daisyyard_standin::plain::Service;
 use daisyyard_standin::store::Store;
 use tokio::runtime::{Builder, Runtime};
--- a/crates/daisyyard/tests/settings_faults.rs
+++ b/crates/daisyyard/tests/settings_faults.rs
@@ -28,7 +28,7 @@
   "store": "127.0.0.1:3",
   "key": "short",
   "accounts": [{ "account": "a", "token": "long-enough-token", "size": 3 }],
-  "stall_ms": 5,
+  "timing": { "stall_ms": 5 },
   "log_level": "loud",
   "colour": "red"
 }"#;
@@ -45,7 +45,7 @@
         (5, "listen"),
         (9, "key"),
         (10, "accounts[0].size"),
-        (11, "stall_ms"),
+        (11, "timing.stall_ms"),
         (12, "log_level"),
         (13, "colour"),
     ];
@@ -79,7 +79,7 @@
         "peer": "127.0.0.1:2", "list": "127.0.0.1:3", "store": "127.0.0.1:4",
         "key": "0123456789abcdef"}"#;
     let settings = settings::parse(Path::new("a"), text).expect("all required keys are there");
-    assert_eq!(settings.stall, Duration::from_millis(1062));
+    assert_eq!(settings.timing.stall, Duration::from_millis(1062));
     assert_eq!(settings.log, Settings::LOG);
     assert_eq!(settings.warnings().len(), 3);
 }
--- a/crates/daisyyard_core/src/route.rs
+++ b/crates/daisyyard_core/src/route.rs
@@ -146,6 +146,22 @@
         }
     }
 
+    /// Changes whether an endpoint may receive new work.
+    pub fn mark(&mut self, endpoint: EndpointId, state: State) {
+        if let Some(endpoint) = self.get(endpoint).cloned() {
+            self.insert(Endpoint { state, ..endpoint });
+        }
+    }
+
+    /// Returns the endpoints of a service, whether or not they may receive new work.
+    pub fn members(&self, service: ServiceId) -> Vec<EndpointId> {
+        let offers = |endpoint: &&Endpoint| endpoint.service == service;
+        self.endpoints()
+            .filter(offers)
+            .map(|endpoint| endpoint.id)
+            .collect()
+    }
+
     /// Returns an endpoint.
     pub fn get(&self, endpoint: EndpointId) -> Option<&Endpoint> {
         let candidate = self.candidates.get(&endpoint);
--- a/crates/daisyyard_standin/src/fault.rs
+++ b/crates/daisyyard_standin/src/fault.rs
@@ -1,58 +1,29 @@
-//! Faults of a stand-in: down, slow, and responses that are lost after the call took effect.
+//! Faults that a test makes a stand-in engine show.
 
 use std::time::Duration;
 
-use hyper::{Response, StatusCode};
-use serde_json::json;
-use tokio::sync::watch;
-
-use daisyyard_http::{self as http, Body};
-
-/// Faults that are in force.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Plan {
-    /// Calls are refused without effect.
-    pub down: bool,
-    /// Time that each call waits before it takes effect.
-    pub delay: Duration,
-    /// Calls take effect but are not answered while this holds.
-    pub lose: bool,
-}
-
-/// Switch for the faults of one stand-in.
-#[derive(Debug)]
-pub struct Faults {
-    /// Faults in force.
-    plan: watch::Sender<Plan>,
-}
-
-impl Faults {
-    /// Creates a switch without faults, and the view of it that handlers take.
-    pub fn new() -> (Self, watch::Receiver<Plan>) {
-        let (plan, view) = watch::channel(Plan::default());
-        (Self { plan }, view)
-    }
-
-    /// Puts faults into force for calls that arrive from now on.
-    pub fn set(&self, plan: Plan) {
-        self.plan.send_replace(plan);
-    }
-}
-
-/// Runs a handler under the faults in force when the call arrives.
-pub async fn wrap(
-    mut view: watch::Receiver<Plan>,
-    answer: impl Future<Output = Response<Body>>,
-) -> Response<Body> {
-    let plan = *view.borrow();
-    if plan.down {
-        return http::json(StatusCode::SERVICE_UNAVAILABLE, &json!({"error": "down"}));
-    }
-    tokio::time::sleep(plan.delay).await;
-    let answer = answer.await;
-    if plan.lose {
-        // Holds the response until the fault ends, by which time the caller has given up.
-        let _ = view.wait_for(|plan| !plan.lose).await;
-    }
-    answer
+use bytes::Bytes;
+
+/// How an engine misbehaves; a prompt that contains `crash=1` has the effect of `Crash`.
+#[derive(Debug, Clone)]
+pub enum Fault {
+    /// Open streams stay open and carry nothing more; new connections work.
+    Silence,
+    /// Open streams end early.
+    Cut,
+    /// Open streams carry these bytes once.
+    Garbage(Bytes),
+    /// Open streams leave out this many tokens once.
+    Skip(u64),
+    /// New generations are refused.
+    Refuse {
+        /// Whether the refusal carries `x-not-run: 1`.
+        proof: bool,
+    },
+    /// New generations run, and the heads of their answers are late.
+    Delay(Duration),
+    /// Nothing is answered any more; connections are accepted and stay open.
+    Hang,
+    /// All connections are cut and no new ones are accepted.
+    Crash,
 }
--- a/crates/daisyyard_standin/src/lib.rs
+++ b/crates/daisyyard_standin/src/lib.rs
@@ -4,8 +4,10 @@
 //! They speak the protocols that `docs/protocols.md` publishes, on real sockets, and can be made
 //! to fail.
 
+pub(crate) mod decoder;
 pub mod engine;
 pub mod fault;
 pub mod list;
+pub mod outage;
 pub mod plain;
 pub mod store;
--- a/crates/daisyyard_standin/src/store.rs
+++ b/crates/daisyyard_standin/src/store.rs
@@ -14,7 +14,7 @@
 
 use daisyyard_http::{self as http, Body};
 
-use crate::fault::{self, Faults};
+use crate::outage::{self, Faults};
 
 /// A running configuration service; dropping it ends the service.
 #[derive(Debug)]
@@ -62,7 +62,7 @@
         let owner = tokio::spawn(own(receiver));
         let (faults, view) = Faults::new();
         let server = http::serve(listener, move |request| {
-            fault::wrap(view.clone(), handle(request, commands.clone()))
+            outage::wrap(view.clone(), handle(request, commands.clone()))
         });
         Ok(Self {
             address,
