--- a/crates/daisyyard/src/calls.rs
+++ b/crates/daisyyard/src/calls.rs
@@ -5,13 +5,13 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use daisyyard_core::call::{Limits, Next, Partition, Reason, Step, Written};
-use daisyyard_core::id::{AccountId, ArchiveNumber, Fingerprint, Revision, ServiceId};
-use daisyyard_core::record::{self, Answer, Attempt, Head, Record};
+use daisyyard_core::id::{AccountId, Fingerprint, ServiceId};
+use daisyyard_core::record::{self, Answer, Attempt};
 use tokio::sync::oneshot;
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
 
 use crate::event::{self, Event};
-use crate::{kv, registry};
+use crate::registry::{self, Reply};
 
 /// Least time between two writes of one partition; claims that arrive meanwhile share the next.
 const WRITE_PERIOD: Duration = Duration::from_millis(200);
@@ -140,19 +140,6 @@
 #[derive(Debug)]
 struct Stepped(usize, Reply);
 
-/// What the configuration service replied.
-#[derive(Debug)]
-enum Reply {
-    /// The head.
-    Head(Revision, Head),
-    /// The archive, if it exists.
-    Archive(ArchiveNumber, Option<Vec<Record>>),
-    /// The read failed.
-    Failed,
-    /// The result of a write.
-    Wrote(Written),
-}
-
 /// Starts the actor and its timer.
 pub fn spawn(store: SocketAddr) -> Address<Calls> {
     let slot = |_| Slot {
@@ -222,7 +209,7 @@
         }
         let (store, address) = (self.store, address.clone());
         tokio::spawn(async move {
-            let reply = perform(store, index, step).await;
+            let reply = registry::perform(store, index, step).await;
             let _ = address.send(Stepped(index, reply)).await;
         });
     }
@@ -435,34 +422,3 @@
     let millis = age.unwrap_or_default().as_millis();
     UNIX_EPOCH + Duration::from_millis(millis as u64)
 }
-
-/// Carries out one step at the configuration service.
-async fn perform(store: SocketAddr, index: usize, step: Step) -> Reply {
-    let head = format!("calls/{index}");
-    let archive = |number: ArchiveNumber| format!("{head}/archive/{number}");
-    match step {
-        Step::Idle | Step::Read => match kv::get(store, &head).await {
-            Ok(Some((revision, value))) => registry::Head::try_from(value)
-                .and_then(Head::try_from)
-                .map_or(Reply::Failed, |head| Reply::Head(revision, head)),
-            Ok(None) => Reply::Head(0, Head::default()),
-            Err(_) => Reply::Failed,
-        },
-        Step::ReadArchive(number) => match kv::get(store, &archive(number)).await {
-            Ok(Some((_, value))) => registry::Archive::try_from(value)
-                .and_then(Vec::try_from)
-                .map_or(Reply::Failed, |records| {
-                    Reply::Archive(number, Some(records))
-                }),
-            Ok(None) => Reply::Archive(number, None),
-            Err(_) => Reply::Failed,
-        },
-        Step::WriteArchive(number, records) => {
-            let value = registry::archive(&records);
-            Reply::Wrote(kv::put(store, &archive(number), 0, value).await)
-        }
-        Step::Write(expected, value) => {
-            Reply::Wrote(kv::put(store, &head, expected, registry::head(&value)).await)
-        }
-    }
-}
--- a/crates/daisyyard/src/registry.rs
+++ b/crates/daisyyard/src/registry.rs
@@ -1,15 +1,20 @@
-//! Encoding of the call registry's head and archive values.
+//! Encoding of the call registry's head and archive values, and the steps that carry them.
 
+use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::Context;
 use bytes::Bytes;
+use daisyyard_core::call::{Step, Written};
+use daisyyard_core::id::{ArchiveNumber, Revision};
 use daisyyard_core::record::{self, Attempt, State};
 use prost::Message;
 
+use crate::kv;
+
 /// Encoded head of a partition.
 #[derive(Clone, PartialEq, Message)]
-pub(crate) struct Head {
+struct Head {
     /// Records, oldest first.
     #[prost(message, repeated, tag = "1")]
     records: Vec<Record>,
@@ -26,7 +31,7 @@
 
 /// Encoded archive of a partition.
 #[derive(Clone, PartialEq, Message)]
-pub(crate) struct Archive {
+struct Archive {
     /// Records, oldest first.
     #[prost(message, repeated, tag = "1")]
     records: Vec<Record>,
@@ -69,8 +74,52 @@
     body: Option<Bytes>,
 }
 
+/// What the configuration service replied.
+#[derive(Debug)]
+pub(crate) enum Reply {
+    /// The head.
+    Head(Revision, record::Head),
+    /// The archive, if it exists.
+    Archive(ArchiveNumber, Option<Vec<record::Record>>),
+    /// The read failed.
+    Failed,
+    /// The result of a write.
+    Wrote(Written),
+}
+
+/// Carries out one step at the configuration service.
+pub(crate) async fn perform(store: SocketAddr, index: usize, step: Step) -> Reply {
+    let head = format!("calls/{index}");
+    let archive = |number: ArchiveNumber| format!("{head}/archive/{number}");
+    match step {
+        Step::Idle | Step::Read => match kv::get(store, &head).await {
+            Ok(Some((revision, value))) => Head::try_from(value)
+                .and_then(record::Head::try_from)
+                .map_or(Reply::Failed, |head| Reply::Head(revision, head)),
+            Ok(None) => Reply::Head(0, record::Head::default()),
+            Err(_) => Reply::Failed,
+        },
+        Step::ReadArchive(number) => match kv::get(store, &archive(number)).await {
+            Ok(Some((_, value))) => Archive::try_from(value)
+                .and_then(Vec::try_from)
+                .map_or(Reply::Failed, |records| {
+                    Reply::Archive(number, Some(records))
+                }),
+            Ok(None) => Reply::Archive(number, None),
+            Err(_) => Reply::Failed,
+        },
+        Step::WriteArchive(number, records) => {
+            let value = encode_archive(&records);
+            Reply::Wrote(kv::put(store, &archive(number), 0, value).await)
+        }
+        Step::Write(expected, value) => {
+            Reply::Wrote(kv::put(store, &head, expected, encode(&value)).await)
+        }
+    }
+}
+
 /// Encodes a head.
-pub(crate) fn head(head: &record::Head) -> Bytes {
+fn encode(head: &record::Head) -> Bytes {
     let entry = |archive: &record::Archive| Entry {
         number: archive.number,
         newest: millis(archive.newest),
@@ -85,7 +134,7 @@
 }
 
 /// Encodes an archive.
-pub(crate) fn archive(records: &[record::Record]) -> Bytes {
+fn encode_archive(records: &[record::Record]) -> Bytes {
     let records = records.iter().map(Record::from).collect();
     Bytes::from(Archive { records }.encode_to_vec())
 }
