--- a/crates/daisyyard_core/benches/route.rs
+++ b/crates/daisyyard_core/benches/route.rs
@@ -86,6 +86,19 @@
     }
 }
 
+/// Returns a load report.
+fn load(running: u32, gap: Duration, taken: Instant) -> Load {
+    Load {
+        taken,
+        running,
+        waiting: 0,
+        used: u64::from(running) * 500,
+        memory: 1 << 22,
+        gap,
+        preemptions: 0,
+    }
+}
+
 /// Returns a ledger that has seen all accounts, holds `grants` grants and has a full queue if
 /// `full`.
 fn ledger(grants: u64, full: bool) -> (Ledger, Instant) {
@@ -97,22 +110,21 @@
         ledger.release(number, 256, now);
     }
     let mut number = ACCOUNTS;
-    while ledger.digest(now).running < grants as u32 {
+    for _ in 0..grants * 4 {
+        if ledger.digest(now).running == grants as u32 {
+            break;
+        }
         ledger.ask(ask(number, now), now);
         number += 1;
+        // Reports of a fast engine let the batch grow.
+        let running = ledger.digest(now).running;
+        ledger.report(load(running, Duration::from_millis(1), now), now);
     }
     // Reports of a slow engine end the growth of the batch.
-    let load = Load {
-        taken: now,
-        running: grants as u32,
-        waiting: 0,
-        used: grants * 500,
-        memory: 1 << 22,
-        gap: Duration::from_millis(60),
-        preemptions: 0,
-    };
-    ledger.report(load, now);
-    while full && ledger.digest(now).queued < 1024 {
+    let running = ledger.digest(now).running;
+    ledger.report(load(running, Duration::from_millis(60), now), now);
+    let most = if full { 4096 } else { 0 };
+    for _ in 0..most {
         ledger.ask(ask(number, now), now);
         number += 1;
     }
@@ -133,7 +145,7 @@
         });
     }
     let (mut ledger, now) = ledger(2048, true);
-    println!("waiting: {}", ledger.digest(now).queued);
+    println!("full queue: {:?}", ledger.digest(now));
     let mut number = 1 << 32;
     criterion.bench_function("ask, full queue", |bencher| {
         bencher.iter(|| {
--- a/crates/daisyyard_core/src/ledger.rs
+++ b/crates/daisyyard_core/src/ledger.rs
@@ -25,6 +25,8 @@
 const YIELD_REPEAT: Duration = Duration::from_secs(1);
 /// Part of the first-token target that a request may wait, so that time for its prompt is left.
 const TARGET_SHARE: f64 = 0.8;
+/// Output tokens of one generation that are believed at most.
+const TOKENS_MOST: Tokens = 1 << 32;
 /// Weight of a new residence time in the mean.
 const RESIDENCE_WEIGHT: f64 = 1.0 / 32.0;
 /// A node's request to run a generation on the engine.
@@ -223,7 +225,7 @@
             return false;
         };
         let (kind, before) = (self.kind(grant.account, grant.rank), grant.estimate.total);
-        let made = made.max(grant.made);
+        let made = made.clamp(grant.made, TOKENS_MOST);
         let estimate = self.forecast(kind, made, grant.expected, now);
         if made > before {
             self.lengths.outlive(kind, made, now);
@@ -249,7 +251,8 @@
 
     /// Takes over a running generation that a former home of the engine granted.
     pub fn restore(&mut self, ask: &Ask, made: Tokens, now: Instant) {
-        if self.grants.get(ask.request).is_none() && self.grants.len() < GRANTS {
+        let fits = ask.prompt < self.capacity.memory && self.grants.len() < GRANTS;
+        if self.grants.get(ask.request).is_none() && fits {
             self.queue.remove(ask.request);
             let estimate = self.estimate(ask, made, now);
             self.grant(ask, estimate, 0, now);
@@ -265,7 +268,7 @@
         let Some(grant) = self.grants.remove(request) else {
             return;
         };
-        let made = made.max(grant.made);
+        let made = made.clamp(grant.made, TOKENS_MOST);
         self.end(&grant, made, now);
         if grant.yielded.is_none() {
             self.lengths
