Bound the remembered event streams of the prefix index

Cause: the index kept a record of each engine that ever existed. Change: the 4,096 event streams used last are remembered. Figures: not measured. Conclusion: all state of the index is bounded.

--- a/crates/daisyyard_core/src/prefix.rs
+++ b/crates/daisyyard_core/src/prefix.rs
@@ -3,8 +3,6 @@
 //! The index learns from the engines' cache events, which arrive late and with gaps, and from
 //! the node's own routing. It is a hint: a wrong entry costs time, never correctness.
 
-use std::collections::BTreeMap;
-
 use daisyyard_derive::{record, token, value};
 
 use crate::id::{EndpointId, Fingerprint};
@@ -12,6 +10,8 @@
 
 /// Entries that the index holds at most.
 pub const CAPACITY: usize = 65_536;
+/// Engines whose event stream is remembered; those that left long ago are forgotten.
+const ENGINES: usize = 4096;
 /// Blocks of a prompt that one lookup examines at most, longest prefixes first.
 const BLOCKS: usize = 64;
 /// Confidence in an entry that precedes a loss of events, which may have evicted it.
@@ -81,7 +81,7 @@
     /// Time at which an entry was made, in changes of the index, by prefix and engine.
     entries: Recent<(u64, EndpointId), u64>,
     /// Event streams by engine.
-    sources: BTreeMap<EndpointId, Source>,
+    sources: Recent<EndpointId, Source>,
     /// Number of the next change of the index.
     time: u64,
 }
@@ -91,14 +91,14 @@
     pub fn new(capacity: usize) -> Self {
         Self {
             entries: Recent::new(capacity),
-            sources: BTreeMap::new(),
+            sources: Recent::new(ENGINES),
             time: 1,
         }
     }
 
     /// Takes an event of an engine's cache.
     pub fn accept(&mut self, event: &Event) -> Step {
-        let source = self.sources.entry(event.endpoint).or_default();
+        let source = self.sources.touch(event.endpoint, Source::default);
         if let Some(last) = source.last {
             if event.sequence <= last {
                 return Step::Duplicate;
@@ -115,7 +115,7 @@
     /// Records that all events of an engine before `sequence` that were not applied are lost.
     pub fn skip(&mut self, endpoint: EndpointId, sequence: u64) {
         self.time += 1;
-        let source = self.sources.entry(endpoint).or_default();
+        let source = self.sources.touch(endpoint, Source::default);
         source.doubted = self.time;
         source.last = sequence.checked_sub(1);
     }
@@ -128,12 +128,6 @@
         }
     }
 
-    /// Forgets an engine.
-    pub fn remove(&mut self, endpoint: EndpointId) {
-        // The marker stays, so that the old entries are void if the engine returns.
-        self.restart(endpoint);
-    }
-
     /// Records that a request with these prefixes was sent to an engine, which will cache them.
     pub fn routed(&mut self, endpoint: EndpointId, prefix: &[Fingerprint]) {
         self.store(endpoint, prefix.iter().take(BLOCKS));
@@ -185,7 +179,7 @@
             }
             Change::Clear => {
                 self.time += 1;
-                self.sources.entry(endpoint).or_default().cleared = self.time;
+                self.sources.touch(endpoint, Source::default).cleared = self.time;
             }
         }
     }
--- a/crates/daisyyard_core/src/recent.rs
+++ b/crates/daisyyard_core/src/recent.rs
@@ -27,6 +27,11 @@
     }
 
     /// Returns an entry without counting this as a use.
+    pub(crate) fn get(&self, key: &K) -> Option<&V> {
+        self.entries.get(key).map(|(_, value)| value)
+    }
+
+    /// Returns an entry for a change without counting this as a use.
     pub(crate) fn get_mut(&mut self, key: &K) -> Option<&mut V> {
         self.entries.get_mut(key).map(|(_, value)| value)
     }
