--- a/crates/daisyyard_core/src/budget.rs
+++ b/crates/daisyyard_core/src/budget.rs
@@ -13,9 +13,9 @@
 const ACCOUNT_MOST: f64 = 10.0;
 /// Retries that a service may save up at one node.
 const SERVICE_MOST: f64 = 100.0;
-/// Retries that are available before any first attempt, so that a rare caller can retry twice
-/// even if another of its calls did.
-const INITIAL: f64 = 5.0;
+/// Retries that are available before any first attempt: five calls that each meet two dead
+/// endpoints.
+const INITIAL: f64 = 10.0;
 
 /// What to do with a request that could be retried.
 #[token]
