Add experiments in virtual time and their command

Cause: nothing measured the serving decisions under floods, large accounts or stale reports.

Change: add the crate daisyyard_lab with small fakes of engines, nodes and callers, the policies daisyyard, round-robin, least-loaded and central, and the command `daisyyard experiment`.

--- a/crates/daisyyard/src/command.rs
+++ b/crates/daisyyard/src/command.rs
@@ -5,7 +5,7 @@
 
 use getopts::Options;
 
-use crate::{embedded, node, settings};
+use crate::{embedded, experiment, node, settings};
 
 /// Exit code of a command that was not understood or whose settings are at fault.
 const EXIT_USAGE: u8 = 2;
@@ -18,6 +18,7 @@
   serve --config FILE   run a node
   check FILE            check a settings file and list every fault
   try                   run a small fleet on loopback and check the promises
+  experiment NAME       run an experiment in virtual time; `experiment list` names them
   help                  show this help
 ";
 
@@ -30,6 +31,7 @@
         "serve" => serve(rest),
         "check" => check(rest),
         "try" => attempt(rest),
+        "experiment" => experiment::run(rest),
         "help" | "--help" | "-h" => {
             print!("{HELP}");
             Ok(ExitCode::SUCCESS)
--- /dev/null
+++ b/crates/daisyyard/src/experiment.rs
@@ -0,0 +1,156 @@
+//! The `experiment` command.
+
+use std::io::{self, Write};
+use std::ops::RangeInclusive;
+use std::path::Path;
+use std::process::ExitCode;
+
+use anyhow::{Context, anyhow};
+use daisyyard_lab::bench::Policy;
+use daisyyard_lab::deployment::Deployment;
+use daisyyard_lab::experiment::Experiment;
+use daisyyard_lab::{plot, spread};
+use getopts::{Matches, Options};
+use serde_json::{Value, json};
+
+/// Help of the command.
+const HELP: &str = "\
+Usage: daisyyard experiment NAME --deployment NAME --seed N [--policy POLICY] [--json]
+       daisyyard experiment NAME --deployment NAME --seeds FIRST..LAST [--policy POLICY] [--json]
+       daisyyard experiment plot NAME --deployment NAME --seed N --out FILE.svg
+       daisyyard experiment list";
+
+/// Seed that is used if none is given.
+const SEED: u64 = 1;
+
+/// Runs an experiment, draws one, or lists them.
+pub(crate) fn run(arguments: &[String]) -> anyhow::Result<ExitCode> {
+    let mut options = Options::new();
+    options.optopt("d", "deployment", "deployment to model", "NAME");
+    options.optopt("s", "seed", "seed of the workload", "N");
+    options.optopt("", "seeds", "seeds to summarise, both included", "A..B");
+    options.optopt("p", "policy", "policy to run", "NAME");
+    options.optopt("o", "out", "file of the plot", "FILE.svg");
+    options.optflag("j", "json", "print JSON");
+    options.optflag("h", "help", "show this help");
+    let matches = options.parse(arguments)?;
+    if matches.opt_present("help") {
+        writeln!(io::stdout(), "{}", options.usage(HELP))?;
+        return Ok(ExitCode::SUCCESS);
+    }
+    let free: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    match free[..] {
+        ["list"] => list()?,
+        ["plot", name] => draw(&matches, &experiment(name)?)?,
+        [name] => measure(&matches, &experiment(name)?)?,
+        _ => return Err(anyhow!("name one experiment; {}", names())),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Prints the experiments.
+fn list() -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    for experiment in Experiment::all() {
+        writeln!(out, "{:<18}{}", experiment.name, experiment.summary)?;
+    }
+    Ok(())
+}
+
+/// Draws an experiment under all policies.
+fn draw(matches: &Matches, experiment: &Experiment) -> anyhow::Result<()> {
+    let file = matches.opt_str("out");
+    let file = file.ok_or_else(|| anyhow!("name the file of the plot: --out FILE.svg"))?;
+    let seed = matches.opt_get_default("seed", SEED)?;
+    plot::draw(&deployment(matches)?, experiment, seed, Path::new(&file))
+}
+
+/// Runs an experiment and prints the results.
+fn measure(matches: &Matches, experiment: &Experiment) -> anyhow::Result<()> {
+    let deployment = deployment(matches)?;
+    let policy = policy(matches)?;
+    let seeds = seeds(matches)?;
+    let reports = spread::measure(&deployment, experiment, policy, &seeds);
+    let value = if matches.opt_present("seeds") {
+        json!({
+            "experiment": experiment.name,
+            "deployment": deployment.name,
+            "policy": policy.name(),
+            "seeds": seeds,
+            "summary": spread::summarise(&reports),
+            "reports": reports,
+        })
+    } else {
+        serde_json::to_value(&reports[0])?
+    };
+    if matches.opt_present("json") {
+        writeln!(io::stdout(), "{}", serde_json::to_string_pretty(&value)?)?;
+    } else {
+        print(&value)?;
+    }
+    Ok(())
+}
+
+/// Prints results as a table.
+fn print(value: &Value) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    let keys = ["experiment", "deployment", "policy"];
+    let title = keys.map(|key| value[key].as_str().unwrap_or_default());
+    writeln!(out, "{}", title.join(", "))?;
+    let summary = value["summary"].as_object();
+    let rows = summary.or_else(|| value.as_object()).into_iter().flatten();
+    for (key, value) in rows.filter(|(key, _)| !keys.contains(&key.as_str())) {
+        match (value["mean"].as_f64(), value["deviation"].as_f64()) {
+            (Some(mean), Some(deviation)) => {
+                writeln!(out, "{key:<32}{mean:>14.4} ± {deviation:.4}")?;
+            }
+            _ => writeln!(out, "{key:<32}{value:>14}")?,
+        }
+    }
+    Ok(())
+}
+
+/// Returns the experiment with the given name.
+fn experiment(name: &str) -> anyhow::Result<Experiment> {
+    Experiment::parse(name).ok_or_else(|| anyhow!("unknown experiment {name:?}; {}", names()))
+}
+
+/// Returns the deployment that the arguments name.
+fn deployment(matches: &Matches) -> anyhow::Result<Deployment> {
+    let name = matches.opt_str("deployment").unwrap_or_default();
+    let names = Deployment::NAMES.join(", ");
+    Deployment::parse(&name)
+        .ok_or_else(|| anyhow!("unknown deployment {name:?}; --deployment is one of: {names}"))
+}
+
+/// Returns the policy that the arguments name.
+fn policy(matches: &Matches) -> anyhow::Result<Policy> {
+    let default = Policy::Daisyyard.name().to_owned();
+    let name = matches.opt_str("policy").unwrap_or(default);
+    let names = Policy::ALL.map(Policy::name).join(", ");
+    Policy::parse(&name)
+        .ok_or_else(|| anyhow!("unknown policy {name:?}; the policies are: {names}"))
+}
+
+/// Returns the seeds that the arguments name.
+fn seeds(matches: &Matches) -> anyhow::Result<Vec<u64>> {
+    let Some(text) = matches.opt_str("seeds") else {
+        return Ok(vec![matches.opt_get_default("seed", SEED)?]);
+    };
+    range(&text)
+        .filter(|range| !range.is_empty())
+        .map(Iterator::collect)
+        .with_context(|| format!("--seeds takes FIRST..LAST, such as 1..20, not {text:?}"))
+}
+
+/// Parses a range of seeds, both ends included.
+fn range(text: &str) -> Option<RangeInclusive<u64>> {
+    let (first, last) = text.split_once("..")?;
+    Some(first.parse().ok()?..=last.parse().ok()?)
+}
+
+/// Lists the experiments in an error message.
+fn names() -> String {
+    let names: Vec<&str> = Experiment::all().iter().map(|one| one.name).collect();
+    format!("the experiments are: {}", names.join(", "))
+}
--- a/crates/daisyyard/src/lib.rs
+++ b/crates/daisyyard/src/lib.rs
@@ -7,6 +7,7 @@
 pub(crate) mod dispatch;
 pub mod embedded;
 pub(crate) mod event;
+pub(crate) mod experiment;
 pub(crate) mod front;
 pub(crate) mod generation;
 pub mod node;
--- /dev/null
+++ b/crates/daisyyard_lab/src/deployment.rs
@@ -0,0 +1,211 @@
+//! The two deployments as the experiments model them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use daisyyard_core::contract::Rank;
+use daisyyard_core::endpoint::{Endpoint, Kind};
+use daisyyard_core::id::{self, InstanceId, Tokens};
+use daisyyard_core::zone::{Distance, Zone};
+
+use crate::engine::Model;
+
+/// Nodes of every experiment.
+const NODES: usize = 8;
+/// Client accounts of every experiment.
+const ACCOUNTS: usize = 10;
+/// Accounts that request far more than the rest; they come first.
+pub const LARGE: usize = 2;
+/// Share of the requests that each large account makes.
+const LARGE_SHARE: f64 = 0.25;
+/// One-way delay within an availability zone.
+const LOCAL_DELAY: Duration = Duration::from_micros(100);
+
+/// A distribution of token counts: log-normal, cut off at both ends.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// Median in tokens.
+    pub median: f64,
+    /// Standard deviation of the logarithm.
+    pub sigma: f64,
+    /// Largest count.
+    pub most: Tokens,
+}
+
+/// A kind of work.
+#[derive(Debug, Clone)]
+pub struct Work {
+    /// Name of the work.
+    pub name: &'static str,
+    /// Rank of its requests.
+    pub rank: Rank,
+    /// Requests a second on an ordinary day.
+    pub rate: f64,
+    /// Additional requests in a flood, as a multiple of the ordinary ones.
+    pub flood: f64,
+    /// Prompt tokens.
+    pub prompt: Size,
+    /// Output tokens.
+    pub output: Size,
+}
+
+/// A node of the deployment.
+#[derive(Debug, Clone)]
+pub struct Node {
+    /// Identifier derived from the name.
+    pub id: InstanceId,
+    /// Availability zone of the node.
+    pub zone: Zone,
+}
+
+/// A deployment.
+#[derive(Debug, Clone)]
+pub struct Deployment {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// Name of the model service.
+    pub service: &'static str,
+    /// Entry instances.
+    pub nodes: Vec<Node>,
+    /// Engines of the model service.
+    pub engines: Vec<Endpoint>,
+    /// Capacity and speed of each engine.
+    pub model: Model,
+    /// One-way delay between zones.
+    pub delay: Duration,
+    /// One-way delay to clients.
+    pub client_delay: Duration,
+    /// Long work first, then short work.
+    pub works: [Work; 2],
+}
+
+impl Deployment {
+    /// Names of the deployments.
+    pub const NAMES: [&str; 2] = ["association", "pit-works"];
+
+    /// Returns the deployment with the given name.
+    pub fn parse(name: &str) -> Option<Self> {
+        match name {
+            "association" => Some(association()),
+            "pit-works" => Some(pit_works()),
+            _ => None,
+        }
+    }
+
+    /// Returns the share of the ordinary requests that an account makes.
+    pub fn share(account: usize) -> f64 {
+        if account < LARGE {
+            LARGE_SHARE
+        } else {
+            (1.0 - LARGE_SHARE * LARGE as f64) / (ACCOUNTS - LARGE) as f64
+        }
+    }
+
+    /// Returns the accounts by number.
+    pub fn accounts() -> std::ops::Range<usize> {
+        0..ACCOUNTS
+    }
+
+    /// Returns the one-way delay between two zones.
+    pub fn between(&self, one: &Zone, two: &Zone) -> Duration {
+        match one.distance(two) {
+            Distance::Local => LOCAL_DELAY,
+            Distance::Regional | Distance::Remote => self.delay,
+        }
+    }
+}
+
+/// Returns the deployment of the importers' association.
+fn association() -> Deployment {
+    let zones = ["costa-a", "costa-b", "costa-c"].map(|name| Zone::new(name, "costa"));
+    let declaration = Work {
+        name: "declaration",
+        rank: Rank::Deferrable,
+        rate: 13.0,
+        flood: 4.0,
+        prompt: size(600.0, 0.4, 4_000),
+        output: size(500.0, 1.0, 16_000),
+    };
+    let check = Work {
+        name: "check",
+        rank: Rank::Urgent,
+        rate: 40.0,
+        flood: 16.0,
+        prompt: size(400.0, 0.4, 2_000),
+        output: size(40.0, 0.7, 1_000),
+    };
+    Deployment {
+        name: "association",
+        service: "asistente",
+        nodes: nodes(&zones),
+        engines: engines(11, "asistente", &zones),
+        model: Model::standard(),
+        delay: Duration::from_micros(500),
+        client_delay: Duration::from_millis(1),
+        works: [declaration, check],
+    }
+}
+
+/// Returns the deployment of the pigment works.
+fn pit_works() -> Deployment {
+    let zones = ["pit-north", "pit-east", "mill-yard"].map(|name| Zone::new(name, "gobi-south"));
+    let log = Work {
+        name: "shift log",
+        rank: Rank::Urgent,
+        rate: 20.0,
+        flood: 3.0,
+        prompt: size(1_200.0, 0.4, 6_000),
+        output: size(400.0, 0.9, 12_000),
+    };
+    let grade = Work {
+        name: "grade",
+        rank: Rank::Deferrable,
+        rate: 40.0,
+        flood: 25.0,
+        prompt: size(700.0, 0.4, 3_000),
+        output: size(2.0, 0.3, 4),
+    };
+    Deployment {
+        name: "pit-works",
+        service: "assay-model",
+        nodes: nodes(&zones),
+        engines: engines(12, "assay-model", &zones),
+        model: Model::standard(),
+        delay: Duration::from_millis(1),
+        client_delay: Duration::from_millis(3),
+        works: [log, grade],
+    }
+}
+
+/// Creates a distribution of token counts.
+fn size(median: f64, sigma: f64, most: Tokens) -> Size {
+    Size {
+        median,
+        sigma,
+        most,
+    }
+}
+
+/// Creates the nodes, spread over the zones.
+fn nodes(zones: &[Zone; 3]) -> Vec<Node> {
+    let node = |index: usize| Node {
+        id: id::of(&format!("node-{index}")),
+        zone: zones[index % zones.len()].clone(),
+    };
+    (0..NODES).map(node).collect()
+}
+
+/// Creates the engines, spread over the zones.
+fn engines(count: usize, service: &str, zones: &[Zone; 3]) -> Vec<Endpoint> {
+    let model = Model::standard();
+    let engine = |index: usize| {
+        let name = format!("{service}-{index}");
+        let zone = zones[index % zones.len()].clone();
+        let address = SocketAddr::from(([127, 0, 0, 1], 9000 + index as u16));
+        let mut endpoint = Endpoint::new(&name, service, Kind::Engine, zone, address);
+        endpoint.slots = model.slots as u32;
+        endpoint.memory = model.memory;
+        endpoint
+    };
+    (0..count).map(engine).collect()
+}
--- a/crates/daisyyard_lab/src/lib.rs
+++ b/crates/daisyyard_lab/src/lib.rs
@@ -1,1 +1,19 @@
 //! Experiments in virtual time over the decisions of `daisyyard_core`.
+
+pub mod agenda;
+pub mod baseline;
+pub mod bench;
+pub mod cache;
+pub mod caller;
+pub mod central;
+pub mod deployment;
+pub mod engine;
+pub mod experiment;
+pub mod message;
+pub mod meter;
+pub mod plot;
+pub mod report;
+pub mod spread;
+pub mod workload;
+pub mod world;
+pub mod yard;
--- /dev/null
+++ b/crates/daisyyard_lab/src/plot.rs
@@ -0,0 +1,97 @@
+//! Plots of experiments.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use crate::bench::{self, Policy};
+use crate::deployment::Deployment;
+use crate::experiment::Experiment;
+use crate::workload::Parts;
+use crate::world::World;
+
+/// Width and height of a plot in pixels.
+const SIZE: (u32, u32) = (960, 720);
+/// Seconds of arrivals that one point sums up.
+const BIN: usize = 5;
+
+/// Share of the requests of each bin that met their targets.
+fn met(world: &World) -> Vec<(f64, f64)> {
+    let bins = world.experiment.duration.as_secs() as usize / BIN + 1;
+    let mut counts = vec![(0.0, 0.0); bins];
+    for (caller, arrival) in world.callers.iter().zip(&world.arrivals) {
+        let bin = &mut counts[arrival.at.as_secs() as usize / BIN];
+        bin.0 += 1.0;
+        bin.1 += f64::from(u8::from(caller.met(arrival.at, world.contract(arrival.id))));
+    }
+    let points = counts.into_iter().enumerate();
+    let points = points.filter(|(_, (all, _))| *all > 0.0);
+    points
+        .map(|(bin, (all, met))| ((bin * BIN) as f64, met / all))
+        .collect()
+}
+
+/// Mean memory in use over all engines, as a share, at each measurement.
+fn memory(world: &World) -> Vec<(f64, f64)> {
+    let engines = world.engines.len();
+    let total = (engines as u64 * world.deployment.model.memory) as f64;
+    let until = world.experiment.duration;
+    let samples: Vec<_> = world.meter.samples.chunks(engines).collect();
+    let samples = samples.into_iter().filter(|chunk| chunk[0].at <= until);
+    samples
+        .map(|chunk| {
+            let used: u64 = chunk.iter().map(|sample| sample.gauge.used).sum();
+            (chunk[0].at.as_secs_f64(), used as f64 / total)
+        })
+        .collect()
+}
+
+/// Draws the targets met and the memory in use over time, one line for each policy.
+pub fn draw(
+    deployment: &Deployment,
+    experiment: &Experiment,
+    seed: u64,
+    file: &Path,
+) -> anyhow::Result<()> {
+    let parts = Parts {
+        flood: true,
+        large: true,
+    };
+    let runs = Policy::ALL.map(|policy| {
+        let world = bench::run(deployment, experiment, policy, seed, &parts);
+        (policy, met(&world), memory(&world))
+    });
+    let root = SVGBackend::new(file, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let (upper, lower) = root.split_vertically(SIZE.1 / 2);
+    let title = format!("{} at {}, seed {seed}", experiment.name, deployment.name);
+    let until = experiment.duration.as_secs_f64();
+    let areas = [
+        (upper, format!("{title}: share of targets met")),
+        (lower, "memory in use".to_owned()),
+    ];
+    for (index, (area, caption)) in areas.iter().enumerate() {
+        let mut chart = ChartBuilder::on(area)
+            .caption(caption, ("sans-serif", 18))
+            .margin(10)
+            .x_label_area_size(30)
+            .y_label_area_size(45)
+            .build_cartesian_2d(0.0..until, 0.0..1.05)?;
+        chart.configure_mesh().x_desc("seconds").draw()?;
+        for (number, (policy, met, memory)) in runs.iter().enumerate() {
+            let points = if index == 0 { met } else { memory };
+            let style = Palette99::pick(number).stroke_width(2);
+            chart
+                .draw_series(LineSeries::new(points.iter().copied(), style))?
+                .label(policy.name())
+                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], style));
+        }
+        chart
+            .configure_series_labels()
+            .background_style(WHITE)
+            .border_style(BLACK)
+            .draw()?;
+    }
+    root.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/daisyyard_lab/src/workload.rs
@@ -0,0 +1,170 @@
+//! The arrivals of an experiment, the same for every policy.
+
+use std::time::Duration;
+
+use daisyyard_core::contract::Rank;
+use daisyyard_core::id::{self, AccountId, Fingerprint, RequestId, Tokens};
+use daisyyard_derive::value;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp, LogNormal};
+use rand_pcg::Pcg64;
+
+use crate::agenda::At;
+use crate::cache::BLOCK;
+use crate::deployment::{Deployment, LARGE, Size, Work};
+use crate::experiment::Experiment;
+
+/// Templates that an account uses for one kind of work.
+const TEMPLATES: u64 = 2;
+/// Longest prompt prefix that requests of one template share.
+const SHARED: Tokens = 256;
+
+/// A request as it arrives.
+#[value]
+pub struct Arrival {
+    /// Identifier of the request.
+    pub id: RequestId,
+    /// When the request reaches its node.
+    pub at: At,
+    /// Number of the node that receives it.
+    pub node: usize,
+    /// Client account of the caller.
+    pub account: AccountId,
+    /// Whether the account is one of the large ones.
+    pub large: bool,
+    /// Rank of the request.
+    pub rank: Rank,
+    /// Tokens of the prompt.
+    pub prompt: Tokens,
+    /// Tokens that the model will make; hidden from the decisions.
+    pub output: Tokens,
+    /// Fingerprints of the prompt's leading blocks.
+    pub prefix: Vec<Fingerprint>,
+}
+
+/// Which parts of the workload arrive.
+#[value]
+pub struct Parts {
+    /// The flood, if the experiment has one.
+    pub flood: bool,
+    /// The large accounts.
+    pub large: bool,
+}
+
+/// Requests of one account for one kind of work.
+#[derive(Debug)]
+struct Source<'a> {
+    /// The kind of work.
+    work: &'a Work,
+    /// Number of the account.
+    account: usize,
+    /// Requests a second at the given time.
+    rate: f64,
+    /// First arrival at the earliest.
+    from: At,
+    /// Last arrival at the latest.
+    until: At,
+    /// Random numbers of this source only, so that other sources never change its arrivals.
+    random: Pcg64,
+}
+
+/// Returns the arrivals of an experiment in order of time.
+pub fn arrivals(
+    deployment: &Deployment,
+    experiment: &Experiment,
+    seed: u64,
+    parts: &Parts,
+) -> Vec<Arrival> {
+    let mut all = Vec::new();
+    for (number, work) in deployment.works.iter().enumerate() {
+        for account in Deployment::accounts() {
+            if account < LARGE && !parts.large {
+                continue;
+            }
+            let growth = if account < LARGE {
+                experiment.large
+            } else {
+                1.0
+            };
+            let share = work.rate * Deployment::share(account);
+            for (phase, stage) in experiment.stages().into_iter().enumerate() {
+                let mut work = work.clone();
+                if number == 0 {
+                    work.output.median *= stage.length;
+                    work.output.sigma += experiment.spread;
+                    work.output.most = experiment.longest.max(work.output.most);
+                }
+                let factor = if number == 0 { stage.rate } else { 1.0 };
+                let key = format!("{seed}/{number}/{account}/{phase}");
+                let source = Source {
+                    work: &work,
+                    account,
+                    rate: share * growth * factor,
+                    from: stage.from,
+                    until: stage.until,
+                    random: Pcg64::seed_from_u64(id::of(&key)),
+                };
+                source.generate(deployment, &mut all);
+            }
+            if parts.flood && experiment.flood == Some(work.rank) {
+                let key = format!("{seed}/{number}/{account}/flood");
+                let source = Source {
+                    work,
+                    account,
+                    rate: share * work.flood,
+                    from: experiment.window.0,
+                    until: experiment.window.1,
+                    random: Pcg64::seed_from_u64(id::of(&key)),
+                };
+                source.generate(deployment, &mut all);
+            }
+        }
+    }
+    all.sort_by_key(|arrival| arrival.at);
+    for (index, arrival) in all.iter_mut().enumerate() {
+        arrival.id = index as RequestId;
+    }
+    all
+}
+
+impl Source<'_> {
+    /// Adds the arrivals of the source.
+    fn generate(mut self, deployment: &Deployment, all: &mut Vec<Arrival>) {
+        let Ok(spacing) = Exp::new(self.rate) else {
+            return;
+        };
+        let mut at = self.from;
+        loop {
+            at += Duration::from_secs_f64(spacing.sample(&mut self.random));
+            if at >= self.until {
+                return;
+            }
+            let prompt = draw(&self.work.prompt, &mut self.random);
+            let output = draw(&self.work.output, &mut self.random);
+            let template = self.random.random_range(0..TEMPLATES);
+            let block = |index: Tokens| {
+                let text = format!("{}/{}/{template}/{index}", self.work.name, self.account);
+                id::fingerprint(0, text.as_bytes())
+            };
+            let blocks = prompt.min(SHARED) / BLOCK;
+            all.push(Arrival {
+                id: 0,
+                at,
+                node: self.random.random_range(0..deployment.nodes.len()),
+                account: id::of(&format!("account-{}", self.account)),
+                large: self.account < LARGE,
+                rank: self.work.rank,
+                prompt,
+                output,
+                prefix: (0..blocks).map(block).collect(),
+            });
+        }
+    }
+}
+
+/// Draws a token count.
+fn draw(size: &Size, random: &mut Pcg64) -> Tokens {
+    let distribution = LogNormal::new(size.median.ln(), size.sigma);
+    let tokens = distribution.map_or(size.median, |distribution| distribution.sample(random));
+    (tokens.round() as Tokens).clamp(1, size.most)
+}
--- /dev/null
+++ b/crates/daisyyard_lab/src/yard.rs
@@ -0,0 +1,412 @@
+//! The nodes of daisyyard: they run the decisions of `daisyyard_core` and exchange messages.
+
+use std::time::Duration;
+
+use daisyyard_core::home;
+use daisyyard_core::id::{InstanceId, RequestId, Tokens};
+use daisyyard_core::ledger::{Answer, Ask, Ledger, Next};
+use daisyyard_core::route::{Choice, Request, Table};
+use rand::Rng;
+
+use crate::agenda::At;
+use crate::cache::Change;
+use crate::caller::End;
+use crate::engine::Gauge;
+use crate::message::{Content, Message, send};
+use crate::world::{Event, World};
+
+/// Output tokens that a node expects before it has seen any length.
+const EXPECTED_OUTPUT: Tokens = 256;
+/// Engines that a node asks for one request.
+const ENGINES_ASKED: usize = 3;
+/// Time without news after which a node takes another one for lost.
+const SUSPICION: Duration = Duration::from_secs(3);
+/// Time after which a node stops waiting for an answer that was lost.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Phase of a request at its node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// The home of an engine was asked.
+    Asking,
+    /// The request waits at the home.
+    Waiting,
+    /// The engine runs the request.
+    Running,
+}
+
+/// What a node knows about one of its requests.
+#[derive(Debug)]
+struct Pending {
+    /// Engines that were asked, the present one last.
+    tried: Vec<usize>,
+    /// Node that keeps the ledger of the present engine.
+    home: usize,
+    /// Phase of the request.
+    phase: Phase,
+}
+
+/// A node.
+#[derive(Debug)]
+struct Node {
+    /// Route table of the node.
+    table: Table,
+    /// Ledgers that the node keeps, by engine.
+    ledgers: Vec<Option<Ledger>>,
+}
+
+/// All nodes of the system.
+#[derive(Debug)]
+pub struct Yard {
+    /// Nodes by number.
+    nodes: Vec<Node>,
+    /// Requests by number.
+    pending: Vec<Option<Pending>>,
+    /// When the contact between zones was last lost or restored.
+    changed: At,
+    /// Home of each engine as seen from the first zone and from the others.
+    homes: [Vec<usize>; 2],
+}
+
+impl Yard {
+    /// Creates the nodes.
+    pub fn new(world: &World) -> Self {
+        let engines = &world.deployment.engines;
+        let node = |node: &crate::deployment::Node| {
+            let mut table = Table::new(node.zone.clone());
+            for engine in engines {
+                table.insert(engine.clone());
+            }
+            let ledgers = engines.iter().map(|_| None).collect();
+            Node { table, ledgers }
+        };
+        let mut yard = Self {
+            nodes: world.deployment.nodes.iter().map(node).collect(),
+            pending: world.arrivals.iter().map(|_| None).collect(),
+            changed: At::ZERO,
+            homes: [Vec::new(), Vec::new()],
+        };
+        yard.elect(world);
+        yard
+    }
+
+    /// Takes a new request.
+    pub fn arrive(&mut self, world: &mut World, request: RequestId) {
+        let pending = Pending {
+            tried: Vec::new(),
+            home: 0,
+            phase: Phase::Asking,
+        };
+        self.pending[request as usize] = Some(pending);
+        self.route(world, request);
+    }
+
+    /// Takes a message.
+    pub fn message(&mut self, world: &mut World, message: Message) {
+        let Message {
+            to,
+            engine,
+            content,
+        } = message;
+        let now = world.now();
+        match content {
+            Content::Ask(ask) => {
+                let request = ask.request;
+                let ledger = self.ledger(world, to, engine);
+                let answer = ledger.ask(ask, now);
+                let digest = ledger.digest(now);
+                let back = world.arrival(request).node;
+                let content = Content::Answer(request, answer, digest);
+                send(world, to, back, engine, content);
+            }
+            Content::Answer(request, answer, digest) => {
+                self.nodes[to].table.digest(digest, now);
+                self.answer(world, engine, request, &answer);
+            }
+            Content::Decide(next) => self.decide(world, engine, &next),
+            Content::Progress(request, made) => {
+                if let Some(ledger) = &mut self.nodes[to].ledgers[engine] {
+                    ledger.progress(request, made, now);
+                }
+            }
+            Content::Release(request, made) => {
+                if let Some(ledger) = &mut self.nodes[to].ledgers[engine] {
+                    ledger.release(request, made, now);
+                }
+                self.pump(world, to, engine);
+            }
+            Content::Digest(digest) => self.nodes[to].table.digest(digest, now),
+            Content::Silence(request) => {
+                if self.holds(request, engine, Phase::Asking) {
+                    self.route(world, request);
+                }
+            }
+        }
+    }
+
+    /// Takes a load report, which the home of the engine polls.
+    pub fn report(
+        &mut self,
+        world: &mut World,
+        engine: usize,
+        gauge: &Gauge,
+        taken: At,
+        _changes: &[Change],
+    ) {
+        let now = world.now();
+        let load = world.load(gauge, taken);
+        for side in 0..self.sides(world) {
+            let home = self.homes[side][engine];
+            self.ledger(world, home, engine).report(load.clone(), now);
+            self.pump(world, home, engine);
+        }
+    }
+
+    /// Ends a request whose last token arrived.
+    pub fn done(&mut self, world: &mut World, engine: usize, request: RequestId) {
+        self.release(world, engine, request);
+        self.pending[request as usize] = None;
+        world.end(request, End::Whole);
+    }
+
+    /// Lets the ledgers decide after time passed.
+    pub fn tick(&mut self, world: &mut World) {
+        if world.agenda.now() >= self.changed + SUSPICION && self.changed > At::ZERO {
+            self.elect(world);
+            self.changed = At::ZERO;
+        }
+        for node in 0..self.nodes.len() {
+            for engine in 0..world.engines.len() {
+                self.pump(world, node, engine);
+            }
+        }
+    }
+
+    /// Sends progress reports and digests.
+    pub fn second(&mut self, world: &mut World) {
+        for index in 0..self.pending.len() {
+            let Some(pending) = &self.pending[index] else {
+                continue;
+            };
+            if pending.phase == Phase::Running {
+                let (request, home) = (index as RequestId, pending.home);
+                let engine = *pending.tried.last().unwrap_or(&0);
+                let made = world.callers[index].received;
+                let content = Content::Progress(request, made);
+                let from = world.arrival(request).node;
+                send(world, from, home, engine, content);
+            }
+        }
+        let now = world.now();
+        for engine in 0..world.engines.len() {
+            for side in 0..self.sides(world) {
+                let home = self.homes[side][engine];
+                let digest = self.ledger(world, home, engine).digest(now);
+                for to in 0..self.nodes.len() {
+                    let content = Content::Digest(digest.clone());
+                    send(world, home, to, engine, content);
+                }
+            }
+        }
+    }
+
+    /// Learns that the contact between zones was lost or restored.
+    pub fn cut(&mut self, world: &World) {
+        self.changed = world.agenda.now();
+    }
+
+    /// Chooses an engine and asks its home, or refuses the request.
+    fn route(&mut self, world: &mut World, request: RequestId) {
+        let Some(pending) = self.pending[request as usize].as_mut() else {
+            return;
+        };
+        let arrival = world.arrivals[request as usize].clone();
+        let deadline = arrival.at + world.contract(request).queue;
+        let form = Request {
+            id: request,
+            service: world.terms.service,
+            account: arrival.account,
+            rank: arrival.rank,
+            prompt: arrival.prompt,
+            prefix: arrival.prefix.clone(),
+        };
+        let engines = &world.deployment.engines;
+        let tried: Vec<_> = pending.tried.iter().map(|one| engines[*one].id).collect();
+        let (now, seed) = (world.now(), world.random.random());
+        let table = &mut self.nodes[arrival.node].table;
+        let choice = table.choose(&form, &tried, now, seed);
+        let spent = tried.len() >= ENGINES_ASKED || world.agenda.now() >= deadline;
+        let Choice::Ask(endpoint) = choice else {
+            return self.refuse(world, request);
+        };
+        if spent {
+            return self.refuse(world, request);
+        }
+        table.sent(endpoint);
+        let engine = world.number(endpoint);
+        let home = self.homes[Self::side(world, arrival.node)][engine];
+        pending.tried.push(engine);
+        pending.home = home;
+        pending.phase = Phase::Asking;
+        let ask = Ask {
+            request,
+            node: world.deployment.nodes[arrival.node].id,
+            account: arrival.account,
+            rank: arrival.rank,
+            prompt: arrival.prompt,
+            cached: 0,
+            expected: EXPECTED_OUTPUT,
+            deadline: world.agenda.instant(deadline),
+        };
+        send(world, arrival.node, home, engine, Content::Ask(ask));
+        if world.cut {
+            let message = Message {
+                to: arrival.node,
+                engine,
+                content: Content::Silence(request),
+            };
+            world.agenda.after(ANSWER_TIMEOUT, Event::Message(message));
+        }
+    }
+
+    /// Acts on the answer of a home.
+    fn answer(&mut self, world: &mut World, engine: usize, request: RequestId, answer: &Answer) {
+        if !self.holds(request, engine, Phase::Asking) {
+            // The answer came after the node gave up; the home must not keep the share.
+            if matches!(answer, Answer::Grant | Answer::Wait) {
+                self.release(world, engine, request);
+            }
+            return;
+        }
+        match answer {
+            Answer::Grant => self.start(world, engine, request),
+            Answer::Wait => self.enter(request, Phase::Waiting),
+            Answer::Refuse { .. } => self.route(world, request),
+        }
+    }
+
+    /// Acts on what a ledger decided about a request of this node.
+    fn decide(&mut self, world: &mut World, engine: usize, next: &Next) {
+        match *next {
+            Next::Grant { request, .. } => {
+                if self.holds(request, engine, Phase::Waiting) {
+                    self.start(world, engine, request);
+                } else if !self.holds(request, engine, Phase::Running) {
+                    self.release(world, engine, request);
+                }
+            }
+            Next::Refuse { request, .. } => {
+                if self.holds(request, engine, Phase::Waiting) {
+                    self.refuse(world, request);
+                }
+            }
+            Next::Yield { request, .. } => {
+                if self.holds(request, engine, Phase::Running) {
+                    self.give_up(world, engine, request);
+                }
+            }
+        }
+    }
+
+    /// Takes a running request back from its engine and asks again if the caller has nothing yet.
+    fn give_up(&mut self, world: &mut World, engine: usize, request: RequestId) {
+        world.cancel(request);
+        world.meter.yields += 1;
+        self.release(world, engine, request);
+        if world.callers[request as usize].received > 0 {
+            self.pending[request as usize] = None;
+            world.end(request, End::Interrupted);
+        } else {
+            self.route(world, request);
+        }
+    }
+
+    /// Sends a granted request to its engine.
+    fn start(&mut self, world: &mut World, engine: usize, request: RequestId) {
+        self.enter(request, Phase::Running);
+        let priority = world.priority(request);
+        world.submit(request, engine, priority);
+    }
+
+    /// Refuses a request.
+    fn refuse(&mut self, world: &mut World, request: RequestId) {
+        self.pending[request as usize] = None;
+        world.end(request, End::Refused);
+    }
+
+    /// Tells the home that a request no longer needs its share.
+    fn release(&mut self, world: &mut World, engine: usize, request: RequestId) {
+        let from = world.arrival(request).node;
+        let home = self.homes[Self::side(world, from)][engine];
+        let home = self.pending[request as usize]
+            .as_ref()
+            .map_or(home, |pending| pending.home);
+        let made = world.callers[request as usize].received;
+        send(world, from, home, engine, Content::Release(request, made));
+    }
+
+    /// Lets one ledger decide and sends its decisions.
+    fn pump(&mut self, world: &mut World, node: usize, engine: usize) {
+        let now = world.now();
+        let Some(ledger) = &mut self.nodes[node].ledgers[engine] else {
+            return;
+        };
+        for next in ledger.tick(now) {
+            let (Next::Grant { request, .. }
+            | Next::Refuse { request, .. }
+            | Next::Yield { request, .. }) = next;
+            let to = world.arrival(request).node;
+            send(world, node, to, engine, Content::Decide(next));
+        }
+    }
+
+    /// Returns the ledger of an engine at a node, creating it on first use.
+    fn ledger(&mut self, world: &World, node: usize, engine: usize) -> &mut Ledger {
+        let endpoint = &world.deployment.engines[engine];
+        let create = || Ledger::new(endpoint, world.terms.clone(), world.now());
+        self.nodes[node].ledgers[engine].get_or_insert_with(create)
+    }
+
+    /// Returns whether a request is in the given phase at the given engine.
+    fn holds(&self, request: RequestId, engine: usize, phase: Phase) -> bool {
+        self.pending[request as usize]
+            .as_ref()
+            .is_some_and(|pending| pending.phase == phase && pending.tried.last() == Some(&engine))
+    }
+
+    /// Moves a request into a phase.
+    fn enter(&mut self, request: RequestId, phase: Phase) {
+        if let Some(pending) = self.pending[request as usize].as_mut() {
+            pending.phase = phase;
+        }
+    }
+
+    /// Determines the home of each engine from the nodes that each side takes for live.
+    fn elect(&mut self, world: &World) {
+        let nodes = &world.deployment.nodes;
+        let first = nodes[0].zone.id;
+        for side in 0..2 {
+            let live = |node: &&crate::deployment::Node| {
+                !world.cut || (node.zone.id == first) == (side == 0)
+            };
+            let live: Vec<InstanceId> = nodes.iter().filter(live).map(|node| node.id).collect();
+            let home = |engine: &daisyyard_core::endpoint::Endpoint| {
+                let home = home::of(engine.id, live.iter().copied());
+                nodes.iter().position(|node| Some(node.id) == home)
+            };
+            let engines = world.deployment.engines.iter();
+            self.homes[side] = engines.map(|engine| home(engine).unwrap_or(0)).collect();
+        }
+    }
+
+    /// Returns on which side of the cut a node stands.
+    fn side(world: &World, node: usize) -> usize {
+        let nodes = &world.deployment.nodes;
+        usize::from(nodes[node].zone.id != nodes[0].zone.id)
+    }
+
+    /// Returns the number of sides that have their own homes at present.
+    fn sides(&self, _world: &World) -> usize {
+        if self.homes[0] == self.homes[1] { 1 } else { 2 }
+    }
+}
--- /dev/null
+++ b/crates/daisyyard_lab/tests/comparisons.rs
@@ -0,0 +1,59 @@
+//! The comparison runs and the reference policies.
+
+use std::time::Duration;
+
+use daisyyard_lab::bench::Policy;
+use daisyyard_lab::deployment::Deployment;
+use daisyyard_lab::experiment::Experiment;
+use daisyyard_lab::report::{self, Report};
+use daisyyard_lab::spread;
+
+/// Runs a short experiment.
+fn run(name: &str, policy: Policy) -> Report {
+    let deployment = Deployment::parse("association").expect("the deployment exists");
+    let experiment = Experiment::parse(name).expect("the experiment exists");
+    let experiment = experiment.shortened(Duration::from_secs(18));
+    report::measure(&deployment, &experiment, policy, 1)
+}
+
+/// Guards against an upper bound that is below a baseline.
+#[test]
+fn central_is_upper_bound() {
+    let central = run("flood-urgent", Policy::Central);
+    for policy in [Policy::RoundRobin, Policy::LeastLoaded] {
+        let baseline = run("flood-urgent", policy);
+        assert!(
+            central.urgent_target_met > baseline.urgent_target_met,
+            "{} {} against {}",
+            policy.name(),
+            baseline.urgent_target_met,
+            central.urgent_target_met
+        );
+    }
+}
+
+/// Guards against comparison figures that are missing or appear where nothing is compared.
+#[test]
+fn comparison_runs_where_due() {
+    let calm = run("ordinary", Policy::RoundRobin);
+    assert_eq!(calm.deferrable_kept, None);
+    assert_eq!(calm.small_account_target_met_alone, None);
+    let flood = run("flood-urgent", Policy::RoundRobin);
+    assert!(flood.deferrable_kept.is_some_and(|kept| kept > 0.0));
+    let large = run("large-accounts", Policy::RoundRobin);
+    assert!(large.small_account_target_met_alone.is_some());
+}
+
+/// Guards against threads that change results or their order.
+#[test]
+fn threads_keep_results() {
+    let deployment = Deployment::parse("pit-works").expect("the deployment exists");
+    let experiment = Experiment::parse("ordinary").expect("the experiment exists");
+    let experiment = experiment.shortened(Duration::from_secs(3));
+    let seeds = [1, 2, 3, 4, 5];
+    let together = spread::measure(&deployment, &experiment, Policy::Daisyyard, &seeds);
+    for (report, seed) in together.iter().zip(seeds) {
+        let alone = report::measure(&deployment, &experiment, Policy::Daisyyard, seed);
+        assert_eq!(format!("{report:?}"), format!("{alone:?}"));
+    }
+}
--- /dev/null
+++ b/crates/daisyyard_lab/tests/engine_memory.rs
@@ -0,0 +1,110 @@
+//! The fake engine's memory, batch and preemption.
+
+use std::collections::HashMap;
+
+use daisyyard_lab::engine::{Engine, Job, Model};
+
+/// Returns a job of the given size.
+fn job(request: u64, priority: u8, prompt: u64, output: u64) -> Job {
+    Job {
+        request,
+        priority,
+        prompt,
+        output,
+        prefix: Vec::new(),
+    }
+}
+
+/// Returns an engine with little memory.
+fn small(memory: u64) -> Engine {
+    Engine::new(Model {
+        memory,
+        ..Model::standard()
+    })
+}
+
+/// Runs the engine until it is idle and returns the offsets that each request received.
+fn drain(engine: &mut Engine, memory: u64) -> HashMap<u64, Vec<u64>> {
+    let mut offsets: HashMap<u64, Vec<u64>> = HashMap::new();
+    while engine.begin().is_some() {
+        assert!(engine.gauge().used <= memory);
+        for token in engine.finish() {
+            offsets.entry(token.request).or_default().push(token.offset);
+        }
+    }
+    offsets
+}
+
+/// Guards against a batch that grows beyond the memory, and against tokens that are lost or
+/// repeated when a preempted job is computed again.
+#[test]
+fn full_memory_preempts() {
+    let mut engine = small(1_000);
+    for request in 0..4 {
+        engine.submit(job(request, 0, 200, 200));
+    }
+    let offsets = drain(&mut engine, 1_000);
+    assert!(engine.gauge().preemptions > 0);
+    for request in 0..4 {
+        assert_eq!(offsets[&request], (0..200).collect::<Vec<_>>());
+    }
+}
+
+/// Guards against preemption of urgent jobs while deferrable ones keep their memory.
+#[test]
+fn lowest_priority_goes_first() {
+    let mut engine = small(1_000);
+    engine.submit(job(1, 1, 400, 500));
+    engine.submit(job(2, 0, 400, 300));
+    let mut order = Vec::new();
+    while engine.begin().is_some() {
+        let last = engine.finish().into_iter().filter(|token| token.last);
+        order.extend(last.map(|token| token.request));
+    }
+    assert_eq!(order, [2, 1]);
+    assert!(engine.gauge().preemptions > 0);
+}
+
+/// Guards against a step time that ignores the batch or the prompts.
+#[test]
+fn step_grows_with_batch() {
+    let time = |jobs: u64, prompt: u64| {
+        let mut engine = small(65_536);
+        for request in 0..jobs {
+            engine.submit(job(request, 0, prompt, 10));
+        }
+        let first = engine.begin().expect("the engine has work");
+        drop(engine.finish());
+        (first, engine.begin().expect("the engine has work"))
+    };
+    assert!(time(1, 400).0 > time(1, 10).0);
+    assert!(time(20, 10).1 > time(2, 10).1);
+}
+
+/// Guards against a prefix cache without effect or without limit.
+#[test]
+fn cached_prefix_saves_time() {
+    let mut engine = small(65_536);
+    let prefixed = |request| Job {
+        prefix: vec![1, 2],
+        ..job(request, 0, 300, 1)
+    };
+    let mut times = Vec::new();
+    for request in 0..2 {
+        engine.submit(prefixed(request));
+        times.push(engine.begin().expect("the engine has work"));
+        drop(engine.finish());
+    }
+    assert!(times[1] < times[0]);
+    for block in 100..200 {
+        engine.submit(Job {
+            prefix: vec![block],
+            ..job(block as u64, 0, 130, 1)
+        });
+    }
+    drain(&mut engine, 65_536);
+    let changes = engine.cache().changes();
+    assert!(changes.iter().any(|change| !change.stored));
+    engine.submit(prefixed(9));
+    assert_eq!(engine.begin().expect("the engine has work"), times[0]);
+}
--- /dev/null
+++ b/crates/daisyyard_lab/tests/same_seed.rs
@@ -0,0 +1,53 @@
+//! The same seed gives the same result, and every policy sees the same arrivals.
+
+use std::time::Duration;
+
+use daisyyard_lab::bench::Policy;
+use daisyyard_lab::deployment::Deployment;
+use daisyyard_lab::experiment::Experiment;
+use daisyyard_lab::report;
+use daisyyard_lab::workload::{Parts, arrivals};
+
+/// Runs a short experiment and returns its report as text.
+fn run(policy: Policy, seed: u64) -> String {
+    let deployment = Deployment::parse("association").expect("the deployment exists");
+    let experiment = Experiment::parse("flood-deferrable").expect("the experiment exists");
+    let experiment = experiment.shortened(Duration::from_secs(12));
+    let report = report::measure(&deployment, &experiment, policy, seed);
+    serde_json::to_string(&report).expect("a report has a text form")
+}
+
+/// Guards against decisions that depend on the order of a hash map or on the real clock.
+#[test]
+fn same_seed_gives_same_bytes() {
+    for policy in Policy::ALL {
+        assert_eq!(run(policy, 3), run(policy, 3), "{}", policy.name());
+    }
+}
+
+/// Guards against a seed that is not used.
+#[test]
+fn other_seed_gives_other_result() {
+    assert_ne!(run(Policy::RoundRobin, 3), run(Policy::RoundRobin, 4));
+}
+
+/// Guards against comparison runs that draw other requests than the run they are compared with.
+#[test]
+fn parts_keep_other_arrivals() {
+    let deployment = Deployment::parse("association").expect("the deployment exists");
+    let experiment = Experiment::parse("flood-urgent").expect("the experiment exists");
+    let experiment = experiment.shortened(Duration::from_secs(12));
+    let draw = |flood, large| arrivals(&deployment, &experiment, 5, &Parts { flood, large });
+    let key = |all: Vec<daisyyard_lab::workload::Arrival>| {
+        let small = all.into_iter().filter(|arrival| !arrival.large);
+        small
+            .map(|one| (one.at, one.account, one.prompt, one.output))
+            .collect::<Vec<_>>()
+    };
+    let (calm, whole, alone) = (draw(false, true), draw(true, true), draw(false, false));
+    assert!(whole.len() > 2 * calm.len());
+    let whole = key(whole);
+    let calm = key(calm);
+    assert!(calm.iter().all(|arrival| whole.contains(arrival)));
+    assert_eq!(calm, key(alone));
+}
