--- a/crates/daisyyard_lab/src/bench.rs
+++ b/crates/daisyyard_lab/src/bench.rs
@@ -23,6 +23,9 @@
 /// Time between two progress reports of a generation.
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Longest time after the last arrival; without it a request that never ends would hang the run.
+const DRAIN: Duration = Duration::from_mins(30);
+
 /// How requests are placed on engines.
 #[token]
 pub enum Policy {
@@ -89,6 +92,7 @@
         Policy::Central => Front::Central(Central::new(&world)),
     };
     while world.open > 0
+        && world.agenda.now() < experiment.duration + DRAIN
         && let Some(event) = world.agenda.take()
     {
         handle(&mut world, &mut front, event);
--- a/crates/daisyyard_lab/src/message.rs
+++ b/crates/daisyyard_lab/src/message.rs
@@ -16,14 +16,16 @@
     Answer(RequestId, Answer, Digest),
     /// The home decided about a waiting or running request.
     Decide(Next),
-    /// A generation has made this many tokens.
-    Progress(RequestId, Tokens),
+    /// A generation has made this many tokens; a new home needs what it once asked for.
+    Progress(Ask, Tokens),
     /// A generation has ended after this many tokens, or a waiting request is withdrawn.
     Release(RequestId, Tokens),
     /// The home shares the state of the engine.
     Digest(Digest),
     /// No answer came in time.
     Silence(RequestId),
+    /// No decision about a waiting request came in time.
+    Late(RequestId),
 }
 
 /// A message between nodes about one engine.
