--- a/crates/daisyyard_core/src/ledger.rs
+++ b/crates/daisyyard_core/src/ledger.rs
@@ -23,6 +23,8 @@
 const BUCKETS: usize = 2048;
 /// Time after which a generation that was told to yield and still runs may be told again.
 const YIELD_REPEAT: Duration = Duration::from_secs(1);
+/// Part of the first-token target that a request may wait, so that time for its prompt is left.
+const TARGET_SHARE: f64 = 0.8;
 /// Weight of a new residence time in the mean.
 const RESIDENCE_WEIGHT: f64 = 1.0 / 32.0;
 /// A node's request to run a generation on the engine.
@@ -165,13 +167,15 @@
         if self.queue.contains(ask.request) {
             return Answer::Wait;
         }
-        let total = self.estimate(&ask, 0, now);
+        let estimate = self.estimate(&ask, 0, now);
+        let total = estimate.total;
         let wait = self.wait(&ask, total, now);
         let contract = self.terms.contract(ask.rank);
         let patience = ask
             .deadline
             .saturating_duration_since(now)
             .min(contract.queue);
+        let target = contract.first_token.mul_f64(TARGET_SHARE).min(patience);
         if patience.is_zero() || ask.prompt >= self.capacity.memory {
             let retry_after = retry_after(&ask, wait, patience);
             return Answer::Refuse { retry_after };
@@ -180,12 +184,15 @@
             let sum = self.grants.sums[Rank::Urgent as usize];
             let urgent = sum.count + self.queue.len(Rank::Urgent) + 1;
             self.capacity
-                .demand(urgent, sum.reserved + ask.prompt + total, now);
+                .demand(urgent, sum.reserved + ask.prompt + estimate.mean(), now);
         }
         let first = self.queue.len(ask.rank) == 0 && self.may_pass(ask.rank, now);
-        let admit = first && self.fits(&ask, total, now);
-        if !admit && wait > patience {
-            let retry_after = retry_after(&ask, wait, patience);
+        let admit = first && self.fits(&ask, &estimate, now);
+        if !admit && wait > target {
+            if ask.rank == Rank::Urgent {
+                self.capacity.miss(ask.prompt + estimate.mean(), now);
+            }
+            let retry_after = retry_after(&ask, wait, target);
             return Answer::Refuse { retry_after };
         }
         let taken = fresh(&ask) + total;
@@ -196,11 +203,12 @@
             return Answer::Refuse { retry_after };
         }
         if admit {
-            self.grant(&ask, total, taken, now);
+            self.grant(&ask, estimate, taken, now);
             return Answer::Grant;
         }
         let entry = Entry {
             since: now,
+            target: now + target,
             expires: now + patience,
             taken,
             ask,
@@ -214,12 +222,9 @@
         let Some(grant) = self.grants.get(request) else {
             return false;
         };
-        let (kind, before) = (self.kind(grant.account, grant.rank), grant.total);
+        let (kind, before) = (self.kind(grant.account, grant.rank), grant.estimate.total);
         let made = made.max(grant.made);
-        let quantile = self.capacity.spread.quantile();
-        let total = self
-            .lengths
-            .total(kind, made, quantile, grant.expected, now);
+        let estimate = self.forecast(kind, made, grant.expected, now);
         if made > before {
             self.lengths.outlive(kind, made, now);
         }
@@ -230,7 +235,7 @@
         }
         self.grants.update(request, |grant| {
             grant.made = made;
-            grant.total = total;
+            grant.estimate = estimate;
             grant.charged = charged;
             grant.progressed = now;
             grant.expires = now + GRANT_LIFETIME;
@@ -246,8 +251,8 @@
     pub fn restore(&mut self, ask: &Ask, made: Tokens, now: Instant) {
         if self.grants.get(ask.request).is_none() && self.grants.len() < GRANTS {
             self.queue.remove(ask.request);
-            let total = self.estimate(ask, made, now);
-            self.grant(ask, total, 0, now);
+            let estimate = self.estimate(ask, made, now);
+            self.grant(ask, estimate, 0, now);
         }
         self.progress(ask.request, made, now);
     }
@@ -319,7 +324,7 @@
             endpoint: self.endpoint,
             running: self.grants.len() as u32 + self.capacity.foreign,
             queued: waiting.sum::<usize>() as u32,
-            free: budget.saturating_sub(self.grants.profile.peak(0, 0)),
+            free: budget.saturating_sub(self.grants.profile().peak()),
             gap: self.capacity.gap(),
         }
     }
--- a/crates/daisyyard_lab/src/caller.rs
+++ b/crates/daisyyard_lab/src/caller.rs
@@ -28,6 +28,8 @@
 pub struct Caller {
     /// Position in the generation.
     pub cursor: Cursor,
+    /// When the node sent the request to an engine.
+    pub sent: Option<At>,
     /// When the first token arrived.
     pub first: Option<At>,
     /// When the last token arrived.
@@ -59,6 +61,7 @@
     pub fn new(at: At) -> Self {
         Self {
             cursor: Cursor::new(),
+            sent: None,
             first: None,
             last: at,
             gaps: Duration::ZERO,
--- a/crates/daisyyard_lab/src/report.rs
+++ b/crates/daisyyard_lab/src/report.rs
@@ -4,8 +4,9 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
+use crate::agenda::At;
 use crate::bench::{self, Policy};
-use crate::caller::End;
+use crate::caller::{Caller, End};
 use crate::deployment::Deployment;
 use crate::experiment::Experiment;
 use crate::workload::Parts;
@@ -53,6 +54,14 @@
     pub tbt_ms_p99: f64,
     /// 95th percentile of the time to the first token of urgent requests that got one.
     pub urgent_ttft_ms_p95: f64,
+    /// 95th percentile of the time from arrival to sending of urgent requests that were sent.
+    pub urgent_admission_ms_p95: f64,
+    /// Urgent requests that missed a target because they were refused or interrupted.
+    pub urgent_missed_unserved: u64,
+    /// Urgent requests that were served and missed the first-token target.
+    pub urgent_missed_first_token: u64,
+    /// Urgent requests that missed only the token-gap target.
+    pub urgent_missed_gap: u64,
     /// Share of urgent requests that met their targets.
     pub urgent_target_met: f64,
     /// Share of deferrable requests that met their targets.
@@ -102,8 +111,8 @@
         let ended = world.callers.iter().filter(|one| one.end == Some(end));
         ended.count() as u64
     };
-    let sum = |part: fn(&crate::caller::Caller) -> u64| world.callers.iter().map(part).sum();
-    let whole = |one: &crate::caller::Caller| one.end == Some(End::Whole);
+    let sum = |part: fn(&Caller) -> u64| world.callers.iter().map(part).sum();
+    let whole = |one: &Caller| one.end == Some(End::Whole);
     let pairs = || world.callers.iter().zip(&world.arrivals);
     let missing = pairs().filter(|(caller, _)| whole(caller));
     let missing = missing.map(|(caller, arrival)| arrival.output.abs_diff(caller.received));
@@ -111,6 +120,7 @@
         .filter(|(caller, _)| whole(caller))
         .map(|(caller, _)| caller.timely)
         .sum();
+    let [unserved, late, slow] = missed(world);
     let preemptions: u64 = world
         .engines
         .iter()
@@ -159,7 +169,11 @@
         tbt_ms_p50: world.meter.gap_ms(0.5),
         tbt_ms_p95: world.meter.gap_ms(0.95),
         tbt_ms_p99: world.meter.gap_ms(0.99),
-        urgent_ttft_ms_p95: first_token_ms(world, Rank::Urgent),
+        urgent_ttft_ms_p95: late_ms(world, |caller| caller.first),
+        urgent_admission_ms_p95: late_ms(world, |caller| caller.sent),
+        urgent_missed_unserved: unserved,
+        urgent_missed_first_token: late,
+        urgent_missed_gap: slow,
         urgent_target_met: share(&|arrival| arrival.rank == Rank::Urgent),
         deferrable_target_met: share(&|arrival| arrival.rank == Rank::Deferrable),
         deferrable_kept: None,
@@ -171,16 +185,40 @@
     }
 }
 
-/// Returns the 95th percentile of the time to the first token of a rank in milliseconds.
-fn first_token_ms(world: &World, rank: Rank) -> f64 {
+/// Returns the 95th percentile of a time after the arrival of urgent requests in milliseconds.
+fn late_ms(world: &World, time: fn(&Caller) -> Option<At>) -> f64 {
     let bounds = Histogram::<u64>::new_with_bounds(1, LONGEST_US, 3);
     let mut times = bounds.expect("the bounds are valid");
     for (caller, arrival) in world.callers.iter().zip(&world.arrivals) {
-        if let Some(first) = caller.first
-            && arrival.rank == rank
+        if let Some(time) = time(caller)
+            && arrival.rank == Rank::Urgent
         {
-            times.saturating_record(first.saturating_sub(arrival.at).as_micros() as u64);
+            times.saturating_record(time.saturating_sub(arrival.at).as_micros() as u64);
         }
     }
     times.value_at_quantile(0.95) as f64 / 1e3
 }
+
+/// Counts the urgent requests that were not served, that began late, and that were only slow.
+fn missed(world: &World) -> [u64; 3] {
+    let mut counts = [0; 3];
+    for (caller, arrival) in world.callers.iter().zip(&world.arrivals) {
+        let contract = world.contract(arrival.id);
+        if arrival.rank != Rank::Urgent || caller.met(arrival.at, contract) {
+            continue;
+        }
+        let first = caller.first.map(|first| first.saturating_sub(arrival.at));
+        let cause = match first {
+            Some(first) if caller.end == Some(End::Whole) => {
+                if first > contract.first_token {
+                    1
+                } else {
+                    2
+                }
+            }
+            _ => 0,
+        };
+        counts[cause] += 1;
+    }
+    counts
+}
--- a/crates/daisyyard_lab/src/world.rs
+++ b/crates/daisyyard_lab/src/world.rs
@@ -178,7 +178,10 @@
             prefix: arrival.prefix.clone(),
         };
         let generation = self.meter.generation();
-        self.callers[request as usize].cursor.bind(generation);
+        let now = self.agenda.now();
+        let caller = &mut self.callers[request as usize];
+        caller.sent = Some(now);
+        caller.cursor.bind(generation);
         self.runs[request as usize] = Some(Run {
             engine,
             generation,
--- a/crates/daisyyard_lab/src/yard.rs
+++ b/crates/daisyyard_lab/src/yard.rs
@@ -418,7 +418,13 @@
         let asked = pending.map_or(present, |pending| pending.home);
         send(world, from, asked, engine, Content::Release(request, made));
         if asked != present {
-            send(world, from, present, engine, Content::Release(request, made));
+            send(
+                world,
+                from,
+                present,
+                engine,
+                Content::Release(request, made),
+            );
         }
     }
 
