Report the mean time between tokens in the fake engine

Cause: the fake engine reported its last step, so one prompt chunk of 15 ms made the ledger lower its concurrency; the load report is defined as a mean.

Change: the engine reports the mean of about 24 steps.

--- a/crates/daisyyard_lab/src/engine.rs
+++ b/crates/daisyyard_lab/src/engine.rs
@@ -8,6 +8,9 @@
 
 use crate::cache::Cache;
 
+/// Steps over which a load report takes the mean time between tokens, about half a second.
+const MEAN_STEPS: u32 = 24;
+
 /// Capacity and speed of an engine.
 #[value]
 pub struct Model {
@@ -102,7 +105,7 @@
     pub waiting: u32,
     /// Tokens of memory in use.
     pub used: Tokens,
-    /// Duration of the last step.
+    /// Mean duration of the recent steps.
     pub gap: Duration,
     /// Preemptions since the start.
     pub preemptions: u64,
@@ -121,7 +124,7 @@
     next: u64,
     /// Whether a step is under way.
     stepping: bool,
-    /// Duration of the last step.
+    /// Mean duration of the recent steps.
     gap: Duration,
     /// Preemptions since the start.
     preemptions: u64,
@@ -197,9 +200,14 @@
         }
         let computed = (self.model.chunk - chunk) as u32;
         let model = &self.model;
-        self.gap = model.base + model.crowding * decoding + model.prefill * computed;
+        let step = model.base + model.crowding * decoding + model.prefill * computed;
+        self.gap = if self.gap.is_zero() {
+            step
+        } else {
+            (self.gap * (MEAN_STEPS - 1) + step) / MEAN_STEPS
+        };
         self.stepping = true;
-        Some(self.gap)
+        Some(step)
     }
 
     /// Ends the step and returns the tokens that it made.
