Lower deferrable concurrency first when the token gap is too long

Cause: prompts of a deferrable flood fill every step with prompt tokens, so the gap stays above its target at any concurrency.

Change: while urgent work is present, the capacity lowers the number of deferrable generations by 0.7 down to their floor before it lowers the limit.

--- a/crates/daisyyard_core/src/admit.rs
+++ b/crates/daisyyard_core/src/admit.rs
@@ -118,6 +118,10 @@
         let waits = self.queue.len(other) > 0;
         let [slots, memory] = self.capacity.kept(other, waits, now, &self.terms);
         let theirs = self.grants.sums[other as usize];
+        let deferrable = self.grants.sums[Rank::Deferrable as usize].count as f64;
+        if ask.rank == Rank::Deferrable && deferrable + 1.0 > self.capacity.deferrable() {
+            return false;
+        }
         let mut limit = self.capacity.limit(now);
         let mut budget = self.capacity.budget(count + 1, now);
         if self.grants.sums[ask.rank as usize].count > 0 {
--- a/crates/daisyyard_core/src/capacity.rs
+++ b/crates/daisyyard_core/src/capacity.rs
@@ -19,6 +19,10 @@
 const GAP_AIM: f64 = 0.9;
 /// Least factor of one reduction, so that one wrong report does little harm.
 const LEAST_REDUCTION: f64 = 0.5;
+/// Factor of one reduction of the deferrable concurrency.
+const DEFERRABLE_REDUCTION: f64 = 0.7;
+/// Factor of one raise of the deferrable concurrency.
+const DEFERRABLE_GROWTH: f64 = 1.1;
 /// Largest factor of one raise.
 const GROWTH: f64 = 1.5;
 /// Generations at an engine of which no load report has arrived yet.
@@ -50,7 +54,10 @@
     pub(crate) memory: Tokens,
     /// Generations that the engine may run within the token-gap target.
     limit: f64,
-    /// When the limit was last lowered.
+    /// Deferrable generations that the engine may run within the token-gap target beside the
+    /// urgent ones.
+    deferrable: f64,
+    /// When a limit was last lowered.
     lowered: Option<Instant>,
     /// When the ledger was created.
     created: Instant,
@@ -78,6 +85,7 @@
             slots,
             memory: endpoint.memory,
             limit: slots.min(FIRST_LIMIT),
+            deferrable: slots,
             lowered: None,
             created: now,
             load: None,
@@ -92,7 +100,14 @@
 
     /// Takes a load report; `running` and `held` describe the ledger's own generations that were
     /// granted before the report was taken.
-    pub(crate) fn report(&mut self, load: Load, running: u32, held: Tokens, terms: &Terms) {
+    pub(crate) fn report(
+        &mut self,
+        load: Load,
+        running: u32,
+        deferrable: usize,
+        held: Tokens,
+        terms: &Terms,
+    ) {
         let known = |ended: &&Ended| ended.granted <= load.taken && load.taken < ended.end;
         let (mut running, mut held) = (running, held);
         for ended in self.ended.iter().filter(known) {
@@ -106,12 +121,12 @@
         if let Some(last) = &self.load {
             self.spread.preempted(load.preemptions > last.preemptions);
         }
-        self.pace(&load, terms);
+        self.pace(&load, deferrable as f64, terms);
         self.load = Some(load);
     }
 
     /// Moves the concurrency limit towards the token-gap target.
-    fn pace(&mut self, load: &Load, terms: &Terms) {
+    fn pace(&mut self, load: &Load, deferrable: f64, terms: &Terms) {
         let running = f64::from(load.running);
         let target = self.target(load.taken, terms).as_secs_f64();
         let gap = load.gap.as_secs_f64();
@@ -120,7 +135,18 @@
         }
         // A report from before the last reduction does not show its effect.
         let stale = self.lowered.is_some_and(|lowered| load.taken <= lowered);
-        if gap > target * GAP_HIGH && !stale {
+        if gap < target * GAP_LOW && deferrable >= self.deferrable * GAP_LOW {
+            let grown = (self.deferrable * DEFERRABLE_GROWTH).max(self.deferrable + 1.0);
+            self.deferrable = grown.min(self.slots);
+        }
+        // Prompts of deferrable work slow the engine down at any concurrency. Lowering the whole
+        // limit for them would keep urgent work out, so that deferrable work goes first.
+        let floor = (terms.deferrable.floor * self.limit).max(1.0);
+        let both = self.urgent.is_some() && deferrable > floor;
+        if gap > target * GAP_HIGH && !stale && both {
+            self.deferrable = (deferrable * DEFERRABLE_REDUCTION).max(floor);
+            self.lowered = Some(load.taken);
+        } else if gap > target * GAP_HIGH && !stale {
             let factor = (target * GAP_AIM / gap).max(LEAST_REDUCTION);
             self.limit = self.limit.min(running * factor).max(1.0);
             self.lowered = Some(load.taken);
@@ -168,6 +194,11 @@
         }
     }
 
+    /// Returns the deferrable generations that may run at the same time.
+    pub(crate) fn deferrable(&self) -> f64 {
+        self.deferrable
+    }
+
     /// Returns the memory that the ledger itself may promise to `count` generations.
     pub(crate) fn budget(&self, count: usize, now: Instant) -> Tokens {
         let free = self.memory.saturating_sub(self.foreign_held);
--- a/crates/daisyyard_core/src/ledger.rs
+++ b/crates/daisyyard_core/src/ledger.rs
@@ -297,7 +297,9 @@
             running += 1;
             held += grant.held() + (lag.as_secs_f64() / gap) as Tokens;
         }
-        self.capacity.report(load, running, held, &self.terms);
+        let deferrable = self.grants.sums[Rank::Deferrable as usize].count;
+        self.capacity
+            .report(load, running, deferrable, held, &self.terms);
     }
 
     /// Grants and refuses waiting requests, and ends grants, after time passed or capacity
