Let urgent requests ask another engine in time

Change: `route::patience` bounds the wait at each engine but the last to a quarter and a half of the first-token target for urgent requests; the nodes of the experiments ask up to three engines with it. `serve` does not call it yet.

--- a/crates/daisyyard_core/src/route.rs
+++ b/crates/daisyyard_core/src/route.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 
-use crate::contract::Rank;
+use crate::contract::{Contract, Rank};
 use crate::endpoint::{Endpoint, State};
 use crate::home;
 use crate::id::{AccountId, EndpointId, Fingerprint, InstanceId, RequestId, ServiceId, Tokens};
@@ -42,6 +42,25 @@
 /// When to ask again if no endpoint may receive new work.
 const NOWHERE_RETRY: Duration = Duration::from_secs(1);
 
+/// Engines that a node asks for one request before it refuses it.
+pub const ENGINES_ASKED: usize = 3;
+/// Part of the first-token target that an urgent request waits at each engine but the last.
+const TURN_PART: u32 = 4;
+
+/// Returns how long after its arrival a request waits at the engine that is asked as the `nth`,
+/// counted from zero.
+///
+/// An urgent request that waits at a busy engine asks another one while its target can still be
+/// met. A deferrable one keeps its place, because it would lose its turn in the queue.
+pub fn patience(contract: &Contract, rank: Rank, nth: usize) -> Duration {
+    if rank == Rank::Urgent && nth + 1 < ENGINES_ASKED {
+        let turn = contract.first_token * (nth as u32 + 1) / TURN_PART;
+        turn.min(contract.queue)
+    } else {
+        contract.queue
+    }
+}
+
 /// A request as far as routing needs to know it.
 #[value]
 pub struct Request {
--- a/crates/daisyyard_lab/src/yard.rs
+++ b/crates/daisyyard_lab/src/yard.rs
@@ -6,7 +6,7 @@
 use daisyyard_core::id::{InstanceId, RequestId, Tokens};
 use daisyyard_core::ledger::{Answer, Ask, Ledger, Next};
 use daisyyard_core::prefix;
-use daisyyard_core::route::{Choice, Request, Table};
+use daisyyard_core::route::{self, Choice, ENGINES_ASKED, Request, Table};
 use rand::Rng;
 
 use crate::agenda::At;
@@ -18,8 +18,6 @@
 
 /// Output tokens that a node expects before it has seen any length.
 const EXPECTED_OUTPUT: Tokens = 256;
-/// Engines that a node asks for one request.
-const ENGINES_ASKED: usize = 3;
 /// Time without news after which a node takes another one for lost.
 const SUSPICION: Duration = Duration::from_secs(3);
 /// Time after which a node stops waiting for an answer that was lost.
@@ -253,7 +251,7 @@
             return;
         };
         let arrival = world.arrival(request);
-        let node = arrival.node;
+        let (node, arrived) = (arrival.node, arrival.at);
         let form = Request {
             id: request,
             service: world.terms.service,
@@ -278,10 +276,14 @@
         table.send(endpoint, &form, now);
         let engine = world.number(endpoint);
         let home = self.homes[Self::side(world, node)][engine];
+        let contract = world.terms.contract(form.rank);
+        let patience = route::patience(contract, form.rank, pending.tried.len());
+        let mut ask = pending.ask.clone();
+        ask.deadline = world.agenda.instant(arrived + patience);
         pending.tried.push(engine);
         pending.home = home;
         pending.phase = Phase::Asking;
-        let content = Content::Ask(pending.ask.clone());
+        let content = Content::Ask(ask);
         send(world, node, home, engine, content);
         let silence = |content| Message {
             to: node,
@@ -369,7 +371,7 @@
             }
             Next::Refuse { request, .. } => {
                 if self.holds(request, engine, Phase::Waiting) {
-                    self.refuse(world, request);
+                    self.route(world, request);
                 }
             }
             Next::Yield { request, .. } => {
