Do not take back generations that are about to end

Cause: urgent work that waits made the ledger take back the deferrable generation with the least work, which at pit-works is a grade of 2 tokens that ends before its node can act.

Change: only generations with at least 16 expected tokens may be told to yield.

--- a/crates/daisyyard_core/src/grant.rs
+++ b/crates/daisyyard_core/src/grant.rs
@@ -7,6 +7,10 @@
 use crate::id::{AccountId, InstanceId, RequestId, Tokens};
 use crate::memory::{Estimate, Profile};
 
+/// Expected output tokens from which a generation may be told to yield. A shorter one ends before
+/// its node could give it up.
+const YIELD_LEAST: Tokens = 16;
+
 /// A generation that holds a share of the engine.
 #[derive(Debug, Clone)]
 pub(crate) struct Grant {
@@ -60,7 +64,8 @@
 
     /// Returns whether the generation may be told to yield.
     fn may_yield(&self) -> bool {
-        self.rank == Rank::Deferrable && self.yielded.is_none()
+        let long = self.estimate.total >= YIELD_LEAST;
+        self.rank == Rank::Deferrable && self.yielded.is_none() && long
     }
 }
 
--- /dev/null
+++ b/crates/daisyyard_core/tests/short_yield.rs
@@ -0,0 +1,59 @@
+//! Generations that are too short to be given up.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use daisyyard_core::contract::Rank;
+use daisyyard_core::endpoint::{Endpoint, Kind};
+use daisyyard_core::id;
+use daisyyard_core::ledger::{Ask, Ledger, Next};
+use daisyyard_core::preset::Terms;
+use daisyyard_core::zone::Zone;
+
+/// Counts the yields on an engine full of deferrable generations after an urgent request waited.
+fn yields(length: u64) -> usize {
+    let start = Instant::now();
+    let zone = Zone::new("a", "r");
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let mut endpoint = Endpoint::new("engine", "model", Kind::Engine, zone, address);
+    endpoint.slots = 8;
+    let mut ledger = Ledger::new(&endpoint, Terms::ordinary("model"), start);
+    let mut now = start + Duration::from_secs(5);
+    let ask = |request, rank, now| Ask {
+        request,
+        node: 1,
+        account: id::of("account"),
+        rank,
+        prompt: 100,
+        cached: 0,
+        expected: length,
+        deadline: now + Duration::from_secs(30),
+    };
+    // The ledger learns the length before the engine fills up.
+    for request in 0..200 {
+        ledger.ask(ask(request, Rank::Deferrable, now), now);
+        ledger.release(request, length, now);
+    }
+    for request in 1_000..1_008 {
+        ledger.ask(ask(request, Rank::Deferrable, now), now);
+    }
+    ledger.ask(ask(2_000, Rank::Urgent, now), now);
+    let mut count = 0;
+    for _ in 0..20 {
+        now += Duration::from_millis(20);
+        let next = ledger.tick(now);
+        count += next
+            .iter()
+            .filter(|next| matches!(next, Next::Yield { .. }))
+            .count();
+    }
+    count
+}
+
+/// Guards against generations that are taken back although they end before their node could act;
+/// 208 a run were in pit-works flood-deferrable.
+#[test]
+fn short_generations_keep_their_place() {
+    assert_eq!(yields(2), 0);
+    assert!(yields(400) > 0);
+}
