--- a/crates/daisyyard/src/command.rs
+++ b/crates/daisyyard/src/command.rs
@@ -6,7 +6,7 @@
 use daisyyard_lab::check;
 use getopts::Options;
 
-use crate::{embedded, node, settings};
+use crate::{embedded, experiment, node, settings};
 
 /// Exit code of a command that was not understood or whose settings are at fault.
 const EXIT_USAGE: u8 = 2;
@@ -20,6 +20,7 @@
   check FILE            check a settings file and list every fault
   try                   run a small fleet on loopback and check the promises
   verify [--json]       check the core protocols against their specifications
+  experiment NAME       run an experiment in virtual time; `experiment list` names them
   help                  show this help
 ";
 
@@ -33,6 +34,7 @@
         "check" => check(rest),
         "try" => attempt(rest),
         "verify" => verify(rest),
+        "experiment" => experiment::run(rest),
         "help" | "--help" | "-h" => {
             print!("{HELP}");
             Ok(ExitCode::SUCCESS)
--- a/crates/daisyyard/src/lib.rs
+++ b/crates/daisyyard/src/lib.rs
@@ -10,6 +10,7 @@
 pub(crate) mod dispatch;
 pub mod embedded;
 pub(crate) mod event;
+pub(crate) mod experiment;
 pub(crate) mod front;
 pub(crate) mod generation;
 pub(crate) mod kv;
