Add metrics, burn counts and the burn report

Cause: nothing showed from outside whether a node met its targets, what spent the error budget, or how small accounts fared against large ones.

Change: request tasks measure themselves (`track`) and tell the actor `meter` when they end. The meter judges each against the contract in force, counts it by service, rank, size class and slot, and keeps histograms of first tokens and token gaps. The core gains the verdict on a request and the account sizes of the last hour, bounded to 8,192 accounts.

Conclusion: a node's service level can be read from outside, and nodes add up exactly.

--- a/crates/daisyyard/src/command.rs
+++ b/crates/daisyyard/src/command.rs
@@ -6,7 +6,7 @@
 use daisyyard_lab::check;
 use getopts::Options;
 
-use crate::{embedded, experiment, node, settings};
+use crate::{embedded, experiment, node, report, settings};
 
 /// Exit code of a command that was not understood or whose settings are at fault.
 const EXIT_USAGE: u8 = 2;
@@ -21,6 +21,7 @@
   try                   run a small fleet on loopback and check the promises
   verify [--json]       check the core protocols against their specifications
   experiment NAME       run an experiment in virtual time; `experiment list` names them
+  report burn           add up the counts of nodes; `report burn --help` explains it
   help                  show this help
 ";
 
@@ -35,6 +36,7 @@
         "try" => attempt(rest),
         "verify" => verify(rest),
         "experiment" => experiment::run(rest),
+        "report" => report::run(rest, runtime),
         "help" | "--help" | "-h" => {
             print!("{HELP}");
             Ok(ExitCode::SUCCESS)
--- a/crates/daisyyard/src/front.rs
+++ b/crates/daisyyard/src/front.rs
@@ -29,6 +29,7 @@
 use crate::delivery;
 use crate::dispatch::Addresses;
 use crate::generation::{Actors, Generation};
+use crate::meter;
 use crate::plain;
 use crate::reader;
 use crate::refusal::{Kind, Refusal};
@@ -132,6 +133,8 @@
             (&Method::GET, "/healthz") => Ok(http::json(StatusCode::OK, &json!({}))),
             (&Method::GET, "/readyz") => Ok(self.ready()),
             (&Method::GET, "/addresses") => Ok(self.addresses().await),
+            (&Method::GET, "/metrics") => Ok(meter::metrics(&self.actors)),
+            (&Method::GET, "/burn") => meter::burn(&self.actors).await,
             (&Method::POST, "/v1/chat/completions") => self.complete(request).await,
             (&Method::GET, path) if path.starts_with("/v1/streams/") => self.resume(&request).await,
             (_, path) if path.starts_with("/services/") => {
--- a/crates/daisyyard/src/generation.rs
+++ b/crates/daisyyard/src/generation.rs
@@ -4,6 +4,7 @@
 
 use daisyyard_core::attempt::{Attempt, Next, Outcome, Progress};
 use daisyyard_core::budget;
+use daisyyard_core::burn;
 use daisyyard_core::contract::Rank;
 use daisyyard_core::endpoint::{self, Endpoint};
 use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, Offset};
@@ -21,10 +22,13 @@
 use crate::delivery::Delivery;
 use crate::dispatch::{Dispatch, Done, Observe, Retry, Route, Target};
 use crate::event::{self, Event};
+use crate::measure::Metrics;
+use crate::meter::Meter;
 use crate::reader::{End, Reader};
 use crate::refusal::{Kind, Refusal};
 use crate::settings::Timing;
 use crate::signature::Signer;
+use crate::track::Track;
 use crate::upstream::{self, Error};
 
 /// Output tokens that are expected before any length is known.
@@ -43,6 +47,10 @@
     pub(crate) admission: Address<Admission>,
     /// Registers calls that run at most once.
     pub(crate) calls: Address<Calls>,
+    /// Counts ended requests against their targets.
+    pub(crate) meter: Address<Meter>,
+    /// Metrics of the node.
+    pub(crate) metrics: Metrics,
     /// Signs generation ids.
     pub(crate) signer: Signer,
     /// Time limits.
@@ -76,6 +84,8 @@
     cursor: Cursor,
     /// What may have reached an engine.
     attempt: Attempt,
+    /// What the request measures of itself.
+    track: Track,
 }
 
 impl Generation {
@@ -87,37 +97,57 @@
             caller: &caller,
             cursor: Cursor::new(),
             attempt: Attempt::new(true),
+            track: Track::new(&actors, &self.request),
         };
+        let end = self.attempts(&mut run, &actors, &caller).await;
+        run.track.end(end).await;
+    }
+
+    /// Tries engines until one delivers the whole answer or no further attempt is permitted.
+    async fn attempts(
+        &self,
+        run: &mut Run<'_>,
+        actors: &Actors,
+        caller: &mpsc::Sender<Delivery>,
+    ) -> burn::End {
         let mut tried = Vec::new();
         loop {
-            let endpoint = match self.admit(&actors, &tried, &caller).await {
+            let asked = Instant::now();
+            let admitted = self.admit(actors, &tried, caller).await;
+            run.track.admitted(asked.elapsed());
+            let endpoint = match admitted {
                 Ok(endpoint) => endpoint,
                 Err(mut refusal) => {
                     // An earlier attempt may have run, whatever the reason of this refusal.
                     refusal.outcome = run.attempt.outcome();
                     let delivery = Delivery::Refuse(refusal, run.cursor.next());
-                    let _ = caller.send(delivery).await;
-                    return;
+                    let told = caller.send(delivery).await;
+                    return told.map_or(burn::End::Left, |()| burn::End::Refused);
                 }
             };
             tried.push(endpoint.id);
             let end = run.relay(&endpoint).await;
             let crashed = matches!(end, End::Crashed);
-            self.release(&actors, endpoint.id, run.cursor.next(), crashed)
+            self.release(actors, endpoint.id, run.cursor.next(), crashed)
                 .await;
             match end {
-                End::Whole | End::Unread => return,
+                End::Whole => return burn::End::Whole,
+                End::Unread => return burn::End::Left,
                 End::Answered(status) => {
                     let message = Error::Answered(status).to_string();
                     let _ = caller.send(run.refuse(Kind::Rejected, message)).await;
-                    return;
+                    return burn::End::Refused;
                 }
                 End::Lost | End::Crashed => {}
             }
             if let Some(refusal) = run.retry(tried.len()).await {
                 let _ = caller.send(refusal).await;
-                return;
+                return match run.attempt.outcome() {
+                    Outcome::NotRun => burn::End::Refused,
+                    Outcome::Run | Outcome::Unknown => burn::End::Interrupted,
+                };
             }
+            run.track.retried();
         }
     }
 
@@ -219,7 +249,8 @@
             return End::Lost;
         }
         let request = Some(self.generation.request.id);
-        let mut reader = Reader::new(endpoint, self.actors, name, stream, self.caller, request);
+        let (actors, caller, track) = (self.actors, self.caller, &mut self.track);
+        let mut reader = Reader::new(endpoint, actors, name, stream, caller, request, track);
         let end = reader.read(&mut self.cursor).await;
         if end == End::Unread {
             let streamed = self.generation.completion.stream;
--- /dev/null
+++ b/crates/daisyyard/src/measure.rs
@@ -0,0 +1,198 @@
+//! Metrics of one node in the Prometheus text format.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use daisyyard_core::id::{self, ServiceId};
+use metrics::{Counter, Gauge, Histogram, Unit};
+use metrics_exporter_prometheus::PrometheusRecorder;
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+
+/// Buckets of the first-token time and the admission wait, in seconds; 0.51 s is the target.
+const FIRST_TOKEN: [f64; 13] = [
+    0.05, 0.1, 0.2, 0.3, 0.4, 0.51, 0.65, 0.8, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
+/// Buckets of the time between tokens, in seconds; 31 ms and 62 ms are the targets.
+const TOKEN_GAP: [f64; 13] = [
+    0.005, 0.01, 0.015, 0.02, 0.025, 0.031, 0.04, 0.05, 0.062, 0.1, 0.25, 1.0, 5.0,
+];
+/// Label of a service that the settings do not name; callers must not add labels at will.
+const OTHER: &str = "other";
+
+/// Rank label of a plain call.
+const CALL: &str = "call";
+
+/// Requests by service, rank and verdict.
+const REQUESTS: &str = "daisyyard_requests_total";
+/// Tokens delivered to callers.
+const TOKENS: &str = "daisyyard_tokens_delivered_total";
+/// Time to the first token.
+const FIRST: &str = "daisyyard_first_token_seconds";
+/// Time between tokens.
+const GAP: &str = "daisyyard_token_gap_seconds";
+/// Time to route and admit one attempt.
+const WAIT: &str = "daisyyard_admission_wait_seconds";
+/// Attempts after the first.
+const RETRIES: &str = "daisyyard_retries_total";
+/// Answers that broke off.
+const INTERRUPTIONS: &str = "daisyyard_interruptions_total";
+/// Tokens that were dropped.
+const DROPPED: &str = "daisyyard_tokens_dropped_total";
+/// Requests in progress.
+const OPEN: &str = "daisyyard_open_streams";
+/// Calls of plain services.
+const CALLS: &str = "daisyyard_calls_total";
+
+/// Metrics of one node; each node has its own recorder, so that several can share a process.
+#[derive(Debug, Clone)]
+pub(crate) struct Metrics {
+    /// Keeps the series.
+    recorder: Arc<PrometheusRecorder>,
+    /// Renders the series.
+    handle: PrometheusHandle,
+    /// Names of the services that the settings list.
+    names: Arc<HashMap<ServiceId, String>>,
+}
+
+/// Series of one service and rank, looked up once for each request.
+#[derive(Debug)]
+pub(crate) struct Series {
+    /// Tokens delivered.
+    pub(crate) tokens: Counter,
+    /// Time to the first token.
+    pub(crate) first: Histogram,
+    /// Time between tokens.
+    pub(crate) gap: Histogram,
+    /// Time to route and admit one attempt.
+    pub(crate) wait: Histogram,
+    /// Attempts after the first.
+    pub(crate) retries: Counter,
+    /// Duplicate tokens dropped.
+    pub(crate) duplicates: Counter,
+    /// Tokens of other generations dropped.
+    pub(crate) foreign: Counter,
+    /// Requests in progress.
+    pub(crate) open: Gauge,
+}
+
+impl Metrics {
+    /// Creates the metrics of a node that serves the named services.
+    pub(crate) fn new(services: &[String]) -> anyhow::Result<Self> {
+        let exact = |name: &str| Matcher::Full(name.to_owned());
+        let recorder = PrometheusBuilder::new()
+            .set_buckets_for_metric(exact(FIRST), &FIRST_TOKEN)
+            .and_then(|builder| builder.set_buckets_for_metric(exact(WAIT), &FIRST_TOKEN))
+            .and_then(|builder| builder.set_buckets_for_metric(exact(GAP), &TOKEN_GAP))
+            .context("the buckets of the metrics are invalid")?
+            .build_recorder();
+        let named = services.iter().map(|name| (id::of(name), name.clone()));
+        let metrics = Self {
+            handle: recorder.handle(),
+            recorder: Arc::new(recorder),
+            names: Arc::new(named.collect()),
+        };
+        metrics.with(describe);
+        Ok(metrics)
+    }
+
+    /// Runs a closure whose metrics go to this node's recorder.
+    fn with<T>(&self, action: impl FnOnce() -> T) -> T {
+        metrics::with_local_recorder(self.recorder.as_ref(), action)
+    }
+
+    /// Returns the label of a service.
+    fn label(&self, service: ServiceId) -> String {
+        let name = self.names.get(&service);
+        name.map_or_else(|| OTHER.to_owned(), Clone::clone)
+    }
+
+    /// Returns the series of a service and rank.
+    pub(crate) fn series(&self, service: ServiceId, rank: &'static str) -> Series {
+        let labels = [("service", self.label(service)), ("rank", rank.to_owned())];
+        let dropped = |reason: &'static str| {
+            let [service, rank] = labels.clone();
+            let labels = [service, rank, ("reason", reason.to_owned())];
+            metrics::counter!(DROPPED, &labels)
+        };
+        self.with(|| Series {
+            tokens: metrics::counter!(TOKENS, &labels),
+            first: metrics::histogram!(FIRST, &labels),
+            gap: metrics::histogram!(GAP, &labels),
+            wait: metrics::histogram!(WAIT, &labels),
+            retries: metrics::counter!(RETRIES, &labels),
+            duplicates: dropped("duplicate"),
+            foreign: dropped("foreign"),
+            open: metrics::gauge!(OPEN, &labels),
+        })
+    }
+
+    /// Counts a request that ended.
+    pub(crate) fn ended(&self, service: ServiceId, rank: &'static str, verdict: &'static str) {
+        let labels = [
+            ("service", self.label(service)),
+            ("rank", rank.to_owned()),
+            ("verdict", verdict.to_owned()),
+        ];
+        self.with(|| metrics::counter!(REQUESTS, &labels).increment(1));
+    }
+
+    /// Counts an answer that broke off.
+    pub(crate) fn interrupted(&self, service: ServiceId, rank: &'static str) {
+        let labels = [("service", self.label(service)), ("rank", rank.to_owned())];
+        self.with(|| metrics::counter!(INTERRUPTIONS, &labels).increment(1));
+    }
+
+    /// Counts a repeated attempt of a plain call.
+    pub(crate) fn retried(&self, service: ServiceId) {
+        let labels = [("service", self.label(service)), ("rank", CALL.to_owned())];
+        self.with(|| metrics::counter!(RETRIES, &labels).increment(1));
+    }
+
+    /// Counts a call of a plain service that ended.
+    pub(crate) fn called(&self, service: ServiceId, verdict: &'static str) {
+        let labels = [
+            ("service", self.label(service)),
+            ("verdict", verdict.to_owned()),
+        ];
+        self.with(|| metrics::counter!(CALLS, &labels).increment(1));
+    }
+
+    /// Returns all series as text.
+    pub(crate) fn render(&self) -> String {
+        self.handle.render()
+    }
+
+    /// Moves recorded times into their buckets; without it they pile up until the next scrape.
+    pub(crate) fn upkeep(&self) {
+        self.handle.run_upkeep();
+    }
+}
+
+/// Returns a time as the value of a histogram.
+pub(crate) fn seconds(time: Duration) -> f64 {
+    time.as_secs_f64()
+}
+
+/// Describes every metric.
+fn describe() {
+    metrics::describe_counter!(REQUESTS, Unit::Count, "Generations that ended, by verdict.");
+    metrics::describe_counter!(TOKENS, Unit::Count, "Tokens handed to callers.");
+    metrics::describe_histogram!(
+        FIRST,
+        Unit::Seconds,
+        "Time from the request to its first token."
+    );
+    metrics::describe_histogram!(GAP, Unit::Seconds, "Time between two tokens of a stream.");
+    metrics::describe_histogram!(
+        WAIT,
+        Unit::Seconds,
+        "Time to route and admit one attempt of a generation."
+    );
+    metrics::describe_counter!(RETRIES, Unit::Count, "Attempts after the first.");
+    metrics::describe_counter!(INTERRUPTIONS, Unit::Count, "Answers that broke off.");
+    metrics::describe_counter!(DROPPED, Unit::Count, "Tokens dropped before callers.");
+    metrics::describe_gauge!(OPEN, Unit::Count, "Generations and streams in progress.");
+    metrics::describe_counter!(CALLS, Unit::Count, "Calls of plain services, by verdict.");
+}
--- a/crates/daisyyard/src/node.rs
+++ b/crates/daisyyard/src/node.rs
@@ -16,9 +16,10 @@
 use crate::event::{self, Event};
 use crate::front::Phase;
 use crate::generation::Actors;
+use crate::measure::Metrics;
 use crate::settings::Settings;
 use crate::signature::Signer;
-use crate::{admission, calls, dispatch, front, roster};
+use crate::{admission, calls, dispatch, front, meter, roster};
 
 /// A running node; dropping it ends its tasks at once.
 #[derive(Debug)]
@@ -48,6 +49,8 @@
         let _ = dispatch.send(dispatch::AdoptNodes(listed.nodes)).await;
         let _ = dispatch.send(dispatch::Adopt(listed.endpoints)).await;
         let preset = Preset::ordinary(&settings.services);
+        let metrics = Metrics::new(&settings.services)?;
+        let meter = meter::spawn(&settings.name, preset.clone(), metrics.clone());
         let admission = admission::spawn(preset, dispatch.clone());
         let roster = roster::spawn(settings.list, dispatch.clone());
         let requests = TaskTracker::new();
@@ -56,6 +59,8 @@
             dispatch,
             admission,
             calls: calls::spawn(settings.store),
+            meter,
+            metrics,
             signer: Signer::new(&settings.key),
             timing: settings.timing,
             tasks: requests.clone(),
--- a/crates/daisyyard/src/plain.rs
+++ b/crates/daisyyard/src/plain.rs
@@ -40,6 +40,8 @@
 const FINGERPRINT_SEED: u64 = 0x636f_6e74_656e_7431;
 /// What a caller is told when it is not known whether its call ran.
 const UNCERTAIN: &str = "an earlier call with this key may have run; check before a new key";
+/// Header of an answer that was kept from the first call with its key.
+const REPLAYED: &str = "idempotent-replayed";
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [&str; 9] = [
     "connection",
@@ -71,10 +73,18 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
     let call = Call::read(account, request).await?;
-    match call.key()? {
+    let service = call.routed.service;
+    let result = match call.key()? {
         Some(key) => run_once(actors, call, key).await,
         None => call.run(actors).await.map(Response::from),
-    }
+    };
+    let verdict = match &result {
+        Ok(answer) if answer.headers().contains_key(REPLAYED) => "replayed",
+        Ok(_) => "answered",
+        Err(refusal) => refusal.kind.code(),
+    };
+    actors.metrics.called(service, verdict);
+    result
 }
 
 /// Runs a call with a key at most once over all nodes.
@@ -126,7 +136,7 @@
     let mut response = Response::new(http::full(body));
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
     let headers = response.headers_mut();
-    headers.insert("idempotent-replayed", HeaderValue::from_static("true"));
+    headers.insert(REPLAYED, HeaderValue::from_static("true"));
     response
 }
 
@@ -280,6 +290,7 @@
                 };
                 return Err(refuse(kind, message, &attempt));
             }
+            actors.metrics.retried(self.routed.service);
         }
     }
 
--- a/crates/daisyyard/src/reader.rs
+++ b/crates/daisyyard/src/reader.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use daisyyard_core::burn;
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::id::{AccountId, GenerationId, Offset, RequestId};
 use daisyyard_core::link::{Next, Signal, Watch};
@@ -17,6 +18,7 @@
 use crate::generation::{self, Actors};
 use crate::refusal::{Kind, Refusal};
 use crate::sse::Piece;
+use crate::track::Track;
 use crate::upstream::{self, Error, Item, Probe, Stream};
 
 /// Time between two progress reports of a generation.
@@ -58,6 +60,8 @@
     request: Option<RequestId>,
     /// Watch over the connections.
     watch: Watch,
+    /// Measurements of the request.
+    track: &'a mut Track,
 }
 
 impl<'a> Reader<'a> {
@@ -69,6 +73,7 @@
         link: Stream,
         caller: &'a mpsc::Sender<Delivery>,
         request: Option<RequestId>,
+        track: &'a mut Track,
     ) -> Self {
         Self {
             id: daisyyard_core::id::of(&name),
@@ -80,6 +85,7 @@
             link: Some(link),
             caller,
             request,
+            track,
         }
     }
 
@@ -150,19 +156,29 @@
         match cursor.accept(self.id, offset) {
             Step::Deliver => {
                 self.watch.progress();
+                self.track.token();
                 let generation = self.name.clone();
                 let token = Delivery::Token {
                     generation,
                     offset,
                     text,
                 };
-                self.deliver(token, cursor.next()).await
+                let end = self.deliver(token, cursor.next()).await;
+                self.track.handed();
+                end
             }
             Step::Resume(from) => {
                 event::emit(Event::StreamGap, &self.details(&format!("from={from}")));
                 self.broken(from).await
             }
-            Step::Duplicate | Step::Foreign => None,
+            Step::Duplicate => {
+                self.track.duplicate();
+                None
+            }
+            Step::Foreign => {
+                self.track.foreign();
+                None
+            }
         }
     }
 
@@ -301,7 +317,8 @@
     let tasks = actors.tasks.clone();
     tasks.spawn(async move {
         let mut cursor = Cursor::resume(daisyyard_core::id::of(&name), from);
-        let mut reader = Reader::new(&endpoint, &actors, name, link, &sender, None);
+        let mut track = Track::resumed(&actors, endpoint.service);
+        let mut reader = Reader::new(&endpoint, &actors, name, link, &sender, None, &mut track);
         let end = reader.read(&mut cursor).await;
         if end == End::Unread {
             reader.abandon(cursor.next(), true).await;
@@ -311,6 +328,7 @@
             let message = "the engine was lost; what was delivered is valid up to next_offset";
             let refusal = Refusal::unknown(Kind::Interrupted, message);
             let _ = sender.send(Delivery::Refuse(refusal, cursor.next())).await;
+            track.end(burn::End::Interrupted).await;
         }
     });
     Ok(receiver)
--- /dev/null
+++ b/crates/daisyyard/src/snapshot.rs
@@ -0,0 +1,188 @@
+//! The JSON form of a node's burn counts: the answer of `GET /burn`.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, ensure};
+use daisyyard_core::burn::{Class, Count, Subject};
+use daisyyard_core::contract::Rank;
+use daisyyard_core::id::ServiceId;
+use daisyyard_core::preset::Terms;
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::meter;
+
+/// Number of the form that this program writes and reads.
+pub(crate) const FORMAT: u32 = 1;
+
+/// Counts of one start of one node.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Snapshot {
+    /// Number of the form.
+    pub(crate) format: u32,
+    /// Name of the node.
+    pub(crate) node: String,
+    /// When the node started, in milliseconds since 1970; tells the starts of a node apart.
+    pub(crate) started_ms: u64,
+    /// When the counts were taken, in milliseconds since 1970.
+    pub(crate) taken_ms: u64,
+    /// Services and their targets.
+    pub(crate) services: Vec<Service>,
+    /// Requests by subject and slot.
+    pub(crate) counts: Vec<Counts>,
+    /// Times by service and rank.
+    pub(crate) times: Vec<Times>,
+}
+
+/// Name and targets of one service.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Service {
+    /// Identifier of the service.
+    pub(crate) id: ServiceId,
+    /// Name of the service.
+    pub(crate) name: String,
+    /// First-token target by rank, in microseconds, in the order of [`Rank::ALL`].
+    pub(crate) first_token_us: [u64; 2],
+    /// Target of the mean time between tokens by rank, in microseconds.
+    pub(crate) token_gap_us: [u64; 2],
+}
+
+/// Requests of one subject in one slot.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Counts {
+    /// Service of the requests.
+    service: ServiceId,
+    /// Name of the rank.
+    rank: String,
+    /// Name of the size class.
+    class: String,
+    /// Number of the slot of five minutes since 1970.
+    slot: u64,
+    /// Requests of each verdict: met, refused, late, slow, interrupted.
+    verdicts: [u64; 5],
+}
+
+/// Times of one service and rank since the node started, as values with their counts.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Times {
+    /// Service of the requests.
+    service: ServiceId,
+    /// Name of the rank.
+    rank: String,
+    /// Times to the first token, in microseconds.
+    first_token_us: Vec<(u64, u64)>,
+    /// Times between tokens, in microseconds.
+    token_gap_us: Vec<(u64, u64)>,
+}
+
+/// Returns a time in milliseconds since 1970.
+pub(crate) fn millis(time: SystemTime) -> u64 {
+    time.duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64
+}
+
+impl Snapshot {
+    /// Checks that this program knows the form.
+    pub(crate) fn check(self) -> anyhow::Result<Self> {
+        let format = self.format;
+        ensure!(
+            format == FORMAT,
+            "the snapshot has form {format}, this program reads form {FORMAT}; use its version"
+        );
+        Ok(self)
+    }
+
+    /// Returns when the counts were taken.
+    pub(crate) fn taken(&self) -> SystemTime {
+        UNIX_EPOCH + Duration::from_millis(self.taken_ms)
+    }
+}
+
+impl From<&Terms> for Service {
+    fn from(terms: &Terms) -> Self {
+        let contracts = Rank::ALL.map(|rank| terms.contract(rank));
+        Self {
+            id: terms.service,
+            name: terms.name.clone(),
+            first_token_us: contracts.map(|one| one.first_token.as_micros() as u64),
+            token_gap_us: contracts.map(|one| one.token_gap.as_micros() as u64),
+        }
+    }
+}
+
+impl From<(&Subject, u64, &Count)> for Counts {
+    fn from((subject, slot, count): (&Subject, u64, &Count)) -> Self {
+        Self {
+            service: subject.service,
+            rank: subject.rank.name().to_owned(),
+            class: subject.class.name().to_owned(),
+            slot,
+            verdicts: count.verdicts,
+        }
+    }
+}
+
+impl TryFrom<&Counts> for (Subject, u64, Count) {
+    type Error = anyhow::Error;
+
+    fn try_from(counts: &Counts) -> anyhow::Result<Self> {
+        let class = Class::ALL
+            .into_iter()
+            .find(|one| one.name() == counts.class);
+        let subject = Subject {
+            service: counts.service,
+            rank: rank(&counts.rank)?,
+            class: class.with_context(|| format!("unknown size class {:?}", counts.class))?,
+        };
+        let verdicts = counts.verdicts;
+        Ok((subject, counts.slot, Count { verdicts }))
+    }
+}
+
+impl From<(&(ServiceId, Rank), &meter::Times)> for Times {
+    fn from(((service, rank), times): (&(ServiceId, Rank), &meter::Times)) -> Self {
+        Self {
+            service: *service,
+            rank: rank.name().to_owned(),
+            first_token_us: buckets(&times.first_token),
+            token_gap_us: buckets(&times.token_gap),
+        }
+    }
+}
+
+impl Times {
+    /// Returns the service and rank.
+    pub(crate) fn key(&self) -> anyhow::Result<(ServiceId, Rank)> {
+        Ok((self.service, rank(&self.rank)?))
+    }
+
+    /// Adds the times to histograms; each time falls into the bucket that it came from.
+    pub(crate) fn add(&self, times: &mut meter::Times) -> anyhow::Result<()> {
+        for (value, count) in &self.first_token_us {
+            times.first_token.record_n(*value, *count)?;
+        }
+        for (value, count) in &self.token_gap_us {
+            times.token_gap.record_n(*value, *count)?;
+        }
+        Ok(())
+    }
+}
+
+/// Returns the rank with a name.
+fn rank(name: &str) -> anyhow::Result<Rank> {
+    Rank::parse(name).with_context(|| format!("unknown rank {name:?}"))
+}
+
+/// Returns the buckets that are not empty, with their counts.
+fn buckets(histogram: &Histogram<u64>) -> Vec<(u64, u64)> {
+    let recorded = histogram.iter_recorded();
+    recorded
+        .map(|bucket| {
+            (
+                bucket.value_iterated_to(),
+                bucket.count_since_last_iteration(),
+            )
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/daisyyard/tests/metrics_text.rs
@@ -0,0 +1,169 @@
+//! Guards against metrics that miss requests, name accounts, or grow with what callers send.
+
+mod fleet;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use daisyyard_standin::engine::Options;
+use daisyyard_standin::fault::Fault;
+use fleet::{Caller, Event, Fleet};
+use hyper::{Method, StatusCode};
+use serde_json::json;
+
+/// Returns the metrics of a node, which needs no credential.
+async fn scrape(fleet: &Fleet) -> String {
+    let address = fleet.nodes[0].address;
+    let answer = daisyyard_http::call(address, Method::GET, "/metrics", &[], "").await;
+    let (status, body) = answer.expect("an answer");
+    assert_eq!(status, StatusCode::OK);
+    String::from_utf8(body.to_vec()).expect("text")
+}
+
+/// Returns the value of a series whose line starts with a name and has all labels.
+fn value(text: &str, name: &str, labels: &[&str]) -> Option<f64> {
+    let named = |line: &&str| line.starts_with(&format!("{name}{{"));
+    let line = text
+        .lines()
+        .filter(named)
+        .find(|line| labels.iter().all(|label| line.contains(label)))?;
+    line.rsplit_once(' ')?.1.parse().ok()
+}
+
+/// Waits until a series has a value, because a request is counted after its caller is answered.
+async fn expect(fleet: &Fleet, name: &str, labels: &[&str], expected: f64) -> String {
+    let mut text = String::new();
+    for _ in 0..500 {
+        text = scrape(fleet).await;
+        if value(&text, name, labels) == Some(expected) {
+            return text;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{name} {labels:?} is not {expected} in:\n{text}");
+}
+
+/// Requests, tokens, times and calls are counted by their labels; no account is named.
+#[tokio::test]
+async fn counts_work() {
+    let fleet = Fleet::start(1, 1, fleet::timing()).await;
+    for _ in 0..3 {
+        fleet.ask(0, "is this certificate valid? length=5").await;
+    }
+    let address = fleet.nodes[0].address;
+    let headers = [
+        ("authorization", "Bearer token-member-0001"),
+        ("idempotency-key", "duty-1"),
+    ];
+    for _ in 0..2 {
+        let path = "/services/libro-socios/payments";
+        let call = daisyyard_http::call(address, Method::POST, path, &headers, "{}");
+        assert_eq!(call.await.expect("an answer").0, StatusCode::OK);
+    }
+    fleet.fault(&Fault::Refuse { proof: true });
+    fleet.ask(0, "is this certificate valid? length=5").await;
+
+    let name = "daisyyard_requests_total";
+    let service = "service=\"asistente\"";
+    expect(&fleet, name, &[service, "verdict=\"refused\""], 1.0).await;
+    let text = expect(&fleet, name, &[service, "verdict=\"met\""], 3.0).await;
+    let found = |name: &str, labels: &[&str]| value(&text, name, labels);
+    let rank = "rank=\"deferrable\"";
+    assert_eq!(
+        found("daisyyard_tokens_delivered_total", &[service, rank]),
+        Some(15.0)
+    );
+    assert_eq!(
+        found("daisyyard_first_token_seconds_count", &[rank]),
+        Some(3.0)
+    );
+    assert_eq!(
+        found("daisyyard_first_token_seconds_bucket", &["le=\"0.51\""]),
+        Some(3.0)
+    );
+    assert_eq!(
+        found("daisyyard_token_gap_seconds_count", &[rank]),
+        Some(12.0)
+    );
+    assert!(found("daisyyard_token_gap_seconds_bucket", &["le=\"0.031\""]).is_some());
+    assert!(found("daisyyard_admission_wait_seconds_count", &[rank]) >= Some(4.0));
+    assert_eq!(found("daisyyard_open_streams", &[rank]), Some(0.0));
+    let plain = "service=\"libro-socios\"";
+    for verdict in ["verdict=\"answered\"", "verdict=\"replayed\""] {
+        assert_eq!(found("daisyyard_calls_total", &[plain, verdict]), Some(1.0));
+    }
+    assert!(!text.contains("member"), "an account is named");
+}
+
+/// Every metric that the node shows is explained on the page, and the other way round.
+#[tokio::test]
+async fn documented_names() {
+    let fleet = Fleet::start(1, 1, fleet::timing()).await;
+    fleet.ask(0, "length=2").await;
+    let text = scrape(&fleet).await;
+    let page = include_str!("../../../docs/metrics.md");
+    for line in text.lines() {
+        if let Some(rest) = line.strip_prefix("# TYPE ") {
+            let name = rest.split(' ').next().unwrap_or_default();
+            assert!(
+                page.contains(&format!("| `{name}` |")),
+                "{name} is not documented"
+            );
+        }
+    }
+}
+
+/// Tokens that must not reach the caller are counted as dropped, and retries as retries.
+#[tokio::test]
+async fn counts_faults() {
+    let options = Options {
+        step: Duration::from_millis(10),
+        ..Options::default()
+    };
+    let fleet = Fleet::with(options, 1, 1, fleet::timing()).await;
+    let mut caller = fleet.stream(0, "a declaration length=60").await;
+    caller.read(3).await;
+    let open = ["rank=\"deferrable\""];
+    expect(&fleet, "daisyyard_open_streams", &open, 1.0).await;
+    let again = "id: 0\ndata: {\"choices\":[{\"delta\":{\"content\":\"again\"}}]}\n\n";
+    fleet.engines[0].fault(Fault::Garbage(Bytes::from(again)));
+    let labels = ["rank=\"deferrable\"", "reason=\"duplicate\""];
+    expect(&fleet, "daisyyard_tokens_dropped_total", &labels, 1.0).await;
+    fleet.engines[0].fault(Fault::Crash);
+    let (_, _, last) = caller.rest().await;
+    assert!(matches!(last, Event::Error(_)), "{last:?}");
+    expect(&fleet, "daisyyard_interruptions_total", &open, 1.0).await;
+    let interrupted = ["verdict=\"interrupted\""];
+    expect(&fleet, "daisyyard_requests_total", &interrupted, 1.0).await;
+}
+
+/// An attempt that another engine takes over counts as a retry.
+#[tokio::test]
+async fn counts_retries() {
+    let fleet = Fleet::start(2, 1, fleet::timing()).await;
+    fleet.engines[0].fault(Fault::Refuse { proof: true });
+    // Which engine is asked first is random; the retry budget lets the first few move on.
+    for _ in 0..20 {
+        fleet.ask(0, "length=2").await;
+        let text = scrape(&fleet).await;
+        let retries = value(&text, "daisyyard_retries_total", &["rank=\"deferrable\""]);
+        if retries > Some(0.0) {
+            return;
+        }
+    }
+    panic!("no retry in 20 requests, half of which go to an engine that declines");
+}
+
+/// Names of services that callers invent share one label.
+#[tokio::test]
+async fn bounded_labels() {
+    let fleet = Fleet::start(1, 1, fleet::timing()).await;
+    for index in 0..20 {
+        let mut body = fleet::body("length=2", true);
+        body["model"] = json!(format!("invented-{index}"));
+        Caller::post(fleet.nodes[0].address, &body).await;
+    }
+    let labels = ["service=\"other\"", "verdict=\"uncovered\""];
+    let text = expect(&fleet, "daisyyard_requests_total", &labels, 20.0).await;
+    assert!(!text.contains("invented"));
+}
--- a/crates/daisyyard_core/src/burn.rs
+++ b/crates/daisyyard_core/src/burn.rs
@@ -8,7 +8,7 @@
 
 use daisyyard_derive::{record, token, value};
 
-use crate::contract::Rank;
+use crate::contract::{Contract, Rank};
 use crate::id::ServiceId;
 
 /// Length of one slot.
@@ -61,6 +61,51 @@
     }
 }
 
+/// How a request ended, before its times are compared with its targets.
+#[token]
+pub enum End {
+    /// The answer is whole.
+    Whole,
+    /// The caller got a refusal and no token.
+    Refused,
+    /// The answer broke off.
+    Interrupted,
+    /// The caller left, or read too slowly, before the end.
+    Left,
+}
+
+/// What was measured of one request.
+#[token]
+pub struct Observed {
+    /// How the request ended.
+    pub end: End,
+    /// Time from the request to its end.
+    pub lasted: Duration,
+    /// Time from the request to its first token, if there was one.
+    pub first_token: Option<Duration>,
+    /// Mean time between two tokens, if there were two.
+    pub token_gap: Option<Duration>,
+}
+
+impl Observed {
+    /// Returns the verdict; none if the caller left before any target could be missed or met.
+    pub fn verdict(&self, contract: &Contract) -> Option<Verdict> {
+        let first = match self.end {
+            End::Refused => return Some(Verdict::Refused),
+            End::Interrupted => return Some(Verdict::Interrupted),
+            End::Whole | End::Left => self.first_token.unwrap_or(self.lasted),
+        };
+        if first > contract.first_token {
+            return Some(Verdict::Late);
+        }
+        if self.end == End::Left && self.first_token.is_none() {
+            return None;
+        }
+        let slow = self.token_gap.is_some_and(|gap| gap > contract.token_gap);
+        Some(if slow { Verdict::Slow } else { Verdict::Met })
+    }
+}
+
 /// Size of a client account by its share of the recent work.
 #[token]
 pub enum Class {
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -34,4 +34,5 @@
 pub mod route;
 pub mod stream;
 pub mod suspect;
+pub mod usage;
 pub mod zone;
--- /dev/null
+++ b/crates/daisyyard_core/tests/account_size.rs
@@ -0,0 +1,114 @@
+//! Guards against accounts that are counted in the wrong size class or without a bound.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use daisyyard_core::burn::{Class, End, Observed, SLOT, Verdict};
+use daisyyard_core::contract::{Contract, Rank};
+use daisyyard_core::usage::{MAX_ACCOUNTS, Usage};
+
+/// Returns a time by its slot number.
+fn at(slot: u32) -> SystemTime {
+    UNIX_EPOCH + SLOT * (1_000_000 + slot)
+}
+
+/// One account that does nearly all the work is large, the others are small.
+#[test]
+fn size_classes() {
+    let mut usage = Usage::new();
+    for account in 1..10 {
+        usage.add(account, 100, at(0));
+    }
+    assert_eq!(usage.add(0, 100_000, at(0)), Class::Large);
+    assert_eq!(usage.add(1, 100, at(1)), Class::Small);
+    assert_eq!(usage.add(1, 20_000, at(1)), Class::Medium);
+}
+
+/// Work older than an hour no longer counts, whether or not the account went on.
+#[test]
+fn forgets_work() {
+    let mut usage = Usage::new();
+    usage.add(0, 100_000, at(0));
+    for slot in 0..12 {
+        usage.add(1, 10, at(slot));
+    }
+    assert_eq!(usage.add(1, 10, at(11)), Class::Small);
+    assert_eq!(usage.add(1, 10, at(12)), Class::Medium);
+    assert_eq!(usage.accounts(), 1);
+    usage.add(0, 10, at(12));
+    assert_eq!(usage.add(0, 0, at(12)), Class::Small);
+}
+
+/// More accounts than the bound displace those that were idle longest.
+#[test]
+fn bounded_accounts() {
+    let mut usage = Usage::new();
+    usage.add(u64::MAX, 10, at(1));
+    for account in 0..MAX_ACCOUNTS as u64 + 100 {
+        usage.add(account, 10, at(0));
+    }
+    assert_eq!(usage.accounts(), MAX_ACCOUNTS);
+    assert_eq!(usage.add(u64::MAX, 0, at(1)), Class::Medium);
+    assert_eq!(usage.accounts(), MAX_ACCOUNTS);
+}
+
+/// Each target that is missed gives its own verdict, and a caller that leaves early gives none.
+#[test]
+fn verdicts() {
+    let contract = Contract::ordinary(Rank::Urgent);
+    let met = Observed {
+        end: End::Whole,
+        lasted: Duration::from_secs(2),
+        first_token: Some(Duration::from_millis(510)),
+        token_gap: Some(Duration::from_millis(31)),
+    };
+    let late = Some(Duration::from_millis(511));
+    let slow = Some(Duration::from_millis(32));
+    let early = Observed {
+        end: End::Left,
+        lasted: Duration::from_millis(100),
+        first_token: None,
+        token_gap: None,
+    };
+    let cases = [
+        (met, Some(Verdict::Met)),
+        (
+            Observed {
+                first_token: late,
+                ..met
+            },
+            Some(Verdict::Late),
+        ),
+        (
+            Observed {
+                token_gap: slow,
+                ..met
+            },
+            Some(Verdict::Slow),
+        ),
+        (
+            Observed {
+                end: End::Refused,
+                ..met
+            },
+            Some(Verdict::Refused),
+        ),
+        (
+            Observed {
+                end: End::Interrupted,
+                ..met
+            },
+            Some(Verdict::Interrupted),
+        ),
+        (early, None),
+        (
+            Observed {
+                lasted: Duration::from_secs(1),
+                ..early
+            },
+            Some(Verdict::Late),
+        ),
+    ];
+    for (observed, verdict) in cases {
+        assert_eq!(observed.verdict(&contract), verdict, "{observed:?}");
+    }
+}
