--- a/crates/daisyyard/src/admission.rs
+++ b/crates/daisyyard/src/admission.rs
@@ -61,6 +61,10 @@
     pub(crate) made: Tokens,
 }
 
+/// Takes a preset into force.
+#[derive(Debug)]
+pub(crate) struct Enforce(pub(crate) Preset);
+
 /// Lets time pass.
 #[derive(Debug)]
 struct Tick;
@@ -184,6 +188,19 @@
     }
 }
 
+impl Handler<Enforce> for Admission {
+    type Return = ();
+
+    async fn handle(&mut self, message: Enforce, _: &mut Context<Self>) {
+        self.preset = message.0;
+        for ledger in self.ledgers.values_mut() {
+            if let Some(terms) = self.preset.terms.get(&ledger.service()) {
+                ledger.adopt(terms.clone());
+            }
+        }
+    }
+}
+
 impl Handler<Tick> for Admission {
     type Return = ();
 
--- a/crates/daisyyard/src/embedded.rs
+++ b/crates/daisyyard/src/embedded.rs
@@ -100,6 +100,13 @@
             let settings = deployment.settings(index, zone, list.address, store.address)?;
             nodes.push(Node::start(settings).await?);
         }
+        let entry = |(index, node): (usize, &Node)| Entry {
+            name: format!("node-{index}"),
+            peer: node.peer,
+            ..deployment.entry("node", "", index, node.address)
+        };
+        let nodes_listed = nodes.iter().enumerate().map(entry);
+        list.show(list.entries().into_iter().chain(nodes_listed).collect());
         Ok(Self {
             nodes,
             _engines: engines,
@@ -147,6 +154,8 @@
             store,
             key: "embedded".to_owned(),
             accounts: vec![credential],
+            operators: Vec::new(),
+            services: vec![self.model.0.to_owned(), self.plain.0.to_owned()],
         })
     }
 }
--- a/crates/daisyyard/src/node.rs
+++ b/crates/daisyyard/src/node.rs
@@ -1,25 +1,37 @@
 //! One node: starts its tasks and waits for the signal to stop.
 
 use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use anyhow::Context;
-use daisyyard_core::id;
-use daisyyard_core::preset::Preset;
+use daisyyard_core::id::{self, Revision};
+use daisyyard_core::instance::Instance;
+use daisyyard_core::preset::{Document, Edit, Preset};
 use daisyyard_core::zone::Zone;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinHandle;
+use xtra::Address;
 
 use crate::event::{self, Event};
 use crate::generation::Actors;
+use crate::revise::{self, Outcome};
 use crate::settings::Settings;
-use crate::{admission, dispatch, front, roster};
+use crate::{admission, dispatch, front, peer, roster, store};
 
 /// A running node; dropping it ends its tasks at once.
 #[derive(Debug)]
 pub struct Node {
     /// Address for callers.
     pub address: SocketAddr,
+    /// Address for other nodes.
+    pub peer: SocketAddr,
+    /// Actor that owns the membership view and the preset document.
+    peers: Address<peer::Peer>,
+    /// Client of the configuration service.
+    store: store::Client,
+    /// Document that is in force until the configuration service has one.
+    built_in: Document,
     /// Tasks of the node.
     tasks: Vec<JoinHandle<()>>,
 }
@@ -31,12 +43,33 @@
         let listener = listener
             .with_context(|| format!("cannot listen on {}; is it in use?", settings.listen))?;
         let address = listener.local_addr()?;
-        let dispatch = dispatch::spawn(Zone::new(&settings.zone, &settings.region));
-        let endpoints = roster::poll(settings.list).await.unwrap_or_default();
-        let _ = dispatch.send(dispatch::Adopt(endpoints)).await;
-        let preset = Preset::ordinary(&["asistente", "assay-model"]);
-        let admission = admission::spawn(preset, dispatch.clone());
-        let roster = roster::spawn(settings.list, dispatch.clone());
+        let (links, peer) = peer::bind(settings.peer).await?;
+        let zone = Zone::new(&settings.zone, &settings.region);
+        let dispatch = dispatch::spawn(zone.clone());
+        let services: Vec<&str> = settings.services.iter().map(String::as_str).collect();
+        let preset = Preset::ordinary(&services);
+        let admission = admission::spawn(preset.clone(), dispatch.clone());
+        let mut me = Instance::new(&settings.name, zone, address, peer);
+        // The time of the start orders the starts of one instance without any stored state.
+        me.incarnation = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64;
+        let built_in = Document::first(preset);
+        let start = peer::Start {
+            me,
+            document: built_in.clone(),
+            key: settings.key.clone().into(),
+            admission: admission.downgrade(),
+        };
+        let (peers, watching, links) = peer::spawn(start, links);
+        let store = store::spawn(settings.store, rand::random());
+        let follow = tokio::spawn(peer::follow(store.clone(), peers.downgrade(), watching));
+        let targets = roster::Targets {
+            dispatch: dispatch.clone(),
+            peer: peers.clone(),
+        };
+        if let Ok(list) = roster::poll(settings.list).await {
+            targets.take(list).await;
+        }
+        let roster = roster::spawn(settings.list, targets);
         let actors = Actors {
             node: id::of(&settings.name),
             dispatch,
@@ -49,9 +82,27 @@
         );
         Ok(Self {
             address,
-            tasks: vec![roster, front],
+            peer,
+            peers,
+            store,
+            built_in,
+            tasks: vec![roster, front, links, follow],
         })
     }
+
+    /// Changes the preset document if it still has the revision that the operator saw.
+    pub async fn revise(&self, edit: Edit, by: &str, seen: Revision) -> Outcome {
+        let outcome = revise::revise(&self.store, &self.built_in, edit, by, seen).await;
+        if let Outcome::Accepted(document) = &outcome {
+            let _ = self.peers.send(peer::Offer(document.clone())).await;
+        }
+        outcome
+    }
+
+    /// Returns the state of the node's view, configuration and links.
+    pub async fn status(&self) -> anyhow::Result<peer::Status> {
+        Ok(self.peers.send(peer::Ask).await?)
+    }
 }
 
 impl Drop for Node {
--- a/crates/daisyyard/src/roster.rs
+++ b/crates/daisyyard/src/roster.rs
@@ -5,6 +5,7 @@
 
 use anyhow::Context;
 use daisyyard_core::endpoint::{Endpoint, Kind, State};
+use daisyyard_core::instance::{self, Instance};
 use daisyyard_core::zone::Zone;
 use hyper::Method;
 use serde::Deserialize;
@@ -13,6 +14,7 @@
 
 use crate::dispatch::{Adopt, Dispatch};
 use crate::event::{self, Event};
+use crate::peer::{Peer, Seed};
 
 /// Time between two polls of the list.
 const PERIOD: Duration = Duration::from_secs(1);
@@ -39,6 +41,8 @@
     region: String,
     /// Address for requests.
     address: SocketAddr,
+    /// Address for other nodes.
+    peer: SocketAddr,
     /// `live` or `leaving`.
     state: String,
 }
@@ -61,15 +65,53 @@
     }
 }
 
+impl From<&Entry> for Instance {
+    fn from(entry: &Entry) -> Self {
+        let zone = Zone::new(&entry.zone, &entry.region);
+        let mut instance = Self::new(&entry.name, zone, entry.address, entry.peer);
+        if entry.state == "leaving" {
+            instance.state = instance::State::Leaving;
+        }
+        instance
+    }
+}
+
+/// What the list says.
+#[derive(Debug)]
+pub(crate) struct Listing {
+    /// Nodes of the system.
+    nodes: Vec<Instance>,
+    /// Endpoints.
+    endpoints: Vec<Endpoint>,
+}
+
+/// The actors that learn what the list says.
+#[derive(Debug, Clone)]
+pub(crate) struct Targets {
+    /// Learns the endpoints.
+    pub(crate) dispatch: Address<Dispatch>,
+    /// Learns the nodes.
+    pub(crate) peer: Address<Peer>,
+}
+
+impl Targets {
+    /// Passes on what the list says; returns whether the node still runs.
+    pub(crate) async fn take(&self, listing: Listing) -> bool {
+        let seeded = self.peer.send(Seed(listing.nodes)).await;
+        let adopted = self.dispatch.send(Adopt(listing.endpoints)).await;
+        seeded.is_ok() && adopted.is_ok()
+    }
+}
+
 /// Starts the task.
-pub(crate) fn spawn(list: SocketAddr, dispatch: Address<Dispatch>) -> JoinHandle<()> {
+pub(crate) fn spawn(list: SocketAddr, targets: Targets) -> JoinHandle<()> {
     tokio::spawn(async move {
         let mut interval = tokio::time::interval(PERIOD);
         loop {
             interval.tick().await;
             match poll(list).await {
-                Ok(endpoints) => {
-                    if dispatch.send(Adopt(endpoints)).await.is_err() {
+                Ok(listing) => {
+                    if !targets.take(listing).await {
                         return;
                     }
                 }
@@ -80,15 +122,17 @@
 }
 
 /// Reads the list once.
-pub(crate) async fn poll(list: SocketAddr) -> anyhow::Result<Vec<Endpoint>> {
+pub(crate) async fn poll(list: SocketAddr) -> anyhow::Result<Listing> {
     let call = daisyyard_http::call(list, Method::GET, "/instances", &[], "");
     let (_, body) = tokio::time::timeout(PERIOD, call)
         .await
         .context("the list is slow")??;
     let list: List = serde_json::from_slice(&body).context("the list is malformed")?;
-    Ok(list
-        .instances
-        .into_iter()
-        .filter_map(|entry| Endpoint::try_from(entry).ok())
-        .collect())
+    let (nodes, endpoints): (Vec<Entry>, Vec<Entry>) =
+        list.instances.into_iter().partition(|e| e.role == "node");
+    let endpoints = endpoints.into_iter().map(Endpoint::try_from);
+    Ok(Listing {
+        nodes: nodes.iter().map(Instance::from).collect(),
+        endpoints: endpoints.filter_map(Result::ok).collect(),
+    })
 }
--- a/crates/daisyyard/src/settings.rs
+++ b/crates/daisyyard/src/settings.rs
@@ -29,15 +29,21 @@
     pub key: String,
     /// Client accounts and their credentials.
     pub accounts: Vec<Credential>,
+    /// Operators and their credentials.
+    #[serde(default)]
+    pub operators: Vec<Credential>,
+    /// Services of the built-in preset, which is in force until a document exists.
+    #[serde(default)]
+    pub services: Vec<String>,
 }
 
-/// Credential of one client account.
+/// Credential of one client account or operator.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Credential {
-    /// Name of the client account.
+    /// Name of the client account or operator.
     pub account: String,
-    /// Bearer token that the account's callers present.
+    /// Bearer token that its holder presents.
     pub token: String,
 }
 
--- /dev/null
+++ b/crates/daisyyard/tests/config_race.rs
@@ -0,0 +1,45 @@
+//! Guards against two changes that both replace the same revision.
+
+mod fleet;
+
+use std::time::Duration;
+
+use daisyyard::revise::Outcome;
+use daisyyard_core::preset::Edit;
+use fleet::Fleet;
+
+/// Of concurrent changes that saw the same revision one wins, and the others learn which.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_wins() {
+    let fleet = Fleet::start(4, 0).await;
+    for round in 0..5 {
+        let names = ["ines", "bold", "marta", "tuya"];
+        let change = |(node, by): (usize, &'static str)| {
+            let edit = Edit::Put(fleet::preset(&format!("by-{by}")));
+            fleet.nodes[node].revise(edit, by, round)
+        };
+        let changes = names.into_iter().enumerate().map(change);
+        let outcomes = futures_util::future::join_all(changes).await;
+        let winners: Vec<&str> = names
+            .into_iter()
+            .zip(&outcomes)
+            .filter_map(|(by, outcome)| matches!(outcome, Outcome::Accepted(_)).then_some(by))
+            .collect();
+        assert_eq!(winners.len(), 1, "{outcomes:?}");
+        for outcome in outcomes {
+            let document = match outcome {
+                Outcome::Accepted(document) | Outcome::Lost(document) => document,
+                other => panic!("{other:?}"),
+            };
+            let newest = document.history.last().expect("a change");
+            assert_eq!(
+                (newest.revision, newest.by.as_str()),
+                (round + 1, winners[0])
+            );
+        }
+        let limit = Duration::from_secs(10);
+        fleet
+            .until(limit, |status| status.document.revision == round + 1)
+            .await;
+    }
+}
--- /dev/null
+++ b/crates/daisyyard/tests/fleet/mod.rs
@@ -0,0 +1,151 @@
+//! A fleet of nodes with stand-ins for the platform, on loopback.
+
+#![allow(dead_code, reason = "each test file uses a part of the fleet")]
+
+use std::time::{Duration, Instant};
+
+use daisyyard::node::Node;
+use daisyyard::peer::Status;
+use daisyyard::settings::{Credential, Settings};
+use daisyyard_core::preset::Preset;
+use daisyyard_standin::engine::{self, Engine};
+use daisyyard_standin::list::{Entry, List};
+use daisyyard_standin::store::Store;
+
+/// Availability zones of the fleet.
+pub const ZONES: [&str; 3] = ["costa-a", "costa-b", "costa-c"];
+/// Model service of the fleet.
+pub const MODEL: &str = "asistente";
+/// Shared key of the fleet's nodes.
+pub const KEY: &str = "fleet key";
+
+/// Nodes and stand-ins; dropping it ends them all.
+pub struct Fleet {
+    /// Nodes.
+    pub nodes: Vec<Node>,
+    /// Engines.
+    pub engines: Vec<Engine>,
+    /// Configuration service.
+    pub store: Store,
+    /// Instance list.
+    pub list: List,
+}
+
+impl Fleet {
+    /// Starts a number of nodes and waits until each knows all others.
+    pub async fn start(nodes: usize, engines: usize) -> Self {
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            engines: Vec::new(),
+            store: Store::start().await.expect("the store starts"),
+            list: List::start(Vec::new()).await.expect("the list starts"),
+        };
+        for index in 0..engines {
+            let engine = Engine::start(engine::Options::default()).await;
+            let engine = engine.expect("an engine starts");
+            let name = format!("engine-{index}");
+            let mut entries = fleet.list.entries();
+            entries.push(entry(
+                &name,
+                "engine",
+                index,
+                engine.address,
+                engine.address,
+            ));
+            fleet.list.show(entries);
+            fleet.engines.push(engine);
+        }
+        for _ in 0..nodes {
+            fleet.add().await;
+        }
+        let known = |status: &Status| status.members.len() == nodes;
+        fleet.until(Duration::from_secs(10), known).await;
+        fleet
+    }
+
+    /// Starts one more node and puts it on the list.
+    pub async fn add(&mut self) {
+        let index = self.nodes.len();
+        let node = Node::start(self.settings(index)).await;
+        let node = node.expect("a node starts");
+        let mut entries = self.list.entries();
+        let name = format!("node-{index}");
+        entries.push(entry(&name, "node", index, node.address, node.peer));
+        self.list.show(entries);
+        self.nodes.push(node);
+    }
+
+    /// Returns the settings of a node.
+    pub fn settings(&self, index: usize) -> Settings {
+        let loopback = "127.0.0.1:0".parse().expect("an address");
+        let credential = |account: &str, token: &str| Credential {
+            account: account.to_owned(),
+            token: token.to_owned(),
+        };
+        Settings {
+            name: format!("node-{index}"),
+            zone: ZONES[index % ZONES.len()].to_owned(),
+            region: "costa".to_owned(),
+            listen: loopback,
+            peer: loopback,
+            list: self.list.address,
+            store: self.store.address,
+            key: KEY.to_owned(),
+            accounts: vec![credential("member-1", "token-1")],
+            operators: vec![credential("ines", "operator-1")],
+            services: vec![MODEL.to_owned()],
+        }
+    }
+
+    /// Waits until the state of every node meets a condition; returns when each did.
+    pub async fn until(
+        &self,
+        limit: Duration,
+        condition: impl Fn(&Status) -> bool,
+    ) -> Vec<Instant> {
+        let started = Instant::now();
+        let mut met = vec![None; self.nodes.len()];
+        while met.iter().any(Option::is_none) {
+            assert!(
+                started.elapsed() < limit,
+                "not met by {met:?} within {limit:?}"
+            );
+            for (node, met) in self.nodes.iter().zip(&mut met) {
+                let status = node.status().await.expect("the node runs");
+                if met.is_none() && condition(&status) {
+                    *met = Some(Instant::now());
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        met.into_iter().flatten().collect()
+    }
+}
+
+/// Returns an entry of the instance list.
+pub fn entry(
+    name: &str,
+    role: &str,
+    index: usize,
+    address: std::net::SocketAddr,
+    peer: std::net::SocketAddr,
+) -> Entry {
+    Entry {
+        name: name.to_owned(),
+        role: role.to_owned(),
+        service: if role == "engine" { MODEL } else { "" }.to_owned(),
+        zone: ZONES[index % ZONES.len()].to_owned(),
+        region: "costa".to_owned(),
+        address,
+        peer,
+        state: "live".to_owned(),
+    }
+}
+
+/// Returns a valid preset with a name.
+pub fn preset(name: &str) -> Preset {
+    Preset {
+        name: name.to_owned(),
+        ..Preset::ordinary(&[MODEL])
+    }
+}
--- /dev/null
+++ b/crates/daisyyard/tests/frame_decode.rs
@@ -0,0 +1,173 @@
+//! Guards against frames and documents that make a node panic or change on their way.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use daisyyard::document;
+use daisyyard::wire::{self, Answer, Ask, Heartbeat, Made, Message, Suspect, Verdict};
+use daisyyard_core::contract::Rank;
+use daisyyard_core::instance::State;
+use daisyyard_core::ledger::Digest;
+use daisyyard_core::member::MAX_RECORDS;
+use daisyyard_core::record::{Place, Record};
+use daisyyard_core::zone::Zone;
+use proptest::collection::vec;
+use proptest::option;
+use proptest::prelude::*;
+
+/// Any record.
+fn record() -> impl Strategy<Value = Record> {
+    let states = [State::Live, State::Leaving, State::Suspected, State::Gone];
+    let ip = prop_oneof![
+        any::<[u8; 4]>().prop_map(std::net::IpAddr::from),
+        any::<[u8; 16]>().prop_map(std::net::IpAddr::from),
+    ];
+    let place =
+        ("[a-z]{1,20}", "[a-z]{1,20}", ip, any::<u16>()).prop_map(|(name, zone, ip, port)| {
+            let address = std::net::SocketAddr::new(ip, port);
+            Place {
+                name,
+                zone: Zone::new(&zone, "region"),
+                address,
+                peer: address,
+            }
+        });
+    let fields = (
+        any::<u64>(),
+        any::<u64>(),
+        proptest::sample::select(states.to_vec()),
+        option::of(place),
+    );
+    fields.prop_map(|(id, incarnation, state, place)| Record {
+        id,
+        incarnation,
+        state,
+        place,
+    })
+}
+
+/// Any time that fits its field.
+fn time() -> impl Strategy<Value = Duration> {
+    any::<u32>().prop_map(|millis| Duration::from_millis(millis.into()))
+}
+
+/// Any message that a node sends on an open link.
+fn message() -> impl Strategy<Value = Message> {
+    let made =
+        (any::<u64>(), any::<u64>(), any::<u64>()).prop_map(|(endpoint, request, made)| Made {
+            endpoint,
+            request,
+            made,
+        });
+    let beat = (record(), any::<u64>(), vec(record(), 0..=MAX_RECORDS));
+    let ask = (any::<[u64; 4]>(), any::<[u32; 3]>(), any::<bool>(), time());
+    let digest = (any::<(u64, u32, u32, u64)>(), any::<u32>()).prop_map(|(fields, gap)| Digest {
+        endpoint: fields.0,
+        running: fields.1,
+        queued: fields.2,
+        free: fields.3,
+        gap: Duration::from_micros(gap.into()),
+    });
+    let verdict = prop_oneof![
+        Just(Verdict::Grant),
+        Just(Verdict::Elsewhere),
+        time().prop_map(|retry_after| Verdict::Refuse { retry_after }),
+    ];
+    let suspect = (any::<u64>(), any::<u128>(), any::<u32>(), time());
+    prop_oneof![
+        any::<u64>().prop_map(Message::Pull),
+        beat.prop_map(|(sender, revision, records)| Message::Heartbeat(Heartbeat {
+            sender,
+            revision,
+            records,
+        })),
+        (any::<u64>(), vec(any::<u8>(), 0..100)).prop_map(|(revision, json)| {
+            let json = json.into();
+            Message::Document(wire::Document { revision, json })
+        }),
+        ask.prop_map(|(ids, counts, urgent, patience)| Message::Ask(Ask {
+            endpoint: ids[0],
+            service: ids[1],
+            request: ids[2],
+            account: ids[3],
+            rank: if urgent {
+                Rank::Urgent
+            } else {
+                Rank::Deferrable
+            },
+            prompt: counts[0].into(),
+            cached: counts[1].into(),
+            expected: counts[2].into(),
+            patience,
+        })),
+        (any::<u64>(), verdict, option::of(digest)).prop_map(|(request, verdict, digest)| {
+            Message::Answer(Answer {
+                request,
+                verdict,
+                digest,
+            })
+        }),
+        vec(made.clone(), 0..50).prop_map(Message::Progress),
+        made.prop_map(Message::Release),
+        suspect.prop_map(
+            |(account, fingerprint, crashes, age)| Message::Suspect(Suspect {
+                account,
+                fingerprint,
+                crashes,
+                age,
+            })
+        ),
+    ]
+}
+
+proptest! {
+    /// A message arrives as it was sent.
+    #[test]
+    fn round_trip(message in message()) {
+        let decoded = wire::decode(wire::encode(message.clone()));
+        prop_assert_eq!(decoded.expect("a valid frame"), message);
+    }
+
+    /// Arbitrary bytes are understood or refused.
+    #[test]
+    fn survives_noise(bytes in vec(any::<u8>(), 0..300)) {
+        let _ = wire::decode(Bytes::from(bytes.clone()));
+        let _ = document::decode(&bytes);
+    }
+
+    /// A frame that was cut or damaged is understood or refused.
+    #[test]
+    fn survives_damage(message in message(), place in any::<prop::sample::Index>(), byte: u8) {
+        let mut bytes = wire::encode(message).to_vec();
+        prop_assume!(!bytes.is_empty());
+        let index = place.index(bytes.len());
+        let _ = wire::decode(Bytes::copy_from_slice(&bytes[..index]));
+        bytes[index] = byte;
+        let _ = wire::decode(bytes.into());
+    }
+
+    /// A heartbeat with more records than the bound is refused.
+    #[test]
+    fn refuses_excess(record in record()) {
+        let beat = Heartbeat {
+            sender: record.clone(),
+            revision: 1,
+            records: vec![record; MAX_RECORDS + 1],
+        };
+        prop_assert!(wire::decode(wire::encode(Message::Heartbeat(beat))).is_err());
+    }
+
+    /// A preset of arbitrary JSON values is understood or refused with its faults.
+    #[test]
+    fn survives_values(number: f64, text: String, flag: bool) {
+        let value = serde_json::json!({
+            "name": text,
+            "services": {"asistente": {"urgent": number, "deferrable": [flag], "limit": {
+                "rate": number, "burst": text}, "retries": flag, "drain_ms": number}},
+        });
+        let faults = document::parse(&value).expect_err("the ranks are no contracts");
+        prop_assert!(faults.iter().any(|fault| fault.key == "services.asistente.urgent"));
+        prop_assert!(faults.iter().any(|fault| fault.key == "services.asistente.deferrable"));
+        prop_assert!(faults.iter().any(|fault| fault.key == "services.asistente.limit.burst"));
+    }
+}
--- /dev/null
+++ b/crates/daisyyard/tests/lost_response.rs
@@ -0,0 +1,45 @@
+//! Guards against a change that is made twice, or reported wrongly, when responses are lost.
+
+mod fleet;
+
+use assert_matches::assert_matches;
+use daisyyard::revise::Outcome;
+use daisyyard_core::preset::Edit;
+use fleet::Fleet;
+
+/// A change whose response was lost is recognised by reading it back, and is made once.
+#[tokio::test(flavor = "multi_thread")]
+async fn reads_back() {
+    let fleet = Fleet::start(1, 0).await;
+    for revision in 1..=2 {
+        fleet.store.lose(1);
+        let edit = Edit::Put(fleet::preset("peak"));
+        let outcome = fleet.nodes[0].revise(edit, "ines", revision - 1).await;
+        let document = assert_matches!(outcome, Outcome::Accepted(document) => document);
+        assert_eq!(document.revision, revision);
+        assert_eq!(document.history.len() as u64, revision);
+    }
+    assert_eq!(fleet.store.counters().await.puts, 2);
+}
+
+/// Another operator's change after the lost response does not hide that the first one was made.
+#[tokio::test(flavor = "multi_thread")]
+async fn sees_later_change() {
+    let fleet = Fleet::start(2, 0).await;
+    fleet.store.lose(1);
+    let first = fleet.nodes[0].revise(Edit::Put(fleet::preset("peak")), "ines", 0);
+    let second = async {
+        tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+        let edit = Edit::Put(fleet::preset("calm"));
+        fleet.nodes[1].revise(edit, "bold", 1).await
+    };
+    let (first, second) = tokio::join!(first, second);
+    assert_matches!(first, Outcome::Accepted(_));
+    let document = assert_matches!(second, Outcome::Accepted(document) => document);
+    let by: Vec<&str> = document
+        .history
+        .iter()
+        .map(|change| change.by.as_str())
+        .collect();
+    assert_eq!(by, ["ines", "bold"]);
+}
--- /dev/null
+++ b/crates/daisyyard/tests/peer_auth.rs
@@ -0,0 +1,109 @@
+//! Guards against links with a process that does not know the shared key.
+
+mod fleet;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use bytes::Bytes;
+use daisyyard::link::{self, Error, Role, Socket};
+use daisyyard::wire::{Hello, MAX_HANDSHAKE, Message, VERSION};
+use fleet::{Fleet, KEY};
+use futures_util::SinkExt;
+use tokio::net::TcpStream;
+
+/// Connects to the first node of a fleet.
+async fn connect(fleet: &Fleet) -> Socket {
+    let socket = TcpStream::connect(fleet.nodes[0].peer).await;
+    link::frame(socket.expect("the node listens"))
+}
+
+/// A node that knows the key gets a heartbeat.
+#[tokio::test]
+async fn takes_the_key() {
+    let fleet = Fleet::start(1, 0).await;
+    let mut socket = connect(&fleet).await;
+    let node = link::handshake(&mut socket, KEY.as_bytes(), 7, Role::Dialler).await;
+    assert_eq!(
+        node.expect("the key is right"),
+        daisyyard_core::id::of("node-0")
+    );
+    assert_matches!(link::receive(&mut socket).await, Ok(Message::Heartbeat(_)));
+}
+
+/// A process with another key gets no proof and no frame.
+#[tokio::test]
+async fn refuses_other_key() {
+    let fleet = Fleet::start(1, 0).await;
+    let mut socket = connect(&fleet).await;
+    let result = link::handshake(&mut socket, b"another key", 7, Role::Dialler).await;
+    assert_matches!(result, Err(Error::Closed | Error::Socket(_)));
+}
+
+/// A node's own greeting and proof, sent back to it, open no link.
+#[tokio::test]
+async fn refuses_reflection() {
+    let fleet = Fleet::start(1, 0).await;
+    let mut socket = connect(&fleet).await;
+    let theirs = assert_matches!(link::receive(&mut socket).await, Ok(Message::Hello(h)) => h);
+    link::send(&mut socket, Message::Hello(theirs.clone()))
+        .await
+        .expect("sent");
+    let digest = link::proof(KEY.as_bytes(), Role::Acceptor, &theirs, &theirs);
+    link::send(&mut socket, Message::Proof(digest))
+        .await
+        .expect("sent");
+    assert_matches!(
+        link::receive(&mut socket).await,
+        Err(Error::Closed | Error::Socket(_))
+    );
+}
+
+/// A proof over an earlier challenge opens no link.
+#[tokio::test]
+async fn refuses_replay() {
+    let fleet = Fleet::start(1, 0).await;
+    let mine = Hello {
+        version: VERSION,
+        node: 7,
+        challenge: [7; 16],
+    };
+    let mut recorded = Bytes::new();
+    for attempt in 0..2 {
+        let mut socket = connect(&fleet).await;
+        let theirs = assert_matches!(link::receive(&mut socket).await, Ok(Message::Hello(h)) => h);
+        link::send(&mut socket, Message::Hello(mine.clone()))
+            .await
+            .expect("sent");
+        if attempt == 0 {
+            recorded = link::proof(KEY.as_bytes(), Role::Dialler, &mine, &theirs);
+        }
+        let sent = link::send(&mut socket, Message::Proof(recorded.clone())).await;
+        sent.expect("sent");
+        let answer = link::receive(&mut socket).await;
+        if attempt == 0 {
+            assert_matches!(answer, Ok(Message::Proof(_)));
+        } else {
+            assert_matches!(answer, Err(Error::Closed | Error::Socket(_)));
+        }
+    }
+}
+
+/// A large frame before the proof ends the connection, and a silent one ends in time.
+#[tokio::test]
+async fn bounds_strangers() {
+    let fleet = Fleet::start(1, 0).await;
+    let mut large = connect(&fleet).await;
+    large.codec_mut().set_max_frame_length(1 << 20);
+    link::receive(&mut large).await.expect("a greeting");
+    // The node may close the connection before all bytes are written.
+    let _ = large.send(Bytes::from(vec![0; MAX_HANDSHAKE + 1])).await;
+    assert_matches!(
+        link::receive(&mut large).await,
+        Err(Error::Closed | Error::Socket(_))
+    );
+    let mut silent = connect(&fleet).await;
+    link::receive(&mut silent).await.expect("a greeting");
+    let ended = tokio::time::timeout(Duration::from_secs(4), link::receive(&mut silent));
+    assert_matches!(ended.await, Ok(Err(Error::Closed | Error::Socket(_))));
+}
--- /dev/null
+++ b/crates/daisyyard/tests/store_outage.rs
@@ -0,0 +1,74 @@
+//! Guards against nodes that lose the preset in force, or take an old one, while the
+//! configuration service is down or slow.
+
+mod fleet;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use daisyyard::revise::Outcome;
+use daisyyard_core::preset::Edit;
+use fleet::Fleet;
+
+/// Time within which nodes agree.
+const LIMIT: Duration = Duration::from_secs(14);
+
+/// A node that starts in an outage takes the document of its peers; changes are refused
+/// truthfully and work again afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn newcomer_asks_peers() {
+    let mut fleet = Fleet::start(3, 0).await;
+    let outcome = fleet.nodes[0]
+        .revise(Edit::Put(fleet::preset("peak")), "ines", 0)
+        .await;
+    assert_matches!(outcome, Outcome::Accepted(_));
+    fleet.store.down().await;
+    fleet.add().await;
+    fleet
+        .until(LIMIT, |status| status.document.revision == 1)
+        .await;
+    let edit = Edit::Use("peak".to_owned());
+    let outcome = fleet.nodes[3].revise(edit.clone(), "ines", 1).await;
+    assert_matches!(outcome, Outcome::Refused(_));
+    fleet.store.up().await.expect("the store starts");
+    let mut outcome = fleet.nodes[3].revise(edit.clone(), "ines", 1).await;
+    while matches!(outcome, Outcome::Refused(_)) {
+        // The node holds back its calls for up to 10 s after the outage.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        outcome = fleet.nodes[3].revise(edit.clone(), "ines", 1).await;
+    }
+    assert_matches!(outcome, Outcome::Accepted(_));
+    fleet
+        .until(LIMIT, |status| status.document.current == "peak")
+        .await;
+}
+
+/// A change that the configuration service holds back beyond the timeout is made once and is
+/// not reported as refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_write() {
+    let fleet = Fleet::start(1, 0).await;
+    fleet.store.slow(Duration::from_millis(700));
+    let edit = Edit::Put(fleet::preset("peak"));
+    let outcome = fleet.nodes[0].revise(edit, "ines", 0).await;
+    assert_matches!(outcome, Outcome::Accepted(document) if document.history.len() == 1);
+}
+
+/// Only the watchers keep calling the configuration service.
+#[tokio::test(flavor = "multi_thread")]
+async fn few_watch() {
+    let fleet = Fleet::start(8, 0).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let mut watching = 0;
+    for node in &fleet.nodes {
+        watching += usize::from(node.status().await.expect("the node runs").watching);
+    }
+    assert_eq!(watching, 3);
+    let before = fleet.store.counters().await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(
+        fleet.store.counters().await,
+        before,
+        "watches wait, others stay silent"
+    );
+}
--- a/crates/daisyyard_core/src/ledger.rs
+++ b/crates/daisyyard_core/src/ledger.rs
@@ -7,7 +7,7 @@
 
 use crate::contract::Rank;
 use crate::endpoint::{Endpoint, Load};
-use crate::id::{AccountId, EndpointId, InstanceId, RequestId, Tokens};
+use crate::id::{AccountId, EndpointId, InstanceId, RequestId, ServiceId, Tokens};
 use crate::preset::Terms;
 
 /// Time after which a grant ends unless progress renews it.
@@ -140,6 +140,11 @@
         self.terms = terms;
     }
 
+    /// Returns the service of the engine.
+    pub fn service(&self) -> ServiceId {
+        self.terms.service
+    }
+
     /// Answers a node that asks to run a generation.
     pub fn ask(&mut self, ask: Ask, now: Instant) -> Answer {
         if self.queues.iter().all(VecDeque::is_empty) && self.fits(&ask) {
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -7,13 +7,17 @@
 
 pub mod account;
 pub mod attempt;
+pub mod config;
 pub mod contract;
 pub mod endpoint;
 pub mod home;
 pub mod id;
 pub mod instance;
 pub mod ledger;
+pub mod member;
 pub mod preset;
+pub mod record;
 pub mod route;
+pub mod store_budget;
 pub mod stream;
 pub mod zone;
--- a/crates/daisyyard_core/src/preset.rs
+++ b/crates/daisyyard_core/src/preset.rs
@@ -1,9 +1,9 @@
 //! Presets: what operators write, and the document that holds them all.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
-use daisyyard_derive::record;
+use daisyyard_derive::{record, value};
 
 use crate::account::Limit;
 use crate::contract::{Contract, Rank};
@@ -45,6 +45,62 @@
         }
     }
 
+    /// Adds every fault of the terms.
+    fn check(&self, key: &str, faults: &mut Vec<Fault>) {
+        for rank in Rank::ALL {
+            let contract = self.contract(rank);
+            let key = format!("{key}.{}", rank.name());
+            let times = [
+                ("first_token_ms", contract.first_token, "510"),
+                ("token_gap_ms", contract.token_gap, "31"),
+                ("queue_ms", contract.queue, "2000"),
+            ];
+            for (name, time, example) in times {
+                let (found, allowed) = (time.as_millis() as f64, (1.0, 3.6e6));
+                let expected = "a number of milliseconds from 1 to 3600000";
+                within(
+                    format!("{key}.{name}"),
+                    found,
+                    allowed,
+                    expected,
+                    example,
+                    faults,
+                );
+            }
+            let (floor, worth) = (format!("{key}.floor"), format!("{key}.worth"));
+            let expected = "a share from 0 to 0.9";
+            within(floor, contract.floor, (0.0, 0.9), expected, "0.1", faults);
+            let expected = "a number from 0 to 1000000";
+            within(worth, contract.worth, (0.0, 1e6), expected, "10", faults);
+        }
+        let floors = self.urgent.floor + self.deferrable.floor;
+        let (both, expected) = (format!("{key}.*.floor"), "floors that add up to at most 1");
+        within(both, floors, (0.0, 1.0), expected, "0.5 and 0.1", faults);
+        let expected = "a number of tokens from 1 to 1e12";
+        let (rate, burst) = (format!("{key}.limit.rate"), format!("{key}.limit.burst"));
+        within(
+            rate,
+            self.limit.rate,
+            (1.0, 1e12),
+            expected,
+            "20000",
+            faults,
+        );
+        within(
+            burst,
+            self.limit.burst,
+            (1.0, 1e12),
+            expected,
+            "200000",
+            faults,
+        );
+        let (retries, expected) = (format!("{key}.retries"), "a share from 0 to 1");
+        within(retries, self.retries, (0.0, 1.0), expected, "0.1", faults);
+        let (drain, found) = (format!("{key}.drain_ms"), self.drain.as_millis() as f64);
+        let expected = "a number of milliseconds from 0 to 600000";
+        within(drain, found, (0.0, 6e5), expected, "10000", faults);
+    }
+
     /// Returns the contract of a rank.
     pub fn contract(&self, rank: Rank) -> &Contract {
         match rank {
@@ -54,6 +110,28 @@
     }
 }
 
+/// Longest name of a preset, in bytes.
+const MAX_NAME: usize = 64;
+
+/// Adds a fault if a number is outside its bounds or not a number.
+fn within(
+    key: String,
+    found: f64,
+    allowed: (f64, f64),
+    expected: &'static str,
+    example: &'static str,
+    faults: &mut Vec<Fault>,
+) {
+    if !(allowed.0..=allowed.1).contains(&found) {
+        faults.push(Fault {
+            key,
+            found: found.to_string(),
+            expected,
+            example,
+        });
+    }
+}
+
 /// A named set of terms that operators put in force as a whole.
 #[record]
 pub struct Preset {
@@ -75,6 +153,37 @@
             terms,
         }
     }
+
+    /// Returns every fault of the preset.
+    pub fn faults(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        let named = !self.name.is_empty() && self.name.len() <= MAX_NAME;
+        if !named
+            || !self
+                .name
+                .chars()
+                .all(|c| c.is_ascii_alphanumeric() || c == '-')
+        {
+            faults.push(Fault {
+                key: "name".to_owned(),
+                found: format!("{:?}", self.name),
+                expected: "1 to 64 letters, digits and hyphens",
+                example: "peak-days",
+            });
+        }
+        if self.terms.is_empty() {
+            faults.push(Fault {
+                key: "services".to_owned(),
+                found: "no service".to_owned(),
+                expected: "at least one service",
+                example: "the output of `daisyyard preset show ordinary`",
+            });
+        }
+        for terms in self.terms.values() {
+            terms.check(&format!("services.{}", terms.name), &mut faults);
+        }
+        faults
+    }
 }
 
 /// All presets, the one in force and the revision: the one value that the configuration
@@ -89,6 +198,63 @@
     pub current: String,
     /// All presets by name.
     pub presets: BTreeMap<String, Preset>,
+    /// Newest changes, oldest first.
+    pub history: Vec<Change>,
+}
+
+/// Changes that a document remembers.
+pub const HISTORY: usize = 32;
+
+/// One accepted change of the document.
+#[value]
+pub struct Change {
+    /// Revision that the change made.
+    pub revision: Revision,
+    /// Identifier of the write.
+    pub write: u64,
+    /// When the operator's node made the change.
+    pub at: SystemTime,
+    /// Operator who made the change.
+    pub by: String,
+    /// What was changed.
+    pub summary: String,
+}
+
+/// What an operator wants to change.
+#[record]
+pub enum Edit {
+    /// Add a preset or replace the one of the same name.
+    Put(Preset),
+    /// Put the preset of this name in force.
+    Use(String),
+}
+
+/// One fault of a preset or a document, with what is needed to repair it.
+#[value]
+pub struct Fault {
+    /// Where the fault is, such as `services.asistente.urgent.floor`.
+    pub key: String,
+    /// What stands there.
+    pub found: String,
+    /// What is allowed there.
+    pub expected: &'static str,
+    /// A value that is allowed.
+    pub example: &'static str,
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self {
+            key,
+            found,
+            expected,
+            example,
+        } = self;
+        write!(
+            f,
+            "{key}: found {found}, expected {expected}, such as {example}"
+        )
+    }
 }
 
 impl Document {
@@ -100,9 +266,62 @@
             write: 0,
             current: current.clone(),
             presets: BTreeMap::from([(current, preset)]),
+            history: Vec::new(),
         }
     }
 
+    /// Returns the document after an edit, or every fault of the edit.
+    pub fn edit(
+        &self,
+        edit: Edit,
+        write: u64,
+        by: &str,
+        at: SystemTime,
+    ) -> Result<Self, Vec<Fault>> {
+        let mut next = self.clone();
+        let summary = match edit {
+            Edit::Put(preset) => {
+                let faults = preset.faults();
+                if !faults.is_empty() {
+                    return Err(faults);
+                }
+                let summary = format!("put {}", preset.name);
+                next.presets.insert(preset.name.clone(), preset);
+                summary
+            }
+            Edit::Use(name) => {
+                if !self.presets.contains_key(&name) {
+                    return Err(vec![Fault {
+                        key: "current".to_owned(),
+                        found: format!("{name:?}"),
+                        expected: "the name of a preset that `daisyyard preset list` shows",
+                        example: "ordinary",
+                    }]);
+                }
+                let summary = format!("use {name}");
+                next.current = name;
+                summary
+            }
+        };
+        next.revision += 1;
+        next.write = write;
+        next.history.push(Change {
+            revision: next.revision,
+            write,
+            at,
+            by: by.to_owned(),
+            summary,
+        });
+        let excess = next.history.len().saturating_sub(HISTORY);
+        next.history.drain(..excess);
+        Ok(next)
+    }
+
+    /// Returns whether a write took effect, as far as the history reaches back.
+    pub fn contains(&self, write: u64) -> bool {
+        self.write == write || self.history.iter().any(|change| change.write == write)
+    }
+
     /// Returns the preset in force.
     pub fn in_force(&self) -> Option<&Preset> {
         self.presets.get(&self.current)
--- /dev/null
+++ b/crates/daisyyard_core/tests/config_hold.rs
@@ -0,0 +1,109 @@
+//! Guards against a document in force that reverts, has faults, or forgets who changed it.
+
+use std::time::{Instant, SystemTime};
+
+use daisyyard_core::config::{self, Held, Next, WATCHERS};
+use daisyyard_core::preset::{Document, Edit, HISTORY, Preset};
+use daisyyard_core::store_budget::{self, Budget};
+use proptest::prelude::*;
+
+/// Returns a document of a revision.
+fn document(revision: u64) -> Document {
+    Document {
+        revision,
+        write: revision,
+        ..Document::first(Preset::ordinary(&["asistente"]))
+    }
+}
+
+proptest! {
+    /// Only higher revisions are adopted, so the revision in force is the highest one offered.
+    #[test]
+    fn never_reverts(offers in proptest::collection::vec(0_u64..50, 0..50)) {
+        let mut held = Held::new(document(0));
+        let mut highest = 0;
+        for revision in offers {
+            let expected = if revision > highest { Next::Fetch(revision) } else { Next::Ignore };
+            prop_assert_eq!(held.announced(revision), expected);
+            let expected = if revision > highest { Next::Adopt } else { Next::Ignore };
+            prop_assert_eq!(held.offer(document(revision)), expected);
+            highest = highest.max(revision);
+            prop_assert_eq!(held.document().revision, highest);
+        }
+    }
+
+    /// Three nodes of a region watch, whatever the order in which the region is listed.
+    #[test]
+    fn three_watch(mut nodes in proptest::collection::btree_set(any::<u64>(), 3..50)) {
+        let watching: Vec<u64> = nodes
+            .iter()
+            .copied()
+            .filter(|node| config::watches(*node, nodes.iter().rev().copied()))
+            .collect();
+        prop_assert_eq!(watching.len(), WATCHERS);
+        // The loss of a watcher leaves the others in place.
+        nodes.remove(&watching[0]);
+        prop_assert!(config::watches(watching[1], nodes.iter().copied()));
+        prop_assert!(config::watches(watching[2], nodes.iter().copied()));
+    }
+
+    /// The wait after failures stays within its bound, and no burst exceeds the budget.
+    #[test]
+    fn budget_holds(seed: u64, failures in 0_u32..40) {
+        let now = Instant::now();
+        let mut budget = Budget::new(seed, now);
+        let calls = (0..50).filter(|_| budget.take(now) == store_budget::Next::Call).count();
+        prop_assert_eq!(calls, 20);
+        for _ in 0..failures {
+            budget.fail(now);
+        }
+        let bound = 100_u128 << failures.saturating_sub(1).min(10);
+        if let store_budget::Next::Wait(wait) = budget.take(now) {
+            prop_assert!(wait.as_millis() <= bound.clamp(200, 10_000));
+        }
+    }
+}
+
+/// Every fault of a preset is reported, with its key.
+#[test]
+fn lists_every_fault() {
+    let mut preset = Preset::ordinary(&["asistente"]);
+    preset.name = "peak days".to_owned();
+    let terms = preset.terms.values_mut().next().expect("one service");
+    terms.urgent.floor = 0.8;
+    terms.deferrable.floor = f64::NAN;
+    terms.limit.rate = 0.0;
+    terms.retries = 2.0;
+    let keys: Vec<String> = preset.faults().into_iter().map(|fault| fault.key).collect();
+    let expected = [
+        "name",
+        "services.asistente.deferrable.floor",
+        "services.asistente.*.floor",
+        "services.asistente.limit.rate",
+        "services.asistente.retries",
+    ];
+    assert_eq!(keys, expected);
+}
+
+/// Each change raises the revision by one and is remembered; old ones are forgotten.
+#[test]
+fn remembers_changes() {
+    let mut held = document(0);
+    for write in 1..=40 {
+        let edit = Edit::Put(Preset::ordinary(&["asistente"]));
+        held = held
+            .edit(edit, write, "ines", SystemTime::UNIX_EPOCH)
+            .expect("no faults");
+        assert_eq!((held.revision, held.write), (write, write));
+    }
+    assert_eq!(held.history.len(), HISTORY);
+    assert_eq!(held.history[0].revision, 9);
+    assert!(held.contains(9) && !held.contains(8));
+    let faults = held.edit(
+        Edit::Use("peak".to_owned()),
+        41,
+        "ines",
+        SystemTime::UNIX_EPOCH,
+    );
+    assert_eq!(faults.expect_err("no such preset")[0].key, "current");
+}
--- /dev/null
+++ b/crates/daisyyard_core/tests/member_view.rs
@@ -0,0 +1,215 @@
+//! Guards against views that lose live members, keep dead ones, or never agree.
+
+use std::time::{Duration, Instant};
+
+use daisyyard_core::instance::{Instance, State};
+use daisyyard_core::member::{GONE_AFTER, MAX_PEERS, MAX_RECORDS, Next, SUSPECT_AFTER, View};
+use daisyyard_core::record::Record;
+use daisyyard_core::zone::Zone;
+use proptest::prelude::*;
+
+/// Returns an instance; its zone follows from its number.
+fn instance(number: u16) -> Instance {
+    let zone = Zone::new(["a", "b", "c"][usize::from(number) % 3], "region");
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], number + 1));
+    let mut instance = Instance::new(&format!("node-{number}"), zone, address, address);
+    instance.incarnation = 1;
+    instance
+}
+
+/// Returns the record that an instance sends of itself.
+fn own(number: u16) -> Record {
+    View::new(instance(number)).introduction()
+}
+
+/// Returns a view of node 0 that knows the nodes up to a number.
+fn view(nodes: u16, now: Instant) -> View {
+    let mut view = View::new(instance(0));
+    for number in 1..nodes {
+        view.hear(own(number), now);
+    }
+    view
+}
+
+/// Returns the state of a node in a view.
+fn state(view: &View, number: u16) -> Option<State> {
+    view.get(instance(number).id).map(|instance| instance.state)
+}
+
+/// A silent peer is suspected after 3 s and gone after 10 s.
+#[test]
+fn silence_ends_peer() {
+    let start = Instant::now();
+    let mut view = view(2, start);
+    let before = |time: Duration| time.saturating_sub(Duration::from_millis(1));
+    for (after, expected) in [
+        (before(SUSPECT_AFTER), State::Live),
+        (SUSPECT_AFTER, State::Suspected),
+        (before(GONE_AFTER), State::Suspected),
+        (GONE_AFTER, State::Gone),
+    ] {
+        view.tick(start + after);
+        assert_eq!(state(&view, 1), Some(expected), "after {after:?}");
+    }
+}
+
+/// A suspected node refutes with a higher incarnation, and all others believe it.
+#[test]
+fn refutes_suspicion() {
+    let start = Instant::now();
+    let mut observer = view(3, start);
+    let mut subject = View::new(instance(1));
+    let suspicion = Record {
+        state: State::Suspected,
+        ..own(1)
+    };
+    let later = start + SUSPECT_AFTER;
+    assert_eq!(observer.learn(suspicion.clone(), later), Next::Keep);
+    assert_eq!(state(&observer, 1), Some(State::Suspected));
+    subject.learn(suspicion, later);
+    let refutation = subject.introduction();
+    assert_eq!(refutation.incarnation, 2);
+    observer.learn(refutation, later);
+    assert_eq!(state(&observer, 1), Some(State::Live));
+}
+
+/// A node that others hold for gone is told so when it is heard, or it would never refute.
+#[test]
+fn tells_the_gone() {
+    let start = Instant::now();
+    let mut view = view(2, start);
+    view.tick(start + SUSPECT_AFTER);
+    view.tick(start + GONE_AFTER);
+    let next = view.hear(own(1), start + GONE_AFTER);
+    assert!(matches!(next, Next::Tell(record) if record.state == State::Gone));
+    assert_eq!(state(&view, 1), Some(State::Live));
+}
+
+/// A peer's suspicion does not outweigh news from the node itself.
+#[test]
+fn direct_evidence_wins() {
+    let now = Instant::now();
+    let mut view = view(2, now);
+    let suspicion = Record {
+        state: State::Gone,
+        ..own(1)
+    };
+    assert!(matches!(view.learn(suspicion, now), Next::Tell(_)));
+    assert_eq!(state(&view, 1), Some(State::Live));
+}
+
+/// The instance list adds and marks members; an empty or shrunken one removes none.
+#[test]
+fn list_never_empties() {
+    let now = Instant::now();
+    let mut view = view(4, now);
+    view.seed([], now);
+    view.seed([instance(1)], now);
+    assert_eq!(view.all().count(), 4);
+    let leaving = Instance {
+        state: State::Leaving,
+        ..instance(2)
+    };
+    view.seed([leaving], now);
+    assert_eq!(state(&view, 2), Some(State::Leaving));
+    view.seed([instance(2)], now);
+    assert_eq!(state(&view, 2), Some(State::Live));
+}
+
+/// Every member appears in the heartbeats of a bounded time, and changed ones come first.
+#[test]
+fn records_take_turns() {
+    let now = Instant::now();
+    let mut view = view(101, now);
+    let mut seen = std::collections::BTreeSet::new();
+    for _ in 0..30 {
+        let records = view.records(false);
+        assert!(records.len() <= MAX_RECORDS);
+        seen.extend(records.into_iter().map(|record| record.id));
+    }
+    assert_eq!(seen.len(), 100);
+    let moved = Record {
+        incarnation: 2,
+        state: State::Leaving,
+        ..own(77)
+    };
+    view.learn(moved, now);
+    let first = &view.records(false)[0];
+    assert_eq!((first.id, first.state), (instance(77).id, State::Leaving));
+}
+
+/// The choice of peers is bounded, spread over the zones, and moves little when one node goes.
+#[test]
+fn peers_are_stable() {
+    let now = Instant::now();
+    let mut view = view(60, now);
+    let before = view.peers();
+    assert_eq!(before.len(), MAX_PEERS);
+    let local = Zone::new("a", "region").id;
+    let zone = |id: &u64| view.get(*id).expect("a member").zone.id;
+    assert_eq!(before.iter().filter(|id| zone(id) == local).count(), 3);
+    let gone = Record {
+        id: before[0],
+        incarnation: 2,
+        state: State::Gone,
+        place: None,
+    };
+    view.learn(gone, now + SUSPECT_AFTER);
+    let after = view.peers();
+    let kept = before.iter().filter(|id| after.contains(id)).count();
+    assert_eq!((after.len(), kept), (MAX_PEERS, MAX_PEERS - 1));
+}
+
+/// A record about one of five nodes.
+fn record() -> impl Strategy<Value = Record> {
+    let states = [State::Live, State::Leaving, State::Suspected, State::Gone];
+    let state = proptest::sample::select(states.to_vec());
+    (0_u16..5, 0_u64..4, state).prop_map(|(number, incarnation, state)| Record {
+        incarnation,
+        state,
+        ..own(number)
+    })
+}
+
+proptest! {
+    /// Views that get the same records in different orders agree on all other nodes.
+    #[test]
+    fn order_is_irrelevant(
+        (records, shuffled) in proptest::collection::vec(record(), 0..40).prop_flat_map(|records| {
+            (Just(records.clone()), Just(records).prop_shuffle())
+        }),
+    ) {
+        let now = Instant::now();
+        // Without recent direct evidence, only the records count.
+        let later = now + GONE_AFTER;
+        let mut one = view(5, now);
+        let mut two = view(5, now);
+        for record in records {
+            one.learn(record, later);
+        }
+        for record in shuffled {
+            two.learn(record, later);
+        }
+        for number in 1..5 {
+            let held = |view: &View| view.get(instance(number).id).map(|i| (i.incarnation, i.state));
+            prop_assert_eq!(held(&one), held(&two));
+        }
+    }
+
+    /// Whatever is said of a node, it stays live in its own view and ends above every suspicion.
+    #[test]
+    fn stays_live(records in proptest::collection::vec(record(), 0..40)) {
+        let mut view = View::new(instance(0));
+        let now = Instant::now();
+        for record in records {
+            view.learn(record.clone(), now);
+            prop_assert_eq!(view.me().state, State::Live);
+            if record.id == view.me().id && record.state > State::Live {
+                prop_assert!(view.me().incarnation > record.incarnation
+                    || record.incarnation < view.me().incarnation);
+            }
+        }
+        prop_assert!(view.records(true).len() <= MAX_RECORDS);
+        prop_assert!(view.peers().len() <= MAX_PEERS);
+    }
+}
--- a/crates/daisyyard_standin/src/lib.rs
+++ b/crates/daisyyard_standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! to fail.
 
 pub mod engine;
+pub(crate) mod keys;
 pub mod list;
 pub mod plain;
 pub mod store;
--- a/crates/daisyyard_standin/src/store.rs
+++ b/crates/daisyyard_standin/src/store.rs
@@ -1,120 +1,141 @@
 //! Stand-in for the platform's configuration service: a key-value service with
-//! compare-and-swap.
+//! compare-and-swap, watches and leases, which can be down, slow or lose responses.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 
 use daisyyard_http::{self as http, Body};
 
+pub use crate::keys::Counters;
+use crate::keys::{self, Command, Versioned};
+
+/// Longest time that a watch waits.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+/// Time for which a lost response keeps its connection silent.
+const SILENCE: Duration = Duration::from_mins(1);
+
 /// A running configuration service; dropping it ends the service.
 #[derive(Debug)]
 pub struct Store {
     /// Address on which the service accepts calls.
     pub address: SocketAddr,
-    /// Tasks of the service.
-    tasks: Vec<JoinHandle<()>>,
-}
-
-/// A value with the revision of the write that made it.
-type Versioned = (u64, Bytes);
-
-/// Message to the task that owns the values.
-#[derive(Debug)]
-enum Command {
-    /// Return the value of a key.
-    Get {
-        /// Key to read.
-        key: String,
-        /// Receives the value, if any.
-        reply: oneshot::Sender<Option<Versioned>>,
-    },
-    /// Write a value if the key's revision is the expected one; zero expects no value.
-    Swap {
-        /// Key to write.
-        key: String,
-        /// Revision that the key must have; zero if it must not exist.
-        expected: u64,
-        /// New value.
-        value: Bytes,
-        /// Receives the new revision, or the one that the key has.
-        reply: oneshot::Sender<Result<u64, u64>>,
-    },
+    /// Commands to the task that owns the keys.
+    commands: mpsc::UnboundedSender<Command>,
+    /// Time that each call is held back.
+    delay: watch::Sender<Duration>,
+    /// Task that owns the keys.
+    owner: JoinHandle<()>,
+    /// Task that accepts calls, unless the service is down.
+    server: Option<JoinHandle<()>>,
 }
 
 impl Store {
     /// Starts a configuration service on a free loopback port.
     pub async fn start() -> anyhow::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
         let (commands, receiver) = mpsc::unbounded_channel();
-        let owner = tokio::spawn(own(receiver));
-        let server = http::serve(listener, move |request| handle(request, commands.clone()));
-        Ok(Self {
-            address,
-            tasks: vec![owner, server],
-        })
+        let mut store = Self {
+            address: "127.0.0.1:0".parse()?,
+            commands,
+            delay: watch::Sender::new(Duration::ZERO),
+            owner: tokio::spawn(keys::own(receiver)),
+            server: None,
+        };
+        store.up().await?;
+        Ok(store)
     }
-}
 
-impl Drop for Store {
-    fn drop(&mut self) {
-        for task in &self.tasks {
-            task.abort();
+    /// Refuses connections and breaks the open ones, keeping the values.
+    pub async fn down(&mut self) {
+        if let Some(server) = self.server.take() {
+            server.abort();
+            // The listener is closed once the task has ended.
+            let _ = server.await;
         }
     }
-}
 
-/// Owns the values until the service is dropped.
-async fn own(mut commands: mpsc::UnboundedReceiver<Command>) {
-    let mut values: BTreeMap<String, Versioned> = BTreeMap::new();
-    let mut revision = 0;
-    while let Some(command) = commands.recv().await {
-        match command {
-            Command::Get { key, reply } => {
-                let _ = reply.send(values.get(&key).cloned());
-            }
-            Command::Swap {
-                key,
-                expected,
-                value,
-                reply,
-            } => {
-                let held = values.get(&key).map_or(0, |(revision, _)| *revision);
-                if held == expected {
-                    revision += 1;
-                    values.insert(key, (revision, value));
-                    let _ = reply.send(Ok(revision));
-                } else {
-                    let _ = reply.send(Err(held));
-                }
+    /// Accepts connections again on the same address.
+    pub async fn up(&mut self) -> anyhow::Result<()> {
+        let listener = TcpListener::bind(self.address).await?;
+        self.address = listener.local_addr()?;
+        let (commands, delay) = (self.commands.clone(), self.delay.subscribe());
+        let server = http::serve(listener, move |request| {
+            let (commands, delay) = (commands.clone(), *delay.borrow());
+            async move {
+                tokio::time::sleep(delay).await;
+                handle(request, commands).await
             }
+        });
+        self.server = Some(server);
+        Ok(())
+    }
+
+    /// Holds each call back for a time before it takes effect.
+    pub fn slow(&self, delay: Duration) {
+        self.delay.send_replace(delay);
+    }
+
+    /// Loses the responses of the next writes after they took effect.
+    pub fn lose(&self, count: u32) {
+        let _ = self.commands.send(Command::Lose { count });
+    }
+
+    /// Returns the calls that the service has seen.
+    pub async fn counters(&self) -> Counters {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.commands.send(Command::Count { reply });
+        answer.await.unwrap_or_default()
+    }
+}
+
+impl Drop for Store {
+    fn drop(&mut self) {
+        self.owner.abort();
+        if let Some(server) = &self.server {
+            server.abort();
         }
     }
 }
 
-/// Answers one call: `GET /kv/<key>` or `PUT /kv/<key>?expected=<revision>`.
+/// Answers one call; `docs/protocols.md` lists them.
 async fn handle(
     request: Request<Incoming>,
     commands: mpsc::UnboundedSender<Command>,
 ) -> Response<Body> {
-    let Some(key) = request.uri().path().strip_prefix("/kv/").map(str::to_owned) else {
-        return http::json(StatusCode::NOT_FOUND, &json!({"error": "no such path"}));
+    let path = request.uri().path().to_owned();
+    if let Some(key) = path.strip_prefix("/kv/") {
+        let key = key.to_owned();
+        return match *request.method() {
+            Method::GET if query(&request, "wait_ms").is_some() => {
+                watch(key, &request, &commands).await
+            }
+            Method::GET => get(key, &commands).await,
+            Method::PUT => swap(key, request, &commands).await,
+            _ => failed(StatusCode::METHOD_NOT_ALLOWED, "use GET or PUT"),
+        };
+    }
+    if path == "/leases" && request.method() == Method::POST {
+        return acquire(request, &commands).await;
+    }
+    let rest = path.strip_prefix("/leases/").unwrap_or_default();
+    let (id, renew) = match rest.strip_suffix("/renew") {
+        Some(id) => (id.parse(), true),
+        None => (rest.parse(), false),
     };
-    match *request.method() {
-        Method::GET => get(key, &commands).await,
-        Method::PUT => swap(key, request, &commands).await,
-        _ => http::json(
-            StatusCode::METHOD_NOT_ALLOWED,
-            &json!({"error": "use GET or PUT"}),
-        ),
+    match (id, request.method(), renew) {
+        (Ok(id), &Method::POST, true) => {
+            stands(&commands, |reply| Command::Renew { id, reply }).await
+        }
+        (Ok(id), &Method::DELETE, false) => {
+            stands(&commands, |reply| Command::Release { id, reply }).await
+        }
+        _ => failed(StatusCode::NOT_FOUND, "no such path"),
     }
 }
 
@@ -122,10 +143,25 @@
 async fn get(key: String, commands: &mpsc::UnboundedSender<Command>) -> Response<Body> {
     let (reply, answer) = oneshot::channel();
     let _ = commands.send(Command::Get { key, reply });
-    match answer.await.ok().flatten() {
-        Some((revision, value)) => versioned(revision, value),
-        None => http::json(StatusCode::NOT_FOUND, &json!({"error": "no such key"})),
+    versioned(answer.await.ok().flatten())
+}
+
+/// Reads a key once it differs from the revision that the caller has.
+async fn watch(
+    key: String,
+    request: &Request<Incoming>,
+    commands: &mpsc::UnboundedSender<Command>,
+) -> Response<Body> {
+    let after = query(request, "after").unwrap_or(0);
+    let wait = Duration::from_millis(query(request, "wait_ms").unwrap_or(0)).min(MAX_WAIT);
+    let (reply, answer) = oneshot::channel();
+    let _ = commands.send(Command::Watch { key, after, reply });
+    if let Ok(answer) = tokio::time::timeout(wait, answer).await {
+        return versioned(answer.ok().flatten());
     }
+    let mut response = Response::new(http::full(""));
+    *response.status_mut() = StatusCode::NOT_MODIFIED;
+    response
 }
 
 /// Writes a key.
@@ -134,34 +170,93 @@
     request: Request<Incoming>,
     commands: &mpsc::UnboundedSender<Command>,
 ) -> Response<Body> {
-    let query = request.uri().query().unwrap_or_default();
-    let expected = query
-        .strip_prefix("expected=")
-        .and_then(|text| text.parse().ok());
-    let Some(expected) = expected else {
-        let error = json!({"error": "add ?expected=<revision>"});
-        return http::json(StatusCode::BAD_REQUEST, &error);
+    let Some(expected) = query(&request, "expected") else {
+        return failed(StatusCode::BAD_REQUEST, "add ?expected=<revision>");
+    };
+    let lease = query(&request, "lease");
+    let Ok(value) = http::read(request.into_body()).await else {
+        return failed(StatusCode::BAD_REQUEST, "the body broke off");
     };
-    let value = http::read(request.into_body()).await.unwrap_or_default();
     let (reply, answer) = oneshot::channel();
     let _ = commands.send(Command::Swap {
         key,
         expected,
+        lease,
         value,
         reply,
     });
+    let Ok(swapped) = answer.await else {
+        return failed(StatusCode::SERVICE_UNAVAILABLE, "stopping");
+    };
+    if swapped.lose {
+        tokio::time::sleep(SILENCE).await;
+    }
+    match swapped.result {
+        Ok(revision) => http::json(StatusCode::OK, &json!({"revision": revision})),
+        Err(held) => http::json(StatusCode::CONFLICT, &json!({"revision": held})),
+    }
+}
+
+/// Grants a lease.
+async fn acquire(
+    request: Request<Incoming>,
+    commands: &mpsc::UnboundedSender<Command>,
+) -> Response<Body> {
+    let body = http::read(request.into_body()).await.unwrap_or_default();
+    let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let (Some(name), Some(ttl)) = (body["name"].as_str(), body["ttl_ms"].as_u64()) else {
+        return failed(StatusCode::BAD_REQUEST, "send name and ttl_ms");
+    };
+    let (reply, answer) = oneshot::channel();
+    let _ = commands.send(Command::Acquire {
+        name: name.to_owned(),
+        ttl: Duration::from_millis(ttl),
+        reply,
+    });
     match answer.await {
-        Ok(Ok(revision)) => http::json(StatusCode::OK, &json!({"revision": revision})),
-        Ok(Err(held)) => http::json(StatusCode::CONFLICT, &json!({"revision": held})),
-        Err(_) => http::json(
-            StatusCode::SERVICE_UNAVAILABLE,
-            &json!({"error": "stopping"}),
-        ),
+        Ok(Ok(lease)) => {
+            let lease = json!({"lease": lease.id, "fence": lease.fence});
+            http::json(StatusCode::OK, &lease)
+        }
+        Ok(Err(left)) => {
+            let left = json!({"remaining_ms": left.as_millis() as u64});
+            http::json(StatusCode::CONFLICT, &left)
+        }
+        Err(_) => failed(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
     }
 }
 
+/// Sends a command about a lease and answers whether the lease stands.
+async fn stands(
+    commands: &mpsc::UnboundedSender<Command>,
+    command: impl FnOnce(oneshot::Sender<bool>) -> Command,
+) -> Response<Body> {
+    let (reply, answer) = oneshot::channel();
+    let _ = commands.send(command(reply));
+    if answer.await.unwrap_or(false) {
+        http::json(StatusCode::OK, &json!({}))
+    } else {
+        failed(StatusCode::NOT_FOUND, "the lease has ended")
+    }
+}
+
+/// Returns a number from the query.
+fn query(request: &Request<Incoming>, name: &str) -> Option<u64> {
+    let pairs = request.uri().query()?.split('&');
+    let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name)?.1.parse().ok()
+}
+
+/// Returns an error.
+fn failed(status: StatusCode, error: &str) -> Response<Body> {
+    http::json(status, &json!({"error": error}))
+}
+
 /// Returns a value with its revision in a header.
-fn versioned(revision: u64, value: Bytes) -> Response<Body> {
+fn versioned(value: Option<Versioned>) -> Response<Body> {
+    let Some((revision, value)) = value else {
+        return failed(StatusCode::NOT_FOUND, "no such key");
+    };
     let mut response = Response::new(http::full(value));
     response.headers_mut().insert("x-revision", revision.into());
     response
