Forward requests for admission to the home node of the engine

Cause: each node kept its own ledger of every engine, so that several nodes overcommitted an engine.

Change: the core gains the desk, which decides whom to ask, what to do without answer within 500 ms and what a change of home means. The admission actor forwards asks, sends progress once a second, releases what a lost node held, and polls the load of the engines that it is home of. A node that is not the home answers so, which keeps two nodes with different views from granting out of two ledgers; the asking node then uses its local share.

--- a/crates/daisyyard/src/node.rs
+++ b/crates/daisyyard/src/node.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinHandle;
-use xtra::Address;
+use xtra::{Address, Mailbox};
 
 use crate::event::{self, Event};
 use crate::generation::Actors;
@@ -48,7 +48,10 @@
         let dispatch = dispatch::spawn(zone.clone());
         let services: Vec<&str> = settings.services.iter().map(String::as_str).collect();
         let preset = Preset::ordinary(&services);
-        let admission = admission::spawn(preset.clone(), dispatch.clone());
+        let mailbox = Mailbox::unbounded();
+        let node = id::of(&settings.name);
+        let peers = mailbox.0.downgrade();
+        let admission = admission::spawn(node, preset.clone(), dispatch.clone(), peers);
         let mut me = Instance::new(&settings.name, zone, address, peer);
         // The time of the start orders the starts of one instance without any stored state.
         me.incarnation = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64;
@@ -59,11 +62,12 @@
             key: settings.key.clone().into(),
             admission: admission.downgrade(),
         };
-        let (peers, watching, links) = peer::spawn(start, links);
+        let (peers, watching, links) = peer::spawn(start, links, mailbox);
         let store = store::spawn(settings.store, rand::random());
         let follow = tokio::spawn(peer::follow(store.clone(), peers.downgrade(), watching));
         let targets = roster::Targets {
             dispatch: dispatch.clone(),
+            admission: admission.clone(),
             peer: peers.clone(),
         };
         if let Ok(list) = roster::poll(settings.list).await {
@@ -71,7 +75,7 @@
         }
         let roster = roster::spawn(settings.list, targets);
         let actors = Actors {
-            node: id::of(&settings.name),
+            node,
             dispatch,
             admission,
         };
--- a/crates/daisyyard/src/peer.rs
+++ b/crates/daisyyard/src/peer.rs
@@ -8,7 +8,7 @@
 use daisyyard_core::config::{self, Held};
 use daisyyard_core::id::{InstanceId, Revision};
 use daisyyard_core::instance::{Instance, State};
-use daisyyard_core::member::{Next, View};
+use daisyyard_core::member::{Change, Next, View};
 use daisyyard_core::preset::Document;
 use daisyyard_core::record::Record;
 use tokio::net::TcpListener;
@@ -20,6 +20,7 @@
 use crate::document;
 use crate::event::{self, Event};
 use crate::link::{self, Terms};
+use crate::remote::{Deliver, Homes, Lost};
 use crate::wire::{self, Heartbeat, Message};
 
 /// Time between two heartbeats.
@@ -127,6 +128,15 @@
     pub(crate) message: Message,
 }
 
+/// Asks to send a message to a node, over a new link if need be.
+#[derive(Debug)]
+pub(crate) struct Send {
+    /// Node to send to.
+    pub(crate) node: InstanceId,
+    /// The message.
+    pub(crate) message: Message,
+}
+
 /// The instance list was read.
 #[derive(Debug)]
 pub(crate) struct Seed(pub(crate) Vec<Instance>);
@@ -175,8 +185,8 @@
 pub(crate) fn spawn(
     start: Start,
     listener: TcpListener,
+    (address, mailbox): (Address<Peer>, Mailbox<Peer>),
 ) -> (Address<Peer>, watch::Receiver<bool>, JoinHandle<()>) {
-    let (address, mailbox) = Mailbox::unbounded();
     let (watching, watched) = watch::channel(false);
     let terms = Terms {
         node: start.me.id,
@@ -286,8 +296,18 @@
     }
 
     /// Logs what changed in the view and takes the consequences.
-    fn settle(&mut self) {
-        for change in self.view.changes() {
+    async fn settle(&mut self) {
+        let changes = self.view.changes();
+        let gone = |change: &&Change| change.after == State::Gone;
+        let gone = changes.iter().filter(gone).map(|change| change.id);
+        let homes = Homes {
+            nodes: self.view.homes().collect(),
+            gone: gone.collect(),
+        };
+        if !changes.is_empty() {
+            let _ = self.admission.send(homes).detach().await;
+        }
+        for change in changes {
             let event = match change.after {
                 State::Live | State::Leaving => Event::MemberChanged,
                 State::Suspected => Event::MemberSuspected,
@@ -299,11 +319,8 @@
         let me = self.view.me();
         let region = self.view.region(me.zone.region);
         let watches = config::watches(me.id, region);
-        self.watching.send_if_modified(|watching| {
-            let changed = *watching != watches;
-            *watching = watches;
-            changed
-        });
+        self.watching
+            .send_if_modified(|watching| std::mem::replace(watching, watches) != watches);
     }
 
     /// Takes a document if it is newer than the one in force and tells the peers at once.
@@ -338,7 +355,7 @@
     }
 
     /// Takes a heartbeat and answers it if this node did not choose the sender itself.
-    fn heartbeat(&mut self, node: InstanceId, beat: Heartbeat, now: Instant) {
+    async fn heartbeat(&mut self, node: InstanceId, beat: Heartbeat, now: Instant) {
         if beat.sender.id != node {
             return;
         }
@@ -349,7 +366,7 @@
             self.follow(next);
         }
         self.announced(node, beat.revision, now);
-        self.settle();
+        self.settle().await;
     }
 }
 
@@ -396,6 +413,7 @@
         let held = self.links.get(&message.node);
         if held.is_some_and(|link| link.number == message.link) {
             self.links.remove(&message.node);
+            let _ = self.admission.send(Lost(message.node)).detach().await;
         }
     }
 }
@@ -406,6 +424,9 @@
     async fn handle(&mut self, message: Failed, _: &mut Context<Self>) {
         self.dialling.remove(&message.0);
         self.waiting.remove(&message.0);
+        if !self.links.contains_key(&message.0) {
+            let _ = self.admission.send(Lost(message.0)).detach().await;
+        }
     }
 }
 
@@ -424,7 +445,7 @@
         match message.message {
             Message::Heartbeat(beat) => {
                 let answer = !self.view.peers().contains(&node);
-                self.heartbeat(node, beat, now);
+                self.heartbeat(node, beat, now).await;
                 if answer {
                     let (sender, records) = (self.view.own(), self.view.changed());
                     self.beat(&[node], sender, records);
@@ -444,18 +465,44 @@
                     event::emit(Event::ConfigRejected, &format!("node={node:016x} {fault}"));
                 }
             },
+            message @ (Message::Ask(_)
+            | Message::Answer(_)
+            | Message::Progress(_)
+            | Message::Release(_)) => {
+                let deliver = Deliver { node, message };
+                let _ = self.admission.send(deliver).detach().await;
+            }
             // A greeting on an open link and a pull of a revision that is not held need no answer.
             _ => {}
         }
     }
 }
 
+impl Handler<Send> for Peer {
+    type Return = ();
+
+    async fn handle(&mut self, message: Send, _: &mut Context<Self>) {
+        let node = message.node;
+        if self.links.contains_key(&node) {
+            self.send(node, message.message);
+            return;
+        }
+        self.dial(node);
+        let waiting = self.waiting.entry(node).or_default();
+        if self.dialling.contains(&node) && waiting.len() < link::BUFFER {
+            waiting.push(wire::encode(message.message));
+        } else {
+            let _ = self.admission.send(Lost(node)).detach().await;
+        }
+    }
+}
+
 impl Handler<Seed> for Peer {
     type Return = ();
 
     async fn handle(&mut self, message: Seed, _: &mut Context<Self>) {
         self.view.seed(message.0, Instant::now());
-        self.settle();
+        self.settle().await;
         for node in self.view.peers() {
             if !self.links.contains_key(&node) {
                 self.dial(node);
@@ -493,7 +540,7 @@
         let now = Instant::now();
         self.beats += 1;
         self.view.tick(now);
-        self.settle();
+        self.settle().await;
         let chosen = self.view.peers();
         for node in &chosen {
             let silent = |link: &Link| now.saturating_duration_since(link.heard) >= SILENT_AFTER;
--- a/crates/daisyyard/src/roster.rs
+++ b/crates/daisyyard/src/roster.rs
@@ -12,9 +12,11 @@
 use tokio::task::JoinHandle;
 use xtra::Address;
 
+use crate::admission::Admission;
 use crate::dispatch::{Adopt, Dispatch};
 use crate::event::{self, Event};
 use crate::peer::{Peer, Seed};
+use crate::remote::Engines;
 
 /// Time between two polls of the list.
 const PERIOD: Duration = Duration::from_secs(1);
@@ -90,6 +92,8 @@
 pub(crate) struct Targets {
     /// Learns the endpoints.
     pub(crate) dispatch: Address<Dispatch>,
+    /// Learns the engines.
+    pub(crate) admission: Address<Admission>,
     /// Learns the nodes.
     pub(crate) peer: Address<Peer>,
 }
@@ -98,8 +102,10 @@
     /// Passes on what the list says; returns whether the node still runs.
     pub(crate) async fn take(&self, listing: Listing) -> bool {
         let seeded = self.peer.send(Seed(listing.nodes)).await;
+        let engines = Engines(listing.endpoints.clone());
+        let learned = self.admission.send(engines).await;
         let adopted = self.dispatch.send(Adopt(listing.endpoints)).await;
-        seeded.is_ok() && adopted.is_ok()
+        seeded.is_ok() && learned.is_ok() && adopted.is_ok()
     }
 }
 
--- a/crates/daisyyard/src/wire.rs
+++ b/crates/daisyyard/src/wire.rs
@@ -126,6 +126,8 @@
     },
     /// The receiver is not the home of the engine.
     Elsewhere,
+    /// The request is in the home's queue; another answer follows.
+    Wait,
 }
 
 /// Answers an [`Ask`].
@@ -435,6 +437,7 @@
             Verdict::Grant => (raw::Decision::Grant, Duration::ZERO),
             Verdict::Refuse { retry_after } => (raw::Decision::Refuse, retry_after),
             Verdict::Elsewhere => (raw::Decision::NotHome, Duration::ZERO),
+            Verdict::Wait => (raw::Decision::Wait, Duration::ZERO),
         };
         Self {
             request: answer.request,
@@ -462,6 +465,7 @@
                 retry_after: Duration::from_millis(answer.retry_after_ms.into()),
             },
             raw::Decision::NotHome => Verdict::Elsewhere,
+            raw::Decision::Wait => Verdict::Wait,
         };
         Ok(Self {
             request: answer.request,
--- a/crates/daisyyard/tests/frame_decode.rs
+++ b/crates/daisyyard/tests/frame_decode.rs
@@ -71,6 +71,7 @@
     let verdict = prop_oneof![
         Just(Verdict::Grant),
         Just(Verdict::Elsewhere),
+        Just(Verdict::Wait),
         time().prop_map(|retry_after| Verdict::Refuse { retry_after }),
     ];
     let suspect = (any::<u64>(), any::<u128>(), any::<u32>(), time());
--- /dev/null
+++ b/crates/daisyyard/tests/home_loss.rs
@@ -0,0 +1,209 @@
+//! Guards against requests that hang or break when the home node of an engine is lost, and
+//! against a ledger that other nodes' requests pass by.
+
+mod fleet;
+
+use std::time::{Duration, Instant};
+
+use daisyyard::link::{self, Role};
+use daisyyard::wire::{Ask, Heartbeat, Message, Verdict};
+use daisyyard_core::contract::Rank;
+use daisyyard_core::instance::{Instance, State};
+use daisyyard_core::member::View;
+use daisyyard_core::{home, id};
+use daisyyard_standin::engine;
+use fleet::{Fleet, MODEL};
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+
+/// Time after which a silent node is gone, with the time to notice it.
+const GONE: Duration = Duration::from_secs(14);
+
+/// Sends a request that is not streamed and checks that its answer is whole.
+async fn complete(address: std::net::SocketAddr, prompt: &str) {
+    let body = json!({"model": MODEL, "messages": [{"role": "user", "content": prompt}]});
+    let headers = [("authorization", "Bearer token-1")];
+    let path = "/v1/chat/completions";
+    let call = daisyyard_http::call(address, Method::POST, path, &headers, body.to_string());
+    let answer = tokio::time::timeout(Duration::from_secs(20), call).await;
+    let (status, bytes) = answer.expect("an answer in time").expect("an answer");
+    let value: Value = serde_json::from_slice(&bytes).expect("JSON");
+    assert_eq!(status, StatusCode::OK, "{value}");
+    let text = value["choices"][0]["message"]["content"].as_str();
+    assert_eq!(text, Some(engine::text(prompt).as_str()));
+}
+
+/// Returns the number of the node that is home of the only engine.
+fn homed(nodes: usize) -> usize {
+    let ids: Vec<u64> = (0..nodes).map(|n| id::of(&format!("node-{n}"))).collect();
+    let home = home::of(id::of("engine-0"), ids.iter().copied()).expect("a home");
+    ids.iter()
+        .position(|id| *id == home)
+        .expect("the home's number")
+}
+
+/// Every node serves through the home; after its loss through the local share, then the next home.
+#[tokio::test(flavor = "multi_thread")]
+async fn serves_on() {
+    let mut fleet = Fleet::start(4, 1).await;
+    for node in &fleet.nodes {
+        complete(node.address, "before the loss length=3").await;
+    }
+    let lost = homed(4);
+    drop(fleet.nodes.remove(lost));
+    let killed = Instant::now();
+    let mut slowest = Duration::ZERO;
+    while killed.elapsed() < GONE {
+        for node in &fleet.nodes {
+            let started = Instant::now();
+            complete(node.address, "after the loss length=3").await;
+            slowest = slowest.max(started.elapsed());
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    println!("slowest request after the loss of the home: {slowest:?}");
+    let name = format!("node-{lost}");
+    for node in &fleet.nodes {
+        let status = node.status().await.expect("the node runs");
+        let member = status.members.iter().find(|member| member.name == name);
+        assert_eq!(member.expect("a member").state, State::Gone);
+    }
+}
+
+/// Requests of all nodes to one engine pass through one ledger: the engine never runs more
+/// than its slots, whatever node was asked.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_ledger() {
+    let fleet = Fleet::start(4, 1).await;
+    let prompt = "many at once length=40";
+    let calls = (0..160).map(|number| complete(fleet.nodes[number % 4].address, prompt));
+    let calls = futures_util::future::join_all(calls);
+    let mut highest = 0;
+    let watch = async {
+        loop {
+            let load = fleet.engines[0].load().await.expect("the engine runs");
+            let held =
+                load["running"].as_u64().unwrap_or(0) + load["waiting"].as_u64().unwrap_or(0);
+            highest = highest.max(held);
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::select! {
+        _ = calls => {}
+        () = watch => {}
+    }
+    println!("highest number of requests at the engine: {highest}");
+    assert!(highest > 16, "the nodes share more than one node's part");
+    assert!(
+        highest <= 64,
+        "the engine has 64 slots and {highest} requests"
+    );
+}
+
+/// Accepts links as a node that stays alive and answers nothing else.
+async fn deaf(listener: tokio::net::TcpListener, name: String) {
+    let node = id::of(&name);
+    while let Ok((socket, address)) = listener.accept().await {
+        let peer = listener.local_addr().expect("an address");
+        let zone = daisyyard_core::zone::Zone::new(fleet::ZONES[0], "costa");
+        let mut me = Instance::new(&name, zone, address, peer);
+        me.incarnation = 1;
+        let beat = Message::Heartbeat(Heartbeat {
+            sender: View::new(me).introduction(),
+            revision: 0,
+            records: Vec::new(),
+        });
+        tokio::spawn(async move {
+            let mut socket = link::frame(socket);
+            let key = fleet::KEY.as_bytes();
+            let shaken = link::handshake(&mut socket, key, node, Role::Acceptor).await;
+            shaken.expect("the key is right");
+            let mut interval = tokio::time::interval(Duration::from_secs(1));
+            loop {
+                tokio::select! {
+                    _ = interval.tick() => {
+                        if link::send(&mut socket, beat.clone()).await.is_err() {
+                            return;
+                        }
+                    }
+                    frame = link::receive(&mut socket) => {
+                        if frame.is_err() {
+                            return;
+                        }
+                    }
+                }
+            }
+        });
+    }
+}
+
+/// A home that lives but does not answer holds a request up for a short time only.
+#[tokio::test(flavor = "multi_thread")]
+async fn deaf_home() {
+    let mut fleet = Fleet::start(1, 1).await;
+    let engine = id::of("engine-0");
+    let weight = |name: &str| home::weight(engine, id::of(name));
+    let name = (0..).map(|number| format!("deaf-{number}"));
+    let name = name
+        .into_iter()
+        .find(|name| weight(name) > weight("node-0"))
+        .expect("a name");
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let mut entries = fleet.list.entries();
+    entries.push(fleet::entry(&name, "node", 0, address, address));
+    fleet.list.show(entries);
+    let task = tokio::spawn(deaf(listener, name));
+    let known = |status: &daisyyard::peer::Status| status.links.len() == 1;
+    fleet.until(Duration::from_secs(10), known).await;
+    let started = Instant::now();
+    complete(fleet.nodes[0].address, "the home is deaf length=3").await;
+    let first = started.elapsed();
+    println!("first request with a deaf home: {first:?}");
+    assert!(first < Duration::from_secs(2), "{first:?}");
+    task.abort();
+    fleet.nodes.clear();
+}
+
+/// A node that is not the home of an engine says so, instead of opening a second ledger.
+#[tokio::test(flavor = "multi_thread")]
+async fn not_home() {
+    let fleet = Fleet::start(3, 1).await;
+    let home = homed(3);
+    for (number, node) in fleet.nodes.iter().enumerate() {
+        let socket = tokio::net::TcpStream::connect(node.peer).await;
+        let mut socket = link::frame(socket.expect("the node listens"));
+        let key = fleet::KEY.as_bytes();
+        let shaken = link::handshake(&mut socket, key, 7, Role::Dialler).await;
+        shaken.expect("the key is right");
+        let ask = Ask {
+            endpoint: id::of("engine-0"),
+            service: id::of(MODEL),
+            request: 1,
+            account: 1,
+            rank: Rank::Urgent,
+            prompt: 10,
+            cached: 0,
+            expected: 10,
+            patience: Duration::from_secs(1),
+        };
+        // The second Ask must get the same answer, in case the first answer was lost.
+        for _ in 0..2 {
+            let sent = link::send(&mut socket, Message::Ask(ask.clone())).await;
+            sent.expect("sent");
+            let verdict = loop {
+                let message = link::receive(&mut socket).await.expect("a frame");
+                if let Message::Answer(answer) = message {
+                    break answer.verdict;
+                }
+            };
+            let expected = if number == home {
+                Verdict::Grant
+            } else {
+                Verdict::Elsewhere
+            };
+            assert_eq!(verdict, expected);
+        }
+    }
+}
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod contract;
 pub mod endpoint;
+pub mod forward;
 pub mod home;
 pub mod id;
 pub mod instance;
