Add operator commands, the admin interface and the protocols page

Cause: operators had no way to choose or edit presets, and the interfaces of the platform and between nodes were described nowhere.

Change: nodes answer /admin/ with an operator credential; `preset`, `status` and `drain` use it. A change names the revision that the operator saw and ends as accepted, not accepted (with who won, what changed and how to go on) or unknown (with the command that tells). docs/protocols.md describes all interfaces. The modules wire, peer and admission are split by concern.

Conclusion: operators can change the preset in force, with a truthful outcome when the configuration service is lost on the way.

--- a/crates/daisyyard/src/admission.rs
+++ b/crates/daisyyard/src/admission.rs
@@ -6,7 +6,7 @@
 
 use daisyyard_core::endpoint::{Endpoint, Kind};
 use daisyyard_core::forward::{self, Desk, Place};
-use daisyyard_core::id::{EndpointId, InstanceId, RequestId, Tokens};
+use daisyyard_core::id::{EndpointId, InstanceId, RequestId};
 use daisyyard_core::ledger::{self, Answer, Ledger, Next};
 use daisyyard_core::preset::Preset;
 use tokio::sync::oneshot;
@@ -14,6 +14,8 @@
 
 use crate::dispatch::{Dispatch, Learn};
 use crate::peer::{Peer, Send};
+use crate::progress::made;
+pub(crate) use crate::progress::{Progress, Release};
 use crate::wire::{self, Made, Message, Verdict};
 
 /// Time between two checks of waiting requests and expired grants.
@@ -32,15 +34,15 @@
     /// Ledgers of the engines whose home is this node.
     pub(crate) ledgers: HashMap<EndpointId, Ledger>,
     /// Ledgers of the local shares, for engines whose home did not answer.
-    shares: HashMap<EndpointId, Ledger>,
+    pub(crate) shares: HashMap<EndpointId, Ledger>,
     /// Requests of this node that wait for a decision.
-    waiting: HashMap<RequestId, Ask>,
+    pub(crate) waiting: HashMap<RequestId, Ask>,
     /// Requests of this node that were granted, and where.
-    granted: HashMap<RequestId, Place>,
+    pub(crate) granted: HashMap<RequestId, Place>,
     /// Requests of this node that another node decides.
     pub(crate) desk: Desk,
     /// Progress for other homes, by home and request.
-    batch: HashMap<InstanceId, HashMap<RequestId, Made>>,
+    pub(crate) batch: HashMap<InstanceId, HashMap<RequestId, Made>>,
     /// Engines from the instance list.
     pub(crate) engines: HashMap<EndpointId, Endpoint>,
     /// Checks so far.
@@ -66,28 +68,6 @@
     pub(crate) reply: oneshot::Sender<Decision>,
 }
 
-/// Reports the tokens that a generation has made.
-#[derive(Debug)]
-pub(crate) struct Progress {
-    /// Engine that runs the generation.
-    pub(crate) endpoint: EndpointId,
-    /// Request of the generation.
-    pub(crate) request: RequestId,
-    /// Output tokens made so far.
-    pub(crate) made: Tokens,
-}
-
-/// Ends a generation or withdraws a waiting request.
-#[derive(Debug)]
-pub(crate) struct Release {
-    /// Engine that ran the generation.
-    pub(crate) endpoint: EndpointId,
-    /// Request of the generation.
-    pub(crate) request: RequestId,
-    /// Output tokens made in all.
-    pub(crate) made: Tokens,
-}
-
 /// Takes a preset into force.
 #[derive(Debug)]
 pub(crate) struct Enforce(pub(crate) Preset);
@@ -289,7 +269,7 @@
     }
 
     /// Shares the state of an engine with the routing.
-    async fn publish(&self, endpoint: EndpointId) {
+    pub(crate) async fn publish(&self, endpoint: EndpointId) {
         if let Some(ledger) = self.ledgers.get(&endpoint) {
             self.learn(ledger.digest(Instant::now())).await;
         }
@@ -320,16 +300,6 @@
         }
     }
 
-    /// Sends the progress of the last second to the homes.
-    async fn flush(&mut self) {
-        for (home, entries) in std::mem::take(&mut self.batch) {
-            let entries: Vec<Made> = entries.into_values().collect();
-            for part in entries.chunks(wire::MAX_PROGRESS) {
-                self.send(home, Message::Progress(part.to_vec())).await;
-            }
-        }
-    }
-
     /// Gives up the ledgers of engines whose home is another node now.
     async fn hand_over(&mut self) {
         let desk = &self.desk;
@@ -364,15 +334,6 @@
     }
 }
 
-/// Creates a report of tokens.
-fn made(endpoint: EndpointId, request: RequestId, made: Tokens) -> Made {
-    Made {
-        endpoint,
-        request,
-        made,
-    }
-}
-
 impl Handler<Ask> for Admission {
     type Return = ();
 
@@ -384,68 +345,6 @@
     }
 }
 
-impl Handler<Progress> for Admission {
-    type Return = ();
-
-    async fn handle(&mut self, message: Progress, _: &mut Context<Self>) {
-        let Progress {
-            endpoint,
-            request,
-            made: count,
-        } = message;
-        let share = self.granted.get(&request) == Some(&Place::Share);
-        let home = self.desk.home(endpoint);
-        let ledger = if share {
-            self.shares.get_mut(&endpoint)
-        } else if home == self.node {
-            self.ledgers.get_mut(&endpoint)
-        } else {
-            let batch = self.batch.entry(home).or_default();
-            batch.insert(request, made(endpoint, request, count));
-            return;
-        };
-        if let Some(ledger) = ledger {
-            ledger.progress(request, count, Instant::now());
-        }
-    }
-}
-
-impl Handler<Release> for Admission {
-    type Return = ();
-
-    async fn handle(&mut self, message: Release, _: &mut Context<Self>) {
-        let Release {
-            endpoint,
-            request,
-            made: count,
-        } = message;
-        let now = Instant::now();
-        self.waiting.remove(&request);
-        let place = self.granted.remove(&request);
-        let mut nodes: Vec<InstanceId> = self.desk.withdraw(request).into_iter().collect();
-        if let Some(Place::Home(home)) = place {
-            nodes.push(home);
-            // The home may have changed while the generation ran.
-            nodes.push(self.desk.home(endpoint));
-        }
-        for ledgers in [&mut self.ledgers, &mut self.shares] {
-            if let Some(ledger) = ledgers.get_mut(&endpoint) {
-                ledger.release(request, count, now);
-            }
-        }
-        nodes.retain(|node| *node != self.node);
-        nodes.dedup();
-        for node in nodes {
-            let release = Message::Release(made(endpoint, request, count));
-            self.send(node, release).await;
-        }
-        for entries in self.batch.values_mut() {
-            entries.remove(&request);
-        }
-        self.publish(endpoint).await;
-    }
-}
-
 impl Handler<Enforce> for Admission {
     type Return = ();
 
--- a/crates/daisyyard/src/command.rs
+++ b/crates/daisyyard/src/command.rs
@@ -5,7 +5,7 @@
 
 use getopts::Options;
 
-use crate::{embedded, node, settings};
+use crate::{embedded, node, operator, settings};
 
 /// Exit code of a command that was not understood or whose settings are at fault.
 const EXIT_USAGE: u8 = 2;
@@ -30,8 +30,11 @@
         "serve" => serve(rest),
         "check" => check(rest),
         "try" => attempt(rest),
+        "preset" | "status" | "drain" => {
+            runtime().and_then(|runtime| operator::run(arguments, &runtime))
+        }
         "help" | "--help" | "-h" => {
-            print!("{HELP}");
+            print!("{HELP}\n{}", operator::HELP);
             Ok(ExitCode::SUCCESS)
         }
         _ => Err(anyhow::anyhow!(
--- /dev/null
+++ b/crates/daisyyard/src/convert.rs
@@ -0,0 +1,329 @@
+//! Conversions between the messages of [`crate::wire`] and the generated types.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use daisyyard_core::contract::Rank;
+use daisyyard_core::id::Fingerprint;
+use daisyyard_core::instance::State;
+use daisyyard_core::ledger;
+use daisyyard_core::record::{Place, Record};
+use daisyyard_core::zone::Zone;
+
+use crate::generated::peer as raw;
+use crate::wire::{
+    Answer, Ask, Document, Error, Heartbeat, Hello, MAX_PROGRESS, Made, Message, Suspect, Verdict,
+};
+
+/// Longest name of an instance or a zone, in bytes.
+const MAX_NAME: usize = 128;
+
+impl From<Message> for raw::Frame {
+    fn from(message: Message) -> Self {
+        use raw::frame::Body;
+        let body = match message {
+            Message::Hello(hello) => Body::Hello(raw::Hello {
+                version: hello.version,
+                node: hello.node,
+                challenge: Bytes::copy_from_slice(&hello.challenge),
+            }),
+            Message::Proof(digest) => Body::Proof(raw::Proof { digest }),
+            Message::Heartbeat(beat) => Body::Heartbeat(raw::Heartbeat {
+                sender: Some(beat.sender.into()),
+                revision: beat.revision,
+                records: beat.records.into_iter().map(Into::into).collect(),
+            }),
+            Message::Pull(revision) => Body::Pull(raw::Pull { revision }),
+            Message::Document(document) => Body::Document(raw::Document {
+                revision: document.revision,
+                json: document.json,
+            }),
+            Message::Ask(ask) => Body::Ask(ask.into()),
+            Message::Answer(answer) => Body::Answer(answer.into()),
+            Message::Progress(made) => Body::Progress(raw::Progress {
+                made: made.into_iter().map(Into::into).collect(),
+            }),
+            Message::Release(made) => Body::Release(raw::Release {
+                endpoint: made.endpoint,
+                request: made.request,
+                made: made.made,
+            }),
+            Message::Suspect(suspect) => Body::Suspect(raw::Suspect {
+                account: suspect.account,
+                fingerprint: Bytes::copy_from_slice(&suspect.fingerprint.to_be_bytes()),
+                crashes: suspect.crashes,
+                age_ms: millis(suspect.age),
+            }),
+        };
+        Self { body: Some(body) }
+    }
+}
+
+impl TryFrom<raw::Frame> for Message {
+    type Error = Error;
+
+    fn try_from(frame: raw::Frame) -> Result<Self, Error> {
+        use raw::frame::Body;
+        Ok(match frame.body.ok_or(Error::Unknown)? {
+            Body::Hello(hello) => Self::Hello(Hello {
+                version: hello.version,
+                node: hello.node,
+                challenge: array(&hello.challenge, "challenge")?,
+            }),
+            Body::Proof(proof) => Self::Proof(proof.digest),
+            Body::Heartbeat(beat) => Self::Heartbeat(beat.try_into()?),
+            Body::Pull(pull) => Self::Pull(pull.revision),
+            Body::Document(document) => Self::Document(Document {
+                revision: document.revision,
+                json: document.json,
+            }),
+            Body::Ask(ask) => Self::Ask(ask.into()),
+            Body::Answer(answer) => Self::Answer(answer.try_into()?),
+            Body::Progress(progress) if progress.made.len() > MAX_PROGRESS => {
+                return Err(Error::Field("made"));
+            }
+            Body::Progress(progress) => {
+                Self::Progress(progress.made.into_iter().map(Into::into).collect())
+            }
+            Body::Release(release) => Self::Release(Made {
+                endpoint: release.endpoint,
+                request: release.request,
+                made: release.made,
+            }),
+            Body::Suspect(suspect) => Self::Suspect(Suspect {
+                account: suspect.account,
+                fingerprint: Fingerprint::from_be_bytes(array(
+                    &suspect.fingerprint,
+                    "fingerprint",
+                )?),
+                crashes: suspect.crashes,
+                age: Duration::from_millis(suspect.age_ms.into()),
+            }),
+        })
+    }
+}
+
+impl TryFrom<raw::Heartbeat> for Heartbeat {
+    type Error = Error;
+
+    fn try_from(beat: raw::Heartbeat) -> Result<Self, Error> {
+        if beat.records.len() > daisyyard_core::member::MAX_RECORDS {
+            return Err(Error::Field("records"));
+        }
+        let records = beat.records.into_iter().map(Record::try_from);
+        Ok(Self {
+            sender: beat.sender.ok_or(Error::Field("sender"))?.try_into()?,
+            revision: beat.revision,
+            records: records.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl From<Record> for raw::Member {
+    fn from(record: Record) -> Self {
+        let state = match record.state {
+            State::Live => raw::State::Live,
+            State::Leaving => raw::State::Leaving,
+            State::Suspected => raw::State::Suspected,
+            State::Gone => raw::State::Gone,
+        };
+        let mut member = Self {
+            id: record.id,
+            incarnation: record.incarnation,
+            state: state.into(),
+            ..Self::default()
+        };
+        if let Some(place) = record.place {
+            member.peer = socket(place.peer);
+            member.address = socket(place.address);
+            member.name = place.name;
+            member.zone = place.zone.name;
+            member.region = place.zone.region;
+        }
+        member
+    }
+}
+
+impl TryFrom<raw::Member> for Record {
+    type Error = Error;
+
+    fn try_from(member: raw::Member) -> Result<Self, Error> {
+        let state = match member.state() {
+            raw::State::Live => State::Live,
+            raw::State::Leaving => State::Leaving,
+            raw::State::Suspected => State::Suspected,
+            raw::State::Gone => State::Gone,
+        };
+        let place = if member.peer.is_empty() {
+            None
+        } else {
+            Some(place(&member)?)
+        };
+        Ok(Self {
+            id: member.id,
+            incarnation: member.incarnation,
+            state,
+            place,
+        })
+    }
+}
+
+/// Returns the place that a member's fields describe.
+fn place(member: &raw::Member) -> Result<Place, Error> {
+    if member.name.len() > MAX_NAME || member.zone.len() > MAX_NAME {
+        return Err(Error::Field("name"));
+    }
+    let mut zone = Zone::new(&member.zone, "");
+    zone.region = member.region;
+    Ok(Place {
+        name: member.name.clone(),
+        zone,
+        address: address(&member.address)?,
+        peer: address(&member.peer)?,
+    })
+}
+
+impl From<Ask> for raw::Ask {
+    fn from(ask: Ask) -> Self {
+        Self {
+            endpoint: ask.endpoint,
+            request: ask.request,
+            service: ask.service,
+            account: ask.account,
+            urgent: ask.rank == Rank::Urgent,
+            prompt: ask.prompt,
+            expected: ask.expected,
+            deadline_ms: millis(ask.patience),
+            cached: ask.cached,
+        }
+    }
+}
+
+impl From<raw::Ask> for Ask {
+    fn from(ask: raw::Ask) -> Self {
+        let rank = if ask.urgent {
+            Rank::Urgent
+        } else {
+            Rank::Deferrable
+        };
+        // Token counts are bounded so that sums of them cannot overflow in the ledger.
+        let tokens = |count: u64| count.min(u64::from(u32::MAX));
+        Self {
+            endpoint: ask.endpoint,
+            service: ask.service,
+            request: ask.request,
+            account: ask.account,
+            rank,
+            prompt: tokens(ask.prompt),
+            cached: tokens(ask.cached),
+            expected: tokens(ask.expected),
+            patience: Duration::from_millis(ask.deadline_ms.into()),
+        }
+    }
+}
+
+impl From<Answer> for raw::Answer {
+    fn from(answer: Answer) -> Self {
+        let (decision, retry_after) = match answer.verdict {
+            Verdict::Grant => (raw::Decision::Grant, Duration::ZERO),
+            Verdict::Refuse { retry_after } => (raw::Decision::Refuse, retry_after),
+            Verdict::Elsewhere => (raw::Decision::NotHome, Duration::ZERO),
+            Verdict::Wait => (raw::Decision::Wait, Duration::ZERO),
+        };
+        Self {
+            request: answer.request,
+            decision: decision.into(),
+            retry_after_ms: millis(retry_after),
+            digest: answer.digest.map(|digest| raw::Digest {
+                endpoint: digest.endpoint,
+                running: digest.running,
+                queued: digest.queued,
+                free: digest.free,
+                gap_us: u32::try_from(digest.gap.as_micros()).unwrap_or(u32::MAX),
+            }),
+        }
+    }
+}
+
+impl TryFrom<raw::Answer> for Answer {
+    type Error = Error;
+
+    fn try_from(answer: raw::Answer) -> Result<Self, Error> {
+        let decision = raw::Decision::try_from(answer.decision);
+        let verdict = match decision.map_err(|_unknown| Error::Field("decision"))? {
+            raw::Decision::Grant => Verdict::Grant,
+            raw::Decision::Refuse => Verdict::Refuse {
+                retry_after: Duration::from_millis(answer.retry_after_ms.into()),
+            },
+            raw::Decision::NotHome => Verdict::Elsewhere,
+            raw::Decision::Wait => Verdict::Wait,
+        };
+        Ok(Self {
+            request: answer.request,
+            verdict,
+            digest: answer.digest.map(|digest| ledger::Digest {
+                endpoint: digest.endpoint,
+                running: digest.running,
+                queued: digest.queued,
+                free: digest.free,
+                gap: Duration::from_micros(digest.gap_us.into()),
+            }),
+        })
+    }
+}
+
+impl From<Made> for raw::Made {
+    fn from(made: Made) -> Self {
+        Self {
+            endpoint: made.endpoint,
+            request: made.request,
+            made: made.made,
+        }
+    }
+}
+
+impl From<raw::Made> for Made {
+    fn from(made: raw::Made) -> Self {
+        Self {
+            endpoint: made.endpoint,
+            request: made.request,
+            made: made.made,
+        }
+    }
+}
+
+/// Returns a time in milliseconds, at most what a field holds.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Returns the bytes of a field of fixed length.
+fn array<const N: usize>(bytes: &Bytes, field: &'static str) -> Result<[u8; N], Error> {
+    bytes
+        .as_ref()
+        .try_into()
+        .map_err(|_length| Error::Field(field))
+}
+
+/// Encodes an address: 4 or 16 bytes of IP address, then the port.
+fn socket(address: SocketAddr) -> Bytes {
+    let mut bytes = BytesMut::with_capacity(18);
+    match address.ip() {
+        IpAddr::V4(ip) => bytes.put_slice(&ip.octets()),
+        IpAddr::V6(ip) => bytes.put_slice(&ip.octets()),
+    }
+    bytes.put_u16(address.port());
+    bytes.freeze()
+}
+
+/// Decodes an address.
+fn address(bytes: &Bytes) -> Result<SocketAddr, Error> {
+    let ip = match bytes.len() {
+        6 => IpAddr::from(array::<4>(&bytes.slice(..4), "address")?),
+        18 => IpAddr::from(array::<16>(&bytes.slice(..16), "address")?),
+        _ => return Err(Error::Field("address")),
+    };
+    let port = bytes.slice(bytes.len() - 2..).get_u16();
+    Ok(SocketAddr::new(ip, port))
+}
--- a/crates/daisyyard/src/front.rs
+++ b/crates/daisyyard/src/front.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
+use crate::admin::Admin;
 use crate::completion::{self, Completion};
 use crate::generation::{self, Actors, Delivery, Generation};
 use crate::refusal::{Kind, Refusal};
@@ -33,13 +34,24 @@
     accounts: HashMap<String, Account>,
     /// Actors that requests talk to.
     actors: Actors,
+    /// Interface for operators.
+    admin: Admin,
 }
 
 /// Starts the listener.
-pub(crate) fn spawn(listener: TcpListener, settings: &Settings, actors: Actors) -> JoinHandle<()> {
+pub(crate) fn spawn(
+    listener: TcpListener,
+    settings: &Settings,
+    actors: Actors,
+    admin: Admin,
+) -> JoinHandle<()> {
     let account = |c: &crate::settings::Credential| (c.token.clone(), Account::new(&c.account));
     let accounts = settings.accounts.iter().map(account).collect();
-    let front = Front { accounts, actors };
+    let front = Front {
+        accounts,
+        actors,
+        admin,
+    };
     http::serve(listener, move |request| {
         let front = front.clone();
         async move { front.handle(request).await.unwrap_or_else(Response::from) }
@@ -52,6 +64,7 @@
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/healthz" | "/readyz") => Ok(http::json(StatusCode::OK, &json!({}))),
             (&Method::POST, "/v1/chat/completions") => self.complete(request).await,
+            (_, path) if path.starts_with("/admin/") => Ok(self.admin.handle(request).await),
             _ => Err(Refusal::not_run(Kind::Missing, "no such path")),
         }
     }
--- a/crates/daisyyard/src/link.rs
+++ b/crates/daisyyard/src/link.rs
@@ -14,7 +14,8 @@
 use xtra::WeakAddress;
 
 use crate::event::{self, Event};
-use crate::peer::{Down, Failed, Peer, Received, Up};
+use crate::exchange::{Down, Failed, Received, Up};
+use crate::peer::Peer;
 use crate::wire::{self, CHALLENGE, Hello, MAX_FRAME, MAX_HANDSHAKE, Message, VERSION};
 
 /// Time to connect and to prove the key to each other.
--- a/crates/daisyyard/src/node.rs
+++ b/crates/daisyyard/src/node.rs
@@ -13,11 +13,13 @@
 use tokio::task::JoinHandle;
 use xtra::{Address, Mailbox};
 
+use crate::admin::Admin;
 use crate::event::{self, Event};
 use crate::generation::Actors;
-use crate::revise::{self, Outcome};
+use crate::revise::{Editor, Outcome};
 use crate::settings::Settings;
-use crate::{admission, dispatch, front, peer, roster, store};
+use crate::status::{self, Status};
+use crate::{admission, dispatch, follow, front, peer, roster, store};
 
 /// A running node; dropping it ends its tasks at once.
 #[derive(Debug)]
@@ -28,10 +30,8 @@
     pub peer: SocketAddr,
     /// Actor that owns the membership view and the preset document.
     peers: Address<peer::Peer>,
-    /// Client of the configuration service.
-    store: store::Client,
-    /// Document that is in force until the configuration service has one.
-    built_in: Document,
+    /// Changes the preset document.
+    editor: Editor,
     /// Tasks of the node.
     tasks: Vec<JoinHandle<()>>,
 }
@@ -64,7 +64,7 @@
         };
         let (peers, watching, links) = peer::spawn(start, links, mailbox);
         let store = store::spawn(settings.store, rand::random());
-        let follow = tokio::spawn(peer::follow(store.clone(), peers.downgrade(), watching));
+        let follow = tokio::spawn(follow::follow(store.clone(), peers.downgrade(), watching));
         let targets = roster::Targets {
             dispatch: dispatch.clone(),
             admission: admission.clone(),
@@ -79,7 +79,14 @@
             dispatch,
             admission,
         };
-        let front = front::spawn(listener, &settings, actors);
+        let editor = Editor {
+            store,
+            built_in,
+            peers: peers.clone(),
+        };
+        let (name, operators) = (&settings.name, &settings.operators);
+        let admin = Admin::new(name, operators, peers.clone(), editor.clone());
+        let front = front::spawn(listener, &settings, actors, admin);
         event::emit(
             Event::NodeStarted,
             &format!("name={} address={address}", settings.name),
@@ -88,24 +95,19 @@
             address,
             peer,
             peers,
-            store,
-            built_in,
+            editor,
             tasks: vec![roster, front, links, follow],
         })
     }
 
     /// Changes the preset document if it still has the revision that the operator saw.
     pub async fn revise(&self, edit: Edit, by: &str, seen: Revision) -> Outcome {
-        let outcome = revise::revise(&self.store, &self.built_in, edit, by, seen).await;
-        if let Outcome::Accepted(document) = &outcome {
-            let _ = self.peers.send(peer::Offer(document.clone())).await;
-        }
-        outcome
+        self.editor.revise(edit, by, seen).await
     }
 
     /// Returns the state of the node's view, configuration and links.
-    pub async fn status(&self) -> anyhow::Result<peer::Status> {
-        Ok(self.peers.send(peer::Ask).await?)
+    pub async fn status(&self) -> anyhow::Result<Status> {
+        Ok(self.peers.send(status::Ask).await?)
     }
 }
 
--- a/crates/daisyyard/src/peer.rs
+++ b/crates/daisyyard/src/peer.rs
@@ -20,13 +20,14 @@
 use crate::document;
 use crate::event::{self, Event};
 use crate::link::{self, Terms};
-use crate::remote::{Deliver, Homes, Lost};
+use crate::remote::Homes;
+use crate::status::{Source, Traffic};
 use crate::wire::{self, Heartbeat, Message};
 
 /// Time between two heartbeats.
 const PERIOD: Duration = Duration::from_secs(1);
 /// Time without a frame after which a heartbeat link is replaced by a new connection.
-const SILENT_AFTER: Duration = Duration::from_secs(2);
+pub(crate) const SILENT_AFTER: Duration = Duration::from_secs(2);
 /// Time after which an unanswered pull is sent to another peer.
 const PULL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Heartbeats between two that carry the place of every instance in them.
@@ -34,98 +35,52 @@
 /// Heartbeats between two trials of a member that is gone.
 const REVISIT_EVERY: u64 = 3;
 /// Links at the same time; the target size needs about 100.
-const MAX_LINKS: usize = 1024;
+pub(crate) const MAX_LINKS: usize = 1024;
 /// Bytes of the length before each frame.
-const LENGTH_BYTES: u64 = 4;
+pub(crate) const LENGTH_BYTES: u64 = 4;
 
 /// Owns the membership view, the document in force and the links.
 #[derive(Debug, Actor)]
 pub(crate) struct Peer {
     /// Membership view.
-    view: View,
+    pub(crate) view: View,
     /// Document in force.
-    held: Held,
+    pub(crate) held: Held,
     /// JSON form of the document in force.
-    json: Bytes,
+    pub(crate) json: Bytes,
+    /// Where the document in force came from.
+    pub(crate) source: Source,
     /// Links by node.
-    links: HashMap<InstanceId, Link>,
+    pub(crate) links: HashMap<InstanceId, Link>,
     /// Nodes that are being dialled.
-    dialling: HashSet<InstanceId>,
+    pub(crate) dialling: HashSet<InstanceId>,
     /// Frames that wait for a link.
-    waiting: HashMap<InstanceId, Vec<Bytes>>,
+    pub(crate) waiting: HashMap<InstanceId, Vec<Bytes>>,
     /// Terms of the links.
-    terms: Terms,
+    pub(crate) terms: Terms,
     /// Revision that was asked for, and when.
-    pull: Option<(Revision, Instant)>,
+    pub(crate) pull: Option<(Revision, Instant)>,
     /// Heartbeats so far.
-    beats: u64,
+    pub(crate) beats: u64,
     /// Whether this node watches the configuration service.
-    watching: watch::Sender<bool>,
+    pub(crate) watching: watch::Sender<bool>,
     /// Actor that takes the preset in force.
-    admission: WeakAddress<Admission>,
+    pub(crate) admission: WeakAddress<Admission>,
     /// Traffic so far.
-    traffic: Traffic,
+    pub(crate) traffic: Traffic,
 }
 
 /// One link.
 #[derive(Debug)]
-struct Link {
+pub(crate) struct Link {
     /// Number of the link.
-    number: u64,
-    /// Frames to write.
-    sender: mpsc::Sender<Bytes>,
-    /// Whether this node connected.
-    dialled: bool,
-    /// When the last frame arrived.
-    heard: Instant,
-}
-
-/// Bytes over all links.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Traffic {
-    /// Bytes sent.
-    pub sent: u64,
-    /// Bytes received.
-    pub received: u64,
-}
-
-/// A link has been authenticated; the answer is whether it is of use.
-#[derive(Debug)]
-pub(crate) struct Up {
-    /// Node at the other end.
-    pub(crate) node: InstanceId,
-    /// Number of the link.
-    pub(crate) link: u64,
+    pub(crate) number: u64,
     /// Frames to write.
     pub(crate) sender: mpsc::Sender<Bytes>,
     /// Whether this node connected.
     pub(crate) dialled: bool,
-}
-
-/// A link has ended.
-#[derive(Debug)]
-pub(crate) struct Down {
-    /// Node at the other end.
-    pub(crate) node: InstanceId,
-    /// Number of the link.
-    pub(crate) link: u64,
-}
-
-/// A node could not be reached.
-#[derive(Debug)]
-pub(crate) struct Failed(pub(crate) InstanceId);
-
-/// A frame has arrived.
-#[derive(Debug)]
-pub(crate) struct Received {
-    /// Node that sent it.
-    pub(crate) node: InstanceId,
-    /// Number of the link.
-    pub(crate) link: u64,
-    /// Bytes of the frame.
-    pub(crate) size: usize,
-    /// The message.
-    pub(crate) message: Message,
+    /// When the last frame arrived.
+    pub(crate) heard: Instant,
 }
 
 /// Asks to send a message to a node, over a new link if need be.
@@ -145,25 +100,6 @@
 #[derive(Debug)]
 pub(crate) struct Offer(pub(crate) Document);
 
-/// Asks for the state of the node.
-#[derive(Debug)]
-pub(crate) struct Ask;
-
-/// State of the node.
-#[derive(Debug, Clone)]
-pub struct Status {
-    /// Document in force.
-    pub document: Document,
-    /// The node itself and all members.
-    pub members: Vec<Instance>,
-    /// Nodes with a link.
-    pub links: Vec<InstanceId>,
-    /// Whether the node watches the configuration service.
-    pub watching: bool,
-    /// Traffic so far.
-    pub traffic: Traffic,
-}
-
 /// Time for the next heartbeat.
 #[derive(Debug)]
 struct Tick;
@@ -197,6 +133,7 @@
         view: View::new(start.me),
         json: document::encode(&start.document),
         held: Held::new(start.document),
+        source: Source::BuiltIn,
         links: HashMap::new(),
         dialling: HashSet::new(),
         waiting: HashMap::new(),
@@ -241,7 +178,7 @@
 
 impl Peer {
     /// Sends an encoded frame over a link; a link that takes no more frames is closed.
-    fn write(&mut self, node: InstanceId, bytes: Bytes) {
+    pub(crate) fn write(&mut self, node: InstanceId, bytes: Bytes) {
         let Some(link) = self.links.get(&node) else {
             return;
         };
@@ -254,12 +191,12 @@
     }
 
     /// Sends a message over a link.
-    fn send(&mut self, node: InstanceId, message: Message) {
+    pub(crate) fn send(&mut self, node: InstanceId, message: Message) {
         self.write(node, wire::encode(message));
     }
 
     /// Connects to a member unless that is in progress.
-    fn dial(&mut self, node: InstanceId) {
+    pub(crate) fn dial(&mut self, node: InstanceId) {
         if let Some(instance) = self.view.get(node)
             && node != self.terms.node
             && self.dialling.insert(node)
@@ -269,7 +206,7 @@
     }
 
     /// Sends a heartbeat with records to some nodes.
-    fn beat(&mut self, nodes: &[InstanceId], sender: Record, records: Vec<Record>) {
+    pub(crate) fn beat(&mut self, nodes: &[InstanceId], sender: Record, records: Vec<Record>) {
         let bytes = wire::encode(Message::Heartbeat(Heartbeat {
             sender,
             revision: self.held.document().revision,
@@ -324,12 +261,13 @@
     }
 
     /// Takes a document if it is newer than the one in force and tells the peers at once.
-    async fn adopt(&mut self, document: Document) {
+    pub(crate) async fn adopt(&mut self, document: Document, source: Source) {
         let json = document::encode(&document);
         if self.held.offer(document) != config::Next::Adopt {
             return;
         }
         self.json = json;
+        self.source = source;
         self.pull = None;
         let document = self.held.document();
         let details = format!("revision={} preset={}", document.revision, document.current);
@@ -355,7 +293,7 @@
     }
 
     /// Takes a heartbeat and answers it if this node did not choose the sender itself.
-    async fn heartbeat(&mut self, node: InstanceId, beat: Heartbeat, now: Instant) {
+    pub(crate) async fn heartbeat(&mut self, node: InstanceId, beat: Heartbeat, now: Instant) {
         if beat.sender.id != node {
             return;
         }
@@ -370,133 +308,6 @@
     }
 }
 
-impl Handler<Up> for Peer {
-    type Return = bool;
-
-    async fn handle(&mut self, message: Up, _: &mut Context<Self>) -> bool {
-        let now = Instant::now();
-        let node = message.node;
-        if message.dialled {
-            self.dialling.remove(&node);
-        }
-        if let Some(held) = self.links.get(&node) {
-            // Of two links that both ends dialled at once, both keep that of the lower id.
-            let lower = (node < self.terms.node) != message.dialled;
-            let silent = now.saturating_duration_since(held.heard) >= SILENT_AFTER;
-            if held.dialled != message.dialled && !lower && !silent {
-                return false;
-            }
-        }
-        if node == self.terms.node || self.links.len() >= MAX_LINKS {
-            return false;
-        }
-        let link = Link {
-            number: message.link,
-            sender: message.sender,
-            dialled: message.dialled,
-            heard: now,
-        };
-        self.links.insert(node, link);
-        let (sender, records) = (self.view.introduction(), self.view.records(true));
-        self.beat(&[node], sender, records);
-        for bytes in self.waiting.remove(&node).unwrap_or_default() {
-            self.write(node, bytes);
-        }
-        true
-    }
-}
-
-impl Handler<Down> for Peer {
-    type Return = ();
-
-    async fn handle(&mut self, message: Down, _: &mut Context<Self>) {
-        let held = self.links.get(&message.node);
-        if held.is_some_and(|link| link.number == message.link) {
-            self.links.remove(&message.node);
-            let _ = self.admission.send(Lost(message.node)).detach().await;
-        }
-    }
-}
-
-impl Handler<Failed> for Peer {
-    type Return = ();
-
-    async fn handle(&mut self, message: Failed, _: &mut Context<Self>) {
-        self.dialling.remove(&message.0);
-        self.waiting.remove(&message.0);
-        if !self.links.contains_key(&message.0) {
-            let _ = self.admission.send(Lost(message.0)).detach().await;
-        }
-    }
-}
-
-impl Handler<Received> for Peer {
-    type Return = ();
-
-    async fn handle(&mut self, message: Received, _: &mut Context<Self>) {
-        let now = Instant::now();
-        let node = message.node;
-        self.traffic.received += message.size as u64 + LENGTH_BYTES;
-        if let Some(link) = self.links.get_mut(&node)
-            && link.number == message.link
-        {
-            link.heard = now;
-        }
-        match message.message {
-            Message::Heartbeat(beat) => {
-                let answer = !self.view.peers().contains(&node);
-                self.heartbeat(node, beat, now).await;
-                if answer {
-                    let (sender, records) = (self.view.own(), self.view.changed());
-                    self.beat(&[node], sender, records);
-                }
-            }
-            Message::Pull(revision) if revision <= self.held.document().revision => {
-                let document = wire::Document {
-                    revision: self.held.document().revision,
-                    json: self.json.clone(),
-                };
-                self.send(node, Message::Document(document));
-            }
-            Message::Document(document) => match document::decode(&document.json) {
-                Ok(document) => self.adopt(document).await,
-                Err(faults) => {
-                    let fault = faults.first().map(ToString::to_string).unwrap_or_default();
-                    event::emit(Event::ConfigRejected, &format!("node={node:016x} {fault}"));
-                }
-            },
-            message @ (Message::Ask(_)
-            | Message::Answer(_)
-            | Message::Progress(_)
-            | Message::Release(_)) => {
-                let deliver = Deliver { node, message };
-                let _ = self.admission.send(deliver).detach().await;
-            }
-            // A greeting on an open link and a pull of a revision that is not held need no answer.
-            _ => {}
-        }
-    }
-}
-
-impl Handler<Send> for Peer {
-    type Return = ();
-
-    async fn handle(&mut self, message: Send, _: &mut Context<Self>) {
-        let node = message.node;
-        if self.links.contains_key(&node) {
-            self.send(node, message.message);
-            return;
-        }
-        self.dial(node);
-        let waiting = self.waiting.entry(node).or_default();
-        if self.dialling.contains(&node) && waiting.len() < link::BUFFER {
-            waiting.push(wire::encode(message.message));
-        } else {
-            let _ = self.admission.send(Lost(node)).detach().await;
-        }
-    }
-}
-
 impl Handler<Seed> for Peer {
     type Return = ();
 
@@ -515,21 +326,7 @@
     type Return = ();
 
     async fn handle(&mut self, message: Offer, _: &mut Context<Self>) {
-        self.adopt(message.0).await;
-    }
-}
-
-impl Handler<Ask> for Peer {
-    type Return = Status;
-
-    async fn handle(&mut self, _: Ask, _: &mut Context<Self>) -> Status {
-        Status {
-            document: self.held.document().clone(),
-            members: self.view.all().cloned().collect(),
-            links: self.links.keys().copied().collect(),
-            watching: *self.watching.borrow(),
-            traffic: self.traffic,
-        }
+        self.adopt(message.0, Source::Store).await;
     }
 }
 
@@ -561,66 +358,6 @@
     }
 }
 
-/// Reads the document from the configuration service at the start, and watches it while this
-/// node is one of the watchers.
-pub(crate) async fn follow(
-    store: crate::store::Client,
-    peer: WeakAddress<Peer>,
-    mut watching: watch::Receiver<bool>,
-) {
-    /// Time that one watch waits at the configuration service.
-    const WAIT: Duration = Duration::from_secs(20);
-    let mut known = 0;
-    let mut read = false;
-    loop {
-        if read && !*watching.borrow_and_update() {
-            if watching.changed().await.is_err() {
-                return;
-            }
-            continue;
-        }
-        let entry = if read {
-            tokio::select! {
-                entry = store.watch(config::KEY, known, WAIT) => entry,
-                changed = watching.changed() => {
-                    if changed.is_err() {
-                        return;
-                    }
-                    continue;
-                }
-            }
-        } else {
-            store.get(config::KEY).await
-        };
-        match entry {
-            Ok(Some(entry)) => {
-                read = true;
-                known = entry.revision;
-                match document::decode(&entry.value) {
-                    Ok(document) => {
-                        if peer.send(Offer(document)).await.is_err() {
-                            return;
-                        }
-                    }
-                    Err(faults) => {
-                        let fault = faults.first().map(ToString::to_string).unwrap_or_default();
-                        event::emit(Event::ConfigRejected, &format!("store {fault}"));
-                    }
-                }
-            }
-            Ok(None) => read = true,
-            Err(error) => {
-                event::emit(Event::StoreUnavailable, &format!("error={error}"));
-                // The budget holds back the calls that follow; this bounds those that it refuses.
-                tokio::time::sleep(Duration::from_millis(200)).await;
-            }
-        }
-        if !peer.is_connected() {
-            return;
-        }
-    }
-}
-
 /// Returns the address on which the listener accepts links.
 pub(crate) async fn bind(address: SocketAddr) -> anyhow::Result<(TcpListener, SocketAddr)> {
     use anyhow::Context as _;
--- /dev/null
+++ b/crates/daisyyard/src/progress.rs
@@ -0,0 +1,115 @@
+//! Progress and release of granted generations, passed on to the node that keeps the ledger.
+
+use std::time::Instant;
+
+use daisyyard_core::forward::Place;
+use daisyyard_core::id::{EndpointId, InstanceId, RequestId, Tokens};
+use xtra::{Context, Handler};
+
+use crate::admission::Admission;
+use crate::wire::{self, Made, Message};
+
+/// Reports the tokens that a generation has made.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    /// Engine that runs the generation.
+    pub(crate) endpoint: EndpointId,
+    /// Request of the generation.
+    pub(crate) request: RequestId,
+    /// Output tokens made so far.
+    pub(crate) made: Tokens,
+}
+
+/// Ends a generation or withdraws a waiting request.
+#[derive(Debug)]
+pub(crate) struct Release {
+    /// Engine that ran the generation.
+    pub(crate) endpoint: EndpointId,
+    /// Request of the generation.
+    pub(crate) request: RequestId,
+    /// Output tokens made in all.
+    pub(crate) made: Tokens,
+}
+
+impl Admission {
+    /// Sends the progress of the last second to the homes.
+    pub(crate) async fn flush(&mut self) {
+        for (home, entries) in std::mem::take(&mut self.batch) {
+            let entries: Vec<Made> = entries.into_values().collect();
+            for part in entries.chunks(wire::MAX_PROGRESS) {
+                self.send(home, Message::Progress(part.to_vec())).await;
+            }
+        }
+    }
+}
+
+/// Creates a report of tokens.
+pub(crate) fn made(endpoint: EndpointId, request: RequestId, made: Tokens) -> Made {
+    Made {
+        endpoint,
+        request,
+        made,
+    }
+}
+
+impl Handler<Progress> for Admission {
+    type Return = ();
+
+    async fn handle(&mut self, message: Progress, _: &mut Context<Self>) {
+        let Progress {
+            endpoint,
+            request,
+            made: count,
+        } = message;
+        let share = self.granted.get(&request) == Some(&Place::Share);
+        let home = self.desk.home(endpoint);
+        let ledger = if share {
+            self.shares.get_mut(&endpoint)
+        } else if home == self.node {
+            self.ledgers.get_mut(&endpoint)
+        } else {
+            let batch = self.batch.entry(home).or_default();
+            batch.insert(request, made(endpoint, request, count));
+            return;
+        };
+        if let Some(ledger) = ledger {
+            ledger.progress(request, count, Instant::now());
+        }
+    }
+}
+
+impl Handler<Release> for Admission {
+    type Return = ();
+
+    async fn handle(&mut self, message: Release, _: &mut Context<Self>) {
+        let Release {
+            endpoint,
+            request,
+            made: count,
+        } = message;
+        let now = Instant::now();
+        self.waiting.remove(&request);
+        let place = self.granted.remove(&request);
+        let mut nodes: Vec<InstanceId> = self.desk.withdraw(request).into_iter().collect();
+        if let Some(Place::Home(home)) = place {
+            nodes.push(home);
+            // The home may have changed while the generation ran.
+            nodes.push(self.desk.home(endpoint));
+        }
+        for ledgers in [&mut self.ledgers, &mut self.shares] {
+            if let Some(ledger) = ledgers.get_mut(&endpoint) {
+                ledger.release(request, count, now);
+            }
+        }
+        nodes.retain(|node| *node != self.node);
+        nodes.dedup();
+        for node in nodes {
+            let release = Message::Release(made(endpoint, request, count));
+            self.send(node, release).await;
+        }
+        for entries in self.batch.values_mut() {
+            entries.remove(&request);
+        }
+        self.publish(endpoint).await;
+    }
+}
--- a/crates/daisyyard/src/revise.rs
+++ b/crates/daisyyard/src/revise.rs
@@ -5,8 +5,10 @@
 use daisyyard_core::config;
 use daisyyard_core::id::Revision;
 use daisyyard_core::preset::{Document, Edit, Fault};
+use xtra::Address;
 
 use crate::document;
+use crate::peer::{Offer, Peer};
 use crate::store::{Client, Error};
 
 /// What became of a change.
@@ -27,8 +29,30 @@
     },
 }
 
+/// Changes the document and puts the change in force at this node at once.
+#[derive(Debug, Clone)]
+pub(crate) struct Editor {
+    /// Client of the configuration service.
+    pub(crate) store: Client,
+    /// Document that is in force until the configuration service has one.
+    pub(crate) built_in: Document,
+    /// Actor that owns the document in force.
+    pub(crate) peers: Address<Peer>,
+}
+
+impl Editor {
+    /// Changes the document if it still has the revision that the operator saw.
+    pub(crate) async fn revise(&self, edit: Edit, by: &str, seen: Revision) -> Outcome {
+        let outcome = revise(&self.store, &self.built_in, edit, by, seen).await;
+        if let Outcome::Accepted(document) | Outcome::Lost(document) = &outcome {
+            let _ = self.peers.send(Offer(document.clone())).await;
+        }
+        outcome
+    }
+}
+
 /// Changes the document if it still has the revision that the operator saw.
-pub(crate) async fn revise(
+async fn revise(
     store: &Client,
     built_in: &Document,
     edit: Edit,
--- a/crates/daisyyard/tests/fleet/mod.rs
+++ b/crates/daisyyard/tests/fleet/mod.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use daisyyard::node::Node;
-use daisyyard::peer::Status;
 use daisyyard::settings::{Credential, Settings};
+use daisyyard::status::Status;
 use daisyyard_core::preset::Preset;
 use daisyyard_standin::engine::{self, Engine};
 use daisyyard_standin::list::{Entry, List};
--- a/crates/daisyyard/tests/home_loss.rs
+++ b/crates/daisyyard/tests/home_loss.rs
@@ -155,7 +155,7 @@
     entries.push(fleet::entry(&name, "node", 0, address, address));
     fleet.list.show(entries);
     let task = tokio::spawn(deaf(listener, name));
-    let known = |status: &daisyyard::peer::Status| status.links.len() == 1;
+    let known = |status: &daisyyard::status::Status| status.links.len() == 1;
     fleet.until(Duration::from_secs(10), known).await;
     let started = Instant::now();
     complete(fleet.nodes[0].address, "the home is deaf length=3").await;
--- /dev/null
+++ b/crates/daisyyard/tests/operator_commands.rs
@@ -0,0 +1,181 @@
+//! Guards against operator commands that report another outcome than the real one.
+
+mod fleet;
+
+use daisyyard::operator::{self, Report};
+use daisyyard_standin::list::Entry;
+use fleet::Fleet;
+use serde_json::Value;
+
+/// Runs a command against the first node.
+async fn run(fleet: &Fleet, words: &str) -> Report {
+    let node = fleet.nodes[0].address.to_string();
+    let mut arguments: Vec<String> = words.split(' ').map(str::to_owned).collect();
+    arguments.extend(["--node".to_owned(), node]);
+    if !words.contains("--token") {
+        arguments.extend(["--token".to_owned(), "operator-1".to_owned()]);
+    }
+    operator::execute(&arguments)
+        .await
+        .expect("a known command")
+}
+
+/// Writes a preset file and returns its path.
+async fn file(fleet: &Fleet, name: &str, edit: impl Fn(&mut Value)) -> String {
+    let shown = run(fleet, "preset show ordinary --json").await;
+    let mut preset: Value = serde_json::from_str(&shown.text).expect("JSON");
+    preset["name"] = name.into();
+    edit(&mut preset);
+    let path = std::env::temp_dir().join(format!("daisyyard-{}-{name}.json", std::process::id()));
+    std::fs::write(&path, format!("// a comment\n{preset:#}")).expect("a file");
+    path.display().to_string()
+}
+
+/// Presets are listed, shown, put, compared and put in force, and the history names who did it.
+#[tokio::test(flavor = "multi_thread")]
+async fn edits_presets() {
+    let fleet = Fleet::start(2, 0).await;
+    assert_eq!(
+        run(&fleet, "preset list").await.text,
+        "revision 0\n* ordinary"
+    );
+    let path = file(&fleet, "peak", |preset| {
+        preset["services"]["asistente"]["urgent"]["floor"] = 0.6.into();
+    })
+    .await;
+    let put = run(&fleet, &format!("preset put {path}")).await;
+    assert_eq!(put.text, "accepted: revision 1, ordinary is in force");
+    assert_eq!(put.code, 0);
+    let diff = run(&fleet, "preset diff ordinary peak").await;
+    assert_eq!(diff.text, "services.asistente.urgent.floor: 0.5 -> 0.6");
+    let used = run(&fleet, "preset use peak --seen 1").await;
+    assert_eq!(used.text, "accepted: revision 2, peak is in force");
+    let history = run(&fleet, "preset history").await.text;
+    assert!(
+        history.contains("revision 2: use peak, by ines"),
+        "{history}"
+    );
+    let status = run(&fleet, "status").await.text;
+    assert!(status.contains("revision 2, peak is in force, from the configuration service"));
+    assert!(status.contains("node-1 costa-b"), "{status}");
+}
+
+/// A change based on an old revision is not accepted, and the answer names who won.
+#[tokio::test(flavor = "multi_thread")]
+async fn names_winner() {
+    let fleet = Fleet::start(1, 0).await;
+    let path = file(&fleet, "calm", |_| {}).await;
+    run(&fleet, &format!("preset put {path}")).await;
+    let lost = run(&fleet, &format!("preset put {path} --seen 0")).await;
+    assert_eq!(lost.code, 1);
+    assert!(
+        lost.text
+            .starts_with("not accepted: revision 0 is not the newest"),
+        "{}",
+        lost.text
+    );
+    assert!(
+        lost.text
+            .contains("the newest change is revision 1: put calm, by ines")
+    );
+    assert!(lost.text.contains("again with revision 1"));
+}
+
+/// All faults of a preset are reported, and nothing is changed.
+#[tokio::test(flavor = "multi_thread")]
+async fn lists_faults() {
+    let fleet = Fleet::start(1, 0).await;
+    let path = file(&fleet, "wrong", |preset| {
+        preset["services"]["asistente"]["retries"] = "often".into();
+        preset["services"]["asistente"]["urgent"]["first"] = 1.into();
+        preset["services"]["asistente"]["drain_ms"] = Value::Null;
+    })
+    .await;
+    let report = run(&fleet, &format!("preset put {path}")).await;
+    assert_eq!(report.code, 1);
+    for key in [
+        "retries: found \"often\"",
+        "urgent.first: found",
+        "drain_ms: found null",
+    ] {
+        assert!(report.text.contains(key), "{}", report.text);
+    }
+    assert_eq!(
+        run(&fleet, "preset list").await.text,
+        "revision 0\n* ordinary"
+    );
+}
+
+/// A change whose result the configuration service does not tell is reported as unknown, with
+/// the command that tells, and the history then shows the write.
+#[tokio::test(flavor = "multi_thread")]
+async fn tells_unknown() {
+    let fleet = Fleet::start(1, 0).await;
+    let path = file(&fleet, "late", |_| {}).await;
+    // The read that follows a lost response is slower than its timeout, like all calls after it.
+    let slow = async {
+        tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+        fleet.store.slow(std::time::Duration::from_secs(5));
+    };
+    fleet.store.lose(10);
+    let command = format!("preset put {path} --json");
+    let (report, ()) = tokio::join!(run(&fleet, &command), slow);
+    assert_eq!(report.code, 3, "{}", report.text);
+    let value: Value = serde_json::from_str(&report.text).expect("JSON");
+    assert!(
+        value["message"]
+            .as_str()
+            .is_some_and(|m| m.contains("daisyyard preset history"))
+    );
+    fleet.store.slow(std::time::Duration::ZERO);
+    let limit = std::time::Duration::from_secs(40);
+    fleet
+        .until(limit, |status| status.document.revision == 1)
+        .await;
+    let history = run(&fleet, "preset history").await.text;
+    assert!(
+        history.contains(&format!("write {}", value["write"])),
+        "{history}"
+    );
+}
+
+/// An unknown credential, and that of a caller, change and show nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn refuses_strangers() {
+    let fleet = Fleet::start(1, 0).await;
+    for token in ["token-1", "operator-2", ""] {
+        let report = run(&fleet, &format!("status --token={token}")).await;
+        assert_eq!(report.code, 1);
+        assert!(report.text.contains("present a known operator credential"));
+    }
+}
+
+/// A node that cannot be reached, a missing file and an unknown command are told apart.
+#[tokio::test(flavor = "multi_thread")]
+async fn exit_codes() {
+    let mut fleet = Fleet::start(1, 0).await;
+    let drain = run(&fleet, "drain").await;
+    assert_eq!(drain.code, 1);
+    assert!(drain.text.contains("not available yet"));
+    let words = |text: &str| text.split(' ').map(str::to_owned).collect::<Vec<_>>();
+    let node = fleet.nodes[0].address;
+    for usage in [
+        "preset",
+        "preset put /missing",
+        "preset show a/b",
+        "status --seen x",
+    ] {
+        let arguments = words(&format!("{usage} --node {node} --token operator-1"));
+        operator::execute(&arguments).await.expect_err(usage);
+    }
+    let entries: Vec<Entry> = Vec::new();
+    fleet.list.show(entries);
+    fleet.nodes.clear();
+    let arguments = words(&format!(
+        "preset use ordinary --node {node} --token operator-1"
+    ));
+    let report = operator::execute(&arguments)
+        .await
+        .expect("a known command");
+    assert_eq!(report.code, 1, "nothing reached the node: {}", report.text);
+}
