--- a/crates/daisyyard/tests/frame_decode.rs
+++ b/crates/daisyyard/tests/frame_decode.rs
@@ -172,3 +172,26 @@
         prop_assert!(faults.iter().any(|fault| fault.key == "services.asistente.limit.burst"));
     }
 }
+
+/// Guards the budget of control traffic: a record without its place takes at most 24 B.
+#[test]
+fn records_are_small() {
+    let record = Record {
+        id: u64::MAX,
+        // Milliseconds since 1970, in the year 2050.
+        incarnation: 2_540_000_000_000,
+        state: State::Suspected,
+        place: None,
+    };
+    let size = |records: usize| {
+        let beat = Heartbeat {
+            sender: record.clone(),
+            revision: 1_000_000,
+            records: vec![record.clone(); records],
+        };
+        wire::encode(Message::Heartbeat(beat)).len()
+    };
+    let (none, all) = (size(0), size(MAX_RECORDS));
+    println!("heartbeat without records {none} B, with {MAX_RECORDS} records {all} B");
+    assert!(all - none <= 24 * MAX_RECORDS);
+}
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod instance;
 pub mod ledger;
 pub mod member;
+pub mod peers;
 pub mod preset;
 pub mod record;
 pub mod route;
--- a/crates/daisyyard_core/src/member.rs
+++ b/crates/daisyyard_core/src/member.rs
@@ -9,9 +9,9 @@
 
 use daisyyard_derive::{token, value};
 
-use crate::home;
-use crate::id::{InstanceId, RegionId, ZoneId};
+use crate::id::{InstanceId, RegionId};
 use crate::instance::{Instance, State};
+use crate::peers;
 use crate::record::{self, Record};
 
 /// Time without news of a peer after which it is suspected.
@@ -26,10 +26,6 @@
 pub const MAX_MEMBERS: usize = 512;
 /// Most records in one heartbeat.
 pub const MAX_RECORDS: usize = 24;
-/// Most peers that a node exchanges heartbeats with by its own choice.
-pub const MAX_PEERS: usize = 8;
-/// Peers in the own availability zone, if it has that many.
-pub const LOCAL_PEERS: usize = 3;
 /// Heartbeats that carry a changed record before it waits for its turn like the others.
 const REPEATS: u8 = 4;
 
@@ -185,7 +181,10 @@
         member.heard = Some(now);
         member.news = now;
         let worse = record.incarnation == held.incarnation && held.state >= State::Suspected;
-        member.instance.incarnation = record.incarnation;
+        if record.incarnation > member.instance.incarnation {
+            member.instance.incarnation = record.incarnation;
+            member.repeats = REPEATS;
+        }
         if let Some(place) = record.place {
             place.apply(&mut member.instance);
         }
@@ -218,7 +217,10 @@
             // Direct evidence outweighs a peer's suspicion.
             return Next::Tell(record);
         }
-        member.instance.incarnation = record.incarnation;
+        if record.incarnation > member.instance.incarnation {
+            member.instance.incarnation = record.incarnation;
+            member.repeats = REPEATS;
+        }
         if let Some(place) = record.place {
             place.apply(&mut member.instance);
         }
@@ -270,42 +272,10 @@
     }
 
     /// Returns the peers that this node chooses to exchange heartbeats with.
-    ///
-    /// The choice depends only on the view, so that it stays the same while the view does. The
-    /// weight of a pair is the same from both ends, so that both often choose each other.
     pub fn peers(&self) -> Vec<InstanceId> {
-        let usable = self
-            .members
-            .values()
-            .map(|member| &member.instance)
-            .filter(|instance| instance.state != State::Gone);
-        let mut zones: BTreeMap<ZoneId, Vec<InstanceId>> = BTreeMap::new();
-        for instance in usable {
-            zones.entry(instance.zone.id).or_default().push(instance.id);
-        }
-        for members in zones.values_mut() {
-            members.sort_unstable_by_key(|id| pair(self.me.id, *id));
-        }
-        let mut local = zones.remove(&self.me.zone.id).unwrap_or_default();
-        let mut chosen = Vec::new();
-        while chosen.len() < LOCAL_PEERS
-            && let Some(id) = local.pop()
-        {
-            chosen.push(id);
-        }
-        while chosen.len() < MAX_PEERS && zones.values().any(|members| !members.is_empty()) {
-            for members in zones.values_mut() {
-                if chosen.len() < MAX_PEERS {
-                    chosen.extend(members.pop());
-                }
-            }
-        }
-        while chosen.len() < MAX_PEERS
-            && let Some(id) = local.pop()
-        {
-            chosen.push(id);
-        }
-        chosen
+        let members = self.members.values().map(|member| &member.instance);
+        let usable = members.filter(|instance| instance.state != State::Gone);
+        peers::choose(&self.me, &usable.collect::<Vec<_>>())
     }
 
     /// Returns a member that is gone to try again, or nothing if there is none.
@@ -332,8 +302,8 @@
     /// With `full` every record carries its place, for peers that may not know the instance.
     pub fn records(&mut self, full: bool) -> Vec<Record> {
         let mut records = Vec::new();
-        for member in self.members.values_mut() {
-            if member.repeats > 0 && records.len() < MAX_RECORDS {
+        for id in self.fresh() {
+            if let Some(member) = self.members.get_mut(&id) {
                 member.repeats -= 1;
                 records.push(record::of(&member.instance, member.reported, true));
             }
@@ -362,9 +332,24 @@
 
     /// Returns the records of members that changed lately, without counting them as sent.
     pub fn changed(&self) -> Vec<Record> {
-        let changed = self.members.values().filter(|member| member.repeats > 0);
-        let records = changed.map(|member| record::of(&member.instance, member.reported, true));
-        records.take(MAX_RECORDS).collect()
+        let changed = self.fresh().into_iter();
+        let changed = changed.filter_map(|id| self.members.get(&id));
+        changed
+            .map(|member| record::of(&member.instance, member.reported, true))
+            .collect()
+    }
+
+    /// Returns the members that changed lately, those first that were sent least.
+    ///
+    /// When a zone fails, more members change than one heartbeat carries; each must be sent once
+    /// before any is repeated, or the last ones wait for many rounds at each hop.
+    fn fresh(&self) -> Vec<InstanceId> {
+        let changed = self.members.iter().filter(|(_, member)| member.repeats > 0);
+        let mut changed: Vec<(u8, InstanceId)> =
+            changed.map(|(id, member)| (member.repeats, *id)).collect();
+        changed.sort_by_key(|(repeats, _)| std::cmp::Reverse(*repeats));
+        changed.truncate(MAX_RECORDS);
+        changed.into_iter().map(|(_, id)| id).collect()
     }
 
     /// Raises the own incarnation above a record that holds this node for less than it is.
@@ -426,8 +411,3 @@
         member.instance.state = state;
     }
 }
-
-/// Returns the weight of a pair of nodes, the same from both ends.
-fn pair(one: InstanceId, other: InstanceId) -> u64 {
-    home::weight(one.min(other), one.max(other))
-}
