Stop watches from repeating when the preset document vanishes

Cause: a watch of a key that no longer exists is answered at once if it names the last revision, and the node then watched again with the same revision until its budget of calls was used up.

Change: a missing key is told apart from an unchanged one, and the next watch names revision 0. The JSON form of the document is a type of its own with From and TryFrom.

Conclusion: the budget of calls is kept when the document is removed.

--- a/crates/daisyyard/src/document.rs
+++ b/crates/daisyyard/src/document.rs
@@ -7,31 +7,41 @@
 use daisyyard_core::contract::Contract;
 use daisyyard_core::id;
 use daisyyard_core::preset::{Change, Document, Fault, Preset, Terms};
+use daisyyard_derive::value;
 use serde_json::{Map, Value, json};
 
-/// Returns the JSON form of a document.
-pub(crate) fn encode(document: &Document) -> Bytes {
-    let presets: Vec<Value> = document.presets.values().map(preset).collect();
-    let history: Vec<Value> = document.history.iter().map(change).collect();
-    let value = json!({
-        "revision": document.revision,
-        "write": document.write,
-        "current": document.current,
-        "presets": presets,
-        "history": history,
-    });
-    value.to_string().into()
+/// The JSON form of a document, as the configuration service and the frames carry it.
+#[value]
+pub struct Json(pub Bytes);
+
+impl From<&Document> for Json {
+    fn from(document: &Document) -> Self {
+        let presets: Vec<Value> = document.presets.values().map(preset).collect();
+        let history: Vec<Value> = document.history.iter().map(change).collect();
+        let value = json!({
+            "revision": document.revision,
+            "write": document.write,
+            "current": document.current,
+            "presets": presets,
+            "history": history,
+        });
+        Self(value.to_string().into())
+    }
 }
 
-/// Returns the document of a JSON form, or every fault.
-pub fn decode(bytes: &[u8]) -> Result<Document, Vec<Fault>> {
-    let value: Value = match serde_json::from_slice(bytes) {
-        Ok(value) => value,
-        Err(error) => return Err(vec![fault("", &error.to_string(), "a JSON object", "{}")]),
-    };
-    let mut reader = Reader::default();
-    let document = reader.document(&value);
-    reader.finish(document)
+impl TryFrom<&Json> for Document {
+    type Error = Vec<Fault>;
+
+    /// Returns the document, or every fault.
+    fn try_from(json: &Json) -> Result<Self, Vec<Fault>> {
+        let value: Value = match serde_json::from_slice(&json.0) {
+            Ok(value) => value,
+            Err(error) => return Err(vec![fault("", &error.to_string(), "a JSON object", "{}")]),
+        };
+        let mut reader = Reader::default();
+        let document = reader.document(&value);
+        reader.finish(document)
+    }
 }
 
 /// Returns the JSON form of one preset.
--- a/crates/daisyyard/src/exchange.rs
+++ b/crates/daisyyard/src/exchange.rs
@@ -4,10 +4,11 @@
 
 use bytes::Bytes;
 use daisyyard_core::id::InstanceId;
+use daisyyard_core::preset::Document;
 use tokio::sync::mpsc;
 use xtra::{Context, Handler};
 
-use crate::document;
+use crate::document::Json;
 use crate::event::{self, Event};
 use crate::link;
 use crate::peer::{LENGTH_BYTES, Link, MAX_LINKS, Peer, SILENT_AFTER, Send};
@@ -142,7 +143,7 @@
                 };
                 self.send(node, Message::Document(document));
             }
-            Message::Document(document) => match document::decode(&document.json) {
+            Message::Document(document) => match Document::try_from(&Json(document.json)) {
                 Ok(document) => self.adopt(document, Source::Peer).await,
                 Err(faults) => {
                     let fault = faults.first().map(ToString::to_string).unwrap_or_default();
--- a/crates/daisyyard/src/follow.rs
+++ b/crates/daisyyard/src/follow.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use daisyyard_core::config;
+use daisyyard_core::preset::Document;
 use tokio::sync::watch;
 use xtra::WeakAddress;
 
-use crate::document;
+use crate::document::Json;
 use crate::event::{self, Event};
 use crate::peer::{Offer, Peer};
-use crate::store::Client;
+use crate::store::{Client, Watched};
 
 /// Time that one watch waits at the configuration service.
 const WAIT: Duration = Duration::from_secs(20);
@@ -43,13 +44,14 @@
                 }
             }
         } else {
-            store.get(config::KEY).await
+            let entry = store.get(config::KEY).await;
+            entry.map(|entry| entry.map_or(Watched::Missing, Watched::Changed))
         };
         match entry {
-            Ok(Some(entry)) => {
+            Ok(Watched::Changed(entry)) => {
                 read = true;
                 known = entry.revision;
-                match document::decode(&entry.value) {
+                match Document::try_from(&Json(entry.value)) {
                     Ok(document) => {
                         if peer.send(Offer(document)).await.is_err() {
                             return;
@@ -61,7 +63,12 @@
                     }
                 }
             }
-            Ok(None) => read = true,
+            Ok(Watched::Missing) => {
+                // A watch that named the last revision would be answered at once, again and again.
+                read = true;
+                known = 0;
+            }
+            Ok(Watched::Same) => {}
             Err(error) => {
                 event::emit(Event::StoreUnavailable, &format!("error={error}"));
                 // The budget holds back the calls that follow; this bounds those that it refuses.
--- a/crates/daisyyard/src/peer.rs
+++ b/crates/daisyyard/src/peer.rs
@@ -17,7 +17,7 @@
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
 
 use crate::admission::{Admission, Enforce};
-use crate::document;
+use crate::document::Json;
 use crate::event::{self, Event};
 use crate::link::{self, Terms};
 use crate::remote::Homes;
@@ -131,7 +131,7 @@
     };
     let actor = Peer {
         view: View::new(start.me),
-        json: document::encode(&start.document),
+        json: Json::from(&start.document).0,
         held: Held::new(start.document),
         source: Source::BuiltIn,
         links: HashMap::new(),
@@ -262,7 +262,7 @@
 
     /// Takes a document if it is newer than the one in force and tells the peers at once.
     pub(crate) async fn adopt(&mut self, document: Document, source: Source) {
-        let json = document::encode(&document);
+        let json = Json::from(&document).0;
         if self.held.offer(document) != config::Next::Adopt {
             return;
         }
--- a/crates/daisyyard/src/revise.rs
+++ b/crates/daisyyard/src/revise.rs
@@ -2,12 +2,13 @@
 
 use std::time::SystemTime;
 
+use bytes::Bytes;
 use daisyyard_core::config;
 use daisyyard_core::id::Revision;
 use daisyyard_core::preset::{Document, Edit, Fault};
 use xtra::Address;
 
-use crate::document;
+use crate::document::Json;
 use crate::peer::{Offer, Peer};
 use crate::store::{Client, Error};
 
@@ -71,9 +72,11 @@
         Ok(next) => next,
         Err(faults) => return Outcome::Faulty(faults),
     };
-    let mine = |bytes: &[u8]| document::decode(bytes).is_ok_and(|held| held.contains(write));
+    let mine = |bytes: &Bytes| {
+        Document::try_from(&Json(bytes.clone())).is_ok_and(|held| held.contains(write))
+    };
     let written = store
-        .replace(config::KEY, expected, document::encode(&next), mine)
+        .replace(config::KEY, expected, Json::from(&next).0, mine)
         .await;
     match written {
         Ok(()) => Outcome::Accepted(next),
@@ -93,7 +96,7 @@
     let Some(entry) = entry.map_err(|error| format!("nothing was written: {error}"))? else {
         return Ok((built_in.clone(), 0));
     };
-    match document::decode(&entry.value) {
+    match Document::try_from(&Json(entry.value)) {
         Ok(document) => Ok((document, entry.revision)),
         Err(faults) => Err(format!(
             "nothing was written: the document in the configuration service is invalid ({}); \
--- a/crates/daisyyard/src/store.rs
+++ b/crates/daisyyard/src/store.rs
@@ -35,6 +35,17 @@
     pub(crate) value: Bytes,
 }
 
+/// What a watch has found.
+#[derive(Debug)]
+pub(crate) enum Watched {
+    /// The key has not changed.
+    Same,
+    /// The key does not exist any more.
+    Missing,
+    /// The key has another value.
+    Changed(Entry),
+}
+
 /// Answer of the service.
 #[derive(Debug)]
 enum Answer {
@@ -118,21 +129,22 @@
         }
     }
 
-    /// Returns a key's value once it differs from the revision given, or nothing after a time.
+    /// Waits until a key's revision differs from the one given, or until a time has passed.
     pub(crate) async fn watch(
         &self,
         key: &str,
         after: u64,
         wait: Duration,
-    ) -> Result<Option<Entry>, Error> {
+    ) -> Result<Watched, Error> {
         let path = format!("/kv/{key}?after={after}&wait_ms={}", wait.as_millis());
         let timeout = wait + TIMEOUT;
         match self
             .call(Method::GET, path, Bytes::new(), timeout, None)
             .await?
         {
-            Answer::Value(entry) => Ok(entry),
-            Answer::Unchanged | Answer::Written => Ok(None),
+            Answer::Value(Some(entry)) => Ok(Watched::Changed(entry)),
+            Answer::Value(None) => Ok(Watched::Missing),
+            Answer::Unchanged | Answer::Written => Ok(Watched::Same),
         }
     }
 
@@ -155,7 +167,7 @@
         key: &str,
         expected: u64,
         value: Bytes,
-        mine: impl Fn(&[u8]) -> bool,
+        mine: impl Fn(&Bytes) -> bool,
     ) -> Result<(), Error> {
         let mut sent = false;
         for _ in 0..ATTEMPTS {
--- a/crates/daisyyard/tests/frame_decode.rs
+++ b/crates/daisyyard/tests/frame_decode.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use daisyyard::document;
+use daisyyard::document::{self, Json};
 use daisyyard::wire::{self, Answer, Ask, Heartbeat, Made, Message, Suspect, Verdict};
 use daisyyard_core::contract::Rank;
 use daisyyard_core::instance::State;
 use daisyyard_core::ledger::Digest;
 use daisyyard_core::member::MAX_RECORDS;
+use daisyyard_core::preset::Document;
 use daisyyard_core::record::{Place, Record};
 use daisyyard_core::zone::Zone;
 use proptest::collection::vec;
@@ -133,7 +134,7 @@
     #[test]
     fn survives_noise(bytes in vec(any::<u8>(), 0..300)) {
         let _ = wire::decode(Bytes::from(bytes.clone()));
-        let _ = document::decode(&bytes);
+        let _ = Document::try_from(&Json(bytes.into()));
     }
 
     /// A frame that was cut or damaged is understood or refused.
--- a/crates/daisyyard/tests/store_outage.rs
+++ b/crates/daisyyard/tests/store_outage.rs
@@ -6,9 +6,12 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use bytes::Bytes;
+use daisyyard::document::Json;
 use daisyyard::revise::Outcome;
-use daisyyard_core::preset::Edit;
+use daisyyard_core::preset::{Document, Edit};
 use fleet::Fleet;
+use hyper::{Method, StatusCode};
 
 /// Time within which nodes agree.
 const LIMIT: Duration = Duration::from_secs(14);
@@ -72,3 +75,41 @@
         "watches wait, others stay silent"
     );
 }
+
+/// A document that vanishes stays in force, and the watches go on waiting instead of calling
+/// again and again.
+#[tokio::test(flavor = "multi_thread")]
+async fn document_vanishes() {
+    let fleet = Fleet::start(3, 0).await;
+    let call = |method: Method, path: String, body: Bytes| {
+        let address = fleet.store.address;
+        async move {
+            let answer = daisyyard_http::call(address, method, &path, &[], body).await;
+            let (status, body) = answer.expect("an answer");
+            assert_eq!(status, StatusCode::OK);
+            serde_json::from_slice::<serde_json::Value>(&body).expect("JSON")
+        }
+    };
+    let terms = r#"{"name": "short", "ttl_ms": 60000}"#;
+    let lease = call(Method::POST, "/leases".to_owned(), terms.into()).await;
+    let lease = &lease["lease"];
+    let mut document = Document::first(fleet::preset("brief"));
+    document.revision = 1;
+    let path = format!("/kv/config/current?expected=0&lease={lease}");
+    call(Method::PUT, path, Json::from(&document).0).await;
+    fleet
+        .until(LIMIT, |status| status.document.revision == 1)
+        .await;
+    let before = fleet.store.counters().await.watches;
+    call(Method::DELETE, format!("/leases/{lease}"), Bytes::new()).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let after = fleet.store.counters().await.watches;
+    assert!(
+        after - before <= 6,
+        "{} watches of 3 nodes in 3 s",
+        after - before
+    );
+    fleet
+        .until(LIMIT, |status| status.document.current == "brief")
+        .await;
+}
