--- a/crates/daisyyard/src/event.rs
+++ b/crates/daisyyard/src/event.rs
@@ -40,15 +40,34 @@
     SuspectRecorded = 26,
     /// The node was told to stop and finishes its requests.
     NodeLeaving = 27,
+    /// A member was found or is live or leaving now.
+    MemberChanged = 50,
+    /// A member is suspected to have failed.
+    MemberSuspected = 51,
+    /// A member is gone.
+    MemberGone = 52,
+    /// A link was not opened because the other end failed the handshake.
+    LinkRefused = 53,
+    /// A link was closed because the other end was silent or sent an invalid frame.
+    LinkBroken = 54,
+    /// A new preset document is in force.
+    ConfigAdopted = 60,
+    /// A preset document was not adopted because it is invalid.
+    ConfigRejected = 61,
+    /// A call to the configuration service failed.
+    StoreUnavailable = 62,
 }
 
 impl Event {
     /// Returns the level at which the event is logged.
     fn level(self) -> spdlog::Level {
         match self {
-            Self::NodeStarted | Self::NodeStopped | Self::RegistryRestored | Self::NodeLeaving => {
-                spdlog::Level::Info
-            }
+            Self::MemberChanged
+            | Self::ConfigAdopted
+            | Self::NodeStarted
+            | Self::NodeStopped
+            | Self::RegistryRestored
+            | Self::NodeLeaving => spdlog::Level::Info,
             _ => spdlog::Level::Warn,
         }
     }
--- a/crates/daisyyard/src/front.rs
+++ b/crates/daisyyard/src/front.rs
@@ -25,6 +25,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
+use crate::admin::Admin;
 use crate::completion::Completion;
 use crate::delivery;
 use crate::dispatch::Addresses;
@@ -72,6 +73,8 @@
     actors: Actors,
     /// How far a planned stop has come.
     phase: watch::Receiver<Phase>,
+    /// Interface for operators.
+    admin: Admin,
 }
 
 /// Opens the socket for callers.
@@ -94,6 +97,7 @@
     settings: &Settings,
     actors: Actors,
     phase: watch::Receiver<Phase>,
+    admin: Admin,
 ) -> JoinHandle<()> {
     let account = |c: &crate::settings::Credential| (c.token.clone(), Account::new(&c.name));
     let accounts = settings.accounts.iter().map(account).collect();
@@ -104,6 +108,7 @@
         instance,
         actors,
         phase,
+        admin,
     };
     tokio::spawn(accept(Arc::new(front), listener))
 }
@@ -138,6 +143,7 @@
                 let account = self.account(request.headers())?.id;
                 plain::call(&self.actors, account, request).await
             }
+            (_, path) if path.starts_with("/admin/") => Ok(self.admin.handle(request).await),
             _ => Err(Refusal::not_run(Kind::Missing, "no such path")),
         }
     }
--- a/crates/daisyyard/src/node.rs
+++ b/crates/daisyyard/src/node.rs
@@ -1,30 +1,41 @@
 //! One node: starts its tasks and stops them as planned.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use anyhow::Context;
 use daisyyard_core::drain::{Drain, Next};
-use daisyyard_core::id;
-use daisyyard_core::preset::Preset;
+use daisyyard_core::id::{self, Revision};
+use daisyyard_core::instance::Instance;
+use daisyyard_core::preset::{Document, Edit, Preset};
 use daisyyard_core::zone::Zone;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio_util::task::TaskTracker;
+use xtra::{Address, Mailbox};
 
+use crate::admin::Admin;
 use crate::event::{self, Event};
 use crate::front::Phase;
 use crate::generation::Actors;
+use crate::revise::{Editor, Outcome};
 use crate::settings::Settings;
 use crate::signature::Signer;
-use crate::{admission, calls, dispatch, front, roster};
+use crate::status::{self, Status};
+use crate::{admission, calls, dispatch, follow, front, peer, roster, store};
 
 /// A running node; dropping it ends its tasks at once.
 #[derive(Debug)]
 pub struct Node {
     /// Address for callers.
     pub address: SocketAddr,
+    /// Address for other nodes.
+    pub peer: SocketAddr,
+    /// Actor that owns the membership view and the preset document.
+    peers: Address<peer::Peer>,
+    /// Changes the preset document.
+    editor: Editor,
     /// Tasks of the node.
     tasks: Vec<JoinHandle<()>>,
     /// Task that accepts connections and ends after the last one.
@@ -43,16 +54,40 @@
         let listener = front::listen(settings.listen)
             .with_context(|| format!("cannot listen on {}; is it in use?", settings.listen))?;
         let address = listener.local_addr()?;
-        let dispatch = dispatch::spawn(Zone::new(&settings.zone, &settings.region));
-        let listed = roster::poll(settings.list).await.unwrap_or_default();
-        let _ = dispatch.send(dispatch::AdoptNodes(listed.nodes)).await;
-        let _ = dispatch.send(dispatch::Adopt(listed.endpoints)).await;
-        let preset = Preset::ordinary(&settings.services);
-        let admission = admission::spawn(preset, dispatch.clone());
-        let roster = roster::spawn(settings.list, dispatch.clone());
+        let (links, peer) = peer::bind(settings.peer).await?;
+        let zone = Zone::new(&settings.zone, &settings.region);
+        let dispatch = dispatch::spawn(zone.clone());
+        let services: Vec<&str> = settings.services.iter().map(String::as_str).collect();
+        let preset = Preset::ordinary(&services);
+        let mailbox = Mailbox::unbounded();
+        let node = id::of(&settings.name);
+        let peers = mailbox.0.downgrade();
+        let admission = admission::spawn(node, preset.clone(), dispatch.clone(), peers);
+        let mut me = Instance::new(&settings.name, zone, address, peer);
+        // The time of the start orders the starts of one instance without any stored state.
+        me.incarnation = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64;
+        let built_in = Document::first(preset);
+        let start = peer::Start {
+            me,
+            document: built_in.clone(),
+            key: settings.key.clone().into(),
+            admission: admission.downgrade(),
+        };
+        let (peers, watching, links) = peer::spawn(start, links, mailbox);
+        let store = store::spawn(settings.store, rand::random());
+        let follow = tokio::spawn(follow::follow(store.clone(), peers.downgrade(), watching));
+        let targets = roster::Targets {
+            dispatch: dispatch.clone(),
+            admission: admission.clone(),
+            peer: peers.clone(),
+        };
+        if let Ok(list) = roster::poll(settings.list).await {
+            targets.take(list).await;
+        }
+        let roster = roster::spawn(settings.list, targets);
         let requests = TaskTracker::new();
         let actors = Actors {
-            node: id::of(&settings.name),
+            node,
             dispatch,
             admission,
             calls: calls::spawn(settings.store),
@@ -60,15 +95,25 @@
             timing: settings.timing,
             tasks: requests.clone(),
         };
+        let editor = Editor {
+            store,
+            built_in,
+            peers: peers.clone(),
+        };
+        let (name, operators) = (&settings.name, &settings.operators);
+        let admin = Admin::new(name, operators, peers.clone(), editor.clone());
         let (phase, shown) = watch::channel(Phase::Serving);
-        let front = front::spawn(listener, address, &settings, actors, shown);
+        let front = front::spawn(listener, address, &settings, actors, shown, admin);
         event::emit(
             Event::NodeStarted,
             &format!("name={} address={address}", settings.name),
         );
         Ok(Self {
             address,
-            tasks: vec![roster],
+            peer,
+            peers,
+            editor,
+            tasks: vec![roster, links, follow],
             front,
             requests,
             phase,
@@ -97,6 +142,16 @@
             }
         }
     }
+
+    /// Changes the preset document if it still has the revision that the operator saw.
+    pub async fn revise(&self, edit: Edit, by: &str, seen: Revision) -> Outcome {
+        self.editor.revise(edit, by, seen).await
+    }
+
+    /// Returns the state of the node's view, configuration and links.
+    pub async fn status(&self) -> anyhow::Result<Status> {
+        Ok(self.peers.send(status::Ask).await?)
+    }
 }
 
 impl Drop for Node {
--- /dev/null
+++ b/crates/daisyyard/tests/store_outage.rs
@@ -0,0 +1,115 @@
+//! Guards against nodes that lose the preset in force, or take an old one, while the
+//! configuration service is down or slow.
+
+mod cluster;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use bytes::Bytes;
+use cluster::Cluster;
+use daisyyard::document::Json;
+use daisyyard::revise::Outcome;
+use daisyyard_core::preset::{Document, Edit};
+use hyper::{Method, StatusCode};
+
+/// Time within which nodes agree.
+const LIMIT: Duration = Duration::from_secs(14);
+
+/// A node that starts in an outage takes the document of its peers; changes are refused
+/// truthfully and work again afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn newcomer_asks_peers() {
+    let mut cluster = Cluster::start(3, 0).await;
+    let outcome = cluster.nodes[0]
+        .revise(Edit::Put(cluster::preset("peak")), "ines", 0)
+        .await;
+    assert_matches!(outcome, Outcome::Accepted(_));
+    cluster.store.down().await;
+    cluster.add().await;
+    cluster
+        .until(LIMIT, |status| status.document.revision == 1)
+        .await;
+    let edit = Edit::Use("peak".to_owned());
+    let outcome = cluster.nodes[3].revise(edit.clone(), "ines", 1).await;
+    assert_matches!(outcome, Outcome::Refused(_));
+    cluster.store.up().await.expect("the store starts");
+    let mut outcome = cluster.nodes[3].revise(edit.clone(), "ines", 1).await;
+    while matches!(outcome, Outcome::Refused(_)) {
+        // The node holds back its calls for up to 10 s after the outage.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        outcome = cluster.nodes[3].revise(edit.clone(), "ines", 1).await;
+    }
+    assert_matches!(outcome, Outcome::Accepted(_));
+    cluster
+        .until(LIMIT, |status| status.document.current == "peak")
+        .await;
+}
+
+/// A change that the configuration service holds back beyond the timeout is made once and is
+/// not reported as refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_write() {
+    let cluster = Cluster::start(1, 0).await;
+    cluster.store.slow(Duration::from_millis(700));
+    let edit = Edit::Put(cluster::preset("peak"));
+    let outcome = cluster.nodes[0].revise(edit, "ines", 0).await;
+    assert_matches!(outcome, Outcome::Accepted(document) if document.history.len() == 1);
+}
+
+/// Only the watchers keep calling the configuration service.
+#[tokio::test(flavor = "multi_thread")]
+async fn few_watch() {
+    let cluster = Cluster::start(8, 0).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let mut watching = 0;
+    for node in &cluster.nodes {
+        watching += usize::from(node.status().await.expect("the node runs").watching);
+    }
+    assert_eq!(watching, 3);
+    let before = cluster.store.counters().await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(
+        cluster.store.counters().await,
+        before,
+        "watches wait, others stay silent"
+    );
+}
+
+/// A document that vanishes stays in force, and the watches go on waiting instead of calling
+/// again and again.
+#[tokio::test(flavor = "multi_thread")]
+async fn document_vanishes() {
+    let cluster = Cluster::start(3, 0).await;
+    let call = |method: Method, path: String, body: Bytes| {
+        let address = cluster.store.address;
+        async move {
+            let answer = daisyyard_http::call(address, method, &path, &[], body).await;
+            let (status, body) = answer.expect("an answer");
+            assert_eq!(status, StatusCode::OK);
+            serde_json::from_slice::<serde_json::Value>(&body).expect("JSON")
+        }
+    };
+    let terms = r#"{"name": "short", "ttl_ms": 60000}"#;
+    let lease = call(Method::POST, "/leases".to_owned(), terms.into()).await;
+    let lease = &lease["lease"];
+    let mut document = Document::first(cluster::preset("brief"));
+    document.revision = 1;
+    let path = format!("/kv/config/current?expected=0&lease={lease}");
+    call(Method::PUT, path, Json::from(&document).0).await;
+    cluster
+        .until(LIMIT, |status| status.document.revision == 1)
+        .await;
+    let before = cluster.store.counters().await.watches;
+    call(Method::DELETE, format!("/leases/{lease}"), Bytes::new()).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let after = cluster.store.counters().await.watches;
+    assert!(
+        after - before <= 6,
+        "{} watches of 3 nodes in 3 s",
+        after - before
+    );
+    cluster
+        .until(LIMIT, |status| status.document.current == "brief")
+        .await;
+}
--- a/crates/daisyyard_standin/src/lib.rs
+++ b/crates/daisyyard_standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub(crate) mod decoder;
 pub mod engine;
 pub mod fault;
+pub(crate) mod keys;
 pub mod list;
 pub mod outage;
 pub mod plain;
