--- a/crates/daisyyard/src/command.rs
+++ b/crates/daisyyard/src/command.rs
@@ -6,7 +6,7 @@
 use daisyyard_lab::check;
 use getopts::Options;
 
-use crate::{embedded, experiment, node, report, settings};
+use crate::{embedded, experiment, node, operator, report, settings};
 
 /// Exit code of a command that was not understood or whose settings are at fault.
 const EXIT_USAGE: u8 = 2;
@@ -37,8 +37,11 @@
         "verify" => verify(rest),
         "experiment" => experiment::run(rest),
         "report" => report::run(rest, runtime),
+        "preset" | "status" | "drain" => {
+            runtime().and_then(|runtime| operator::run(arguments, &runtime))
+        }
         "help" | "--help" | "-h" => {
-            print!("{HELP}");
+            print!("{HELP}\n{}", operator::HELP);
             Ok(ExitCode::SUCCESS)
         }
         _ => Err(anyhow::anyhow!(
--- a/crates/daisyyard/src/front.rs
+++ b/crates/daisyyard/src/front.rs
@@ -25,6 +25,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
+use crate::admin::Admin;
 use crate::completion::Completion;
 use crate::delivery;
 use crate::dispatch::Addresses;
@@ -73,6 +74,8 @@
     actors: Actors,
     /// How far a planned stop has come.
     phase: watch::Receiver<Phase>,
+    /// Interface for operators.
+    admin: Admin,
 }
 
 /// Opens the socket for callers.
@@ -95,6 +98,7 @@
     settings: &Settings,
     actors: Actors,
     phase: watch::Receiver<Phase>,
+    admin: Admin,
 ) -> JoinHandle<()> {
     let account = |c: &crate::settings::Credential| (c.token.clone(), Account::new(&c.name));
     let accounts = settings.accounts.iter().map(account).collect();
@@ -105,6 +109,7 @@
         instance,
         actors,
         phase,
+        admin,
     };
     tokio::spawn(accept(Arc::new(front), listener))
 }
@@ -141,6 +146,7 @@
                 let account = self.account(request.headers())?.id;
                 plain::call(&self.actors, account, request).await
             }
+            (_, path) if path.starts_with("/admin/") => Ok(self.admin.handle(request).await),
             _ => Err(Refusal::not_run(Kind::Missing, "no such path")),
         }
     }
--- a/crates/daisyyard/src/meter.rs
+++ b/crates/daisyyard/src/meter.rs
@@ -15,6 +15,7 @@
 use serde_json::json;
 use xtra::{Actor, Address, Context, Handler, Mailbox};
 
+use crate::admission::Enforce;
 use crate::generation::Actors;
 use crate::measure::Metrics;
 use crate::refusal::{Kind, Refusal};
@@ -170,6 +171,14 @@
     }
 }
 
+impl Handler<Enforce> for Meter {
+    type Return = ();
+
+    async fn handle(&mut self, message: Enforce, _: &mut Context<Self>) {
+        self.preset = message.0;
+    }
+}
+
 impl Handler<Take> for Meter {
     type Return = Snapshot;
 
--- a/crates/daisyyard/src/roster.rs
+++ b/crates/daisyyard/src/roster.rs
@@ -12,8 +12,11 @@
 use tokio::task::JoinHandle;
 use xtra::Address;
 
+use crate::admission::Admission;
 use crate::dispatch::{Adopt, AdoptNodes, Dispatch};
 use crate::event::{self, Event};
+use crate::peer::{Peer, Seed};
+use crate::remote::Engines;
 
 /// Time between two polls of the list.
 const PERIOD: Duration = Duration::from_secs(1);
@@ -64,8 +67,8 @@
     }
 }
 
-impl From<Entry> for Instance {
-    fn from(entry: Entry) -> Self {
+impl From<&Entry> for Instance {
+    fn from(entry: &Entry) -> Self {
         let zone = Zone::new(&entry.zone, &entry.region);
         let mut instance = Self::new(&entry.name, zone, entry.address, entry.peer);
         if entry.state == "leaving" {
@@ -75,26 +78,48 @@
     }
 }
 
-/// Endpoints and nodes of one answer of the list.
-#[derive(Debug, Default)]
-pub(crate) struct Roster {
+/// What the list says.
+#[derive(Debug)]
+pub(crate) struct Listing {
+    /// Nodes of the system.
+    nodes: Vec<Instance>,
     /// Endpoints.
-    pub(crate) endpoints: Vec<Endpoint>,
-    /// Instances that run nodes.
-    pub(crate) nodes: Vec<Instance>,
+    endpoints: Vec<Endpoint>,
+}
+
+/// The actors that learn what the list says.
+#[derive(Debug, Clone)]
+pub(crate) struct Targets {
+    /// Learns the endpoints.
+    pub(crate) dispatch: Address<Dispatch>,
+    /// Learns the engines.
+    pub(crate) admission: Address<Admission>,
+    /// Learns the nodes.
+    pub(crate) peer: Address<Peer>,
+}
+
+impl Targets {
+    /// Passes on what the list says; returns whether the node still runs.
+    pub(crate) async fn take(&self, listing: Listing) -> bool {
+        let nodes = AdoptNodes(listing.nodes.clone());
+        let known = self.dispatch.send(nodes).await;
+        let seeded = self.peer.send(Seed(listing.nodes)).await;
+        let engines = Engines(listing.endpoints.clone());
+        let learned = self.admission.send(engines).await;
+        let adopted = self.dispatch.send(Adopt(listing.endpoints)).await;
+        known.is_ok() && seeded.is_ok() && learned.is_ok() && adopted.is_ok()
+    }
 }
 
 /// Starts the task.
-pub(crate) fn spawn(list: SocketAddr, dispatch: Address<Dispatch>) -> JoinHandle<()> {
+pub(crate) fn spawn(list: SocketAddr, targets: Targets) -> JoinHandle<()> {
     tokio::spawn(async move {
         let mut interval = tokio::time::interval(PERIOD);
         loop {
             interval.tick().await;
             match poll(list).await {
-                Ok(roster) => {
-                    let nodes = dispatch.send(AdoptNodes(roster.nodes)).await;
-                    let endpoints = dispatch.send(Adopt(roster.endpoints)).await;
-                    if nodes.and(endpoints).is_err() {
+                Ok(listing) => {
+                    if !targets.take(listing).await {
                         return;
                     }
                 }
@@ -105,19 +130,17 @@
 }
 
 /// Reads the list once.
-pub(crate) async fn poll(list: SocketAddr) -> anyhow::Result<Roster> {
+pub(crate) async fn poll(list: SocketAddr) -> anyhow::Result<Listing> {
     let call = daisyyard_http::call(list, Method::GET, "/instances", &[], "");
     let (_, body) = tokio::time::timeout(PERIOD, call)
         .await
         .context("the list is slow")??;
     let list: List = serde_json::from_slice(&body).context("the list is malformed")?;
-    let mut roster = Roster::default();
-    for entry in list.instances {
-        if entry.role == "node" {
-            roster.nodes.push(entry.into());
-        } else if let Ok(endpoint) = Endpoint::try_from(entry) {
-            roster.endpoints.push(endpoint);
-        }
-    }
-    Ok(roster)
+    let (nodes, endpoints): (Vec<Entry>, Vec<Entry>) =
+        list.instances.into_iter().partition(|e| e.role == "node");
+    let endpoints = endpoints.into_iter().map(Endpoint::try_from);
+    Ok(Listing {
+        nodes: nodes.iter().map(Instance::from).collect(),
+        endpoints: endpoints.filter_map(Result::ok).collect(),
+    })
 }
--- a/crates/daisyyard/tests/burn_report.rs
+++ b/crates/daisyyard/tests/burn_report.rs
@@ -8,9 +8,13 @@
 use std::process::{Command, Output};
 use std::time::Duration;
 
+use assert_matches::assert_matches;
+use daisyyard::revise::Outcome;
+use daisyyard_core::id;
+use daisyyard_core::preset::{Edit, Preset};
 use daisyyard_standin::engine::Options;
 use daisyyard_standin::fault::Fault;
-use fleet::{COMPLETIONS, Fleet};
+use fleet::{COMPLETIONS, Fleet, MODEL, PLAIN};
 use hyper::{Method, StatusCode};
 use serde_json::Value;
 
@@ -142,6 +146,35 @@
     assert_eq!(row(&report, "deferrable")["verdicts"]["met"], 1);
 }
 
+/// Requests are judged by the preset in force, and a request that ended before stays as it was.
+#[tokio::test]
+async fn follows_preset() {
+    let fleet = Fleet::start(1, 1, fleet::timing()).await;
+    let node = &fleet.nodes[0];
+    fleet.ask(0, PROMPT).await;
+    counted(node.address, 1).await;
+    let mut strict = Preset::ordinary(&[MODEL, PLAIN]);
+    let terms = strict.terms.get_mut(&id::of(MODEL)).expect("the service");
+    terms.deferrable.token_gap = Duration::from_millis(1);
+    let outcome = node.revise(Edit::Put(strict), "ines", 0).await;
+    assert_matches!(outcome, Outcome::Accepted(_));
+    let mut text = String::new();
+    for _ in 0..500 {
+        text = counted(node.address, 1).await;
+        if text.contains("\"token_gap_us\":[31000,1000]") {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(text.contains("[31000,1000]"), "the targets stayed: {text}");
+    fleet.ask(0, PROMPT).await;
+    counted(node.address, 2).await;
+    let (_, report) = json(&["--node", &node.address.to_string()]).await;
+    let verdicts = &row(&report, "deferrable")["verdicts"];
+    assert_eq!(verdicts["met"], 1);
+    assert_eq!(verdicts["slow_tokens"], 1);
+}
+
 /// A node that does not answer is named, and the exit code does not say that all is well.
 #[tokio::test]
 async fn names_missing() {
