Keep the mean work of accounts as a running total

Cause: each ended request summed up the work of all accounts to find the mean.

Change: the total is kept for the newest slot, recomputed once for each new slot, and corrected when an account is dropped. A clock that steps back no longer fills old slots. `exact_mean` compares the classes of 3,000 requests with a plain recount.

Conclusion: judging a request no longer costs more with more accounts.

--- a/crates/daisyyard_core/src/usage.rs
+++ b/crates/daisyyard_core/src/usage.rs
@@ -31,6 +31,8 @@
     accounts: HashMap<AccountId, Window>,
     /// Number of the newest slot.
     newest: u64,
+    /// Tokens of all accounts in the hour that ends with the newest slot.
+    total: Tokens,
 }
 
 impl Window {
@@ -61,27 +63,25 @@
 
     /// Adds the tokens of one request to its account and returns the account's size class.
     pub fn add(&mut self, account: AccountId, tokens: Tokens, now: SystemTime) -> Class {
-        let slot = burn::slot(now);
+        // A clock that steps back must not bring old slots to life again.
+        let slot = burn::slot(now).max(self.newest);
         if slot > self.newest {
             self.newest = slot;
             self.accounts.retain(|_, one| one.newest + SLOTS > slot);
+            self.total = self.accounts.values().map(|one| one.sum(slot)).sum();
         }
         if self.accounts.len() >= MAX_ACCOUNTS && !self.accounts.contains_key(&account) {
             let idle = self.accounts.iter().min_by_key(|(_, one)| one.newest);
             let idle = idle.map(|(id, _)| *id);
-            idle.and_then(|id| self.accounts.remove(&id));
+            let dropped = idle.and_then(|id| self.accounts.remove(&id));
+            self.total -= dropped.map_or(0, |one| one.sum(slot));
         }
-        self.accounts.entry(account).or_default().add(tokens, slot);
-        self.class(account, now)
-    }
-
-    /// Returns the size class of an account against the mean of all accounts.
-    fn class(&self, account: AccountId, now: SystemTime) -> Class {
-        let slot = burn::slot(now);
-        let sum = |one: &Window| one.sum(slot) as f64;
-        let total: f64 = self.accounts.values().map(sum).sum();
-        let mean = total / self.accounts.len().max(1) as f64;
-        Class::of(self.accounts.get(&account).map_or(0.0, sum), mean)
+        let window = self.accounts.entry(account).or_default();
+        window.add(tokens, slot);
+        let work = window.sum(slot);
+        self.total += tokens;
+        let mean = self.total as f64 / self.accounts.len() as f64;
+        Class::of(work as f64, mean)
     }
 
     /// Returns how many accounts are kept.
--- a/crates/daisyyard_core/tests/account_size.rs
+++ b/crates/daisyyard_core/tests/account_size.rs
@@ -51,6 +51,31 @@
     assert_eq!(usage.accounts(), MAX_ACCOUNTS);
 }
 
+/// The classes follow from the tokens of the last hour, whatever was dropped or went out of date.
+#[test]
+fn exact_mean() {
+    let mut usage = Usage::new();
+    let mut work: Vec<(u64, u32, u64)> = Vec::new();
+    let mut state = 7_u64;
+    for step in 0..3_000_u32 {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        let (account, tokens, slot) = (state >> 60, (state >> 40) % 1_000, step / 40);
+        work.push((account, slot, tokens));
+        let class = usage.add(account, tokens, at(slot));
+        let recent: Vec<_> = work.iter().filter(|one| one.1 + 12 > slot).collect();
+        let mut accounts: Vec<u64> = recent.iter().map(|one| one.0).collect();
+        accounts.sort_unstable();
+        accounts.dedup();
+        let total: u64 = recent.iter().map(|one| one.2).sum();
+        let own = recent.iter().filter(|one| one.0 == account);
+        let own: u64 = own.map(|one| one.2).sum();
+        let mean = total as f64 / accounts.len() as f64;
+        assert_eq!(class, Class::of(own as f64, mean), "step {step}");
+    }
+}
+
 /// Each target that is missed gives its own verdict, and a caller that leaves early gives none.
 #[test]
 fn verdicts() {
