Show a single slot as a point in the burn page

Cause: lines without markers show nothing while only one slot of five minutes has requests. Change: a series of one point is drawn with a marker; others stay plain lines.

--- a/crates/daisyyard/src/report_page.rs
+++ b/crates/daisyyard/src/report_page.rs
@@ -132,8 +132,11 @@
         .draw()
         .map_err(|error| anyhow!("{error}"))?;
     for (points, colour) in series {
+        // One point makes no line.
+        let size = if points.len() == 1 { 3 } else { 0 };
+        let line = LineSeries::new(points, colour.stroke_width(2)).point_size(size);
         chart
-            .draw_series(LineSeries::new(points, colour.stroke_width(2)))
+            .draw_series(line)
             .map_err(|error| anyhow!("{error}"))?;
     }
     Ok(())
