Refuse urgent requests that can no longer meet their first-token target

Change: the ledger drops waiting urgent requests at their target, and the last engine that is asked holds them for 0.96 of the first-token target instead of the longest queue time.

--- a/crates/daisyyard_core/src/ledger.rs
+++ b/crates/daisyyard_core/src/ledger.rs
@@ -211,7 +211,12 @@
         let entry = Entry {
             since: now,
             target: now + target,
-            expires: now + patience,
+            // Urgent work that can no longer meet its target would take the place of work that can.
+            expires: now
+                + match ask.rank {
+                    Rank::Urgent => target,
+                    Rank::Deferrable => patience,
+                },
             taken,
             ask,
         };
--- a/crates/daisyyard_core/src/route.rs
+++ b/crates/daisyyard_core/src/route.rs
@@ -44,8 +44,11 @@
 
 /// Engines that a node asks for one request before it refuses it.
 pub const ENGINES_ASKED: usize = 3;
-/// Part of the first-token target that an urgent request waits at each engine but the last.
+/// Part of the first-token target by which the wait at each engine but the last grows.
 const TURN_PART: u32 = 4;
+/// Part of the first-token target that an urgent request waits in all; the rest is left for its
+/// prompt. A request that is granted later misses its target and takes the place of another.
+const LAST_TURN: f64 = 0.96;
 
 /// Returns how long after its arrival a request waits at the engine that is asked as the `nth`,
 /// counted from zero.
@@ -53,8 +56,12 @@
 /// An urgent request that waits at a busy engine asks another one while its target can still be
 /// met. A deferrable one keeps its place, because it would lose its turn in the queue.
 pub fn patience(contract: &Contract, rank: Rank, nth: usize) -> Duration {
-    if rank == Rank::Urgent && nth + 1 < ENGINES_ASKED {
-        let turn = contract.first_token * (nth as u32 + 1) / TURN_PART;
+    if rank == Rank::Urgent {
+        let turn = if nth + 1 < ENGINES_ASKED {
+            contract.first_token * (nth as u32 + 1) / TURN_PART
+        } else {
+            contract.first_token.mul_f64(LAST_TURN)
+        };
         turn.min(contract.queue)
     } else {
         contract.queue
--- a/crates/daisyyard_core/tests/early_refusal.rs
+++ b/crates/daisyyard_core/tests/early_refusal.rs
@@ -70,6 +70,26 @@
     );
 }
 
+/// Urgent work that waits is refused while its first token could still come in time, and is not
+/// granted after that.
+#[test]
+fn refuses_at_target() {
+    let (mut ledger, now) = ledger(1, 100_000);
+    ledger.ask(ask(1, 1, Rank::Urgent, 10, now), now);
+    assert_eq!(
+        ledger.ask(ask(2, 1, Rank::Urgent, 10, now), now),
+        Answer::Wait
+    );
+    let late = now + Terms::ordinary("model").urgent.first_token;
+    let next = ledger.tick(late);
+    assert!(
+        matches!(next[..], [Next::Refuse { request: 2, .. }]),
+        "{next:?}"
+    );
+    ledger.release(1, 10, late);
+    assert!(ledger.tick(late).is_empty());
+}
+
 /// The rate limit refuses one account and no other, and says when it has tokens again.
 #[test]
 fn limits_account() {
