Keep a small reserve for accounts below their share

Change: each ledger tracks the recent urgent demand by account (half-life 30 s, accounts active in the last minute). Urgent work of an account above twice an equal share may fill 95 % of the engine, counted over urgent work only, and accounts below their share go past it while it waits for that room.

--- a/crates/daisyyard_core/src/admit.rs
+++ b/crates/daisyyard_core/src/admit.rs
@@ -5,7 +5,7 @@
 use crate::contract::Rank;
 use crate::grant::Grant;
 use crate::home;
-use crate::id::{AccountId, Tokens};
+use crate::id::{AccountId, RequestId, Tokens};
 use crate::ledger::{Answer, Ask, GRANT_LIFETIME, Ledger, Next};
 use crate::length::Kind;
 use crate::memory::{Estimate, Profile};
@@ -131,9 +131,26 @@
         }
         count < GRANTS
             && (count + 1) as f64 <= limit
+            && self.leaves_reserve(ask, estimate, [limit, budget as f64], now)
             && self.fits_memory(ask, estimate, budget, now)
     }
 
+    /// Returns whether a request leaves the reserve for accounts below their share.
+    ///
+    /// Without it, an engine can be full of one large account's urgent work, none of which ends
+    /// within the first-token target of a small account. Deferrable work does not count, because
+    /// it yields to urgent work.
+    fn leaves_reserve(&self, ask: &Ask, estimate: &Estimate, room: [f64; 2], now: Instant) -> bool {
+        if ask.rank == Rank::Deferrable || !self.shares.exceeds(ask.account, now) {
+            return true;
+        }
+        let share = self.shares.limit(ask.account, now);
+        let [slots, memory] = room.map(|room| room * share);
+        let urgent = &self.grants.profiles[Rank::Urgent as usize];
+        (self.grants.sums[Rank::Urgent as usize].count + 1) as f64 <= slots
+            && urgent.with(ask.prompt, estimate).peak() as f64 <= memory
+    }
+
     /// Returns whether a request fits the memory.
     ///
     /// Urgent work below its floor needs room beside other urgent work, and beside all work for
@@ -278,10 +295,26 @@
         true
     }
 
+    /// Returns whether a new request goes before those that wait.
+    ///
+    /// Urgent work of accounts that exceed their share may wait for the room that it must leave
+    /// to others, so that it does not hold up the others.
+    pub(crate) fn goes_first(&self, ask: &Ask, now: Instant) -> bool {
+        let exceeds = |account| self.shares.exceeds(account, now);
+        self.queue.len(ask.rank) == 0
+            || ask.rank == Rank::Urgent
+                && !exceeds(ask.account)
+                && self
+                    .queue
+                    .heads(ask.rank)
+                    .all(|head| exceeds(head.ask.account))
+    }
+
     /// Grants waiting requests while they fit.
     pub(crate) fn admit(&mut self, now: Instant, next: &mut Vec<Next>) {
-        while let Some(rank) = Rank::ALL.into_iter().find(|rank| self.ready(*rank, now)) {
-            let Some(entry) = self.queue.pop(rank) else {
+        loop {
+            let ready = Rank::ALL.into_iter().find_map(|rank| self.ready(rank, now));
+            let Some(entry) = ready.and_then(|request| self.queue.remove(request)) else {
                 return;
             };
             let estimate = self.estimate(&entry.ask, 0, now);
@@ -293,13 +326,27 @@
         }
     }
 
-    /// Returns whether the next request of a rank can be granted.
-    fn ready(&self, rank: Rank, now: Instant) -> bool {
-        let fits = |entry: &Entry| {
+    /// Returns the request of a rank that can be granted next: the first one, or if its account
+    /// exceeds its share, the first one of another account.
+    fn ready(&self, rank: Rank, now: Instant) -> Option<RequestId> {
+        if !self.may_pass(rank, now) {
+            return None;
+        }
+        let fits = |entry: &&Entry| {
             let estimate = self.estimate(&entry.ask, 0, now);
             self.fits(&entry.ask, &estimate, now)
         };
-        self.may_pass(rank, now) && self.queue.peek(rank).is_some_and(fits)
+        let exceeds = |entry: &Entry| self.shares.exceeds(entry.ask.account, now);
+        let first = self.queue.peek(rank)?;
+        let ready = if fits(&first) {
+            Some(first)
+        } else if rank == Rank::Urgent && exceeds(first) {
+            let mut heads = self.queue.heads(rank);
+            heads.find(|entry| !exceeds(entry)).filter(fits)
+        } else {
+            None
+        };
+        ready.map(|entry| entry.ask.request)
     }
 }
 
--- a/crates/daisyyard_core/src/ledger.rs
+++ b/crates/daisyyard_core/src/ledger.rs
@@ -15,6 +15,7 @@
 use crate::preset::Terms;
 use crate::queue::{self, Entry, Queue};
 use crate::recent::Recent;
+use crate::share::Shares;
 
 /// Time after which a grant ends unless progress renews it.
 pub const GRANT_LIFETIME: Duration = Duration::from_secs(10);
@@ -122,6 +123,8 @@
     pub(crate) queue: Queue,
     /// Output lengths at this engine.
     pub(crate) lengths: Estimator,
+    /// Recent urgent demand by account.
+    pub(crate) shares: Shares,
     /// Rate limits by account.
     pub(crate) buckets: Recent<AccountId, Bucket>,
     /// Mean time in seconds from a grant to its end, once measured.
@@ -140,6 +143,7 @@
             grants: Grants::default(),
             queue: Queue::new(queue::CAPACITY),
             lengths: Estimator::new(),
+            shares: Shares::new(now),
             buckets: Recent::new(BUCKETS),
             residence: None,
             displaced: Vec::new(),
@@ -183,12 +187,14 @@
             return Answer::Refuse { retry_after };
         }
         if ask.rank == Rank::Urgent {
+            let tokens = ask.prompt + estimate.mean();
+            self.shares.record(ask.account, tokens, now);
             let sum = self.grants.sums[Rank::Urgent as usize];
             let urgent = sum.count + self.queue.len(Rank::Urgent) + 1;
             self.capacity
                 .demand(urgent, sum.reserved + ask.prompt + estimate.mean(), now);
         }
-        let first = self.queue.len(ask.rank) == 0 && self.may_pass(ask.rank, now);
+        let first = self.goes_first(&ask, now) && self.may_pass(ask.rank, now);
         let admit = first && self.fits(&ask, &estimate, now);
         if !admit && wait > target {
             if ask.rank == Rank::Urgent {
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -32,6 +32,7 @@
 mod recent;
 pub mod record;
 pub mod route;
+mod share;
 pub mod stream;
 pub mod suspect;
 pub mod zone;
--- a/crates/daisyyard_core/src/queue.rs
+++ b/crates/daisyyard_core/src/queue.rs
@@ -138,6 +138,13 @@
         lane.flows.get(account)?.waiting.values().next()
     }
 
+    /// Returns the first request of each account that has punctual ones, in the order of service.
+    pub(crate) fn heads(&self, rank: Rank) -> impl Iterator<Item = &Entry> {
+        let lane = &self.lanes[rank as usize];
+        let accounts = lane.order.iter().map(|(_, account)| account);
+        accounts.filter_map(|account| lane.flows.get(account)?.waiting.values().next())
+    }
+
     /// Takes the next request of a rank.
     pub fn pop(&mut self, rank: Rank) -> Option<Entry> {
         let request = self.peek(rank)?.ask.request;
--- /dev/null
+++ b/crates/daisyyard_core/tests/small_reserve.rs
@@ -0,0 +1,40 @@
+//! Guards against an engine that is so full of one account's urgent work that others wait.
+
+mod support;
+
+use daisyyard_core::contract::Rank;
+use daisyyard_core::ledger::Answer;
+use support::{ask, ledger};
+
+/// Account that asks for far more than the others.
+const LARGE: u64 = 1;
+
+/// An account far above an equal share leaves room that accounts below theirs get at once, before
+/// what it has waiting.
+#[test]
+fn large_leaves_room() {
+    let (mut ledger, now) = ledger(64, 1 << 20);
+    for small in 2..7 {
+        ledger.ask(ask(small, small, Rank::Urgent, 100, now), now);
+        ledger.release(small, 100, now);
+    }
+    let waits = (100..200).any(|request| {
+        let ask = ask(request, LARGE, Rank::Urgent, 100, now);
+        ledger.ask(ask, now) == Answer::Wait
+    });
+    assert!(waits);
+    assert!(ledger.tick(now).is_empty());
+    let answer = ledger.ask(ask(1_000, 2, Rank::Urgent, 100, now), now);
+    assert_eq!(answer, Answer::Grant);
+}
+
+/// Without other active accounts nothing is kept free.
+#[test]
+fn alone_fills_engine() {
+    let (mut ledger, now) = ledger(64, 1 << 20);
+    let granted = (0..100).filter(|request| {
+        let ask = ask(*request, LARGE, Rank::Urgent, 100, now);
+        ledger.ask(ask, now) == Answer::Grant
+    });
+    assert_eq!(granted.count(), 64);
+}
