Split the nodes of the experiments into fleet and mailbox

`fleet` holds the nodes, their routing and what they do in time; `mailbox` holds what they do with messages.

--- a/crates/daisyyard_lab/src/bench.rs
+++ b/crates/daisyyard_lab/src/bench.rs
@@ -12,9 +12,9 @@
 use crate::deployment::Deployment;
 use crate::engine::Gauge;
 use crate::experiment::Experiment;
+use crate::fleet::Fleet;
 use crate::workload::{self, Parts};
 use crate::world::{Event, World};
-use crate::yard::Yard;
 
 /// Time between two checks of what waits; the nodes of `serve` use the same.
 const TICK: Duration = Duration::from_millis(20);
@@ -67,8 +67,8 @@
 /// The nodes in front of the engines under one policy.
 #[derive(Debug)]
 enum Front {
-    /// Nodes of daisyyard.
-    Yard(Box<Yard>),
+    /// Nodes of daisyfleet.
+    Fleet(Box<Fleet>),
     /// Nodes of a baseline.
     Baseline(Baseline),
     /// The one queue.
@@ -86,7 +86,7 @@
     let arrivals = workload::arrivals(deployment, experiment, seed, parts);
     let mut world = World::new(deployment.clone(), experiment.clone(), seed, arrivals);
     let mut front = match policy {
-        Policy::Daisyyard => Front::Yard(Box::new(Yard::new(&world))),
+        Policy::Daisyyard => Front::Fleet(Box::new(Fleet::new(&world))),
         Policy::RoundRobin => Front::Baseline(Baseline::new(Pick::RoundRobin, &mut world)),
         Policy::LeastLoaded => Front::Baseline(Baseline::new(Pick::LeastLoaded, &mut world)),
         Policy::Central => Front::Central(Central::new(&world)),
@@ -123,28 +123,28 @@
         }
         Event::Tick => {
             match front {
-                Front::Yard(yard) => yard.tick(world),
+                Front::Fleet(fleet) => fleet.tick(world),
                 Front::Central(central) => central.tick(world),
                 Front::Baseline(_) => {}
             }
             world.agenda.after(TICK, Event::Tick);
         }
         Event::Second => {
-            if let Front::Yard(yard) = front {
-                yard.second(world);
+            if let Front::Fleet(fleet) = front {
+                fleet.second(world);
             }
             world.agenda.after(SECOND, Event::Second);
         }
         Event::Patience(request) => Baseline::patience(world, request),
         Event::Message(message) => {
-            if let Front::Yard(yard) = front {
-                yard.message(world, message);
+            if let Front::Fleet(fleet) = front {
+                fleet.message(world, message);
             }
         }
         Event::Cut(cut) => {
             world.sever(cut);
-            if let Front::Yard(yard) = front {
-                yard.cut(world);
+            if let Front::Fleet(fleet) = front {
+                fleet.cut(world);
             }
         }
         Event::Reconnect(request) => world.reconnect(request),
@@ -154,7 +154,7 @@
 /// Gives a new request to its node.
 fn arrive(world: &mut World, front: &mut Front, request: RequestId) {
     match front {
-        Front::Yard(yard) => yard.arrive(world, request),
+        Front::Fleet(fleet) => fleet.arrive(world, request),
         Front::Baseline(baseline) => baseline.arrive(world, request),
         Front::Central(central) => central.arrive(world, request),
     }
@@ -163,7 +163,7 @@
 /// Ends a request whose last token arrived.
 fn done(world: &mut World, front: &mut Front, engine: usize, request: RequestId) {
     match front {
-        Front::Yard(yard) => yard.done(world, engine, request),
+        Front::Fleet(fleet) => fleet.done(world, engine, request),
         Front::Baseline(_) => world.end(request, End::Whole),
         Front::Central(central) => central.done(world, engine, request),
     }
@@ -179,7 +179,7 @@
     changes: &[Change],
 ) {
     match front {
-        Front::Yard(yard) => yard.report(world, engine, gauge, taken, changes),
+        Front::Fleet(fleet) => fleet.report(world, engine, gauge, taken, changes),
         Front::Baseline(baseline) => baseline.report(engine, gauge),
         Front::Central(_) => {}
     }
--- a/crates/daisyyard_lab/src/yard.rs
+++ b/crates/daisyyard_lab/src/fleet.rs
@@ -1,11 +1,10 @@
-//! The nodes of daisyyard: they run the decisions of `daisyyard_core` and exchange messages.
+//! The nodes of daisyyard: what they know, where they send requests and what they do in time.
 
 use std::time::Duration;
 
 use daisyyard_core::home;
 use daisyyard_core::id::{InstanceId, RequestId, Tokens};
-use daisyyard_core::ledger::{Answer, Ask, Ledger, Next};
-use daisyyard_core::prefix;
+use daisyyard_core::ledger::{Ask, Ledger, Next};
 use daisyyard_core::route::{self, Choice, ENGINES_ASKED, Request, Table};
 use rand::Rng;
 
@@ -22,12 +21,10 @@
 const SUSPICION: Duration = Duration::from_secs(3);
 /// Time after which a node stops waiting for an answer that was lost.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
-/// Share of the cache events that a node never gets.
-const EVENT_LOSS: f64 = 0.02;
 
 /// Phase of a request at its node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
+pub(crate) enum Phase {
     /// The home of an engine was asked.
     Asking,
     /// The request waits at the home.
@@ -38,42 +35,42 @@
 
 /// What a node knows about one of its requests.
 #[derive(Debug)]
-struct Pending {
+pub(crate) struct Pending {
     /// Engines that were asked, the present one last.
-    tried: Vec<usize>,
+    pub(crate) tried: Vec<usize>,
     /// Node that keeps the ledger of the present engine.
-    home: usize,
+    pub(crate) home: usize,
     /// Phase of the request.
-    phase: Phase,
+    pub(crate) phase: Phase,
     /// What the present home was asked.
-    ask: Ask,
+    pub(crate) ask: Ask,
 }
 
 /// A node.
 #[derive(Debug)]
-struct Node {
+pub(crate) struct Node {
     /// Route table of the node.
-    table: Table,
+    pub(crate) table: Table,
     /// Ledgers that the node keeps, by engine.
-    ledgers: Vec<Option<Ledger>>,
+    pub(crate) ledgers: Vec<Option<Ledger>>,
     /// Ledgers of the node's own share of each engine while the engine's home does not answer.
-    shares: Vec<Option<Ledger>>,
+    pub(crate) shares: Vec<Option<Ledger>>,
 }
 
 /// All nodes of the system.
 #[derive(Debug)]
-pub struct Yard {
+pub struct Fleet {
     /// Nodes by number.
-    nodes: Vec<Node>,
+    pub(crate) nodes: Vec<Node>,
     /// Requests by number.
-    pending: Vec<Option<Pending>>,
+    pub(crate) pending: Vec<Option<Pending>>,
     /// When the contact between zones was last lost or restored.
     changed: At,
     /// Home of each engine as seen from the first zone and from the others.
-    homes: [Vec<usize>; 2],
+    pub(crate) homes: [Vec<usize>; 2],
 }
 
-impl Yard {
+impl Fleet {
     /// Creates the nodes.
     pub fn new(world: &World) -> Self {
         let engines = &world.deployment.engines;
@@ -123,56 +120,6 @@
         self.route(world, request);
     }
 
-    /// Takes a message.
-    pub fn message(&mut self, world: &mut World, message: Message) {
-        let Message {
-            to,
-            engine,
-            content,
-        } = message;
-        let now = world.now();
-        match content {
-            Content::Ask(ask) => {
-                let request = ask.request;
-                let ledger = self.ledger(world, to, engine);
-                let answer = ledger.ask(ask, now);
-                let digest = ledger.digest(now);
-                let back = world.arrival(request).node;
-                let content = Content::Answer(request, answer, digest);
-                send(world, to, back, engine, content);
-            }
-            Content::Answer(request, answer, digest) => {
-                self.nodes[to].table.digest(digest, now);
-                self.answer(world, engine, request, &answer);
-            }
-            Content::Decide(next) => self.decide(world, engine, &next),
-            Content::Progress(ask, made) => {
-                let ledger = self.ledger(world, to, engine);
-                if !ledger.progress(ask.request, made, now) {
-                    ledger.restore(&ask, made, now);
-                }
-            }
-            Content::Release(request, made) => {
-                if let Some(ledger) = &mut self.nodes[to].ledgers[engine] {
-                    ledger.release(request, made, now);
-                }
-                self.pump(world, to, engine);
-            }
-            Content::Digest(digest) => self.nodes[to].table.digest(digest, now),
-            Content::Silence(request) => {
-                if self.holds(request, engine, Phase::Asking) {
-                    self.share(world, to, engine, request);
-                }
-            }
-            Content::Late(request) => {
-                if self.holds(request, engine, Phase::Waiting) {
-                    self.release(world, engine, request);
-                    self.refuse(world, request);
-                }
-            }
-        }
-    }
-
     /// Takes a load report, which the home of the engine polls.
     pub fn report(
         &mut self,
@@ -246,7 +193,7 @@
     }
 
     /// Chooses an engine and asks its home, or refuses the request.
-    fn route(&mut self, world: &mut World, request: RequestId) {
+    pub(crate) fn route(&mut self, world: &mut World, request: RequestId) {
         let Some(pending) = self.pending[request as usize].as_mut() else {
             return;
         };
@@ -297,141 +244,8 @@
         world.agenda.after(patience, Event::Message(message));
     }
 
-    /// Decides by the node's own share of an engine whose home does not answer.
-    fn share(&mut self, world: &mut World, node: usize, engine: usize, request: RequestId) {
-        let Some(pending) = self.pending[request as usize].as_mut() else {
-            return;
-        };
-        let (now, ask) = (world.now(), pending.ask.clone());
-        let endpoint = &world.deployment.engines[engine];
-        let nodes = world.deployment.nodes.len() as u32;
-        let create = || Ledger::local(endpoint, world.terms.clone(), nodes, now);
-        let share = self.nodes[node].shares[engine].get_or_insert_with(create);
-        let answer = share.ask(ask, now);
-        if answer == Answer::Wait {
-            share.release(request, 0, now);
-            self.route(world, request);
-        } else {
-            self.answer(world, engine, request, &answer);
-        }
-    }
-
-    /// Gives the changes of an engine's prefix cache to all nodes; some events are lost.
-    fn learn(&mut self, world: &mut World, engine: usize, changes: &[Change]) {
-        let endpoint = world.deployment.engines[engine].id;
-        for node in &mut self.nodes {
-            for change in changes {
-                if world.random.random_bool(EVENT_LOSS) {
-                    continue;
-                }
-                let blocks = vec![change.block];
-                let event = prefix::Event {
-                    endpoint,
-                    sequence: change.number,
-                    change: if change.stored {
-                        prefix::Change::Store(blocks)
-                    } else {
-                        prefix::Change::Evict(blocks)
-                    },
-                };
-                if let prefix::Step::Fetch { .. } = node.table.cache_event(&event) {
-                    // The engine keeps no old events, so the node goes on from this one.
-                    node.table.prefixes().skip(endpoint, event.sequence);
-                    node.table.cache_event(&event);
-                }
-            }
-        }
-    }
-
-    /// Acts on the answer of a home.
-    fn answer(&mut self, world: &mut World, engine: usize, request: RequestId, answer: &Answer) {
-        if !self.holds(request, engine, Phase::Asking) {
-            // The answer came after the node gave up; the home must not keep the share.
-            if matches!(answer, Answer::Grant | Answer::Wait) {
-                self.release(world, engine, request);
-            }
-            return;
-        }
-        match answer {
-            Answer::Grant => self.start(world, engine, request),
-            Answer::Wait => self.enter(request, Phase::Waiting),
-            Answer::Refuse { .. } => self.route(world, request),
-        }
-    }
-
-    /// Acts on what a ledger decided about a request of this node.
-    fn decide(&mut self, world: &mut World, engine: usize, next: &Next) {
-        match *next {
-            Next::Grant { request, .. } => {
-                if self.holds(request, engine, Phase::Waiting) {
-                    self.start(world, engine, request);
-                } else if !self.holds(request, engine, Phase::Running) {
-                    self.release(world, engine, request);
-                }
-            }
-            Next::Refuse { request, .. } => {
-                if self.holds(request, engine, Phase::Waiting) {
-                    self.route(world, request);
-                }
-            }
-            Next::Yield { request, .. } => {
-                if self.holds(request, engine, Phase::Running) {
-                    self.give_up(world, engine, request);
-                }
-            }
-        }
-    }
-
-    /// Takes a running request back from its engine and asks again, unless its caller has tokens
-    /// already, which another generation must not continue.
-    fn give_up(&mut self, world: &mut World, engine: usize, request: RequestId) {
-        if world.callers[request as usize].received > 0 {
-            return;
-        }
-        world.cancel(request);
-        world.meter.yields += 1;
-        self.release(world, engine, request);
-        self.route(world, request);
-    }
-
-    /// Sends a granted request to its engine.
-    fn start(&mut self, world: &mut World, engine: usize, request: RequestId) {
-        self.enter(request, Phase::Running);
-        let priority = world.priority(request);
-        world.submit(request, engine, priority);
-    }
-
-    /// Refuses a request.
-    fn refuse(&mut self, world: &mut World, request: RequestId) {
-        self.pending[request as usize] = None;
-        world.end(request, End::Refused);
-    }
-
-    /// Tells the home that a request no longer needs its share.
-    fn release(&mut self, world: &mut World, engine: usize, request: RequestId) {
-        let from = world.arrival(request).node;
-        let made = world.callers[request as usize].received;
-        let now = world.now();
-        if let Some(share) = &mut self.nodes[from].shares[engine] {
-            share.release(request, made, now);
-        }
-        let present = self.homes[Self::side(world, from)][engine];
-        let pending = self.pending[request as usize].as_ref();
-        let asked = pending.map_or(present, |pending| pending.home);
-        send(world, from, asked, engine, Content::Release(request, made));
-        if asked != present {
-            send(
-                world,
-                from,
-                present,
-                engine,
-                Content::Release(request, made),
-            );
-        }
-    }
-
     /// Lets one ledger decide and sends its decisions.
-    fn pump(&mut self, world: &mut World, node: usize, engine: usize) {
+    pub(crate) fn pump(&mut self, world: &mut World, node: usize, engine: usize) {
         let now = world.now();
         let Some(ledger) = &mut self.nodes[node].ledgers[engine] else {
             return;
@@ -446,21 +260,21 @@
     }
 
     /// Returns the ledger of an engine at a node, creating it on first use.
-    fn ledger(&mut self, world: &World, node: usize, engine: usize) -> &mut Ledger {
+    pub(crate) fn ledger(&mut self, world: &World, node: usize, engine: usize) -> &mut Ledger {
         let endpoint = &world.deployment.engines[engine];
         let create = || Ledger::new(endpoint, world.terms.clone(), world.now());
         self.nodes[node].ledgers[engine].get_or_insert_with(create)
     }
 
     /// Returns whether a request is in the given phase at the given engine.
-    fn holds(&self, request: RequestId, engine: usize, phase: Phase) -> bool {
+    pub(crate) fn holds(&self, request: RequestId, engine: usize, phase: Phase) -> bool {
         self.pending[request as usize]
             .as_ref()
             .is_some_and(|pending| pending.phase == phase && pending.tried.last() == Some(&engine))
     }
 
     /// Moves a request into a phase.
-    fn enter(&mut self, request: RequestId, phase: Phase) {
+    pub(crate) fn enter(&mut self, request: RequestId, phase: Phase) {
         if let Some(pending) = self.pending[request as usize].as_mut() {
             pending.phase = phase;
         }
@@ -485,7 +299,7 @@
     }
 
     /// Returns on which side of the cut a node stands.
-    fn side(world: &World, node: usize) -> usize {
+    pub(crate) fn side(world: &World, node: usize) -> usize {
         let nodes = &world.deployment.nodes;
         usize::from(nodes[node].zone.id != nodes[0].zone.id)
     }
