--- a/crates/daisyyard/src/experiment.rs
+++ b/crates/daisyyard/src/experiment.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 
 use anyhow::{Context, anyhow};
+use daisyyard_lab::ablation::Part;
 use daisyyard_lab::bench::Policy;
 use daisyyard_lab::deployment::Deployment;
 use daisyyard_lab::experiment::Experiment;
@@ -30,6 +31,7 @@
     options.optopt("s", "seed", "seed of the workload", "N");
     options.optopt("", "seeds", "seeds to summarise, both included", "A..B");
     options.optopt("p", "policy", "policy to run", "NAME");
+    options.optopt("w", "without", "part of the decisions to leave out", "PART");
     options.optopt("o", "out", "file of the plot", "FILE.svg");
     options.optflag("j", "json", "print JSON");
     options.optflag("h", "help", "show this help");
@@ -42,7 +44,14 @@
     match free[..] {
         ["list"] => list()?,
         ["plot", name] => draw(&matches, &experiment(name)?)?,
-        [name] => measure(&matches, &experiment(name)?)?,
+        [name] => {
+            let without = without(&matches)?;
+            let experiment = Experiment {
+                without,
+                ..experiment(name)?
+            };
+            measure(&matches, &experiment)?;
+        }
         _ => return Err(anyhow!("name one experiment; {}", names())),
     }
     Ok(ExitCode::SUCCESS)
@@ -132,6 +141,17 @@
         .ok_or_else(|| anyhow!("unknown policy {name:?}; the policies are: {names}"))
 }
 
+/// Returns the part of the decisions that the arguments leave out.
+fn without(matches: &Matches) -> anyhow::Result<Option<Part>> {
+    let Some(name) = matches.opt_str("without") else {
+        return Ok(None);
+    };
+    let names = Part::ALL.map(Part::name).join(", ");
+    let part = Part::parse(&name);
+    part.map(Some)
+        .ok_or_else(|| anyhow!("unknown part {name:?}; --without is one of: {names}"))
+}
+
 /// Returns the seeds that the arguments name.
 fn seeds(matches: &Matches) -> anyhow::Result<Vec<u64>> {
     let Some(text) = matches.opt_str("seeds") else {
--- a/crates/daisyyard_lab/src/experiment.rs
+++ b/crates/daisyyard_lab/src/experiment.rs
@@ -5,6 +5,7 @@
 use daisyyard_core::contract::Rank;
 use daisyyard_core::id::Tokens;
 
+use crate::ablation::Part;
 use crate::agenda::At;
 
 /// Time during which requests arrive.
@@ -37,6 +38,8 @@
     pub lag: Duration,
     /// Whether messages between the first zone's nodes and the others are lost in the window.
     pub cut: bool,
+    /// Part of the decisions that is left out.
+    pub without: Option<Part>,
 }
 
 /// A part of an experiment with steady arrivals of the long work.
@@ -68,6 +71,7 @@
             shift: false,
             lag: Duration::from_millis(500),
             cut: false,
+            without: None,
         };
         vec![
             Self {
--- a/crates/daisyyard_lab/src/fleet.rs
+++ b/crates/daisyyard_lab/src/fleet.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use daisyyard_core::home;
-use daisyyard_core::id::{InstanceId, RequestId, Tokens};
+use daisyyard_core::id::{AccountId, InstanceId, RequestId, Tokens};
 use daisyyard_core::ledger::{Ask, Ledger, Next};
 use daisyyard_core::route::{self, Choice, ENGINES_ASKED, Request, Table};
 use rand::Rng;
 
+use crate::ablation::Part;
 use crate::agenda::At;
 use crate::cache::Change;
 use crate::caller::End;
@@ -22,6 +23,9 @@
 /// Time after which a node stops waiting for an answer that was lost.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Account of all requests in a run without fairness between accounts.
+const ONE_ACCOUNT: AccountId = 1;
+
 /// Phase of a request at its node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -77,7 +81,11 @@
         let node = |node: &crate::deployment::Node| {
             let mut table = Table::for_node(node.id, node.zone.clone());
             for engine in engines {
-                table.insert(engine.clone());
+                let mut engine = engine.clone();
+                if world.without(Part::Zones) {
+                    engine.zone = node.zone.clone();
+                }
+                table.insert(engine);
             }
             let none = || engines.iter().map(|_| None).collect();
             Node {
@@ -103,7 +111,11 @@
         let ask = Ask {
             request,
             node: world.deployment.nodes[arrival.node].id,
-            account: arrival.account,
+            account: if world.without(Part::FairQueue) {
+                ONE_ACCOUNT
+            } else {
+                arrival.account
+            },
             rank: arrival.rank,
             prompt: arrival.prompt,
             cached: 0,
@@ -205,14 +217,23 @@
             account: arrival.account,
             rank: arrival.rank,
             prompt: arrival.prompt,
-            prefix: arrival.prefix.clone(),
+            prefix: if world.without(Part::PrefixLocality) {
+                Vec::new()
+            } else {
+                arrival.prefix.clone()
+            },
         };
         let engines = &world.deployment.engines;
         let tried: Vec<_> = pending.tried.iter().map(|one| engines[*one].id).collect();
         let (now, seed) = (world.now(), world.random.random());
         let table = &mut self.nodes[node].table;
         let choice = table.choose(&form, &tried, now, seed);
-        let spent = tried.len() >= ENGINES_ASKED || now >= pending.ask.deadline;
+        let most = if world.without(Part::SecondEngine) {
+            1
+        } else {
+            ENGINES_ASKED
+        };
+        let spent = tried.len() >= most || now >= pending.ask.deadline;
         let Choice::Ask(endpoint) = choice else {
             return self.refuse(world, request);
         };
@@ -220,7 +241,9 @@
             return self.refuse(world, request);
         }
         pending.ask.cached = table.cached(&form, endpoint);
-        table.send(endpoint, &form, now);
+        if !world.without(Part::OwnSends) {
+            table.send(endpoint, &form, now);
+        }
         let engine = world.number(endpoint);
         let home = self.homes[Self::side(world, node)][engine];
         let contract = world.terms.contract(form.rank);
--- a/crates/daisyyard_lab/src/lib.rs
+++ b/crates/daisyyard_lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Experiments in virtual time over the decisions of `daisyyard_core`.
 
+pub mod ablation;
 pub mod agenda;
 pub mod baseline;
 pub mod bench;
--- a/crates/daisyyard_lab/src/world.rs
+++ b/crates/daisyyard_lab/src/world.rs
@@ -10,6 +10,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 
+use crate::ablation::Part;
 use crate::agenda::{Agenda, At};
 use crate::cache::Change;
 use crate::caller::{Caller, End};
@@ -120,9 +121,14 @@
         let engine = |_: &Endpoint| Engine::new(deployment.model.clone());
         let engines = deployment.engines.iter().map(engine).collect();
         let numbers = deployment.engines.iter().enumerate();
+        let mut terms = Terms::ordinary(deployment.service);
+        if experiment.without == Some(Part::Floors) {
+            terms.urgent.floor = 0.0;
+            terms.deferrable.floor = 0.0;
+        }
         Self {
             agenda,
-            terms: Terms::ordinary(deployment.service),
+            terms,
             engines,
             numbers: numbers.map(|(index, one)| (one.id, index)).collect(),
             callers: arrivals
@@ -140,6 +146,11 @@
         }
     }
 
+    /// Returns whether a part of the decisions is left out.
+    pub fn without(&self, part: Part) -> bool {
+        self.experiment.without == Some(part)
+    }
+
     /// Returns the present time as decisions see it.
     pub fn now(&self) -> Instant {
         self.agenda.instant(self.agenda.now())
--- /dev/null
+++ b/crates/daisyyard_lab/tests/left_out.rs
@@ -0,0 +1,29 @@
+//! Leaving out parts of the decisions.
+
+use std::time::Duration;
+
+use daisyyard_lab::ablation::Part;
+use daisyyard_lab::bench::Policy;
+use daisyyard_lab::deployment::Deployment;
+use daisyyard_lab::experiment::Experiment;
+use daisyyard_lab::report;
+
+/// Guards against a switch that leaves nothing out, or one whose name does not select it.
+#[test]
+fn each_part_counts() {
+    let run = |without| {
+        let deployment = Deployment::parse("association").expect("the deployment exists");
+        let experiment = Experiment::parse("flood-urgent").expect("the experiment exists");
+        let experiment = Experiment {
+            without,
+            ..experiment.shortened(Duration::from_secs(12))
+        };
+        let report = report::measure(&deployment, &experiment, Policy::Daisyyard, 1);
+        format!("{report:?}")
+    };
+    let whole = run(None);
+    for part in Part::ALL {
+        assert_eq!(Part::parse(part.name()), Some(part));
+        assert_ne!(run(Some(part)), whole, "{}", part.name());
+    }
+}
