--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod record;
 pub mod route;
 pub mod store_budget;
+mod share;
 pub mod stream;
 pub mod suspect;
 pub mod usage;
--- a/crates/daisyyard_lab/src/lib.rs
+++ b/crates/daisyyard_lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Experiments in virtual time over the decisions of `daisyyard_core`.
 
+pub mod ablation;
 pub mod agenda;
 pub mod baseline;
 pub mod bench;
@@ -14,6 +15,8 @@
 pub mod deployment;
 pub mod engine;
 pub mod experiment;
+pub mod fleet;
+mod mailbox;
 pub mod message;
 pub mod meter;
 pub mod plot;
@@ -21,4 +24,3 @@
 pub mod spread;
 pub mod workload;
 pub mod world;
-pub mod yard;
