Stream, book and tabulate in try, and add runs with faults

Cause: `daisyyard try` checked one stream and one short answer and printed two lines.

Change: `try` streams a long answer of 800 tokens to the terminal, runs a one-word check beside it, books with one Idempotency-Key through two nodes, and prints a table. `--keep` leaves the fleet running and prints curl lines. The stand-in engine keeps the prompts that it started, so that `not_run` can be checked.

A repeat that reaches another node before the outcome is written is told `unknown`, so the embedded caller repeats it until the outcome is known.

--- a/crates/daisyyard/src/command.rs
+++ b/crates/daisyyard/src/command.rs
@@ -6,7 +6,8 @@
 use daisyyard_lab::check;
 use getopts::Options;
 
-use crate::{embedded, experiment, node, settings};
+use crate::settings::{Level, Log, Settings};
+use crate::{embedded, event, experiment, faults, node, settings};
 
 /// Exit code of a command that was not understood or whose settings are at fault.
 const EXIT_USAGE: u8 = 2;
@@ -18,7 +19,8 @@
 Commands:
   serve --config FILE   run a node
   check FILE            check a settings file and list every fault
-  try                   run a small fleet on loopback and check the promises
+  try [--keep]          run a small fleet on loopback and check the promises
+  try --faults          run callers while parts of the fleet fail; `--seed N` repeats a run
   verify [--json]       check the core protocols against their specifications
   experiment NAME       run an experiment in virtual time; `experiment list` names them
   help                  show this help
@@ -81,11 +83,25 @@
         "sizes and zones to use",
         "association|pit-works",
     );
+    options.optflag("k", "keep", "leave the fleet running until a signal");
+    options.optflag("f", "faults", "run callers while parts of the fleet fail");
+    options.optopt("s", "seed", "seed of the faults", "N");
     let matches = options.parse(arguments)?;
     let deployment = matches
         .opt_str("deployment")
         .unwrap_or_else(|| "association".to_owned());
-    let held = runtime()?.block_on(embedded::run(&deployment))?;
+    let seed = matches.opt_get("seed")?;
+    let log = Log {
+        level: Level::Warn,
+        ..Settings::LOG
+    };
+    event::configure(log)?;
+    let held = if matches.opt_present("faults") {
+        let seed = seed.unwrap_or_else(rand::random);
+        runtime()?.block_on(faults::run(&deployment, seed))?
+    } else {
+        runtime()?.block_on(embedded::run(&deployment, matches.opt_present("keep")))?
+    };
     Ok(if held {
         ExitCode::SUCCESS
     } else {
--- a/crates/daisyyard/src/embedded.rs
+++ b/crates/daisyyard/src/embedded.rs
@@ -1,202 +1,158 @@
 //! `daisyyard try`: a small fleet with stand-ins for the platform, in one process on loopback.
 
-use std::net::SocketAddr;
-use std::time::Instant;
+use std::io::Write;
+use std::time::Duration;
 
-use anyhow::{Context, bail};
-use daisyyard_standin::engine::{self, Engine};
-use daisyyard_standin::list::{Entry, List};
-use daisyyard_standin::plain::Service;
-use daisyyard_standin::store::Store;
-use hyper::Method;
-use serde_json::{Value, json};
+use daisyyard_standin::engine;
+use tokio::signal::unix::{SignalKind, signal};
 
-use crate::node::Node;
-use crate::settings::{Credential, Settings, Timing};
+use crate::audit::{self, Counts};
+use crate::caller::{self, Question, Reply, TOKEN};
+use crate::fleet::{Deployment, Fleet};
+use crate::settings::Timing;
+use crate::table::Table;
 
-/// Names of one deployment.
-#[derive(Debug)]
-struct Deployment {
-    /// Region.
-    region: &'static str,
-    /// Availability zones.
-    zones: [&'static str; 3],
-    /// Model service and its engines.
-    model: (&'static str, usize),
-    /// Plain service and its endpoints.
-    plain: (&'static str, usize),
-}
-
-/// The deployment of the hammock importers' association.
-const ASSOCIATION: Deployment = Deployment {
-    region: "costa",
-    zones: ["costa-a", "costa-b", "costa-c"],
-    model: ("asistente", 11),
-    plain: ("libro-socios", 3),
-};
+/// Tokens of the long answer.
+const LENGTH: u64 = 800;
+/// Tokens on one line of the terminal.
+const TOKENS_PER_LINE: u64 = 12;
+/// Times that a booking is sent through one node at most.
+const MAX_REPEATS: u32 = 10;
+/// Time between two repeats; the registry writes outcomes every 200 ms.
+const REPEAT_PAUSE: Duration = Duration::from_millis(250);
 
-/// The deployment of the pigment works.
-const PIT_WORKS: Deployment = Deployment {
-    region: "gobi-south",
-    zones: ["pit-north", "pit-east", "mill-yard"],
-    model: ("assay-model", 12),
-    plain: ("yard-office", 3),
-};
-
-/// A fleet of nodes and stand-ins; dropping it ends them all.
-#[derive(Debug)]
-struct Fleet {
-    /// Nodes.
-    nodes: Vec<Node>,
-    /// Engines.
-    _engines: Vec<Engine>,
-    /// Endpoints of the plain service.
-    _services: Vec<Service>,
-    /// Configuration service.
-    _store: Store,
-    /// Instance list.
-    _list: List,
+/// Runs the fleet and returns whether every promise that was checked held; `keep` leaves the
+/// fleet running until a signal.
+pub async fn run(deployment: &str, keep: bool) -> anyhow::Result<bool> {
+    let deployment = Deployment::find(deployment)?;
+    let fleet = Fleet::start(deployment, Timing::default()).await?;
+    let violations = check(&fleet).await?;
+    for violation in &violations {
+        println!("violation: {violation}");
+    }
+    if keep {
+        print!("{}", help(&fleet));
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    }
+    Ok(violations.is_empty())
 }
 
-/// Runs the fleet and returns whether every promise that was checked held.
-pub async fn run(name: &str) -> anyhow::Result<bool> {
-    let deployment = match name {
-        "association" => ASSOCIATION,
-        "pit-works" => PIT_WORKS,
-        _ => bail!("unknown deployment {name:?}; use association or pit-works"),
+/// Streams a long answer with a short one beside it, books once, and returns every violation.
+async fn check(fleet: &Fleet) -> anyhow::Result<Vec<String>> {
+    let deployment = fleet.deployment;
+    let long = question(deployment, deployment.long.0, LENGTH, deployment.long.1);
+    let short = question(deployment, deployment.short, 1, "urgent");
+    println!("{}:", long.prompt);
+    let mut column = 0;
+    let show = |text: &str| {
+        print!("{text}");
+        column += 1;
+        if column % TOKENS_PER_LINE == 0 {
+            println!();
+        }
+        // A closed terminal is no reason to fail.
+        let _ = std::io::stdout().flush();
     };
-    let fleet = Fleet::start(&deployment).await?;
-    let long = "customs declaration, line by line, length=200";
-    let short = "is this certificate of origin valid? length=1";
-    let streamed = stream(fleet.nodes[0].address, deployment.model.0, long);
-    let checked = complete(fleet.nodes[1].address, deployment.model.0, short);
-    let (streamed, checked) = tokio::try_join!(streamed, checked)?;
-    let whole = streamed == engine::text(long) && checked == engine::text(short);
-    println!("stream whole: {}", streamed == engine::text(long));
-    println!("short answer whole: {}", checked == engine::text(short));
-    Ok(whole)
+    let addresses = fleet.addresses();
+    let (streamed, checked) = tokio::join!(
+        caller::stream(&addresses, 0, &long, show),
+        caller::ask(fleet.nodes[1].address, &short),
+    );
+    println!();
+    let mut violations = audit::stream(&streamed, &long.prompt, &[]);
+    if streamed.end != caller::End::Whole {
+        violations.push(format!("the long answer is not whole: {:?}", streamed.end));
+    }
+    println!("{} {checked:?}", short.prompt);
+    if checked != Ok(engine::text(&short.prompt)) {
+        violations.push(format!("the short answer is not whole: {checked:?}"));
+    }
+    violations.extend(book(fleet).await);
+    let counts = Counts::of(&streamed.tokens, &long.prompt);
+    let runs = fleet.runs().await.len();
+    print!(
+        "{}",
+        Table::new(&streamed, counts, runs, fleet.nodes.len())?
+    );
+    Ok(violations)
 }
 
-impl Fleet {
-    /// Starts the stand-ins and three nodes.
-    async fn start(deployment: &Deployment) -> anyhow::Result<Self> {
-        let mut entries = Vec::new();
-        let mut engines = Vec::new();
-        for index in 0..deployment.model.1 {
-            let engine = Engine::start(engine::Options::default()).await?;
-            entries.push(deployment.entry("engine", deployment.model.0, index, engine.address));
-            engines.push(engine);
-        }
-        let mut services = Vec::new();
-        for index in 0..deployment.plain.1 {
-            let service = Service::start().await?;
-            entries.push(deployment.entry("plain", deployment.plain.0, index, service.address));
-            services.push(service);
+/// Sends one booking through two nodes with the same key, and returns every violation.
+async fn book(fleet: &Fleet) -> Vec<String> {
+    let deployment = fleet.deployment;
+    let path = deployment.booking_path();
+    let mut answers = Vec::new();
+    for node in [&fleet.nodes[0], &fleet.nodes[2]] {
+        let mut reply = Reply::Unreachable;
+        for _ in 0..MAX_REPEATS {
+            let call = caller::call(node.address, &path, "try-booking-1", deployment.booking.1);
+            reply = call.await;
+            // Until the first answer is recorded, a repeat is told that the outcome is unknown.
+            if !matches!(&reply, Reply::Refused(error) if error["outcome"] == "unknown") {
+                break;
+            }
+            println!(
+                "POST {path} through {}: outcome unknown, repeated",
+                node.address
+            );
+            tokio::time::sleep(REPEAT_PAUSE).await;
         }
-        let list = List::start(entries).await?;
-        let store = Store::start().await?;
-        let mut nodes = Vec::new();
-        for (index, zone) in deployment.zones.iter().enumerate() {
-            let settings = deployment.settings(index, zone, list.address, store.address)?;
-            nodes.push(Node::start(settings).await?);
+        match &reply {
+            Reply::Answered(status, body) => println!(
+                "POST {path} through {}: {status} {}",
+                node.address,
+                String::from_utf8_lossy(body)
+            ),
+            other => println!("POST {path} through {}: {other:?}", node.address),
         }
-        Ok(Self {
-            nodes,
-            _engines: engines,
-            _services: services,
-            _store: store,
-            _list: list,
-        })
+        answers.push(reply);
     }
-}
-
-impl Deployment {
-    /// Returns the instance-list entry of an endpoint.
-    fn entry(&self, role: &str, service: &str, index: usize, address: SocketAddr) -> Entry {
-        Entry {
-            name: format!("{service}-{index}"),
-            role: role.to_owned(),
-            service: service.to_owned(),
-            zone: self.zones[index % self.zones.len()].to_owned(),
-            region: self.region.to_owned(),
-            address,
-            peer: address,
-            state: "live".to_owned(),
-        }
+    let runs = fleet.runs().await.len();
+    let mut violations = Vec::new();
+    if runs != 1 {
+        violations.push(format!("the booking ran {runs} times"));
     }
-
-    /// Returns the settings of a node.
-    fn settings(
-        &self,
-        index: usize,
-        zone: &str,
-        list: SocketAddr,
-        store: SocketAddr,
-    ) -> anyhow::Result<Settings> {
-        let credential = Credential {
-            name: "member-1".to_owned(),
-            token: "member-1-token-0".to_owned(),
-        };
-        Ok(Settings {
-            name: format!("node-{index}"),
-            zone: zone.to_owned(),
-            region: self.region.to_owned(),
-            listen: "127.0.0.1:0".parse()?,
-            peer: "127.0.0.1:0".parse()?,
-            list,
-            store,
-            key: "embedded-fleet-key".to_owned(),
-            services: vec![self.model.0.to_owned(), self.plain.0.to_owned()],
-            accounts: vec![credential],
-            operators: Vec::new(),
-            timing: Timing::default(),
-            log: Settings::LOG,
-        })
+    if !matches!(answers[0], Reply::Answered(..)) || answers[0] != answers[1] {
+        violations.push(format!("the booking's answers differ: {answers:?}"));
     }
+    violations
 }
 
-/// Headers of the embedded caller.
-const HEADERS: [(&str, &str); 2] = [
-    ("authorization", "Bearer member-1-token-0"),
-    ("content-type", "application/json"),
-];
-
-/// Streams an answer and returns its text.
-async fn stream(address: SocketAddr, model: &str, prompt: &str) -> anyhow::Result<String> {
-    let started = Instant::now();
-    let body = json!({
-        "model": model,
-        "stream": true,
-        "messages": [{"role": "user", "content": prompt}],
-    });
-    let path = "/v1/chat/completions";
-    let call = daisyyard_http::call(address, Method::POST, path, &HEADERS, body.to_string());
-    let (_, bytes) = call.await?;
-    let answer = String::from_utf8(bytes.to_vec())?;
-    let mut text = String::new();
-    for data in answer
-        .lines()
-        .filter_map(|line| line.strip_prefix("data: "))
-    {
-        let value: Value = serde_json::from_str(data).unwrap_or_default();
-        text.push_str(
-            value["choices"][0]["delta"]["content"]
-                .as_str()
-                .unwrap_or_default(),
-        );
+/// Returns a question of a deployment.
+fn question(deployment: &Deployment, text: &str, length: u64, rank: &'static str) -> Question {
+    Question {
+        model: deployment.model.0.to_owned(),
+        prompt: format!("{text} length={length}"),
+        rank,
     }
-    println!("streamed {} bytes in {:?}", text.len(), started.elapsed());
-    Ok(text)
 }
 
-/// Asks for an answer that is not streamed and returns its text.
-async fn complete(address: SocketAddr, model: &str, prompt: &str) -> anyhow::Result<String> {
-    let body = json!({"model": model, "messages": [{"role": "user", "content": prompt}]});
-    let path = "/v1/chat/completions";
-    let call = daisyyard_http::call(address, Method::POST, path, &HEADERS, body.to_string());
-    let (status, bytes) = call.await?;
-    let value: Value = serde_json::from_slice(&bytes).context("the answer is not JSON")?;
-    let text = value["choices"][0]["message"]["content"].as_str();
-    text.map(str::to_owned)
-        .with_context(|| format!("status {status}: {value}"))
+/// Returns commands that work while the fleet runs.
+fn help(fleet: &Fleet) -> String {
+    let deployment = fleet.deployment;
+    let [first, second, third] = [0, 1, 2].map(|index| fleet.nodes[index].address);
+    let body = |text: &str, length: u32, stream: bool| {
+        format!(
+            "{{\"model\":\"{}\",\"stream\":{stream},\"messages\":[{{\"role\":\"user\",\
+             \"content\":\"{text} length={length}\"}}]}}",
+            deployment.model.0
+        )
+    };
+    let bearer = format!("-H 'Authorization: Bearer {TOKEN}'");
+    format!(
+        "The fleet runs until Ctrl-C. Addresses, streamed, not streamed, booking:\n\
+         curl -s http://{first}/addresses\n\
+         curl -sN {bearer} -d '{}' http://{first}/v1/chat/completions\n\
+         curl -s {bearer} -d '{}' http://{second}/v1/chat/completions\n\
+         curl -s {bearer} -H 'Idempotency-Key: curl-1' -d '{}' http://{third}{}\n",
+        body(deployment.long.0, 100, true),
+        body(deployment.short, 1, false),
+        deployment.booking.1,
+        deployment.booking_path(),
+    )
 }
--- /dev/null
+++ b/crates/daisyyard/src/fleet.rs
@@ -0,0 +1,247 @@
+//! The embedded fleet: nodes and stand-ins for the platform, on loopback.
+
+use std::net::SocketAddr;
+
+use anyhow::{Context, bail};
+use daisyyard_standin::engine::{self, Engine};
+use daisyyard_standin::list::{Entry, List};
+use daisyyard_standin::plain::{Run, Service};
+use daisyyard_standin::store::Store;
+use tokio::sync::watch;
+
+use crate::caller::{Addresses, TOKEN};
+use crate::node::Node;
+use crate::settings::{Credential, Settings, Timing};
+
+/// Names and sizes of one deployment.
+#[derive(Debug)]
+pub struct Deployment {
+    /// Region.
+    pub region: &'static str,
+    /// Availability zones.
+    pub zones: [&'static str; 3],
+    /// Model service and its engines.
+    pub model: (&'static str, usize),
+    /// Plain service and its endpoints.
+    pub plain: (&'static str, usize),
+    /// Beginning of the prompt of long work, and its rank.
+    pub long: (&'static str, &'static str),
+    /// Beginning of the prompt of a one-word check.
+    pub short: &'static str,
+    /// Path and body of a call that must run once.
+    pub booking: (&'static str, &'static str),
+}
+
+/// The deployment of the hammock importers' association.
+pub const ASSOCIATION: Deployment = Deployment {
+    region: "costa",
+    zones: ["costa-a", "costa-b", "costa-c"],
+    model: ("asistente", 11),
+    plain: ("libro-socios", 3),
+    long: ("customs declaration, line by line", "deferrable"),
+    short: "is this certificate of origin valid?",
+    booking: ("/containers", "one container of hammocks"),
+};
+
+/// The deployment of the pigment works.
+pub const PIT_WORKS: Deployment = Deployment {
+    region: "gobi-south",
+    zones: ["pit-north", "pit-east", "mill-yard"],
+    model: ("assay-model", 12),
+    plain: ("yard-office", 3),
+    long: ("shift log from the assay notes", "urgent"),
+    short: "grade of this batch, one word",
+    booking: ("/loads", "one load of ochre"),
+};
+
+/// A fleet of nodes and stand-ins; dropping it ends them all.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Names and sizes.
+    pub deployment: &'static Deployment,
+    /// Nodes.
+    pub nodes: Vec<Node>,
+    /// Engines.
+    pub engines: Vec<Engine>,
+    /// Endpoints of the plain service.
+    pub services: Vec<Service>,
+    /// Configuration service.
+    pub store: Store,
+    /// Instance list.
+    pub list: List,
+    /// Engines that were replaced, for the record of what they ran.
+    retired: Vec<Engine>,
+    /// Time limits of the nodes.
+    timing: Timing,
+    /// Nodes that were started so far.
+    started: usize,
+    /// Addresses that callers may use.
+    addresses: watch::Sender<Vec<SocketAddr>>,
+}
+
+impl Deployment {
+    /// Returns the deployment of a name.
+    pub fn find(name: &str) -> anyhow::Result<&'static Self> {
+        match name {
+            "association" => Ok(&ASSOCIATION),
+            "pit-works" => Ok(&PIT_WORKS),
+            _ => bail!("unknown deployment {name:?}; use association or pit-works"),
+        }
+    }
+
+    /// Returns the path of a call that must run once.
+    pub fn booking_path(&self) -> String {
+        format!("/services/{}{}", self.plain.0, self.booking.0)
+    }
+
+    /// Returns the instance-list entry of an instance.
+    fn entry(&self, role: &str, service: &str, index: usize, address: SocketAddr) -> Entry {
+        let name = if service.is_empty() { role } else { service };
+        Entry {
+            name: format!("{name}-{index}"),
+            role: role.to_owned(),
+            service: service.to_owned(),
+            zone: self.zones[index % self.zones.len()].to_owned(),
+            region: self.region.to_owned(),
+            address,
+            peer: address,
+            state: "live".to_owned(),
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts the stand-ins and three nodes.
+    pub async fn start(deployment: &'static Deployment, timing: Timing) -> anyhow::Result<Self> {
+        let mut entries = Vec::new();
+        let mut engines = Vec::new();
+        for index in 0..deployment.model.1 {
+            let engine = Engine::start(engine::Options::default()).await?;
+            entries.push(deployment.entry("engine", deployment.model.0, index, engine.address));
+            engines.push(engine);
+        }
+        let mut services = Vec::new();
+        for index in 0..deployment.plain.1 {
+            let service = Service::start().await?;
+            entries.push(deployment.entry("plain", deployment.plain.0, index, service.address));
+            services.push(service);
+        }
+        let mut fleet = Self {
+            deployment,
+            nodes: Vec::new(),
+            engines,
+            services,
+            store: Store::start().await?,
+            list: List::start(entries).await?,
+            retired: Vec::new(),
+            timing,
+            started: 0,
+            addresses: watch::channel(Vec::new()).0,
+        };
+        for _ in deployment.zones {
+            fleet.add_node().await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Returns the addresses that callers may use, as they change.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses.subscribe()
+    }
+
+    /// Starts a node in the next availability zone.
+    pub async fn add_node(&mut self) -> anyhow::Result<()> {
+        let index = self.started;
+        self.started += 1;
+        let node = Node::start(self.settings(index)?).await?;
+        let mut entries = self.list.entries();
+        entries.push(self.deployment.entry("node", "", index, node.address));
+        self.list.show(entries);
+        self.nodes.push(node);
+        self.publish();
+        Ok(())
+    }
+
+    /// Takes a node out of service: it is listed as leaving, and new callers do not use it.
+    pub fn take_node(&mut self, index: usize) -> Node {
+        let node = self.nodes.remove(index);
+        self.relist(node.address, |entry| "leaving".clone_into(&mut entry.state));
+        self.publish();
+        node
+    }
+
+    /// Ends a node without warning and returns its address; callers and the list know it still.
+    pub fn kill_node(&mut self, index: usize) -> SocketAddr {
+        self.nodes.remove(index).address
+    }
+
+    /// Replaces an engine by a new process of the same name at another address.
+    pub async fn replace_engine(&mut self, index: usize) -> anyhow::Result<()> {
+        let engine = Engine::start(engine::Options::default()).await?;
+        let address = engine.address;
+        let old = std::mem::replace(&mut self.engines[index], engine);
+        self.relist(old.address, |entry| {
+            entry.address = address;
+            entry.peer = address;
+        });
+        self.retired.push(old);
+        Ok(())
+    }
+
+    /// Changes the list's entry of an address.
+    pub fn relist(&self, address: SocketAddr, change: impl Fn(&mut Entry)) {
+        let mut entries = self.list.entries();
+        let found = entries.iter_mut().filter(|entry| entry.address == address);
+        found.for_each(change);
+        self.list.show(entries);
+    }
+
+    /// Tells callers the addresses of the nodes that serve.
+    pub fn publish(&self) {
+        let addresses = self.nodes.iter().map(|node| node.address).collect();
+        self.addresses.send_replace(addresses);
+    }
+
+    /// Returns the prompts of all generations that an engine started.
+    pub async fn prompts(&self) -> Vec<String> {
+        let mut prompts = Vec::new();
+        for engine in self.engines.iter().chain(&self.retired) {
+            prompts.extend(engine.prompts().await);
+        }
+        prompts
+    }
+
+    /// Returns all runs at the plain service.
+    pub async fn runs(&self) -> Vec<Run> {
+        let mut runs = Vec::new();
+        for service in &self.services {
+            runs.extend(service.runs().await);
+        }
+        runs
+    }
+
+    /// Returns the settings of a node.
+    fn settings(&self, index: usize) -> anyhow::Result<Settings> {
+        let deployment = self.deployment;
+        let free = "127.0.0.1:0".parse().context("the address is valid")?;
+        let credential = Credential {
+            name: "member-1".to_owned(),
+            token: TOKEN.to_owned(),
+        };
+        Ok(Settings {
+            name: format!("node-{index}"),
+            zone: deployment.zones[index % deployment.zones.len()].to_owned(),
+            region: deployment.region.to_owned(),
+            listen: free,
+            peer: free,
+            list: self.list.address,
+            store: self.store.address,
+            key: "embedded-fleet-key".to_owned(),
+            services: vec![deployment.model.0.to_owned(), deployment.plain.0.to_owned()],
+            accounts: vec![credential],
+            operators: Vec::new(),
+            timing: self.timing,
+            log: Settings::LOG,
+        })
+    }
+}
--- /dev/null
+++ b/crates/daisyyard/tests/fault_seeds.rs
@@ -0,0 +1,22 @@
+//! Guards against broken promises while engines, nodes and the configuration service fail.
+
+use daisyyard::faults;
+
+/// Each seed has no violation on its deployment.
+async fn holds(deployment: &str, seed: u64) {
+    let violations = faults::violations(deployment, seed).await;
+    let violations = violations.expect("the fleet starts");
+    assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+}
+
+/// Faults on the association's fleet.
+#[tokio::test(flavor = "multi_thread")]
+async fn association_seed() {
+    holds("association", 2).await;
+}
+
+/// Faults on the pigment works' fleet.
+#[tokio::test(flavor = "multi_thread")]
+async fn pit_works_seed() {
+    holds("pit-works", 3).await;
+}
--- a/crates/daisyyard/tests/whole_path.rs
+++ b/crates/daisyyard/tests/whole_path.rs
@@ -6,7 +6,9 @@
 #[tokio::test]
 async fn serves_both() {
     for deployment in ["association", "pit-works"] {
-        let held = embedded::run(deployment).await.expect("the fleet starts");
+        let held = embedded::run(deployment, false)
+            .await
+            .expect("the fleet starts");
         assert!(held, "a promise was broken on {deployment}");
     }
 }
--- a/crates/daisyyard_standin/src/decoder.rs
+++ b/crates/daisyyard_standin/src/decoder.rs
@@ -49,6 +49,11 @@
         /// Receives the report.
         reply: oneshot::Sender<Value>,
     },
+    /// Return the prompts of all generations that were started.
+    Prompts {
+        /// Receives the prompts.
+        reply: oneshot::Sender<Vec<String>>,
+    },
     /// Misbehave.
     Fault(Fault),
 }
@@ -103,6 +108,8 @@
     silent: Vec<mpsc::Sender<Bytes>>,
     /// Commands that are never carried out, once the engine hangs.
     hung: Option<Vec<Command>>,
+    /// Prompts of all generations that were started; a crash keeps them.
+    prompts: Vec<String>,
 }
 
 /// How generations start.
@@ -156,6 +163,7 @@
             start: Start::Delayed(Duration::ZERO),
             silent: Vec::new(),
             hung: None,
+            prompts: Vec::new(),
         }
     }
 
@@ -167,7 +175,9 @@
 
     /// Carries out one command.
     fn command(&mut self, command: Command) {
-        if let Some(hung) = &mut self.hung {
+        if let Some(hung) = &mut self.hung
+            && !matches!(command, Command::Prompts { .. })
+        {
             hung.push(command);
             return;
         }
@@ -203,6 +213,9 @@
             Command::Load { reply } => {
                 let _ = reply.send(self.load());
             }
+            Command::Prompts { reply } => {
+                let _ = reply.send(self.prompts.clone());
+            }
         }
     }
 
@@ -211,6 +224,7 @@
         let id = self.next;
         self.next += 1;
         let length = length(&prompt);
+        self.prompts.push(prompt.clone());
         let touched = Instant::now();
         let stream = Stream {
             prompt,
--- a/crates/daisyyard_standin/src/engine.rs
+++ b/crates/daisyyard_standin/src/engine.rs
@@ -83,6 +83,13 @@
         let _ = self.commands.send(Command::Fault(fault));
     }
 
+    /// Returns the prompts of all generations that the engine started, even if it crashed.
+    pub async fn prompts(&self) -> Vec<String> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.commands.send(Command::Prompts { reply });
+        answer.await.unwrap_or_default()
+    }
+
     /// Returns the engine's load report.
     pub async fn load(&self) -> Option<Value> {
         let (reply, answer) = oneshot::channel();
