--- a/crates/daisyyard/src/command.rs
+++ b/crates/daisyyard/src/command.rs
@@ -7,7 +7,7 @@
 use getopts::Options;
 
 use crate::settings::{Level, Log, Settings};
-use crate::{embedded, event, experiment, faults, node, settings};
+use crate::{embedded, event, experiment, faults, node, operator, settings};
 
 /// Exit code of a command that was not understood or whose settings are at fault.
 const EXIT_USAGE: u8 = 2;
@@ -37,8 +37,11 @@
         "try" => attempt(rest),
         "verify" => verify(rest),
         "experiment" => experiment::run(rest),
+        "preset" | "status" | "drain" => {
+            runtime().and_then(|runtime| operator::run(arguments, &runtime))
+        }
         "help" | "--help" | "-h" => {
-            print!("{HELP}");
+            print!("{HELP}\n{}", operator::HELP);
             Ok(ExitCode::SUCCESS)
         }
         _ => Err(anyhow::anyhow!(
--- a/crates/daisyyard/src/fleet.rs
+++ b/crates/daisyyard/src/fleet.rs
@@ -155,7 +155,10 @@
         self.started += 1;
         let node = Node::start(self.settings(index)?).await?;
         let mut entries = self.list.entries();
-        entries.push(self.deployment.entry("node", "", index, node.address));
+        entries.push(Entry {
+            peer: node.peer,
+            ..self.deployment.entry("node", "", index, node.address)
+        });
         self.list.show(entries);
         self.nodes.push(node);
         self.publish();
--- a/crates/daisyyard/tests/planned_stop.rs
+++ b/crates/daisyyard/tests/planned_stop.rs
@@ -92,7 +92,7 @@
         "listen": address, "peer": "127.0.0.1:0",
         "list": fleet.list.address, "store": fleet.store.address,
         "key": "shared-fleet-key", "accounts": [{"account": "member-1", "token": "token-member-0001"}],
-        "timing": {"addresses_ms": 200},
+        "timing": {"addresses_ms": 200}, "services": [fleet::MODEL],
     });
     let path = std::env::temp_dir().join(format!("daisyyard-stop-{}.json", address.port()));
     std::fs::write(&path, settings.to_string()).expect("a settings file");
--- a/crates/daisyyard_core/src/ledger.rs
+++ b/crates/daisyyard_core/src/ledger.rs
@@ -10,7 +10,7 @@
 use crate::contract::Rank;
 use crate::endpoint::{Endpoint, Load};
 use crate::grant::Grants;
-use crate::id::{AccountId, EndpointId, InstanceId, RequestId, Tokens};
+use crate::id::{AccountId, EndpointId, InstanceId, RequestId, ServiceId, Tokens};
 use crate::length::Estimator;
 use crate::preset::Terms;
 use crate::queue::{self, Entry, Queue};
@@ -160,6 +160,11 @@
         self.terms = terms;
     }
 
+    /// Returns the service of the engine.
+    pub fn service(&self) -> ServiceId {
+        self.terms.service
+    }
+
     /// Answers a node that asks to run a generation.
     pub fn ask(&mut self, ask: Ask, now: Instant) -> Answer {
         // A repeated question gets the answer again, because the first one may be lost.
