Start no new attempt for a caller that is gone

The probable cause, inferred from the code: a node that was dropped kept the task of a request whose engine hung; after the open timeout of 5 s the task chose another engine from a table that is no longer updated.

Change: a request whose attempt fails ends if its caller is gone.

--- a/crates/daisyyard/src/generation.rs
+++ b/crates/daisyyard/src/generation.rs
@@ -112,6 +112,9 @@
                     let _ = caller.send(run.refuse(Kind::Rejected, message)).await;
                     return;
                 }
+                // A new attempt for a caller that is gone would be work for nobody, and this
+                // node may have stopped and no longer know which engines may receive work.
+                End::Lost | End::Crashed if caller.is_closed() => return,
                 End::Lost | End::Crashed => {}
             }
             if let Some(refusal) = run.retry(tried.len()).await {
