--- a/crates/daisyyard/src/lib.rs
+++ b/crates/daisyyard/src/lib.rs
@@ -3,7 +3,7 @@
 
 pub(crate) mod admin;
 pub(crate) mod admission;
-pub(crate) mod audit;
+pub mod audit;
 pub mod caller;
 pub mod calls;
 pub mod command;
--- a/crates/daisyyard/tests/fault_seeds.rs
+++ b/crates/daisyyard/tests/fault_seeds.rs
@@ -9,10 +9,11 @@
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
 }
 
-/// Faults on the association's fleet.
+/// Faults on the association's fleet; with seed 20 a node that had ended gave an engine that was
+/// leaving new work.
 #[tokio::test(flavor = "multi_thread")]
 async fn association_seed() {
-    holds("association", 2).await;
+    holds("association", 20).await;
 }
 
 /// Faults on the pigment works' fleet.
