--- a/crates/daisyyard/tests/burn_report.rs
+++ b/crates/daisyyard/tests/burn_report.rs
@@ -10,8 +10,8 @@
 
 use assert_matches::assert_matches;
 use daisyyard::revise::Outcome;
-use daisyyard_core::id;
 use daisyyard_core::preset::{Edit, Preset};
+use daisyyard_core::{burn, id};
 use daisyyard_standin::engine::Options;
 use daisyyard_standin::fault::Fault;
 use fleet::{COMPLETIONS, Fleet, MODEL, PLAIN};
@@ -109,11 +109,11 @@
 async fn alerts_refusals() {
     let fleet = Fleet::start(1, 1, fleet::timing()).await;
     fleet.fault(&Fault::Refuse { proof: true });
-    for _ in 0..4 {
+    for _ in 0..burn::LEAST_REQUESTS {
         fleet.ask(0, PROMPT).await;
     }
     let address = fleet.nodes[0].address;
-    counted(address, 4).await;
+    counted(address, burn::LEAST_REQUESTS).await;
     let (code, report) = json(&["--node", &address.to_string()]).await;
     let row = row(&report, "deferrable");
     assert_eq!(code, 1);
