Tell peers of planned stops and wait for written outcomes

Cause: a stopping node told only its callers. Peers kept it as a home and in their address answers until it fell silent, outcomes of calls could be lost at the exit, and POST /admin/drain answered 501.

Change: a planned stop sends View::leave to all peers at once. Leaving nodes are no homes, also while they are suspected after their end. Address answers follow the membership view instead of the instance list alone. Before the exit the node waits up to 10 s until calls::Count reports nothing unwritten, and logs DY0030 if that fails.

Conclusion: homes and callers move at the start of a stop instead of after its end. Running generations are not taken over by the new home yet.

--- a/crates/daisyyard/src/admin.rs
+++ b/crates/daisyyard/src/admin.rs
@@ -10,6 +10,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
+use tokio::sync::mpsc;
 use xtra::Address;
 
 use crate::document;
@@ -30,6 +31,8 @@
     peers: Address<Peer>,
     /// Changes the preset document.
     editor: Editor,
+    /// Orders a planned stop of the node.
+    stop: mpsc::Sender<()>,
 }
 
 impl Admin {
@@ -39,6 +42,7 @@
         operators: &[Credential],
         peers: Address<Peer>,
         editor: Editor,
+        stop: mpsc::Sender<()>,
     ) -> Self {
         let hashed = |c: &Credential| (hash(&c.token), c.name.clone());
         Self {
@@ -46,6 +50,7 @@
             name: name.to_owned(),
             peers,
             editor,
+            stop,
         }
     }
 
@@ -79,8 +84,9 @@
                 .await
             }
             (&Method::POST, "/admin/drain", _) => {
-                let error = "draining is not available yet; stop the process with SIGTERM";
-                failed(StatusCode::NOT_IMPLEMENTED, error)
+                // A full channel holds an earlier order of the same stop.
+                let _ = self.stop.try_send(());
+                found(&json!({"outcome": "accepted", "state": "leaving"}))
             }
             _ => failed(StatusCode::NOT_FOUND, "no such path"),
         }
--- a/crates/daisyyard/src/dispatch.rs
+++ b/crates/daisyyard/src/dispatch.rs
@@ -58,7 +58,7 @@
 #[derive(Debug)]
 pub(crate) struct Adopt(pub(crate) Vec<Endpoint>);
 
-/// Replaces the known instances that run nodes.
+/// Replaces the known instances that run nodes, with the states of the membership view.
 #[derive(Debug)]
 pub(crate) struct AdoptNodes(pub(crate) Vec<Instance>);
 
@@ -256,10 +256,7 @@
     type Return = ();
 
     async fn handle(&mut self, message: AdoptNodes, _: &mut Context<Self>) {
-        // An empty answer of the list is no evidence that all nodes are gone.
-        if !message.0.is_empty() {
-            self.nodes = message.0;
-        }
+        self.nodes = message.0;
     }
 }
 
--- a/crates/daisyyard/src/event.rs
+++ b/crates/daisyyard/src/event.rs
@@ -40,6 +40,8 @@
     SuspectRecorded = 26,
     /// The node was told to stop and finishes its requests.
     NodeLeaving = 27,
+    /// A planned stop ended before all outcomes of calls were written.
+    OutcomesUnwritten = 30,
     /// A member was found or is live or leaving now.
     MemberChanged = 50,
     /// A member is suspected to have failed.
--- a/crates/daisyyard/src/node.rs
+++ b/crates/daisyyard/src/node.rs
@@ -1,7 +1,7 @@
 //! One node: starts its tasks and stops them as planned.
 
 use std::net::SocketAddr;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use anyhow::Context;
 use daisyyard_core::drain::{Drain, Next};
@@ -10,12 +10,13 @@
 use daisyyard_core::preset::{Document, Edit, Preset};
 use daisyyard_core::zone::Zone;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio_util::task::TaskTracker;
 use xtra::{Address, Mailbox};
 
 use crate::admin::Admin;
+use crate::calls::{Calls, Count};
 use crate::event::{self, Event};
 use crate::front::Phase;
 use crate::generation::Actors;
@@ -25,6 +26,12 @@
 use crate::status::{self, Status};
 use crate::{admission, calls, dispatch, follow, front, peer, roster, store};
 
+/// Longest time that a planned stop waits for outcomes to be written. The configuration service may
+/// be down for long, and an outcome that is never written reads as unknown, which is still true.
+const WRITE_LIMIT: Duration = Duration::from_secs(10);
+/// Time between two checks for outcomes that are not written yet.
+const WRITE_CHECK: Duration = Duration::from_millis(50);
+
 /// A running node; dropping it ends its tasks at once.
 #[derive(Debug)]
 pub struct Node {
@@ -34,6 +41,10 @@
     pub peer: SocketAddr,
     /// Actor that owns the membership view and the preset document.
     peers: Address<peer::Peer>,
+    /// Actor that keeps the call registry.
+    calls: Address<Calls>,
+    /// Orders of operators to stop.
+    orders: mpsc::Receiver<()>,
     /// Changes the preset document.
     editor: Editor,
     /// Tasks of the node.
@@ -72,6 +83,7 @@
             document: built_in.clone(),
             key: settings.key.clone().into(),
             admission: admission.downgrade(),
+            dispatch: dispatch.downgrade(),
         };
         let (peers, watching, links) = peer::spawn(start, links, mailbox);
         let store = store::spawn(settings.store, rand::random());
@@ -86,11 +98,12 @@
         }
         let roster = roster::spawn(settings.list, targets);
         let requests = TaskTracker::new();
+        let calls = calls::spawn(settings.store);
         let actors = Actors {
             node,
             dispatch,
             admission,
-            calls: calls::spawn(settings.store),
+            calls: calls.clone(),
             signer: Signer::new(&settings.key),
             timing: settings.timing,
             tasks: requests.clone(),
@@ -101,7 +114,8 @@
             peers: peers.clone(),
         };
         let (name, operators) = (&settings.name, &settings.operators);
-        let admin = Admin::new(name, operators, peers.clone(), editor.clone());
+        let (stop, orders) = mpsc::channel(1);
+        let admin = Admin::new(name, operators, peers.clone(), editor.clone(), stop);
         let (phase, shown) = watch::channel(Phase::Serving);
         let front = front::spawn(listener, address, &settings, actors, shown, admin);
         event::emit(
@@ -112,6 +126,8 @@
             address,
             peer,
             peers,
+            calls,
+            orders,
             editor,
             tasks: vec![roster, links, follow],
             front,
@@ -121,9 +137,17 @@
         })
     }
 
-    /// Stops the node as planned: callers are told to leave, and every request is finished.
+    /// Waits until an operator orders a planned stop.
+    pub async fn ordered(&mut self) {
+        // The front holds the sender for as long as the node runs.
+        let _ = self.orders.recv().await;
+    }
+
+    /// Stops the node as planned: callers and peers are told to leave it, every request is
+    /// finished and every outcome is written.
     pub async fn drain(mut self) {
         event::emit(Event::NodeLeaving, &format!("address={}", self.address));
+        let _ = self.peers.send(peer::Leave).await;
         self.drain.order(Instant::now());
         loop {
             let open = usize::from(!self.front.is_finished()) + self.requests.len();
@@ -138,8 +162,24 @@
                     self.requests.close();
                     self.requests.wait().await;
                 }
-                Next::Serve | Next::Exit => return,
+                Next::Serve | Next::Exit => break,
+            }
+        }
+        self.settle().await;
+    }
+
+    /// Waits until the outcomes of calls are written, within a limit.
+    async fn settle(&self) {
+        let until = Instant::now() + WRITE_LIMIT;
+        while let Ok(stats) = self.calls.send(Count).await
+            && stats.unwritten > 0
+        {
+            if Instant::now() >= until {
+                let details = format!("unwritten={}", stats.unwritten);
+                event::emit(Event::OutcomesUnwritten, &details);
+                return;
             }
+            tokio::time::sleep(WRITE_CHECK).await;
         }
     }
 
@@ -169,13 +209,14 @@
     for warning in settings.warnings() {
         event::emit(Event::SettingDoubtful, &warning);
     }
-    let node = Node::start(settings).await?;
+    let mut node = Node::start(settings).await?;
     let address = node.address;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        () = node.ordered() => {}
     }
     node.drain().await;
     event::emit(Event::NodeStopped, &format!("address={address}"));
--- a/crates/daisyyard/src/peer.rs
+++ b/crates/daisyyard/src/peer.rs
@@ -17,6 +17,7 @@
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
 
 use crate::admission::{Admission, Enforce};
+use crate::dispatch::{AdoptNodes, Dispatch};
 use crate::document::Json;
 use crate::event::{self, Event};
 use crate::link::{self, Terms};
@@ -66,6 +67,8 @@
     pub(crate) watching: watch::Sender<bool>,
     /// Actor that takes the preset in force.
     pub(crate) admission: WeakAddress<Admission>,
+    /// Actor that tells callers the addresses of nodes.
+    pub(crate) dispatch: WeakAddress<Dispatch>,
     /// Traffic so far.
     pub(crate) traffic: Traffic,
 }
@@ -100,6 +103,10 @@
 #[derive(Debug)]
 pub(crate) struct Offer(pub(crate) Document);
 
+/// A planned stop was ordered.
+#[derive(Debug)]
+pub(crate) struct Leave;
+
 /// Time for the next heartbeat.
 #[derive(Debug)]
 struct Tick;
@@ -115,6 +122,8 @@
     pub(crate) key: Bytes,
     /// Actor that takes the preset in force.
     pub(crate) admission: WeakAddress<Admission>,
+    /// Actor that tells callers the addresses of nodes.
+    pub(crate) dispatch: WeakAddress<Dispatch>,
 }
 
 /// Starts the actor, its timer and the listener for other nodes.
@@ -142,6 +151,7 @@
         beats: 0,
         watching,
         admission: start.admission,
+        dispatch: start.dispatch,
         traffic: Traffic::default(),
     };
     tokio::spawn(xtra::run(mailbox, actor));
@@ -237,12 +247,8 @@
         let changes = self.view.changes();
         let gone = |change: &&Change| change.after == State::Gone;
         let gone = changes.iter().filter(gone).map(|change| change.id);
-        let homes = Homes {
-            nodes: self.view.homes().collect(),
-            gone: gone.collect(),
-        };
         if !changes.is_empty() {
-            let _ = self.admission.send(homes).detach().await;
+            self.tell(gone.collect()).await;
         }
         for change in changes {
             let event = match change.after {
@@ -260,6 +266,14 @@
             .send_if_modified(|watching| std::mem::replace(watching, watches) != watches);
     }
 
+    /// Tells the other actors which nodes may be homes and which addresses callers may use.
+    async fn tell(&self, gone: Vec<InstanceId>) {
+        let nodes = self.view.homes().collect();
+        let _ = self.admission.send(Homes { nodes, gone }).detach().await;
+        let nodes = AdoptNodes(self.view.all().cloned().collect());
+        let _ = self.dispatch.send(nodes).detach().await;
+    }
+
     /// Takes a document if it is newer than the one in force and tells the peers at once.
     pub(crate) async fn adopt(&mut self, document: Document, source: Source) {
         let json = Json::from(&document).0;
@@ -330,6 +344,16 @@
     }
 }
 
+impl Handler<Leave> for Peer {
+    type Return = ();
+
+    async fn handle(&mut self, _: Leave, _: &mut Context<Self>) {
+        self.view.leave();
+        self.push();
+        self.tell(Vec::new()).await;
+    }
+}
+
 impl Handler<Tick> for Peer {
     type Return = ();
 
--- a/crates/daisyyard/src/roster.rs
+++ b/crates/daisyyard/src/roster.rs
@@ -13,7 +13,7 @@
 use xtra::Address;
 
 use crate::admission::Admission;
-use crate::dispatch::{Adopt, AdoptNodes, Dispatch};
+use crate::dispatch::{Adopt, Dispatch};
 use crate::event::{self, Event};
 use crate::peer::{Peer, Seed};
 use crate::remote::Engines;
@@ -101,13 +101,11 @@
 impl Targets {
     /// Passes on what the list says; returns whether the node still runs.
     pub(crate) async fn take(&self, listing: Listing) -> bool {
-        let nodes = AdoptNodes(listing.nodes.clone());
-        let known = self.dispatch.send(nodes).await;
         let seeded = self.peer.send(Seed(listing.nodes)).await;
         let engines = Engines(listing.endpoints.clone());
         let learned = self.admission.send(engines).await;
         let adopted = self.dispatch.send(Adopt(listing.endpoints)).await;
-        known.is_ok() && seeded.is_ok() && learned.is_ok() && adopted.is_ok()
+        seeded.is_ok() && learned.is_ok() && adopted.is_ok()
     }
 }
 
--- /dev/null
+++ b/crates/daisyyard/tests/graceful_leave.rs
@@ -0,0 +1,182 @@
+//! Guards against planned stops that leave homes, callers or outcomes behind.
+
+mod cluster;
+
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+use assert_matches::assert_matches;
+use cluster::{Cluster, MODEL};
+use daisyyard::operator;
+use daisyyard_core::instance::State;
+use daisyyard_standin::list::Entry;
+use daisyyard_standin::outage::Plan;
+use daisyyard_standin::plain::Service;
+use daisyyard_standin::store::Store;
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+
+/// Account of the callers.
+const TOKEN: &str = "Bearer token-member-0001";
+
+/// Returns the addresses that a node tells its callers.
+async fn addresses(node: std::net::SocketAddr) -> Vec<String> {
+    let call = daisyyard_http::call(node, Method::GET, "/addresses", &[], "");
+    let (_, body) = call.await.expect("an answer");
+    let value: Value = serde_json::from_slice(&body).expect("JSON");
+    let listed = value["addresses"].as_array().expect("a list").iter();
+    let listed = listed.map(|one| one.as_str().expect("an address").to_owned());
+    listed.collect()
+}
+
+/// Makes a call with an idempotency key through a node.
+async fn pay(node: std::net::SocketAddr, key: &str) -> StatusCode {
+    let headers = [("authorization", TOKEN), ("idempotency-key", key)];
+    let path = "/services/libro-socios/payments";
+    let call = daisyyard_http::call(node, Method::POST, path, &headers, "body");
+    call.await.expect("an answer").0
+}
+
+/// Starts a plain endpoint on the list of a cluster.
+async fn plain(cluster: &Cluster) -> Service {
+    let service = Service::start().await.expect("a port is free");
+    let mut entries = cluster.list.entries();
+    entries.push(Entry {
+        service: "libro-socios".to_owned(),
+        ..cluster::entry("plain-0", "plain", 0, service.address, service.address)
+    });
+    cluster.list.show(entries);
+    service
+}
+
+/// Peers learn of a planned stop at once, by the node's own word: they hold it for leaving and
+/// stop answering callers with its address, although the instance list still shows it as live.
+#[tokio::test(flavor = "multi_thread")]
+async fn tells_peers() {
+    let mut cluster = Cluster::start(3, 0).await;
+    let node = cluster.nodes.remove(2);
+    let leaving = node.address.to_string();
+    for other in &cluster.nodes {
+        let listed = addresses(other.address).await;
+        assert!(listed.contains(&leaving), "{listed:?}");
+    }
+    let id = daisyyard_core::id::of("node-2");
+    let stop = tokio::spawn(node.drain());
+    let known = |status: &daisyyard::status::Status| {
+        let member = status.members.iter().find(|member| member.id == id);
+        member.is_some_and(|member| member.state == State::Leaving)
+    };
+    cluster.until(Duration::from_secs(1), known).await;
+    for other in &cluster.nodes {
+        let listed = addresses(other.address).await;
+        assert!(!listed.contains(&leaving), "{listed:?}");
+    }
+    stop.abort();
+}
+
+/// A stop waits for the configuration service to take the outcome of a call that was answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn writes_outcomes() {
+    let mut cluster = Cluster::start(0, 0).await;
+    let service = plain(&cluster).await;
+    let mut settings = cluster.settings(0);
+    settings.timing.addresses = Duration::from_millis(100);
+    let node = daisyyard::node::Node::start(settings).await;
+    let node = node.expect("the node starts");
+    let address = node.address;
+    assert_eq!(pay(address, "key-0").await, StatusCode::OK);
+    // The claim is written, and the outage begins before the outcome is.
+    let call = tokio::spawn(async move { pay(address, "key-1").await });
+    while service.runs().await.len() < 2 {
+        tokio::task::yield_now().await;
+    }
+    cluster.store.faults.set(Plan {
+        down: true,
+        ..Plan::default()
+    });
+    assert_eq!(call.await.expect("no panic"), StatusCode::OK);
+    let stop = tokio::spawn(node.drain());
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(!stop.is_finished(), "the outcome is not written yet");
+    cluster.store.faults.set(Plan::default());
+    let stopped = tokio::time::timeout(Duration::from_secs(9), stop).await;
+    stopped.expect("the node stops").expect("no panic");
+    // A second node replays the answer only if the outcome was written.
+    cluster.add().await;
+    assert_eq!(pay(cluster.nodes[0].address, "key-1").await, StatusCode::OK);
+    assert_eq!(service.runs().await.len(), 2);
+}
+
+/// A stop ends after a bounded time when the outcome can't be written.
+#[tokio::test(flavor = "multi_thread")]
+async fn bounded_wait() {
+    let cluster = Cluster::start(0, 0).await;
+    let service = plain(&cluster).await;
+    let mut settings = cluster.settings(0);
+    settings.timing.addresses = Duration::from_millis(100);
+    let node = daisyyard::node::Node::start(settings).await;
+    let node = node.expect("the node starts");
+    let address = node.address;
+    let call = tokio::spawn(async move { pay(address, "key-1").await });
+    while service.runs().await.is_empty() {
+        tokio::task::yield_now().await;
+    }
+    cluster.store.faults.set(Plan {
+        down: true,
+        ..Plan::default()
+    });
+    assert_eq!(call.await.expect("no panic"), StatusCode::OK);
+    let started = Instant::now();
+    let stopped = tokio::time::timeout(Duration::from_secs(14), node.drain()).await;
+    stopped.expect("the node stops");
+    assert!(started.elapsed() >= Duration::from_secs(9));
+}
+
+/// `daisyyard drain` ends the process of a node with exit code 0.
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_command() {
+    let list = daisyyard_standin::list::List::start(Vec::new()).await;
+    let list = list.expect("the list starts");
+    let store = Store::start().await.expect("the store starts");
+    let port = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = port.local_addr().expect("an address");
+    drop(port);
+    let settings = json!({
+        "name": "node-0", "zone": "costa-a", "region": "costa",
+        "listen": address, "peer": "127.0.0.1:0", "list": list.address, "store": store.address,
+        "key": "shared-cluster-key", "accounts": [{"account": "member-1", "token": "token-member-0001"}],
+        "operators": [{"operator": "ines", "token": "operator-token-0001"}],
+        "timing": {"addresses_ms": 200}, "services": [MODEL],
+    });
+    let path = std::env::temp_dir().join(format!("daisyyard-drain-{}.json", address.port()));
+    std::fs::write(&path, settings.to_string()).expect("a settings file");
+    let mut process = Command::new(env!("CARGO_BIN_EXE_daisyyard"))
+        .args(["serve", "--config"])
+        .arg(&path)
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the node starts");
+    while tokio::net::TcpStream::connect(address).await.is_err() {
+        let ended = process.try_wait().expect("the state of the process");
+        assert_matches!(ended, None, "the node did not start");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    std::fs::remove_file(&path).expect("the settings file is there");
+    let words = format!("drain --node {address} --token operator-token-0001");
+    let words: Vec<String> = words.split(' ').map(str::to_owned).collect();
+    let report = operator::execute(&words).await.expect("a known command");
+    assert_eq!((report.code, report.text.as_str()), (0, "draining"));
+    let until = Instant::now() + Duration::from_secs(20);
+    let code = loop {
+        if let Some(code) = process.try_wait().expect("the state of the process") {
+            break code;
+        }
+        if Instant::now() >= until {
+            process.kill().expect("the process ends");
+            panic!("the node did not stop");
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    };
+    assert!(code.success(), "{code}");
+}
--- a/crates/daisyyard_core/src/forward.rs
+++ b/crates/daisyyard_core/src/forward.rs
@@ -77,9 +77,10 @@
         }
     }
 
-    /// Returns the number of nodes that may be home of an engine.
+    /// Returns the number of nodes that share an engine, at least one: when all nodes are leaving,
+    /// none may be home of an engine.
     pub fn nodes(&self) -> usize {
-        self.homes.len()
+        self.homes.len().max(1)
     }
 
     /// Returns the home of an engine.
--- a/crates/daisyyard_core/src/member.rs
+++ b/crates/daisyyard_core/src/member.rs
@@ -58,6 +58,8 @@
     reported: State,
     /// Whether the instance list marks the instance as leaving.
     leaving: bool,
+    /// Whether the instance itself said that it leaves.
+    departing: bool,
     /// Last direct evidence that the instance is live.
     heard: Option<Instant>,
     /// Last news that the instance is live, directly or through peers.
@@ -114,12 +116,18 @@
         std::iter::once(&self.me).chain(others)
     }
 
-    /// Returns the nodes that may be home of an engine: those that are not gone, with this one.
+    /// Returns the nodes that may be home of an engine: those that are neither leaving nor gone.
     ///
-    /// A suspected node stays a home until it is gone, because a change of home costs capacity.
+    /// A suspected node stays a home until it is gone, because a change of home costs capacity. A
+    /// node that left is suspected for a while after it has ended, and must not become a home
+    /// again for that time.
     pub fn homes(&self) -> impl Iterator<Item = InstanceId> {
-        let usable = self.all().filter(|instance| instance.state != State::Gone);
-        usable.map(|instance| instance.id)
+        let stays = |member: &&Member| {
+            member.instance.state != State::Gone && !member.leaving && !member.departing
+        };
+        let others = self.members.values().filter(stays);
+        let me = (self.me.state == State::Live).then_some(self.me.id);
+        others.map(|member| member.instance.id).chain(me)
     }
 
     /// Returns the live nodes of a region, which share the watches of the configuration service.
@@ -373,10 +381,12 @@
             after: instance.state,
         });
         self.turn.push_back(instance.id);
+        let departing = instance.state == State::Leaving;
         let member = Member {
             reported: instance.state,
             instance,
             leaving: false,
+            departing,
             heard: None,
             news: now,
             since: now,
@@ -390,6 +400,11 @@
         let Some(member) = self.members.get_mut(&id) else {
             return;
         };
+        match state {
+            State::Live => member.departing = false,
+            State::Leaving => member.departing = true,
+            State::Suspected | State::Gone => {}
+        }
         if member.reported != state {
             member.reported = state;
             member.since = now;
--- a/crates/daisyyard_core/tests/member_view.rs
+++ b/crates/daisyyard_core/tests/member_view.rs
@@ -227,3 +227,22 @@
         prop_assert!(view.peers().len() <= MAX_PEERS);
     }
 }
+
+/// A node that leaves is no home from then on, neither in its own view nor while it is suspected
+/// after its end; otherwise the homes would move back to a node that has ended.
+#[test]
+fn left_is_no_home() {
+    let start = Instant::now();
+    let mut observer = view(2, start);
+    let mut subject = View::new(instance(1));
+    subject.hear(own(0), start);
+    let (me, other) = (instance(0).id, instance(1).id);
+    assert!(observer.homes().any(|id| id == other));
+    subject.leave();
+    assert_eq!(subject.homes().collect::<Vec<_>>(), [me]);
+    observer.hear(subject.introduction(), start);
+    assert_eq!(observer.homes().collect::<Vec<_>>(), [me]);
+    observer.tick(start + SUSPECT_AFTER);
+    assert_eq!(state(&observer, 1), Some(State::Suspected));
+    assert_eq!(observer.homes().collect::<Vec<_>>(), [me]);
+}
