Spread records of requests that crash engines to all nodes

Cause: each node kept its own register of suspects, so a request that crashed two engines through one node could crash more through every other node.

Change: dispatch has the peer actor send changed records over all links at once. A node passes on what says more than it knew; a later expiry alone is not passed on, because it shifts at each hop and would circulate for ever. A new link starts with all records. The frame is now Suspects, at most 256 records, below 16 KB; a record carries its key (account and content) and whether the request was alone, which the refusal depends on. frame_decode follows the new fields and checks the bound.

Requests sent through several nodes at the same moment are not isolated from each other by this.

--- a/crates/daisyyard/src/convert.rs
+++ b/crates/daisyyard/src/convert.rs
@@ -13,7 +13,8 @@
 
 use crate::generated::peer as raw;
 use crate::wire::{
-    Answer, Ask, Document, Error, Heartbeat, Hello, MAX_PROGRESS, Made, Message, Suspect, Verdict,
+    Answer, Ask, Document, Error, Heartbeat, Hello, MAX_PROGRESS, MAX_SUSPECTS, Made, Message,
+    Suspect, Verdict,
 };
 
 /// Longest name of an instance or a zone, in bytes.
@@ -49,11 +50,8 @@
                 request: made.request,
                 made: made.made,
             }),
-            Message::Suspect(suspect) => Body::Suspect(raw::Suspect {
-                account: suspect.account,
-                fingerprint: Bytes::copy_from_slice(&suspect.fingerprint.to_be_bytes()),
-                crashes: suspect.crashes,
-                age_ms: millis(suspect.age),
+            Message::Suspects(suspects) => Body::Suspects(raw::Suspects {
+                suspects: suspects.into_iter().map(Into::into).collect(),
             }),
         };
         Self { body: Some(body) }
@@ -91,15 +89,13 @@
                 request: release.request,
                 made: release.made,
             }),
-            Body::Suspect(suspect) => Self::Suspect(Suspect {
-                account: suspect.account,
-                fingerprint: Fingerprint::from_be_bytes(array(
-                    &suspect.fingerprint,
-                    "fingerprint",
-                )?),
-                crashes: suspect.crashes,
-                age: Duration::from_millis(suspect.age_ms.into()),
-            }),
+            Body::Suspects(list) if list.suspects.len() > MAX_SUSPECTS => {
+                return Err(Error::Field("suspects"));
+            }
+            Body::Suspects(list) => {
+                let suspects = list.suspects.into_iter().map(Suspect::try_from);
+                Self::Suspects(suspects.collect::<Result<_, _>>()?)
+            }
         })
     }
 }
@@ -293,6 +289,30 @@
     }
 }
 
+impl From<Suspect> for raw::Suspect {
+    fn from(suspect: Suspect) -> Self {
+        Self {
+            key: Bytes::copy_from_slice(&suspect.key.to_be_bytes()),
+            crashes: suspect.crashes,
+            alone: suspect.alone,
+            age_ms: millis(suspect.age),
+        }
+    }
+}
+
+impl TryFrom<raw::Suspect> for Suspect {
+    type Error = Error;
+
+    fn try_from(suspect: raw::Suspect) -> Result<Self, Error> {
+        Ok(Self {
+            key: Fingerprint::from_be_bytes(array(&suspect.key, "key")?),
+            crashes: suspect.crashes,
+            alone: suspect.alone,
+            age: Duration::from_millis(suspect.age_ms.into()),
+        })
+    }
+}
+
 /// Returns a time in milliseconds, at most what a field holds.
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
--- a/crates/daisyyard/src/dispatch.rs
+++ b/crates/daisyyard/src/dispatch.rs
@@ -5,7 +5,7 @@
 
 use daisyyard_core::budget::{self, Budget};
 use daisyyard_core::endpoint::{Endpoint, Kind, State};
-use daisyyard_core::id::{AccountId, EndpointId, Fingerprint, RequestId, ServiceId};
+use daisyyard_core::id::{AccountId, EndpointId, Fingerprint, InstanceId, RequestId, ServiceId};
 use daisyyard_core::instance::{self, Instance};
 use daisyyard_core::ledger::Digest;
 use daisyyard_core::link::{self, Link, Signal};
@@ -13,9 +13,11 @@
 use daisyyard_core::route::{Choice, Request, Table};
 use daisyyard_core::suspect::{Record, Register, Verdict};
 use daisyyard_core::zone::Zone;
-use xtra::{Actor, Address, Context, Handler, Mailbox};
+use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
 
 use crate::event::{self, Event};
+use crate::exchange::Spread;
+use crate::peer::Peer;
 
 /// Retries that each request of an account earns at a service.
 const RETRY_SHARE: f64 = 0.1;
@@ -39,6 +41,8 @@
     suspects: Register,
     /// Instances that run nodes.
     nodes: Vec<Instance>,
+    /// Actor that spreads the suspects.
+    peer: WeakAddress<Peer>,
 }
 
 /// Asks for an endpoint; the answer is the endpoint or the refusal.
@@ -93,9 +97,14 @@
 #[derive(Debug)]
 pub(crate) struct ReportSuspects;
 
-/// Passes on suspects of other nodes.
+/// Passes on suspects of another node.
 #[derive(Debug)]
-pub(crate) struct LearnSuspects(pub(crate) Vec<Record>);
+pub(crate) struct LearnSuspects {
+    /// Node that sent them.
+    pub(crate) from: InstanceId,
+    /// The suspects.
+    pub(crate) records: Vec<Record>,
+}
 
 /// Asks for the addresses that a caller should use; the node's own one is left out when it leaves.
 #[derive(Debug)]
@@ -116,7 +125,7 @@
 }
 
 /// Starts the actor.
-pub(crate) fn spawn(zone: Zone) -> Address<Dispatch> {
+pub(crate) fn spawn(zone: Zone, peer: WeakAddress<Peer>) -> Address<Dispatch> {
     let actor = Dispatch {
         table: Table::new(zone.clone()),
         zone,
@@ -125,6 +134,7 @@
         budget: Budget::new(),
         suspects: Register::new(),
         nodes: Vec::new(),
+        peer,
     };
     xtra::spawn_tokio(actor, Mailbox::unbounded())
 }
@@ -143,6 +153,16 @@
     }
 }
 
+impl Dispatch {
+    /// Has the peers told of suspects, but for the one that sent them.
+    async fn spread(&self, records: Vec<Record>, from: Option<InstanceId>) {
+        if !records.is_empty() {
+            let spread = Spread { records, from };
+            let _ = self.peer.send(spread).detach().await;
+        }
+    }
+}
+
 impl Handler<Route> for Dispatch {
     type Return = Target;
 
@@ -188,13 +208,15 @@
             self.suspects.end(endpoint, request);
             return;
         }
-        for record in self.suspects.crash(endpoint, request, Instant::now()) {
+        let records = self.suspects.crash(endpoint, request, Instant::now());
+        for record in &records {
             let details = format!(
                 "endpoint={endpoint:x} request={:x} crashes={} alone={}",
                 record.key, record.crashes, record.alone
             );
             event::emit(Event::SuspectRecorded, &details);
         }
+        self.spread(records, None).await;
     }
 }
 
@@ -300,8 +322,10 @@
 
     async fn handle(&mut self, message: LearnSuspects, _: &mut Context<Self>) {
         let now = Instant::now();
-        for record in message.0 {
-            self.suspects.learn(record, now);
-        }
+        let LearnSuspects { from, records } = message;
+        let learned = records.into_iter();
+        let learned = learned.filter_map(|record| self.suspects.learn(record, now));
+        let learned = learned.collect();
+        self.spread(learned, Some(from)).await;
     }
 }
--- a/crates/daisyyard/src/exchange.rs
+++ b/crates/daisyyard/src/exchange.rs
@@ -5,9 +5,11 @@
 use bytes::Bytes;
 use daisyyard_core::id::InstanceId;
 use daisyyard_core::preset::Document;
+use daisyyard_core::suspect::Record;
 use tokio::sync::mpsc;
 use xtra::{Context, Handler};
 
+use crate::dispatch::{LearnSuspects, ReportSuspects};
 use crate::document::Json;
 use crate::event::{self, Event};
 use crate::link;
@@ -55,6 +57,25 @@
     pub(crate) message: Message,
 }
 
+/// Tells the nodes with a link of suspects.
+#[derive(Debug)]
+pub(crate) struct Spread {
+    /// The suspects.
+    pub(crate) records: Vec<Record>,
+    /// Node that sent them, which is left out.
+    pub(crate) from: Option<InstanceId>,
+}
+
+/// Returns the frames that carry suspects.
+fn frames(records: &[Record]) -> Vec<Bytes> {
+    let now = Instant::now();
+    let suspect = |record: &Record| wire::Suspect::new(record, now);
+    let parts = records.chunks(wire::MAX_SUSPECTS);
+    parts
+        .map(|part| wire::encode(Message::Suspects(part.iter().map(suspect).collect())))
+        .collect()
+}
+
 impl Handler<Up> for Peer {
     type Return = bool;
 
@@ -84,6 +105,11 @@
         self.links.insert(node, link);
         let (sender, records) = (self.view.introduction(), self.view.records(true));
         self.beat(&[node], sender, records);
+        // The other end may have started after the last crash, or been out of reach since.
+        let suspects = self.dispatch.send(ReportSuspects).await;
+        for bytes in frames(&suspects.unwrap_or_default()) {
+            self.write(node, bytes);
+        }
         for bytes in self.waiting.remove(&node).unwrap_or_default() {
             self.write(node, bytes);
         }
@@ -157,12 +183,34 @@
                 let deliver = Deliver { node, message };
                 let _ = self.admission.send(deliver).detach().await;
             }
+            Message::Suspects(suspects) => {
+                let records = suspects.iter().map(|suspect| suspect.record(now)).collect();
+                let learn = LearnSuspects {
+                    from: node,
+                    records,
+                };
+                let _ = self.dispatch.send(learn).detach().await;
+            }
             // A greeting on an open link and a pull of a revision that is not held need no answer.
             _ => {}
         }
     }
 }
 
+impl Handler<Spread> for Peer {
+    type Return = ();
+
+    async fn handle(&mut self, message: Spread, _: &mut Context<Self>) {
+        let others = self.links.keys().copied();
+        let others: Vec<InstanceId> = others.filter(|id| Some(*id) != message.from).collect();
+        for bytes in frames(&message.records) {
+            for node in &others {
+                self.write(*node, bytes.clone());
+            }
+        }
+    }
+}
+
 impl Handler<Send> for Peer {
     type Return = ();
 
--- a/crates/daisyyard/src/node.rs
+++ b/crates/daisyyard/src/node.rs
@@ -67,12 +67,12 @@
         let address = listener.local_addr()?;
         let (links, peer) = peer::bind(settings.peer).await?;
         let zone = Zone::new(&settings.zone, &settings.region);
-        let dispatch = dispatch::spawn(zone.clone());
         let services: Vec<&str> = settings.services.iter().map(String::as_str).collect();
         let preset = Preset::ordinary(&services);
         let mailbox = Mailbox::unbounded();
         let node = id::of(&settings.name);
         let peers = mailbox.0.downgrade();
+        let dispatch = dispatch::spawn(zone.clone(), peers.clone());
         let admission = admission::spawn(node, preset.clone(), dispatch.clone(), peers);
         let mut me = Instance::new(&settings.name, zone, address, peer);
         // The time of the start orders the starts of one instance without any stored state.
--- a/crates/daisyyard/src/wire.rs
+++ b/crates/daisyyard/src/wire.rs
@@ -11,7 +11,7 @@
 use daisyyard_core::id::{
     AccountId, EndpointId, Fingerprint, InstanceId, RequestId, Revision, ServiceId, Tokens,
 };
-use daisyyard_core::ledger;
+use daisyyard_core::{ledger, suspect};
 use daisyyard_derive::{record, value};
 use prost::Message as _;
 use tokio_util::codec::LengthDelimitedCodec;
@@ -27,6 +27,8 @@
 pub const MAX_FRAME: usize = (1 << 20) + 1024;
 /// Most progress entries in one frame.
 pub const MAX_PROGRESS: usize = 4096;
+/// Most suspects in one frame, which keeps it below 16 KB.
+pub const MAX_SUSPECTS: usize = 256;
 /// Bytes of a challenge.
 pub const CHALLENGE: usize = 16;
 
@@ -51,8 +53,8 @@
     Progress(Vec<Made>),
     /// Ends a generation or withdraws a request.
     Release(Made),
-    /// Spreads a request that was in progress when an endpoint crashed.
-    Suspect(Suspect),
+    /// Spreads requests that were in progress when an endpoint crashed.
+    Suspects(Vec<Suspect>),
 }
 
 /// Opens a link.
@@ -150,12 +152,12 @@
 /// A request that was in progress when an endpoint crashed.
 #[value]
 pub struct Suspect {
-    /// Client account of the request.
-    pub account: AccountId,
-    /// Content of the request.
-    pub fingerprint: Fingerprint,
+    /// Account and content of the request.
+    pub key: Fingerprint,
     /// Crashes that the request was part of.
     pub crashes: u32,
+    /// Whether it was the only suspect at its second or a later crash.
+    pub alone: bool,
     /// Time since the last of them.
     pub age: Duration,
 }
@@ -205,6 +207,29 @@
     }
 }
 
+impl Suspect {
+    /// Creates the message for a record.
+    pub fn new(record: &suspect::Record, now: Instant) -> Self {
+        let left = record.expires.saturating_duration_since(now);
+        Self {
+            key: record.key,
+            crashes: record.crashes,
+            alone: record.alone,
+            age: suspect::EXPIRY.saturating_sub(left),
+        }
+    }
+
+    /// Returns the record as the register takes it.
+    pub fn record(&self, now: Instant) -> suspect::Record {
+        suspect::Record {
+            key: self.key,
+            crashes: self.crashes,
+            alone: self.alone,
+            expires: now + suspect::EXPIRY.saturating_sub(self.age),
+        }
+    }
+}
+
 /// Returns the codec that frames messages by their length.
 pub fn codec(limit: usize) -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
--- a/crates/daisyyard/tests/frame_decode.rs
+++ b/crates/daisyyard/tests/frame_decode.rs
@@ -75,7 +75,14 @@
         Just(Verdict::Wait),
         time().prop_map(|retry_after| Verdict::Refuse { retry_after }),
     ];
-    let suspect = (any::<u64>(), any::<u128>(), any::<u32>(), time());
+    let suspect = (any::<u128>(), any::<u32>(), any::<bool>(), time()).prop_map(
+        |(key, crashes, alone, age)| Suspect {
+            key,
+            crashes,
+            alone,
+            age,
+        },
+    );
     prop_oneof![
         any::<u64>().prop_map(Message::Pull),
         beat.prop_map(|(sender, revision, records)| Message::Heartbeat(Heartbeat {
@@ -111,14 +118,7 @@
         }),
         vec(made.clone(), 0..50).prop_map(Message::Progress),
         made.prop_map(Message::Release),
-        suspect.prop_map(
-            |(account, fingerprint, crashes, age)| Message::Suspect(Suspect {
-                account,
-                fingerprint,
-                crashes,
-                age,
-            })
-        ),
+        vec(suspect, 0..50).prop_map(Message::Suspects),
     ]
 }
 
@@ -196,3 +196,19 @@
     println!("heartbeat without records {none} B, with {MAX_RECORDS} records {all} B");
     assert!(all - none <= 24 * MAX_RECORDS);
 }
+
+/// A frame with more suspects than allowed is refused, and the largest one stays small.
+#[test]
+fn bounds_suspects() {
+    let suspect = Suspect {
+        key: u128::MAX,
+        crashes: u32::MAX,
+        alone: true,
+        age: Duration::from_mins(10),
+    };
+    let frame = |count: usize| wire::encode(Message::Suspects(vec![suspect.clone(); count]));
+    let largest = frame(wire::MAX_SUSPECTS);
+    assert!(largest.len() < 16 << 10, "{} bytes", largest.len());
+    wire::decode(largest).expect("a frame within the bound");
+    wire::decode(frame(wire::MAX_SUSPECTS + 1)).expect_err("too many suspects");
+}
--- a/crates/daisyyard_core/src/suspect.rs
+++ b/crates/daisyyard_core/src/suspect.rs
@@ -118,21 +118,26 @@
         self.records.values().filter(fresh).copied().collect()
     }
 
-    /// Takes a record of another node; the stronger evidence of the two is kept.
-    pub fn learn(&mut self, record: Record, now: Instant) {
+    /// Takes a record of another node; the stronger evidence of the two is kept. Returns the kept
+    /// record if it says more than the known one did and must be passed on.
+    ///
+    /// A later expiry alone is not passed on: it shifts by the delay of each hop, so that nodes
+    /// would pass the same record on for ever.
+    pub fn learn(&mut self, record: Record, now: Instant) -> Option<Record> {
         if record.expires <= now {
-            return;
+            return None;
         }
-        let known = self.record(record.key, now).unwrap_or(record);
-        self.insert(
-            Record {
-                key: record.key,
-                crashes: known.crashes.max(record.crashes),
-                alone: known.alone || record.alone,
-                expires: known.expires.max(record.expires).min(now + EXPIRY),
-            },
-            now,
-        );
+        let before = self.record(record.key, now);
+        let known = before.unwrap_or(record);
+        let kept = Record {
+            key: record.key,
+            crashes: known.crashes.max(record.crashes),
+            alone: known.alone || record.alone,
+            expires: known.expires.max(record.expires).min(now + EXPIRY),
+        };
+        self.insert(kept, now);
+        let same = |before: Record| (before.crashes, before.alone) == (kept.crashes, kept.alone);
+        (!before.is_some_and(same)).then_some(kept)
     }
 
     /// Counts one crash against a request; `single` says whether one suspect was there.
