Ask several engines for a request within its first-token target

Cause: a generation asked one engine and waited there until its deadline, 60 s by default. All nodes of a zone used the same subset of engines, because the table was built without the node's id, and the retry share was a constant.

Change: dispatch builds its table with Table::for_node and returns the patience of route::patience and the cached tokens with the endpoint. A generation asks up to ENGINES_ASKED engines; the ask at each one carries its own deadline and is released before the next. An answer that names an engine the request no longer waits at is ignored. Digests carry the time at which they were made, or received from another node, and are learned with their age. Dispatch takes the preset in force; the retry share is Terms.retries.

Conclusion: an urgent request is no longer bound to the first engine it asked. Cached tokens stay 0 until prompts have prefix fingerprints. The way of a digest between nodes is not part of its age.

--- a/crates/daisyyard/src/admission.rs
+++ b/crates/daisyyard/src/admission.rs
@@ -277,7 +277,8 @@
 
     /// Passes a digest on to the routing.
     pub(crate) async fn learn(&self, digest: ledger::Digest) {
-        let _ = self.dispatch.send(Learn(digest)).detach().await;
+        let made = Instant::now();
+        let _ = self.dispatch.send(Learn { digest, made }).detach().await;
     }
 
     /// Refuses requests that no home has decided on by their deadline.
--- a/crates/daisyyard/src/dispatch.rs
+++ b/crates/daisyyard/src/dispatch.rs
@@ -1,16 +1,19 @@
 //! The actor that routes requests to endpoints.
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use daisyyard_core::budget::{self, Budget};
 use daisyyard_core::endpoint::{Endpoint, Kind, State};
-use daisyyard_core::id::{AccountId, EndpointId, Fingerprint, InstanceId, RequestId, ServiceId};
+use daisyyard_core::id::{
+    AccountId, EndpointId, Fingerprint, InstanceId, RequestId, ServiceId, Tokens,
+};
 use daisyyard_core::instance::{self, Instance};
 use daisyyard_core::ledger::Digest;
 use daisyyard_core::link::{self, Link, Signal};
 use daisyyard_core::presence::{self, Presence};
-use daisyyard_core::route::{Choice, Request, Table};
+use daisyyard_core::preset::Preset;
+use daisyyard_core::route::{self, Choice, Request, Table};
 use daisyyard_core::suspect::{Record, Register, Verdict};
 use daisyyard_core::zone::Zone;
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
@@ -19,7 +22,7 @@
 use crate::exchange::Spread;
 use crate::peer::Peer;
 
-/// Retries that each request of an account earns at a service.
+/// Retries that each request of an account earns at a service that the preset does not name.
 const RETRY_SHARE: f64 = 0.1;
 /// Addresses that a caller is told.
 const MAX_ADDRESSES: usize = 3;
@@ -41,6 +44,8 @@
     suspects: Register,
     /// Instances that run nodes.
     nodes: Vec<Instance>,
+    /// Preset in force.
+    preset: Preset,
     /// Actor that spreads the suspects.
     peer: WeakAddress<Peer>,
 }
@@ -56,8 +61,14 @@
     pub(crate) kind: Kind,
     /// Endpoints that were tried before.
     pub(crate) tried: Vec<EndpointId>,
+    /// Engines that were asked for this admission before.
+    pub(crate) asked: usize,
 }
 
+/// Takes a preset into force.
+#[derive(Debug)]
+pub(crate) struct Adhere(pub(crate) Preset);
+
 /// Replaces the known endpoints.
 #[derive(Debug)]
 pub(crate) struct Adopt(pub(crate) Vec<Endpoint>);
@@ -68,7 +79,12 @@
 
 /// Passes on a digest from an engine's home.
 #[derive(Debug)]
-pub(crate) struct Learn(pub(crate) Digest);
+pub(crate) struct Learn {
+    /// The digest.
+    pub(crate) digest: Digest,
+    /// When it was made or, for that of another node, received.
+    pub(crate) made: Instant,
+}
 
 /// Asks for an endpoint by its identifier.
 #[derive(Debug)]
@@ -117,7 +133,15 @@
 #[derive(Debug)]
 pub(crate) enum Target {
     /// Ask the home of this endpoint.
-    Endpoint(Endpoint),
+    Endpoint {
+        /// The endpoint.
+        endpoint: Endpoint,
+        /// Prompt tokens that it is likely to have cached.
+        cached: Tokens,
+        /// Time after the request's arrival for which it waits there; none for a service that
+        /// the preset does not name.
+        patience: Option<Duration>,
+    },
     /// No endpoint of the service may receive work.
     Nowhere,
     /// The request crashed endpoints.
@@ -125,15 +149,21 @@
 }
 
 /// Starts the actor.
-pub(crate) fn spawn(zone: Zone, peer: WeakAddress<Peer>) -> Address<Dispatch> {
+pub(crate) fn spawn(
+    node: InstanceId,
+    zone: Zone,
+    preset: Preset,
+    peer: WeakAddress<Peer>,
+) -> Address<Dispatch> {
     let actor = Dispatch {
-        table: Table::new(zone.clone()),
+        table: Table::for_node(node, zone.clone()),
         zone,
         presence: Presence::new(),
         links: HashMap::new(),
         budget: Budget::new(),
         suspects: Register::new(),
         nodes: Vec::new(),
+        preset,
         peer,
     };
     xtra::spawn_tokio(actor, Mailbox::unbounded())
@@ -174,7 +204,9 @@
         }
         if message.tried.is_empty() {
             let (account, service) = (message.request.account, message.request.service);
-            self.budget.earn(account, service, RETRY_SHARE);
+            let terms = self.preset.terms.get(&service);
+            let share = terms.map_or(RETRY_SHARE, |terms| terms.retries);
+            self.budget.earn(account, service, share);
         }
         let choice = self.choose(&message, verdict == Verdict::Isolate, now);
         let Choice::Ask(id) = choice else {
@@ -185,12 +217,21 @@
         let Some(endpoint) = self.table.get(id).filter(suited).cloned() else {
             return Target::Nowhere;
         };
+        let cached = self.table.cached(&message.request, id);
         self.table.send(id, &message.request, now);
         self.suspects.start(id, message.request.id, message.key);
         if let Some(link) = self.links.get_mut(&id) {
             link.send(now);
         }
-        Target::Endpoint(endpoint)
+        let rank = message.request.rank;
+        let terms = self.preset.terms.get(&message.request.service);
+        let patience =
+            terms.map(|terms| route::patience(terms.contract(rank), rank, message.asked));
+        Target::Endpoint {
+            endpoint,
+            cached,
+            patience,
+        }
     }
 }
 
@@ -297,7 +338,17 @@
     type Return = ();
 
     async fn handle(&mut self, message: Learn, _: &mut Context<Self>) {
-        self.table.digest(message.0, Instant::now());
+        let now = Instant::now();
+        let age = now.saturating_duration_since(message.made);
+        self.table.learn(message.digest, age, now);
+    }
+}
+
+impl Handler<Adhere> for Dispatch {
+    type Return = ();
+
+    async fn handle(&mut self, message: Adhere, _: &mut Context<Self>) {
+        self.preset = message.0;
     }
 }
 
--- a/crates/daisyyard/src/generation.rs
+++ b/crates/daisyyard/src/generation.rs
@@ -1,15 +1,15 @@
 //! One task per generation: admission, attempts at engines, and the truthful end.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use daisyyard_core::attempt::{Attempt, Next, Outcome, Progress};
 use daisyyard_core::budget;
 use daisyyard_core::contract::Rank;
 use daisyyard_core::endpoint::{self, Endpoint};
-use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, Offset};
+use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, Offset, Tokens};
 use daisyyard_core::ledger;
 use daisyyard_core::link::Signal;
-use daisyyard_core::route::Request;
+use daisyyard_core::route::{ENGINES_ASKED, Request};
 use daisyyard_core::stream::{Cursor, Loss};
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::task::TaskTracker;
@@ -29,6 +29,11 @@
 
 /// Output tokens that are expected before any length is known.
 const EXPECTED_OUTPUT: u64 = 256;
+/// Time beyond its patience that a request waits for the refusal of a home, which names a better
+/// time to ask again.
+const ANSWER_GRACE: Duration = Duration::from_millis(100);
+/// Time after which asking again may help when no home named one.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Engines that one request is sent to at most.
 const MAX_ATTEMPTS: usize = 3;
 
@@ -121,39 +126,80 @@
         }
     }
 
-    /// Finds an engine that grants the request.
+    /// Finds an engine that grants the request, asking several if need be.
     async fn admit(
         &self,
         actors: &Actors,
         tried: &[EndpointId],
         caller: &mpsc::Sender<Delivery>,
     ) -> Result<Endpoint, Refusal> {
-        let route = Route {
-            request: self.request.clone(),
-            key: self.key,
-            kind: endpoint::Kind::Engine,
-            tried: tried.to_vec(),
-        };
-        let endpoint = match actors.dispatch.send(route).await {
-            Ok(Target::Endpoint(endpoint)) => endpoint,
-            Ok(Target::Suspected) => {
-                let message = "this request crashed engines; change it or ask again in 10 minutes";
-                return Err(Refusal::not_run(Kind::Suspected, message));
+        let arrived = Instant::now();
+        let mut tried = tried.to_vec();
+        let mut refused = None;
+        for asked in 0..ENGINES_ASKED {
+            let route = Route {
+                request: self.request.clone(),
+                key: self.key,
+                kind: endpoint::Kind::Engine,
+                tried: tried.clone(),
+                asked,
+            };
+            let (endpoint, cached, patience) = match actors.dispatch.send(route).await {
+                Ok(Target::Endpoint {
+                    endpoint,
+                    cached,
+                    patience,
+                }) => (endpoint, cached, patience),
+                Ok(Target::Suspected) => {
+                    let message =
+                        "this request crashed engines; change it or ask again in 10 minutes";
+                    return Err(Refusal::not_run(Kind::Suspected, message));
+                }
+                Ok(Target::Nowhere) | Err(_) => break,
+            };
+            let until = patience.map_or(self.deadline, |patience| arrived + patience);
+            let until = until.min(self.deadline);
+            let decision = self.ask(actors, &endpoint, cached, until, caller).await;
+            if decision == Some(Decision::Grant) {
+                return Ok(endpoint);
             }
-            Ok(Target::Nowhere) | Err(_) => {
-                let message = "no engine of this service may receive work; ask again later";
+            self.release(actors, endpoint.id, 0, false).await;
+            let Some(Decision::Refuse { retry_after }) = decision else {
+                let message = "the node is stopping; use another one";
                 return Err(Refusal::not_run(Kind::Overloaded, message));
+            };
+            let message = "the service is overloaded; ask again after retry_after_ms";
+            refused = Some(Refusal {
+                retry_after: Some(retry_after),
+                ..Refusal::not_run(Kind::Overloaded, message)
+            });
+            if Instant::now() >= self.deadline {
+                break;
             }
-        };
+            tried.push(endpoint.id);
+        }
+        let message = "no engine of this service may receive work; ask again later";
+        Err(refused.unwrap_or_else(|| Refusal::not_run(Kind::Overloaded, message)))
+    }
+
+    /// Asks for admission to one engine; no decision means that the caller or the node is gone.
+    async fn ask(
+        &self,
+        actors: &Actors,
+        endpoint: &Endpoint,
+        cached: Tokens,
+        until: Instant,
+        caller: &mpsc::Sender<Delivery>,
+    ) -> Option<Decision> {
         let terms = ledger::Ask {
             request: self.request.id,
             node: actors.node,
             account: self.request.account,
             rank: self.request.rank,
             prompt: self.request.prompt,
-            cached: 0,
+            cached,
             expected: EXPECTED_OUTPUT,
-            deadline: self.deadline,
+            deadline: until,
         };
         let (reply, decision) = oneshot::channel();
         let ask = admission::Ask {
@@ -162,24 +208,14 @@
             reply,
         };
         let _ = actors.admission.send(ask).await;
-        let decision = tokio::select! {
+        let limit = until + ANSWER_GRACE;
+        tokio::select! {
             decision = decision => decision.ok(),
             () = caller.closed() => None,
-        };
-        let refusal = match decision {
-            Some(Decision::Grant) => return Ok(endpoint),
-            Some(Decision::Refuse { retry_after }) => {
-                let message = "the service is overloaded; ask again after retry_after_ms";
-                let refusal = Refusal::not_run(Kind::Overloaded, message);
-                Refusal {
-                    retry_after: Some(retry_after),
-                    ..refusal
-                }
+            () = tokio::time::sleep_until(limit.into()) => {
+                Some(Decision::Refuse { retry_after: RETRY_AFTER })
             }
-            None => Refusal::not_run(Kind::Overloaded, "the node is stopping; use another one"),
-        };
-        self.release(actors, endpoint.id, 0, false).await;
-        Err(refusal)
+        }
     }
 
     /// Gives back what the generation held.
--- a/crates/daisyyard/src/node.rs
+++ b/crates/daisyyard/src/node.rs
@@ -72,7 +72,7 @@
         let mailbox = Mailbox::unbounded();
         let node = id::of(&settings.name);
         let peers = mailbox.0.downgrade();
-        let dispatch = dispatch::spawn(zone.clone(), peers.clone());
+        let dispatch = dispatch::spawn(node, zone.clone(), preset.clone(), peers.clone());
         let admission = admission::spawn(node, preset.clone(), dispatch.clone(), peers);
         let mut me = Instance::new(&settings.name, zone, address, peer);
         // The time of the start orders the starts of one instance without any stored state.
--- a/crates/daisyyard/src/peer.rs
+++ b/crates/daisyyard/src/peer.rs
@@ -17,7 +17,7 @@
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
 
 use crate::admission::{Admission, Enforce};
-use crate::dispatch::{AdoptNodes, Dispatch};
+use crate::dispatch::{Adhere, AdoptNodes, Dispatch};
 use crate::document::Json;
 use crate::event::{self, Event};
 use crate::link::{self, Terms};
@@ -287,6 +287,7 @@
         let details = format!("revision={} preset={}", document.revision, document.current);
         event::emit(Event::ConfigAdopted, &details);
         if let Some(preset) = document.in_force().cloned() {
+            let _ = self.dispatch.send(Adhere(preset.clone())).detach().await;
             let _ = self.admission.send(Enforce(preset)).detach().await;
         }
         self.push();
--- a/crates/daisyyard/src/plain.rs
+++ b/crates/daisyyard/src/plain.rs
@@ -233,9 +233,10 @@
                 key: id::fingerprint(self.routed.account, &self.content()),
                 kind: endpoint::Kind::Plain,
                 tried: tried.clone(),
+                asked: 0,
             };
             let endpoint = match actors.dispatch.send(route).await {
-                Ok(Target::Endpoint(endpoint)) => endpoint,
+                Ok(Target::Endpoint { endpoint, .. }) => endpoint,
                 Ok(Target::Suspected) => {
                     let message = "this call crashed endpoints; change it or wait 10 minutes";
                     return Err(refuse(Kind::Suspected, message, &attempt));
--- a/crates/daisyyard/src/remote.rs
+++ b/crates/daisyyard/src/remote.rs
@@ -76,6 +76,12 @@
         if let Some(digest) = answer.digest {
             self.learn(digest).await;
         }
+        let asked = self.waiting.get(&request).map(|ask| ask.endpoint.id);
+        if endpoint.is_some() && asked.is_some() && endpoint != asked {
+            // The request was withdrawn from this engine and waits at another one now; the
+            // withdrawal is on its way and ends a grant.
+            return;
+        }
         if answer.verdict == Verdict::Wait {
             self.desk.queued(request, node);
             return;
