Expect output lengths that the node has seen

Cause: every request for admission named 256 expected output tokens, whatever lengths the service, rank and account had produced.

Change: dispatch keeps a length::Estimator, fed by generations that became whole, and returns the median with the chosen engine; it goes into Ask::expected. The home keeps adding its own margin.

Conclusion: homes get an estimate that follows the measured lengths of the node that asks. A node learns only from generations that it finished itself.

--- a/crates/daisyyard/src/dispatch.rs
+++ b/crates/daisyyard/src/dispatch.rs
@@ -10,6 +10,7 @@
 };
 use daisyyard_core::instance::{self, Instance};
 use daisyyard_core::ledger::Digest;
+use daisyyard_core::length::{self, Estimator, Kind as Class};
 use daisyyard_core::link::{self, Link, Signal};
 use daisyyard_core::presence::{self, Presence};
 use daisyyard_core::preset::Preset;
@@ -24,6 +25,8 @@
 
 /// Retries that each request of an account earns at a service that the preset does not name.
 const RETRY_SHARE: f64 = 0.1;
+/// Quantile of the known output lengths that a home is told to expect; the home adds its own margin.
+const EXPECTED_QUANTILE: f64 = 0.5;
 /// Addresses that a caller is told.
 const MAX_ADDRESSES: usize = 3;
 
@@ -44,6 +47,8 @@
     suspects: Register,
     /// Instances that run nodes.
     nodes: Vec<Instance>,
+    /// Output lengths of the generations of this node.
+    lengths: Estimator,
     /// Preset in force.
     preset: Preset,
     /// Actor that spreads the suspects.
@@ -105,6 +110,15 @@
     pub(crate) crashed: bool,
 }
 
+/// Reports the output length of a generation that is whole.
+#[derive(Debug)]
+pub(crate) struct Finished {
+    /// Service, rank and account of the request.
+    pub(crate) class: Class,
+    /// Output tokens.
+    pub(crate) length: Tokens,
+}
+
 /// Asks for a retry within the budget of an account at a service.
 #[derive(Debug)]
 pub(crate) struct Retry(pub(crate) AccountId, pub(crate) ServiceId);
@@ -138,6 +152,8 @@
         endpoint: Endpoint,
         /// Prompt tokens that it is likely to have cached.
         cached: Tokens,
+        /// Output tokens that are expected.
+        expected: Tokens,
         /// Time after the request's arrival for which it waits there; none for a service that
         /// the preset does not name.
         patience: Option<Duration>,
@@ -163,6 +179,7 @@
         budget: Budget::new(),
         suspects: Register::new(),
         nodes: Vec::new(),
+        lengths: Estimator::new(),
         preset,
         peer,
     };
@@ -227,9 +244,17 @@
         let terms = self.preset.terms.get(&message.request.service);
         let patience =
             terms.map(|terms| route::patience(terms.contract(rank), rank, message.asked));
+        let class = Class {
+            service: message.request.service,
+            rank,
+            account: message.request.account,
+        };
+        let quantile = EXPECTED_QUANTILE;
+        let expected = self.lengths.total(class, 0, quantile, length::DEFAULT, now);
         Target::Endpoint {
             endpoint,
             cached,
+            expected,
             patience,
         }
     }
@@ -344,6 +369,15 @@
     }
 }
 
+impl Handler<Finished> for Dispatch {
+    type Return = ();
+
+    async fn handle(&mut self, message: Finished, _: &mut Context<Self>) {
+        let Finished { class, length } = message;
+        self.lengths.observe(class, length, Instant::now());
+    }
+}
+
 impl Handler<Adhere> for Dispatch {
     type Return = ();
 
--- a/crates/daisyyard/src/generation.rs
+++ b/crates/daisyyard/src/generation.rs
@@ -8,6 +8,7 @@
 use daisyyard_core::endpoint::{self, Endpoint};
 use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, Offset, Tokens};
 use daisyyard_core::ledger;
+use daisyyard_core::length;
 use daisyyard_core::link::Signal;
 use daisyyard_core::route::{ENGINES_ASKED, Request};
 use daisyyard_core::stream::{Cursor, Loss};
@@ -19,7 +20,7 @@
 use crate::calls::Calls;
 use crate::completion::Completion;
 use crate::delivery::Delivery;
-use crate::dispatch::{Dispatch, Done, Observe, Retry, Route, Target};
+use crate::dispatch::{Dispatch, Done, Finished, Observe, Retry, Route, Target};
 use crate::event::{self, Event};
 use crate::reader::{End, Reader};
 use crate::refusal::{Kind, Refusal};
@@ -27,8 +28,6 @@
 use crate::signature::Signer;
 use crate::upstream::{self, Error};
 
-/// Output tokens that are expected before any length is known.
-const EXPECTED_OUTPUT: u64 = 256;
 /// Time beyond its patience that a request waits for the refusal of a home, which names a better
 /// time to ask again.
 const ANSWER_GRACE: Duration = Duration::from_millis(100);
@@ -111,7 +110,11 @@
             self.release(&actors, endpoint.id, run.cursor.next(), crashed)
                 .await;
             match end {
-                End::Whole | End::Unread => return,
+                End::Whole => {
+                    self.finished(&actors, run.cursor.next()).await;
+                    return;
+                }
+                End::Unread => return,
                 End::Answered(status) => {
                     let message = Error::Answered(status).to_string();
                     let _ = caller.send(run.refuse(Kind::Rejected, message)).await;
@@ -144,12 +147,13 @@
                 tried: tried.clone(),
                 asked,
             };
-            let (endpoint, cached, patience) = match actors.dispatch.send(route).await {
+            let (endpoint, terms, patience) = match actors.dispatch.send(route).await {
                 Ok(Target::Endpoint {
                     endpoint,
                     cached,
+                    expected,
                     patience,
-                }) => (endpoint, cached, patience),
+                }) => (endpoint, self.terms(actors, cached, expected), patience),
                 Ok(Target::Suspected) => {
                     let message =
                         "this request crashed engines; change it or ask again in 10 minutes";
@@ -159,7 +163,11 @@
             };
             let until = patience.map_or(self.deadline, |patience| arrived + patience);
             let until = until.min(self.deadline);
-            let decision = self.ask(actors, &endpoint, cached, until, caller).await;
+            let terms = ledger::Ask {
+                deadline: until,
+                ..terms
+            };
+            let decision = self.ask(actors, &endpoint, terms, caller).await;
             if decision == Some(Decision::Grant) {
                 return Ok(endpoint);
             }
@@ -187,20 +195,10 @@
         &self,
         actors: &Actors,
         endpoint: &Endpoint,
-        cached: Tokens,
-        until: Instant,
+        terms: ledger::Ask,
         caller: &mpsc::Sender<Delivery>,
     ) -> Option<Decision> {
-        let terms = ledger::Ask {
-            request: self.request.id,
-            node: actors.node,
-            account: self.request.account,
-            rank: self.request.rank,
-            prompt: self.request.prompt,
-            cached,
-            expected: EXPECTED_OUTPUT,
-            deadline: until,
-        };
+        let limit = terms.deadline + ANSWER_GRACE;
         let (reply, decision) = oneshot::channel();
         let ask = admission::Ask {
             endpoint: endpoint.clone(),
@@ -208,7 +206,6 @@
             reply,
         };
         let _ = actors.admission.send(ask).await;
-        let limit = until + ANSWER_GRACE;
         tokio::select! {
             decision = decision => decision.ok(),
             () = caller.closed() => None,
@@ -218,6 +215,30 @@
         }
     }
 
+    /// Returns the request for admission to an engine.
+    fn terms(&self, actors: &Actors, cached: Tokens, expected: Tokens) -> ledger::Ask {
+        ledger::Ask {
+            request: self.request.id,
+            node: actors.node,
+            account: self.request.account,
+            rank: self.request.rank,
+            prompt: self.request.prompt,
+            cached,
+            expected,
+            deadline: self.deadline,
+        }
+    }
+
+    /// Reports the length of the generation, which is whole.
+    async fn finished(&self, actors: &Actors, length: Tokens) {
+        let class = length::Kind {
+            service: self.request.service,
+            rank: self.request.rank,
+            account: self.request.account,
+        };
+        let _ = actors.dispatch.send(Finished { class, length }).await;
+    }
+
     /// Gives back what the generation held.
     async fn release(&self, actors: &Actors, endpoint: EndpointId, made: u64, crashed: bool) {
         let request = self.request.id;
