--- a/crates/daisyyard/src/admission.rs
+++ b/crates/daisyyard/src/admission.rs
@@ -135,12 +135,7 @@
     fn share(&mut self, endpoint: &Endpoint, now: Instant) -> Option<&mut Ledger> {
         let terms = self.preset.terms.get(&endpoint.service)?;
         let nodes = self.desk.nodes();
-        let create = || {
-            let mut part = endpoint.clone();
-            part.slots = (part.slots / nodes as u32).max(1);
-            part.memory = (part.memory / nodes as u64).max(1);
-            Ledger::new(&part, terms.clone(), now)
-        };
+        let create = || Ledger::local(endpoint, terms.clone(), nodes as u32, now);
         Some(self.shares.entry(endpoint.id).or_insert_with(create))
     }
 
