--- a/crates/daisyyard/src/admission.rs
+++ b/crates/daisyyard/src/admission.rs
@@ -135,12 +135,7 @@
     fn share(&mut self, endpoint: &Endpoint, now: Instant) -> Option<&mut Ledger> {
         let terms = self.preset.terms.get(&endpoint.service)?;
         let nodes = self.desk.nodes();
-        let create = || {
-            let mut part = endpoint.clone();
-            part.slots = (part.slots / nodes as u32).max(1);
-            part.memory = (part.memory / nodes as u64).max(1);
-            Ledger::new(&part, terms.clone(), now)
-        };
+        let create = || Ledger::local(endpoint, terms.clone(), nodes as u32, now);
         Some(self.shares.entry(endpoint.id).or_insert_with(create))
     }
 
@@ -277,7 +272,8 @@
 
     /// Passes a digest on to the routing.
     pub(crate) async fn learn(&self, digest: ledger::Digest) {
-        let _ = self.dispatch.send(Learn(digest)).detach().await;
+        let made = Instant::now();
+        let _ = self.dispatch.send(Learn { digest, made }).detach().await;
     }
 
     /// Refuses requests that no home has decided on by their deadline.
--- a/crates/daisyyard/src/dispatch.rs
+++ b/crates/daisyyard/src/dispatch.rs
@@ -1,24 +1,32 @@
 //! The actor that routes requests to endpoints.
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use daisyyard_core::budget::{self, Budget};
 use daisyyard_core::endpoint::{Endpoint, Kind, State};
-use daisyyard_core::id::{AccountId, EndpointId, Fingerprint, RequestId, ServiceId};
+use daisyyard_core::id::{
+    AccountId, EndpointId, Fingerprint, InstanceId, RequestId, ServiceId, Tokens,
+};
 use daisyyard_core::instance::{self, Instance};
 use daisyyard_core::ledger::Digest;
+use daisyyard_core::length::{self, Estimator, Kind as Class};
 use daisyyard_core::link::{self, Link, Signal};
 use daisyyard_core::presence::{self, Presence};
-use daisyyard_core::route::{Choice, Request, Table};
+use daisyyard_core::preset::Preset;
+use daisyyard_core::route::{self, Choice, Request, Table};
 use daisyyard_core::suspect::{Record, Register, Verdict};
 use daisyyard_core::zone::Zone;
-use xtra::{Actor, Address, Context, Handler, Mailbox};
+use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
 
 use crate::event::{self, Event};
+use crate::exchange::Spread;
+use crate::peer::Peer;
 
-/// Retries that each request of an account earns at a service.
+/// Retries that each request of an account earns at a service that the preset does not name.
 const RETRY_SHARE: f64 = 0.1;
+/// Quantile of the known output lengths that a home is told to expect; the home adds its own margin.
+const EXPECTED_QUANTILE: f64 = 0.5;
 /// Addresses that a caller is told.
 const MAX_ADDRESSES: usize = 3;
 
@@ -39,6 +47,12 @@
     suspects: Register,
     /// Instances that run nodes.
     nodes: Vec<Instance>,
+    /// Output lengths of the generations of this node.
+    lengths: Estimator,
+    /// Preset in force.
+    preset: Preset,
+    /// Actor that spreads the suspects.
+    peer: WeakAddress<Peer>,
 }
 
 /// Asks for an endpoint; the answer is the endpoint or the refusal.
@@ -52,19 +66,30 @@
     pub(crate) kind: Kind,
     /// Endpoints that were tried before.
     pub(crate) tried: Vec<EndpointId>,
+    /// Engines that were asked for this admission before.
+    pub(crate) asked: usize,
 }
 
+/// Takes a preset into force.
+#[derive(Debug)]
+pub(crate) struct Adhere(pub(crate) Preset);
+
 /// Replaces the known endpoints.
 #[derive(Debug)]
 pub(crate) struct Adopt(pub(crate) Vec<Endpoint>);
 
-/// Replaces the known instances that run nodes.
+/// Replaces the known instances that run nodes, with the states of the membership view.
 #[derive(Debug)]
 pub(crate) struct AdoptNodes(pub(crate) Vec<Instance>);
 
 /// Passes on a digest from an engine's home.
 #[derive(Debug)]
-pub(crate) struct Learn(pub(crate) Digest);
+pub(crate) struct Learn {
+    /// The digest.
+    pub(crate) digest: Digest,
+    /// When it was made or, for that of another node, received.
+    pub(crate) made: Instant,
+}
 
 /// Asks for an endpoint by its identifier.
 #[derive(Debug)]
@@ -85,6 +110,15 @@
     pub(crate) crashed: bool,
 }
 
+/// Reports the output length of a generation that is whole.
+#[derive(Debug)]
+pub(crate) struct Finished {
+    /// Service, rank and account of the request.
+    pub(crate) class: Class,
+    /// Output tokens.
+    pub(crate) length: Tokens,
+}
+
 /// Asks for a retry within the budget of an account at a service.
 #[derive(Debug)]
 pub(crate) struct Retry(pub(crate) AccountId, pub(crate) ServiceId);
@@ -93,9 +127,14 @@
 #[derive(Debug)]
 pub(crate) struct ReportSuspects;
 
-/// Passes on suspects of other nodes.
+/// Passes on suspects of another node.
 #[derive(Debug)]
-pub(crate) struct LearnSuspects(pub(crate) Vec<Record>);
+pub(crate) struct LearnSuspects {
+    /// Node that sent them.
+    pub(crate) from: InstanceId,
+    /// The suspects.
+    pub(crate) records: Vec<Record>,
+}
 
 /// Asks for the addresses that a caller should use; the node's own one is left out when it leaves.
 #[derive(Debug)]
@@ -108,7 +147,17 @@
 #[derive(Debug)]
 pub(crate) enum Target {
     /// Ask the home of this endpoint.
-    Endpoint(Endpoint),
+    Endpoint {
+        /// The endpoint.
+        endpoint: Endpoint,
+        /// Prompt tokens that it is likely to have cached.
+        cached: Tokens,
+        /// Output tokens that are expected.
+        expected: Tokens,
+        /// Time after the request's arrival for which it waits there; none for a service that
+        /// the preset does not name.
+        patience: Option<Duration>,
+    },
     /// No endpoint of the service may receive work.
     Nowhere,
     /// The request crashed endpoints.
@@ -116,15 +165,23 @@
 }
 
 /// Starts the actor.
-pub(crate) fn spawn(zone: Zone) -> Address<Dispatch> {
+pub(crate) fn spawn(
+    node: InstanceId,
+    zone: Zone,
+    preset: Preset,
+    peer: WeakAddress<Peer>,
+) -> Address<Dispatch> {
     let actor = Dispatch {
-        table: Table::new(zone.clone()),
+        table: Table::for_node(node, zone.clone()),
         zone,
         presence: Presence::new(),
         links: HashMap::new(),
         budget: Budget::new(),
         suspects: Register::new(),
         nodes: Vec::new(),
+        lengths: Estimator::new(),
+        preset,
+        peer,
     };
     xtra::spawn_tokio(actor, Mailbox::unbounded())
 }
@@ -143,6 +200,16 @@
     }
 }
 
+impl Dispatch {
+    /// Has the peers told of suspects, but for the one that sent them.
+    async fn spread(&self, records: Vec<Record>, from: Option<InstanceId>) {
+        if !records.is_empty() {
+            let spread = Spread { records, from };
+            let _ = self.peer.send(spread).detach().await;
+        }
+    }
+}
+
 impl Handler<Route> for Dispatch {
     type Return = Target;
 
@@ -154,7 +221,9 @@
         }
         if message.tried.is_empty() {
             let (account, service) = (message.request.account, message.request.service);
-            self.budget.earn(account, service, RETRY_SHARE);
+            let terms = self.preset.terms.get(&service);
+            let share = terms.map_or(RETRY_SHARE, |terms| terms.retries);
+            self.budget.earn(account, service, share);
         }
         let choice = self.choose(&message, verdict == Verdict::Isolate, now);
         let Choice::Ask(id) = choice else {
@@ -165,12 +234,29 @@
         let Some(endpoint) = self.table.get(id).filter(suited).cloned() else {
             return Target::Nowhere;
         };
+        let cached = self.table.cached(&message.request, id);
         self.table.send(id, &message.request, now);
         self.suspects.start(id, message.request.id, message.key);
         if let Some(link) = self.links.get_mut(&id) {
             link.send(now);
         }
-        Target::Endpoint(endpoint)
+        let rank = message.request.rank;
+        let terms = self.preset.terms.get(&message.request.service);
+        let patience =
+            terms.map(|terms| route::patience(terms.contract(rank), rank, message.asked));
+        let class = Class {
+            service: message.request.service,
+            rank,
+            account: message.request.account,
+        };
+        let quantile = EXPECTED_QUANTILE;
+        let expected = self.lengths.total(class, 0, quantile, length::DEFAULT, now);
+        Target::Endpoint {
+            endpoint,
+            cached,
+            expected,
+            patience,
+        }
     }
 }
 
@@ -188,13 +274,15 @@
             self.suspects.end(endpoint, request);
             return;
         }
-        for record in self.suspects.crash(endpoint, request, Instant::now()) {
+        let records = self.suspects.crash(endpoint, request, Instant::now());
+        for record in &records {
             let details = format!(
                 "endpoint={endpoint:x} request={:x} crashes={} alone={}",
                 record.key, record.crashes, record.alone
             );
             event::emit(Event::SuspectRecorded, &details);
         }
+        self.spread(records, None).await;
     }
 }
 
@@ -256,10 +344,7 @@
     type Return = ();
 
     async fn handle(&mut self, message: AdoptNodes, _: &mut Context<Self>) {
-        // An empty answer of the list is no evidence that all nodes are gone.
-        if !message.0.is_empty() {
-            self.nodes = message.0;
-        }
+        self.nodes = message.0;
     }
 }
 
@@ -278,7 +363,26 @@
     type Return = ();
 
     async fn handle(&mut self, message: Learn, _: &mut Context<Self>) {
-        self.table.digest(message.0, Instant::now());
+        let now = Instant::now();
+        let age = now.saturating_duration_since(message.made);
+        self.table.learn(message.digest, age, now);
+    }
+}
+
+impl Handler<Finished> for Dispatch {
+    type Return = ();
+
+    async fn handle(&mut self, message: Finished, _: &mut Context<Self>) {
+        let Finished { class, length } = message;
+        self.lengths.observe(class, length, Instant::now());
+    }
+}
+
+impl Handler<Adhere> for Dispatch {
+    type Return = ();
+
+    async fn handle(&mut self, message: Adhere, _: &mut Context<Self>) {
+        self.preset = message.0;
     }
 }
 
@@ -303,8 +407,10 @@
 
     async fn handle(&mut self, message: LearnSuspects, _: &mut Context<Self>) {
         let now = Instant::now();
-        for record in message.0 {
-            self.suspects.learn(record, now);
-        }
+        let LearnSuspects { from, records } = message;
+        let learned = records.into_iter();
+        let learned = learned.filter_map(|record| self.suspects.learn(record, now));
+        let learned = learned.collect();
+        self.spread(learned, Some(from)).await;
     }
 }
--- a/crates/daisyyard/src/generation.rs
+++ b/crates/daisyyard/src/generation.rs
@@ -1,16 +1,17 @@
 //! One task per generation: admission, attempts at engines, and the truthful end.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use daisyyard_core::attempt::{Attempt, Next, Outcome, Progress};
 use daisyyard_core::budget;
 use daisyyard_core::burn;
 use daisyyard_core::contract::Rank;
 use daisyyard_core::endpoint::{self, Endpoint};
-use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, Offset};
+use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, Offset, Tokens};
 use daisyyard_core::ledger;
+use daisyyard_core::length;
 use daisyyard_core::link::Signal;
-use daisyyard_core::route::Request;
+use daisyyard_core::route::{ENGINES_ASKED, Request};
 use daisyyard_core::stream::{Cursor, Loss};
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::task::TaskTracker;
@@ -20,7 +21,7 @@
 use crate::calls::Calls;
 use crate::completion::Completion;
 use crate::delivery::Delivery;
-use crate::dispatch::{Dispatch, Done, Observe, Retry, Route, Target};
+use crate::dispatch::{Dispatch, Done, Finished, Observe, Retry, Route, Target};
 use crate::event::{self, Event};
 use crate::measure::Metrics;
 use crate::meter::Meter;
@@ -31,8 +32,11 @@
 use crate::track::Track;
 use crate::upstream::{self, Error};
 
-/// Output tokens that are expected before any length is known.
-const EXPECTED_OUTPUT: u64 = 256;
+/// Time beyond its patience that a request waits for the refusal of a home, which names a better
+/// time to ask again.
+const ANSWER_GRACE: Duration = Duration::from_millis(100);
+/// Time after which asking again may help when no home named one.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Engines that one request is sent to at most.
 const MAX_ATTEMPTS: usize = 3;
 
@@ -131,7 +135,10 @@
             self.release(actors, endpoint.id, run.cursor.next(), crashed)
                 .await;
             match end {
-                End::Whole => return burn::End::Whole,
+                End::Whole => {
+                    self.finished(actors, run.cursor.next()).await;
+                    return burn::End::Whole;
+                }
                 End::Unread => return burn::End::Left,
                 End::Answered(status) => {
                     let message = Error::Answered(status).to_string();
@@ -154,40 +161,76 @@
         }
     }
 
-    /// Finds an engine that grants the request.
+    /// Finds an engine that grants the request, asking several if need be.
     async fn admit(
         &self,
         actors: &Actors,
         tried: &[EndpointId],
         caller: &mpsc::Sender<Delivery>,
     ) -> Result<Endpoint, Refusal> {
-        let route = Route {
-            request: self.request.clone(),
-            key: self.key,
-            kind: endpoint::Kind::Engine,
-            tried: tried.to_vec(),
-        };
-        let endpoint = match actors.dispatch.send(route).await {
-            Ok(Target::Endpoint(endpoint)) => endpoint,
-            Ok(Target::Suspected) => {
-                let message = "this request crashed engines; change it or ask again in 10 minutes";
-                return Err(Refusal::not_run(Kind::Suspected, message));
+        let arrived = Instant::now();
+        let mut tried = tried.to_vec();
+        let mut refused = None;
+        for asked in 0..ENGINES_ASKED {
+            let route = Route {
+                request: self.request.clone(),
+                key: self.key,
+                kind: endpoint::Kind::Engine,
+                tried: tried.clone(),
+                asked,
+            };
+            let (endpoint, terms, patience) = match actors.dispatch.send(route).await {
+                Ok(Target::Endpoint {
+                    endpoint,
+                    cached,
+                    expected,
+                    patience,
+                }) => (endpoint, self.terms(actors, cached, expected), patience),
+                Ok(Target::Suspected) => {
+                    let message =
+                        "this request crashed engines; change it or ask again in 10 minutes";
+                    return Err(Refusal::not_run(Kind::Suspected, message));
+                }
+                Ok(Target::Nowhere) | Err(_) => break,
+            };
+            let until = patience.map_or(self.deadline, |patience| arrived + patience);
+            let until = until.min(self.deadline);
+            let terms = ledger::Ask {
+                deadline: until,
+                ..terms
+            };
+            let decision = self.ask(actors, &endpoint, terms, caller).await;
+            if decision == Some(Decision::Grant) {
+                return Ok(endpoint);
             }
-            Ok(Target::Nowhere) | Err(_) => {
-                let message = "no engine of this service may receive work; ask again later";
+            self.release(actors, endpoint.id, 0, false).await;
+            let Some(Decision::Refuse { retry_after }) = decision else {
+                let message = "the node is stopping; use another one";
                 return Err(Refusal::not_run(Kind::Overloaded, message));
+            };
+            let message = "the service is overloaded; ask again after retry_after_ms";
+            refused = Some(Refusal {
+                retry_after: Some(retry_after),
+                ..Refusal::not_run(Kind::Overloaded, message)
+            });
+            if Instant::now() >= self.deadline {
+                break;
             }
-        };
-        let terms = ledger::Ask {
-            request: self.request.id,
-            node: actors.node,
-            account: self.request.account,
-            rank: self.request.rank,
-            prompt: self.request.prompt,
-            cached: 0,
-            expected: EXPECTED_OUTPUT,
-            deadline: self.deadline,
-        };
+            tried.push(endpoint.id);
+        }
+        let message = "no engine of this service may receive work; ask again later";
+        Err(refused.unwrap_or_else(|| Refusal::not_run(Kind::Overloaded, message)))
+    }
+
+    /// Asks for admission to one engine; no decision means that the caller or the node is gone.
+    async fn ask(
+        &self,
+        actors: &Actors,
+        endpoint: &Endpoint,
+        terms: ledger::Ask,
+        caller: &mpsc::Sender<Delivery>,
+    ) -> Option<Decision> {
+        let limit = terms.deadline + ANSWER_GRACE;
         let (reply, decision) = oneshot::channel();
         let ask = admission::Ask {
             endpoint: endpoint.clone(),
@@ -195,24 +238,37 @@
             reply,
         };
         let _ = actors.admission.send(ask).await;
-        let decision = tokio::select! {
+        tokio::select! {
             decision = decision => decision.ok(),
             () = caller.closed() => None,
-        };
-        let refusal = match decision {
-            Some(Decision::Grant) => return Ok(endpoint),
-            Some(Decision::Refuse { retry_after }) => {
-                let message = "the service is overloaded; ask again after retry_after_ms";
-                let refusal = Refusal::not_run(Kind::Overloaded, message);
-                Refusal {
-                    retry_after: Some(retry_after),
-                    ..refusal
-                }
+            () = tokio::time::sleep_until(limit.into()) => {
+                Some(Decision::Refuse { retry_after: RETRY_AFTER })
             }
-            None => Refusal::not_run(Kind::Overloaded, "the node is stopping; use another one"),
+        }
+    }
+
+    /// Returns the request for admission to an engine.
+    fn terms(&self, actors: &Actors, cached: Tokens, expected: Tokens) -> ledger::Ask {
+        ledger::Ask {
+            request: self.request.id,
+            node: actors.node,
+            account: self.request.account,
+            rank: self.request.rank,
+            prompt: self.request.prompt,
+            cached,
+            expected,
+            deadline: self.deadline,
+        }
+    }
+
+    /// Reports the length of the generation, which is whole.
+    async fn finished(&self, actors: &Actors, length: Tokens) {
+        let class = length::Kind {
+            service: self.request.service,
+            rank: self.request.rank,
+            account: self.request.account,
         };
-        self.release(actors, endpoint.id, 0, false).await;
-        Err(refusal)
+        let _ = actors.dispatch.send(Finished { class, length }).await;
     }
 
     /// Gives back what the generation held.
