--- a/crates/daisyyard/src/experiment.rs
+++ b/crates/daisyyard/src/experiment.rs
@@ -9,15 +9,18 @@
 use daisyyard_lab::bench::Policy;
 use daisyyard_lab::deployment::Deployment;
 use daisyyard_lab::experiment::Experiment;
-use daisyyard_lab::{plot, spread};
+use daisyyard_lab::{plot, scale, spread};
 use getopts::{Matches, Options};
 use serde_json::{Value, json};
 
+use crate::frame_size;
+
 /// Help of the command.
 const HELP: &str = "\
 Usage: daisyyard experiment NAME --deployment NAME --seed N [--policy POLICY] [--json]
        daisyyard experiment NAME --deployment NAME --seeds FIRST..LAST [--policy POLICY] [--json]
        daisyyard experiment plot NAME --deployment NAME --seed N --out FILE.svg
+       daisyyard experiment scale [--json]
        daisyyard experiment list";
 
 /// Seed that is used if none is given.
@@ -41,6 +44,7 @@
     let free: Vec<&str> = matches.free.iter().map(String::as_str).collect();
     match free[..] {
         ["list"] => list()?,
+        ["scale"] => slopes(matches.opt_present("json"))?,
         ["plot", name] => draw(&matches, &experiment(name)?)?,
         [name] => measure(&matches, &experiment(name)?)?,
         _ => return Err(anyhow!("name one experiment; {}", names())),
@@ -57,6 +61,18 @@
     Ok(())
 }
 
+/// Measures how processor time and memory grow with the size of the system.
+fn slopes(json: bool) -> anyhow::Result<()> {
+    let mut report = scale::measure()?;
+    report.series.extend(frame_size::measure()?);
+    if json {
+        writeln!(io::stdout(), "{}", serde_json::to_string_pretty(&report)?)?;
+    } else {
+        scale::print(&report, io::stdout().lock())?;
+    }
+    Ok(())
+}
+
 /// Draws an experiment under all policies.
 fn draw(matches: &Matches, experiment: &Experiment) -> anyhow::Result<()> {
     let file = matches.opt_str("out");
--- a/crates/daisyyard/src/lib.rs
+++ b/crates/daisyyard/src/lib.rs
@@ -16,6 +16,7 @@
 pub(crate) mod exchange;
 pub(crate) mod experiment;
 pub(crate) mod follow;
+pub(crate) mod frame_size;
 pub(crate) mod front;
 pub(crate) mod generated;
 pub(crate) mod generation;
--- /dev/null
+++ b/crates/daisyyard_lab/src/probe.rs
@@ -0,0 +1,86 @@
+//! Measures the processor time of an operation and the resident memory of a state.
+
+use std::fs;
+use std::hint::black_box;
+use std::thread;
+
+use anyhow::Context;
+
+/// Measurements of which the median counts, because other work shares the machine.
+pub const REPEATS: usize = 5;
+/// Shortest processor time of one measurement, in nanoseconds.
+const LEAST_TIME: u64 = 20_000_000;
+/// Least growth of the resident memory in one measurement; smaller growth is lost in pages.
+const LEAST_BYTES: u64 = 8 << 20;
+/// Pages that the kernel may not have counted yet are few against this many copies at once.
+const COPIES: usize = 16;
+
+/// Returns the processor time of one call in nanoseconds.
+pub fn time(mut operation: impl FnMut()) -> anyhow::Result<f64> {
+    let mut calls = 16_u64;
+    while spent(calls, &mut operation)? < LEAST_TIME {
+        calls *= 2;
+    }
+    let mut samples = Vec::new();
+    for _ in 0..REPEATS {
+        samples.push(spent(calls, &mut operation)? as f64 / calls as f64);
+    }
+    Ok(median(samples))
+}
+
+/// Returns the resident bytes of one copy of a state.
+///
+/// The copies are never freed, so that no later measurement reuses their pages.
+pub fn bytes<T>(mut make: impl FnMut() -> T) -> anyhow::Result<f64> {
+    let mut samples = Vec::new();
+    for _ in 0..REPEATS {
+        let (before, mut copies) = (resident()?, 0);
+        let mut grown = 0;
+        while grown < LEAST_BYTES {
+            for _ in 0..COPIES {
+                std::mem::forget(black_box(make()));
+            }
+            copies += COPIES;
+            grown = resident()?.saturating_sub(before);
+        }
+        samples.push(grown as f64 / copies as f64);
+    }
+    Ok(median(samples))
+}
+
+/// Returns the median; of an even number of samples the upper one.
+pub fn median(mut samples: Vec<f64>) -> f64 {
+    samples.sort_by(f64::total_cmp);
+    samples.get(samples.len() / 2).copied().unwrap_or(f64::NAN)
+}
+
+/// Returns the processor time of a number of calls in nanoseconds.
+fn spent(calls: u64, operation: &mut impl FnMut()) -> anyhow::Result<u64> {
+    let before = used()?;
+    for _ in 0..calls {
+        operation();
+    }
+    Ok(used()? - before)
+}
+
+/// Returns the processor time of this thread so far in nanoseconds.
+fn used() -> anyhow::Result<u64> {
+    // The kernel brings the figure up to date when the thread gives up the processor.
+    thread::yield_now();
+    let file = "/proc/thread-self/schedstat";
+    let text = fs::read_to_string(file).context("processor time needs Linux's schedstat")?;
+    let first = text.split_whitespace().next().unwrap_or_default();
+    first
+        .parse()
+        .with_context(|| format!("{file} is malformed"))
+}
+
+/// Returns the resident bytes of this process.
+fn resident() -> anyhow::Result<u64> {
+    let file = "/proc/self/smaps_rollup";
+    let text = fs::read_to_string(file).context("resident memory needs Linux's smaps_rollup")?;
+    let line = text.lines().find_map(|line| line.strip_prefix("Rss:"));
+    let kib = line.and_then(|line| line.trim().strip_suffix("kB"));
+    let kib = kib.and_then(|kib| kib.trim().parse::<u64>().ok());
+    Ok(kib.with_context(|| format!("{file} is malformed"))? << 10)
+}
--- /dev/null
+++ b/crates/daisyyard_lab/src/scale.rs
@@ -0,0 +1,108 @@
+//! Slopes of processor time and memory against the size of the system; `docs/CAPACITY.md` uses
+//! them.
+
+use std::io::{self, Write};
+
+use daisyyard_derive::record;
+use serde::Serialize;
+
+use crate::fit::Fit;
+use crate::probe::REPEATS;
+use crate::{scale_call, scale_entry, scale_home, scale_member};
+
+/// One quantity measured at several sizes.
+#[record]
+#[derive(Serialize)]
+pub struct Series {
+    /// What was measured.
+    pub name: &'static str,
+    /// What the size counts.
+    pub axis: &'static str,
+    /// Unit of the values.
+    pub unit: &'static str,
+    /// Sizes with the median at each.
+    pub points: Vec<(f64, f64)>,
+    /// Line through the points.
+    pub fit: Option<Fit>,
+}
+
+/// All series.
+#[record]
+#[derive(Serialize)]
+pub struct Report {
+    /// Measurements of which each value is the median.
+    pub repeats: usize,
+    /// The series.
+    pub series: Vec<Series>,
+}
+
+impl Series {
+    /// Measures a quantity at each size.
+    pub fn measure(
+        name: &'static str,
+        axis: &'static str,
+        unit: &'static str,
+        sizes: &[u64],
+        mut value: impl FnMut(u64) -> anyhow::Result<f64>,
+    ) -> anyhow::Result<Self> {
+        let mut points = Vec::new();
+        for size in sizes {
+            points.push((*size as f64, value(*size)?));
+        }
+        let fit = Fit::new(&points);
+        Ok(Self {
+            name,
+            axis,
+            unit,
+            points,
+            fit,
+        })
+    }
+}
+
+/// Measures all series of the decisions; memory first, before other state is freed and reused.
+pub fn measure() -> anyhow::Result<Report> {
+    let mut series = scale_entry::memory()?;
+    series.extend(scale_home::memory()?);
+    series.extend(scale_call::memory()?);
+    series.extend(scale_member::memory()?);
+    series.extend(scale_entry::time()?);
+    series.extend(scale_home::time()?);
+    series.extend(scale_call::time()?);
+    series.extend(scale_member::time()?);
+    Ok(Report {
+        repeats: REPEATS,
+        series,
+    })
+}
+
+/// Prints a report as a table in Markdown.
+pub fn print(report: &Report, mut out: impl Write) -> io::Result<()> {
+    writeln!(
+        out,
+        "| quantity | unit | axis | size: value | slope | intercept | residual |"
+    )?;
+    writeln!(out, "|---|---|---|---|---:|---:|---:|")?;
+    for series in &report.series {
+        let points = series.points.iter();
+        let points: Vec<String> = points.map(|(x, y)| format!("{x}: {y:.0}")).collect();
+        let line = series.fit.map_or_else(
+            || "- | - | -".to_owned(),
+            |fit| {
+                format!(
+                    "{:.3} | {:.0} | {:.0}",
+                    fit.slope, fit.intercept, fit.residual
+                )
+            },
+        );
+        writeln!(
+            out,
+            "| {} | {} | {} | {} | {line} |",
+            series.name,
+            series.unit,
+            series.axis,
+            points.join(", ")
+        )?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daisyyard_lab/src/scale_member.rs
@@ -0,0 +1,108 @@
+//! Cost of membership: the view of all nodes, its heartbeats and its ticks.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use daisyyard_core::gossip::Record;
+use daisyyard_core::instance::{Instance, State};
+use daisyyard_core::member::{MAX_RECORDS, View};
+
+use crate::probe;
+use crate::scale::Series;
+use crate::scale_entry::zone;
+use crate::scale_home::NODES;
+
+/// Returns a node of the target size.
+fn node(number: u64) -> Instance {
+    let host = [10, 1, (number >> 8) as u8, number as u8];
+    let (callers, peers) = ((host, 8_000).into(), (host, 9_000).into());
+    Instance::new(&format!("node-{number}"), zone(number), callers, peers)
+}
+
+/// Returns the view of one node once all changes were sent.
+fn view(nodes: u64, now: Instant) -> View {
+    let mut view = View::new(node(0));
+    view.seed((1..nodes).map(node), now);
+    view.changes();
+    for _ in 0..nodes {
+        view.records(false);
+    }
+    view
+}
+
+/// Measures resident memory.
+pub(crate) fn memory() -> anyhow::Result<Vec<Series>> {
+    let now = Instant::now();
+    let series = Series::measure("membership view", "nodes", "B", &NODES, |size| {
+        probe::bytes(|| view(size, now))
+    })?;
+    Ok(vec![series])
+}
+
+/// Measures processor time.
+pub(crate) fn time() -> anyhow::Result<Vec<Series>> {
+    let now = Instant::now();
+    Ok(vec![
+        Series::measure("heartbeat taken in", "nodes", "ns", &NODES, |size| {
+            let mut view = view(size, now);
+            let records = records(size, now);
+            let mut number = 0;
+            probe::time(|| {
+                for record in records.iter().cycle().skip(number).take(MAX_RECORDS) {
+                    black_box(view.learn(record.clone(), now));
+                }
+                number = (number + MAX_RECORDS) % records.len();
+            })
+        })?,
+        Series::measure("heartbeat records made", "nodes", "ns", &NODES, |size| {
+            let mut view = view(size, now);
+            probe::time(|| {
+                black_box(view.records(false));
+            })
+        })?,
+        Series::measure("membership tick", "nodes", "ns", &NODES, |size| {
+            let mut view = view(size, now);
+            probe::time(|| view.tick(now))
+        })?,
+        Series::measure("choice of peers", "nodes", "ns", &NODES, |size| {
+            let view = view(size, now);
+            probe::time(|| {
+                black_box(view.peers());
+            })
+        })?,
+        Series::measure("a sixth of the nodes lost", "nodes", "ns", &NODES, |size| {
+            let full = view(size, now);
+            let lost: Vec<Record> = records(size, now)
+                .into_iter()
+                .step_by(6)
+                .map(|record| Record {
+                    state: State::Gone,
+                    ..record
+                })
+                .collect();
+            let later = now + Duration::from_secs(10);
+            let copy = probe::time(|| {
+                black_box(full.clone());
+            })?;
+            let whole = probe::time(|| {
+                let mut view = full.clone();
+                for record in &lost {
+                    black_box(view.learn(record.clone(), later));
+                }
+                black_box(view.changes());
+            })?;
+            Ok(whole - copy)
+        })?,
+    ])
+}
+
+/// Returns a record of each other node, as a peer sends it.
+fn records(nodes: u64, now: Instant) -> Vec<Record> {
+    let mut view = view(nodes, now);
+    let mut records = Vec::new();
+    while records.len() + 1 < nodes as usize {
+        records.extend(view.records(false));
+    }
+    records.truncate(nodes as usize - 1);
+    records
+}
--- /dev/null
+++ b/crates/daisyyard_lab/tests/scale_fit.rs
@@ -0,0 +1,32 @@
+//! The least-squares line through measured points.
+
+use daisyyard_lab::fit::Fit;
+
+/// Guards against a wrong slope or intercept: points on a line give that line without residual.
+#[test]
+fn exact_line() {
+    let points = [11.0, 100.0, 400.0, 930.0].map(|size| (size, 50.0 + 0.25 * size));
+    let fit = Fit::new(&points).expect("sizes differ");
+    assert!((fit.slope - 0.25).abs() < 1e-9, "{fit:?}");
+    assert!((fit.intercept - 50.0).abs() < 1e-9, "{fit:?}");
+    assert!(fit.residual < 1e-9, "{fit:?}");
+    assert!((fit.at(2_000.0) - 550.0).abs() < 1e-6, "{fit:?}");
+}
+
+/// Guards against a residual that hides curvature.
+#[test]
+fn residual_of_scatter() {
+    let points = [(0.0, 1.0), (1.0, -1.0), (2.0, -1.0), (3.0, 1.0)];
+    let fit = Fit::new(&points).expect("sizes differ");
+    assert!(fit.slope.abs() < 1e-9, "{fit:?}");
+    assert!(fit.intercept.abs() < 1e-9, "{fit:?}");
+    assert!((fit.residual - 1.0).abs() < 1e-9, "{fit:?}");
+}
+
+/// Guards against a division by zero when all sizes are the same or there is one point.
+#[test]
+fn no_line_through_one_size() {
+    assert_eq!(Fit::new(&[]), None);
+    assert_eq!(Fit::new(&[(5.0, 1.0)]), None);
+    assert_eq!(Fit::new(&[(5.0, 1.0), (5.0, 2.0)]), None);
+}
