--- a/crates/daisyyard/src/lib.rs
+++ b/crates/daisyyard/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod faults;
 pub mod fleet;
 pub(crate) mod follow;
+pub(crate) mod frame_size;
 pub(crate) mod front;
 pub(crate) mod generated;
 pub(crate) mod generation;
