Tell unknown, not not_run, for keyed calls that the registry cannot judge

Cause: a repeat of a keyed call at another node in an outage of the configuration service was told not_run, although the first call with the key may have run; a caller could take that for leave to book again with a new key. Change: an unconfirmed claim is refused with outcome unknown; only a registry that was read and is full says not_run. The fault runs count a not_run after an attempt that may have run. Tests lost_write::down and plain_service::holds_keyed now demand unknown, which is stricter towards the promise. Conclusion: not_run is told only when the registry shows that no earlier call may have run.

--- a/crates/daisyyard/examples/claim_rate.rs
+++ b/crates/daisyyard/examples/claim_rate.rs
@@ -72,7 +72,7 @@
         let (end, took) = run?;
         let name = match end {
             Final::Answer(..) => "answered",
-            Final::Unavailable => "refused not_run",
+            Final::Unavailable => "refused unknown",
             _ => "other",
         };
         let histogram = latency.entry(name).or_insert(Histogram::new(3)?);
--- a/crates/daisyyard/src/calls.rs
+++ b/crates/daisyyard/src/calls.rs
@@ -90,7 +90,10 @@
     Unknown,
     /// The key was used with another body.
     KeyReused,
-    /// The claim could not be confirmed; nothing was or will be sent for it.
+    /// The registry is full and holds no record of the key; nothing was sent for it.
+    Full,
+    /// The claim could not be confirmed. Nothing was or will be sent for it, but an earlier call
+    /// with the same key may have run.
     Unavailable,
 }
 
@@ -411,7 +414,8 @@
         Next::Replay(answer) => Verdict::Replay(answer),
         Next::Unknown => Verdict::Unknown,
         Next::Refuse(Reason::KeyReused) => Verdict::KeyReused,
-        Next::Refuse(Reason::Full) | Next::Write => Verdict::Unavailable,
+        Next::Refuse(Reason::Full) => Verdict::Full,
+        Next::Refuse(Reason::Busy) | Next::Write => Verdict::Unavailable,
     }
 }
 
--- a/crates/daisyyard/src/command.rs
+++ b/crates/daisyyard/src/command.rs
@@ -32,7 +32,14 @@
     let (name, rest) = arguments
         .split_first()
         .map_or(("help", &[][..]), |(n, r)| (n.as_str(), r));
+    let asks = rest
+        .iter()
+        .any(|argument| argument == "--help" || argument == "-h");
     let result = match name {
+        "serve" | "check" | "try" | "verify" if asks => {
+            print!("{}", help(name));
+            Ok(ExitCode::SUCCESS)
+        }
         "serve" => serve(rest),
         "check" => check(rest),
         "try" => attempt(rest),
@@ -56,6 +63,38 @@
     })
 }
 
+/// Returns the help of a command.
+fn help(name: &str) -> &'static str {
+    match name {
+        "serve" => {
+            "Usage: daisyyard serve --config FILE\n\n\
+             Runs a node until SIGTERM or SIGINT, which start a planned stop: no request in\n\
+             progress is cut off. FILE is JSON with comments; examples/node.jsonc is a sample.\n\n\
+             Exit codes: 0 after a planned stop, 2 if the settings are at fault.\n"
+        }
+        "check" => {
+            "Usage: daisyyard check FILE\n\n\
+             Lists every fault of a settings file with its line, key, what was found, what was\n\
+             expected and an example.\n\n\
+             Exit codes: 0 if there is none, 2 otherwise.\n"
+        }
+        "try" => {
+            "Usage: daisyyard try [--deployment association|pit-works] [--keep]\n\
+             \x20      daisyyard try --faults [--seed N] [--deployment association|pit-works]\n\n\
+             Runs three nodes and stand-ins for the platform on loopback and checks the promises.\n\
+             --keep leaves the fleet running and prints commands that work on it; --faults runs\n\
+             callers for about 10 s while parts of the fleet fail at times drawn from the seed.\n\n\
+             Exit codes: 0 if every promise that was checked held, 1 if not, 2 for wrong usage.\n"
+        }
+        _ => {
+            "Usage: daisyyard verify [--json]\n\n\
+             Explores small specifications of the core protocols and prints, for each invariant,\n\
+             the states, the depth, the time, and whether broken variants were rejected.\n\n\
+             Exit codes: 0 if all invariants hold and all broken variants are rejected, else 1.\n"
+        }
+    }
+}
+
 /// Runs a node until it is told to stop.
 fn serve(arguments: &[String]) -> anyhow::Result<ExitCode> {
     let mut options = Options::new();
--- a/crates/daisyyard/src/faults.rs
+++ b/crates/daisyyard/src/faults.rs
@@ -279,6 +279,14 @@
     if ran > 0 && replies.iter().all(quiet) {
         fault("not_run: told of a call that ran");
     }
+    if let Some(last) = replies.iter().rposition(denied) {
+        let doubt = !replies[..last].iter().all(quiet);
+        let later = replies[last..].iter();
+        let answered = later.filter(|reply| matches!(reply, Reply::Answered(..)));
+        if ran > 0 && doubt && answered.count() == 0 {
+            fault("not_run: told after an attempt that may have run");
+        }
+    }
     let mut answers = replies.iter().filter_map(|reply| match reply {
         Reply::Answered(status, body) => Some((status, body)),
         _ => None,
--- a/crates/daisyyard/src/once.rs
+++ b/crates/daisyyard/src/once.rs
@@ -30,7 +30,10 @@
     Unknown,
     /// The key was used with another body.
     KeyReused,
-    /// The call registry could not confirm the claim; nothing was sent.
+    /// The call registry is full and holds no record of the key; nothing was sent.
+    Full,
+    /// The call registry could not confirm the claim. Nothing was sent for this call, but an
+    /// earlier one with the same key may have run.
     Unavailable,
 }
 
@@ -39,8 +42,8 @@
     pub fn outcome(&self) -> Outcome {
         match self {
             Self::Answer(..) | Self::Replay(..) | Self::NotKept(_) => Outcome::Run,
-            Self::Unknown => Outcome::Unknown,
-            Self::NotSent(_) | Self::KeyReused | Self::Unavailable => Outcome::NotRun,
+            Self::Unknown | Self::Unavailable => Outcome::Unknown,
+            Self::NotSent(_) | Self::KeyReused | Self::Full => Outcome::NotRun,
         }
     }
 }
@@ -75,6 +78,7 @@
         }
         Verdict::Unknown => return Final::Unknown,
         Verdict::KeyReused => return Final::KeyReused,
+        Verdict::Full => return Final::Full,
         Verdict::Unavailable => return Final::Unavailable,
     };
     let Sent { progress, answer } = send().await;
--- a/crates/daisyyard/src/plain.rs
+++ b/crates/daisyyard/src/plain.rs
@@ -124,10 +124,15 @@
             let message = "the key was used with another body; use a new key for a new call";
             Err(Refusal::not_run(Kind::KeyReused, message))
         }
-        Final::Unavailable => {
-            let message = "the call could not be registered; repeat it with the same key";
+        Final::Full => {
+            let message = "the call registry is full; repeat the call after the retention of 24 h";
             Err(Refusal::not_run(Kind::Unavailable, message))
         }
+        Final::Unavailable => {
+            let message = "the call was not sent, since the call registry does not answer; an \
+                           earlier call with this key may have run; repeat it with the same key";
+            Err(Refusal::unknown(Kind::Unavailable, message))
+        }
     }
 }
 
--- a/crates/daisyyard/tests/lost_write.rs
+++ b/crates/daisyyard/tests/lost_write.rs
@@ -4,6 +4,7 @@
 
 use daisyyard::calls::{self, Count};
 use daisyyard::once::{Final, run_once};
+use daisyyard_core::attempt::Outcome;
 use daisyyard_standin::outage::Plan;
 use daisyyard_standin::plain::Service;
 use daisyyard_standin::store::Store;
@@ -26,7 +27,8 @@
     (end, service.runs().await.len())
 }
 
-/// A call in a long outage is refused as not run, and it was not run.
+/// A call in a long outage is refused and was not run. Its caller is not told so, because the
+/// registry cannot say whether an earlier call with the same key ran.
 #[tokio::test]
 async fn down() {
     let plan = Plan {
@@ -35,6 +37,7 @@
     };
     let end = call_under(plan, Duration::from_secs(4)).await;
     assert_eq!(end, (Final::Unavailable, 0));
+    assert_eq!(Final::Unavailable.outcome(), Outcome::Unknown);
 }
 
 /// A call in a short outage runs once the outage ends.
--- a/crates/daisyyard/tests/plain_service.rs
+++ b/crates/daisyyard/tests/plain_service.rs
@@ -188,7 +188,8 @@
     assert_eq!(outcome(&answer), "unknown");
 }
 
-/// A call with a key reaches no endpoint while no registry can claim it.
+/// A call with a key reaches no endpoint while no registry can claim it, and its caller is not
+/// told `not_run`, because an earlier call with the key may have run.
 #[tokio::test]
 async fn holds_keyed() {
     let (address, mut requests) = endpoint("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
@@ -199,7 +200,7 @@
     });
     let (status, answer) = call(&fleet, Method::POST, &[("idempotency-key", "k")]).await;
     assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
-    assert_eq!(outcome(&answer), "not_run");
+    assert_eq!(outcome(&answer), "unknown");
     assert_matches!(requests.try_recv(), Err(_));
 }
 
--- a/crates/daisyyard_core/src/call.rs
+++ b/crates/daisyyard_core/src/call.rs
@@ -57,8 +57,10 @@
 pub enum Reason {
     /// The key was used with another body.
     KeyReused,
-    /// Too many claims wait, or the registry is full.
+    /// The registry is full, and the key is not in it.
     Full,
+    /// Too many claims wait; whether the key is in the registry was not looked up.
+    Busy,
 }
 
 /// What to do at the configuration service.
@@ -179,7 +181,7 @@
             _ => self.current = false,
         }
         if self.claims.len() >= self.limits.claims {
-            return Next::Refuse(Reason::Full);
+            return Next::Refuse(Reason::Busy);
         }
         self.claims.push(Claim {
             attempt,
--- a/crates/daisyyard_core/tests/call_partition.rs
+++ b/crates/daisyyard_core/tests/call_partition.rs
@@ -323,7 +323,7 @@
                     .any(|(other, _)| other.fingerprint != attempt.fingerprint),
                 "no other body used the key"
             ),
-            Next::Refuse(Reason::Full) | Next::Unknown => {}
+            Next::Refuse(Reason::Full | Reason::Busy) | Next::Unknown => {}
             Next::Write => panic!("a waiting claim is not settled"),
         }
         let stage = match next {
