--- a/crates/daisyyard/src/admission.rs
+++ b/crates/daisyyard/src/admission.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_core::endpoint::{Endpoint, Kind};
-use daisyyard_core::forward::{self, Desk, Place};
+use daisyyard_core::forward::{self, Place, Relay};
 use daisyyard_core::id::{EndpointId, InstanceId, RequestId};
 use daisyyard_core::ledger::{self, Answer, Ledger, Next};
 use daisyyard_core::preset::Preset;
@@ -16,6 +16,7 @@
 use crate::peer::{Peer, Send};
 use crate::progress::made;
 pub(crate) use crate::progress::{Progress, Release};
+use crate::ticker::{self, Tick};
 use crate::wire::{self, Made, Message, Verdict};
 
 /// Time between two checks of waiting requests and expired grants.
@@ -40,7 +41,7 @@
     /// Requests of this node that were granted, and where.
     pub(crate) granted: HashMap<RequestId, Place>,
     /// Requests of this node that another node decides.
-    pub(crate) desk: Desk,
+    pub(crate) relay: Relay,
     /// Progress for other homes, by home and request.
     pub(crate) batch: HashMap<InstanceId, HashMap<RequestId, Made>>,
     /// Engines from the instance list.
@@ -72,10 +73,6 @@
 #[derive(Debug)]
 pub(crate) struct Enforce(pub(crate) Preset);
 
-/// Lets time pass.
-#[derive(Debug)]
-struct Tick;
-
 /// Decision on a request for admission.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Decision {
@@ -100,7 +97,7 @@
         shares: HashMap::new(),
         waiting: HashMap::new(),
         granted: HashMap::new(),
-        desk: Desk::new(node),
+        relay: Relay::new(node),
         batch: HashMap::new(),
         engines: HashMap::new(),
         ticks: 0,
@@ -110,16 +107,7 @@
         peer,
     };
     let address = xtra::spawn_tokio(actor, Mailbox::unbounded());
-    let ticker = address.downgrade();
-    tokio::spawn(async move {
-        let mut interval = tokio::time::interval(TICK);
-        loop {
-            interval.tick().await;
-            if ticker.send(Tick).await.is_err() {
-                return;
-            }
-        }
-    });
+    ticker::spawn(address.downgrade(), TICK);
     address
 }
 
@@ -134,7 +122,7 @@
     /// Returns the ledger of this node's share of an engine, creating it on first use.
     fn share(&mut self, endpoint: &Endpoint, now: Instant) -> Option<&mut Ledger> {
         let terms = self.preset.terms.get(&endpoint.service)?;
-        let nodes = self.desk.nodes();
+        let nodes = self.relay.nodes();
         let create = || Ledger::local(endpoint, terms.clone(), nodes as u32, now);
         Some(self.shares.entry(endpoint.id).or_insert_with(create))
     }
@@ -202,7 +190,7 @@
         told
     }
 
-    /// Carries out what the desk decided.
+    /// Carries out what the relay decided.
     pub(crate) async fn follow(&mut self, next: Vec<forward::Next>) {
         for next in next {
             match next {
@@ -287,7 +275,7 @@
             .map(|ask| (ask.endpoint.id, ask.terms.request))
             .collect();
         for (endpoint, request) in late {
-            if let Some(home) = self.desk.withdraw(request) {
+            if let Some(home) = self.relay.withdraw(request) {
                 let release = Message::Release(made(endpoint, request, 0));
                 self.send(home, release).await;
             }
@@ -298,8 +286,8 @@
 
     /// Gives up the ledgers of engines whose home is another node now.
     async fn hand_over(&mut self) {
-        let desk = &self.desk;
-        let moved = self.ledgers.keys().filter(|id| !desk.is_home(**id));
+        let relay = &self.relay;
+        let moved = self.ledgers.keys().filter(|id| !relay.is_home(**id));
         for endpoint in moved.copied().collect::<Vec<_>>() {
             self.ledgers.remove(&endpoint);
             let here = self.waiting.iter().filter(|(request, ask)| {
@@ -316,7 +304,7 @@
     /// Decides on a waiting request of this node or asks the engine's home.
     async fn start(&mut self, request: RequestId, endpoint: EndpointId) {
         let now = Instant::now();
-        match self.desk.place(request, endpoint, now) {
+        match self.relay.place(request, endpoint, now) {
             Place::Home(home) => self.forward(request, home).await,
             place => self.decide(request, place, now),
         }
@@ -324,7 +312,7 @@
 
     /// Takes new homes and asks again where that changes the home of a waiting request.
     pub(crate) async fn adopt(&mut self, homes: Vec<InstanceId>) {
-        let next = self.desk.adopt(homes, Instant::now());
+        let next = self.relay.adopt(homes, Instant::now());
         self.follow(next).await;
         self.hand_over().await;
     }
@@ -359,7 +347,7 @@
 
     async fn handle(&mut self, _: Tick, ctx: &mut Context<Self>) {
         let now = Instant::now();
-        let late = self.desk.tick(now);
+        let late = self.relay.tick(now);
         self.follow(late).await;
         let mut next = Vec::new();
         for (id, ledger) in self.ledgers.iter_mut().chain(&mut self.shares) {
@@ -372,7 +360,7 @@
         if self.ticks.is_multiple_of(ROUND) {
             self.flush().await;
             self.expire(now).await;
-            let homed = |e: &&Endpoint| e.kind == Kind::Engine && self.desk.is_home(e.id);
+            let homed = |e: &&Endpoint| e.kind == Kind::Engine && self.relay.is_home(e.id);
             for engine in self.engines.values().filter(homed) {
                 let actor = ctx.mailbox().address();
                 tokio::spawn(crate::load::poll(engine.clone(), actor));
--- a/crates/daisyyard/src/calls.rs
+++ b/crates/daisyyard/src/calls.rs
@@ -12,6 +12,7 @@
 
 use crate::event::{self, Event};
 use crate::registry::{self, Reply};
+use crate::ticker::{self, Tick};
 
 /// Least time between two writes of one partition; claims that arrive meanwhile share the next.
 const WRITE_PERIOD: Duration = Duration::from_millis(200);
@@ -131,10 +132,6 @@
     pub unwritten: usize,
 }
 
-/// Gives up claims that waited too long.
-#[derive(Debug)]
-struct Tick;
-
 /// Starts the next round of a partition.
 #[derive(Debug)]
 struct Wake(usize);
@@ -159,16 +156,7 @@
         stats: Stats::default(),
     };
     let address = xtra::spawn_tokio(actor, Mailbox::unbounded());
-    let ticker = address.downgrade();
-    tokio::spawn(async move {
-        let mut interval = tokio::time::interval(TICK);
-        loop {
-            interval.tick().await;
-            if ticker.send(Tick).await.is_err() {
-                return;
-            }
-        }
-    });
+    ticker::spawn(address.downgrade(), TICK);
     address
 }
 
--- a/crates/daisyyard/src/dispatch.rs
+++ b/crates/daisyyard/src/dispatch.rs
@@ -19,6 +19,7 @@
 use daisyyard_core::zone::Zone;
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
 
+use crate::admission::Enforce;
 use crate::event::{self, Event};
 use crate::exchange::Spread;
 use crate::peer::Peer;
@@ -70,10 +71,6 @@
     pub(crate) asked: usize,
 }
 
-/// Takes a preset into force.
-#[derive(Debug)]
-pub(crate) struct Adhere(pub(crate) Preset);
-
 /// Replaces the known endpoints.
 #[derive(Debug)]
 pub(crate) struct Adopt(pub(crate) Vec<Endpoint>);
@@ -378,10 +375,10 @@
     }
 }
 
-impl Handler<Adhere> for Dispatch {
+impl Handler<Enforce> for Dispatch {
     type Return = ();
 
-    async fn handle(&mut self, message: Adhere, _: &mut Context<Self>) {
+    async fn handle(&mut self, message: Enforce, _: &mut Context<Self>) {
         self.preset = message.0;
     }
 }
--- a/crates/daisyyard/src/faults.rs
+++ b/crates/daisyyard/src/faults.rs
@@ -39,7 +39,7 @@
 
 /// What one caller did.
 #[derive(Debug)]
-enum Deed {
+enum Record {
     /// It streamed.
     Stream(String, Answer),
     /// It asked for an answer that is not streamed.
@@ -50,7 +50,7 @@
 
 /// What the faults left behind.
 #[derive(Debug, Default)]
-struct Trail {
+struct Log {
     /// Addresses of nodes that ended without warning.
     killed: Vec<SocketAddr>,
     /// Nodes that are being drained.
@@ -89,39 +89,39 @@
     for number in 0..STREAMERS + ASKERS + BOOKERS {
         callers.spawn(act(deployment, fleet.addresses(), seed, number, until));
     }
-    let trail = drive(&mut fleet, seed, started).await?;
-    let mut deeds = Vec::new();
+    let log = drive(&mut fleet, seed, started).await?;
+    let mut records = Vec::new();
     while let Some(done) = callers.join_next().await {
-        deeds.extend(done.context("a caller panicked")?);
+        records.extend(done.context("a caller panicked")?);
     }
     let mut violations = Vec::new();
-    for drain in trail.drains {
+    for drain in log.drains {
         if tokio::time::timeout(DRAIN_LIMIT, drain).await.is_err() {
             violations.push(format!("drain: a node did not end in {DRAIN_LIMIT:?}"));
         }
     }
     let (prompts, runs) = (fleet.prompts().await, fleet.runs().await);
-    println!("{}", summary(&deeds, runs.len()));
-    for deed in &deeds {
-        violations.extend(match deed {
-            Deed::Stream(prompt, answer) => {
-                let mut found = audit::stream(answer, prompt, &trail.killed);
+    println!("{}", summary(&records, runs.len()));
+    for record in &records {
+        violations.extend(match record {
+            Record::Stream(prompt, answer) => {
+                let mut found = audit::stream(answer, prompt, &log.killed);
                 if answer.tokens.is_empty() && answer.cuts.is_empty() {
                     found.extend(refused(prompt, &answer.end, &prompts));
                 }
                 found
             }
-            Deed::Ask(prompt, result) => asked(prompt, result, &trail.killed, &prompts),
-            Deed::Book(body, replies) => booked(body, replies, &trail.killed, &runs),
+            Record::Ask(prompt, result) => asked(prompt, result, &log.killed, &prompts),
+            Record::Book(body, replies) => booked(body, replies, &log.killed, &runs),
         });
     }
-    violations.extend(late(&fleet, trail.left).await);
+    violations.extend(late(&fleet, log.left).await);
     Ok(violations)
 }
 
 /// Makes the fleet fail at the times of the schedule.
-async fn drive(fleet: &mut Fleet, seed: u64, started: Instant) -> anyhow::Result<Trail> {
-    let mut trail = Trail::default();
+async fn drive(fleet: &mut Fleet, seed: u64, started: Instant) -> anyhow::Result<Log> {
+    let mut log = Log::default();
     for (at, action) in schedule::draw(seed, fleet.engines.len(), fleet.services.len()) {
         tokio::time::sleep_until((started + at).into()).await;
         match action {
@@ -142,26 +142,26 @@
                 }
             }
             Action::Left(engine, service) => {
-                trail.left = Some(Left {
+                log.left = Some(Left {
                     engine: (engine, fleet.engines[engine].prompts().await.len()),
                     service: (service, fleet.services[service].runs().await.len()),
                 });
             }
             Action::Drain => {
                 let node = fleet.take_node(0);
-                trail.drains.push(tokio::spawn(node.drain()));
+                log.drains.push(tokio::spawn(node.drain()));
                 fleet.add_node().await?;
             }
-            Action::Kill => trail.killed.push(fleet.kill_node(0)),
+            Action::Kill => log.killed.push(fleet.kill_node(0)),
             Action::Renew => {
-                for address in &trail.killed {
+                for address in &log.killed {
                     fleet.relist(*address, |entry| "leaving".clone_into(&mut entry.state));
                 }
                 fleet.add_node().await?;
             }
         }
     }
-    Ok(trail)
+    Ok(log)
 }
 
 /// Asks again and again until a time, and returns what happened.
@@ -171,11 +171,11 @@
     seed: u64,
     number: u64,
     until: Instant,
-) -> Vec<Deed> {
+) -> Vec<Record> {
     let mut random = Pcg64Mcg::seed_from_u64(seed.wrapping_add(number + 1));
-    let mut deeds = Vec::new();
+    let mut records = Vec::new();
     while Instant::now() < until {
-        let name = format!("seed {seed} caller {number} request {}", deeds.len());
+        let name = format!("seed {seed} caller {number} request {}", records.len());
         let first = random.random_range(0..100);
         let length = random.random_range(1..250);
         let question = Question {
@@ -186,19 +186,19 @@
         let prompt = question.prompt.clone();
         if number < STREAMERS {
             let answer = caller::stream(&addresses, first, &question, |_text| {}).await;
-            deeds.push(Deed::Stream(prompt, answer));
+            records.push(Record::Stream(prompt, answer));
         } else if number < STREAMERS + ASKERS {
             if let Some(node) = caller::pick(&addresses, first) {
-                deeds.push(Deed::Ask(prompt, caller::ask(node, &question).await));
+                records.push(Record::Ask(prompt, caller::ask(node, &question).await));
             }
         } else {
             let body = format!("{} {name};", deployment.booking.1);
             let replies = book(deployment, &addresses, first, &body).await;
-            deeds.push(Deed::Book(body, replies));
+            records.push(Record::Book(body, replies));
         }
         tokio::time::sleep(Duration::from_millis(random.random_range(5..60))).await;
     }
-    deeds
+    records
 }
 
 /// Books with one key at different nodes until an answer comes or twice in a row none is known.
@@ -336,12 +336,12 @@
 }
 
 /// Returns one line that says what the callers did.
-fn summary(deeds: &[Deed], runs: usize) -> String {
+fn summary(records: &[Record], runs: usize) -> String {
     let (mut tokens, mut whole, mut refused, mut moved, mut texts) = (0, 0, 0, 0, 0);
     let (mut booked, mut other) = (0, 0);
-    for deed in deeds {
-        match deed {
-            Deed::Stream(_, answer) => {
+    for record in records {
+        match record {
+            Record::Stream(_, answer) => {
                 tokens += answer.tokens.len();
                 moved += answer.cuts.len();
                 match answer.end {
@@ -349,11 +349,13 @@
                     _ => refused += 1,
                 }
             }
-            Deed::Ask(_, Ok(_)) => texts += 1,
-            Deed::Book(_, replies) if replies.iter().any(|r| matches!(r, Reply::Answered(..))) => {
+            Record::Ask(_, Ok(_)) => texts += 1,
+            Record::Book(_, replies)
+                if replies.iter().any(|r| matches!(r, Reply::Answered(..))) =>
+            {
                 booked += 1;
             }
-            Deed::Ask(..) | Deed::Book(..) => other += 1,
+            Record::Ask(..) | Record::Book(..) => other += 1,
         }
     }
     format!(
--- a/crates/daisyyard/src/peer.rs
+++ b/crates/daisyyard/src/peer.rs
@@ -17,13 +17,14 @@
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
 
 use crate::admission::{Admission, Enforce};
-use crate::dispatch::{Adhere, AdoptNodes, Dispatch};
+use crate::dispatch::{AdoptNodes, Dispatch};
 use crate::document::Json;
 use crate::event::{self, Event};
 use crate::link::{self, Terms};
 use crate::meter::Meter;
 use crate::remote::Homes;
 use crate::status::{Source, Traffic};
+use crate::ticker::{self, Tick};
 use crate::wire::{self, Heartbeat, Message};
 
 /// Time between two heartbeats.
@@ -110,10 +111,6 @@
 #[derive(Debug)]
 pub(crate) struct Leave;
 
-/// Time for the next heartbeat.
-#[derive(Debug)]
-struct Tick;
-
 /// What the actor needs at its start.
 #[derive(Debug)]
 pub(crate) struct Start {
@@ -161,16 +158,7 @@
         traffic: Traffic::default(),
     };
     tokio::spawn(xtra::run(mailbox, actor));
-    let ticker = address.downgrade();
-    tokio::spawn(async move {
-        let mut interval = tokio::time::interval(PERIOD);
-        loop {
-            interval.tick().await;
-            if ticker.send(Tick).await.is_err() {
-                return;
-            }
-        }
-    });
+    ticker::spawn(address.downgrade(), PERIOD);
     (address, watched, tokio::spawn(listen(listener, terms)))
 }
 
@@ -294,7 +282,7 @@
         event::emit(Event::ConfigAdopted, &details);
         if let Some(preset) = document.in_force().cloned() {
             let _ = self.meter.send(Enforce(preset.clone())).detach().await;
-            let _ = self.dispatch.send(Adhere(preset.clone())).detach().await;
+            let _ = self.dispatch.send(Enforce(preset.clone())).detach().await;
             let _ = self.admission.send(Enforce(preset)).detach().await;
         }
         self.push();
--- a/crates/daisyyard/src/progress.rs
+++ b/crates/daisyyard/src/progress.rs
@@ -62,7 +62,7 @@
             made: count,
         } = message;
         let share = self.granted.get(&request) == Some(&Place::Share);
-        let home = self.desk.home(endpoint);
+        let home = self.relay.home(endpoint);
         let ledger = if share {
             self.shares.get_mut(&endpoint)
         } else if home == self.node {
@@ -90,11 +90,11 @@
         let now = Instant::now();
         self.waiting.remove(&request);
         let place = self.granted.remove(&request);
-        let mut nodes: Vec<InstanceId> = self.desk.withdraw(request).into_iter().collect();
+        let mut nodes: Vec<InstanceId> = self.relay.withdraw(request).into_iter().collect();
         if let Some(Place::Home(home)) = place {
             nodes.push(home);
             // The home may have changed while the generation ran.
-            nodes.push(self.desk.home(endpoint));
+            nodes.push(self.relay.home(endpoint));
         }
         for ledgers in [&mut self.ledgers, &mut self.shares] {
             if let Some(ledger) = ledgers.get_mut(&endpoint) {
--- a/crates/daisyyard/src/remote.rs
+++ b/crates/daisyyard/src/remote.rs
@@ -50,7 +50,7 @@
     async fn ask(&mut self, node: InstanceId, ask: Ask) {
         let now = Instant::now();
         let engine = self.engines.get(&ask.endpoint).cloned();
-        let home = self.desk.is_home(ask.endpoint);
+        let home = self.relay.is_home(ask.endpoint);
         let ledger = match engine {
             // A second ledger of the same engine would overcommit it.
             Some(engine) if home => self.ledger(&engine, now),
@@ -83,10 +83,10 @@
             return;
         }
         if answer.verdict == Verdict::Wait {
-            self.desk.queued(request, node);
+            self.relay.queued(request, node);
             return;
         }
-        let expected = self.desk.answered(request, node);
+        let expected = self.relay.answered(request, node);
         match answer.verdict {
             Verdict::Grant => {
                 if expected && self.grant(request, node) {
@@ -157,7 +157,7 @@
     type Return = ();
 
     async fn handle(&mut self, message: Lost, _: &mut Context<Self>) {
-        let next = self.desk.lose(message.0, Instant::now());
+        let next = self.relay.lose(message.0, Instant::now());
         self.follow(next).await;
     }
 }
@@ -177,7 +177,7 @@
 
     async fn handle(&mut self, message: Report, _: &mut Context<Self>) {
         let now = Instant::now();
-        if self.desk.is_home(message.engine.id)
+        if self.relay.is_home(message.engine.id)
             && let Some(ledger) = self.ledger(&message.engine, now)
         {
             ledger.report(message.load, now);
--- /dev/null
+++ b/crates/daisyyard/src/ticker.rs
@@ -0,0 +1,25 @@
+//! The timer of an actor.
+
+use std::time::Duration;
+
+use tokio::time::MissedTickBehavior;
+use xtra::{Handler, WeakAddress};
+
+/// Lets time pass.
+#[derive(Debug)]
+pub(crate) struct Tick;
+
+/// Sends [`Tick`] to an actor once a period, until the actor ends.
+pub(crate) fn spawn<A: Handler<Tick>>(address: WeakAddress<A>, period: Duration) {
+    tokio::spawn(async move {
+        let mut interval = tokio::time::interval(period);
+        // After a pause of the process, one tick stands for all that were missed.
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            if address.send(Tick).await.is_err() {
+                return;
+            }
+        }
+    });
+}
--- a/crates/daisyyard_core/src/forward.rs
+++ b/crates/daisyyard_core/src/forward.rs
@@ -55,7 +55,7 @@
 
 /// Requests of one node that wait for other nodes.
 #[derive(Debug)]
-pub struct Desk {
+pub struct Relay {
     /// This node.
     me: InstanceId,
     /// Nodes that may be home of an engine, this one among them.
@@ -66,8 +66,8 @@
     lost: HashMap<InstanceId, Instant>,
 }
 
-impl Desk {
-    /// Creates an empty desk at a node that knows only itself.
+impl Relay {
+    /// Creates an empty relay at a node that knows only itself.
     pub fn new(me: InstanceId) -> Self {
         Self {
             me,
