Tell callers when to come back in every refusal that may pass

Cause: only refusals of a home named a time; those for lack of an endpoint and of the call registry had retry_after_ms null. Change: a default of 1 s by kind, and the Retry-After header in whole seconds. Figures: honest_outcome::says_not_run demands a time; null before, 1,000 ms after. Conclusion: every refusal that may pass by itself names a time.

--- a/crates/daisyyard/src/refusal.rs
+++ b/crates/daisyyard/src/refusal.rs
@@ -5,9 +5,13 @@
 use daisyyard_core::attempt::Outcome;
 use daisyyard_derive::value;
 use daisyyard_http::Body;
+use hyper::header::RETRY_AFTER as RETRY_AFTER_HEADER;
 use hyper::{Response, StatusCode};
 use serde_json::json;
 
+/// Time after which asking again may help if nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Why a request was not answered.
 #[value]
 pub(crate) struct Refusal {
@@ -66,6 +70,14 @@
         }
     }
 
+    /// Returns when asking again may help if nothing better is known.
+    fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::Overloaded | Self::Unavailable | Self::Uncertain => Some(RETRY_AFTER),
+            _ => None,
+        }
+    }
+
     /// Returns the HTTP status.
     fn status(self) -> StatusCode {
         match self {
@@ -87,7 +99,7 @@
             kind,
             message: message.into(),
             outcome: Outcome::NotRun,
-            retry_after: None,
+            retry_after: kind.retry_after(),
         }
     }
 
@@ -112,6 +124,15 @@
 
 impl From<Refusal> for Response<Body> {
     fn from(refusal: Refusal) -> Self {
-        daisyyard_http::json(refusal.kind.status(), &json!({"error": refusal.json()}))
+        let body = json!({"error": refusal.json()});
+        let mut response = daisyyard_http::json(refusal.kind.status(), &body);
+        if let Some(wait) = refusal.retry_after {
+            // The header counts whole seconds; a caller that comes too early is refused again.
+            let seconds = wait.as_millis().div_ceil(1000) as u64;
+            response
+                .headers_mut()
+                .insert(RETRY_AFTER_HEADER, seconds.into());
+        }
+        response
     }
 }
--- a/crates/daisyyard/tests/honest_outcome.rs
+++ b/crates/daisyyard/tests/honest_outcome.rs
@@ -30,6 +30,8 @@
     let (status, answer) = fleet.ask(0, PROMPT).await;
     assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(refusal(&answer).1, "not_run");
+    let wait = answer["error"]["retry_after_ms"].as_u64();
+    assert!(wait.is_some_and(|wait| wait > 0), "{answer}");
 }
 
 /// A declined request runs on the engine that accepts it.
