Check the end of a generation against its number of tokens

Change: engines may state usage.completion_tokens; Cursor::finish resumes from the first missing token if the end comes early.

--- a/crates/daisyyard/src/reader.rs
+++ b/crates/daisyyard/src/reader.rs
@@ -6,7 +6,7 @@
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::id::{AccountId, GenerationId, Offset, RequestId};
 use daisyyard_core::link::{Next, Signal, Watch};
-use daisyyard_core::stream::{Cursor, Step};
+use daisyyard_core::stream::{self, Cursor, Step};
 use hyper::StatusCode;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -58,6 +58,8 @@
     caller: &'a mpsc::Sender<Delivery>,
     /// Request whose grant is kept alive; none for a resumed stream, whose first node keeps it.
     request: Option<RequestId>,
+    /// Tokens of the generation in all, if the engine stated them.
+    total: Option<Offset>,
     /// Watch over the connections.
     watch: Watch,
     /// Measurements of the request.
@@ -78,6 +80,7 @@
         Self {
             id: daisyyard_core::id::of(&name),
             stream: link.name.clone(),
+            total: None,
             watch: Watch::new(actors.timing.stall),
             endpoint,
             actors,
@@ -126,14 +129,11 @@
             };
             let end = match received {
                 Ok(Some(Item::Alive)) => None,
-                Ok(Some(Item::Piece(Piece::Finish))) => {
-                    let finish = Delivery::Finish(self.name.clone());
-                    Some(
-                        self.deliver(finish, cursor.next())
-                            .await
-                            .unwrap_or(End::Whole),
-                    )
+                Ok(Some(Item::Piece(Piece::Total(total)))) => {
+                    self.total = Some(total);
+                    None
                 }
+                Ok(Some(Item::Piece(Piece::Finish))) => self.finish(cursor).await,
                 Ok(Some(Item::Piece(Piece::Token { offset, text }))) => {
                     self.token(cursor, offset, text).await
                 }
@@ -151,6 +151,21 @@
         }
     }
 
+    /// Takes the end of the generation, unless its last tokens are missing.
+    async fn finish(&mut self, cursor: &Cursor) -> Option<End> {
+        match cursor.finish(self.total) {
+            stream::End::Whole => {
+                let finish = Delivery::Finish(self.name.clone());
+                let end = self.deliver(finish, cursor.next()).await;
+                Some(end.unwrap_or(End::Whole))
+            }
+            stream::End::Resume(from) => {
+                event::emit(Event::StreamGap, &self.details(&format!("from={from}")));
+                self.broken(from).await
+            }
+        }
+    }
+
     /// Takes a token that arrived.
     async fn token(&mut self, cursor: &mut Cursor, offset: Offset, text: String) -> Option<End> {
         match cursor.accept(self.id, offset) {
--- a/crates/daisyyard/src/sse.rs
+++ b/crates/daisyyard/src/sse.rs
@@ -20,6 +20,8 @@
     },
     /// The generation is whole.
     Finish,
+    /// The generation has this many tokens in all, which engines may state before its end.
+    Total(Offset),
 }
 
 /// Why the bytes of a stream cannot be used.
@@ -128,7 +130,8 @@
         let choice = choice.ok_or(Fault::Malformed)?;
         let text = choice.get("delta").and_then(|delta| delta.get("content"));
         let Some(text) = text.and_then(Value::as_str) else {
-            return Ok(None);
+            let total = value["usage"]["completion_tokens"].as_u64();
+            return Ok(total.map(Piece::Total));
         };
         let offset = id.and_then(|id| id.parse().ok()).ok_or(Fault::Malformed)?;
         let text = text.to_owned();
--- /dev/null
+++ b/crates/daisyyard/tests/short_finish.rs
@@ -0,0 +1,22 @@
+//! Guards against an answer that is called whole although the engine left out its last tokens.
+
+mod fleet;
+
+use assert_matches::assert_matches;
+use daisyyard_standin::engine;
+use daisyyard_standin::fault::Fault;
+use fleet::{Event, Fleet};
+
+/// An engine that skips to the end of a stream is asked for the missing tokens before the caller
+/// hears of the end.
+#[tokio::test]
+async fn fetches_tail() {
+    let fleet = Fleet::start(1, 1, fleet::timing()).await;
+    let prompt = "a declaration length=25";
+    let mut caller = fleet.stream(0, prompt).await;
+    let (text, _) = caller.read(10).await;
+    fleet.fault(&Fault::Skip(1000));
+    let (rest, _, last) = caller.rest().await;
+    assert_eq!(text + &rest, engine::text(prompt));
+    assert_matches!(last, Event::Done);
+}
--- a/crates/daisyyard_core/src/stream.rs
+++ b/crates/daisyyard_core/src/stream.rs
@@ -39,6 +39,15 @@
     Interrupt(Offset),
 }
 
+/// What to do when an engine says that the generation has ended.
+#[token]
+pub enum End {
+    /// Tell the caller that the answer is whole.
+    Whole,
+    /// Resume the generation from this offset, because its last tokens are missing.
+    Resume(Offset),
+}
+
 impl Cursor {
     /// Creates the cursor of a new request.
     pub fn new() -> Self {
@@ -91,6 +100,15 @@
         *self = Self::new();
     }
 
+    /// Decides what to do when the engine ends the generation, which has `total` tokens if the
+    /// engine stated it.
+    pub fn finish(&self, total: Option<Offset>) -> End {
+        match total {
+            Some(total) if self.next < total => End::Resume(self.next),
+            _ => End::Whole,
+        }
+    }
+
     /// Decides what to do when the link to the engine is lost; `alive` says whether the engine
     /// answers on a fresh connection.
     pub fn lose(&self, alive: bool) -> Loss {
--- a/crates/daisyyard_core/tests/stream_cursor.rs
+++ b/crates/daisyyard_core/tests/stream_cursor.rs
@@ -1,6 +1,6 @@
 //! Guards against tokens that are duplicated, skipped or taken from another generation.
 
-use daisyyard_core::stream::{Cursor, Loss, Step};
+use daisyyard_core::stream::{Cursor, End, Loss, Step};
 use proptest::prelude::*;
 
 proptest! {
@@ -41,3 +41,14 @@
     assert_eq!(cursor.accept(1, 0), Step::Foreign);
     assert_eq!(cursor.accept(2, 0), Step::Deliver);
 }
+
+/// An end that comes before the stated number of tokens is not the end.
+#[test]
+fn short_finish() {
+    let mut cursor = Cursor::new();
+    assert!(cursor.bind(1));
+    assert_eq!(cursor.accept(1, 0), Step::Deliver);
+    assert_eq!(cursor.finish(Some(3)), End::Resume(1));
+    assert_eq!(cursor.finish(Some(1)), End::Whole);
+    assert_eq!(cursor.finish(None), End::Whole);
+}
--- a/crates/daisyyard_standin/src/decoder.rs
+++ b/crates/daisyyard_standin/src/decoder.rs
@@ -366,7 +366,7 @@
 
     /// Sends what each reader has not received; a reader that is gone or full keeps its place.
     fn push(&mut self, id: u64) {
-        let (made, done) = (self.made, self.done());
+        let (made, done, length) = (self.made, self.done(), self.length);
         let prompt = &self.prompt;
         self.readers.retain_mut(|(next, sender)| {
             while *next < made {
@@ -379,7 +379,7 @@
             // A reader that is full stays until it has room for the end.
             !done
                 || matches!(
-                    sender.try_send(finish(id)),
+                    sender.try_send(finish(id, length)),
                     Err(mpsc::error::TrySendError::Full(_))
                 )
         });
@@ -397,11 +397,12 @@
 }
 
 /// Returns the events that end a stream.
-fn finish(id: u64) -> Bytes {
+fn finish(id: u64, length: u64) -> Bytes {
     let chunk = json!({
         "id": format!("{id:x}"),
         "object": "chat.completion.chunk",
         "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}],
+        "usage": {"completion_tokens": length},
     });
     Bytes::from(format!("data: {chunk}\n\ndata: [DONE]\n\n"))
 }
