Share the tests' wait for outcomes and their node process

Cause: claim_race and roll_over had the same wait for written outcomes, and graceful_leave and planned_stop the same start of a serve process. Change: test modules outcome and process serve both; assertions are unchanged. Conclusion: one copy of each.

--- a/crates/daisyyard/tests/claim_race.rs
+++ b/crates/daisyyard/tests/claim_race.rs
@@ -1,26 +1,13 @@
 //! Guards against a call that runs twice when its key is used at several nodes at the same time.
 
-use std::time::Duration;
-
-use daisyyard::calls::{self, Calls, Count};
+use daisyyard::calls;
 use daisyyard::once::{Final, run_once};
 use daisyyard_core::attempt::Progress;
 use daisyyard_standin::plain::Service;
 use daisyyard_standin::store::Store;
-use xtra::Address;
 
 mod fixture;
-
-/// Waits until a node has written all outcomes and releases, which it does after answering.
-async fn written(node: &Address<Calls>) {
-    let written = async {
-        while node.send(Count).await.expect("the actor runs").unwritten > 0 {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    let written = tokio::time::timeout(Duration::from_secs(10), written).await;
-    written.expect("outcomes are written within seconds");
-}
+mod outcome;
 
 /// Forty callers at two nodes use one key: one run, and everybody else learns of it truthfully.
 #[tokio::test]
@@ -43,7 +30,7 @@
     }
     assert_eq!(service.runs().await.len(), 1);
     for node in &nodes {
-        written(node).await;
+        outcome::written(node).await;
     }
     for node in nodes {
         let repeat = run_once(node, fixture::claim("one", "body"), move || async {
@@ -90,7 +77,7 @@
         },
     );
     assert_eq!(unsent.await, Final::NotSent(Progress::Unsent));
-    written(&nodes[0]).await;
+    outcome::written(&nodes[0]).await;
     let address = service.address;
     let again = run_once(nodes[1].clone(), fixture::claim("key", "b"), move || {
         fixture::pay(address)
--- a/crates/daisyyard/tests/graceful_leave.rs
+++ b/crates/daisyyard/tests/graceful_leave.rs
@@ -1,11 +1,10 @@
 //! Guards against planned stops that leave homes, callers or outcomes behind.
 
 mod cluster;
+mod process;
 
-use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-use assert_matches::assert_matches;
 use cluster::{Cluster, MODEL};
 use daisyyard::operator;
 use daisyyard_core::instance::State;
@@ -138,9 +137,7 @@
     let list = daisyyard_standin::list::List::start(Vec::new()).await;
     let list = list.expect("the list starts");
     let store = Store::start().await.expect("the store starts");
-    let port = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = port.local_addr().expect("an address");
-    drop(port);
+    let address = process::free();
     let settings = json!({
         "name": "node-0", "zone": "costa-a", "region": "costa",
         "listen": address, "peer": "127.0.0.1:0", "list": list.address, "store": store.address,
@@ -148,21 +145,7 @@
         "operators": [{"operator": "ines", "token": "operator-token-0001"}],
         "timing": {"addresses_ms": 200}, "services": [MODEL],
     });
-    let path = std::env::temp_dir().join(format!("daisyyard-drain-{}.json", address.port()));
-    std::fs::write(&path, settings.to_string()).expect("a settings file");
-    let mut process = Command::new(env!("CARGO_BIN_EXE_daisyyard"))
-        .args(["serve", "--config"])
-        .arg(&path)
-        .stdout(Stdio::null())
-        .stderr(Stdio::null())
-        .spawn()
-        .expect("the node starts");
-    while tokio::net::TcpStream::connect(address).await.is_err() {
-        let ended = process.try_wait().expect("the state of the process");
-        assert_matches!(ended, None, "the node did not start");
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    std::fs::remove_file(&path).expect("the settings file is there");
+    let mut process = process::serve(address, &settings).await;
     let words = format!("drain --node {address} --token operator-token-0001");
     let words: Vec<String> = words.split(' ').map(str::to_owned).collect();
     let report = operator::execute(&words).await.expect("a known command");
--- /dev/null
+++ b/crates/daisyyard/tests/outcome/mod.rs
@@ -0,0 +1,17 @@
+//! Outcomes of calls, which a node writes after it has answered.
+
+use std::time::Duration;
+
+use daisyyard::calls::{Calls, Count};
+use xtra::Address;
+
+/// Waits until a node has written all outcomes and releases.
+pub(crate) async fn written(node: &Address<Calls>) {
+    let written = async {
+        while node.send(Count).await.expect("the actor runs").unwritten > 0 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let written = tokio::time::timeout(Duration::from_secs(10), written).await;
+    written.expect("outcomes are written within seconds");
+}
--- a/crates/daisyyard/tests/planned_stop.rs
+++ b/crates/daisyyard/tests/planned_stop.rs
@@ -1,8 +1,9 @@
 //! Guards against planned stops that cut off a request or turn callers away too early.
 
 mod fleet;
+mod process;
 
-use std::process::{Command, Stdio};
+use std::process::Command;
 use std::time::Duration;
 
 use assert_matches::assert_matches;
@@ -84,9 +85,7 @@
 #[tokio::test]
 async fn exits_clean() {
     let fleet = Fleet::start(1, 0, fleet::timing()).await;
-    let port = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = port.local_addr().expect("an address");
-    drop(port);
+    let address = process::free();
     let settings = json!({
         "name": "node-0", "zone": "costa-a", "region": "costa",
         "listen": address, "peer": "127.0.0.1:0",
@@ -94,21 +93,7 @@
         "key": "shared-fleet-key", "accounts": [{"account": "member-1", "token": "token-member-0001"}],
         "timing": {"addresses_ms": 200}, "services": [fleet::MODEL],
     });
-    let path = std::env::temp_dir().join(format!("daisyyard-stop-{}.json", address.port()));
-    std::fs::write(&path, settings.to_string()).expect("a settings file");
-    let mut process = Command::new(env!("CARGO_BIN_EXE_daisyyard"))
-        .args(["serve", "--config"])
-        .arg(&path)
-        .stdout(Stdio::null())
-        .stderr(Stdio::null())
-        .spawn()
-        .expect("the node starts");
-    while tokio::net::TcpStream::connect(address).await.is_err() {
-        let ended = process.try_wait().expect("the state of the process");
-        assert_matches!(ended, None, "the node did not start");
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    std::fs::remove_file(&path).expect("the settings file is there");
+    let mut process = process::serve(address, &settings).await;
     let prompt = "a customs declaration length=150";
     let mut caller = Caller::post(address, &fleet::body(prompt, true)).await;
     let (text, _) = caller.read(2).await;
--- a/crates/daisyyard/tests/roll_over.rs
+++ b/crates/daisyyard/tests/roll_over.rs
@@ -1,14 +1,13 @@
 //! Guards against records that are lost when the head of a partition rolls over into an archive.
 
-use std::time::Duration;
-
 use bytes::Bytes;
-use daisyyard::calls::{self, Calls, Claim, Count};
+use daisyyard::calls::{self, Claim};
 use daisyyard::once::{Final, Sent, run_once};
 use daisyyard_core::attempt::Progress;
 use daisyyard_core::{id, record};
 use daisyyard_standin::store::Store;
-use xtra::Address;
+
+mod outcome;
 
 /// Calls of one partition, with answers of 1 KiB, fill the 64 KiB head more than twice.
 const CALLS: usize = 200;
@@ -28,17 +27,6 @@
     }
 }
 
-/// Waits until a node has written all outcomes and releases, which it does after answering.
-async fn written(node: &Address<Calls>) {
-    let written = async {
-        while node.send(Count).await.expect("the actor runs").unwritten > 0 {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    let written = tokio::time::timeout(Duration::from_secs(10), written).await;
-    written.expect("outcomes are written within seconds");
-}
-
 /// A node that starts later replays every call, from the head or from an archive.
 #[tokio::test]
 async fn keeps_all() {
@@ -67,7 +55,7 @@
         for end in callers.join_all().await {
             assert!(matches!(end, Final::Answer(201, _)), "{end:?}");
         }
-        written(&node).await;
+        outcome::written(&node).await;
     }
     let second = daisyyard_http::call(
         store.address,
