Hand out freed capacity at once, at every home

Change: Admission::advance ticks one engine's ledgers and carries out what they decide; releases of this node, releases from other nodes and the timer all call it, in place of the loop in the timer. Conclusion: a released slot waits for no timer any more.

--- a/crates/daisyyard/src/admission.rs
+++ b/crates/daisyyard/src/admission.rs
@@ -1,7 +1,7 @@
 //! The actor that answers requests for admission: from its own ledger if this node is the
 //! engine's home, else through the home node, else within the node's local share.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 use daisyyard_core::endpoint::{Endpoint, Kind};
@@ -212,6 +212,19 @@
         }
     }
 
+    /// Grants and refuses waiting requests of an engine after time passed or capacity was freed.
+    pub(crate) async fn advance(&mut self, endpoint: EndpointId, now: Instant) {
+        let mut next = Vec::new();
+        for ledgers in [&mut self.ledgers, &mut self.shares] {
+            if let Some(ledger) = ledgers.get_mut(&endpoint) {
+                next.extend(ledger.tick(now));
+            }
+        }
+        for next in next {
+            self.carry_out(endpoint, &next).await;
+        }
+    }
+
     /// Carries out what a ledger decided.
     async fn carry_out(&mut self, endpoint: EndpointId, next: &Next) {
         let (node, request, verdict) = match *next {
@@ -349,12 +362,14 @@
         let now = Instant::now();
         let late = self.relay.tick(now);
         self.follow(late).await;
-        let mut next = Vec::new();
-        for (id, ledger) in self.ledgers.iter_mut().chain(&mut self.shares) {
-            next.extend(ledger.tick(now).into_iter().map(|next| (*id, next)));
-        }
-        for (endpoint, next) in next {
-            self.carry_out(endpoint, &next).await;
+        let engines: BTreeSet<EndpointId> = self
+            .ledgers
+            .keys()
+            .chain(self.shares.keys())
+            .copied()
+            .collect();
+        for endpoint in engines {
+            self.advance(endpoint, now).await;
         }
         self.ticks += 1;
         if self.ticks.is_multiple_of(ROUND) {
--- a/crates/daisyyard/src/progress.rs
+++ b/crates/daisyyard/src/progress.rs
@@ -101,6 +101,7 @@
                 ledger.release(request, count, now);
             }
         }
+        self.advance(endpoint, now).await;
         nodes.retain(|node| *node != self.node);
         nodes.dedup();
         for node in nodes {
--- a/crates/daisyyard/src/remote.rs
+++ b/crates/daisyyard/src/remote.rs
@@ -131,6 +131,7 @@
                 if let Some(ledger) = self.ledgers.get_mut(&entry.endpoint) {
                     ledger.release(entry.request, entry.made, now);
                 }
+                self.advance(entry.endpoint, now).await;
             }
             _ => {}
         }
