--- a/crates/daisyyard/src/command.rs
+++ b/crates/daisyyard/src/command.rs
@@ -3,11 +3,15 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+use daisyyard_gateway::gateway;
 use daisyyard_lab::check;
+use daisyyard_platform::dialect::DIALECT;
 use getopts::Options;
 
 use crate::settings::{Level, Log, Settings};
-use crate::{embedded, event, experiment, faults, node, operator, report, settings};
+use crate::{
+    embedded, event, experiment, faults, gateway_settings, node, operator, report, settings,
+};
 
 /// Exit code of a command that was not understood or whose settings are at fault.
 const EXIT_USAGE: u8 = 2;
@@ -18,6 +22,7 @@
 
 Commands:
   serve --config FILE   run a node
+  gateway --config FILE run a gateway on the users' platform
   check FILE            check a settings file and list every fault
   try [--keep]          run a small fleet on loopback and check the promises
   try --faults          run callers while parts of the fleet fail; `--seed N` repeats a run
@@ -36,11 +41,12 @@
         .iter()
         .any(|argument| argument == "--help" || argument == "-h");
     let result = match name {
-        "serve" | "check" | "try" | "verify" if asks => {
+        "serve" | "gateway" | "check" | "try" | "verify" if asks => {
             print!("{}", help(name));
             Ok(ExitCode::SUCCESS)
         }
         "serve" => serve(rest),
+        "gateway" => run_gateway(rest),
         "check" => check(rest),
         "try" => attempt(rest),
         "verify" => verify(rest),
@@ -72,10 +78,16 @@
              progress is cut off. FILE is JSON with comments; examples/node.jsonc is a sample.\n\n\
              Exit codes: 0 after a planned stop, 2 if the settings are at fault.\n"
         }
+        "gateway" => {
+            "Usage: daisyyard gateway --config FILE\n\n\
+             Runs a gateway until SIGTERM or SIGINT, which start a planned stop; SIGHUP reads FILE\n\
+             again. FILE is JSON with comments; deploy/gateway.jsonc is the platform's template.\n\n\
+             Exit codes: 0 after a planned stop, 2 if the settings are at fault.\n"
+        }
         "check" => {
-            "Usage: daisyyard check FILE\n\n\
+            "Usage: daisyyard check [--gateway] FILE\n\n\
              Lists every fault of a settings file with its line, key, what was found, what was\n\
-             expected and an example.\n\n\
+             expected and an example. --gateway checks the settings of a gateway.\n\n\
              Exit codes: 0 if there is none, 2 otherwise.\n"
         }
         "try" => {
@@ -106,11 +118,35 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Runs a gateway until it is told to stop. Its machine has a part of one core, which one thread
+/// uses best.
+fn run_gateway(arguments: &[String]) -> anyhow::Result<ExitCode> {
+    let mut options = Options::new();
+    options.reqopt("c", "config", "settings file", "FILE");
+    let matches = options.parse(arguments)?;
+    let source = gateway::Source {
+        path: matches.opt_str("config").unwrap_or_default().into(),
+        load: gateway_settings::load,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(gateway::run(source, DIALECT))?;
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Checks a settings file.
 fn check(arguments: &[String]) -> anyhow::Result<ExitCode> {
-    let matches = Options::new().parse(arguments)?;
+    let mut options = Options::new();
+    options.optflag("g", "gateway", "check the settings of a gateway");
+    let matches = options.parse(arguments)?;
     let path = matches.free.first();
     let path = path.ok_or_else(|| anyhow::anyhow!("name a file: daisyyard check FILE"))?;
+    if matches.opt_present("gateway") {
+        gateway_settings::load(Path::new(path))?;
+        println!("{path}: no faults");
+        return Ok(ExitCode::SUCCESS);
+    }
     for warning in settings::load(Path::new(path))?.warnings() {
         println!("{path}: warning: {warning}");
     }
--- /dev/null
+++ b/crates/daisyyard/src/gateway_settings.rs
@@ -0,0 +1,85 @@
+//! Settings of a gateway, written in JSON with comments.
+
+use std::path::Path;
+use std::time::Duration;
+
+use anyhow::Context;
+use daisyyard_core::allowance::Bound;
+use daisyyard_gateway::settings::{Bounds, Listen, Settings};
+
+use crate::scan::{Faults, Scan, Section};
+
+/// Longest time that a setting may give, in seconds.
+const LONGEST: f64 = 3_600.0;
+/// Most repeated sends that a setting may allow.
+const MOST_REPEATS: f64 = 1e9;
+
+/// Loads the settings from a file.
+pub(crate) fn load(path: &Path) -> anyhow::Result<Settings> {
+    let text = std::fs::read_to_string(path)
+        .with_context(|| format!("cannot read {}; give a readable file", path.display()))?;
+    Ok(parse(path, &text)?)
+}
+
+/// Reads the settings from the text of a file, or lists every fault.
+pub fn parse(path: &Path, text: &str) -> Result<Settings, Faults> {
+    let (mut scan, mut root) = Scan::open(path, text)?;
+    let (s, r) = (&mut scan, &mut root);
+    let settings = Settings {
+        name: s.text(r, "name", "\"frontend-costa-a-1\""),
+        zone: s.text(r, "zone", "\"costa-a\""),
+        region: s.text(r, "region", "\"costa\""),
+        zones: s.sections(
+            r,
+            "zones",
+            "[{ \"zone\": \"costa-a\", \"region\": \"costa\" }]",
+            |s, r| (s.text(r, "zone", "\"costa-a\""), s.text(r, "region", "\"costa\"")),
+        ),
+        store: s.address(r, "store"),
+        listen: s.object(r, "listen", listen),
+        bounds: s.object(r, "bounds", bounds),
+        repeats: s.object(r, "repeats", repeats),
+    };
+    scan.close(root);
+    scan.finish(settings)
+}
+
+/// Reads the addresses of the gateway.
+fn listen<'a>(s: &mut Scan<'a>, r: &mut Section<'a>) -> Listen {
+    Listen {
+        requests: s.address(r, "requests"),
+        ready: s.address(r, "ready"),
+        directory: s.address(r, "directory"),
+        digests: s.address(r, "digests"),
+        metrics: s.address(r, "metrics"),
+    }
+}
+
+/// Reads the time bounds of the deployment.
+fn bounds<'a>(s: &mut Scan<'a>, r: &mut Section<'a>) -> Bounds {
+    Bounds {
+        contact: millis(s, r, "contact_ms"),
+        drain: millis(s, r, "drain_ms"),
+        grace: seconds(s, r, "grace_s"),
+        directory: seconds(s, r, "directory_s"),
+    }
+}
+
+/// Reads the bound on repeated sends.
+fn repeats<'a>(s: &mut Scan<'a>, r: &mut Section<'a>) -> Bound {
+    Bound {
+        ratio: s.number(r, "ratio", 0.0..=1.0, "0.2"),
+        slack: s.number(r, "slack", 0.0..=MOST_REPEATS, "52"),
+        window: seconds(s, r, "window_s"),
+    }
+}
+
+/// Reads a time in seconds, fractions included.
+fn seconds<'a>(s: &mut Scan<'a>, r: &mut Section<'a>, key: &'static str) -> Duration {
+    Duration::from_secs_f64(s.number(r, key, 0.0..=LONGEST, "8"))
+}
+
+/// Reads a time in milliseconds, fractions included.
+fn millis<'a>(s: &mut Scan<'a>, r: &mut Section<'a>, key: &'static str) -> Duration {
+    Duration::from_secs_f64(s.number(r, key, 0.0..=LONGEST * 1_000.0, "3000") / 1_000.0)
+}
--- a/crates/daisyyard/src/plain.rs
+++ b/crates/daisyyard/src/plain.rs
@@ -10,18 +10,18 @@
 use daisyyard_core::id::{self, AccountId};
 use daisyyard_core::link::Signal;
 use daisyyard_core::route::Request as Routed;
+use daisyyard_http::connection::{self, Answer, Failure};
 use daisyyard_http::{self as http, Body};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{
-    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue,
+    AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue,
 };
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::oneshot;
 
 use crate::calls::Claim;
-use crate::connection::{self, Answer, Failure};
 use crate::dispatch::{Done, Observe, Retry, Route, Target};
 use crate::front;
 use crate::generation::Actors;
@@ -42,19 +42,6 @@
 const UNCERTAIN: &str = "an earlier call with this key may have run; check before a new key";
 /// Header of an answer that was kept from the first call with its key.
 const REPLAYED: &str = "idempotent-replayed";
-/// Headers that concern one connection only.
-const HOP_BY_HOP: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// A call of a plain service.
 #[derive(Debug)]
 struct Call {
@@ -366,17 +353,9 @@
 
 /// Returns the headers without those that concern one connection only.
 fn forwarded(headers: &HeaderMap) -> HeaderMap {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    let keep = |name: &HeaderName| !HOP_BY_HOP.contains(&name.as_str()) && !named.contains(name);
-    let kept = headers.iter().filter(|(name, _)| keep(name));
-    kept.map(|(name, value)| (name.clone(), value.clone()))
-        .collect()
+    let mut kept = headers.clone();
+    http::remove_hop_by_hop(&mut kept);
+    kept
 }
 
 /// Returns a refusal with the outcome that is known.
--- a/crates/daisyyard/src/scan.rs
+++ b/crates/daisyyard/src/scan.rs
@@ -250,6 +250,26 @@
             .unwrap_or(default)
     }
 
+    /// Reads a number within bounds.
+    pub(crate) fn number(
+        &mut self,
+        section: &mut Section<'a>,
+        key: &'static str,
+        bounds: std::ops::RangeInclusive<f64>,
+        example: &'static str,
+    ) -> f64 {
+        let shape = Shape {
+            expected: "a number within the documented bounds",
+            example,
+        };
+        let accept = |value: &Value<'a>| {
+            let number: f64 = value.as_number_lit()?.value.parse().ok()?;
+            bounds.contains(&number).then_some(number)
+        };
+        self.required(section, key, shape, accept)
+            .unwrap_or(*bounds.start())
+    }
+
     /// Reads one of several names; a missing key takes the first.
     pub(crate) fn choice<T: Copy>(
         &mut self,
@@ -320,6 +340,26 @@
         Some(value)
     }
 
+    /// Reads an object with a function; each key that is missing is a fault, also if the whole
+    /// object is.
+    pub(crate) fn object<T>(
+        &mut self,
+        section: &mut Section<'a>,
+        key: &'static str,
+        read: impl Fn(&mut Self, &mut Section<'a>) -> T,
+    ) -> T {
+        if let Some(value) = self.section(section, key, &read) {
+            return value;
+        }
+        let mut empty = Section {
+            path: section.name(key),
+            start: section.start,
+            unread: Vec::new(),
+            known: Vec::new(),
+        };
+        read(self, &mut empty)
+    }
+
     /// Reads a list of objects with a function that reads one; a missing key takes an empty list.
     pub(crate) fn sections<T>(
         &mut self,
--- a/crates/daisyyard/src/upstream.rs
+++ b/crates/daisyyard/src/upstream.rs
@@ -5,12 +5,12 @@
 
 use bytes::Bytes;
 use daisyyard_core::id::Offset;
+use daisyyard_http::connection::{self, Answer, Failure};
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, StatusCode};
 use tokio::sync::mpsc;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::connection::{self, Answer, Failure};
 use crate::signature;
 use crate::sse::{Fault, Parser, Piece};
 
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -7,11 +7,14 @@
 
 pub mod account;
 mod admit;
+pub mod allowance;
 pub mod attempt;
+pub mod backlog;
 pub mod budget;
 pub mod burn;
 pub mod call;
 mod capacity;
+pub mod catalog;
 pub mod config;
 pub mod contract;
 pub mod drain;
@@ -30,6 +33,7 @@
 pub mod order;
 pub mod peers;
 pub mod placement;
+pub mod pool;
 pub mod prefix;
 pub mod presence;
 pub mod preset;
--- /dev/null
+++ b/crates/daisyyard_core/src/pool.rs
@@ -0,0 +1,393 @@
+//! The pool: endpoints of all services as one node sees them, and the choice among them.
+//!
+//! A node knows its own load exactly and that of the other nodes from their digests, which are a
+//! fraction of a second old. Expected memory is reserved when a request is sent, so that engines
+//! are filled without preemptions.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use daisyyard_derive::{record, token};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::endpoint::{Endpoint, Kind, State};
+use crate::id::{EndpointId, InstanceId, ServiceId, Tokens};
+use crate::zone::{Distance, Zone};
+
+/// Share of an engine's memory that may be reserved. The rest absorbs outputs that are longer than
+/// expected.
+const MEMORY_USED: f64 = 0.95;
+/// Share of an engine's memory up to which it takes copies of runs at other engines. New runs use
+/// the rest.
+const MEMORY_WITH_BACKUPS: f64 = 0.75;
+/// Prompt tokens in front of a request that weigh as much as a full memory.
+const PREFILL_SCALE: f64 = 12_000.0;
+/// Requests per slot of a plain endpoint that are sent before others wait at the node.
+const PLAIN_DEPTH: u32 = 2;
+/// Weight of an endpoint in another availability zone, as a share of its capacity.
+const ZONE_WEIGHT: f64 = 0.04;
+/// Weight of an endpoint in another region, as a share of its capacity.
+const REGION_WEIGHT: f64 = 0.5;
+/// Weight of an endpoint that has just started and is slow.
+const COLD_WEIGHT: f64 = 0.5;
+/// Weight of an endpoint whose requests all fail.
+const FAILURE_WEIGHT: f64 = 2.0;
+/// Largest random weight; it keeps nodes with the same view from choosing the same endpoint.
+const JITTER: f64 = 0.05;
+/// Share of the newest result in the failure rate of an endpoint.
+const FAILURE_SHARE: f64 = 0.2;
+/// Time after which the load of a node that is not heard from is dropped.
+const DIGEST_LIFETIME: Duration = Duration::from_secs(2);
+/// First time for which an endpoint that does not accept connections is left out.
+const EJECTION: Duration = Duration::from_millis(500);
+/// Longest time for which an endpoint is left out before it is tried again.
+const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+
+/// What a request needs of an endpoint.
+#[record]
+pub struct Need {
+    /// Service that answers.
+    pub service: ServiceId,
+    /// Tokens of the prompt.
+    pub prompt: Tokens,
+    /// Tokens that are expected to be generated.
+    pub output: Tokens,
+    /// Tokens of context that the memory of an engine of the service holds.
+    pub memory: Tokens,
+    /// Whether a copy of the run's memory is wanted at another engine.
+    pub backup: bool,
+}
+
+/// Load of one node at one endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Load {
+    /// Requests in progress.
+    pub runs: u32,
+    /// Tokens of context that the requests and the copies of others are expected to need.
+    pub tokens: Tokens,
+    /// Prompt tokens of requests whose first token has not arrived.
+    pub prefill: Tokens,
+}
+
+/// Where to send a request.
+#[derive(Debug, Clone)]
+pub enum Choice {
+    /// Send it to an endpoint.
+    Send {
+        /// Endpoint that runs the request.
+        endpoint: Arc<Endpoint>,
+        /// Engine that keeps a copy of the run's memory.
+        backup: Option<Arc<Endpoint>>,
+    },
+    /// Every endpoint is full; wait.
+    Wait,
+    /// No endpoint of the service is known to be live.
+    Missing,
+}
+
+/// How a request ended, as far as it says something about the endpoint.
+#[token]
+pub enum Sign {
+    /// The endpoint answered.
+    Sound,
+    /// The endpoint failed the request.
+    Failed,
+    /// The endpoint did not accept a connection.
+    Unreachable,
+    /// The request ended for reasons of its own.
+    Nothing,
+}
+
+/// An endpoint with what is known of its load and health.
+#[derive(Debug)]
+struct Seat {
+    /// The endpoint.
+    endpoint: Arc<Endpoint>,
+    /// Load of this node.
+    own: Load,
+    /// Loads of other nodes, with the times of their digests.
+    others: HashMap<InstanceId, (Load, Instant)>,
+    /// End of the time for which the endpoint is slow after its start.
+    cold_until: Instant,
+    /// When the endpoint counts as gone unless it is listed again.
+    doubtful_until: Option<Instant>,
+    /// End of the time for which no request is sent, and its length.
+    ejected: Option<(Instant, Duration)>,
+    /// Share of failed requests among the newest ones.
+    failures: f64,
+}
+
+/// Endpoints of all services.
+#[derive(Debug)]
+pub struct Pool {
+    /// Zone of the node.
+    zone: Zone,
+    /// Endpoints by identifier.
+    seats: BTreeMap<EndpointId, Seat>,
+    /// Source of the random weights.
+    random: Pcg64Mcg,
+}
+
+impl Need {
+    /// Returns the tokens of context that the request is expected to need at its end.
+    pub fn tokens(&self) -> Tokens {
+        self.prompt + self.output
+    }
+}
+
+impl Load {
+    /// Returns the sum of two loads.
+    fn plus(self, other: Self) -> Self {
+        Self {
+            runs: self.runs + other.runs,
+            tokens: self.tokens + other.tokens,
+            prefill: self.prefill + other.prefill,
+        }
+    }
+}
+
+impl Pool {
+    /// Creates an empty pool of a node in a zone.
+    pub fn new(zone: Zone, seed: u64) -> Self {
+        Self {
+            zone,
+            seats: BTreeMap::new(),
+            random: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes the present description of an endpoint; returns whether it has begun to leave.
+    pub fn put(&mut self, endpoint: Endpoint, cold: Duration, now: Instant) -> bool {
+        let leaving = endpoint.state != State::Live;
+        let endpoint = Arc::new(endpoint);
+        match self.seats.get_mut(&endpoint.id) {
+            Some(seat) => {
+                let begins = leaving && seat.endpoint.state == State::Live;
+                seat.endpoint = endpoint;
+                seat.cold_until = now + cold;
+                seat.doubtful_until = None;
+                begins
+            }
+            None => {
+                let seat = Seat {
+                    own: Load::default(),
+                    others: HashMap::new(),
+                    cold_until: now + cold,
+                    doubtful_until: None,
+                    ejected: None,
+                    failures: 0.0,
+                    endpoint: Arc::clone(&endpoint),
+                };
+                self.seats.insert(endpoint.id, seat);
+                leaving
+            }
+        }
+    }
+
+    /// Removes an endpoint that is no longer listed, at once or after a time in which it may be
+    /// listed again; returns whether it is gone now.
+    pub fn remove(&mut self, id: EndpointId, doubt: Option<Instant>, now: Instant) -> bool {
+        match doubt {
+            Some(until) if until > now => {
+                if let Some(seat) = self.seats.get_mut(&id) {
+                    seat.doubtful_until.get_or_insert(until);
+                }
+                false
+            }
+            _ => self.seats.remove(&id).is_some(),
+        }
+    }
+
+    /// Removes the endpoints whose time to be listed again has passed.
+    pub fn expire(&mut self, now: Instant) -> Vec<EndpointId> {
+        let late = |seat: &Seat| seat.doubtful_until.is_some_and(|until| until <= now);
+        let gone: Vec<EndpointId> = self
+            .seats
+            .iter()
+            .filter(|(_, seat)| late(seat))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in &gone {
+            self.seats.remove(id);
+        }
+        gone
+    }
+
+    /// Returns the identifiers of all known endpoints.
+    pub fn known(&self) -> Vec<EndpointId> {
+        self.seats.keys().copied().collect()
+    }
+
+    /// Returns an endpoint.
+    pub fn endpoint(&self, id: EndpointId) -> Option<&Arc<Endpoint>> {
+        self.seats.get(&id).map(|seat| &seat.endpoint)
+    }
+
+    /// Chooses an endpoint for a request, other than the excluded ones.
+    pub fn choose(&mut self, need: &Need, excluded: &[EndpointId], now: Instant) -> Choice {
+        let mut best: Option<(f64, EndpointId)> = None;
+        let mut live = 0;
+        for (id, seat) in &self.seats {
+            if !seat.serves(need.service) || excluded.contains(id) {
+                continue;
+            }
+            live += 1;
+            if !seat.usable(now) || !seat.fits(need, now) {
+                continue;
+            }
+            let weight = seat.weight(need, &self.zone, now) + self.random.random_range(0.0..JITTER);
+            if best.is_none_or(|(least, _)| weight < least) {
+                best = Some((weight, *id));
+            }
+        }
+        let Some((_, id)) = best else {
+            return if live > 0 { Choice::Wait } else { Choice::Missing };
+        };
+        let backup = need.backup.then(|| self.backup(need, id, excluded, now));
+        Choice::Send {
+            endpoint: Arc::clone(&self.seats[&id].endpoint),
+            backup: backup.flatten(),
+        }
+    }
+
+    /// Chooses an engine that keeps a copy of a run at another engine.
+    pub fn backup(
+        &self,
+        need: &Need,
+        engine: EndpointId,
+        excluded: &[EndpointId],
+        now: Instant,
+    ) -> Option<Arc<Endpoint>> {
+        let zone = self.seats.get(&engine).map(|seat| seat.endpoint.zone.id);
+        let candidates = self.seats.iter().filter(|(id, seat)| {
+            **id != engine
+                && !excluded.contains(id)
+                && seat.serves(need.service)
+                && seat.usable(now)
+                && seat.doubtful_until.is_none()
+        });
+        let weighed = candidates.filter_map(|(_, seat)| {
+            let share = seat.filled(need, now);
+            // A copy within a zone travels in half the time.
+            let distance = if zone == Some(seat.endpoint.zone.id) {
+                0.0
+            } else {
+                ZONE_WEIGHT
+            };
+            (share <= MEMORY_WITH_BACKUPS).then_some((share + distance, seat))
+        });
+        let least = weighed.min_by(|one, two| one.0.total_cmp(&two.0));
+        least.map(|(_, seat)| Arc::clone(&seat.endpoint))
+    }
+
+    /// Changes this node's load at an endpoint.
+    pub fn change(&mut self, id: EndpointId, change: impl FnOnce(&mut Load)) {
+        if let Some(seat) = self.seats.get_mut(&id) {
+            change(&mut seat.own);
+        }
+    }
+
+    /// Learns from the end of a request.
+    pub fn observe(&mut self, id: EndpointId, sign: Sign, now: Instant) {
+        let Some(seat) = self.seats.get_mut(&id) else {
+            return;
+        };
+        let failed = match sign {
+            Sign::Nothing => return,
+            Sign::Sound => 0.0,
+            Sign::Failed | Sign::Unreachable => 1.0,
+        };
+        seat.failures += FAILURE_SHARE * (failed - seat.failures);
+        match sign {
+            Sign::Unreachable => {
+                let last = seat.ejected.map_or(EJECTION / 2, |(_, length)| length);
+                let length = (last * 2).min(LONGEST_EJECTION);
+                seat.ejected = Some((now + length, length));
+            }
+            _ => seat.ejected = None,
+        }
+    }
+
+    /// Returns this node's loads.
+    pub fn loads(&self) -> impl Iterator<Item = (EndpointId, Load)> {
+        let used = |load: &Load| load.runs > 0 || load.tokens > 0;
+        let seats = self.seats.iter().map(|(id, seat)| (*id, seat.own));
+        seats.filter(move |(_, load)| used(load))
+    }
+
+    /// Takes the loads of another node, which replace those known of it.
+    pub fn learn(&mut self, from: InstanceId, loads: &[(EndpointId, Load)], now: Instant) {
+        for seat in self.seats.values_mut() {
+            seat.others.remove(&from);
+        }
+        for (id, load) in loads {
+            if let Some(seat) = self.seats.get_mut(id) {
+                seat.others.insert(from, (*load, now));
+            }
+        }
+    }
+}
+
+impl Seat {
+    /// Returns whether the endpoint belongs to a service and is not leaving.
+    fn serves(&self, service: ServiceId) -> bool {
+        self.endpoint.service == service && self.endpoint.state == State::Live
+    }
+
+    /// Returns whether requests may be sent.
+    fn usable(&self, now: Instant) -> bool {
+        self.ejected.is_none_or(|(until, _)| until <= now)
+    }
+
+    /// Returns the load of all nodes.
+    fn load(&self, now: Instant) -> Load {
+        let fresh = self
+            .others
+            .values()
+            .filter(|(_, taken)| now.saturating_duration_since(*taken) < DIGEST_LIFETIME);
+        fresh.fold(self.own, |sum, (load, _)| sum.plus(*load))
+    }
+
+    /// Returns the share of the memory that is reserved once a request is added.
+    fn filled(&self, need: &Need, now: Instant) -> f64 {
+        (self.load(now).tokens + need.tokens()) as f64 / need.memory.max(1) as f64
+    }
+
+    /// Returns whether a request can start soon.
+    fn fits(&self, need: &Need, now: Instant) -> bool {
+        let runs = self.load(now).runs;
+        match self.endpoint.kind {
+            Kind::Engine => {
+                let alone = runs == 0;
+                let roomy = alone || self.filled(need, now) <= MEMORY_USED;
+                runs < self.endpoint.slots && roomy
+            }
+            Kind::Plain => runs < self.endpoint.slots.max(1) * PLAIN_DEPTH,
+        }
+    }
+
+    /// Returns how much speaks against the endpoint; a full one weighs about one.
+    fn weight(&self, need: &Need, zone: &Zone, now: Instant) -> f64 {
+        let load = self.load(now);
+        let full = match self.endpoint.kind {
+            Kind::Engine => {
+                load.tokens as f64 / need.memory.max(1) as f64
+                    + load.prefill as f64 / PREFILL_SCALE
+            }
+            Kind::Plain => f64::from(load.runs) / f64::from(self.endpoint.slots.max(1)),
+        };
+        let distance = match zone.distance(&self.endpoint.zone) {
+            Distance::Local => 0.0,
+            Distance::Regional => ZONE_WEIGHT,
+            Distance::Remote => REGION_WEIGHT,
+        };
+        let cold = if self.cold_until > now {
+            COLD_WEIGHT
+        } else {
+            0.0
+        };
+        full + distance + cold + FAILURE_WEIGHT * self.failures
+    }
+}
--- /dev/null
+++ b/crates/daisyyard_gateway/src/body.rs
@@ -0,0 +1,49 @@
+//! Bodies of answers: whole, or passed on as they arrive.
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Frame;
+use tokio::sync::mpsc;
+
+/// Pieces of a streamed answer that wait for a slow caller before its engine is held back.
+const BUFFER: usize = 16;
+
+/// Body of an answer.
+pub(crate) type Body = UnsyncBoxBody<Bytes, Incomplete>;
+
+/// The answer ended before it was complete; the connection is closed without its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the answer is incomplete; ask again if the request may run twice")]
+pub(crate) struct Incomplete;
+
+/// A part of a streamed answer.
+#[derive(Debug)]
+pub(crate) enum Piece {
+    /// Bytes.
+    Data(Bytes),
+    /// The answer is complete.
+    End,
+}
+
+/// Returns a whole body.
+pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
+    let body = Full::new(bytes.into());
+    body.map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Returns a body that passes on pieces. It fails when the sender is dropped without an end, so
+/// that an answer that breaks off never looks complete.
+pub(crate) fn channel() -> (mpsc::Sender<Piece>, Body) {
+    let (sender, receiver) = mpsc::channel(BUFFER);
+    let stream = futures_util::stream::unfold(Some(receiver), |receiver| async {
+        let mut receiver: mpsc::Receiver<Piece> = receiver?;
+        match receiver.recv().await {
+            Some(Piece::Data(bytes)) => Some((Ok(Frame::data(bytes)), Some(receiver))),
+            Some(Piece::End) => None,
+            None => Some((Err(Incomplete), None)),
+        }
+    });
+    (sender, BodyExt::boxed_unsync(StreamBody::new(stream.boxed())))
+}
--- /dev/null
+++ b/crates/daisyyard_gateway/src/dialect.rs
@@ -0,0 +1,191 @@
+//! What differs between platforms: how messages are written, as plain functions.
+//!
+//! The gateway decides what to send and what an answer means; an adapter provides the functions
+//! that read and write the platform's names.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use daisyyard_core::catalog::{Catalog, Priority};
+use daisyyard_core::endpoint::Endpoint;
+use daisyyard_core::id::{EndpointId, Revision, Tokens};
+use daisyyard_derive::value;
+use hyper::header::HeaderMap;
+use hyper::{Method, StatusCode};
+
+/// Number of a lease at the platform's store.
+pub type LeaseId = u64;
+
+/// What a caller says of its request.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Asked {
+    /// Identifier of the caller's attempt; unique over all requests.
+    pub attempt: Option<String>,
+    /// Credential of the caller.
+    pub credential: Option<String>,
+    /// Time that the caller will wait.
+    pub deadline: Option<Duration>,
+    /// Tokens of the prompt.
+    pub prompt: Tokens,
+    /// Most tokens that may be generated.
+    pub output_limit: Option<Tokens>,
+    /// Tokens that the caller expects to be generated.
+    pub output_hint: Option<Tokens>,
+}
+
+/// What the gateway tells an endpoint besides what the caller said.
+#[derive(Debug, Clone, Default)]
+pub struct Order {
+    /// Name of the endpoint that the request is meant for.
+    pub endpoint: String,
+    /// Name of the client account.
+    pub account: Option<String>,
+    /// Time that is left.
+    pub deadline: Duration,
+    /// Rank of the request among those of a model service.
+    pub priority: Option<Priority>,
+    /// Engine that receives a copy of the run's memory.
+    pub backup: Option<SocketAddr>,
+    /// Where the run goes on, if it does.
+    pub resume: Option<Resume>,
+}
+
+/// A run that goes on at an engine that holds its memory.
+#[value]
+pub struct Resume {
+    /// Engine that holds the memory, or that began the move.
+    pub holder: SocketAddr,
+    /// Name of the copy at that engine.
+    pub copy: String,
+    /// Last event that the caller has.
+    pub event: u64,
+}
+
+/// What an endpoint says in the head of an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Replied {
+    /// Attempt that the answer belongs to.
+    pub attempt: Option<String>,
+    /// Whether the answer has the endpoint's signature.
+    pub signed: bool,
+    /// Whether the endpoint states that it did not run the request.
+    pub declined: bool,
+}
+
+/// One call of the platform's store or of an engine's own interface.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Body, in JSON; empty if there is none.
+    pub body: Bytes,
+}
+
+/// Something that a key of the store says.
+#[derive(Debug)]
+pub enum Fact {
+    /// A configuration version.
+    Catalog(Box<Catalog>),
+    /// An endpoint, and for how long it is slow after its start.
+    Endpoint(Endpoint, Duration),
+    /// An endpoint is no longer listed.
+    Unlisted(EndpointId),
+    /// A gateway: the part of its key that names it, and its entry unless it was removed.
+    Gateway(String, Option<Bytes>),
+    /// A value that cannot be used: its key and the reason.
+    Unusable(String, String),
+    /// A key that does not matter.
+    Other,
+}
+
+/// Changes of the store.
+#[derive(Debug, Default)]
+pub struct Batch {
+    /// What the keys say now.
+    pub facts: Vec<Fact>,
+    /// Revision up to which the changes are complete.
+    pub revision: Revision,
+    /// Key after which the next page begins, if there is one.
+    pub next: Option<String>,
+}
+
+/// A key of the store that belongs to the gateways.
+#[value]
+pub struct Entry {
+    /// Part of the key that names the gateway.
+    pub name: String,
+    /// Value.
+    pub value: Bytes,
+    /// Lease that the key ends with.
+    pub lease: LeaseId,
+}
+
+/// A run whose memory was copied to another engine.
+#[value]
+pub struct Copied {
+    /// Name of the copy.
+    pub copy: String,
+}
+
+/// Where a caller stands.
+#[value]
+pub struct Place {
+    /// Name of the caller's zone.
+    pub zone: String,
+}
+
+/// The store's calls.
+#[derive(Debug, Clone, Copy)]
+pub struct Store {
+    /// Reads all keys, beginning after one.
+    pub list: fn(after: Option<&str>) -> Call,
+    /// Waits for changes after a revision.
+    pub watch: fn(after: Revision, wait: Duration) -> Call,
+    /// Reads the answer of `list` or `watch`.
+    pub batch: fn(&[u8]) -> anyhow::Result<Batch>,
+    /// Creates a lease.
+    pub lease: fn(lifetime: Duration) -> Call,
+    /// Reads the answer of `lease`.
+    pub leased: fn(&[u8]) -> anyhow::Result<LeaseId>,
+    /// Renews a lease.
+    pub keep: fn(LeaseId) -> Call,
+    /// Ends a lease with its keys.
+    pub end: fn(LeaseId) -> Call,
+    /// Writes a key.
+    pub put: fn(&Entry) -> Call,
+}
+
+/// The engines' own interface.
+#[derive(Debug, Clone, Copy)]
+pub struct Engine {
+    /// Copies the memory of a run to another engine; the last copy ends the run there.
+    pub copy: fn(attempt: &str, target: SocketAddr, last: bool) -> Call,
+    /// Reads the answer of `copy`.
+    pub copied: fn(&[u8]) -> anyhow::Result<Copied>,
+}
+
+/// All functions that an adapter provides.
+#[derive(Debug, Clone, Copy)]
+pub struct Dialect {
+    /// Reads the head of a request.
+    pub asked: fn(&HeaderMap) -> Asked,
+    /// Changes the head of a request into that which an endpoint receives.
+    pub order: fn(&mut HeaderMap, &Order),
+    /// Reads the head of an answer.
+    pub replied: fn(StatusCode, &HeaderMap) -> Replied,
+    /// Path on which the platform asks whether the gateway is ready.
+    pub ready: &'static str,
+    /// Path on which callers ask for addresses.
+    pub directory: &'static str,
+    /// Reads the query of a caller that asks for addresses.
+    pub place: fn(query: &str) -> Place,
+    /// Writes the addresses that a caller may use, and for how long.
+    pub addresses: fn(&[SocketAddr], Duration) -> Bytes,
+    /// The store's calls.
+    pub store: Store,
+    /// The engines' own interface.
+    pub engine: Engine,
+}
--- /dev/null
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -0,0 +1,153 @@
+//! Digests: datagrams in which each gateway tells the others its load at each endpoint.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use daisyyard_core::id::{EndpointId, InstanceId};
+use daisyyard_core::pool::Load;
+use prost::Message;
+use tokio::net::UdpSocket;
+use tokio::task::JoinHandle;
+use tokio::time::MissedTickBehavior;
+use xtra::{Address, WeakAddress};
+
+use crate::pool::{Digest, Pool, Report};
+
+/// Time between two digests. It bounds how old the knowledge of other gateways' loads is.
+const PERIOD: Duration = Duration::from_millis(100);
+/// Periods after which an unchanged digest is sent again, to show that the gateway lives.
+const QUIET_PERIODS: u32 = 4;
+/// Largest datagram: what fits one packet on any path.
+const MAX_DATAGRAM: usize = 1_400;
+/// Endpoints in one datagram.
+const ITEMS: usize = 48;
+
+/// A digest on the wire.
+#[derive(Clone, PartialEq, Eq, Message)]
+struct Frame {
+    /// Identifier of the sender.
+    #[prost(fixed64, tag = "1")]
+    instance: InstanceId,
+    /// Whether the sender is leaving.
+    #[prost(bool, tag = "2")]
+    leaving: bool,
+    /// Loads of the sender.
+    #[prost(message, repeated, tag = "3")]
+    items: Vec<Item>,
+}
+
+/// The load of the sender at one endpoint.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+struct Item {
+    /// Identifier of the endpoint.
+    #[prost(fixed64, tag = "1")]
+    endpoint: EndpointId,
+    /// Requests in progress.
+    #[prost(uint32, tag = "2")]
+    runs: u32,
+    /// Tokens of context that are reserved.
+    #[prost(uint64, tag = "3")]
+    tokens: u64,
+    /// Prompt tokens of requests without a first token.
+    #[prost(uint64, tag = "4")]
+    prefill: u64,
+}
+
+impl From<&(EndpointId, Load)> for Item {
+    fn from((endpoint, load): &(EndpointId, Load)) -> Self {
+        Self {
+            endpoint: *endpoint,
+            runs: load.runs,
+            tokens: load.tokens,
+            prefill: load.prefill,
+        }
+    }
+}
+
+impl From<Item> for (EndpointId, Load) {
+    fn from(item: Item) -> Self {
+        let load = Load {
+            runs: item.runs,
+            tokens: item.tokens,
+            prefill: item.prefill,
+        };
+        (item.endpoint, load)
+    }
+}
+
+impl From<&Report> for Frame {
+    fn from(report: &Report) -> Self {
+        let items = report.loads.iter().take(ITEMS).map(Item::from);
+        Self {
+            instance: report.from,
+            leaving: report.leaving,
+            items: items.collect(),
+        }
+    }
+}
+
+impl From<Frame> for Report {
+    fn from(frame: Frame) -> Self {
+        Self {
+            from: frame.instance,
+            leaving: frame.leaving,
+            loads: frame.items.into_iter().map(Into::into).collect(),
+            targets: Vec::new(),
+        }
+    }
+}
+
+/// Starts the task that sends and receives digests.
+pub(crate) async fn spawn(
+    address: SocketAddr,
+    pool: &Address<Pool>,
+) -> std::io::Result<JoinHandle<()>> {
+    let socket = UdpSocket::bind(address).await?;
+    Ok(tokio::spawn(exchange(socket, pool.downgrade())))
+}
+
+/// Sends and receives digests until the pool ends.
+async fn exchange(socket: UdpSocket, pool: WeakAddress<Pool>) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    let mut interval = tokio::time::interval(PERIOD);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last = Frame::default();
+    let mut quiet = 0;
+    loop {
+        tokio::select! {
+            _ = interval.tick() => {
+                let Ok(report) = pool.send(Digest).await else {
+                    return;
+                };
+                let frame = Frame::from(&report);
+                quiet += 1;
+                if frame != last || quiet >= QUIET_PERIODS {
+                    quiet = 0;
+                    send(&socket, &frame, &report.targets).await;
+                    last = frame;
+                }
+            }
+            received = socket.recv_from(&mut buffer) => {
+                // An unreadable datagram is from a stranger or was damaged; the next one replaces it.
+                let Ok((size, _)) = received else {
+                    continue;
+                };
+                let Ok(frame) = Frame::decode(&buffer[..size]) else {
+                    continue;
+                };
+                if pool.send(Report::from(frame)).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Sends a digest to other gateways.
+async fn send(socket: &UdpSocket, frame: &Frame, targets: &[SocketAddr]) {
+    let bytes = frame.encode_to_vec();
+    for target in targets {
+        // A lost datagram is replaced by the next one.
+        let _ = socket.send_to(&bytes, target).await;
+    }
+}
--- /dev/null
+++ b/crates/daisyyard_gateway/src/log.rs
@@ -0,0 +1,129 @@
+//! The log: one JSON object a line on the standard output, bounded and never blocking.
+
+use std::num::NonZeroUsize;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use spdlog::formatter::JsonFormatter;
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink};
+use spdlog::{LevelFilter, Logger, ThreadPool};
+
+use crate::event::Event;
+
+/// Lines that wait to be written; more are dropped.
+const QUEUE: NonZeroUsize = NonZeroUsize::new(256).expect("the queue is not empty");
+/// Lines in a period. Writing a line costs processor time, which requests need more in a flood.
+const LINES_PER_PERIOD: u64 = 200;
+/// Length of a period.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// The log of a gateway.
+#[derive(Debug, Clone)]
+pub(crate) struct Log {
+    /// Writes the lines; none are written without one.
+    logger: Option<Arc<Logger>>,
+    /// Bounds the lines.
+    meter: Arc<Meter>,
+}
+
+/// Lines of the present period.
+#[derive(Debug)]
+struct Meter {
+    /// When the log was opened.
+    opened: Instant,
+    /// Number of the present period.
+    period: AtomicU64,
+    /// Lines in the present period.
+    lines: AtomicU64,
+    /// Lines dropped since the last report.
+    dropped: AtomicU64,
+}
+
+impl Log {
+    /// Opens the log on the standard output.
+    pub(crate) fn open() -> anyhow::Result<Self> {
+        let sink = StdStreamSink::builder()
+            .stdout()
+            .formatter(JsonFormatter::new())
+            .build_arc()
+            .context("cannot open the standard output for the log")?;
+        let pool = ThreadPool::builder()
+            .capacity(QUEUE)
+            .build_arc()
+            .context("cannot start the thread that writes the log")?;
+        let queue = AsyncPoolSink::builder()
+            .sink(sink)
+            .thread_pool(pool)
+            .overflow_policy(OverflowPolicy::DropIncoming)
+            .build_arc()
+            .context("cannot open the queue of the log")?;
+        let logger = Logger::builder()
+            .sink(queue)
+            .level_filter(LevelFilter::All)
+            .build_arc()
+            .context("cannot build the logger")?;
+        Ok(Self {
+            logger: Some(logger),
+            ..Self::silent()
+        })
+    }
+
+    /// Returns a log that writes nothing.
+    pub(crate) fn silent() -> Self {
+        let meter = Meter {
+            opened: Instant::now(),
+            period: AtomicU64::new(0),
+            lines: AtomicU64::new(0),
+            dropped: AtomicU64::new(0),
+        };
+        Self {
+            logger: None,
+            meter: Arc::new(meter),
+        }
+    }
+
+    /// Logs an event with details in the form `key=value`, unless too many lines were logged.
+    pub(crate) fn emit(&self, event: Event, details: &str) {
+        if !self.meter.admit() {
+            return;
+        }
+        let dropped = self.meter.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            self.write(Event::LinesDropped, &format!("lines={dropped}"));
+        }
+        self.write(event, details);
+    }
+
+    /// Writes a line.
+    fn write(&self, event: Event, details: &str) {
+        let Some(logger) = &self.logger else {
+            return;
+        };
+        let number = event as u32;
+        spdlog::log!(logger: logger, event.level(), "DY{number:04} {event:?} {details}");
+    }
+
+    /// Writes the lines that wait.
+    pub(crate) fn flush(&self) {
+        if let Some(logger) = &self.logger {
+            logger.flush();
+        }
+    }
+}
+
+impl Meter {
+    /// Counts a line and returns whether it may be written.
+    fn admit(&self) -> bool {
+        let period = self.opened.elapsed().as_secs() / PERIOD.as_secs();
+        if self.period.swap(period, Ordering::Relaxed) != period {
+            self.lines.store(0, Ordering::Relaxed);
+        }
+        let admitted = self.lines.fetch_add(1, Ordering::Relaxed) < LINES_PER_PERIOD;
+        if !admitted {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        admitted
+    }
+}
--- /dev/null
+++ b/crates/daisyyard_gateway/src/measure.rs
@@ -0,0 +1,77 @@
+//! Metrics of a gateway in the Prometheus text format.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use metrics::{Key, KeyName, Level, Metadata, Recorder};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
+
+/// Buckets of latencies, in seconds.
+const BUCKETS: [f64; 12] = [
+    0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 1.5, 2.0, 4.0, 8.0, 16.0, 40.0,
+];
+/// Requests by kind and outcome.
+const REQUESTS: &str = "daisyyard_gateway_requests_total";
+/// Time to the head of the answer.
+const LATENCY: &str = "daisyyard_gateway_answer_seconds";
+/// Requests that were sent once more, by reason.
+const REPEATS: &str = "daisyyard_gateway_repeats_total";
+/// Runs that went on at another engine, by means.
+const MOVES: &str = "daisyyard_gateway_moves_total";
+/// Origin of the series, for filters of recorders.
+const ORIGIN: Metadata<'static> = Metadata::new(module_path!(), Level::INFO, Some(module_path!()));
+
+/// Metrics of one gateway.
+#[derive(Debug, Clone)]
+pub(crate) struct Metrics {
+    /// Keeps the series.
+    recorder: Arc<PrometheusRecorder>,
+    /// Renders the series.
+    handle: PrometheusHandle,
+}
+
+impl Metrics {
+    /// Creates the metrics of a gateway.
+    pub(crate) fn new() -> anyhow::Result<Self> {
+        let matcher = Matcher::Full(LATENCY.to_owned());
+        let builder = PrometheusBuilder::new().set_buckets_for_metric(matcher, &BUCKETS);
+        let builder = builder.context("the buckets of the latencies are invalid")?;
+        let recorder = builder.build_recorder();
+        let handle = recorder.handle();
+        Ok(Self {
+            recorder: Arc::new(recorder),
+            handle,
+        })
+    }
+
+    /// Returns all series as text.
+    pub(crate) fn render(&self) -> String {
+        self.handle.run_upkeep();
+        self.handle.render()
+    }
+
+    /// Counts a request that ended.
+    pub(crate) fn ended(&self, kind: &'static str, outcome: &'static str, latency: Duration) {
+        self.count(REQUESTS, &[("kind", kind), ("outcome", outcome)]);
+        let key = Key::from_parts(KeyName::from_const_str(LATENCY), &[("kind", kind)]);
+        let histogram = self.recorder.register_histogram(&key, &ORIGIN);
+        histogram.record(latency.as_secs_f64());
+    }
+
+    /// Counts a request that is sent once more.
+    pub(crate) fn repeated(&self, reason: &'static str) {
+        self.count(REPEATS, &[("reason", reason)]);
+    }
+
+    /// Counts a run that went on at another engine, or could not.
+    pub(crate) fn moved(&self, means: &'static str) {
+        self.count(MOVES, &[("means", means)]);
+    }
+
+    /// Adds one to a counter.
+    fn count(&self, name: &'static str, labels: &[(&'static str, &'static str)]) {
+        let key = Key::from_parts(KeyName::from_const_str(name), labels);
+        self.recorder.register_counter(&key, &ORIGIN).increment(1);
+    }
+}
--- /dev/null
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -0,0 +1,155 @@
+//! Members: the gateways as one of them sees them, from the store and from their digests.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use daisyyard_core::id::{self, InstanceId};
+use serde::{Deserialize, Serialize};
+
+/// Time without a digest after which a member is not offered to callers. Digests are sent several
+/// times a second.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Most addresses in one answer to a caller.
+const MOST: usize = 64;
+/// Least members in the zone of a caller for which only that zone is offered; one could fail
+/// before the caller asks again.
+const LEAST_LOCAL: usize = 2;
+
+/// What a gateway writes of itself into the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Entry {
+    /// Address for requests.
+    pub(crate) requests: SocketAddr,
+    /// Address for digests.
+    pub(crate) digests: SocketAddr,
+    /// Availability zone.
+    pub(crate) zone: String,
+}
+
+/// A gateway.
+#[derive(Debug)]
+struct Member {
+    /// Its entry in the store.
+    entry: Entry,
+    /// When it was first seen or last heard from.
+    heard: Instant,
+    /// Whether it said that it is leaving.
+    leaving: bool,
+    /// When it counts as gone unless it is listed again.
+    doubtful_until: Option<Instant>,
+}
+
+/// The gateways that one of them knows, itself included.
+#[derive(Debug)]
+pub(crate) struct Members {
+    /// This gateway.
+    own: Entry,
+    /// Identifier of this gateway.
+    me: InstanceId,
+    /// Whether this gateway may be offered to callers.
+    offered: bool,
+    /// The other gateways.
+    others: BTreeMap<InstanceId, Member>,
+}
+
+impl Members {
+    /// Creates the view of a gateway that knows only itself.
+    pub(crate) fn new(name: &str, own: Entry) -> Self {
+        Self {
+            own,
+            me: id::of(name),
+            offered: true,
+            others: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the entry of a gateway.
+    pub(crate) fn put(&mut self, name: &str, entry: Entry, now: Instant) {
+        let id = id::of(name);
+        if id == self.me {
+            return;
+        }
+        let known = self.others.get(&id);
+        let same = known.is_some_and(|member| member.entry == entry);
+        if let Some(member) = self.others.get_mut(&id).filter(|_| same) {
+            member.doubtful_until = None;
+            return;
+        }
+        let member = Member {
+            entry,
+            heard: now,
+            leaving: false,
+            doubtful_until: None,
+        };
+        self.others.insert(id, member);
+    }
+
+    /// Removes a gateway whose entry has ended, at once or after a time in which it may be listed
+    /// again.
+    pub(crate) fn remove(&mut self, name: &str, doubt: Option<Instant>) {
+        let id = id::of(name);
+        match (doubt, self.others.get_mut(&id)) {
+            (Some(until), Some(member)) => {
+                member.doubtful_until.get_or_insert(until);
+            }
+            _ => {
+                self.others.remove(&id);
+            }
+        }
+    }
+
+    /// Keeps only the gateways that a complete list names.
+    pub(crate) fn retain(&mut self, names: &[String]) {
+        let listed: Vec<InstanceId> = names.iter().map(|name| id::of(name)).collect();
+        self.others.retain(|id, _| listed.contains(id));
+    }
+
+    /// Notes a digest; returns whether the sender is known.
+    pub(crate) fn hear(&mut self, id: InstanceId, leaving: bool, now: Instant) -> bool {
+        let Some(member) = self.others.get_mut(&id) else {
+            return false;
+        };
+        member.heard = now;
+        member.leaving = leaving;
+        true
+    }
+
+    /// Stops offering this gateway to callers.
+    pub(crate) fn leave(&mut self) {
+        self.offered = false;
+    }
+
+    /// Returns the number of gateways that share the allowance for repeated sends.
+    pub(crate) fn count(&self) -> usize {
+        self.others.len() + 1
+    }
+
+    /// Returns where digests are sent.
+    pub(crate) fn targets(&self) -> Vec<SocketAddr> {
+        let entries = self.others.values().map(|member| member.entry.digests);
+        entries.collect()
+    }
+
+    /// Returns the addresses that a caller in a zone may use.
+    ///
+    /// When no other gateway was heard from for a while, this one is cut off and cannot tell which
+    /// of the others live, so all are offered.
+    pub(crate) fn offer(&mut self, zone: &str, now: Instant) -> Vec<SocketAddr> {
+        let ended = |member: &Member| member.doubtful_until.is_some_and(|until| until <= now);
+        self.others.retain(|_, member| !ended(member));
+        let silent =
+            |member: &Member| now.saturating_duration_since(member.heard) >= SILENCE;
+        let cut_off = self.others.values().all(silent);
+        let others = self
+            .others
+            .values()
+            .filter(|member| !member.leaving && (cut_off || !silent(member)))
+            .map(|member| &member.entry);
+        let own = self.offered.then_some(&self.own);
+        let all: Vec<&Entry> = own.into_iter().chain(others).collect();
+        let local: Vec<&Entry> = all.iter().copied().filter(|one| one.zone == zone).collect();
+        let chosen = if local.len() >= LEAST_LOCAL { local } else { all };
+        chosen.iter().take(MOST).map(|one| one.requests).collect()
+    }
+}
--- a/crates/daisyyard/src/connection.rs
+++ b/crates/daisyyard_http/src/connection.rs
@@ -13,25 +13,33 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
 /// Time to connect; endpoints of the region are about a millisecond away.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time without traffic after which a connection is probed, and between probes. A connection that
+/// something on its way has forgotten shows in no other way.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection is broken.
+const KEEPALIVE_PROBES: u32 = 3;
+/// Time for which sent bytes may stay unacknowledged.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
 
 /// The head of an answer, its unread body and the task that owns the socket.
 #[derive(Debug)]
-pub(crate) struct Answer {
+pub struct Answer {
     /// Answer with its body unread.
-    pub(crate) response: Response<Incoming>,
+    pub response: Response<Incoming>,
     /// Task that owns the socket; the connection closes when this is dropped.
-    pub(crate) driver: AbortOnDropHandle<()>,
+    pub driver: AbortOnDropHandle<()>,
 }
 
 /// Why no answer arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Failure {
+pub enum Failure {
     /// No process listens at the address.
     Refused,
     /// No connection was made in time.
@@ -47,7 +55,7 @@
 }
 
 /// Sends a request on a connection of its own and returns the head of the answer.
-pub(crate) async fn open(
+pub async fn open(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     timeout: Duration,
@@ -61,7 +69,7 @@
         }
         _ => return Err(Failure::Unreachable),
     };
-    if socket.set_nodelay(true).is_err() {
+    if tune(&socket).is_err() {
         return Err(Failure::Unwritten);
     }
     let written = Arc::new(AtomicUsize::new(0));
@@ -92,6 +100,19 @@
     }
 }
 
+/// Sets the options of a connection: small writes leave at once, and a connection whose other end
+/// is silent breaks within seconds.
+pub fn tune(socket: &TcpStream) -> io::Result<()> {
+    socket.set_nodelay(true)?;
+    let socket = SockRef::from(socket);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+}
+
 /// Returns the failure after `written` bytes of a request with a body of `size` bytes.
 ///
 /// A request head has at least one byte, so the request is incomplete when no more bytes were
@@ -163,7 +184,7 @@
 }
 
 /// Returns whether no process listens at an address.
-pub(crate) async fn refused(address: SocketAddr) -> bool {
+pub async fn refused(address: SocketAddr) -> bool {
     let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     matches!(connect, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
--- a/crates/daisyyard_http/src/lib.rs
+++ b/crates/daisyyard_http/src/lib.rs
@@ -1,5 +1,7 @@
 //! HTTP/1.1 pieces over hyper that the node and the stand-ins share.
 
+pub mod connection;
+
 use std::convert::Infallible;
 use std::net::SocketAddr;
 
@@ -9,6 +11,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
+use hyper::header::HeaderMap;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -23,6 +26,33 @@
 /// Largest request body that is read, in bytes.
 const MAX_BODY: usize = 4 << 20;
 
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Removes the headers that concern one connection only, and those that `connection` names.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(hyper::header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in HOP_BY_HOP.iter().copied().chain(named.iter().map(String::as_str)) {
+        headers.remove(name);
+    }
+}
+
 /// Returns a body that holds the given bytes.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
     Full::new(bytes.into()).boxed_unsync()
