Move runs off engines that leave by repeated copies

Cause: engines are gone 1.5 to 2.1 s after their notice, and copies of all runs together are longer than the links carry when all go to the emptiest engine. Ruled out: notice too late (the watch tells it within 12 ms). Change: copies follow each other while the run goes on, the last one is short; engines with copies are spread; a backup that has no copy is given up.

--- a/crates/daisyyard_core/src/allowance.rs
+++ b/crates/daisyyard_core/src/allowance.rs
@@ -1,19 +1,20 @@
-//! The allowance for repeated sends: over a sliding window, repeats stay below a share of the
-//! requests, without coordination between nodes.
+//! The allowance for repeated sends: over a sliding window, the repeats of all nodes stay below a
+//! share of the requests. Nodes tell each other their counts; no node coordinates them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use daisyyard_derive::{record, token};
+use daisyyard_derive::{record, token, value};
 
-use crate::id::ServiceId;
+use crate::id::{InstanceId, ServiceId};
 
 /// Parts that a window is counted in. The window that is judged may begin at any moment, so that
 /// one part more than a window is kept.
 const PARTS: u32 = 10;
-/// Share of the bound that is used; the rest covers sends that are under way when the number of
-/// nodes changes.
+/// Share of the bound that is used; the rest covers sends that other nodes have not told yet.
 const USED: f64 = 0.8;
+/// Age from which the counts of another node say nothing.
+const FRESH: Duration = Duration::from_secs(1);
 
 /// Bound on the repeats of all nodes together.
 #[record]
@@ -35,15 +36,42 @@
     Refuse,
 }
 
+/// Counts of one node for one service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Count {
+    /// Requests.
+    pub requests: u32,
+    /// Repeated sends.
+    pub repeats: u32,
+}
+
 /// Counts of a part of a window.
-#[token]
+#[value]
 struct Part {
     /// When the part began.
     start: Instant,
-    /// Requests.
-    requests: u32,
-    /// Repeated sends.
-    repeats: u32,
+    /// Counts.
+    count: Count,
+}
+
+/// What another node told.
+#[derive(Debug)]
+struct Told {
+    /// Its counts by service.
+    counts: Vec<(ServiceId, Count)>,
+    /// When it told them.
+    at: Instant,
+}
+
+impl std::ops::Add for Count {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            requests: self.requests + other.requests,
+            repeats: self.repeats + other.repeats,
+        }
+    }
 }
 
 /// Allowance of one node.
@@ -53,6 +81,8 @@
     bound: Bound,
     /// Counts of each service, oldest first.
     parts: BTreeMap<ServiceId, VecDeque<Part>>,
+    /// Counts of the other nodes.
+    others: HashMap<InstanceId, Told>,
 }
 
 impl Allowance {
@@ -61,6 +91,7 @@
         Self {
             bound,
             parts: BTreeMap::new(),
+            others: HashMap::new(),
         }
     }
 
@@ -71,26 +102,48 @@
 
     /// Counts a request.
     pub fn request(&mut self, service: ServiceId, now: Instant) {
-        self.part(service, now).requests += 1;
+        self.part(service, now).count.requests += 1;
     }
 
-    /// Decides whether a request may be sent once more while `nodes` nodes share the slack.
+    /// Decides whether a request may be sent once more while there are `nodes` nodes.
+    ///
+    /// Nodes that have told their counts share the bound by need. The others may use their equal
+    /// parts of the slack meanwhile.
     pub fn repeat(&mut self, service: ServiceId, nodes: usize, now: Instant) -> Next {
-        let part = self.part(service, now);
-        part.repeats += 1;
-        let window = self.bound.window;
+        self.others.retain(|_, told| now.saturating_duration_since(told.at) < FRESH);
+        let others = self.others.values().flat_map(|told| &told.counts);
+        let others = others.filter(|(id, _)| *id == service);
+        let own = self.count(service, now);
+        let all = others.fold(own, |sum, (_, count)| sum + *count);
+        let known = (self.others.len() + 1).min(nodes.max(1));
+        let slack = self.bound.slack * known as f64 / nodes.max(1) as f64;
+        let most = (self.bound.ratio * f64::from(all.requests) + slack) * USED;
+        if f64::from(all.repeats + 1) > most {
+            return Next::Refuse;
+        }
+        self.part(service, now).count.repeats += 1;
+        Next::Send
+    }
+
+    /// Returns this node's counts in the present window.
+    pub fn counts(&self, now: Instant) -> Vec<(ServiceId, Count)> {
+        let services = self.parts.keys();
+        let counts = services.map(|service| (*service, self.count(*service, now)));
+        counts.filter(|(_, count)| *count != Count::default()).collect()
+    }
+
+    /// Takes the counts of another node, which replace those it told before.
+    pub fn learn(&mut self, from: InstanceId, counts: Vec<(ServiceId, Count)>, now: Instant) {
+        self.others.insert(from, Told { counts, at: now });
+    }
+
+    /// Returns this node's counts for a service in the present window.
+    fn count(&self, service: ServiceId, now: Instant) -> Count {
+        let window = self.bound.window + self.bound.window / PARTS;
         let recent = |part: &&Part| now.saturating_duration_since(part.start) <= window;
         let parts = self.parts.get(&service).into_iter().flatten();
-        let (requests, repeats) = parts.filter(recent).fold((0, 0), |sum, part| {
-            (sum.0 + part.requests, sum.1 + part.repeats)
-        });
-        let slack = self.bound.slack / nodes.max(1) as f64;
-        let most = (self.bound.ratio * f64::from(requests) + slack) * USED;
-        if f64::from(repeats) <= most {
-            return Next::Send;
-        }
-        self.part(service, now).repeats -= 1;
-        Next::Refuse
+        let counts = parts.filter(recent).map(|part| part.count);
+        counts.fold(Count::default(), |sum, count| sum + count)
     }
 
     /// Returns the present part of a service's window.
@@ -103,11 +156,10 @@
         if fresh {
             parts.push_back(Part {
                 start: now,
-                requests: 0,
-                repeats: 0,
+                count: Count::default(),
             });
         }
-        if parts.len() > PARTS as usize + 1 {
+        if parts.len() > PARTS as usize + 2 {
             parts.pop_front();
         }
         let last = parts.len() - 1;
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -13,7 +13,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::endpoint::{Endpoint, Kind, State};
-use crate::id::{EndpointId, InstanceId, ServiceId, Tokens};
+use crate::id::{EndpointId, InstanceId, ServiceId, Tokens, ZoneId};
 use crate::zone::{Distance, Zone};
 
 /// Share of an engine's memory that may be reserved. The rest absorbs outputs that are longer than
@@ -21,13 +21,18 @@
 const MEMORY_USED: f64 = 0.95;
 /// Share of an engine's memory up to which it takes copies of runs at other engines. New runs use
 /// the rest.
-const MEMORY_WITH_BACKUPS: f64 = 0.75;
+const MEMORY_WITH_BACKUPS: f64 = 0.0;
+/// Share of the expected output that is reserved. The runs of an engine are at different stages,
+/// so that they do not need their most at the same time.
+const OUTPUT_RESERVED: f64 = 0.6;
 /// Prompt tokens in front of a request that weigh as much as a full memory.
 const PREFILL_SCALE: f64 = 12_000.0;
 /// Requests per slot of a plain endpoint that are sent before others wait at the node.
 const PLAIN_DEPTH: u32 = 2;
 /// Weight of an endpoint in another availability zone, as a share of its capacity.
 const ZONE_WEIGHT: f64 = 0.04;
+/// Weight of an engine in another availability zone for a copy, which takes twice as long.
+const COPY_ZONE_WEIGHT: f64 = 0.2;
 /// Weight of an endpoint in another region, as a share of its capacity.
 const REGION_WEIGHT: f64 = 0.5;
 /// Weight of an endpoint that has just started and is slow.
@@ -36,6 +41,9 @@
 const FAILURE_WEIGHT: f64 = 2.0;
 /// Largest random weight; it keeps nodes with the same view from choosing the same endpoint.
 const JITTER: f64 = 0.05;
+/// Largest random weight of an engine that receives a copy. Copies travel one after another over
+/// the links of an engine, so that they are spread more widely than runs.
+const COPY_JITTER: f64 = 0.4;
 /// Share of the newest result in the failure rate of an endpoint.
 const FAILURE_SHARE: f64 = 0.2;
 /// Time after which the load of a node that is not heard from is dropped.
@@ -87,6 +95,15 @@
     Missing,
 }
 
+/// What room at an engine is wanted for.
+#[token]
+pub enum Room {
+    /// A run.
+    Run,
+    /// A copy of a run at another engine.
+    Copy,
+}
+
 /// How a request ended, as far as it says something about the endpoint.
 #[token]
 pub enum Sign {
@@ -131,9 +148,9 @@
 }
 
 impl Need {
-    /// Returns the tokens of context that the request is expected to need at its end.
+    /// Returns the tokens of context that are reserved for the request.
     pub fn tokens(&self) -> Tokens {
-        self.prompt + self.output
+        self.prompt + (self.output as f64 * OUTPUT_RESERVED) as Tokens
     }
 }
 
@@ -245,38 +262,45 @@
         let Some((_, id)) = best else {
             return if live > 0 { Choice::Wait } else { Choice::Missing };
         };
-        let backup = need.backup.then(|| self.backup(need, id, excluded, now));
+        let endpoint = Arc::clone(&self.seats[&id].endpoint);
+        let zone = Some(endpoint.zone.id);
+        let backup = need.backup.then(|| self.spare(need, zone, &[id], Room::Copy, now));
         Choice::Send {
-            endpoint: Arc::clone(&self.seats[&id].endpoint),
+            endpoint,
             backup: backup.flatten(),
         }
     }
 
-    /// Chooses an engine that keeps a copy of a run at another engine.
-    pub fn backup(
-        &self,
+    /// Chooses an engine for a copy of a run in a zone, or for the run itself once it must move.
+    pub fn spare(
+        &mut self,
         need: &Need,
-        engine: EndpointId,
+        zone: Option<ZoneId>,
         excluded: &[EndpointId],
+        room: Room,
         now: Instant,
     ) -> Option<Arc<Endpoint>> {
-        let zone = self.seats.get(&engine).map(|seat| seat.endpoint.zone.id);
+        let most = match room {
+            Room::Run => MEMORY_USED,
+            Room::Copy => MEMORY_WITH_BACKUPS,
+        };
         let candidates = self.seats.iter().filter(|(id, seat)| {
-            **id != engine
-                && !excluded.contains(id)
+            !excluded.contains(id)
                 && seat.serves(need.service)
                 && seat.usable(now)
                 && seat.doubtful_until.is_none()
         });
+        let random = &mut self.random;
         let weighed = candidates.filter_map(|(_, seat)| {
             let share = seat.filled(need, now);
             // A copy within a zone travels in half the time.
             let distance = if zone == Some(seat.endpoint.zone.id) {
                 0.0
             } else {
-                ZONE_WEIGHT
+                COPY_ZONE_WEIGHT
             };
-            (share <= MEMORY_WITH_BACKUPS).then_some((share + distance, seat))
+            let weight = share + distance + random.random_range(0.0..COPY_JITTER);
+            (share <= most).then_some((weight, seat))
         });
         let least = weighed.min_by(|one, two| one.0.total_cmp(&two.0));
         least.map(|(_, seat)| Arc::clone(&seat.endpoint))
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use daisyyard_core::id::{EndpointId, InstanceId};
+use daisyyard_core::allowance::Count;
+use daisyyard_core::id::{EndpointId, InstanceId, ServiceId};
 use daisyyard_core::pool::Load;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -21,6 +22,8 @@
 const MAX_DATAGRAM: usize = 1_400;
 /// Endpoints in one datagram.
 const ITEMS: usize = 48;
+/// Services in one datagram.
+const SERVICES: usize = 8;
 
 /// A digest on the wire.
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -34,6 +37,23 @@
     /// Loads of the sender.
     #[prost(message, repeated, tag = "3")]
     items: Vec<Item>,
+    /// Requests and repeated sends of the sender.
+    #[prost(message, repeated, tag = "4")]
+    counts: Vec<Counted>,
+}
+
+/// Counts of the sender for one service.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+struct Counted {
+    /// Identifier of the service.
+    #[prost(fixed64, tag = "1")]
+    service: ServiceId,
+    /// Requests in the present window.
+    #[prost(uint32, tag = "2")]
+    requests: u32,
+    /// Repeated sends in the present window.
+    #[prost(uint32, tag = "3")]
+    repeats: u32,
 }
 
 /// The load of the sender at one endpoint.
@@ -75,6 +95,26 @@
     }
 }
 
+impl From<&(ServiceId, Count)> for Counted {
+    fn from((service, count): &(ServiceId, Count)) -> Self {
+        Self {
+            service: *service,
+            requests: count.requests,
+            repeats: count.repeats,
+        }
+    }
+}
+
+impl From<Counted> for (ServiceId, Count) {
+    fn from(counted: Counted) -> Self {
+        let count = Count {
+            requests: counted.requests,
+            repeats: counted.repeats,
+        };
+        (counted.service, count)
+    }
+}
+
 impl From<&Report> for Frame {
     fn from(report: &Report) -> Self {
         let items = report.loads.iter().take(ITEMS).map(Item::from);
@@ -82,6 +122,7 @@
             instance: report.from,
             leaving: report.leaving,
             items: items.collect(),
+            counts: report.counts.iter().take(SERVICES).map(Counted::from).collect(),
         }
     }
 }
@@ -92,6 +133,7 @@
             from: frame.instance,
             leaving: frame.leaving,
             loads: frame.items.into_iter().map(Into::into).collect(),
+            counts: frame.counts.into_iter().map(Into::into).collect(),
             targets: Vec::new(),
         }
     }
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -47,8 +47,10 @@
     RunMoved = 134,
     /// A run cannot go on.
     RunLost = 135,
-    /// A connection failed.
-    ConnectionFailed = 140,
+    /// The memory of a run could not be copied.
+    CopyFailed = 136,
+    /// The memory of a run is being copied, because its engine leaves.
+    CopyStarted = 137,
 }
 
 /// Level of each event.
@@ -74,7 +76,8 @@
     (Event::RequestEnded, Level::Info),
     (Event::RunMoved, Level::Info),
     (Event::RunLost, Level::Warn),
-    (Event::ConnectionFailed, Level::Warn),
+    (Event::CopyFailed, Level::Warn),
+    (Event::CopyStarted, Level::Info),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -10,7 +10,7 @@
 use daisyyard_core::backlog::{Backlog, Due};
 use daisyyard_core::endpoint::{Endpoint, State};
 use daisyyard_core::id::{self, EndpointId, InstanceId, RequestId, ServiceId};
-use daisyyard_core::pool::{Choice, Load, Need, Sign};
+use daisyyard_core::pool::{Choice, Load, Need, Room, Sign};
 use daisyyard_core::zone::Zone;
 use tokio::sync::{mpsc, oneshot};
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
@@ -60,6 +60,8 @@
     endpoint: EndpointId,
     /// Engine with a copy of the run's memory.
     backup: Option<EndpointId>,
+    /// Engines that could not take a copy.
+    refused: Vec<EndpointId>,
     /// What the request needs.
     need: Need,
     /// Whether the first token is awaited.
@@ -136,9 +138,28 @@
 #[derive(Debug)]
 pub(crate) struct Hop(pub(crate) RequestId);
 
-/// Asks for an engine that the memory of a run can be moved to.
+/// Takes a hop back: the run stays at its engine, and the other one keeps the copy.
 #[derive(Debug)]
-pub(crate) struct Reserve(pub(crate) RequestId);
+pub(crate) struct Undo(pub(crate) RequestId, pub(crate) EndpointId, pub(crate) EndpointId);
+
+/// Gives up the engine with the copy of a run; it is not chosen for this run again.
+#[derive(Debug)]
+pub(crate) struct Abandon(pub(crate) RequestId);
+
+/// Asks how a run can get away from an engine that leaves; room for it is reserved.
+#[derive(Debug)]
+pub(crate) struct Escape(pub(crate) RequestId);
+
+/// How a run can get away from its engine.
+#[derive(Debug, Clone)]
+pub(crate) enum Way {
+    /// It goes on at the engine that keeps a copy.
+    Backup,
+    /// Its memory is moved to an engine with room.
+    Move(Arc<Endpoint>),
+    /// No engine has room now.
+    Nowhere,
+}
 
 /// Asks whether a request may be sent once more to a service.
 #[derive(Debug)]
@@ -184,6 +205,8 @@
     pub(crate) leaving: bool,
     /// Its loads.
     pub(crate) loads: Vec<(EndpointId, Load)>,
+    /// Its requests and repeated sends.
+    pub(crate) counts: Vec<(ServiceId, allowance::Count)>,
     /// Where the report of this gateway is sent.
     pub(crate) targets: Vec<SocketAddr>,
 }
@@ -262,6 +285,7 @@
         let record = Run {
             endpoint: endpoint.id,
             backup: backup.as_ref().map(|backup| backup.id),
+            refused: Vec::new(),
             need: claim.need,
             prefill: true,
             notices,
@@ -387,9 +411,18 @@
     }
 
     /// Chooses an engine for a copy of a run, other than the one that runs it.
-    fn spare(&self, run: &Run) -> Option<Arc<Endpoint>> {
+    fn spare(&mut self, run: &Run, room: Room) -> Option<Arc<Endpoint>> {
         let now = Instant::now();
-        self.endpoints.backup(&run.need, run.endpoint, &[], now)
+        let mut excluded = run.refused.clone();
+        excluded.push(run.endpoint);
+        let zone = self.endpoints.endpoint(run.endpoint).map(|one| one.zone.id);
+        self.endpoints.spare(&run.need, zone, &excluded, room, now)
+    }
+
+    /// Returns an endpoint unless it leaves or has left.
+    fn live(&self, id: EndpointId) -> Option<Arc<Endpoint>> {
+        let endpoint = self.endpoints.endpoint(id)?;
+        (endpoint.state == State::Live).then(|| Arc::clone(endpoint))
     }
 }
 
@@ -455,12 +488,11 @@
     async fn handle(&mut self, Hop(id): Hop, _: &mut Context<Self>) -> Self::Return {
         let mut run = self.runs.remove(&id)?;
         self.load(&run, false);
-        let target = run.backup.take();
-        let target = target.and_then(|id| self.endpoints.endpoint(id).cloned());
+        let target = run.backup.take().and_then(|id| self.live(id));
         let hopped = target.map(|target| {
             run.endpoint = target.id;
             run.prefill = false;
-            let spare = run.need.backup.then(|| self.spare(&run)).flatten();
+            let spare = run.need.backup.then(|| self.spare(&run, Room::Copy)).flatten();
             run.backup = spare.as_ref().map(|spare| spare.id);
             (target, spare)
         });
@@ -470,17 +502,52 @@
     }
 }
 
-impl Handler<Reserve> for Pool {
-    type Return = Option<Arc<Endpoint>>;
+impl Handler<Undo> for Pool {
+    type Return = ();
 
-    async fn handle(&mut self, Reserve(id): Reserve, _: &mut Context<Self>) -> Self::Return {
-        let mut run = self.runs.remove(&id)?;
-        self.load(&run, false);
-        let spare = self.spare(&run);
-        run.backup = spare.as_ref().map(|spare| spare.id);
-        self.load(&run, true);
+    async fn handle(&mut self, Undo(id, engine, backup): Undo, _: &mut Context<Self>) {
+        if let Some(mut run) = self.runs.remove(&id) {
+            self.load(&run, false);
+            run.endpoint = engine;
+            run.backup = Some(backup);
+            self.load(&run, true);
+            self.runs.insert(id, run);
+        }
+    }
+}
+
+impl Handler<Abandon> for Pool {
+    type Return = ();
+
+    async fn handle(&mut self, Abandon(id): Abandon, _: &mut Context<Self>) {
+        if let Some(mut run) = self.runs.remove(&id) {
+            self.load(&run, false);
+            run.refused.extend(run.backup.take());
+            self.load(&run, true);
+            self.runs.insert(id, run);
+        }
+    }
+}
+
+impl Handler<Escape> for Pool {
+    type Return = Way;
+
+    async fn handle(&mut self, Escape(id): Escape, _: &mut Context<Self>) -> Way {
+        let Some(mut run) = self.runs.remove(&id) else {
+            return Way::Nowhere;
+        };
+        let way = match run.backup.and_then(|id| self.live(id)) {
+            Some(_) => Way::Backup,
+            None => {
+                self.load(&run, false);
+                let spare = self.spare(&run, Room::Run);
+                run.backup = spare.as_ref().map(|spare| spare.id);
+                self.load(&run, true);
+                spare.map_or(Way::Nowhere, Way::Move)
+            }
+        };
         self.runs.insert(id, run);
-        spare
+        way
     }
 }
 
@@ -549,6 +616,7 @@
             from: self.me,
             leaving: self.leaving,
             loads: self.endpoints.loads().collect(),
+            counts: self.allowance.counts(Instant::now()),
             targets: self.members.targets(),
         }
     }
@@ -561,6 +629,7 @@
         let now = Instant::now();
         if self.members.hear(report.from, report.leaving, now) {
             self.endpoints.learn(report.from, &report.loads, now);
+            self.allowance.learn(report.from, report.counts, now);
             self.start();
         }
     }
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -1,7 +1,6 @@
 //! The task that passes on a stream, and lets its run go on at another engine when its own leaves
 //! or fails.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -22,16 +21,31 @@
 use crate::events::Events;
 use crate::exchange::Exchange;
 use crate::job::Job;
-use crate::pool::{First, Grant, Hop, Notice, Repeat, Reserve};
+use crate::pool::{Abandon, Escape, First, Grant, Hop, Notice, Repeat, Undo, Way};
 use crate::store;
 
 /// Time without an event after which an engine counts as silent.
 const SILENCE: Duration = Duration::from_millis(1_500);
+/// Time after the first event of a run at an engine until its first copy is complete elsewhere.
+const FIRST_BACKUP: Duration = Duration::from_millis(800);
+/// Time between two looks for an engine with room for a run whose own engine leaves.
+const STEP_PAUSE: Duration = Duration::from_millis(100);
 /// Time for an engine to go on with a run.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for an engine to copy the memory of a run.
 const COPY_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// A copy that takes no longer leaves so little for the last one that callers see no pause.
+const SHORT_COPY: Duration = Duration::from_millis(50);
+/// Copies before the last one at most.
+const MOST_COPIES: u32 = 8;
+/// Longest time for which two engines work on one run while it goes from one to the other.
+const OVERLAP: Duration = Duration::from_millis(250);
+/// Reason to go on elsewhere: the engine leaves.
+const LEAVING: &str = "leaving";
+/// Result of an engine that has no copy of the run.
+const DECLINED: &str = "declined";
+
 /// An open answer of an engine; the connection closes when it is dropped.
 type Upstream = (Incoming, AbortOnDropHandle<()>);
 
@@ -44,16 +58,41 @@
     job: Arc<Job>,
     /// Room at the engine.
     grant: Grant,
-    /// Answer of the engine.
+    /// Answer of the engine; none between two engines.
     upstream: Option<Upstream>,
     /// Passes events on to the caller.
     sender: mpsc::Sender<Piece>,
     /// Events that were passed on.
     events: Events,
-    /// Whether the first event has arrived.
-    begun: bool,
-    /// Whether the engine is leaving.
-    leaving: bool,
+    /// When the first event came from the present engine.
+    begun: Option<Instant>,
+    /// How far the way to another engine is prepared.
+    leaving: Leaving,
+}
+
+/// How far the way from an engine that leaves is prepared.
+#[derive(Debug)]
+enum Leaving {
+    /// The engine stays.
+    Stays,
+    /// The next step is due at a time.
+    Due(Instant),
+    /// The memory of the run is being copied to the engine with the room for it.
+    Copying(Copying),
+}
+
+/// A copy of the run's memory that is under way. The run goes on meanwhile, and copies follow each
+/// other until one has so little left that the run can stop for the last.
+#[derive(Debug)]
+struct Copying {
+    /// Asks the engine for the copy.
+    task: AbortOnDropHandle<Result<Bytes, store::Error>>,
+    /// Engine that receives the memory.
+    target: Arc<Endpoint>,
+    /// When the copy began.
+    began: Instant,
+    /// Copies before this one.
+    rounds: u32,
 }
 
 /// What to do next.
@@ -64,6 +103,10 @@
     Finish,
     /// The engine leaves.
     Leave,
+    /// The next step of leaving is due.
+    Step,
+    /// The memory of the run was copied, or not.
+    Copied(Result<Bytes, store::Error>),
     /// The engine failed.
     Break(&'static str),
     /// The caller has left.
@@ -88,8 +131,8 @@
             upstream: Some(upstream),
             sender,
             events: Events::default(),
-            begun: false,
-            leaving: false,
+            begun: None,
+            leaving: Leaving::Stays,
         }
     }
 
@@ -108,15 +151,20 @@
                     let _ = self.sender.send(Piece::End).await;
                     break "answered";
                 }
-                Next::Leave => {
-                    self.leaving = true;
-                    if self.worth_moving() && !self.go_on("leaving").await {
+                Next::Leave => self.leaving = Leaving::Due(Instant::now()),
+                Next::Step => {
+                    if !self.step().await {
+                        break "interrupted";
+                    }
+                }
+                Next::Copied(result) => {
+                    if !self.copied(result).await {
                         break "interrupted";
                     }
                 }
                 Next::Break(reason) => {
                     self.grant.sign = Sign::Failed;
-                    if !self.go_on(reason).await {
+                    if !self.go_on(None, reason).await {
                         break "interrupted";
                     }
                 }
@@ -138,6 +186,15 @@
 
     /// Waits for what happens next.
     async fn next(&mut self) -> Next {
+        let stays = matches!(self.leaving, Leaving::Stays);
+        let due = match self.leaving {
+            Leaving::Due(due) => Some(due),
+            _ => None,
+        };
+        let copying = match &mut self.leaving {
+            Leaving::Copying(copying) => Some(&mut copying.task),
+            _ => None,
+        };
         let Some((incoming, _)) = &mut self.upstream else {
             return Next::Break("closed");
         };
@@ -152,20 +209,22 @@
                 None if self.events.is_whole() => Next::Finish,
                 None => Next::Break("cut"),
             },
-            notice = self.grant.notices.recv(), if !self.leaving => match notice {
+            notice = self.grant.notices.recv(), if stays => match notice {
                 Some(Notice::Leaving) => Next::Leave,
                 None => Next::Drop,
             },
+            result = wait(copying) => Next::Copied(result),
+            () = sleep_until(due) => Next::Step,
             () = self.sender.closed() => Next::Drop,
-            () = tokio::time::sleep_until(self.job.until.into()) => Next::Expire,
+            () = sleep_until(Some(self.job.until)) => Next::Expire,
             () = tokio::time::sleep(SILENCE) => Next::Break("silent"),
         }
     }
 
     /// Passes on the new events among the bytes; fails with the reason to end.
     async fn deliver(&mut self, bytes: &Bytes) -> Result<(), &'static str> {
-        if !self.begun {
-            self.begun = true;
+        if self.begun.is_none() {
+            self.begun = Some(Instant::now());
             // The pool ends only with the process.
             let _ = self.exchange.pool.send(First(self.grant.run)).await;
         }
@@ -177,104 +236,215 @@
         Ok(())
     }
 
-    /// Returns whether the run would outlast its engine.
-    fn worth_moving(&self) -> bool {
-        true
+    /// Takes the next step away from an engine that leaves; returns whether the stream goes on.
+    async fn step(&mut self) -> bool {
+        let way = self.exchange.pool.send(Escape(self.grant.run)).await;
+        match way.unwrap_or(Way::Nowhere) {
+            Way::Backup => {
+                let now = Instant::now();
+                let ready = self.begun.unwrap_or(now) + FIRST_BACKUP;
+                if ready > now {
+                    self.leaving = Leaving::Due(ready);
+                    return true;
+                }
+                self.go_on(None, LEAVING).await
+            }
+            Way::Move(target) => {
+                let details = format!(
+                    "request={} endpoint={} target={} events={}",
+                    self.job.attempt,
+                    self.grant.endpoint.name,
+                    target.name,
+                    self.events.count(),
+                );
+                self.exchange.log.emit(Event::CopyStarted, &details);
+                self.copy_on(target, 0);
+                true
+            }
+            Way::Nowhere => {
+                self.leaving = Leaving::Due(Instant::now() + STEP_PAUSE);
+                true
+            }
+        }
+    }
+
+    /// Starts a copy that is not the last.
+    fn copy_on(&mut self, target: Arc<Endpoint>, rounds: u32) {
+        let copy = copy(self.exchange.clone(), &self.job, &self.grant, &target, false);
+        self.leaving = Leaving::Copying(Copying {
+            task: AbortOnDropHandle::new(tokio::spawn(copy)),
+            target,
+            began: Instant::now(),
+            rounds,
+        });
     }
 
-    /// Lets the run go on at another engine; returns whether it does.
-    async fn go_on(&mut self, reason: &'static str) -> bool {
-        let began = Instant::now();
-        let allowed = self.exchange.pool.send(Repeat(self.job.service)).await;
-        if !allowed.is_ok_and(|next| next == allowance::Next::Send) {
-            return reason == "leaving";
-        }
-        let source = self.grant.endpoint.address;
-        let (means, copy) = if self.grant.backup.is_some() {
-            ("backup", None)
-        } else if reason == "leaving" {
-            match self.copy(source).await {
-                Some(copy) => ("move", Some(copy)),
-                None => return true,
+    /// Goes on after a copy: with another one, with the last one, or at the engine that has it;
+    /// returns whether the stream goes on.
+    async fn copied(&mut self, result: Result<Bytes, store::Error>) -> bool {
+        let leaving = std::mem::replace(&mut self.leaving, Leaving::Stays);
+        let Leaving::Copying(Copying { target, began, rounds, .. }) = leaving else {
+            return true;
+        };
+        let last = match result {
+            Ok(_) if began.elapsed() > SHORT_COPY && rounds < MOST_COPIES => {
+                self.copy_on(target, rounds + 1);
+                return true;
             }
-        } else {
-            return false;
+            Ok(_) => copy(self.exchange.clone(), &self.job, &self.grant, &target, true).await,
+            Err(error) => Err(error),
         };
-        // The old run ends when its connection closes.
-        self.upstream = None;
-        self.events.restart();
-        let hopped = self.exchange.pool.send(Hop(self.grant.run)).await;
-        let Ok(Some((engine, backup))) = hopped else {
+        let read = self.exchange.dialect.engine.copied;
+        let copied = last.and_then(|answer| read(&answer).map_err(store::Error::Unusable));
+        match copied {
+            Ok(copied) => self.go_on(Some(copied.copy), LEAVING).await,
+            Err(error) => {
+                let details = format!(
+                    "request={} endpoint={} target={} ms={} rounds={rounds} reason={:?}",
+                    self.job.attempt,
+                    self.grant.endpoint.name,
+                    target.name,
+                    began.elapsed().as_millis(),
+                    error.to_string(),
+                );
+                self.exchange.log.emit(Event::CopyFailed, &details);
+                self.abandon().await;
+                true
+            }
+        }
+    }
+
+    /// Gives up the engine that was to receive the run, and looks for another one soon.
+    async fn abandon(&mut self) {
+        // The pool ends only with the process.
+        let _ = self.exchange.pool.send(Abandon(self.grant.run)).await;
+        self.leaving = Leaving::Due(Instant::now() + STEP_PAUSE);
+    }
+
+    /// Lets the run go on at its backup engine, from the copy there or from one that was moved
+    /// under a name; returns whether the stream goes on.
+    async fn go_on(&mut self, moved: Option<String>, reason: &'static str) -> bool {
+        let began = Instant::now();
+        let source = self.grant.endpoint.clone();
+        let hop = self.exchange.pool.send(Hop(self.grant.run)).await;
+        let Ok(Some((engine, backup))) = hop else {
             return false;
         };
+        let means = if moved.is_some() { "move" } else { "backup" };
+        // An engine that leaves still runs the request until another one does.
+        let running = moved.is_none() && reason == LEAVING;
         let resume = Resume {
-            holder: if copy.is_some() { source } else { engine.address },
-            copy: copy.unwrap_or_else(|| self.job.attempt.clone()),
+            // A copy that was moved is known to the engine that moved it.
+            holder: if moved.is_some() { source.address } else { engine.address },
+            copy: moved.unwrap_or_else(|| self.job.attempt.clone()),
             event: self.events.last().unwrap_or(0),
         };
         let event = resume.event;
-        let from = self.grant.endpoint.name.clone();
-        let to = engine.name.clone();
-        let went = self.resume(engine, backup, resume).await;
+        if !running {
+            self.upstream = None;
+        }
+        let went = self.resume(&engine, backup.as_deref(), resume).await;
         let details = format!(
-            "request={} from={from} to={to} means={means} reason={reason} event={event} ms={} \
+            "request={} from={} to={} means={means} reason={reason} event={event} ms={} \
              outcome={}",
             self.job.attempt,
+            source.name,
+            engine.name,
             began.elapsed().as_millis(),
             went.err().unwrap_or("resumed"),
         );
         self.exchange.log.emit(Event::RunMoved, &details);
         self.exchange.metrics.moved(if went.is_ok() { means } else { "failed" });
-        went.is_ok()
-    }
-
-    /// Copies the memory of the run to another engine and ends it here; returns the copy's name.
-    async fn copy(&mut self, source: SocketAddr) -> Option<String> {
-        let target = self.exchange.pool.send(Reserve(self.grant.run)).await;
-        let target = target.ok().flatten()?;
-        let engine = self.exchange.dialect.engine;
-        for last in [false, true] {
-            let call = (engine.copy)(&self.job.attempt, target.address, last);
-            let answer = store::call(source, call, COPY_TIMEOUT).await;
-            match answer {
-                Ok(answer) if last => {
-                    let copied = (engine.copied)(&answer).ok()?;
-                    self.grant.backup = Some(target);
-                    return Some(copied.copy);
-                }
-                Ok(_) => {}
-                Err(error) => {
-                    let details = format!("request={} reason={error}", self.job.attempt);
-                    self.exchange.log.emit(Event::ConnectionFailed, &details);
-                    return None;
-                }
-            }
+        if went.is_ok() {
+            self.settle(engine, backup);
+            return true;
+        }
+        if running && went == Err(DECLINED) {
+            // There is no copy, for lack of room, and the engine still runs the request.
+            let undo = Undo(self.grant.run, source.id, engine.id);
+            let _ = self.exchange.pool.send(undo).await;
+            self.abandon().await;
+            return true;
         }
-        None
+        false
     }
 
-    /// Sends the request to the engine that holds the memory of its run.
+    /// Sends the request to the engine that holds the memory of its run; its answer replaces the
+    /// present one.
     async fn resume(
         &mut self,
-        engine: Arc<Endpoint>,
-        backup: Option<Arc<Endpoint>>,
+        engine: &Endpoint,
+        backup: Option<&Endpoint>,
         resume: Resume,
     ) -> Result<(), &'static str> {
-        let address = backup.as_ref().map(|backup| backup.address);
+        let allowed = self.exchange.pool.send(Repeat(self.job.service)).await;
+        if !allowed.is_ok_and(|next| next == allowance::Next::Send) {
+            return Err("not_allowed");
+        }
         let dialect = &self.exchange.dialect;
-        let request = self.job.request(dialect, &engine, address, Some(resume));
-        let opened = connection::open(engine.address, request, RESUME_TIMEOUT).await;
-        self.grant.endpoint = engine;
-        self.grant.backup = backup;
-        self.grant.sign = Sign::Nothing;
-        self.leaving = false;
+        let address = backup.map(|backup| backup.address);
+        let request = self.job.request(dialect, engine, address, Some(resume));
+        let open = connection::open(engine.address, request, RESUME_TIMEOUT);
+        let mut open = std::pin::pin!(open);
+        // Two engines may work on a run for a moment only.
+        let early = tokio::time::timeout(OVERLAP, open.as_mut()).await;
+        let opened = match early {
+            Ok(opened) => opened,
+            Err(_) => {
+                self.upstream = None;
+                open.await
+            }
+        };
         let answer = opened.map_err(|_failure| "unanswered")?;
         let status = answer.response.status();
         let replied = (dialect.replied)(status, answer.response.headers());
         if status != StatusCode::OK || replied.attempt.as_deref() != Some(&self.job.attempt) {
-            return Err("declined");
+            return Err(DECLINED);
         }
+        self.events.restart();
         self.upstream = Some((answer.response.into_body(), answer.driver));
         Ok(())
     }
+
+    /// Takes the engine that the run goes on at for its own.
+    fn settle(&mut self, engine: Arc<Endpoint>, backup: Option<Arc<Endpoint>>) {
+        self.grant.endpoint = engine;
+        self.grant.backup = backup;
+        self.grant.sign = Sign::Nothing;
+        self.leaving = Leaving::Stays;
+        self.begun = Some(Instant::now());
+        // A notice from before the move is about the engine that was left.
+        while self.grant.notices.try_recv().is_ok() {}
+    }
+}
+
+/// Asks the engine of a run to copy its memory to another engine; the last copy ends the run there.
+fn copy(
+    exchange: Exchange,
+    job: &Job,
+    grant: &Grant,
+    target: &Endpoint,
+    last: bool,
+) -> impl Future<Output = Result<Bytes, store::Error>> + use<> {
+    let call = (exchange.dialect.engine.copy)(&job.attempt, target.address, last);
+    let source = grant.endpoint.address;
+    store::call(source, call, COPY_TIMEOUT)
+}
+
+/// Waits for a task, or for ever if there is none.
+async fn wait(
+    task: Option<&mut AbortOnDropHandle<Result<Bytes, store::Error>>>,
+) -> Result<Bytes, store::Error> {
+    match task {
+        Some(task) => task.await.unwrap_or(Err(store::Error::Broken)),
+        None => std::future::pending().await,
+    }
+}
+
+/// Waits until a time, or for ever if there is none.
+async fn sleep_until(time: Option<Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time.into()).await,
+        None => std::future::pending().await,
+    }
 }
