--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -21,7 +21,7 @@
 const MEMORY_USED: f64 = 0.95;
 /// Share of an engine's memory up to which it takes copies of runs at other engines. New runs use
 /// the rest.
-const MEMORY_WITH_BACKUPS: f64 = 0.0;
+const MEMORY_WITH_BACKUPS: f64 = 0.75;
 /// Share of the expected output that is reserved. The runs of an engine are at different stages,
 /// so that they do not need their most at the same time.
 const OUTPUT_RESERVED: f64 = 0.6;
@@ -32,7 +32,7 @@
 /// Weight of an endpoint in another availability zone, as a share of its capacity.
 const ZONE_WEIGHT: f64 = 0.04;
 /// Weight of an engine in another availability zone for a copy, which takes twice as long.
-const COPY_ZONE_WEIGHT: f64 = 0.2;
+const COPY_ZONE_WEIGHT: f64 = 1.0;
 /// Weight of an endpoint in another region, as a share of its capacity.
 const REGION_WEIGHT: f64 = 0.5;
 /// Weight of an endpoint that has just started and is slow.
@@ -43,7 +43,7 @@
 const JITTER: f64 = 0.05;
 /// Largest random weight of an engine that receives a copy. Copies travel one after another over
 /// the links of an engine, so that they are spread more widely than runs.
-const COPY_JITTER: f64 = 0.4;
+const COPY_JITTER: f64 = 0.8;
 /// Share of the newest result in the failure rate of an endpoint.
 const FAILURE_SHARE: f64 = 0.2;
 /// Time after which the load of a node that is not heard from is dropped.
