--- a/crates/daisyyard/src/gateway_settings.rs
+++ b/crates/daisyyard/src/gateway_settings.rs
@@ -33,7 +33,12 @@
             r,
             "zones",
             "[{ \"zone\": \"costa-a\", \"region\": \"costa\" }]",
-            |s, r| (s.text(r, "zone", "\"costa-a\""), s.text(r, "region", "\"costa\"")),
+            |s, r| {
+                (
+                    s.text(r, "zone", "\"costa-a\""),
+                    s.text(r, "region", "\"costa\""),
+                )
+            },
         ),
         store: s.address(r, "store"),
         listen: s.object(r, "listen", listen),
--- a/crates/daisyyard/src/plain.rs
+++ b/crates/daisyyard/src/plain.rs
@@ -14,9 +14,7 @@
 use daisyyard_http::{self as http, Body};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{
-    AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue,
-};
+use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::oneshot;
--- /dev/null
+++ b/crates/daisyyard/tests/gateway_faults.rs
@@ -0,0 +1,63 @@
+//! Guards against settings of a gateway whose faults are found one at a time, or not at all.
+
+mod platform;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Command;
+
+use daisyyard::gateway_settings::parse;
+
+/// Returns settings without faults.
+fn sound() -> serde_json::Value {
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    platform::settings(address(1), 0, [2, 3, 4, 5, 6].map(address))
+}
+
+/// Every fault is listed with its key.
+#[test]
+fn lists_all() {
+    let mut settings = sound();
+    settings["listen"]["ready"] = "nowhere".into();
+    settings["bounds"]["grace_s"] = (-1).into();
+    settings["repeats"] = serde_json::json!({ "ratio": 2 });
+    let faults = parse(Path::new("s.json"), &settings.to_string()).expect_err("faults");
+    let keys: Vec<&str> = faults.0.iter().map(|fault| fault.key.as_str()).collect();
+    let expected = [
+        "listen.ready",
+        "bounds.grace_s",
+        "repeats.ratio",
+        "repeats.slack",
+        "repeats.window_s",
+    ];
+    assert_eq!(keys, expected);
+}
+
+/// A section that is missing lists its keys.
+#[test]
+fn lists_missing_section() {
+    let mut settings = sound();
+    settings
+        .as_object_mut()
+        .expect("an object")
+        .remove("bounds");
+    let faults = parse(Path::new("s.json"), &settings.to_string()).expect_err("faults");
+    assert_eq!(faults.0.len(), 4, "{faults}");
+}
+
+/// The command line reports the faults and ends with exit code 2.
+#[test]
+fn checks_from_shell() {
+    let path = std::env::temp_dir().join("daisyyard-gateway-faults.json");
+    std::fs::write(&path, "{ \"name\": \"a\" }").expect("a settings file");
+    let output = Command::new(env!("CARGO_BIN_EXE_daisyyard"))
+        .args(["check", "--gateway"])
+        .arg(&path)
+        .output()
+        .expect("the command runs");
+    std::fs::remove_file(&path).expect("the settings file is there");
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert!(text.contains("listen.requests"), "{text}");
+    assert!(text.contains("repeats.slack"), "{text}");
+}
--- /dev/null
+++ b/crates/daisyyard/tests/gateway_moves.rs
@@ -0,0 +1,107 @@
+//! Guards against streams that end early, skip or double events when their engine leaves or
+//! crashes.
+
+mod platform;
+
+use std::time::Duration;
+
+use hyper::StatusCode;
+use platform::{Platform, events, stream};
+
+/// Number of events of the streams; at the stand-in's pace they take 2 s.
+const EVENTS: u32 = 100;
+/// Prompt and output of such a stream.
+const USAGE: &str = "100,400";
+
+/// Starts a stream, lets `disturb` act on the engine that runs it, and returns the answer.
+async fn disturbed(
+    platform: &mut Platform,
+    disturb: impl AsyncFnOnce(&mut Vec<daisyyard_standin::platform_engine::PlatformEngine>, usize),
+) -> (StatusCode, Option<String>) {
+    let requests = platform.gateways[0].requests;
+    let asked = stream("/draft/1", USAGE);
+    let credential = format!("Bearer {}", platform::CREDENTIAL);
+    let headers = [
+        ("x-daisyyard-attempt-id", "attempt-1"),
+        ("x-daisyyard-deadline-ms", "8000"),
+        ("authorization", credential.as_str()),
+        asked.headers[0],
+        asked.headers[1],
+    ];
+    let sent = platform::send(requests, &asked, &headers);
+    let act = async {
+        platform::until("the stream runs", async || {
+            !platform.runs.seen().await.is_empty()
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        let name = platform.runs.seen().await[0].engine.clone();
+        let index = platform
+            .engines
+            .iter()
+            .position(|engine| engine.name == name);
+        disturb(&mut platform.engines, index.expect("a known engine")).await;
+    };
+    let (answer, ()) = tokio::join!(sent, act);
+    answer.expect("the gateway answers")
+}
+
+/// A stream whose engine crashes goes on where it was, at the engine with the copy.
+#[tokio::test]
+async fn outlives_crash() {
+    let mut platform = Platform::start(3, 0).await;
+    platform.gateway().await;
+    let answer = disturbed(&mut platform, async |engines, index| {
+        drop(engines.remove(index));
+    })
+    .await;
+    assert_eq!(answer, (StatusCode::OK, Some(events(EVENTS))));
+    let ran = platform.ran("/draft/1").await;
+    assert_eq!(ran.len(), 2, "the run went on once");
+    assert!(ran[1].headers.contains_key("kv-from"));
+}
+
+/// A stream whose only engine crashes breaks off; it does not look complete.
+#[tokio::test]
+async fn breaks_honestly() {
+    let mut platform = Platform::start(1, 0).await;
+    platform.gateway().await;
+    let (status, text) = disturbed(&mut platform, async |engines, index| {
+        drop(engines.remove(index));
+    })
+    .await;
+    assert_eq!((status, text), (StatusCode::OK, None));
+}
+
+/// A stream goes on at another engine when its own is listed as leaving, without a lost or doubled
+/// event, and only one engine runs it.
+#[tokio::test]
+async fn leaves_draining() {
+    let mut platform = Platform::start(2, 0).await;
+    platform.gateway().await;
+    let store = platform.store.address;
+    let answer = disturbed(&mut platform, async |engines, index| {
+        let engine = &engines[index];
+        let entry = serde_json::json!({
+            "service": "model", "address": engine.address.to_string(), "zone": "zone-a",
+            "version": "v1", "slots": 8, "state": "draining", "cold_remaining_ms": 0,
+            "stage": "prefill_decode", "sequence": 2,
+        });
+        write(store, &format!("servers/{}", engine.name), &entry).await;
+    })
+    .await;
+    assert_eq!(answer, (StatusCode::OK, Some(events(EVENTS))));
+    let ran = platform.ran("/draft/1").await;
+    assert_eq!(ran.len(), 2, "the run went on once");
+    assert_ne!(ran[0].engine, ran[1].engine);
+}
+
+/// Writes a key through the store's own interface.
+async fn write(store: std::net::SocketAddr, key: &str, value: &serde_json::Value) {
+    use base64::Engine;
+    let value = base64::engine::general_purpose::STANDARD.encode(value.to_string());
+    let put = serde_json::json!({ "puts": [{ "key": key, "value": value, "lease": 0 }] });
+    let method = hyper::Method::POST;
+    let written = daisyyard_http::call(store, method, "/-/kv-txn", &[], put.to_string()).await;
+    assert_eq!(written.expect("the store answers").0, StatusCode::OK);
+}
--- /dev/null
+++ b/crates/daisyyard/tests/gateway_retries.rs
@@ -0,0 +1,81 @@
+//! Guards against requests that run twice, are told a false outcome, or are given up too early.
+
+mod platform;
+
+use daisyyard_standin::platform_engine::Mode;
+use hyper::{Method, StatusCode};
+use platform::{Platform, plain, stream};
+
+/// A request that an endpoint did not run is sent to another one, whatever its kind.
+#[tokio::test]
+async fn leaves_declining() {
+    let mut platform = Platform::start(0, 2).await;
+    platform.engines[0].set(Mode::Declining);
+    platform.gateway().await;
+    for number in 0..6 {
+        let path = format!("/book/{number}");
+        let answer = platform.ask(plain(Method::POST, &path)).await;
+        assert_eq!(answer, (StatusCode::OK, "whole plain-1".to_owned()));
+        assert_eq!(platform.ran(&path).await.len(), 1);
+    }
+}
+
+/// When no endpoint ran the request, the caller is told so.
+#[tokio::test]
+async fn tells_not_run() {
+    let mut platform = Platform::start(0, 1).await;
+    platform.engines[0].set(Mode::Declining);
+    platform.gateway().await;
+    let (status, _) = platform.ask(plain(Method::POST, "/book/1")).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(platform.ran("/book/1").await.is_empty());
+}
+
+/// A request that may run once and whose answer was lost is neither repeated nor called not run.
+#[tokio::test]
+async fn repeats_nothing_unsafe() {
+    let mut platform = Platform::start(0, 2).await;
+    for engine in &platform.engines {
+        engine.set(Mode::Mixing);
+    }
+    platform.gateway().await;
+    let (status, text) = platform.ask(plain(Method::POST, "/book/1")).await;
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+    assert!(!text.contains("of another"), "{text}");
+    assert_eq!(platform.ran("/book/1").await.len(), 1);
+}
+
+/// An idempotent request that fails is repeated once, as its route allows; one that may run once
+/// gets the endpoint's failure.
+#[tokio::test]
+async fn repeats_idempotent() {
+    let mut platform = Platform::start(0, 2).await;
+    for engine in &platform.engines {
+        engine.set(Mode::Failing);
+    }
+    platform.gateway().await;
+    let (status, _) = platform.ask(plain(Method::GET, "/stock/1")).await;
+    assert_eq!(status, StatusCode::INTERNAL_SERVER_ERROR);
+    let ran = platform.ran("/stock/1").await;
+    assert_eq!(ran.len(), 2);
+    assert_ne!(ran[0].engine, ran[1].engine);
+    let (status, text) = platform.ask(plain(Method::POST, "/book/1")).await;
+    assert_eq!(
+        (status, text.as_str()),
+        (StatusCode::INTERNAL_SERVER_ERROR, "failed")
+    );
+    assert_eq!(platform.ran("/book/1").await.len(), 1);
+}
+
+/// A stream whose engine has crashed before it answered is not repeated.
+#[tokio::test]
+async fn repeats_no_stream() {
+    let mut platform = Platform::start(2, 0).await;
+    for engine in &platform.engines {
+        engine.set(Mode::Mixing);
+    }
+    platform.gateway().await;
+    let (status, _) = platform.ask(stream("/draft/1", "100,20")).await;
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+    assert_eq!(platform.ran("/draft/1").await.len(), 1);
+}
--- /dev/null
+++ b/crates/daisyyard/tests/gateway_store.rs
@@ -0,0 +1,106 @@
+//! Guards against gateways that press a store which is down, miss what changed meanwhile, or stop
+//! serving.
+
+mod platform;
+
+use std::time::Duration;
+
+use daisyyard_standin::platform_store::Mode;
+use hyper::{Method, StatusCode};
+use platform::{Platform, plain, until};
+use serde_json::json;
+
+/// While the store declines its calls a gateway serves on, asks ever more rarely, and takes what
+/// changed when the store is back.
+#[tokio::test]
+async fn outlasts_outage() {
+    let mut platform = Platform::start(0, 1).await;
+    platform.gateway().await;
+    platform.store.set(Mode::Declining);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let before = platform.store.calls();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let calls = platform.store.calls() - before;
+    // The follower and the registration each ask about every 0.6 s at the longest delay.
+    assert!((2..=16).contains(&calls), "{calls} calls in 3 s");
+    let (status, _) = platform.ask(plain(Method::GET, "/stock/1")).await;
+    assert_eq!(status, StatusCode::OK);
+    let mut config = platform::config(2);
+    config["routes"][2]["path_prefix"] = json!("/renamed/");
+    platform.store.put("op/config", &config).await;
+    platform.store.set(Mode::Serving);
+    adopted(&mut platform).await;
+}
+
+/// A gateway whose watch ends because the history was forgotten reads everything anew.
+#[tokio::test]
+async fn rereads_after_compaction() {
+    let mut platform = Platform::start(0, 1).await;
+    platform.gateway().await;
+    let mut config = platform::config(2);
+    config["routes"][2]["path_prefix"] = json!("/renamed/");
+    platform.store.set(Mode::Declining);
+    platform.store.put("op/config", &config).await;
+    platform.store.compact();
+    platform.store.set(Mode::Serving);
+    adopted(&mut platform).await;
+}
+
+/// An older configuration never replaces a newer one.
+#[tokio::test]
+async fn keeps_newest() {
+    let mut platform = Platform::start(0, 1).await;
+    platform.store.put("op/config", &platform::config(5)).await;
+    platform.gateway().await;
+    let mut older = platform::config(4);
+    older["routes"] = json!([]);
+    platform.store.put("op/config", &older).await;
+    platform
+        .store
+        .put("servers/plain-9", &json!({ "service": "desk" }))
+        .await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let (status, _) = platform.ask(plain(Method::GET, "/stock/1")).await;
+    assert_eq!(status, StatusCode::OK);
+}
+
+/// A gateway without a configuration is not ready and says that it ran nothing.
+#[tokio::test]
+async fn waits_for_config() {
+    let mut platform = Platform::start(0, 1).await;
+    platform.store.set(Mode::Declining);
+    let gateway = platform::spawn(platform.store.address, 0);
+    let (ready, requests) = (gateway.ready, gateway.requests);
+    platform.gateways.push(gateway);
+    until("the gateway listens", async || {
+        platform::status(ready, "/-/readiness").await.is_some()
+            && platform::status(requests, "/").await.is_some()
+    })
+    .await;
+    let status = platform::status(ready, "/-/readiness").await;
+    assert_eq!(status, Some(StatusCode::SERVICE_UNAVAILABLE));
+    let (status, _) = platform.ask(plain(Method::GET, "/stock/1")).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    platform.store.set(Mode::Serving);
+    until("the gateway is ready", async || {
+        platform::status(ready, "/-/readiness").await == Some(StatusCode::OK)
+    })
+    .await;
+}
+
+/// Waits until the second configuration is in force.
+async fn adopted(platform: &mut Platform) {
+    let end = std::time::Instant::now() + platform::PATIENCE;
+    loop {
+        let (new, _) = platform.ask(plain(Method::GET, "/renamed/1")).await;
+        let (old, _) = platform.ask(plain(Method::GET, "/stock/1")).await;
+        if (new, old) == (StatusCode::OK, StatusCode::NOT_FOUND) {
+            return;
+        }
+        assert!(
+            std::time::Instant::now() < end,
+            "the new version is in force"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/crates/daisyyard/tests/platform/mod.rs
@@ -0,0 +1,313 @@
+//! A small platform on loopback: store, engines, and gateways in processes of their own.
+
+#![allow(dead_code, reason = "each test file uses a part of the platform")]
+
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use daisyyard_standin::platform_engine::{PlatformEngine, Runs, Seen};
+use daisyyard_standin::platform_store::PlatformStore;
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+
+/// Time within which something expected happens, even on a busy machine.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(10);
+/// Time between two looks for something expected.
+const LOOK: Duration = Duration::from_millis(10);
+/// Time between two events of an engine.
+pub(crate) const PACE: Duration = Duration::from_millis(20);
+/// Credential of the client account.
+pub(crate) const CREDENTIAL: &str = "secret-of-member-1";
+/// Host of all routes.
+const HOST: &str = "desk.example";
+
+/// The platform with its gateways.
+pub(crate) struct Platform {
+    /// The store.
+    pub(crate) store: PlatformStore,
+    /// Runs of all engines.
+    pub(crate) runs: Runs,
+    /// Engines and plain endpoints.
+    pub(crate) engines: Vec<PlatformEngine>,
+    /// Gateways.
+    pub(crate) gateways: Vec<Gateway>,
+    /// Number of the next attempt.
+    attempts: u32,
+}
+
+/// A gateway in a process of its own; it is ended with the test.
+pub(crate) struct Gateway {
+    /// The process.
+    pub(crate) process: Child,
+    /// Address for requests.
+    pub(crate) requests: SocketAddr,
+    /// Address for readiness.
+    pub(crate) ready: SocketAddr,
+    /// Address for addresses.
+    pub(crate) directory: SocketAddr,
+    /// Address for metrics.
+    pub(crate) metrics: SocketAddr,
+}
+
+/// A request of a caller.
+pub(crate) struct Asked<'a> {
+    /// Method.
+    pub(crate) method: Method,
+    /// Path.
+    pub(crate) path: &'a str,
+    /// Headers besides those that every request has.
+    pub(crate) headers: Vec<(&'a str, &'a str)>,
+    /// Body.
+    pub(crate) body: &'a str,
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+impl Platform {
+    /// Starts a platform with a configuration, model engines and plain endpoints, without gateways.
+    pub(crate) async fn start(engines: usize, plain: usize) -> Self {
+        let mut platform = Self {
+            store: PlatformStore::start().await.expect("the store starts"),
+            runs: Runs::start(),
+            engines: Vec::new(),
+            gateways: Vec::new(),
+            attempts: 0,
+        };
+        platform.store.put("op/config", &config(1)).await;
+        for number in 0..engines {
+            platform.add(&format!("engine-{number}"), "model").await;
+        }
+        for number in 0..plain {
+            platform.add(&format!("plain-{number}"), "desk").await;
+        }
+        platform
+    }
+
+    /// Starts an engine or endpoint and lists it.
+    pub(crate) async fn add(&mut self, name: &str, service: &str) {
+        let engine = PlatformEngine::start(name, PACE, &self.runs).await;
+        self.engines.push(engine.expect("the engine starts"));
+        self.list(self.engines.len() - 1, service, "ready").await;
+    }
+
+    /// Writes the entry of an engine or endpoint.
+    pub(crate) async fn list(&self, index: usize, service: &str, state: &str) {
+        let engine = &self.engines[index];
+        let mut entry = json!({
+            "service": service, "address": engine.address.to_string(), "zone": "zone-a",
+            "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1,
+        });
+        if service == "model" {
+            entry["stage"] = json!("prefill_decode");
+        }
+        self.store
+            .put(&format!("servers/{}", engine.name), &entry)
+            .await;
+    }
+
+    /// Starts a gateway and waits until it is ready.
+    pub(crate) async fn gateway(&mut self) {
+        let gateway = spawn(self.store.address, self.gateways.len());
+        let ready = gateway.ready;
+        self.gateways.push(gateway);
+        until("the gateway is ready", async || {
+            status(ready, "/-/readiness").await == Some(StatusCode::OK)
+        })
+        .await;
+    }
+
+    /// Sends a request to a gateway and reads the whole answer.
+    pub(crate) async fn ask(&mut self, asked: Asked<'_>) -> (StatusCode, String) {
+        let opened = self.open(asked).await;
+        let (status, body) = opened.expect("the gateway answers");
+        (status, body.expect("the answer is whole"))
+    }
+
+    /// Sends a request to the first gateway; the body of the answer is absent if it breaks off.
+    pub(crate) async fn open(
+        &mut self,
+        asked: Asked<'_>,
+    ) -> anyhow::Result<(StatusCode, Option<String>)> {
+        self.attempts += 1;
+        let attempt = format!("attempt-{}", self.attempts);
+        let credential = format!("Bearer {CREDENTIAL}");
+        let mut headers = vec![
+            ("x-daisyyard-attempt-id", attempt.as_str()),
+            ("x-daisyyard-deadline-ms", "8000"),
+            ("authorization", credential.as_str()),
+        ];
+        headers.retain(|(name, _)| !asked.headers.iter().any(|(other, _)| other == name));
+        headers.extend(asked.headers.iter().copied());
+        send(self.gateways[0].requests, &asked, &headers).await
+    }
+
+    /// Returns the requests that engines ran on a path.
+    pub(crate) async fn ran(&self, path: &str) -> Vec<Seen> {
+        let mut seen = self.runs.seen().await;
+        seen.retain(|request| request.path == path && request.ran);
+        seen
+    }
+}
+
+/// Returns a request for a stream of a number of tokens.
+pub(crate) fn stream<'a>(path: &'a str, usage: &'a str) -> Asked<'a> {
+    Asked {
+        method: Method::POST,
+        path,
+        headers: vec![
+            ("x-daisyyard-model", "m"),
+            ("x-daisyyard-token-usage", usage),
+        ],
+        body: "a customs declaration",
+    }
+}
+
+/// Returns a plain request.
+pub(crate) fn plain(method: Method, path: &str) -> Asked<'_> {
+    Asked {
+        method,
+        path,
+        headers: Vec::new(),
+        body: "",
+    }
+}
+
+/// Returns the text of a stream with a number of events.
+pub(crate) fn events(count: u32) -> String {
+    let event = |number| format!("id: {number}\ndata: piece {number}\n\n");
+    (1..=count).map(event).collect()
+}
+
+/// Returns a configuration.
+pub(crate) fn config(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32, public: bool| {
+        json!({
+            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": 6000, "target_latency_ms": 1500, "priority": 0, "service": service,
+            "max_attempts": attempts, "public": public, "sticky": false, "resumable": false,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("draft", "streaming", "model", 1, false),
+            route("book", "non_idempotent", "desk", 1, false),
+            route("stock", "idempotent", "desk", 2, false),
+            route("open", "idempotent", "desk", 1, true),
+        ],
+        "services": [
+            {
+                "name": "model", "health_path": "/healthz", "max_connections": 100,
+                "protocol": "h1", "tls": false,
+                "engine": {
+                    "slots": 8, "kv_cache_tokens": 40000, "kv_bytes": 1, "link_mbps": 1.0,
+                    "moves": true, "backups": true, "stride": 4, "most": 4, "pin_ms": 1.0,
+                    "hold_ms": 1.0, "handle_s": 5.0, "models": [{ "name": "m" }],
+                },
+            },
+            { "name": "desk", "health_path": "/healthz", "max_connections": 100 },
+        ],
+        "limits": {
+            "max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{ "name": "member-1", "api_keys": [CREDENTIAL], "priority": 1 }],
+    })
+}
+
+/// Returns a loopback address that is free at the moment.
+fn free() -> SocketAddr {
+    let port = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    port.local_addr().expect("an address")
+}
+
+/// Returns settings of a gateway.
+pub(crate) fn settings(store: SocketAddr, number: usize, listen: [SocketAddr; 5]) -> Value {
+    let [requests, ready, directory, digests, metrics] = listen.map(|one| one.to_string());
+    json!({
+        "name": format!("gateway-{number}"), "zone": "zone-a", "region": "region-a",
+        "zones": [{ "zone": "zone-a", "region": "region-a" }],
+        "store": store.to_string(),
+        "listen": {
+            "requests": requests, "ready": ready, "directory": directory, "digests": digests,
+            "metrics": metrics,
+        },
+        "bounds": { "contact_ms": 3000, "drain_ms": 2000, "grace_s": 8, "directory_s": 5 },
+        "repeats": { "ratio": 0.2, "slack": 52, "window_s": 10 },
+    })
+}
+
+/// Starts a gateway in a process of its own.
+pub(crate) fn spawn(store: SocketAddr, number: usize) -> Gateway {
+    let listen = [free(), free(), free(), free(), free()];
+    let name = format!("daisyyard-gateway-{}.json", listen[0].port());
+    let path = std::env::temp_dir().join(name);
+    let settings = settings(store, number, listen);
+    std::fs::write(&path, settings.to_string()).expect("a settings file");
+    let process = Command::new(env!("CARGO_BIN_EXE_daisyyard"))
+        .args(["gateway", "--config"])
+        .arg(&path)
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the gateway starts");
+    Gateway {
+        process,
+        requests: listen[0],
+        ready: listen[1],
+        directory: listen[2],
+        metrics: listen[4],
+    }
+}
+
+/// Waits until something holds.
+pub(crate) async fn until(what: &str, holds: impl AsyncFn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(Instant::now() < end, "in time: {what}");
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Returns the status of a request without headers.
+pub(crate) async fn status(address: SocketAddr, path: &str) -> Option<StatusCode> {
+    let answer = daisyyard_http::call(address, Method::GET, path, &[], "").await;
+    answer.ok().map(|(status, _)| status)
+}
+
+/// Returns the text of an answer to a request without headers.
+pub(crate) async fn text(address: SocketAddr, path: &str) -> String {
+    let answer = daisyyard_http::call(address, Method::GET, path, &[], "").await;
+    let (_, body) = answer.expect("an answer");
+    String::from_utf8_lossy(&body).into_owned()
+}
+
+/// Sends a request to an address.
+pub(crate) async fn send(
+    address: SocketAddr,
+    asked: &Asked<'_>,
+    headers: &[(&str, &str)],
+) -> anyhow::Result<(StatusCode, Option<String>)> {
+    use http_body_util::BodyExt;
+    use hyper::header::HOST as HOST_HEADER;
+
+    let mut request = hyper::Request::builder()
+        .method(asked.method.clone())
+        .uri(asked.path)
+        .header(HOST_HEADER, HOST);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(http_body_util::Full::new(asked.body.to_owned().into()))?;
+    let answer = daisyyard_http::connection::open(address, request, PATIENCE).await;
+    let answer = answer.map_err(|failure| anyhow::anyhow!("no answer: {failure:?}"))?;
+    let status = answer.response.status();
+    let body = answer.response.into_body().collect().await.ok();
+    let text = body.map(|body| String::from_utf8_lossy(&body.to_bytes()).into_owned());
+    Ok((status, text))
+}
--- a/crates/daisyyard_core/src/allowance.rs
+++ b/crates/daisyyard_core/src/allowance.rs
@@ -66,10 +66,10 @@
 impl std::ops::Add for Count {
     type Output = Self;
 
-    fn add(self, other: Self) -> Self {
+    fn add(self, rhs: Self) -> Self {
         Self {
-            requests: self.requests + other.requests,
-            repeats: self.repeats + other.repeats,
+            requests: self.requests + rhs.requests,
+            repeats: self.repeats + rhs.repeats,
         }
     }
 }
@@ -110,7 +110,8 @@
     /// Nodes that have told their counts share the bound by need. The others may use their equal
     /// parts of the slack meanwhile.
     pub fn repeat(&mut self, service: ServiceId, nodes: usize, now: Instant) -> Next {
-        self.others.retain(|_, told| now.saturating_duration_since(told.at) < FRESH);
+        self.others
+            .retain(|_, told| now.saturating_duration_since(told.at) < FRESH);
         let others = self.others.values().flat_map(|told| &told.counts);
         let others = others.filter(|(id, _)| *id == service);
         let own = self.count(service, now);
@@ -129,7 +130,9 @@
     pub fn counts(&self, now: Instant) -> Vec<(ServiceId, Count)> {
         let services = self.parts.keys();
         let counts = services.map(|service| (*service, self.count(*service, now)));
-        counts.filter(|(_, count)| *count != Count::default()).collect()
+        counts
+            .filter(|(_, count)| *count != Count::default())
+            .collect()
     }
 
     /// Takes the counts of another node, which replace those it told before.
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -179,28 +179,24 @@
     pub fn put(&mut self, endpoint: Endpoint, cold: Duration, now: Instant) -> bool {
         let leaving = endpoint.state != State::Live;
         let endpoint = Arc::new(endpoint);
-        match self.seats.get_mut(&endpoint.id) {
-            Some(seat) => {
-                let begins = leaving && seat.endpoint.state == State::Live;
-                seat.endpoint = endpoint;
-                seat.cold_until = now + cold;
-                seat.doubtful_until = None;
-                begins
-            }
-            None => {
-                let seat = Seat {
-                    own: Load::default(),
-                    others: HashMap::new(),
-                    cold_until: now + cold,
-                    doubtful_until: None,
-                    ejected: None,
-                    failures: 0.0,
-                    endpoint: Arc::clone(&endpoint),
-                };
-                self.seats.insert(endpoint.id, seat);
-                leaving
-            }
+        if let Some(seat) = self.seats.get_mut(&endpoint.id) {
+            let begins = leaving && seat.endpoint.state == State::Live;
+            seat.endpoint = endpoint;
+            seat.cold_until = now + cold;
+            seat.doubtful_until = None;
+            return begins;
         }
+        let seat = Seat {
+            own: Load::default(),
+            others: HashMap::new(),
+            cold_until: now + cold,
+            doubtful_until: None,
+            ejected: None,
+            failures: 0.0,
+            endpoint: Arc::clone(&endpoint),
+        };
+        self.seats.insert(endpoint.id, seat);
+        leaving
     }
 
     /// Removes an endpoint that is no longer listed, at once or after a time in which it may be
@@ -260,11 +256,17 @@
             }
         }
         let Some((_, id)) = best else {
-            return if live > 0 { Choice::Wait } else { Choice::Missing };
+            return if live > 0 {
+                Choice::Wait
+            } else {
+                Choice::Missing
+            };
         };
         let endpoint = Arc::clone(&self.seats[&id].endpoint);
         let zone = Some(endpoint.zone.id);
-        let backup = need.backup.then(|| self.spare(need, zone, &[id], Room::Copy, now));
+        let backup = need
+            .backup
+            .then(|| self.spare(need, zone, &[id], Room::Copy, now));
         Choice::Send {
             endpoint,
             backup: backup.flatten(),
@@ -397,8 +399,7 @@
         let load = self.load(now);
         let full = match self.endpoint.kind {
             Kind::Engine => {
-                load.tokens as f64 / need.memory.max(1) as f64
-                    + load.prefill as f64 / PREFILL_SCALE
+                load.tokens as f64 / need.memory.max(1) as f64 + load.prefill as f64 / PREFILL_SCALE
             }
             Kind::Plain => f64::from(load.runs) / f64::from(self.endpoint.slots.max(1)),
         };
--- /dev/null
+++ b/crates/daisyyard_core/tests/backlog_order.rs
@@ -0,0 +1,49 @@
+//! Guards against waiting requests that are started in the wrong order, forgotten or kept too long.
+
+use std::time::{Duration, Instant};
+
+use daisyyard_core::backlog::{Backlog, Due};
+
+/// Returns a due time, with milliseconds counted from a start.
+fn due(priority: u8, start: Instant, arrived: u64, target: u64) -> Due {
+    let at = |millis| start + Duration::from_millis(millis);
+    Due {
+        priority,
+        arrived: at(arrived),
+        target: at(target),
+        until: at(1_000),
+    }
+}
+
+/// Urgent requests come first, then those that can still be in time, then by arrival.
+#[test]
+fn urgent_first() {
+    let start = Instant::now();
+    let mut backlog = Backlog::default();
+    backlog.push(due(2, start, 1, 900), "deferrable");
+    backlog.push(due(0, start, 2, 50), "late");
+    backlog.push(due(0, start, 4, 900), "second");
+    backlog.push(due(0, start, 3, 900), "first");
+    let mut order = Vec::new();
+    backlog.start(start + Duration::from_millis(100), |_, request| {
+        order.push(request);
+        None
+    });
+    assert_eq!(order, ["first", "second", "late", "deferrable"]);
+    assert!(backlog.is_empty());
+}
+
+/// A request that cannot start stays and keeps no other waiting.
+#[test]
+fn passes_blocked() {
+    let start = Instant::now();
+    let mut backlog = Backlog::default();
+    backlog.push(due(0, start, 1, 900), "blocked");
+    backlog.push(due(1, start, 2, 900), "free");
+    backlog.start(start, |_, request| {
+        (request == "blocked").then_some(request)
+    });
+    assert_eq!(backlog.len(), 1);
+    assert!(backlog.expire(start).is_empty());
+    assert_eq!(backlog.expire(start + Duration::from_secs(1)), ["blocked"]);
+}
--- /dev/null
+++ b/crates/daisyyard_core/tests/catalog_lookup.rs
@@ -0,0 +1,80 @@
+//! Guards against requests that take the wrong route, or pass with a credential that grants nothing.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use daisyyard_core::account::Account;
+use daisyyard_core::catalog::{Access, Catalog, Client, Kind, Limits, Route};
+use daisyyard_core::id;
+
+/// Returns a route with a prefix.
+fn route(name: &str, prefix: &str, public: bool) -> Route {
+    Route {
+        name: name.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Once,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_secs(1),
+        gap: None,
+        attempts: 1,
+        priority: 0,
+        public,
+        shares: vec![(id::of("one"), 90), (id::of("two"), 10)],
+    }
+}
+
+/// Returns a catalog with two routes of one host.
+fn catalog(clients: Option<Vec<(Client, Vec<String>)>>) -> Catalog {
+    let limits = Limits {
+        head: 1,
+        body: 1,
+        head_timeout: Duration::ZERO,
+        idle: Duration::ZERO,
+    };
+    let routes = vec![
+        ("Desk.example".to_owned(), route("short", "/a/", false)),
+        ("desk.example".to_owned(), route("long", "/a/b/", true)),
+    ];
+    Catalog::new(1, limits, Vec::new(), routes, clients)
+}
+
+/// The longest prefix wins, hosts have no case and no port, and a prefix ends with its slash.
+#[test]
+fn longest_prefix() {
+    let catalog = catalog(None);
+    let name = |host, path| catalog.route(host, path).map(|route| route.name.clone());
+    assert_eq!(name("desk.example", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(name("DESK.example:80", "/a/c").as_deref(), Some("short"));
+    assert_eq!(name("desk.example", "/a/bc").as_deref(), Some("short"));
+    assert_eq!(name("desk.example", "/a"), None);
+    assert_eq!(name("other.example", "/a/b"), None);
+}
+
+/// A credential counts only if it is in force; without client accounts none is needed.
+#[test]
+fn credential_access() {
+    let client = Client {
+        account: Account::new("member"),
+        priority: Some(1),
+    };
+    let guarded = catalog(Some(vec![(client.clone(), vec!["key".to_owned()])]));
+    let route = guarded.route("desk.example", "/a/c").expect("a route");
+    assert_matches!(guarded.access(route, Some("key")), Access::Granted(found) if *found == client);
+    assert_eq!(guarded.access(route, Some("another")), Access::Denied);
+    assert_eq!(guarded.access(route, None), Access::Denied);
+    let public = guarded.route("desk.example", "/a/b/c").expect("a route");
+    assert_eq!(guarded.access(public, None), Access::Open);
+    assert_eq!(catalog(None).access(route, None), Access::Open);
+    let none = catalog(Some(Vec::new()));
+    assert_eq!(none.access(route, None), Access::Denied);
+}
+
+/// Shares split requests at their boundaries.
+#[test]
+fn traffic_shares() {
+    let route = route("split", "/", false);
+    assert_eq!(route.service(0.0), Some(id::of("one")));
+    assert_eq!(route.service(0.89), Some(id::of("one")));
+    assert_eq!(route.service(0.91), Some(id::of("two")));
+    assert_eq!(route.service(1.0), Some(id::of("two")));
+}
--- /dev/null
+++ b/crates/daisyyard_core/tests/pool_choice.rs
@@ -0,0 +1,159 @@
+//! Guards against requests for endpoints that leave, are full or do not answer, and against engines
+//! that are filled beyond their memory.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use assert_matches::assert_matches;
+use daisyyard_core::endpoint::{Endpoint, Kind, State};
+use daisyyard_core::id::{self, EndpointId};
+use daisyyard_core::pool::{Choice, Load, Need, Pool, Room, Sign};
+use daisyyard_core::zone::Zone;
+
+/// Tokens that an engine of these tests holds.
+const MEMORY: u64 = 10_000;
+
+/// Returns an engine in a zone.
+fn engine(name: &str, zone: &str) -> Endpoint {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let mut endpoint = Endpoint::new(name, "model", Kind::Engine, Zone::new(zone, "r"), address);
+    endpoint.slots = 8;
+    endpoint
+}
+
+/// Returns a pool with engines in the node's zone.
+fn pool(names: &[&str], now: Instant) -> Pool {
+    let mut pool = Pool::new(Zone::new("a", "r"), 1);
+    for name in names {
+        pool.put(engine(name, "a"), Duration::ZERO, now);
+    }
+    pool
+}
+
+/// Returns the need of a request.
+fn need(prompt: u64, backup: bool) -> Need {
+    Need {
+        service: id::of("model"),
+        prompt,
+        output: 0,
+        memory: MEMORY,
+        backup,
+    }
+}
+
+/// Reserves tokens at an engine.
+fn fill(pool: &mut Pool, name: &str, tokens: u64) {
+    pool.change(id::of(name), |load| {
+        load.runs += 1;
+        load.tokens += tokens;
+    });
+}
+
+/// Returns the engine that is chosen, if one is.
+fn chosen(pool: &mut Pool, need: &Need, excluded: &[EndpointId], now: Instant) -> Option<String> {
+    match pool.choose(need, excluded, now) {
+        Choice::Send { endpoint, .. } => Some(endpoint.name.clone()),
+        Choice::Wait | Choice::Missing => None,
+    }
+}
+
+/// The engine with the most free memory is chosen, and none that would overflow.
+#[test]
+fn free_memory() {
+    let now = Instant::now();
+    let mut pool = pool(&["one", "two"], now);
+    fill(&mut pool, "one", 8_000);
+    fill(&mut pool, "two", 4_000);
+    let small = need(1_000, false);
+    assert_eq!(chosen(&mut pool, &small, &[], now).as_deref(), Some("two"));
+    let large = need(7_000, false);
+    assert_matches!(pool.choose(&large, &[], now), Choice::Wait);
+    assert_matches!(
+        pool.choose(&need(1, false), &[id::of("one"), id::of("two")], now),
+        Choice::Missing
+    );
+}
+
+/// An engine that leaves receives nothing, and its leaving is told once.
+#[test]
+fn leaving_engine() {
+    let now = Instant::now();
+    let mut pool = pool(&["one"], now);
+    let mut leaving = engine("one", "a");
+    leaving.state = State::Leaving;
+    assert!(pool.put(leaving.clone(), Duration::ZERO, now));
+    assert!(!pool.put(leaving, Duration::ZERO, now));
+    assert_matches!(pool.choose(&need(1, false), &[], now), Choice::Missing);
+}
+
+/// An engine whose entry ended while the store was away is used until the time to be listed again
+/// has passed, and stays if it is.
+#[test]
+fn doubtful_engine() {
+    let now = Instant::now();
+    let until = now + Duration::from_secs(2);
+    let mut pool = pool(&["one", "two"], now);
+    assert!(!pool.remove(id::of("one"), Some(until), now));
+    assert!(!pool.remove(id::of("two"), Some(until), now));
+    assert!(chosen(&mut pool, &need(1, false), &[], now).is_some());
+    pool.put(engine("two", "a"), Duration::ZERO, now);
+    assert_eq!(pool.expire(until), vec![id::of("one")]);
+    assert_eq!(
+        chosen(&mut pool, &need(1, false), &[], until).as_deref(),
+        Some("two")
+    );
+}
+
+/// An engine that does not accept connections is left out for a while that grows.
+#[test]
+fn unreachable_engine() {
+    let now = Instant::now();
+    let mut pool = pool(&["one"], now);
+    pool.observe(id::of("one"), Sign::Unreachable, now);
+    assert_matches!(pool.choose(&need(1, false), &[], now), Choice::Wait);
+    let later = now + Duration::from_secs(1);
+    assert!(chosen(&mut pool, &need(1, false), &[], later).is_some());
+    pool.observe(id::of("one"), Sign::Unreachable, later);
+    let again = later + Duration::from_millis(800);
+    assert_matches!(pool.choose(&need(1, false), &[], again), Choice::Wait);
+}
+
+/// The loads of other nodes count until they are too old.
+#[test]
+fn other_loads() {
+    let now = Instant::now();
+    let mut pool = pool(&["one"], now);
+    let load = Load {
+        runs: 1,
+        tokens: MEMORY,
+        prefill: 0,
+    };
+    pool.learn(7, &[(id::of("one"), load)], now);
+    assert_matches!(pool.choose(&need(1_000, false), &[], now), Choice::Wait);
+    let later = now + Duration::from_secs(3);
+    assert!(chosen(&mut pool, &need(1_000, false), &[], later).is_some());
+}
+
+/// Copies go to another engine of the zone that has room beyond that for runs.
+#[test]
+fn copy_room() {
+    let now = Instant::now();
+    let mut pool = pool(&["one", "two"], now);
+    pool.put(engine("far", "b"), Duration::ZERO, now);
+    let wanted = need(1_000, true);
+    let one = [id::of("one")];
+    let spare = pool.spare(&wanted, Some(id::of("a")), &one, Room::Copy, now);
+    assert_eq!(spare.expect("room").name, "two");
+    fill(&mut pool, "two", 8_000);
+    let spare = pool.spare(&wanted, Some(id::of("a")), &one, Room::Copy, now);
+    assert_eq!(spare.expect("room").name, "far");
+    fill(&mut pool, "far", 8_000);
+    assert!(
+        pool.spare(&wanted, Some(id::of("a")), &one, Room::Copy, now)
+            .is_none()
+    );
+    assert!(
+        pool.spare(&wanted, Some(id::of("a")), &one, Room::Run, now)
+            .is_some()
+    );
+}
--- a/crates/daisyyard_gateway/src/body.rs
+++ b/crates/daisyyard_gateway/src/body.rs
@@ -11,16 +11,16 @@
 const BUFFER: usize = 16;
 
 /// Body of an answer.
-pub(crate) type Body = UnsyncBoxBody<Bytes, Incomplete>;
+pub type Body = UnsyncBoxBody<Bytes, Incomplete>;
 
 /// The answer ended before it was complete; the connection is closed without its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("the answer is incomplete; ask again if the request may run twice")]
-pub(crate) struct Incomplete;
+pub struct Incomplete;
 
 /// A part of a streamed answer.
 #[derive(Debug)]
-pub(crate) enum Piece {
+pub enum Piece {
     /// Bytes.
     Data(Bytes),
     /// The answer is complete.
@@ -28,14 +28,14 @@
 }
 
 /// Returns a whole body.
-pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
+pub fn full(bytes: impl Into<Bytes>) -> Body {
     let body = Full::new(bytes.into());
     body.map_err(|never| match never {}).boxed_unsync()
 }
 
 /// Returns a body that passes on pieces. It fails when the sender is dropped without an end, so
 /// that an answer that breaks off never looks complete.
-pub(crate) fn channel() -> (mpsc::Sender<Piece>, Body) {
+pub fn channel() -> (mpsc::Sender<Piece>, Body) {
     let (sender, receiver) = mpsc::channel(BUFFER);
     let stream = futures_util::stream::unfold(Some(receiver), |receiver| async {
         let mut receiver: mpsc::Receiver<Piece> = receiver?;
@@ -45,5 +45,8 @@
             None => Some((Err(Incomplete), None)),
         }
     });
-    (sender, BodyExt::boxed_unsync(StreamBody::new(stream.boxed())))
+    (
+        sender,
+        BodyExt::boxed_unsync(StreamBody::new(stream.boxed())),
+    )
 }
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -12,7 +12,8 @@
 use tokio::time::MissedTickBehavior;
 use xtra::{Address, WeakAddress};
 
-use crate::pool::{Digest, Pool, Report};
+use crate::message::{Digest, Report};
+use crate::pool::Pool;
 
 /// Time between two digests. It bounds how old the knowledge of other gateways' loads is.
 const PERIOD: Duration = Duration::from_millis(100);
@@ -122,7 +123,12 @@
             instance: report.from,
             leaving: report.leaving,
             items: items.collect(),
-            counts: report.counts.iter().take(SERVICES).map(Counted::from).collect(),
+            counts: report
+                .counts
+                .iter()
+                .take(SERVICES)
+                .map(Counted::from)
+                .collect(),
         }
     }
 }
--- a/crates/daisyyard_gateway/src/events.rs
+++ b/crates/daisyyard_gateway/src/events.rs
@@ -7,11 +7,11 @@
 
 /// An event that cannot be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct TooLong;
+pub struct TooLong;
 
 /// Splits a stream into events and remembers the last one.
 #[derive(Debug, Default)]
-pub(crate) struct Events {
+pub struct Events {
     /// Bytes of an event that is not whole yet.
     partial: BytesMut,
     /// Number of the last event that was passed on.
@@ -22,7 +22,7 @@
 
 impl Events {
     /// Takes bytes of the stream and returns the whole events among them that are new.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, TooLong> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, TooLong> {
         self.partial.extend_from_slice(bytes);
         let mut fresh = BytesMut::new();
         while let Some(end) = find_end(&self.partial) {
@@ -38,22 +38,22 @@
     }
 
     /// Drops the bytes of an event that was cut off, before the stream goes on elsewhere.
-    pub(crate) fn restart(&mut self) {
+    pub fn restart(&mut self) {
         self.partial.clear();
     }
 
     /// Returns the number of the last event that was passed on.
-    pub(crate) fn last(&self) -> Option<u64> {
+    pub fn last(&self) -> Option<u64> {
         self.last
     }
 
     /// Returns how many events were passed on.
-    pub(crate) fn count(&self) -> u64 {
+    pub fn count(&self) -> u64 {
         self.count
     }
 
     /// Returns whether no event is incomplete.
-    pub(crate) fn is_whole(&self) -> bool {
+    pub fn is_whole(&self) -> bool {
         self.partial.is_empty()
     }
 
--- a/crates/daisyyard_gateway/src/exchange.rs
+++ b/crates/daisyyard_gateway/src/exchange.rs
@@ -26,7 +26,8 @@
 use crate::job::Job;
 use crate::log::Log;
 use crate::measure::Metrics;
-use crate::pool::{Claim, Count, Grant, Pool, Repeat};
+use crate::message::{Claim, Count, Grant, Repeat};
+use crate::pool::Pool;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 
@@ -105,8 +106,8 @@
         let id = asked.attempt.clone();
         let failed = |refusal| (refusal, id.clone());
         let attempt = id.clone().ok_or_else(|| failed(Refusal::Malformed))?;
-        let held = self.held.borrow().clone();
-        let catalog = held.ok_or_else(|| failed(Refusal::Unconfigured))?;
+        let catalog = self.held.borrow().clone();
+        let catalog = catalog.ok_or_else(|| failed(Refusal::Unconfigured))?;
         let route = route(&catalog, &request).map_err(failed)?;
         let client = match catalog.access(&route, asked.credential.as_deref()) {
             Access::Open => None,
@@ -116,7 +117,9 @@
         if self.leaves() && route.kind == Kind::Streaming {
             return Err(failed(Refusal::Leaving));
         }
-        let service = route.service(rand::random()).ok_or_else(|| failed(Refusal::Missing))?;
+        let service = route
+            .service(rand::random())
+            .ok_or_else(|| failed(Refusal::Missing))?;
         let engine = catalog.service(service).and_then(|service| service.engine);
         let (mut head, body) = request.into_parts();
         let body = receive(body, catalog.limits).await.map_err(failed)?;
@@ -175,7 +178,12 @@
             let again = job.idempotent() && runs + 1 < job.route.attempts;
             let (progress, late, reason, answer) = match self.send(&job, grant, again).await {
                 Sent::Answered(answer) => return answer,
-                Sent::Failed { progress, late, reason, answer } => (progress, late, reason, answer),
+                Sent::Failed {
+                    progress,
+                    late,
+                    reason,
+                    answer,
+                } => (progress, late, reason, answer),
             };
             tried.push(endpoint);
             attempt.reach(progress);
@@ -277,13 +285,7 @@
     }
 
     /// Receives a whole answer before it is passed on, so that one that breaks off can be replaced.
-    async fn whole(
-        &self,
-        job: &Job,
-        mut grant: Grant,
-        answer: Answer,
-        until: Instant,
-    ) -> Sent {
+    async fn whole(&self, job: &Job, mut grant: Grant, answer: Answer, until: Instant) -> Sent {
         let (parts, incoming) = answer.response.into_parts();
         let collect = Limited::new(incoming, MAX_ANSWER).collect();
         let collected = tokio::time::timeout_at(until.into(), collect).await;
@@ -338,7 +340,8 @@
             job.arrived.elapsed().as_millis(),
         );
         self.log.emit(Event::RequestEnded, &details);
-        self.metrics.ended(job.kind(), reason, job.arrived.elapsed());
+        self.metrics
+            .ended(job.kind(), reason, job.arrived.elapsed());
     }
 }
 
@@ -347,7 +350,10 @@
     catalog: &Catalog,
     request: &Request<Incoming>,
 ) -> Result<Arc<daisyyard_core::catalog::Route>, Refusal> {
-    let host = request.headers().get(HOST).and_then(|host| host.to_str().ok());
+    let host = request
+        .headers()
+        .get(HOST)
+        .and_then(|host| host.to_str().ok());
     let host = request.uri().host().or(host).ok_or(Refusal::Malformed)?;
     let route = catalog.route(host, request.uri().path());
     route.cloned().ok_or(Refusal::Missing)
--- a/crates/daisyyard_gateway/src/follow.rs
+++ b/crates/daisyyard_gateway/src/follow.rs
@@ -13,7 +13,8 @@
 use crate::dialect::{Batch, Dialect, Fact};
 use crate::event::Event;
 use crate::log::Log;
-use crate::pool::{Facts, Pool};
+use crate::message::Facts;
+use crate::pool::Pool;
 use crate::settings::Bounds;
 use crate::store::{self, Backoff, Error};
 
@@ -83,7 +84,8 @@
             while let Some(next) = self.watch(revision).await {
                 revision = next;
             }
-            self.log.emit(Event::StoreReread, &format!("revision={revision}"));
+            self.log
+                .emit(Event::StoreReread, &format!("revision={revision}"));
         }
     }
 
@@ -126,9 +128,8 @@
     async fn watch(&mut self, revision: Revision) -> Option<Revision> {
         let call = (self.dialect.store.watch)(revision, self.wait);
         let answer = store::call(self.address, call, self.wait + TIMEOUT).await;
-        let batch = answer.and_then(|answer| {
-            (self.dialect.store.batch)(&answer).map_err(Error::Unusable)
-        });
+        let batch =
+            answer.and_then(|answer| (self.dialect.store.batch)(&answer).map_err(Error::Unusable));
         match batch {
             Ok(batch) => {
                 self.succeed();
@@ -154,7 +155,7 @@
             }
         }
         let message = Facts {
-            facts: rest,
+            list: rest,
             doubt: self.doubt(),
             complete,
         };
@@ -191,7 +192,8 @@
         if !self.answered {
             self.answered = true;
             self.regained = Some(Instant::now());
-            self.log.emit(Event::StoreRegained, &format!("address={}", self.address));
+            self.log
+                .emit(Event::StoreRegained, &format!("address={}", self.address));
         }
     }
 
--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -19,7 +19,8 @@
 use crate::log::Log;
 use crate::measure::Metrics;
 use crate::member::Entry;
-use crate::pool::{self, Leave, Offer, Pool, Rebind};
+use crate::message::{Leave, Offer, Rebind};
+use crate::pool::{self, Pool};
 use crate::register::Registration;
 use crate::settings::Settings;
 use crate::{digest, refusal::Refusal};
@@ -64,7 +65,10 @@
     let gateway = Gateway::start(&settings, dialect, log.clone()).await?;
     log.emit(
         Event::GatewayStarted,
-        &format!("name={} address={}", settings.name, settings.listen.requests),
+        &format!(
+            "name={} address={}",
+            settings.name, settings.listen.requests
+        ),
     );
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -101,8 +105,13 @@
         digests.with_context(|| format!("cannot bind {}; is it in use?", listen.digests))?;
         let metrics = Metrics::new()?;
         let (phase, shown) = watch::channel(Phase::Serving);
-        let (follower, held) =
-            Follower::new(settings.store, dialect, settings.bounds, pool.clone(), log.clone());
+        let (follower, held) = Follower::new(
+            settings.store,
+            dialect,
+            settings.bounds,
+            pool.clone(),
+            log.clone(),
+        );
         tokio::spawn(follower.run());
         let registration = registration(settings, dialect, shown.clone(), log.clone())?;
         tokio::spawn(registration.run());
@@ -120,7 +129,9 @@
             metrics: metrics.clone(),
             log: log.clone(),
         };
-        front.clone().spawn(requests, move |request| exchange.clone().answer(request));
+        front
+            .clone()
+            .spawn(requests, move |request| exchange.clone().answer(request));
         // The other listeners have no requests that a planned stop must wait for.
         let side = Front {
             tasks: TaskTracker::new(),
@@ -131,8 +142,9 @@
             async move { response }
         });
         let offers = pool.clone();
-        side.clone()
-            .spawn(directory, move |request| addresses(dialect, offers.clone(), request));
+        side.clone().spawn(directory, move |request| {
+            addresses(dialect, offers.clone(), request)
+        });
         side.spawn(scrapes, move |request| {
             let response = scrape(&request, &metrics);
             async move { response }
@@ -152,7 +164,11 @@
             Ok(new) => {
                 // The pool ends only with the process.
                 let _ = self.pool.send(Rebind(new.repeats.clone())).await;
-                let details = format!("name={} grace_ms={}", new.name, new.bounds.grace.as_millis());
+                let details = format!(
+                    "name={} grace_ms={}",
+                    new.name,
+                    new.bounds.grace.as_millis()
+                );
                 self.log.emit(Event::SettingsReloaded, &details);
                 new
             }
@@ -238,7 +254,9 @@
     }
     let mut response = Response::new(body::full((dialect.addresses)(&offered, ADDRESSES)));
     let kind = hyper::header::HeaderValue::from_static("application/json");
-    response.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, kind);
     response
 }
 
--- a/crates/daisyyard_gateway/src/job.rs
+++ b/crates/daisyyard_gateway/src/job.rs
@@ -79,7 +79,11 @@
 
     /// Returns what the request needs of an endpoint.
     pub(crate) fn need(&self) -> Need {
-        let output = if self.engine.is_some() { self.output() } else { 0 };
+        let output = if self.engine.is_some() {
+            self.output()
+        } else {
+            0
+        };
         Need {
             service: self.service,
             prompt: self.asked.prompt,
@@ -92,7 +96,10 @@
     /// Returns the tokens that are expected to be generated.
     pub(crate) fn output(&self) -> Tokens {
         let limit = self.asked.output_limit.unwrap_or(Tokens::MAX);
-        let hint = self.asked.output_hint.map(|hint| (hint as f64 * HINT_FACTOR) as Tokens);
+        let hint = self
+            .asked
+            .output_hint
+            .map(|hint| (hint as f64 * HINT_FACTOR) as Tokens);
         hint.unwrap_or(DEFAULT_OUTPUT).min(limit)
     }
 
@@ -120,7 +127,10 @@
         *request.uri_mut() = self.target.clone();
         let headers = request.headers_mut();
         headers.clone_from(&self.headers);
-        let account = self.client.as_ref().map(|client| client.account.name.clone());
+        let account = self
+            .client
+            .as_ref()
+            .map(|client| client.account.name.clone());
         let order = Order {
             endpoint: endpoint.name.clone(),
             account,
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -4,11 +4,11 @@
 //! An adapter describes the platform's messages by a [`dialect::Dialect`]; routing, limits,
 //! retries, membership and recovery are decided here and in `daisyyard_core`.
 
-pub(crate) mod body;
+pub mod body;
 pub mod dialect;
 pub(crate) mod digest;
 pub(crate) mod event;
-pub(crate) mod events;
+pub mod events;
 pub(crate) mod exchange;
 pub(crate) mod follow;
 pub(crate) mod front;
@@ -16,10 +16,12 @@
 pub(crate) mod job;
 pub(crate) mod log;
 pub(crate) mod measure;
-pub(crate) mod member;
+pub mod member;
+pub(crate) mod message;
 pub(crate) mod pool;
 pub(crate) mod refusal;
 pub(crate) mod register;
 pub(crate) mod relay;
+pub(crate) mod run;
 pub mod settings;
 pub(crate) mod store;
--- a/crates/daisyyard_gateway/src/measure.rs
+++ b/crates/daisyyard_gateway/src/measure.rs
@@ -5,7 +5,9 @@
 
 use anyhow::Context;
 use metrics::{Key, KeyName, Level, Metadata, Recorder};
-use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
+use metrics_exporter_prometheus::{
+    Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
+};
 
 /// Buckets of latencies, in seconds.
 const BUCKETS: [f64; 12] = [
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -18,13 +18,13 @@
 
 /// What a gateway writes of itself into the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Entry {
+pub struct Entry {
     /// Address for requests.
-    pub(crate) requests: SocketAddr,
+    pub requests: SocketAddr,
     /// Address for digests.
-    pub(crate) digests: SocketAddr,
+    pub digests: SocketAddr,
     /// Availability zone.
-    pub(crate) zone: String,
+    pub zone: String,
 }
 
 /// A gateway.
@@ -42,7 +42,7 @@
 
 /// The gateways that one of them knows, itself included.
 #[derive(Debug)]
-pub(crate) struct Members {
+pub struct Members {
     /// This gateway.
     own: Entry,
     /// Identifier of this gateway.
@@ -55,7 +55,7 @@
 
 impl Members {
     /// Creates the view of a gateway that knows only itself.
-    pub(crate) fn new(name: &str, own: Entry) -> Self {
+    pub fn new(name: &str, own: Entry) -> Self {
         Self {
             own,
             me: id::of(name),
@@ -65,7 +65,7 @@
     }
 
     /// Takes the entry of a gateway.
-    pub(crate) fn put(&mut self, name: &str, entry: Entry, now: Instant) {
+    pub fn put(&mut self, name: &str, entry: Entry, now: Instant) {
         let id = id::of(name);
         if id == self.me {
             return;
@@ -87,7 +87,7 @@
 
     /// Removes a gateway whose entry has ended, at once or after a time in which it may be listed
     /// again.
-    pub(crate) fn remove(&mut self, name: &str, doubt: Option<Instant>) {
+    pub fn remove(&mut self, name: &str, doubt: Option<Instant>) {
         let id = id::of(name);
         match (doubt, self.others.get_mut(&id)) {
             (Some(until), Some(member)) => {
@@ -100,13 +100,13 @@
     }
 
     /// Keeps only the gateways that a complete list names.
-    pub(crate) fn retain(&mut self, names: &[String]) {
+    pub fn retain(&mut self, names: &[String]) {
         let listed: Vec<InstanceId> = names.iter().map(|name| id::of(name)).collect();
         self.others.retain(|id, _| listed.contains(id));
     }
 
     /// Notes a digest; returns whether the sender is known.
-    pub(crate) fn hear(&mut self, id: InstanceId, leaving: bool, now: Instant) -> bool {
+    pub fn hear(&mut self, id: InstanceId, leaving: bool, now: Instant) -> bool {
         let Some(member) = self.others.get_mut(&id) else {
             return false;
         };
@@ -116,17 +116,17 @@
     }
 
     /// Stops offering this gateway to callers.
-    pub(crate) fn leave(&mut self) {
+    pub fn leave(&mut self) {
         self.offered = false;
     }
 
     /// Returns the number of gateways that share the allowance for repeated sends.
-    pub(crate) fn count(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.others.len() + 1
     }
 
     /// Returns where digests are sent.
-    pub(crate) fn targets(&self) -> Vec<SocketAddr> {
+    pub fn targets(&self) -> Vec<SocketAddr> {
         let entries = self.others.values().map(|member| member.entry.digests);
         entries.collect()
     }
@@ -135,11 +135,10 @@
     ///
     /// When no other gateway was heard from for a while, this one is cut off and cannot tell which
     /// of the others live, so all are offered.
-    pub(crate) fn offer(&mut self, zone: &str, now: Instant) -> Vec<SocketAddr> {
+    pub fn offer(&mut self, zone: &str, now: Instant) -> Vec<SocketAddr> {
         let ended = |member: &Member| member.doubtful_until.is_some_and(|until| until <= now);
         self.others.retain(|_, member| !ended(member));
-        let silent =
-            |member: &Member| now.saturating_duration_since(member.heard) >= SILENCE;
+        let silent = |member: &Member| now.saturating_duration_since(member.heard) >= SILENCE;
         let cut_off = self.others.values().all(silent);
         let others = self
             .others
@@ -149,7 +148,11 @@
         let own = self.offered.then_some(&self.own);
         let all: Vec<&Entry> = own.into_iter().chain(others).collect();
         let local: Vec<&Entry> = all.iter().copied().filter(|one| one.zone == zone).collect();
-        let chosen = if local.len() >= LEAST_LOCAL { local } else { all };
+        let chosen = if local.len() >= LEAST_LOCAL {
+            local
+        } else {
+            all
+        };
         chosen.iter().take(MOST).map(|one| one.requests).collect()
     }
 }
--- /dev/null
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -0,0 +1,161 @@
+//! Messages to the actor that owns the gateway's view of endpoints and of other gateways.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use daisyyard_core::allowance::{self, Bound};
+use daisyyard_core::backlog::Due;
+use daisyyard_core::endpoint::Endpoint;
+use daisyyard_core::id::{EndpointId, InstanceId, RequestId, ServiceId};
+use daisyyard_core::pool::{Load, Need, Sign};
+use tokio::sync::{mpsc, oneshot};
+use xtra::WeakAddress;
+
+use crate::dialect::Fact;
+use crate::pool::Pool;
+
+/// What happens to the endpoint of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Notice {
+    /// The endpoint leaves soon, or has left the list.
+    Leaving,
+}
+
+/// Asks for an endpoint.
+#[derive(Debug)]
+pub(crate) struct Claim {
+    /// What the request needs.
+    pub(crate) need: Need,
+    /// When the request is due.
+    pub(crate) due: Due,
+    /// Endpoints that are not asked again.
+    pub(crate) excluded: Vec<EndpointId>,
+    /// Receives the endpoint.
+    pub(crate) reply: oneshot::Sender<Result<Grant, Refused>>,
+}
+
+/// Why no endpoint is granted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Refused {
+    /// Every endpoint stayed full, or none is live.
+    Full,
+    /// Too many requests wait already.
+    Crowded,
+}
+
+/// An endpoint that a request may be sent to; dropping it frees the room.
+#[derive(Debug)]
+pub(crate) struct Grant {
+    /// Identifier of the run.
+    pub(crate) run: RequestId,
+    /// Endpoint that runs the request.
+    pub(crate) endpoint: Arc<Endpoint>,
+    /// Engine that keeps a copy of the run's memory.
+    pub(crate) backup: Option<Arc<Endpoint>>,
+    /// What happens to the endpoint.
+    pub(crate) notices: mpsc::Receiver<Notice>,
+    /// How the run ended, as far as is known.
+    pub(crate) sign: Sign,
+    /// Address of the actor.
+    pub(crate) pool: WeakAddress<Pool>,
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        let (pool, done) = (self.pool.clone(), Done(self.run, self.sign));
+        // The actor outlives requests except when the process ends.
+        tokio::spawn(async move {
+            let _ = pool.send(done).await;
+        });
+    }
+}
+
+/// Says that a run has ended.
+#[derive(Debug)]
+pub(crate) struct Done(pub(crate) RequestId, pub(crate) Sign);
+
+/// Says that the first token of a run has arrived.
+#[derive(Debug)]
+pub(crate) struct First(pub(crate) RequestId);
+
+/// Makes the engine with the copy the endpoint of a run, and asks for an engine for a new copy.
+#[derive(Debug)]
+pub(crate) struct Hop(pub(crate) RequestId);
+
+/// Takes a hop back: the run stays at its engine, and the other one keeps the copy.
+#[derive(Debug)]
+pub(crate) struct Undo(
+    pub(crate) RequestId,
+    pub(crate) EndpointId,
+    pub(crate) EndpointId,
+);
+
+/// Gives up the engine with the copy of a run; it is not chosen for this run again.
+#[derive(Debug)]
+pub(crate) struct Abandon(pub(crate) RequestId);
+
+/// Asks how a run can get away from an engine that leaves; room for it is reserved.
+#[derive(Debug)]
+pub(crate) struct Escape(pub(crate) RequestId);
+
+/// How a run can get away from its engine.
+#[derive(Debug, Clone)]
+pub(crate) enum Way {
+    /// It goes on at the engine that keeps a copy.
+    Backup,
+    /// Its memory is moved to an engine with room.
+    Move(Arc<Endpoint>),
+    /// No engine has room now.
+    Nowhere,
+}
+
+/// Asks whether a request may be sent once more to a service.
+#[derive(Debug)]
+pub(crate) struct Repeat(pub(crate) ServiceId);
+
+/// Counts a request for a service.
+#[derive(Debug)]
+pub(crate) struct Count(pub(crate) ServiceId);
+
+/// Asks which addresses a caller in a zone may use.
+#[derive(Debug)]
+pub(crate) struct Offer(pub(crate) String);
+
+/// Says that this gateway is leaving.
+#[derive(Debug)]
+pub(crate) struct Leave;
+
+/// Replaces the bound on repeated sends.
+#[derive(Debug)]
+pub(crate) struct Rebind(pub(crate) Bound);
+
+/// Changes of the store.
+#[derive(Debug)]
+pub(crate) struct Facts {
+    /// What the keys say.
+    pub(crate) list: Vec<Fact>,
+    /// Until when an entry that is missing may come back, if the store was away.
+    pub(crate) doubt: Option<Instant>,
+    /// Whether the facts are a complete list, so that what it does not name is gone.
+    pub(crate) complete: bool,
+}
+
+/// Asks for this gateway's digest.
+#[derive(Debug)]
+pub(crate) struct Digest;
+
+/// The loads of one gateway.
+#[derive(Debug)]
+pub(crate) struct Report {
+    /// Gateway that has the loads.
+    pub(crate) from: InstanceId,
+    /// Whether it is leaving.
+    pub(crate) leaving: bool,
+    /// Its loads.
+    pub(crate) loads: Vec<(EndpointId, Load)>,
+    /// Its requests and repeated sends.
+    pub(crate) counts: Vec<(ServiceId, allowance::Count)>,
+    /// Where the report of this gateway is sent.
+    pub(crate) targets: Vec<SocketAddr>,
+}
--- a/crates/daisyyard_gateway/src/refusal.rs
+++ b/crates/daisyyard_gateway/src/refusal.rs
@@ -78,7 +78,7 @@
         match self {
             Self::Leaving | Self::Declined => Some(Duration::from_millis(50)),
             Self::Unconfigured => Some(Duration::from_millis(500)),
-            Self::Full => Some(Duration::from_millis(1_000)),
+            Self::Full => Some(Duration::from_secs(1)),
             _ => None,
         }
     }
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -21,7 +21,7 @@
 use crate::events::Events;
 use crate::exchange::Exchange;
 use crate::job::Job;
-use crate::pool::{Abandon, Escape, First, Grant, Hop, Notice, Repeat, Undo, Way};
+use crate::message::{Abandon, Escape, First, Grant, Hop, Notice, Repeat, Undo, Way};
 use crate::store;
 
 /// Time without an event after which an engine counts as silent.
@@ -270,7 +270,7 @@
 
     /// Starts a copy that is not the last.
     fn copy_on(&mut self, target: Arc<Endpoint>, rounds: u32) {
-        let copy = copy(self.exchange.clone(), &self.job, &self.grant, &target, false);
+        let copy = copy(&self.exchange, &self.job, &self.grant, &target, false);
         self.leaving = Leaving::Copying(Copying {
             task: AbortOnDropHandle::new(tokio::spawn(copy)),
             target,
@@ -283,7 +283,13 @@
     /// returns whether the stream goes on.
     async fn copied(&mut self, result: Result<Bytes, store::Error>) -> bool {
         let leaving = std::mem::replace(&mut self.leaving, Leaving::Stays);
-        let Leaving::Copying(Copying { target, began, rounds, .. }) = leaving else {
+        let Leaving::Copying(Copying {
+            target,
+            began,
+            rounds,
+            ..
+        }) = leaving
+        else {
             return true;
         };
         let last = match result {
@@ -291,7 +297,7 @@
                 self.copy_on(target, rounds + 1);
                 return true;
             }
-            Ok(_) => copy(self.exchange.clone(), &self.job, &self.grant, &target, true).await,
+            Ok(_) => copy(&self.exchange, &self.job, &self.grant, &target, true).await,
             Err(error) => Err(error),
         };
         let read = self.exchange.dialect.engine.copied;
@@ -325,7 +331,7 @@
     /// under a name; returns whether the stream goes on.
     async fn go_on(&mut self, moved: Option<String>, reason: &'static str) -> bool {
         let began = Instant::now();
-        let source = self.grant.endpoint.clone();
+        let source = Arc::clone(&self.grant.endpoint);
         let hop = self.exchange.pool.send(Hop(self.grant.run)).await;
         let Ok(Some((engine, backup))) = hop else {
             return false;
@@ -335,7 +341,11 @@
         let running = moved.is_none() && reason == LEAVING;
         let resume = Resume {
             // A copy that was moved is known to the engine that moved it.
-            holder: if moved.is_some() { source.address } else { engine.address },
+            holder: if moved.is_some() {
+                source.address
+            } else {
+                engine.address
+            },
             copy: moved.unwrap_or_else(|| self.job.attempt.clone()),
             event: self.events.last().unwrap_or(0),
         };
@@ -354,7 +364,9 @@
             went.err().unwrap_or("resumed"),
         );
         self.exchange.log.emit(Event::RunMoved, &details);
-        self.exchange.metrics.moved(if went.is_ok() { means } else { "failed" });
+        self.exchange
+            .metrics
+            .moved(if went.is_ok() { means } else { "failed" });
         if went.is_ok() {
             self.settle(engine, backup);
             return true;
@@ -388,12 +400,11 @@
         let mut open = std::pin::pin!(open);
         // Two engines may work on a run for a moment only.
         let early = tokio::time::timeout(OVERLAP, open.as_mut()).await;
-        let opened = match early {
-            Ok(opened) => opened,
-            Err(_) => {
-                self.upstream = None;
-                open.await
-            }
+        let opened = if let Ok(opened) = early {
+            opened
+        } else {
+            self.upstream = None;
+            open.await
         };
         let answer = opened.map_err(|_failure| "unanswered")?;
         let status = answer.response.status();
@@ -420,7 +431,7 @@
 
 /// Asks the engine of a run to copy its memory to another engine; the last copy ends the run there.
 fn copy(
-    exchange: Exchange,
+    exchange: &Exchange,
     job: &Job,
     grant: &Grant,
     target: &Endpoint,
--- a/crates/daisyyard_http/src/lib.rs
+++ b/crates/daisyyard_http/src/lib.rs
@@ -48,7 +48,11 @@
         .flat_map(|value| value.split(','))
         .map(|name| name.trim().to_ascii_lowercase())
         .collect();
-    for name in HOP_BY_HOP.iter().copied().chain(named.iter().map(String::as_str)) {
+    for name in HOP_BY_HOP
+        .iter()
+        .copied()
+        .chain(named.iter().map(String::as_str))
+    {
         headers.remove(name);
     }
 }
--- /dev/null
+++ b/crates/daisyyard_standin/src/ledger.rs
@@ -0,0 +1,205 @@
+//! Keys of the platform's store: items with revisions, leases, a history of changes and watches.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use tokio::sync::{mpsc, oneshot};
+
+/// Time between two looks at leases and watches.
+const PERIOD: Duration = Duration::from_millis(5);
+
+/// Message to the task that owns the keys.
+#[derive(Debug)]
+pub(crate) enum Command {
+    /// Read the items whose keys begin with a text.
+    Range(String, oneshot::Sender<Value>),
+    /// Wait for changes after a revision, until a time.
+    Watch(Watch),
+    /// Write and remove keys.
+    Write {
+        /// Keys with their values and leases.
+        puts: Vec<(String, String, u64)>,
+        /// Keys to remove.
+        removed: Vec<String>,
+        /// Receives the revision, or nothing if a lease has ended.
+        reply: oneshot::Sender<Option<u64>>,
+    },
+    /// Create a lease.
+    Lease(Duration, oneshot::Sender<u64>),
+    /// Renew a lease; receives whether it exists.
+    Keep(u64, oneshot::Sender<bool>),
+    /// End a lease.
+    End(u64),
+    /// Forget the history, and cut the waiting watches.
+    Compact,
+}
+
+/// A watch that waits.
+#[derive(Debug)]
+pub(crate) struct Watch {
+    /// Start of the keys.
+    pub(crate) prefix: String,
+    /// Revision that is known.
+    pub(crate) after: u64,
+    /// When the watch ends without changes.
+    pub(crate) until: Instant,
+    /// Receives the answer, or nothing if the history is lost.
+    pub(crate) reply: oneshot::Sender<Option<Value>>,
+}
+
+/// A lease.
+#[derive(Debug)]
+struct Lease {
+    /// Lifetime.
+    lifetime: Duration,
+    /// When it ends.
+    until: Instant,
+}
+
+/// All keys.
+#[derive(Debug, Default)]
+struct Ledger {
+    /// Newest revision.
+    revision: u64,
+    /// Items as they are written in answers.
+    items: BTreeMap<String, Value>,
+    /// Changes with their revisions.
+    events: Vec<(u64, String, Value)>,
+    /// Revision up to which the history is lost.
+    lost: u64,
+    /// Leases by number.
+    leases: HashMap<u64, Lease>,
+    /// Number of the last lease.
+    last_lease: u64,
+    /// Watches that wait.
+    watches: Vec<Watch>,
+}
+
+/// Owns the keys until the senders of commands are gone.
+pub(crate) async fn own(mut commands: mpsc::UnboundedReceiver<Command>) {
+    let mut ledger = Ledger::default();
+    let mut interval = tokio::time::interval(PERIOD);
+    loop {
+        tokio::select! {
+            command = commands.recv() => match command {
+                Some(command) => ledger.execute(command),
+                None => return,
+            },
+            _ = interval.tick() => ledger.expire(Instant::now()),
+        }
+        ledger.answer(Instant::now());
+    }
+}
+
+impl Ledger {
+    /// Executes a command.
+    fn execute(&mut self, command: Command) {
+        match command {
+            Command::Range(prefix, reply) => {
+                let items = self
+                    .items
+                    .iter()
+                    .filter(|(key, _)| key.starts_with(&prefix));
+                let items: Vec<&Value> = items.map(|(_, item)| item).collect();
+                let answer = json!({ "items": items, "more_pages": false, "at": self.revision });
+                let _ = reply.send(answer);
+            }
+            Command::Watch(watch) => self.watches.push(watch),
+            Command::Write {
+                puts,
+                removed,
+                reply,
+            } => {
+                let _ = reply.send(self.write(puts, removed));
+            }
+            Command::Lease(lifetime, reply) => {
+                self.last_lease += 1;
+                let until = Instant::now() + lifetime;
+                self.leases
+                    .insert(self.last_lease, Lease { lifetime, until });
+                let _ = reply.send(self.last_lease);
+            }
+            Command::Keep(lease, reply) => {
+                let kept = self.leases.get_mut(&lease).map(|lease| {
+                    lease.until = Instant::now() + lease.lifetime;
+                });
+                let _ = reply.send(kept.is_some());
+            }
+            Command::End(lease) => self.end(lease),
+            Command::Compact => {
+                self.lost = self.revision;
+                self.events.clear();
+                for watch in self.watches.drain(..) {
+                    let _ = watch.reply.send(None);
+                }
+            }
+        }
+    }
+
+    /// Writes and removes keys; returns nothing if a lease has ended.
+    fn write(&mut self, puts: Vec<(String, String, u64)>, removed: Vec<String>) -> Option<u64> {
+        let ended = |lease: u64| lease != 0 && !self.leases.contains_key(&lease);
+        if puts.iter().any(|(_, _, lease)| ended(*lease)) {
+            return None;
+        }
+        self.revision += 1;
+        let revision = self.revision;
+        for (key, value, lease) in puts {
+            let created = self
+                .items
+                .get(&key)
+                .map_or(json!(revision), |item| item["created"].clone());
+            let item = json!({
+                "key": key, "value": value, "revision": revision, "created": created, "lease": lease,
+            });
+            self.events.push((revision, key.clone(), item.clone()));
+            self.items.insert(key, item);
+        }
+        for key in removed {
+            if self.items.remove(&key).is_some() {
+                let event = json!({ "key": key, "revision": revision, "deleted": true });
+                self.events.push((revision, key, event));
+            }
+        }
+        Some(revision)
+    }
+
+    /// Ends a lease with its keys.
+    fn end(&mut self, lease: u64) {
+        if self.leases.remove(&lease).is_some() {
+            let bound = self.items.iter().filter(|(_, item)| item["lease"] == lease);
+            let keys = bound.map(|(key, _)| key.clone()).collect();
+            self.write(Vec::new(), keys);
+        }
+    }
+
+    /// Ends the leases whose time has passed.
+    fn expire(&mut self, now: Instant) {
+        let late = self.leases.iter().filter(|(_, lease)| lease.until <= now);
+        let late: Vec<u64> = late.map(|(lease, _)| *lease).collect();
+        for lease in late {
+            self.end(lease);
+        }
+    }
+
+    /// Answers the watches that have changes or have waited long enough.
+    fn answer(&mut self, now: Instant) {
+        for watch in std::mem::take(&mut self.watches) {
+            if watch.after < self.lost {
+                let _ = watch.reply.send(None);
+                continue;
+            }
+            let news = self.events.iter().filter(|(revision, key, _)| {
+                *revision > watch.after && key.starts_with(&watch.prefix)
+            });
+            let news: Vec<&Value> = news.map(|(_, _, event)| event).collect();
+            if news.is_empty() && watch.until > now {
+                self.watches.push(watch);
+                continue;
+            }
+            let answer = json!({ "events": news, "at": self.revision });
+            let _ = watch.reply.send(Some(answer));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisyyard_standin/src/platform_store.rs
@@ -0,0 +1,229 @@
+//! Stand-in for the store of the users' platform: items, watches, leases and transactions, which
+//! can decline its calls, stay silent or forget its history.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
+
+use daisyyard_http::{self as http, Body};
+
+use crate::ledger::{self, Command, Watch};
+
+/// How the store treats calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// It executes them.
+    Serving,
+    /// It declines them and does nothing.
+    Declining,
+    /// It neither executes nor answers them.
+    Silent,
+}
+
+/// A running store; dropping it ends it.
+#[derive(Debug)]
+pub struct PlatformStore {
+    /// Address on which the store accepts calls.
+    pub address: SocketAddr,
+    /// Commands to the task that owns the keys.
+    commands: mpsc::UnboundedSender<Command>,
+    /// How calls are treated.
+    mode: watch::Sender<Mode>,
+    /// Calls that arrived.
+    calls: watch::Receiver<u64>,
+    /// Tasks of the store.
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl PlatformStore {
+    /// Starts a store on a free loopback port.
+    pub async fn start() -> anyhow::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let (commands, receiver) = mpsc::unbounded_channel();
+        let (mode, shown) = watch::channel(Mode::Serving);
+        let (counter, calls) = watch::channel(0);
+        let owner = tokio::spawn(ledger::own(receiver));
+        let sender = commands.clone();
+        let server = http::serve(listener, move |request| {
+            counter.send_modify(|calls| *calls += 1);
+            handle(request, sender.clone(), *shown.borrow())
+        });
+        Ok(Self {
+            address,
+            commands,
+            mode,
+            calls,
+            tasks: vec![owner, server],
+        })
+    }
+
+    /// Changes how calls are treated; waiting watches go on waiting.
+    pub fn set(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+    }
+
+    /// Returns the number of calls that arrived.
+    pub fn calls(&self) -> u64 {
+        *self.calls.borrow()
+    }
+
+    /// Writes a key as the operator and endpoints do.
+    pub async fn put(&self, key: &str, value: &Value) {
+        let value = STANDARD.encode(value.to_string());
+        let puts = vec![(key.to_owned(), value, 0)];
+        self.write(puts, Vec::new()).await;
+    }
+
+    /// Removes a key.
+    pub async fn remove(&self, key: &str) {
+        self.write(Vec::new(), vec![key.to_owned()]).await;
+    }
+
+    /// Forgets the history of changes.
+    pub fn compact(&self) {
+        let _ = self.commands.send(Command::Compact);
+    }
+
+    /// Returns the names of the keys that begin with a text.
+    pub async fn keys(&self, prefix: &str) -> Vec<String> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.commands.send(Command::Range(prefix.to_owned(), reply));
+        let answer = answer.await.unwrap_or_default();
+        let items = answer["items"].as_array().cloned().unwrap_or_default();
+        let keys = items.iter().filter_map(|item| item["key"].as_str());
+        keys.map(ToOwned::to_owned).collect()
+    }
+
+    /// Writes and removes keys.
+    async fn write(&self, puts: Vec<(String, String, u64)>, removed: Vec<String>) {
+        let (reply, answer) = oneshot::channel();
+        let command = Command::Write {
+            puts,
+            removed,
+            reply,
+        };
+        let _ = self.commands.send(command);
+        let _ = answer.await;
+    }
+}
+
+impl Drop for PlatformStore {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Answers one call.
+async fn handle(
+    request: Request<Incoming>,
+    commands: mpsc::UnboundedSender<Command>,
+    mode: Mode,
+) -> Response<Body> {
+    match mode {
+        Mode::Serving => {}
+        Mode::Declining => return http::json(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
+        Mode::Silent => std::future::pending().await,
+    }
+    let path = request.uri().path().to_owned();
+    let query = request.uri().query().unwrap_or_default().to_owned();
+    let method = request.method().clone();
+    let body = http::read(request.into_body()).await.unwrap_or_default();
+    let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let number = path.rsplit('/').next().and_then(|last| last.parse().ok());
+    let answer = match (method, path.as_str(), number) {
+        (Method::GET, "/-/kv-range", _) => range(&query, &commands).await,
+        (Method::GET, "/-/kv-watch", _) => watch_changes(&query, &commands).await,
+        (Method::POST, "/-/kv-txn", _) => write(&body, &commands).await,
+        (Method::POST, "/-/kv-lease", _) => lease(&body, &commands).await,
+        (Method::POST, _, Some(lease)) => keep(lease, &commands).await,
+        (Method::DELETE, _, Some(lease)) => {
+            let _ = commands.send(Command::End(lease));
+            Some(json!({}))
+        }
+        _ => None,
+    };
+    match answer {
+        Some(answer) if answer.is_null() => http::json(StatusCode::GONE, &json!({})),
+        Some(answer) => http::json(StatusCode::OK, &answer),
+        None => http::json(StatusCode::NOT_FOUND, &json!({})),
+    }
+}
+
+/// Returns a parameter of a query.
+fn parameter(query: &str, name: &str) -> String {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let mut values = pairs.filter(|(key, _)| *key == name);
+    values
+        .next()
+        .map_or(String::new(), |(_, value)| value.to_owned())
+}
+
+/// Reads items.
+async fn range(query: &str, commands: &mpsc::UnboundedSender<Command>) -> Option<Value> {
+    let (reply, answer) = oneshot::channel();
+    let prefix = parameter(query, "path_prefix");
+    commands.send(Command::Range(prefix, reply)).ok()?;
+    answer.await.ok()
+}
+
+/// Waits for changes; null says that the history is lost.
+async fn watch_changes(query: &str, commands: &mpsc::UnboundedSender<Command>) -> Option<Value> {
+    let (reply, answer) = oneshot::channel();
+    let wait = parameter(query, "wait_ms").parse().unwrap_or(0);
+    let watch = Watch {
+        prefix: parameter(query, "path_prefix"),
+        after: parameter(query, "after").parse().unwrap_or(0),
+        until: Instant::now() + Duration::from_millis(wait),
+        reply,
+    };
+    commands.send(Command::Watch(watch)).ok()?;
+    Some(answer.await.ok()?.unwrap_or(Value::Null))
+}
+
+/// Executes a transaction; the stand-in knows no conditions, which gateways do not use.
+async fn write(body: &Value, commands: &mpsc::UnboundedSender<Command>) -> Option<Value> {
+    let (reply, answer) = oneshot::channel();
+    let text = |value: &Value| value.as_str().unwrap_or_default().to_owned();
+    let puts = body["puts"].as_array().cloned().unwrap_or_default();
+    let puts = puts.iter().map(|put| {
+        let lease = put["lease"].as_u64().unwrap_or(0);
+        (text(&put["key"]), text(&put["value"]), lease)
+    });
+    let removed = body["remove"].as_array().cloned().unwrap_or_default();
+    let command = Command::Write {
+        puts: puts.collect(),
+        removed: removed.iter().map(text).collect(),
+        reply,
+    };
+    commands.send(command).ok()?;
+    let revision = answer.await.ok()??;
+    Some(json!({ "revision": revision }))
+}
+
+/// Creates a lease.
+async fn lease(body: &Value, commands: &mpsc::UnboundedSender<Command>) -> Option<Value> {
+    let (reply, answer) = oneshot::channel();
+    let lifetime = body["ttl_ms"].as_u64()?;
+    commands
+        .send(Command::Lease(Duration::from_millis(lifetime), reply))
+        .ok()?;
+    Some(json!({ "lease": answer.await.ok()?, "ttl_ms": lifetime }))
+}
+
+/// Renews a lease.
+async fn keep(lease: u64, commands: &mpsc::UnboundedSender<Command>) -> Option<Value> {
+    let (reply, answer) = oneshot::channel();
+    commands.send(Command::Keep(lease, reply)).ok()?;
+    answer.await.ok()?.then(|| json!({}))
+}
