--- a/crates/daisyyard_gateway/tests/whole_events.rs
+++ b/crates/daisyyard_gateway/tests/whole_events.rs
@@ -23,12 +23,12 @@
 fn resumes_once() {
     let mut events = Events::default();
     let passed = events.push(b"id: 1\ndata: a\n\nid: 2\nda").expect("short");
-    assert_eq!(&passed[..], b"id: 1\ndata: a\n\n");
+    assert_eq!(&*passed, b"id: 1\ndata: a\n\n");
     assert!(!events.is_whole());
     events.restart();
     let rest = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
     let passed = events.push(rest).expect("short");
-    assert_eq!(&passed[..], b"id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    assert_eq!(&*passed, b"id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
 }
 
 /// An engine that sends no end of an event cannot fill the memory.
--- a/crates/daisyyard_standin/src/platform_engine.rs
+++ b/crates/daisyyard_standin/src/platform_engine.rs
@@ -183,9 +183,9 @@
             }
             Command::Copy(attempt, engine) => copies.entry(attempt).or_default().push(engine),
             Command::Find(attempt, engine, reply) => {
-                let at = copies.get(&attempt);
-                let copied = at.is_some_and(|engines| engines.contains(&engine));
-                let _ = reply.send((running.get(&attempt).copied(), copied));
+                let holders = copies.get(&attempt);
+                let held = holders.is_some_and(|engines| engines.contains(&engine));
+                let _ = reply.send((running.get(&attempt).copied(), held));
             }
         }
     }
@@ -233,17 +233,17 @@
             ),
             Mode::Losing => std::future::pending().await,
             Mode::Mixing => answer(StatusCode::OK, "another", http::full("of another")),
-            Mode::Serving | Mode::Declining => self.serve(&headers, attempt),
+            Mode::Serving | Mode::Declining => self.serve(&headers, &attempt),
         }
     }
 
     /// Runs a request.
-    fn serve(self, headers: &HeaderMap, attempt: String) -> Response<Body> {
+    fn serve(self, headers: &HeaderMap, attempt: &str) -> Response<Body> {
         let usage = text(headers, "x-daisyyard-token-usage");
         let Some((_, output)) = usage.split_once(',') else {
             return answer(
                 StatusCode::OK,
-                &attempt,
+                attempt,
                 http::full(format!("whole {}", self.name)),
             );
         };
@@ -253,11 +253,11 @@
             .map_or(1, |last: u64| last + 1);
         let backup = text(headers, "x-daisyyard-kv-backup").parse().ok();
         let (sender, receiver) = mpsc::channel(BUFFER);
-        let _ = self.runs.send(Command::Run(attempt.clone(), self.address));
+        let _ = self.runs.send(Command::Run(attempt.to_owned(), self.address));
         if let Some(backup) = backup {
-            let _ = self.runs.send(Command::Copy(attempt.clone(), backup));
+            let _ = self.runs.send(Command::Copy(attempt.to_owned(), backup));
         }
-        let run = attempt.clone();
+        let run = attempt.to_owned();
         tokio::spawn(async move {
             for number in first..=events {
                 tokio::time::sleep(self.pace).await;
@@ -271,7 +271,7 @@
                 }
             }
         });
-        answer(StatusCode::OK, &attempt, http::channel(receiver))
+        answer(StatusCode::OK, attempt, http::channel(receiver))
     }
 
     /// Copies the memory of a run to another engine.
