Start waiting requests one by one at all gateways

Cause: in a burst, an engine that was just listed was given 29 runs and 110,825 tokens, three times its memory, because all gateways started all their waiting requests on it before they saw each other's digests (trial on a scratch copy that logged the engines' reports beside the reservations). Ruled out: reservations that are too small (they exceed the reported use). Change: waiting requests start one at a time at random times, digests are sent at once after a grant, newcomers do not overtake.

--- a/crates/daisyyard_core/src/backlog.rs
+++ b/crates/daisyyard_core/src/backlog.rs
@@ -65,26 +65,31 @@
         ended.map(|entry| entry.request).collect()
     }
 
-    /// Removes the requests that `start` takes, in their order: the more urgent rank first, then
-    /// those that can still be of full worth, then by arrival.
+    /// Returns whether a request waits for which something holds.
+    pub fn any(&self, holds: impl Fn(&T) -> bool) -> bool {
+        self.entries.iter().any(|entry| holds(&entry.request))
+    }
+
+    /// Offers the requests to `start` in their order until it takes one, and returns whether it
+    /// did: the more urgent rank first, then those that can still be of full worth, then by
+    /// arrival.
     ///
-    /// A rank that finds no room does not keep the others waiting, because they may be for other
-    /// services; `start` returns the request if it cannot be started.
-    pub fn start(&mut self, now: Instant, mut start: impl FnMut(Due, T) -> Option<T>) {
-        let mut entries = std::mem::take(&mut self.entries);
-        entries.sort_by_key(|entry| {
-            let Due {
-                priority,
-                arrived,
-                target,
-                ..
-            } = entry.due;
-            (priority, target <= now, arrived)
+    /// A request that finds no room does not keep the others waiting, because they may be for
+    /// other services; `start` returns the request if it cannot be started.
+    pub fn start(&mut self, now: Instant, mut start: impl FnMut(T) -> Option<T>) -> bool {
+        self.entries.sort_by_key(|entry| {
+            let due = entry.due;
+            (due.priority, due.target <= now, due.arrived)
         });
+        let mut started = false;
+        let entries = std::mem::take(&mut self.entries);
         for Entry { due, request } in entries {
-            if let Some(request) = start(due, request) {
-                self.entries.push(Entry { due, request });
+            let left = if started { Some(request) } else { start(request) };
+            match left {
+                Some(request) => self.entries.push(Entry { due, request }),
+                None => started = true,
             }
         }
+        started
     }
 }
--- a/crates/daisyyard_core/tests/backlog_order.rs
+++ b/crates/daisyyard_core/tests/backlog_order.rs
@@ -25,10 +25,11 @@
     backlog.push(due(0, start, 4, 900), "second");
     backlog.push(due(0, start, 3, 900), "first");
     let mut order = Vec::new();
-    backlog.start(start + Duration::from_millis(100), |_, request| {
+    let now = start + Duration::from_millis(100);
+    while backlog.start(now, |request| {
         order.push(request);
         None
-    });
+    }) {}
     assert_eq!(order, ["first", "second", "late", "deferrable"]);
     assert!(backlog.is_empty());
 }
@@ -40,9 +41,9 @@
     let mut backlog = Backlog::default();
     backlog.push(due(0, start, 1, 900), "blocked");
     backlog.push(due(1, start, 2, 900), "free");
-    backlog.start(start, |_, request| {
-        (request == "blocked").then_some(request)
-    });
+    assert!(backlog.start(start, |request| (request == "blocked").then_some(request)));
+    assert!(!backlog.start(start, Some));
+    assert!(backlog.any(|request| *request == "blocked"));
     assert_eq!(backlog.len(), 1);
     assert!(backlog.expire(start).is_empty());
     assert_eq!(backlog.expire(start + Duration::from_secs(1)), ["blocked"]);
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -1,22 +1,25 @@
 //! Digests: datagrams in which each gateway tells the others its load at each endpoint.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use daisyyard_core::allowance::Count;
 use daisyyard_core::id::{EndpointId, InstanceId, ServiceId};
 use daisyyard_core::pool::Load;
 use prost::Message;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
-use tokio::time::MissedTickBehavior;
 use xtra::{Address, WeakAddress};
 
 use crate::message::{Digest, Report};
 use crate::pool::Pool;
 
-/// Time between two digests. It bounds how old the knowledge of other gateways' loads is.
+/// Time between two digests while no request is sent.
 const PERIOD: Duration = Duration::from_millis(100);
+/// Shortest time between two digests. It bounds how old the knowledge of other gateways' loads is.
+const SHORTEST: Duration = Duration::from_millis(5);
 /// Periods after which an unchanged digest is sent again, to show that the gateway lives.
 const QUIET_PERIODS: u32 = 4;
 /// Largest datagram: what fits one packet on any path.
@@ -149,21 +152,23 @@
 pub(crate) async fn spawn(
     address: SocketAddr,
     pool: &Address<Pool>,
+    changed: Arc<Notify>,
 ) -> std::io::Result<JoinHandle<()>> {
     let socket = UdpSocket::bind(address).await?;
-    Ok(tokio::spawn(exchange(socket, pool.downgrade())))
+    Ok(tokio::spawn(exchange(socket, pool.downgrade(), changed)))
 }
 
 /// Sends and receives digests until the pool ends.
-async fn exchange(socket: UdpSocket, pool: WeakAddress<Pool>) {
+async fn exchange(socket: UdpSocket, pool: WeakAddress<Pool>, changed: Arc<Notify>) {
     let mut buffer = vec![0; MAX_DATAGRAM];
-    let mut interval = tokio::time::interval(PERIOD);
-    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last = Frame::default();
+    let mut sent = Instant::now();
+    let mut due = sent + PERIOD;
     let mut quiet = 0;
     loop {
         tokio::select! {
-            _ = interval.tick() => {
+            () = changed.notified() => due = due.min(sent + SHORTEST),
+            () = tokio::time::sleep_until(due.into()) => {
                 let Ok(report) = pool.send(Digest).await else {
                     return;
                 };
@@ -174,6 +179,8 @@
                     send(&socket, &frame, &report.targets).await;
                     last = frame;
                 }
+                sent = Instant::now();
+                due = sent + PERIOD;
             }
             received = socket.recv_from(&mut buffer) => {
                 // An unreadable datagram is from a stranger or was damaged; the next one replaces it.
--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -1,12 +1,13 @@
 //! One gateway: starts its tasks and stops them as planned.
 
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
 use hyper::{Request, Response, StatusCode};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio_util::task::TaskTracker;
 use xtra::Address;
 
@@ -100,8 +101,9 @@
         let ready = bind(listen.ready)?;
         let directory = bind(listen.directory)?;
         let scrapes = bind(listen.metrics)?;
-        let pool = pool::spawn(settings, log.clone());
-        let digests = digest::spawn(listen.digests, &pool).await;
+        let changed = Arc::new(Notify::new());
+        let pool = pool::spawn(settings, Arc::clone(&changed), log.clone());
+        let digests = digest::spawn(listen.digests, &pool, changed).await;
         digests.with_context(|| format!("cannot bind {}; is it in use?", listen.digests))?;
         let metrics = Metrics::new()?;
         let (phase, shown) = watch::channel(Phase::Serving);
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use daisyyard_core::allowance::{self, Allowance};
@@ -10,6 +11,7 @@
 use daisyyard_core::endpoint::{Endpoint, State};
 use daisyyard_core::id::{self, EndpointId, InstanceId, RequestId};
 use daisyyard_core::zone::Zone;
+use tokio::sync::Notify;
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
 
 use crate::dialect::Fact;
@@ -22,6 +24,9 @@
 use crate::run::Run;
 use crate::settings::Settings;
 
+/// Mean time between two starts of waiting requests, over all gateways. A digest reaches the others
+/// within this time.
+const PACE: Duration = Duration::from_millis(2);
 /// Time between two checks of waiting requests and of endpoints that may be gone.
 const PERIOD: Duration = Duration::from_millis(50);
 
@@ -44,6 +49,10 @@
     pub(crate) next: RequestId,
     /// Requests that wait for room.
     pub(crate) backlog: Backlog<Claim>,
+    /// Whether the start of a waiting request is due.
+    scheduled: bool,
+    /// Tells the task that sends digests that the loads have changed.
+    pub(crate) changed: Arc<Notify>,
     /// Allowance for repeated sends.
     allowance: Allowance,
     /// Whether this gateway is leaving.
@@ -56,8 +65,12 @@
 #[derive(Debug)]
 struct Tick;
 
+/// Starts one of the waiting requests.
+#[derive(Debug)]
+struct Start;
+
 /// Starts the actor.
-pub(crate) fn spawn(settings: &Settings, log: Log) -> Address<Pool> {
+pub(crate) fn spawn(settings: &Settings, changed: Arc<Notify>, log: Log) -> Address<Pool> {
     let (address, mailbox) = Mailbox::unbounded();
     let own = Entry {
         requests: settings.listen.requests,
@@ -78,6 +91,8 @@
         runs: HashMap::new(),
         next: 0,
         backlog: Backlog::default(),
+        scheduled: false,
+        changed,
         allowance: Allowance::new(settings.repeats.clone()),
         leaving: false,
         log,
@@ -100,15 +115,23 @@
 }
 
 impl Pool {
-    /// Starts the requests that find room.
-    pub(crate) fn start(&mut self) {
-        if self.backlog.is_empty() {
+    /// Lets one of the waiting requests start soon.
+    ///
+    /// When an engine is listed or becomes free, all gateways see its room at the same moment. They
+    /// start their requests one by one, at random times, so that each sees what the others took.
+    pub(crate) fn schedule(&mut self) {
+        if self.scheduled || self.backlog.is_empty() {
             return;
         }
-        let now = Instant::now();
-        let mut backlog = std::mem::take(&mut self.backlog);
-        backlog.start(now, |_, claim| self.grant(claim, now));
-        self.backlog = backlog;
+        self.scheduled = true;
+        let mean = PACE.saturating_mul(self.members.count() as u32);
+        let delay = mean.mul_f64(rand::random_range(0.0..2.0));
+        let pool = self.address.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            // The actor outlives the requests.
+            let _ = pool.send(Start).await;
+        });
     }
 
     /// Takes what a key of the store says.
@@ -255,7 +278,7 @@
         for fact in message.list {
             self.take(fact, message.doubt, now);
         }
-        self.start();
+        self.schedule();
     }
 }
 
@@ -281,7 +304,23 @@
         if self.members.hear(message.from, message.leaving, now) {
             self.endpoints.learn(message.from, &message.loads, now);
             self.allowance.learn(message.from, message.counts, now);
-            self.start();
+            self.schedule();
+        }
+    }
+}
+
+impl Handler<Start> for Pool {
+    type Return = ();
+
+    async fn handle(&mut self, _: Start, _: &mut Context<Self>) {
+        self.scheduled = false;
+        let now = Instant::now();
+        let mut backlog = std::mem::take(&mut self.backlog);
+        let started = backlog.start(now, |claim| self.grant(claim, now));
+        self.backlog = backlog;
+        // Without room, the next change of the view lets requests start.
+        if started {
+            self.schedule();
         }
     }
 }
@@ -297,6 +336,6 @@
         for claim in self.backlog.expire(now) {
             let _ = claim.reply.send(Err(Refused::Full));
         }
-        self.start();
+        self.schedule();
     }
 }
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -55,6 +55,7 @@
         };
         self.load(&record, true);
         self.runs.insert(run, record);
+        self.changed.notify_one();
         let grant = Grant {
             run,
             endpoint,
@@ -123,13 +124,18 @@
     async fn handle(&mut self, message: Claim, _: &mut Context<Self>) {
         let now = Instant::now();
         let due = message.due;
-        let Some(claim) = self.grant(message, now) else {
+        let service = message.need.service;
+        // A request does not overtake those that wait.
+        let waits = self.backlog.any(|claim| claim.need.service == service);
+        let claim = if waits { Some(message) } else { self.grant(message, now) };
+        let Some(claim) = claim else {
             return;
         };
         if self.backlog.len() >= MOST_WAITING {
             let _ = claim.reply.send(Err(Refused::Crowded));
         } else {
             self.backlog.push(due, claim);
+            self.schedule();
         }
     }
 }
@@ -141,7 +147,7 @@
         if let Some(run) = self.runs.remove(&id) {
             self.load(&run, false);
             self.endpoints.observe(run.endpoint, sign, Instant::now());
-            self.start();
+            self.schedule();
         }
     }
 }
