--- a/crates/daisyyard_core/src/backlog.rs
+++ b/crates/daisyyard_core/src/backlog.rs
@@ -84,7 +84,11 @@
         let mut started = false;
         let entries = std::mem::take(&mut self.entries);
         for Entry { due, request } in entries {
-            let left = if started { Some(request) } else { start(request) };
+            let left = if started {
+                Some(request)
+            } else {
+                start(request)
+            };
             match left {
                 Some(request) => self.entries.push(Entry { due, request }),
                 None => started = true,
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -16,12 +16,17 @@
 use crate::id::{EndpointId, InstanceId, ServiceId, Tokens, ZoneId};
 use crate::zone::{Distance, Zone};
 
-/// Share of an engine's memory that may be reserved. The rest absorbs outputs that are longer than
-/// expected.
-const MEMORY_USED: f64 = 0.95;
+/// Share of an engine's memory that new long runs may reserve. The rest receives short runs and the
+/// runs of engines that leave, and absorbs outputs that are longer than expected.
+const MEMORY_FOR_RUNS: f64 = 0.9;
+/// Share of an engine's memory that may be reserved once short runs, and runs of engines that leave,
+/// are added.
+const MEMORY_FOR_ALL: f64 = 1.0;
+/// Outputs, in tokens, that are so short that their run frees its memory within a moment.
+const SHORT_OUTPUT: Tokens = 100;
 /// Share of an engine's memory up to which it takes copies of runs at other engines. New runs use
 /// the rest.
-const MEMORY_WITH_BACKUPS: f64 = 0.75;
+const MEMORY_FOR_COPIES: f64 = 0.6;
 /// Share of the expected output that is reserved. The runs of an engine are at different stages,
 /// so that they do not need their most at the same time.
 const OUTPUT_RESERVED: f64 = 0.6;
@@ -283,8 +288,8 @@
         now: Instant,
     ) -> Option<Arc<Endpoint>> {
         let most = match room {
-            Room::Run => MEMORY_USED,
-            Room::Copy => MEMORY_WITH_BACKUPS,
+            Room::Run => MEMORY_FOR_ALL,
+            Room::Copy => MEMORY_FOR_COPIES,
         };
         let candidates = self.seats.iter().filter(|(id, seat)| {
             !excluded.contains(id)
@@ -387,7 +392,12 @@
         match self.endpoint.kind {
             Kind::Engine => {
                 let alone = runs == 0;
-                let roomy = alone || self.filled(need, now) <= MEMORY_USED;
+                let most = if need.output < SHORT_OUTPUT {
+                    MEMORY_FOR_ALL
+                } else {
+                    MEMORY_FOR_RUNS
+                };
+                let roomy = alone || self.filled(need, now) <= most;
                 runs < self.endpoint.slots && roomy
             }
             Kind::Plain => runs < self.endpoint.slots.max(1) * PLAIN_DEPTH,
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -127,7 +127,11 @@
         let service = message.need.service;
         // A request does not overtake those that wait.
         let waits = self.backlog.any(|claim| claim.need.service == service);
-        let claim = if waits { Some(message) } else { self.grant(message, now) };
+        let claim = if waits {
+            Some(message)
+        } else {
+            self.grant(message, now)
+        };
         let Some(claim) = claim else {
             return;
         };
--- a/crates/daisyyard_standin/src/platform_engine.rs
+++ b/crates/daisyyard_standin/src/platform_engine.rs
@@ -253,7 +253,9 @@
             .map_or(1, |last: u64| last + 1);
         let backup = text(headers, "x-daisyyard-kv-backup").parse().ok();
         let (sender, receiver) = mpsc::channel(BUFFER);
-        let _ = self.runs.send(Command::Run(attempt.to_owned(), self.address));
+        let _ = self
+            .runs
+            .send(Command::Run(attempt.to_owned(), self.address));
         if let Some(backup) = backup {
             let _ = self.runs.send(Command::Copy(attempt.to_owned(), backup));
         }
