Pause between watches so that changes come together

Cause: each change of the store ended the watch of every gateway, and calls are priced. Change: after changes a gateway waits 25 ms for each gateway, at most 0.4 s, before it watches again.

--- a/crates/daisyyard_gateway/src/follow.rs
+++ b/crates/daisyyard_gateway/src/follow.rs
@@ -23,6 +23,11 @@
 /// Share of the contact time for which a watch waits. A watch on a connection that went silent is
 /// replaced in time to be up to date again.
 const WATCH_SHARE: f64 = 0.75;
+/// Pause after changes before the next watch, for each gateway: what changes meanwhile comes in one
+/// answer. The calls of all gateways together stay within about 40 a second.
+const PAUSE_PER_GATEWAY: Duration = Duration::from_millis(25);
+/// Longest pause. Endpoints are gone as little as 1.5 s after they announced that they leave.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 /// Time after the return of the store in which endpoints and gateways are listed again whose
 /// entries ended while it was away.
 const RELISTING: Duration = Duration::from_millis(2_200);
@@ -147,6 +152,7 @@
 
     /// Tells the others what changed.
     async fn tell(&mut self, facts: Vec<Fact>, complete: bool) {
+        let any = !facts.is_empty();
         let mut rest = Vec::with_capacity(facts.len());
         for fact in facts {
             match fact {
@@ -160,7 +166,11 @@
             complete,
         };
         // The pool ends only with the process.
-        let _ = self.pool.send(message).await;
+        let gateways = self.pool.send(message).await.unwrap_or(1);
+        if any {
+            let pause = PAUSE_PER_GATEWAY.saturating_mul(gateways as u32);
+            tokio::time::sleep(pause.min(LONGEST_PAUSE)).await;
+        }
     }
 
     /// Puts a configuration version in force unless a newer one is.
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -268,9 +268,10 @@
 }
 
 impl Handler<Facts> for Pool {
-    type Return = ();
+    /// Number of gateways.
+    type Return = usize;
 
-    async fn handle(&mut self, message: Facts, _: &mut Context<Self>) {
+    async fn handle(&mut self, message: Facts, _: &mut Context<Self>) -> usize {
         let now = Instant::now();
         if message.complete {
             self.retain(&message.list, message.doubt, now);
@@ -279,6 +280,7 @@
             self.take(fact, message.doubt, now);
         }
         self.schedule();
+        self.members.count()
     }
 }
 
