Let early requests wait for the first configuration

Ruled out: a late restart (0.4 s). Change: a request waits an eighth of its time, at most 1 s, for the first configuration; later ones are told to come back in 3 s; a gateway is offered to callers only once it has a configuration; the longest delay between tries falls from 0.8 to 0.4 s. Tests: holds_early_request, started_gateway.

--- a/crates/daisyyard/tests/gateway_store.rs
+++ b/crates/daisyyard/tests/gateway_store.rs
@@ -21,7 +21,7 @@
     let before = platform.store.calls();
     tokio::time::sleep(Duration::from_secs(3)).await;
     let calls = platform.store.calls() - before;
-    // The follower and the registration each ask about every 0.6 s at the longest delay.
+    // The follower asks about every 0.3 s, the registration every second.
     assert!((2..=16).contains(&calls), "{calls} calls in 3 s");
     let (status, _) = platform.ask(plain(Method::GET, "/stock/1")).await;
     assert_eq!(status, StatusCode::OK);
@@ -88,6 +88,23 @@
     .await;
 }
 
+/// A request that arrives just before the first configuration is served by it.
+#[tokio::test]
+async fn holds_early_request() {
+    let mut platform = Platform::start(0, 1).await;
+    platform.store.set(Mode::Declining);
+    let gateway = platform::spawn(platform.store.address, 0);
+    let requests = gateway.requests;
+    platform.gateways.push(gateway);
+    until("the gateway listens", async || {
+        tokio::net::TcpStream::connect(requests).await.is_ok()
+    })
+    .await;
+    platform.store.set(Mode::Serving);
+    let (status, _) = platform.ask(plain(Method::GET, "/stock/1")).await;
+    assert_eq!(status, StatusCode::OK);
+}
+
 /// Waits until the second configuration is in force.
 async fn adopted(platform: &mut Platform) {
     let end = std::time::Instant::now() + platform::PATIENCE;
--- a/crates/daisyyard_gateway/src/exchange.rs
+++ b/crates/daisyyard_gateway/src/exchange.rs
@@ -35,6 +35,10 @@
 const MOST_SENDS: usize = 4;
 /// Time that must be left for another send to be worth it.
 const LEAST_LEFT: Duration = Duration::from_millis(50);
+/// Longest time that a request waits for the first configuration.
+const CATALOG_WAIT: Duration = Duration::from_secs(1);
+/// Share of a request's time that it waits for the first configuration at most.
+const CATALOG_SHARE: f64 = 0.125;
 /// Largest answer that is kept whole before it is passed on, in bytes.
 const MAX_ANSWER: usize = 4 << 20;
 /// Share of the time left that an endpoint has for a request that another one may repeat.
@@ -106,8 +110,7 @@
         let id = asked.attempt.clone();
         let failed = |refusal| (refusal, id.clone());
         let attempt = id.clone().ok_or_else(|| failed(Refusal::Malformed))?;
-        let catalog = self.held.borrow().clone();
-        let catalog = catalog.ok_or_else(|| failed(Refusal::Unconfigured))?;
+        let catalog = self.catalog(asked.deadline).await.map_err(failed)?;
         let route = route(&catalog, &request).map_err(failed)?;
         let client = match catalog.access(&route, asked.credential.as_deref()) {
             Access::Open => None,
@@ -142,6 +145,17 @@
         })
     }
 
+    /// Returns the configuration in force. A gateway that has just started waits a moment for it,
+    /// for an answer in time is worth more to the caller than an early refusal.
+    async fn catalog(&self, deadline: Option<Duration>) -> Result<Arc<Catalog>, Refusal> {
+        let deadline = deadline.unwrap_or_default();
+        let wait = deadline.mul_f64(CATALOG_SHARE).min(CATALOG_WAIT);
+        let mut held = self.held.clone();
+        let known = tokio::time::timeout(wait, held.wait_for(Option::is_some)).await;
+        let catalog = known.ok().and_then(|held| held.ok()?.clone());
+        catalog.ok_or(Refusal::Unconfigured)
+    }
+
     /// Returns whether the gateway was told to stop.
     fn leaves(&self) -> bool {
         *self.phase.borrow() != Phase::Serving
--- a/crates/daisyyard_gateway/src/follow.rs
+++ b/crates/daisyyard_gateway/src/follow.rs
@@ -20,6 +20,9 @@
 
 /// Time for the store to answer a read. It answers in milliseconds, and may be slow.
 const TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest delay between two tries while the store is away. Until it has answered once, a gateway
+/// that has just started serves nothing.
+const LONGEST_DELAY: Duration = Duration::from_millis(400);
 /// Share of the contact time for which a watch waits. A watch on a connection that went silent is
 /// replaced in time to be up to date again.
 const WATCH_SHARE: f64 = 0.75;
@@ -74,7 +77,7 @@
             wait: bounds.contact.mul_f64(WATCH_SHARE),
             pool,
             catalog,
-            backoff: Backoff::new(),
+            backoff: Backoff::new(LONGEST_DELAY),
             answered: true,
             regained: None,
             log,
@@ -164,6 +167,7 @@
             list: rest,
             doubt: self.doubt(),
             complete,
+            configured: self.catalog.borrow().is_some(),
         };
         // The pool ends only with the process.
         let gateways = self.pool.send(message).await.unwrap_or(1);
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -54,12 +54,12 @@
 }
 
 impl Members {
-    /// Creates the view of a gateway that knows only itself.
+    /// Creates the view of a gateway that knows only itself and serves nothing yet.
     pub fn new(name: &str, own: Entry) -> Self {
         Self {
             own,
             me: id::of(name),
-            offered: true,
+            offered: false,
             others: BTreeMap::new(),
         }
     }
@@ -115,6 +115,11 @@
         true
     }
 
+    /// Offers this gateway to callers.
+    pub fn join(&mut self) {
+        self.offered = true;
+    }
+
     /// Stops offering this gateway to callers.
     pub fn leave(&mut self) {
         self.offered = false;
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -139,6 +139,8 @@
     pub(crate) doubt: Option<Instant>,
     /// Whether the facts are a complete list, so that what it does not name is gone.
     pub(crate) complete: bool,
+    /// Whether this gateway knows a configuration.
+    pub(crate) configured: bool,
 }
 
 /// Asks for this gateway's digest.
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -273,6 +273,9 @@
 
     async fn handle(&mut self, message: Facts, _: &mut Context<Self>) -> usize {
         let now = Instant::now();
+        if message.configured && !self.leaving {
+            self.members.join();
+        }
         if message.complete {
             self.retain(&message.list, message.doubt, now);
         }
--- a/crates/daisyyard_gateway/src/refusal.rs
+++ b/crates/daisyyard_gateway/src/refusal.rs
@@ -77,7 +77,8 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Leaving | Self::Declined => Some(Duration::from_millis(50)),
-            Self::Unconfigured => Some(Duration::from_millis(500)),
+            // The store has been away for a while, and callers may come back only once.
+            Self::Unconfigured => Some(Duration::from_secs(3)),
             Self::Full => Some(Duration::from_secs(1)),
             _ => None,
         }
--- a/crates/daisyyard_gateway/src/register.rs
+++ b/crates/daisyyard_gateway/src/register.rs
@@ -40,7 +40,7 @@
 impl Registration {
     /// Keeps the entry until the gateway leaves, then removes it.
     pub(crate) async fn run(mut self) {
-        let mut backoff = Backoff::new();
+        let mut backoff = Backoff::new(RENEWAL);
         let mut lease = None;
         while !self.leaving() {
             match self.renew(lease).await {
--- a/crates/daisyyard_gateway/src/store.rs
+++ b/crates/daisyyard_gateway/src/store.rs
@@ -68,17 +68,20 @@
 pub(crate) struct Backoff {
     /// Failures in a row.
     failures: u32,
+    /// Longest delay.
+    longest: Duration,
 }
 
 impl Backoff {
     /// Shortest delay.
     const FIRST: Duration = Duration::from_millis(100);
-    /// Longest delay. A gateway must be up to date within seconds after the store returns.
-    const LONGEST: Duration = Duration::from_millis(800);
 
     /// Creates a backoff after no failure.
-    pub(crate) fn new() -> Self {
-        Self { failures: 0 }
+    pub(crate) fn new(longest: Duration) -> Self {
+        Self {
+            failures: 0,
+            longest,
+        }
     }
 
     /// Forgets the failures.
@@ -92,6 +95,6 @@
         let delay = Self::FIRST.saturating_mul(1 << self.failures.min(8));
         self.failures += 1;
         let factor = rand::random_range(0.5..1.0);
-        tokio::time::sleep(delay.min(Self::LONGEST).mul_f64(factor)).await;
+        tokio::time::sleep(delay.min(self.longest).mul_f64(factor)).await;
     }
 }
--- a/crates/daisyyard_gateway/tests/member_offers.rs
+++ b/crates/daisyyard_gateway/tests/member_offers.rs
@@ -15,6 +15,13 @@
     }
 }
 
+/// Returns the view of a gateway that serves.
+fn joined() -> Members {
+    let mut members = Members::new("one", entry(1, "a"));
+    members.join();
+    members
+}
+
 /// Returns the ports that callers in a zone are offered.
 fn ports(members: &mut Members, zone: &str, now: Instant) -> Vec<u16> {
     let mut ports: Vec<u16> = members
@@ -30,7 +37,7 @@
 #[test]
 fn own_zone() {
     let now = Instant::now();
-    let mut members = Members::new("one", entry(1, "a"));
+    let mut members = joined();
     members.put("two", entry(2, "a"), now);
     members.put("three", entry(3, "b"), now);
     assert_eq!(ports(&mut members, "a", now), [1, 2]);
@@ -43,7 +50,7 @@
 fn silent_gateway() {
     let start = Instant::now();
     let later = start + Duration::from_secs(2);
-    let mut members = Members::new("one", entry(1, "a"));
+    let mut members = joined();
     members.put("two", entry(2, "a"), start);
     members.put("three", entry(3, "a"), start);
     assert_eq!(ports(&mut members, "a", later), [1, 2, 3]);
@@ -56,7 +63,7 @@
 #[test]
 fn leaving_gateway() {
     let now = Instant::now();
-    let mut members = Members::new("one", entry(1, "a"));
+    let mut members = joined();
     members.put("two", entry(2, "a"), now);
     members.hear(id::of("two"), true, now);
     assert_eq!(ports(&mut members, "a", now), [1]);
@@ -69,7 +76,7 @@
 fn doubtful_gateway() {
     let now = Instant::now();
     let until = now + Duration::from_secs(2);
-    let mut members = Members::new("one", entry(1, "a"));
+    let mut members = joined();
     members.put("two", entry(2, "a"), now);
     members.remove("two", Some(until));
     assert_eq!(ports(&mut members, "a", now), [1, 2]);
@@ -78,3 +85,13 @@
     members.remove("two", None);
     assert_eq!(ports(&mut members, "a", now), [1]);
 }
+
+/// A gateway that has just started is offered once it knows a configuration.
+#[test]
+fn started_gateway() {
+    let now = Instant::now();
+    let mut members = Members::new("one", entry(1, "a"));
+    assert!(ports(&mut members, "a", now).is_empty());
+    members.join();
+    assert_eq!(ports(&mut members, "a", now), [1]);
+}
