Do not end a stream for its engine's silence

Cause: found in the read-through: a stream without a copy was broken off after 1.5 s without an event, although its engine may only be reading a preempted prompt again. Change: a silent engine is replaced when another one goes on with the run; otherwise the stream waits. A failed hop takes the run back while its engine still runs it. Also: connection limits of services, the pool and the exchange split, settings that nothing used removed. Test that failed before: gateway_moves::outlasts_silence.

--- a/crates/daisyyard/src/gateway_settings.rs
+++ b/crates/daisyyard/src/gateway_settings.rs
@@ -64,7 +64,6 @@
 fn bounds<'a>(s: &mut Scan<'a>, r: &mut Section<'a>) -> Bounds {
     Bounds {
         contact: millis(s, r, "contact_ms"),
-        drain: millis(s, r, "drain_ms"),
         grace: seconds(s, r, "grace_s"),
         directory: seconds(s, r, "directory_s"),
     }
--- a/crates/daisyyard/tests/gateway_faults.rs
+++ b/crates/daisyyard/tests/gateway_faults.rs
@@ -42,7 +42,7 @@
         .expect("an object")
         .remove("bounds");
     let faults = parse(Path::new("s.json"), &settings.to_string()).expect_err("faults");
-    assert_eq!(faults.0.len(), 4, "{faults}");
+    assert_eq!(faults.0.len(), 3, "{faults}");
 }
 
 /// The command line reports the faults and ends with exit code 2.
--- a/crates/daisyyard/tests/gateway_moves.rs
+++ b/crates/daisyyard/tests/gateway_moves.rs
@@ -73,13 +73,26 @@
     assert_eq!((status, text), (StatusCode::OK, None));
 }
 
+/// A stream whose engine pauses for longer than the limit of silence is not broken off.
+#[tokio::test]
+async fn outlasts_silence() {
+    let mut platform = Platform::start(0, 0).await;
+    platform
+        .add_paced("slow", "model", Duration::from_millis(1_800))
+        .await;
+    platform.gateway().await;
+    let answer = platform.ask(stream("/draft/1", "100,12")).await;
+    assert_eq!(answer, (StatusCode::OK, events(3)));
+    assert_eq!(platform.ran("/draft/1").await.len(), 1);
+}
+
 /// A stream goes on at another engine when its own is listed as leaving, without a lost or doubled
 /// event, and only one engine runs it.
 #[tokio::test]
 async fn leaves_draining() {
     let mut platform = Platform::start(2, 0).await;
     platform.gateway().await;
-    let store = platform.store.address;
+    let writer = platform.store.writer();
     let answer = disturbed(&mut platform, async |engines, index| {
         let engine = &engines[index];
         let entry = serde_json::json!({
@@ -87,7 +100,9 @@
             "version": "v1", "slots": 8, "state": "draining", "cold_remaining_ms": 0,
             "stage": "prefill_decode", "sequence": 2,
         });
-        write(store, &format!("servers/{}", engine.name), &entry).await;
+        writer
+            .put(&format!("servers/{}", engine.name), &entry)
+            .await;
     })
     .await;
     assert_eq!(answer, (StatusCode::OK, Some(events(EVENTS))));
@@ -95,13 +110,3 @@
     assert_eq!(ran.len(), 2, "the run went on once");
     assert_ne!(ran[0].engine, ran[1].engine);
 }
-
-/// Writes a key through the store's own interface.
-async fn write(store: std::net::SocketAddr, key: &str, value: &serde_json::Value) {
-    use base64::Engine;
-    let value = base64::engine::general_purpose::STANDARD.encode(value.to_string());
-    let put = serde_json::json!({ "puts": [{ "key": key, "value": value, "lease": 0 }] });
-    let method = hyper::Method::POST;
-    let written = daisyyard_http::call(store, method, "/-/kv-txn", &[], put.to_string()).await;
-    assert_eq!(written.expect("the store answers").0, StatusCode::OK);
-}
--- a/crates/daisyyard/tests/platform/mod.rs
+++ b/crates/daisyyard/tests/platform/mod.rs
@@ -91,7 +91,12 @@
 
     /// Starts an engine or endpoint and lists it.
     pub(crate) async fn add(&mut self, name: &str, service: &str) {
-        let engine = PlatformEngine::start(name, PACE, &self.runs).await;
+        self.add_paced(name, service, PACE).await;
+    }
+
+    /// Starts an engine with a time between two events, and lists it.
+    pub(crate) async fn add_paced(&mut self, name: &str, service: &str, pace: Duration) {
+        let engine = PlatformEngine::start(name, pace, &self.runs).await;
         self.engines.push(engine.expect("the engine starts"));
         self.list(self.engines.len() - 1, service, "ready").await;
     }
@@ -238,7 +243,7 @@
             "requests": requests, "ready": ready, "directory": directory, "digests": digests,
             "metrics": metrics,
         },
-        "bounds": { "contact_ms": 3000, "drain_ms": 2000, "grace_s": 8, "directory_s": 5 },
+        "bounds": { "contact_ms": 3000, "grace_s": 8, "directory_s": 5 },
         "repeats": { "ratio": 0.2, "slack": 52, "window_s": 10 },
     })
 }
--- a/crates/daisyyard_core/src/catalog.rs
+++ b/crates/daisyyard_core/src/catalog.rs
@@ -36,8 +36,6 @@
     pub timeout: Duration,
     /// Time within which an answer, or the first event of a stream, is of full worth.
     pub target: Duration,
-    /// Longest pause between events of a stream that is of full worth.
-    pub gap: Option<Duration>,
     /// Endpoints that one request may be run by.
     pub attempts: u32,
     /// Rank of the requests.
@@ -49,12 +47,10 @@
 }
 
 /// A service that routes lead to.
-#[value]
+#[token]
 pub struct Service {
     /// Identifier derived from the name.
     pub id: ServiceId,
-    /// Name that operators use.
-    pub name: String,
     /// Connections that one endpoint accepts from all callers together.
     pub connections: u32,
     /// Traits of the engines, if the endpoints are engines.
@@ -88,8 +84,6 @@
     pub head: usize,
     /// Longest body of a request in bytes.
     pub body: usize,
-    /// Time to send the head of a request.
-    pub head_timeout: Duration,
     /// Time for which a connection may be idle.
     pub idle: Duration,
 }
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -41,6 +41,7 @@
 mod recent;
 pub mod record;
 pub mod route;
+mod seat;
 mod share;
 pub mod store_budget;
 pub mod stream;
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -4,7 +4,7 @@
 //! fraction of a second old. Expected memory is reserved when a request is sent, so that engines
 //! are filled without preemptions.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -12,51 +12,24 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::endpoint::{Endpoint, Kind, State};
+use crate::endpoint::{Endpoint, State};
 use crate::id::{EndpointId, InstanceId, ServiceId, Tokens, ZoneId};
-use crate::zone::{Distance, Zone};
+use crate::seat::{MEMORY_FOR_ALL, Seat};
+use crate::zone::Zone;
 
-/// Share of an engine's memory that new long runs may reserve. The rest receives short runs and the
-/// runs of engines that leave, and absorbs outputs that are longer than expected.
-const MEMORY_FOR_RUNS: f64 = 0.9;
-/// Share of an engine's memory that may be reserved once short runs, and runs of engines that leave,
-/// are added.
-const MEMORY_FOR_ALL: f64 = 1.0;
-/// Outputs, in tokens, that are so short that their run frees its memory within a moment.
-const SHORT_OUTPUT: Tokens = 100;
 /// Share of an engine's memory up to which it takes copies of runs at other engines. New runs use
 /// the rest.
 const MEMORY_FOR_COPIES: f64 = 0.6;
 /// Share of the expected output that is reserved. The runs of an engine are at different stages,
 /// so that they do not need their most at the same time.
 const OUTPUT_RESERVED: f64 = 0.6;
-/// Prompt tokens in front of a request that weigh as much as a full memory.
-const PREFILL_SCALE: f64 = 12_000.0;
-/// Requests per slot of a plain endpoint that are sent before others wait at the node.
-const PLAIN_DEPTH: u32 = 2;
-/// Weight of an endpoint in another availability zone, as a share of its capacity.
-const ZONE_WEIGHT: f64 = 0.04;
 /// Weight of an engine in another availability zone for a copy, which takes twice as long.
 const COPY_ZONE_WEIGHT: f64 = 1.0;
-/// Weight of an endpoint in another region, as a share of its capacity.
-const REGION_WEIGHT: f64 = 0.5;
-/// Weight of an endpoint that has just started and is slow.
-const COLD_WEIGHT: f64 = 0.5;
-/// Weight of an endpoint whose requests all fail.
-const FAILURE_WEIGHT: f64 = 2.0;
 /// Largest random weight; it keeps nodes with the same view from choosing the same endpoint.
 const JITTER: f64 = 0.05;
 /// Largest random weight of an engine that receives a copy. Copies travel one after another over
 /// the links of an engine, so that they are spread more widely than runs.
 const COPY_JITTER: f64 = 0.8;
-/// Share of the newest result in the failure rate of an endpoint.
-const FAILURE_SHARE: f64 = 0.2;
-/// Time after which the load of a node that is not heard from is dropped.
-const DIGEST_LIFETIME: Duration = Duration::from_secs(2);
-/// First time for which an endpoint that does not accept connections is left out.
-const EJECTION: Duration = Duration::from_millis(500);
-/// Longest time for which an endpoint is left out before it is tried again.
-const LONGEST_EJECTION: Duration = Duration::from_secs(4);
 
 /// What a request needs of an endpoint.
 #[record]
@@ -69,6 +42,8 @@
     pub output: Tokens,
     /// Tokens of context that the memory of an engine of the service holds.
     pub memory: Tokens,
+    /// Connections that one endpoint of the service accepts.
+    pub connections: u32,
     /// Whether a copy of the run's memory is wanted at another engine.
     pub backup: bool,
 }
@@ -122,25 +97,6 @@
     Nothing,
 }
 
-/// An endpoint with what is known of its load and health.
-#[derive(Debug)]
-struct Seat {
-    /// The endpoint.
-    endpoint: Arc<Endpoint>,
-    /// Load of this node.
-    own: Load,
-    /// Loads of other nodes, with the times of their digests.
-    others: HashMap<InstanceId, (Load, Instant)>,
-    /// End of the time for which the endpoint is slow after its start.
-    cold_until: Instant,
-    /// When the endpoint counts as gone unless it is listed again.
-    doubtful_until: Option<Instant>,
-    /// End of the time for which no request is sent, and its length.
-    ejected: Option<(Instant, Duration)>,
-    /// Share of failed requests among the newest ones.
-    failures: f64,
-}
-
 /// Endpoints of all services.
 #[derive(Debug)]
 pub struct Pool {
@@ -161,7 +117,7 @@
 
 impl Load {
     /// Returns the sum of two loads.
-    fn plus(self, other: Self) -> Self {
+    pub(crate) fn plus(self, other: Self) -> Self {
         Self {
             runs: self.runs + other.runs,
             tokens: self.tokens + other.tokens,
@@ -191,15 +147,7 @@
             seat.doubtful_until = None;
             return begins;
         }
-        let seat = Seat {
-            own: Load::default(),
-            others: HashMap::new(),
-            cold_until: now + cold,
-            doubtful_until: None,
-            ejected: None,
-            failures: 0.0,
-            endpoint: Arc::clone(&endpoint),
-        };
+        let seat = Seat::new(Arc::clone(&endpoint), now + cold);
         self.seats.insert(endpoint.id, seat);
         leaving
     }
@@ -322,22 +270,8 @@
 
     /// Learns from the end of a request.
     pub fn observe(&mut self, id: EndpointId, sign: Sign, now: Instant) {
-        let Some(seat) = self.seats.get_mut(&id) else {
-            return;
-        };
-        let failed = match sign {
-            Sign::Nothing => return,
-            Sign::Sound => 0.0,
-            Sign::Failed | Sign::Unreachable => 1.0,
-        };
-        seat.failures += FAILURE_SHARE * (failed - seat.failures);
-        match sign {
-            Sign::Unreachable => {
-                let last = seat.ejected.map_or(EJECTION / 2, |(_, length)| length);
-                let length = (last * 2).min(LONGEST_EJECTION);
-                seat.ejected = Some((now + length, length));
-            }
-            _ => seat.ejected = None,
+        if let Some(seat) = self.seats.get_mut(&id) {
+            seat.observe(sign, now);
         }
     }
 
@@ -360,69 +294,3 @@
         }
     }
 }
-
-impl Seat {
-    /// Returns whether the endpoint belongs to a service and is not leaving.
-    fn serves(&self, service: ServiceId) -> bool {
-        self.endpoint.service == service && self.endpoint.state == State::Live
-    }
-
-    /// Returns whether requests may be sent.
-    fn usable(&self, now: Instant) -> bool {
-        self.ejected.is_none_or(|(until, _)| until <= now)
-    }
-
-    /// Returns the load of all nodes.
-    fn load(&self, now: Instant) -> Load {
-        let fresh = self
-            .others
-            .values()
-            .filter(|(_, taken)| now.saturating_duration_since(*taken) < DIGEST_LIFETIME);
-        fresh.fold(self.own, |sum, (load, _)| sum.plus(*load))
-    }
-
-    /// Returns the share of the memory that is reserved once a request is added.
-    fn filled(&self, need: &Need, now: Instant) -> f64 {
-        (self.load(now).tokens + need.tokens()) as f64 / need.memory.max(1) as f64
-    }
-
-    /// Returns whether a request can start soon.
-    fn fits(&self, need: &Need, now: Instant) -> bool {
-        let runs = self.load(now).runs;
-        match self.endpoint.kind {
-            Kind::Engine => {
-                let alone = runs == 0;
-                let most = if need.output < SHORT_OUTPUT {
-                    MEMORY_FOR_ALL
-                } else {
-                    MEMORY_FOR_RUNS
-                };
-                let roomy = alone || self.filled(need, now) <= most;
-                runs < self.endpoint.slots && roomy
-            }
-            Kind::Plain => runs < self.endpoint.slots.max(1) * PLAIN_DEPTH,
-        }
-    }
-
-    /// Returns how much speaks against the endpoint; a full one weighs about one.
-    fn weight(&self, need: &Need, zone: &Zone, now: Instant) -> f64 {
-        let load = self.load(now);
-        let full = match self.endpoint.kind {
-            Kind::Engine => {
-                load.tokens as f64 / need.memory.max(1) as f64 + load.prefill as f64 / PREFILL_SCALE
-            }
-            Kind::Plain => f64::from(load.runs) / f64::from(self.endpoint.slots.max(1)),
-        };
-        let distance = match zone.distance(&self.endpoint.zone) {
-            Distance::Local => 0.0,
-            Distance::Regional => ZONE_WEIGHT,
-            Distance::Remote => REGION_WEIGHT,
-        };
-        let cold = if self.cold_until > now {
-            COLD_WEIGHT
-        } else {
-            0.0
-        };
-        full + distance + cold + FAILURE_WEIGHT * self.failures
-    }
-}
--- a/crates/daisyyard_core/tests/catalog_lookup.rs
+++ b/crates/daisyyard_core/tests/catalog_lookup.rs
@@ -15,7 +15,6 @@
         kind: Kind::Once,
         timeout: Duration::from_secs(1),
         target: Duration::from_secs(1),
-        gap: None,
         attempts: 1,
         priority: 0,
         public,
@@ -28,7 +27,6 @@
     let limits = Limits {
         head: 1,
         body: 1,
-        head_timeout: Duration::ZERO,
         idle: Duration::ZERO,
     };
     let routes = vec![
--- a/crates/daisyyard_core/tests/pool_choice.rs
+++ b/crates/daisyyard_core/tests/pool_choice.rs
@@ -37,6 +37,7 @@
         prompt,
         output: 0,
         memory: MEMORY,
+        connections: 100,
         backup,
     }
 }
@@ -134,6 +135,20 @@
     assert!(chosen(&mut pool, &need(1_000, false), &[], later).is_some());
 }
 
+/// An endpoint receives no more requests than it accepts connections.
+#[test]
+fn connection_limit() {
+    let now = Instant::now();
+    let mut pool = pool(&["one"], now);
+    fill(&mut pool, "one", 1);
+    let narrow = Need {
+        connections: 1,
+        ..need(1, false)
+    };
+    assert_matches!(pool.choose(&narrow, &[], now), Choice::Wait);
+    assert!(chosen(&mut pool, &need(1, false), &[], now).is_some());
+}
+
 /// Copies go to another engine of the zone that has room beyond that for runs.
 #[test]
 fn copy_room() {
--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -26,7 +26,8 @@
 use crate::settings::Settings;
 use crate::{digest, refusal::Refusal};
 
-/// Lifetime of an answer with addresses. Some callers keep one for three times as long.
+/// Lifetime of an answer with addresses, unless the deployment's longest is shorter. Some callers keep
+/// one for three times as long.
 const ADDRESSES: Duration = Duration::from_secs(1);
 /// Multiple of the lifetime for which a leaving gateway accepts connections.
 const KEPT: u32 = 2;
@@ -144,8 +145,9 @@
             async move { response }
         });
         let offers = pool.clone();
+        let lifetime = ADDRESSES.min(settings.bounds.directory);
         side.clone().spawn(directory, move |request| {
-            addresses(dialect, offers.clone(), request)
+            addresses(dialect, offers.clone(), lifetime, request)
         });
         side.spawn(scrapes, move |request| {
             let response = scrape(&request, &metrics);
@@ -190,7 +192,7 @@
         let finish = async {
             let _ = self.pool.send(Leave).await;
             self.phase.send_replace(Phase::Leaving);
-            tokio::time::sleep(ADDRESSES * KEPT).await;
+            tokio::time::sleep(ADDRESSES.min(settings.bounds.directory) * KEPT).await;
             self.phase.send_replace(Phase::Finishing);
             self.requests.close();
             self.requests.wait().await;
@@ -244,6 +246,7 @@
 async fn addresses<B>(
     dialect: Dialect,
     pool: Address<Pool>,
+    lifetime: Duration,
     request: Request<B>,
 ) -> Response<Body> {
     if request.uri().path() != dialect.directory {
@@ -254,7 +257,7 @@
     if offered.is_empty() {
         return Refusal::Leaving.response();
     }
-    let mut response = Response::new(body::full((dialect.addresses)(&offered, ADDRESSES)));
+    let mut response = Response::new(body::full((dialect.addresses)(&offered, lifetime)));
     let kind = hyper::header::HeaderValue::from_static("application/json");
     response
         .headers_mut()
--- a/crates/daisyyard_gateway/src/job.rs
+++ b/crates/daisyyard_gateway/src/job.rs
@@ -35,6 +35,8 @@
     pub(crate) client: Option<Arc<Client>>,
     /// Service that answers.
     pub(crate) service: ServiceId,
+    /// Connections that one endpoint of the service accepts.
+    pub(crate) connections: u32,
     /// Traits of the engines, if the service is a model.
     pub(crate) engine: Option<Engine>,
     /// Method.
@@ -88,6 +90,7 @@
             service: self.service,
             prompt: self.asked.prompt,
             output,
+            connections: self.connections,
             memory: self.engine.map_or(0, |engine| engine.memory),
             backup: output >= SHORT_OUTPUT && self.engine.is_some_and(|engine| engine.backups),
         }
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub(crate) mod follow;
 pub(crate) mod front;
 pub mod gateway;
+pub(crate) mod intake;
 pub(crate) mod job;
 pub(crate) mod log;
 pub(crate) mod measure;
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -43,8 +43,9 @@
 const OVERLAP: Duration = Duration::from_millis(250);
 /// Reason to go on elsewhere: the engine leaves.
 const LEAVING: &str = "leaving";
-/// Result of an engine that has no copy of the run.
-const DECLINED: &str = "declined";
+/// Reason to go on elsewhere: the engine is silent. Without another engine to go on at, silence is no
+/// reason to end the stream.
+const SILENT: &str = "silent";
 
 /// An open answer of an engine; the connection closes when it is dropped.
 type Upstream = (Incoming, AbortOnDropHandle<()>);
@@ -163,7 +164,9 @@
                     }
                 }
                 Next::Break(reason) => {
-                    self.grant.sign = Sign::Failed;
+                    if reason != SILENT {
+                        self.grant.sign = Sign::Failed;
+                    }
                     if !self.go_on(None, reason).await {
                         break "interrupted";
                     }
@@ -217,7 +220,7 @@
             () = sleep_until(due) => Next::Step,
             () = self.sender.closed() => Next::Drop,
             () = sleep_until(Some(self.job.until)) => Next::Expire,
-            () = tokio::time::sleep(SILENCE) => Next::Break("silent"),
+            () = tokio::time::sleep(SILENCE) => Next::Break(SILENT),
         }
     }
 
@@ -236,6 +239,11 @@
         Ok(())
     }
 
+    /// Returns whether the engines of the service move runs.
+    fn movable(&self) -> bool {
+        self.job.engine.is_some_and(|engine| engine.moves)
+    }
+
     /// Takes the next step away from an engine that leaves; returns whether the stream goes on.
     async fn step(&mut self) -> bool {
         let way = self.exchange.pool.send(Escape(self.grant.run)).await;
@@ -249,7 +257,7 @@
                 }
                 self.go_on(None, LEAVING).await
             }
-            Way::Move(target) => {
+            Way::Move(target) if self.movable() => {
                 let details = format!(
                     "request={} endpoint={} target={} events={}",
                     self.job.attempt,
@@ -261,7 +269,7 @@
                 self.copy_on(target, 0);
                 true
             }
-            Way::Nowhere => {
+            Way::Move(_) | Way::Nowhere => {
                 self.leaving = Leaving::Due(Instant::now() + STEP_PAUSE);
                 true
             }
@@ -328,17 +336,17 @@
     }
 
     /// Lets the run go on at its backup engine, from the copy there or from one that was moved
-    /// under a name; returns whether the stream goes on.
+    /// under a name; returns whether the stream goes on, here or there.
     async fn go_on(&mut self, moved: Option<String>, reason: &'static str) -> bool {
         let began = Instant::now();
         let source = Arc::clone(&self.grant.endpoint);
+        // An engine that leaves or is silent runs the request until another one does.
+        let running = moved.is_none() && (reason == LEAVING || reason == SILENT);
         let hop = self.exchange.pool.send(Hop(self.grant.run)).await;
         let Ok(Some((engine, backup))) = hop else {
-            return false;
+            return running;
         };
         let means = if moved.is_some() { "move" } else { "backup" };
-        // An engine that leaves still runs the request until another one does.
-        let running = moved.is_none() && reason == LEAVING;
         let resume = Resume {
             // A copy that was moved is known to the engine that moved it.
             holder: if moved.is_some() {
@@ -371,14 +379,17 @@
             self.settle(engine, backup);
             return true;
         }
-        if running && went == Err(DECLINED) {
-            // There is no copy, for lack of room, and the engine still runs the request.
-            let undo = Undo(self.grant.run, source.id, engine.id);
-            let _ = self.exchange.pool.send(undo).await;
-            self.abandon().await;
-            return true;
+        if self.upstream.is_none() {
+            return false;
+        }
+        // The present engine still runs the request; the other one has no copy or no answer.
+        let undo = Undo(self.grant.run, source.id, engine.id);
+        let _ = self.exchange.pool.send(undo).await;
+        self.abandon().await;
+        if reason == SILENT {
+            self.leaving = Leaving::Stays;
         }
-        false
+        true
     }
 
     /// Sends the request to the engine that holds the memory of its run; its answer replaces the
@@ -410,7 +421,7 @@
         let status = answer.response.status();
         let replied = (dialect.replied)(status, answer.response.headers());
         if status != StatusCode::OK || replied.attempt.as_deref() != Some(&self.job.attempt) {
-            return Err(DECLINED);
+            return Err("declined");
         }
         self.events.restart();
         self.upstream = Some((answer.response.into_body(), answer.driver));
--- a/crates/daisyyard_gateway/src/settings.rs
+++ b/crates/daisyyard_gateway/src/settings.rs
@@ -47,8 +47,6 @@
 pub struct Bounds {
     /// Time without trouble after which the gateway must be up to date again.
     pub contact: Duration,
-    /// Time in which an endpoint that leaves must receive no more requests.
-    pub drain: Duration,
     /// Time between the order to stop and the end of the process.
     pub grace: Duration,
     /// Longest lifetime of an answer with addresses that callers respect.
--- a/crates/daisyyard_standin/src/platform_store.rs
+++ b/crates/daisyyard_standin/src/platform_store.rs
@@ -28,6 +28,10 @@
     Silent,
 }
 
+/// Writes keys as the operator and endpoints do.
+#[derive(Debug, Clone)]
+pub struct Writer(mpsc::UnboundedSender<Command>);
+
 /// A running store; dropping it ends it.
 #[derive(Debug)]
 pub struct PlatformStore {
@@ -76,16 +80,14 @@
         *self.calls.borrow()
     }
 
-    /// Writes a key as the operator and endpoints do.
-    pub async fn put(&self, key: &str, value: &Value) {
-        let value = STANDARD.encode(value.to_string());
-        let puts = vec![(key.to_owned(), value, 0)];
-        self.write(puts, Vec::new()).await;
+    /// Returns a handle that writes keys.
+    pub fn writer(&self) -> Writer {
+        Writer(self.commands.clone())
     }
 
-    /// Removes a key.
-    pub async fn remove(&self, key: &str) {
-        self.write(Vec::new(), vec![key.to_owned()]).await;
+    /// Writes a key.
+    pub async fn put(&self, key: &str, value: &Value) {
+        self.writer().put(key, value).await;
     }
 
     /// Forgets the history of changes.
@@ -102,16 +104,19 @@
         let keys = items.iter().filter_map(|item| item["key"].as_str());
         keys.map(ToOwned::to_owned).collect()
     }
+}
 
-    /// Writes and removes keys.
-    async fn write(&self, puts: Vec<(String, String, u64)>, removed: Vec<String>) {
+impl Writer {
+    /// Writes a key.
+    pub async fn put(&self, key: &str, value: &Value) {
         let (reply, answer) = oneshot::channel();
+        let value = STANDARD.encode(value.to_string());
         let command = Command::Write {
-            puts,
-            removed,
+            puts: vec![(key.to_owned(), value, 0)],
+            removed: Vec::new(),
             reply,
         };
-        let _ = self.commands.send(command);
+        let _ = self.0.send(command);
         let _ = answer.await;
     }
 }
