Book loads of runs, gateway entries and settings files in one place each

Found in the read-through, behaviour unchanged: five handlers took a run out, changed it and booked its load anew by hand (now Pool::rebook); the gateway's entry was built twice (Entry::from); the limit of short outputs stood twice (pool::SHORT_OUTPUT); settings files were read by two copies of the same lines (scan::read); the reasons of refused claims and the backup kept by a relay were never read.

--- a/crates/daisyyard/src/gateway_settings.rs
+++ b/crates/daisyyard/src/gateway_settings.rs
@@ -3,11 +3,10 @@
 use std::path::Path;
 use std::time::Duration;
 
-use anyhow::Context;
 use daisyyard_core::allowance::Bound;
 use daisyyard_gateway::settings::{Bounds, Listen, Settings};
 
-use crate::scan::{Faults, Scan, Section};
+use crate::scan::{self, Faults, Scan, Section};
 
 /// Longest time that a setting may give, in seconds.
 const LONGEST: f64 = 3_600.0;
@@ -16,9 +15,7 @@
 
 /// Loads the settings from a file.
 pub(crate) fn load(path: &Path) -> anyhow::Result<Settings> {
-    let text = std::fs::read_to_string(path)
-        .with_context(|| format!("cannot read {}; give a readable file", path.display()))?;
-    Ok(parse(path, &text)?)
+    Ok(parse(path, &scan::read(path)?)?)
 }
 
 /// Reads the settings from the text of a file, or lists every fault.
--- a/crates/daisyyard/src/scan.rs
+++ b/crates/daisyyard/src/scan.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use anyhow::Context;
 use daisyyard_derive::value;
 use jsonc_parser::ast::{Object, ObjectProp, Value};
 use jsonc_parser::common::Ranged;
@@ -451,6 +452,12 @@
     }
 }
 
+/// Returns the text of a settings file.
+pub(crate) fn read(path: &Path) -> anyhow::Result<String> {
+    std::fs::read_to_string(path)
+        .with_context(|| format!("cannot read {}; give a readable file", path.display()))
+}
+
 /// Returns a value's text, shortened for a message.
 fn abridge(text: &str) -> String {
     const LONGEST: usize = 40;
--- a/crates/daisyyard/src/settings.rs
+++ b/crates/daisyyard/src/settings.rs
@@ -4,10 +4,9 @@
 use std::path::Path;
 use std::time::Duration;
 
-use anyhow::Context;
 use daisyyard_derive::{token, value};
 
-use crate::scan::{Faults, Scan, Section, Shape};
+use crate::scan::{self, Faults, Scan, Section, Shape};
 
 /// Settings of one node.
 #[value]
@@ -130,9 +129,7 @@
 
 /// Loads the settings from a file.
 pub fn load(path: &Path) -> anyhow::Result<Settings> {
-    let text = std::fs::read_to_string(path)
-        .with_context(|| format!("cannot read {}; give a readable file", path.display()))?;
-    Ok(parse(path, &text)?)
+    Ok(parse(path, &scan::read(path)?)?)
 }
 
 /// Reads the settings from the text of a file, or lists every fault.
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -31,6 +31,10 @@
 /// the links of an engine, so that they are spread more widely than runs.
 const COPY_JITTER: f64 = 0.8;
 
+/// Outputs, in tokens, that are so short that their run frees its memory within a moment, and ends
+/// before a copy of it could be of use.
+pub const SHORT_OUTPUT: Tokens = 100;
+
 /// What a request needs of an endpoint.
 #[record]
 pub struct Need {
@@ -109,6 +113,11 @@
 }
 
 impl Need {
+    /// Returns whether the request is expected to end within a moment.
+    pub(crate) fn is_short(&self) -> bool {
+        self.output < SHORT_OUTPUT
+    }
+
     /// Returns the tokens of context that are reserved for the request.
     pub fn tokens(&self) -> Tokens {
         self.prompt + (self.output as f64 * OUTPUT_RESERVED) as Tokens
--- a/crates/daisyyard_core/src/seat.rs
+++ b/crates/daisyyard_core/src/seat.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::endpoint::{Endpoint, Kind, State};
-use crate::id::{InstanceId, ServiceId, Tokens};
+use crate::id::{InstanceId, ServiceId};
 use crate::pool::{Load, Need, Sign};
 use crate::zone::{Distance, Zone};
 
@@ -15,8 +15,6 @@
 /// Share of an engine's memory that may be reserved once short runs, and runs of engines that leave,
 /// are added.
 pub(crate) const MEMORY_FOR_ALL: f64 = 1.0;
-/// Outputs, in tokens, that are so short that their run frees its memory within a moment.
-const SHORT_OUTPUT: Tokens = 100;
 /// Prompt tokens in front of a request that weigh as much as a full memory.
 const PREFILL_SCALE: f64 = 12_000.0;
 /// Requests per slot of a plain endpoint that are sent before others wait at the node.
@@ -116,7 +114,7 @@
         match self.endpoint.kind {
             Kind::Engine => {
                 let alone = runs == 0;
-                let most = if need.output < SHORT_OUTPUT {
+                let most = if need.is_short() {
                     MEMORY_FOR_ALL
                 } else {
                     MEMORY_FOR_RUNS
--- a/crates/daisyyard_gateway/src/exchange.rs
+++ b/crates/daisyyard_gateway/src/exchange.rs
@@ -166,7 +166,7 @@
             reply,
         };
         self.pool.send(claim).await.ok()?;
-        granted.await.ok()?.ok()
+        granted.await.ok()
     }
 
     /// Asks whether the request may be sent once more.
--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -209,16 +209,11 @@
     phase: watch::Receiver<Phase>,
     log: Log,
 ) -> anyhow::Result<Registration> {
-    let entry = Entry {
-        requests: settings.listen.requests,
-        digests: settings.listen.digests,
-        zone: settings.zone.clone(),
-    };
     Ok(Registration {
         address: settings.store,
         dialect,
         name: settings.name.clone(),
-        value: serde_json::to_vec(&entry)?.into(),
+        value: serde_json::to_vec(&Entry::from(settings))?.into(),
         phase,
         log,
     })
--- a/crates/daisyyard_gateway/src/job.rs
+++ b/crates/daisyyard_gateway/src/job.rs
@@ -9,7 +9,7 @@
 use daisyyard_core::catalog::{Client, Engine, Kind, Priority, Route};
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::id::{ServiceId, Tokens};
-use daisyyard_core::pool::Need;
+use daisyyard_core::pool::{Need, SHORT_OUTPUT};
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Uri};
 
@@ -19,8 +19,6 @@
 const DEFAULT_OUTPUT: Tokens = 256;
 /// Factor on the caller's estimate of the output, which is right in half of the cases only.
 const HINT_FACTOR: f64 = 1.25;
-/// Outputs that are shorter end before a copy of their run could be of use.
-const SHORT_OUTPUT: Tokens = 100;
 
 /// A request that the gateway serves.
 #[derive(Debug)]
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -7,6 +7,8 @@
 use daisyyard_core::id::{self, InstanceId};
 use serde::{Deserialize, Serialize};
 
+use crate::settings::Settings;
+
 /// Time without a digest after which a member is not offered to callers. Digests are sent several
 /// times a second.
 const SILENCE: Duration = Duration::from_millis(1_500);
@@ -27,6 +29,16 @@
     pub zone: String,
 }
 
+impl From<&Settings> for Entry {
+    fn from(settings: &Settings) -> Self {
+        Self {
+            requests: settings.listen.requests,
+            digests: settings.listen.digests,
+            zone: settings.zone.clone(),
+        }
+    }
+}
+
 /// A gateway.
 #[derive(Debug)]
 struct Member {
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -31,17 +31,8 @@
     pub(crate) due: Due,
     /// Endpoints that are not asked again.
     pub(crate) excluded: Vec<EndpointId>,
-    /// Receives the endpoint.
-    pub(crate) reply: oneshot::Sender<Result<Grant, Refused>>,
-}
-
-/// Why no endpoint is granted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Refused {
-    /// Every endpoint stayed full, or none is live.
-    Full,
-    /// Too many requests wait already.
-    Crowded,
+    /// Receives the endpoint; dropped if none has room in time.
+    pub(crate) reply: oneshot::Sender<Grant>,
 }
 
 /// An endpoint that a request may be sent to; dropping it frees the room.
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -18,9 +18,7 @@
 use crate::event::Event;
 use crate::log::Log;
 use crate::member::{Entry, Members};
-use crate::message::{
-    Claim, Count, Digest, Facts, Leave, Notice, Offer, Rebind, Refused, Repeat, Report,
-};
+use crate::message::{Claim, Count, Digest, Facts, Leave, Notice, Offer, Rebind, Repeat, Report};
 use crate::run::Run;
 use crate::settings::Settings;
 
@@ -72,11 +70,6 @@
 /// Starts the actor.
 pub(crate) fn spawn(settings: &Settings, changed: Arc<Notify>, log: Log) -> Address<Pool> {
     let (address, mailbox) = Mailbox::unbounded();
-    let own = Entry {
-        requests: settings.listen.requests,
-        digests: settings.listen.digests,
-        zone: settings.zone.clone(),
-    };
     let zone = Zone::new(&settings.zone, &settings.region);
     let pool = Pool {
         me: id::of(&settings.name),
@@ -87,7 +80,7 @@
             .iter()
             .map(|(zone, region)| (zone.clone(), Zone::new(zone, region)))
             .collect(),
-        members: Members::new(&settings.name, own),
+        members: Members::new(&settings.name, Entry::from(settings)),
         runs: HashMap::new(),
         next: 0,
         backlog: Backlog::default(),
@@ -338,9 +331,8 @@
         for id in self.endpoints.expire(now) {
             self.notify(id);
         }
-        for claim in self.backlog.expire(now) {
-            let _ = claim.reply.send(Err(Refused::Full));
-        }
+        // Dropping a claim refuses it.
+        drop(self.backlog.expire(now));
         self.schedule();
     }
 }
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -376,7 +376,7 @@
             .metrics
             .moved(if went.is_ok() { means } else { "failed" });
         if went.is_ok() {
-            self.settle(engine, backup);
+            self.settle(engine);
             return true;
         }
         if self.upstream.is_none() {
@@ -429,9 +429,8 @@
     }
 
     /// Takes the engine that the run goes on at for its own.
-    fn settle(&mut self, engine: Arc<Endpoint>, backup: Option<Arc<Endpoint>>) {
+    fn settle(&mut self, engine: Arc<Endpoint>) {
         self.grant.endpoint = engine;
-        self.grant.backup = backup;
         self.grant.sign = Sign::Nothing;
         self.leaving = Leaving::Stays;
         self.begun = Some(Instant::now());
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -4,12 +4,12 @@
 use std::time::Instant;
 
 use daisyyard_core::endpoint::{Endpoint, State};
-use daisyyard_core::id::EndpointId;
+use daisyyard_core::id::{EndpointId, RequestId};
 use daisyyard_core::pool::{Choice, Load, Need, Room, Sign};
 use tokio::sync::mpsc;
 use xtra::{Context, Handler};
 
-use crate::message::{Abandon, Claim, Done, Escape, First, Grant, Hop, Notice, Refused, Undo, Way};
+use crate::message::{Abandon, Claim, Done, Escape, First, Grant, Hop, Notice, Undo, Way};
 use crate::pool::Pool;
 
 /// Requests that wait at most; a caller that would wait behind more is told to come back.
@@ -65,7 +65,7 @@
             pool: self.address.clone(),
         };
         // A caller that has left drops the grant, which frees the room again.
-        let _ = claim.reply.send(Ok(grant));
+        let _ = claim.reply.send(grant);
         None
     }
 
@@ -88,6 +88,20 @@
         }
     }
 
+    /// Changes a run and books its load anew; returns nothing if the run has ended.
+    fn rebook<T>(
+        &mut self,
+        id: RequestId,
+        change: impl FnOnce(&mut Self, &mut Run) -> T,
+    ) -> Option<T> {
+        let mut run = self.runs.remove(&id)?;
+        self.load(&run, false);
+        let result = change(self, &mut run);
+        self.load(&run, true);
+        self.runs.insert(id, run);
+        Some(result)
+    }
+
     /// Chooses an engine for a copy of a run, other than the one that runs it.
     fn spare(&mut self, run: &Run, room: Room) -> Option<Arc<Endpoint>> {
         let now = Instant::now();
@@ -135,9 +149,8 @@
         let Some(claim) = claim else {
             return;
         };
-        if self.backlog.len() >= MOST_WAITING {
-            let _ = claim.reply.send(Err(Refused::Crowded));
-        } else {
+        // A claim that is dropped is refused.
+        if self.backlog.len() < MOST_WAITING {
             self.backlog.push(due, claim);
             self.schedule();
         }
@@ -160,12 +173,7 @@
     type Return = ();
 
     async fn handle(&mut self, First(id): First, _: &mut Context<Self>) {
-        if let Some(mut run) = self.runs.remove(&id) {
-            self.load(&run, false);
-            run.prefill = false;
-            self.load(&run, true);
-            self.runs.insert(id, run);
-        }
+        self.rebook(id, |_, run| run.prefill = false);
     }
 }
 
@@ -173,23 +181,19 @@
     type Return = Option<(Arc<Endpoint>, Option<Arc<Endpoint>>)>;
 
     async fn handle(&mut self, Hop(id): Hop, _: &mut Context<Self>) -> Self::Return {
-        let mut run = self.runs.remove(&id)?;
-        self.load(&run, false);
-        let target = run.backup.take().and_then(|id| self.live(id));
-        let hopped = target.map(|target| {
+        let hop = |pool: &mut Self, run: &mut Run| {
+            let target = run.backup.take().and_then(|id| pool.live(id))?;
             run.endpoint = target.id;
             run.prefill = false;
-            let spare = run
-                .need
-                .backup
-                .then(|| self.spare(&run, Room::Copy))
-                .flatten();
+            let spare = if run.need.backup {
+                pool.spare(run, Room::Copy)
+            } else {
+                None
+            };
             run.backup = spare.as_ref().map(|spare| spare.id);
-            (target, spare)
-        });
-        self.load(&run, true);
-        self.runs.insert(id, run);
-        hopped
+            Some((target, spare))
+        };
+        self.rebook(id, hop)?
     }
 }
 
@@ -197,13 +201,10 @@
     type Return = ();
 
     async fn handle(&mut self, Undo(id, engine, backup): Undo, _: &mut Context<Self>) {
-        if let Some(mut run) = self.runs.remove(&id) {
-            self.load(&run, false);
+        self.rebook(id, |_, run| {
             run.endpoint = engine;
             run.backup = Some(backup);
-            self.load(&run, true);
-            self.runs.insert(id, run);
-        }
+        });
     }
 }
 
@@ -211,12 +212,7 @@
     type Return = ();
 
     async fn handle(&mut self, Abandon(id): Abandon, _: &mut Context<Self>) {
-        if let Some(mut run) = self.runs.remove(&id) {
-            self.load(&run, false);
-            run.refused.extend(run.backup.take());
-            self.load(&run, true);
-            self.runs.insert(id, run);
-        }
+        self.rebook(id, |_, run| run.refused.extend(run.backup.take()));
     }
 }
 
@@ -224,20 +220,14 @@
     type Return = Way;
 
     async fn handle(&mut self, Escape(id): Escape, _: &mut Context<Self>) -> Way {
-        let Some(mut run) = self.runs.remove(&id) else {
-            return Way::Nowhere;
-        };
-        let kept = run.backup.and_then(|id| self.live(id));
-        let way = if kept.is_some() {
-            Way::Backup
-        } else {
-            self.load(&run, false);
-            let spare = self.spare(&run, Room::Run);
+        let escape = |pool: &mut Self, run: &mut Run| {
+            if run.backup.and_then(|id| pool.live(id)).is_some() {
+                return Way::Backup;
+            }
+            let spare = pool.spare(run, Room::Run);
             run.backup = spare.as_ref().map(|spare| spare.id);
-            self.load(&run, true);
             spare.map_or(Way::Nowhere, Way::Move)
         };
-        self.runs.insert(id, run);
-        way
+        self.rebook(id, escape).unwrap_or(Way::Nowhere)
     }
 }
