Back off from a configuration service that declines calls

Cause: a declined call counted as an answer, which reset the backoff, so that a node whose calls were declined kept its full rate of 5 calls a second. Ruled out: the backoff itself, which core's tests cover, and the pause of the follower, which only bounds calls that the budget refuses.

Change: only answers and conflicts reset the backoff.

--- a/crates/daisyyard/src/command.rs
+++ b/crates/daisyyard/src/command.rs
@@ -8,6 +8,7 @@
 use daisyyard_platform::dialect::DIALECT;
 use getopts::Options;
 
+use crate::embedded::Choice;
 use crate::settings::{Level, Log, Settings};
 use crate::{
     embedded, event, experiment, faults, gateway_settings, node, operator, report, settings,
@@ -91,7 +92,7 @@
              Exit codes: 0 if there is none, 2 otherwise.\n"
         }
         "try" => {
-            "Usage: daisyyard try [--deployment association|pit-works] [--keep]\n\
+            "Usage: daisyyard try [--deployment association|pit-works] [--keep] [--tokens]\n\
              \x20      daisyyard try --faults [--seed N] [--deployment association|pit-works]\n\n\
              Runs three nodes and stand-ins for the platform on loopback and checks the promises.\n\
              --keep leaves the fleet running and prints commands that work on it; --faults runs\n\
@@ -164,6 +165,7 @@
         "association|pit-works",
     );
     options.optflag("k", "keep", "leave the fleet running until a signal");
+    options.optflag("t", "tokens", "print each token of the long answer");
     options.optflag("f", "faults", "run callers while parts of the fleet fail");
     options.optopt("s", "seed", "seed of the faults", "N");
     let matches = options.parse(arguments)?;
@@ -180,7 +182,11 @@
         let seed = seed.unwrap_or_else(rand::random);
         runtime()?.block_on(faults::run(&deployment, seed))?
     } else {
-        runtime()?.block_on(embedded::run(&deployment, matches.opt_present("keep")))?
+        let choice = Choice {
+            keep: matches.opt_present("keep"),
+            tokens: matches.opt_present("tokens"),
+        };
+        runtime()?.block_on(embedded::run(&deployment, choice))?
     };
     Ok(if held {
         ExitCode::SUCCESS
--- a/crates/daisyyard/src/embedded.rs
+++ b/crates/daisyyard/src/embedded.rs
@@ -21,16 +21,28 @@
 /// Time between two repeats; the registry writes outcomes every 200 ms.
 const REPEAT_PAUSE: Duration = Duration::from_millis(250);
 
-/// Runs the fleet and returns whether every promise that was checked held; `keep` leaves the
-/// fleet running until a signal.
-pub async fn run(deployment: &str, keep: bool) -> anyhow::Result<bool> {
+/// How the fleet is run and what is printed.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Choice {
+    /// The fleet is left running until a signal.
+    pub keep: bool,
+    /// Each token of the long answer is printed as it arrives.
+    pub tokens: bool,
+}
+
+/// Runs the fleet and returns whether every promise that was checked held.
+///
+/// # Errors
+///
+/// Fails if the deployment has no such name or the fleet does not start.
+pub async fn run(deployment: &str, choice: Choice) -> anyhow::Result<bool> {
     let deployment = Deployment::find(deployment)?;
     let fleet = Fleet::start(deployment, Timing::default()).await?;
-    let violations = check(&fleet).await?;
+    let violations = check(&fleet, choice.tokens).await?;
     for violation in &violations {
         println!("violation: {violation}");
     }
-    if keep {
+    if choice.keep {
         print!("{}", help(&fleet));
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
@@ -43,13 +55,16 @@
 }
 
 /// Streams a long answer with a short one beside it, books once, and returns every violation.
-async fn check(fleet: &Fleet) -> anyhow::Result<Vec<String>> {
+async fn check(fleet: &Fleet, tokens: bool) -> anyhow::Result<Vec<String>> {
     let deployment = fleet.deployment;
     let long = question(deployment, deployment.long.0, LENGTH, deployment.long.1);
     let short = question(deployment, deployment.short, 1, "urgent");
     println!("{}:", long.prompt);
     let mut column = 0;
     let show = |text: &str| {
+        if !tokens {
+            return;
+        }
         print!("{text}");
         column += 1;
         if column % TOKENS_PER_LINE == 0 {
@@ -63,7 +78,9 @@
         caller::stream(&addresses, 0, &long, show),
         caller::ask(fleet.nodes[1].address, &short),
     );
-    println!();
+    if tokens {
+        println!();
+    }
     let mut violations = audit::stream(&streamed, &long.prompt, &[]);
     if streamed.end != caller::End::Whole {
         violations.push(format!("the long answer is not whole: {:?}", streamed.end));
--- a/crates/daisyyard/src/generation.rs
+++ b/crates/daisyyard/src/generation.rs
@@ -2,8 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use daisyyard_core::attempt::{Attempt, Next, Outcome, Progress};
-use daisyyard_core::budget;
+use daisyyard_core::attempt::{Next, Outcome, Progress};
 use daisyyard_core::burn;
 use daisyyard_core::contract::Rank;
 use daisyyard_core::endpoint::{self, Endpoint};
@@ -18,10 +17,11 @@
 use xtra::Address;
 
 use crate::admission::{self, Admission, Decision};
+use crate::attempts::Attempts;
 use crate::calls::Calls;
 use crate::completion::Completion;
 use crate::delivery::Delivery;
-use crate::dispatch::{Dispatch, Done, Finished, Observe, Retry, Route, Target};
+use crate::dispatch::{Dispatch, Done, Finished, Observe, Route, Target};
 use crate::event::{self, Event};
 use crate::measure::Metrics;
 use crate::meter::Meter;
@@ -37,8 +37,6 @@
 const ANSWER_GRACE: Duration = Duration::from_millis(100);
 /// Time after which asking again may help when no home named one.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Engines that one request is sent to at most.
-const MAX_ATTEMPTS: usize = 3;
 
 /// What a generation needs of its node.
 #[derive(Debug, Clone)]
@@ -86,8 +84,8 @@
     caller: &'a mpsc::Sender<Delivery>,
     /// Position of the caller.
     cursor: Cursor,
-    /// What may have reached an engine.
-    attempt: Attempt,
+    /// Attempts at engines.
+    attempts: Attempts,
     /// What the request measures of itself.
     track: Track,
 }
@@ -100,7 +98,12 @@
             actors: &actors,
             caller: &caller,
             cursor: Cursor::new(),
-            attempt: Attempt::new(true),
+            attempts: Attempts::new(
+                actors.dispatch.clone(),
+                self.request.account,
+                self.request.service,
+                true,
+            ),
             track: Track::new(&actors, &self.request),
         };
         let end = self.attempts(&mut run, &actors, &caller).await;
@@ -114,22 +117,21 @@
         actors: &Actors,
         caller: &mpsc::Sender<Delivery>,
     ) -> burn::End {
-        let mut tried = Vec::new();
         loop {
             let asked = Instant::now();
-            let admitted = self.admit(actors, &tried, caller).await;
+            let admitted = self.admit(actors, run.attempts.tried(), caller).await;
             run.track.admitted(asked.elapsed());
             let endpoint = match admitted {
                 Ok(endpoint) => endpoint,
                 Err(mut refusal) => {
                     // An earlier attempt may have run, whatever the reason of this refusal.
-                    refusal.outcome = run.attempt.outcome();
+                    refusal.outcome = run.attempts.outcome();
                     let delivery = Delivery::Refuse(refusal, run.cursor.next());
                     let told = caller.send(delivery).await;
                     return told.map_or(burn::End::Left, |()| burn::End::Refused);
                 }
             };
-            tried.push(endpoint.id);
+            run.attempts.start(endpoint.id);
             let end = run.relay(&endpoint).await;
             let crashed = matches!(end, End::Crashed);
             self.release(actors, endpoint.id, run.cursor.next(), crashed)
@@ -150,9 +152,9 @@
                 End::Lost | End::Crashed if caller.is_closed() => return burn::End::Left,
                 End::Lost | End::Crashed => {}
             }
-            if let Some(refusal) = run.retry(tried.len()).await {
+            if let Some(refusal) = run.retry().await {
                 let _ = caller.send(refusal).await;
-                return match run.attempt.outcome() {
+                return match run.attempts.outcome() {
                     Outcome::NotRun => burn::End::Refused,
                     Outcome::Run | Outcome::Unknown => burn::End::Interrupted,
                 };
@@ -301,7 +303,7 @@
             Ok(stream) => stream,
             Err(error) => return self.failed(endpoint, error).await,
         };
-        self.attempt.reach(Progress::Written);
+        self.attempts.reach(Progress::Written);
         let account = self.generation.request.account;
         let name = self.actors.signer.sign(account, endpoint.id, &stream.name);
         if !self.cursor.bind(daisyyard_core::id::of(&name)) {
@@ -329,7 +331,7 @@
             Error::Answered(_) => (Progress::Written, None),
             Error::Lost => (Progress::Written, Some(Signal::Broken)),
         };
-        self.attempt.reach(progress);
+        self.attempts.reach(progress);
         if let Error::Answered(status) = error {
             return End::Answered(status);
         }
@@ -349,17 +351,10 @@
     }
 
     /// Prepares another attempt, or returns the truthful end.
-    async fn retry(&mut self, attempts: usize) -> Option<Delivery> {
+    async fn retry(&mut self) -> Option<Delivery> {
         let buffered = !self.generation.completion.stream;
         let restartable = buffered || self.cursor.lose(false) == Loss::Restart;
-        let mut allowed = restartable && attempts < MAX_ATTEMPTS;
-        if allowed {
-            let request = &self.generation.request;
-            let retry = Retry(request.account, request.service);
-            let next = self.actors.dispatch.send(retry).await;
-            allowed = matches!(next, Ok(budget::Next::Retry));
-        }
-        match self.attempt.fail(allowed) {
+        match self.attempts.fail(restartable).await {
             Next::Retry => {
                 if buffered {
                     self.cursor.reset();
@@ -384,7 +379,7 @@
         let refusal = Refusal {
             kind,
             message,
-            outcome: self.attempt.outcome(),
+            outcome: self.attempts.outcome(),
             retry_after: None,
         };
         Delivery::Refuse(refusal, self.cursor.next())
--- a/crates/daisyyard/src/kv.rs
+++ b/crates/daisyyard/src/kv.rs
@@ -1,5 +1,5 @@
-//! Plain calls to the platform's configuration service: read a key, and write it if it has the
-//! expected revision.
+//! Calls to the platform's configuration service: read a key, wait for its change, and write it if
+//! it has the expected revision.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -7,68 +7,165 @@
 use bytes::Bytes;
 use daisyyard_core::call::Written;
 use daisyyard_core::id::Revision;
+use http_body_util::BodyExt;
 use hyper::{Method, StatusCode};
 use serde::Deserialize;
 
-/// Time after which the result of a call is taken as lost.
+/// Time after which the result of a call that does not wait for a change is taken as lost.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Answer to a write.
+/// A value and the revision that the service gave it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Entry {
+    /// Revision of the key.
+    pub(crate) revision: Revision,
+    /// The value.
+    pub(crate) value: Bytes,
+}
+
+/// Answer of the service.
+#[derive(Debug)]
+pub(crate) enum Answer {
+    /// The key's value, if it exists.
+    Value(Option<Entry>),
+    /// The watched key has not changed.
+    Unchanged,
+    /// The value was written with this revision.
+    Written(Revision),
+}
+
+/// Why a call has no answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum Error {
+    /// The key has another revision than the expected one; nothing was written.
+    #[error("the key has revision {0}; read it and decide again")]
+    Conflict(Revision),
+    /// Nothing reached the service.
+    #[error("the configuration service is not reachable; nothing was sent, try again later")]
+    Unsent,
+    /// The call may have taken effect.
+    #[error("the configuration service did not answer; read the key to see the result")]
+    Unanswered,
+    /// The service declined the call.
+    #[error("the configuration service declined the call with status {0}; check its address")]
+    Declined(u16),
+}
+
+/// One call.
+#[derive(Debug, Clone)]
+pub(crate) struct Call {
+    /// Method.
+    method: Method,
+    /// Path and query.
+    path: String,
+    /// Body.
+    body: Bytes,
+    /// Time that the service may take.
+    timeout: Duration,
+}
+
+/// Body of the answer to a write.
 #[derive(Debug, Deserialize)]
 struct Stored {
     /// Revision that the key has now.
     revision: Revision,
 }
 
-/// Why a read gave no result.
-#[derive(Debug, thiserror::Error)]
-pub(crate) enum Error {
-    /// The service did not answer in time, or not in the published form.
-    #[error("the configuration service at {0} gave no valid answer; check that it runs")]
-    Unavailable(SocketAddr),
-}
+impl Call {
+    /// Reads a key.
+    pub(crate) fn get(key: &str) -> Self {
+        Self {
+            method: Method::GET,
+            path: format!("/kv/{key}"),
+            body: Bytes::new(),
+            timeout: TIMEOUT,
+        }
+    }
 
-/// Reads a key; returns its revision and value, if it exists.
-pub(crate) async fn get(
-    address: SocketAddr,
-    key: &str,
-) -> Result<Option<(Revision, Bytes)>, Error> {
-    let path = format!("/kv/{key}");
-    let open = daisyyard_http::open(address, Method::GET, &path, &[], Bytes::new());
-    let read = async {
-        let response = open.await.ok()?;
-        match response.status() {
-            StatusCode::NOT_FOUND => Some(None),
+    /// Waits until a key's revision differs from the one given, or until a time has passed.
+    pub(crate) fn watch(key: &str, after: Revision, wait: Duration) -> Self {
+        Self {
+            method: Method::GET,
+            path: format!("/kv/{key}?after={after}&wait_ms={}", wait.as_millis()),
+            body: Bytes::new(),
+            timeout: wait + TIMEOUT,
+        }
+    }
+
+    /// Writes a key if it has the expected revision; zero expects that it does not exist.
+    pub(crate) fn put(key: &str, expected: Revision, value: Bytes) -> Self {
+        Self {
+            method: Method::PUT,
+            path: format!("/kv/{key}?expected={expected}"),
+            body: value,
+            timeout: TIMEOUT,
+        }
+    }
+
+    /// Sends the call on a connection of its own.
+    pub(crate) async fn send(self, service: SocketAddr) -> Result<Answer, Error> {
+        let put = self.method == Method::PUT;
+        let exchange = async {
+            let sent = daisyyard_http::open(service, self.method, &self.path, &[], self.body);
+            let response = sent.await.map_err(|error| {
+                let refused = error.downcast_ref::<std::io::Error>().is_some();
+                if refused {
+                    Error::Unsent
+                } else {
+                    Error::Unanswered
+                }
+            })?;
+            let revision = response.headers().get("x-revision");
+            let revision = revision.and_then(|value| value.to_str().ok()?.parse().ok());
+            let status = response.status();
+            let body = response.into_body().collect().await;
+            let body = body.map_err(|_broken| Error::Unanswered)?.to_bytes();
+            Ok((status, revision, body))
+        };
+        let exchange = tokio::time::timeout(self.timeout, exchange).await;
+        let (status, revision, value) = exchange.map_err(|_elapsed| Error::Unanswered)??;
+        match status {
+            StatusCode::OK if put => Ok(Answer::Written(stored(&value)?)),
             StatusCode::OK => {
-                let revision = response.headers().get("x-revision")?.to_str().ok()?;
-                let revision = revision.parse().ok()?;
-                let body = daisyyard_http::read(response.into_body()).await.ok()?;
-                Some(Some((revision, body)))
+                let revision = revision.ok_or(Error::Unanswered)?;
+                Ok(Answer::Value(Some(Entry { revision, value })))
             }
-            _ => None,
+            StatusCode::NOT_FOUND if !put => Ok(Answer::Value(None)),
+            StatusCode::NOT_MODIFIED => Ok(Answer::Unchanged),
+            StatusCode::CONFLICT => Err(Error::Conflict(stored(&value)?)),
+            status => Err(Error::Declined(status.as_u16())),
         }
-    };
-    let read = tokio::time::timeout(TIMEOUT, read).await.ok().flatten();
-    read.ok_or(Error::Unavailable(address))
+    }
+}
+
+/// Reads the revision that a write has found or made.
+fn stored(body: &[u8]) -> Result<Revision, Error> {
+    let stored: Result<Stored, _> = serde_json::from_slice(body);
+    stored
+        .map(|stored| stored.revision)
+        .map_err(|_not_published_form| Error::Unanswered)
+}
+
+/// Reads a key once; returns its value, if it exists.
+pub(crate) async fn get(service: SocketAddr, key: &str) -> Result<Option<Entry>, Error> {
+    match Call::get(key).send(service).await? {
+        Answer::Value(entry) => Ok(entry),
+        Answer::Unchanged | Answer::Written(_) => Err(Error::Unanswered),
+    }
 }
 
-/// Writes a key if it has the expected revision; zero expects that it does not exist.
+/// Writes a key once if it has the expected revision.
 pub(crate) async fn put(
-    address: SocketAddr,
+    service: SocketAddr,
     key: &str,
     expected: Revision,
     value: Bytes,
 ) -> Written {
-    let path = format!("/kv/{key}?expected={expected}");
-    let call = daisyyard_http::call(address, Method::PUT, &path, &[], value);
-    match tokio::time::timeout(TIMEOUT, call).await {
-        Ok(Ok((StatusCode::OK, body))) => serde_json::from_slice(&body)
-            .map_or(Written::Lost, |stored: Stored| {
-                Written::Done(stored.revision)
-            }),
-        Ok(Ok((StatusCode::CONFLICT, _))) => Written::Conflict,
-        Ok(Err(error)) if error.downcast_ref::<std::io::Error>().is_some() => Written::Unsent,
+    match Call::put(key, expected, value).send(service).await {
+        Ok(Answer::Written(revision)) => Written::Done(revision),
+        Err(Error::Conflict(_)) => Written::Conflict,
+        Err(Error::Unsent) => Written::Unsent,
         // Any other status or a broken connection does not prove that the value is unchanged.
-        _ => Written::Lost,
+        Ok(_) | Err(Error::Unanswered | Error::Declined(_)) => Written::Lost,
     }
 }
--- a/crates/daisyyard/src/lib.rs
+++ b/crates/daisyyard/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod admin;
 pub(crate) mod admission;
+pub(crate) mod attempts;
 pub mod audit;
 pub mod caller;
 pub mod calls;
--- a/crates/daisyyard/src/plain.rs
+++ b/crates/daisyyard/src/plain.rs
@@ -3,8 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use daisyyard_core::attempt::{Attempt, Next, Outcome, Progress};
-use daisyyard_core::budget;
+use daisyyard_core::attempt::{Next, Outcome, Progress};
 use daisyyard_core::contract::Rank;
 use daisyyard_core::endpoint::{self, Endpoint};
 use daisyyard_core::id::{self, AccountId};
@@ -19,8 +18,9 @@
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::oneshot;
 
+use crate::attempts::Attempts;
 use crate::calls::Claim;
-use crate::dispatch::{Done, Observe, Retry, Route, Target};
+use crate::dispatch::{Done, Observe, Route, Target};
 use crate::front;
 use crate::generation::Actors;
 use crate::once::{self, Final};
@@ -30,8 +30,6 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Largest answer of an endpoint, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
-/// Endpoints that one call is sent to at most.
-const MAX_ATTEMPTS: usize = 3;
 /// Longest idempotency key, in bytes.
 const MAX_KEY: usize = 255;
 /// Seed of the fingerprint of a call's content; all nodes must agree on it.
@@ -40,6 +38,7 @@
 const UNCERTAIN: &str = "an earlier call with this key may have run; check before a new key";
 /// Header of an answer that was kept from the first call with its key.
 const REPLAYED: &str = "idempotent-replayed";
+
 /// A call of a plain service.
 #[derive(Debug)]
 struct Call {
@@ -225,28 +224,32 @@
 
     /// Sends the call to endpoints until one answers or no further attempt is permitted.
     async fn run(&self, actors: &Actors) -> Result<Reply, Refusal> {
-        let mut attempt = Attempt::new(self.idempotent());
-        let mut tried = Vec::new();
+        let mut attempts = Attempts::new(
+            actors.dispatch.clone(),
+            self.routed.account,
+            self.routed.service,
+            self.idempotent(),
+        );
         loop {
             let route = Route {
                 request: self.routed.clone(),
                 key: id::fingerprint(self.routed.account, &self.content()),
                 kind: endpoint::Kind::Plain,
-                tried: tried.clone(),
+                tried: attempts.tried().to_vec(),
                 asked: 0,
             };
             let endpoint = match actors.dispatch.send(route).await {
                 Ok(Target::Endpoint { endpoint, .. }) => endpoint,
                 Ok(Target::Suspected) => {
                     let message = "this call crashed endpoints; change it or wait 10 minutes";
-                    return Err(refuse(Kind::Suspected, message, &attempt));
+                    return Err(refuse(Kind::Suspected, message, &attempts));
                 }
                 Ok(Target::Nowhere) | Err(_) => {
                     let message = "no endpoint of this service may receive work; ask again later";
-                    return Err(refuse(Kind::Unavailable, message, &attempt));
+                    return Err(refuse(Kind::Unavailable, message, &attempts));
                 }
             };
-            tried.push(endpoint.id);
+            attempts.start(endpoint.id);
             let sent = self.send(&endpoint).await;
             let (signal, lost) = match sent {
                 Ok(_) => (Signal::Served, false),
@@ -257,21 +260,15 @@
             self.learn(actors, &endpoint, signal, lost).await;
             match sent {
                 Ok(Sent::Answered(reply)) => return Ok(reply),
-                Ok(Sent::Declined) => attempt.reach(Progress::Declined),
+                Ok(Sent::Declined) => attempts.reach(Progress::Declined),
                 Err(Failure::Refused | Failure::Unreachable | Failure::Unwritten) => {
-                    attempt.reach(Progress::Unsent);
+                    attempts.reach(Progress::Unsent);
                 }
                 Err(Failure::Partial | Failure::Broken | Failure::Silent) => {
-                    attempt.reach(Progress::Written);
+                    attempts.reach(Progress::Written);
                 }
             }
-            let mut allowed = tried.len() < MAX_ATTEMPTS;
-            if allowed {
-                let retry = Retry(self.routed.account, self.routed.service);
-                let next = actors.dispatch.send(retry).await;
-                allowed = matches!(next, Ok(budget::Next::Retry));
-            }
-            if let Next::Finish(outcome) = attempt.fail(allowed) {
+            if let Next::Finish(outcome) = attempts.fail(true).await {
                 let (kind, message) = match outcome {
                     Outcome::NotRun => (Kind::Unavailable, "no endpoint took the call; ask again"),
                     _ => (
@@ -279,7 +276,7 @@
                         "the endpoint was lost; check whether the call took effect",
                     ),
                 };
-                return Err(refuse(kind, message, &attempt));
+                return Err(refuse(kind, message, &attempts));
             }
             actors.metrics.retried(self.routed.service);
         }
@@ -357,9 +354,9 @@
 }
 
 /// Returns a refusal with the outcome that is known.
-fn refuse(kind: Kind, message: &str, attempt: &Attempt) -> Refusal {
+fn refuse(kind: Kind, message: &str, attempts: &Attempts) -> Refusal {
     Refusal {
-        outcome: attempt.outcome(),
+        outcome: attempts.outcome(),
         ..Refusal::not_run(kind, message)
     }
 }
--- a/crates/daisyyard/src/registry.rs
+++ b/crates/daisyyard/src/registry.rs
@@ -93,14 +93,14 @@
     let archive = |number: ArchiveNumber| format!("{head}/archive/{number}");
     match step {
         Step::Idle | Step::Read => match kv::get(store, &head).await {
-            Ok(Some((revision, value))) => Head::try_from(value)
+            Ok(Some(entry)) => Head::try_from(entry.value)
                 .and_then(record::Head::try_from)
-                .map_or(Reply::Failed, |head| Reply::Head(revision, head)),
+                .map_or(Reply::Failed, |head| Reply::Head(entry.revision, head)),
             Ok(None) => Reply::Head(0, record::Head::default()),
             Err(_) => Reply::Failed,
         },
         Step::ReadArchive(number) => match kv::get(store, &archive(number)).await {
-            Ok(Some((_, value))) => Archive::try_from(value)
+            Ok(Some(entry)) => Archive::try_from(entry.value)
                 .and_then(Vec::try_from)
                 .map_or(Reply::Failed, |records| {
                     Reply::Archive(number, Some(records))
--- a/crates/daisyyard/src/revise.rs
+++ b/crates/daisyyard/src/revise.rs
@@ -9,8 +9,9 @@
 use xtra::Address;
 
 use crate::document::Json;
+use crate::kv::Error;
 use crate::peer::{Offer, Peer};
-use crate::store::{Client, Error};
+use crate::store::Client;
 
 /// What became of a change.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/daisyyard/src/store.rs
+++ b/crates/daisyyard/src/store.rs
@@ -4,14 +4,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use daisyyard_core::id::Revision;
 use daisyyard_core::store_budget::{Budget, Next};
-use http_body_util::BodyExt;
-use hyper::{Method, StatusCode};
 use tokio::sync::oneshot;
 use xtra::{Actor, Address, Context, Handler, Mailbox};
 
-/// Time until a call that does not wait for a change is given up.
-const TIMEOUT: Duration = Duration::from_secs(1);
+use crate::kv::{Answer, Call, Entry, Error};
+
 /// Time until a read or write for an operator or a request gives up waiting for the budget.
 const PATIENCE: Duration = Duration::from_secs(2);
 /// Attempts of a write whose result is unknown.
@@ -26,15 +25,6 @@
     budget: Budget,
 }
 
-/// A value and the revision that the service gave it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Entry {
-    /// Revision of the key.
-    pub(crate) revision: u64,
-    /// The value.
-    pub(crate) value: Bytes,
-}
-
 /// What a watch has found.
 #[derive(Debug)]
 pub(crate) enum Watched {
@@ -46,47 +36,6 @@
     Changed(Entry),
 }
 
-/// Answer of the service.
-#[derive(Debug)]
-enum Answer {
-    /// The key's value, if it exists.
-    Value(Option<Entry>),
-    /// The watched key has not changed.
-    Unchanged,
-    /// The value was written.
-    Written,
-}
-
-/// Why a call has no answer.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub(crate) enum Error {
-    /// The key has another revision than the expected one; nothing was written.
-    #[error("the key has revision {0}; read it and decide again")]
-    Conflict(u64),
-    /// Nothing reached the service.
-    #[error("the configuration service is not reachable; nothing was sent, try again later")]
-    Unsent,
-    /// The call may have taken effect.
-    #[error("the configuration service did not answer; read the key to see the result")]
-    Unanswered,
-    /// The service declined the call.
-    #[error("the configuration service declined the call with status {0}; check its address")]
-    Declined(u16),
-}
-
-/// One call.
-#[derive(Debug, Clone)]
-struct Call {
-    /// Method.
-    method: Method,
-    /// Path and query.
-    path: String,
-    /// Body.
-    body: Bytes,
-    /// Time that the service may take.
-    timeout: Duration,
-}
-
 /// Asks the actor to send a call.
 #[derive(Debug)]
 struct Send {
@@ -118,14 +67,10 @@
 impl Client {
     /// Reads a key.
     pub(crate) async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
-        let path = format!("/kv/{key}");
         let until = Some(Instant::now() + PATIENCE);
-        match self
-            .call(Method::GET, path, Bytes::new(), TIMEOUT, until)
-            .await?
-        {
+        match self.call(Call::get(key), until).await? {
             Answer::Value(entry) => Ok(entry),
-            Answer::Unchanged | Answer::Written => Err(Error::Unanswered),
+            Answer::Unchanged | Answer::Written(_) => Err(Error::Unanswered),
         }
     }
 
@@ -133,27 +78,26 @@
     pub(crate) async fn watch(
         &self,
         key: &str,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> Result<Watched, Error> {
-        let path = format!("/kv/{key}?after={after}&wait_ms={}", wait.as_millis());
-        let timeout = wait + TIMEOUT;
-        match self
-            .call(Method::GET, path, Bytes::new(), timeout, None)
-            .await?
-        {
+        match self.call(Call::watch(key, after, wait), None).await? {
             Answer::Value(Some(entry)) => Ok(Watched::Changed(entry)),
             Answer::Value(None) => Ok(Watched::Missing),
-            Answer::Unchanged | Answer::Written => Ok(Watched::Same),
+            Answer::Unchanged | Answer::Written(_) => Ok(Watched::Same),
         }
     }
 
     /// Writes a key if it has the expected revision; zero expects no value.
-    pub(crate) async fn swap(&self, key: &str, expected: u64, value: Bytes) -> Result<(), Error> {
-        let path = format!("/kv/{key}?expected={expected}");
+    pub(crate) async fn swap(
+        &self,
+        key: &str,
+        expected: Revision,
+        value: Bytes,
+    ) -> Result<(), Error> {
         let until = Some(Instant::now() + PATIENCE);
-        match self.call(Method::PUT, path, value, TIMEOUT, until).await? {
-            Answer::Written => Ok(()),
+        match self.call(Call::put(key, expected, value), until).await? {
+            Answer::Written(_) => Ok(()),
             Answer::Value(_) | Answer::Unchanged => Err(Error::Unanswered),
         }
     }
@@ -165,7 +109,7 @@
     pub(crate) async fn replace(
         &self,
         key: &str,
-        expected: u64,
+        expected: Revision,
         value: Bytes,
         mine: impl Fn(&Bytes) -> bool,
     ) -> Result<(), Error> {
@@ -191,20 +135,7 @@
     }
 
     /// Sends a call through the actor.
-    async fn call(
-        &self,
-        method: Method,
-        path: String,
-        body: Bytes,
-        timeout: Duration,
-        until: Option<Instant>,
-    ) -> Result<Answer, Error> {
-        let call = Call {
-            method,
-            path,
-            body,
-            timeout,
-        };
+    async fn call(&self, call: Call, until: Option<Instant>) -> Result<Answer, Error> {
         let (reply, answer) = oneshot::channel();
         let _ = self.0.send(Send { call, until, reply }).await;
         answer.await.map_err(|_stopped| Error::Unsent)?
@@ -222,7 +153,9 @@
                 let service = self.service;
                 tokio::spawn(async move {
                     let result = message.call.send(service).await;
-                    let answered = !matches!(result, Err(Error::Unsent | Error::Unanswered));
+                    // A service that declines calls is as little use as one that is away, and
+                    // both recover sooner if they are called less often.
+                    let answered = matches!(result, Ok(_) | Err(Error::Conflict(_)));
                     let _ = actor.send(Outcome(answered)).await;
                     let _ = message.reply.send(result);
                 });
@@ -251,43 +184,3 @@
         }
     }
 }
-
-impl Call {
-    /// Sends the call on a connection of its own.
-    async fn send(self, service: SocketAddr) -> Result<Answer, Error> {
-        let put = self.method == Method::PUT;
-        let exchange = async {
-            let sent = daisyyard_http::open(service, self.method, &self.path, &[], self.body);
-            let response = sent.await.map_err(|error| {
-                let refused = error.downcast_ref::<std::io::Error>().is_some();
-                if refused {
-                    Error::Unsent
-                } else {
-                    Error::Unanswered
-                }
-            })?;
-            let revision = response.headers().get("x-revision");
-            let revision = revision.and_then(|value| value.to_str().ok()?.parse().ok());
-            let status = response.status();
-            let body = response.into_body().collect().await;
-            let body = body.map_err(|_broken| Error::Unanswered)?.to_bytes();
-            Ok((status, revision, body))
-        };
-        let exchange = tokio::time::timeout(self.timeout, exchange).await;
-        let (status, revision, value) = exchange.map_err(|_elapsed| Error::Unanswered)??;
-        match status {
-            StatusCode::OK if put => Ok(Answer::Written),
-            StatusCode::OK => {
-                let revision = revision.ok_or(Error::Unanswered)?;
-                Ok(Answer::Value(Some(Entry { revision, value })))
-            }
-            StatusCode::NOT_FOUND if !put => Ok(Answer::Value(None)),
-            StatusCode::NOT_MODIFIED => Ok(Answer::Unchanged),
-            StatusCode::CONFLICT => {
-                let held: serde_json::Value = serde_json::from_slice(&value).unwrap_or_default();
-                Err(Error::Conflict(held["revision"].as_u64().unwrap_or(0)))
-            }
-            status => Err(Error::Declined(status.as_u16())),
-        }
-    }
-}
--- a/crates/daisyyard/tests/store_outage.rs
+++ b/crates/daisyyard/tests/store_outage.rs
@@ -11,6 +11,7 @@
 use daisyyard::document::Json;
 use daisyyard::revise::Outcome;
 use daisyyard_core::preset::{Document, Edit};
+use daisyyard_standin::outage::Plan;
 use hyper::{Method, StatusCode};
 
 /// Time within which nodes agree.
@@ -76,6 +77,24 @@
     );
 }
 
+/// A node whose calls are declined calls less and less often.
+///
+/// Guards against a node that takes a declined call for an answer and keeps its full call rate.
+#[tokio::test(flavor = "multi_thread")]
+async fn declined_calls() {
+    let mut cluster = Cluster::start(1, 0).await;
+    cluster.store.faults.set(Plan {
+        down: true,
+        ..Plan::default()
+    });
+    cluster.add().await;
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    let declined = cluster.store.counters().await.declined;
+    assert!(declined >= 2, "the new node asks: {declined} calls in 8 s");
+    // The delays double from 100 ms at most, so that the tenth is reached after 25 s on average.
+    assert!(declined <= 16, "{declined} calls in 8 s");
+}
+
 /// A document that vanishes stays in force, and the watches go on waiting instead of calling
 /// again and again.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/daisyyard_standin/src/keys.rs
+++ b/crates/daisyyard_standin/src/keys.rs
@@ -23,6 +23,8 @@
     pub watches: u64,
     /// Calls about leases.
     pub leases: u64,
+    /// Calls that were declined without effect.
+    pub declined: u64,
 }
 
 /// A lease as its holder sees it.
@@ -37,6 +39,8 @@
 /// Message to the task that owns the keys.
 #[derive(Debug)]
 pub(crate) enum Command {
+    /// Count a call that was declined.
+    Decline,
     /// Return the value of a key.
     Get {
         /// Key to read.
@@ -173,6 +177,7 @@
     /// Carries out one command.
     fn command(&mut self, command: Command, now: Instant) {
         match command {
+            Command::Decline => self.counters.declined += 1,
             Command::Get { key, reply } => {
                 self.counters.gets += 1;
                 let _ = reply.send(self.values.get(&key).cloned());
--- a/crates/daisyyard_standin/src/store.rs
+++ b/crates/daisyyard_standin/src/store.rs
@@ -71,6 +71,9 @@
         self.address = listener.local_addr()?;
         let (commands, view) = (self.commands.clone(), self.view.clone());
         let server = http::serve(listener, move |request| {
+            if view.borrow().down {
+                let _ = commands.send(Command::Decline);
+            }
             outage::wrap(view.clone(), handle(request, commands.clone()))
         });
         self.server = Some(server);
