Keep the loads of an endpoint whose entry ends for a moment

Cause: when the store loses its history, entries of engines end and come back within seconds while their runs go on. Ruled out: gateways that are not registered, as none registered twice; lost datagrams, which heal within 0.4 s.

Change: an unlisted endpoint receives nothing but keeps its loads for 10 s. RequestSent names prompt, output and the share of memory that the gateway saw as reserved.

--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -20,6 +20,9 @@
 /// Share of an engine's memory up to which it takes copies of runs at other engines. New runs use
 /// the rest.
 const MEMORY_FOR_COPIES: f64 = 0.6;
+/// Time for which the loads of an endpoint are kept after its entry has ended. Entries come back
+/// within seconds, and runs go on meanwhile.
+const LOADS_KEPT: Duration = Duration::from_secs(10);
 /// Share of the expected output that is reserved. The runs of an engine are at different stages,
 /// so that they do not need their most at the same time.
 const OUTPUT_RESERVED: f64 = 0.6;
@@ -72,6 +75,8 @@
         endpoint: Arc<Endpoint>,
         /// Engine that keeps a copy of the run's memory.
         backup: Option<Arc<Endpoint>>,
+        /// Share of the endpoint's memory that is reserved with the request.
+        filled: f64,
     },
     /// Every endpoint is full; wait.
     Wait,
@@ -150,10 +155,11 @@
         let leaving = endpoint.state != State::Live;
         let endpoint = Arc::new(endpoint);
         if let Some(seat) = self.seats.get_mut(&endpoint.id) {
-            let begins = leaving && seat.endpoint.state == State::Live;
+            let begins = leaving && (seat.unlisted.is_some() || seat.endpoint.state == State::Live);
             seat.endpoint = endpoint;
             seat.cold_until = now + cold;
             seat.doubtful_until = None;
+            seat.unlisted = None;
             return begins;
         }
         let seat = Seat::new(Arc::clone(&endpoint), now + cold);
@@ -171,10 +177,21 @@
                 }
                 false
             }
-            _ => self.seats.remove(&id).is_some(),
+            _ => self.unlist(id, now),
         }
     }
 
+    /// Marks an endpoint as no longer listed; returns whether it was.
+    fn unlist(&mut self, id: EndpointId, now: Instant) -> bool {
+        let seat = self.seats.get_mut(&id);
+        let seat = seat.filter(|seat| seat.unlisted.is_none());
+        seat.is_some_and(|seat| {
+            seat.doubtful_until = None;
+            seat.unlisted = Some(now);
+            true
+        })
+    }
+
     /// Removes the endpoints whose time to be listed again has passed.
     pub fn expire(&mut self, now: Instant) -> Vec<EndpointId> {
         let late = |seat: &Seat| seat.doubtful_until.is_some_and(|until| until <= now);
@@ -185,19 +202,26 @@
             .map(|(id, _)| *id)
             .collect();
         for id in &gone {
-            self.seats.remove(id);
+            self.unlist(*id, now);
         }
+        let kept = |since: Instant| now.saturating_duration_since(since) < LOADS_KEPT;
+        self.seats.retain(|_, seat| seat.unlisted.is_none_or(kept));
         gone
     }
 
-    /// Returns the identifiers of all known endpoints.
+    /// Returns the identifiers of all endpoints that are listed.
     pub fn known(&self) -> Vec<EndpointId> {
-        self.seats.keys().copied().collect()
+        let listed = self
+            .seats
+            .iter()
+            .filter(|(_, seat)| seat.unlisted.is_none());
+        listed.map(|(id, _)| *id).collect()
     }
 
-    /// Returns an endpoint.
+    /// Returns an endpoint that is listed.
     pub fn endpoint(&self, id: EndpointId) -> Option<&Arc<Endpoint>> {
-        self.seats.get(&id).map(|seat| &seat.endpoint)
+        let seat = self.seats.get(&id)?;
+        seat.unlisted.is_none().then_some(&seat.endpoint)
     }
 
     /// Chooses an endpoint for a request, other than the excluded ones.
@@ -224,7 +248,8 @@
                 Choice::Missing
             };
         };
-        let endpoint = Arc::clone(&self.seats[&id].endpoint);
+        let seat = &self.seats[&id];
+        let (endpoint, filled) = (Arc::clone(&seat.endpoint), seat.filled(need, now));
         let zone = Some(endpoint.zone.id);
         let backup = need
             .backup
@@ -232,6 +257,7 @@
         Choice::Send {
             endpoint,
             backup: backup.flatten(),
+            filled,
         }
     }
 
--- a/crates/daisyyard_core/src/seat.rs
+++ b/crates/daisyyard_core/src/seat.rs
@@ -49,6 +49,8 @@
     pub(crate) cold_until: Instant,
     /// When the endpoint counts as gone unless it is listed again.
     pub(crate) doubtful_until: Option<Instant>,
+    /// When the entry of the endpoint ended, unless it is listed.
+    pub(crate) unlisted: Option<Instant>,
     /// End of the time for which no request is sent, and its length.
     ejected: Option<(Instant, Duration)>,
     /// Share of failed requests among the newest ones.
@@ -64,6 +66,7 @@
             others: HashMap::new(),
             cold_until,
             doubtful_until: None,
+            unlisted: None,
             ejected: None,
             failures: 0.0,
         }
@@ -86,7 +89,8 @@
 
     /// Returns whether the endpoint belongs to a service and is not leaving.
     pub(crate) fn serves(&self, service: ServiceId) -> bool {
-        self.endpoint.service == service && self.endpoint.state == State::Live
+        let listed = self.unlisted.is_none();
+        listed && self.endpoint.service == service && self.endpoint.state == State::Live
     }
 
     /// Returns whether requests may be sent.
--- a/crates/daisyyard_core/tests/pool_choice.rs
+++ b/crates/daisyyard_core/tests/pool_choice.rs
@@ -105,6 +105,31 @@
     );
 }
 
+/// An engine that is listed again soon after its entry ended has the load of before.
+///
+/// Guards against all nodes filling an engine at once whose entry was lost for a moment while its
+/// runs went on.
+#[test]
+fn relisted_engine() {
+    let now = Instant::now();
+    let mut pool = pool(&["one"], now);
+    fill(&mut pool, "one", 4_000);
+    let load = Load {
+        runs: 1,
+        tokens: 4_000,
+        prefill: 0,
+    };
+    pool.learn(7, &[(id::of("one"), load)], now);
+    assert!(pool.remove(id::of("one"), None, now));
+    assert_matches!(pool.endpoint(id::of("one")), None);
+    assert_matches!(pool.choose(&need(1, false), &[], now), Choice::Missing);
+    pool.learn(7, &[(id::of("one"), load)], now);
+    let soon = now + Duration::from_millis(500);
+    pool.put(engine("one", "a"), Duration::ZERO, soon);
+    assert_matches!(pool.choose(&need(3_000, false), &[], soon), Choice::Wait);
+    assert!(chosen(&mut pool, &need(1_000, false), &[], soon).is_some());
+}
+
 /// An engine that does not accept connections is left out for a while that grows.
 #[test]
 fn unreachable_engine() {
--- a/crates/daisyyard_gateway/src/exchange.rs
+++ b/crates/daisyyard_gateway/src/exchange.rs
@@ -114,10 +114,14 @@
             };
             let endpoint = grant.endpoint.id;
             let details = format!(
-                "request={} endpoint={} backup={} waited_ms={} left_ms={} try={}",
+                "request={} endpoint={} backup={} prompt={} output={} filled={:.2} waited_ms={} \
+                 left_ms={} try={}",
                 job.attempt,
                 grant.endpoint.name,
                 grant.backup.as_ref().map_or("-", |backup| &backup.name),
+                job.asked.prompt,
+                job.output(),
+                grant.filled,
                 job.arrived.elapsed().as_millis(),
                 job.left().as_millis(),
                 tried.len() + 1,
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -44,6 +44,8 @@
     pub(crate) endpoint: Arc<Endpoint>,
     /// Engine that keeps a copy of the run's memory.
     pub(crate) backup: Option<Arc<Endpoint>>,
+    /// Share of the endpoint's memory that was reserved with the request.
+    pub(crate) filled: f64,
     /// What happens to the endpoint.
     pub(crate) notices: mpsc::Receiver<Notice>,
     /// How the run ended, as far as is known.
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -39,7 +39,12 @@
             return None;
         }
         let choice = self.endpoints.choose(&claim.need, &claim.excluded, now);
-        let Choice::Send { endpoint, backup } = choice else {
+        let Choice::Send {
+            endpoint,
+            backup,
+            filled,
+        } = choice
+        else {
             return Some(claim);
         };
         let run = self.next;
@@ -60,6 +65,7 @@
             run,
             endpoint,
             backup,
+            filled,
             notices: receiver,
             sign: Sign::Nothing,
             pool: self.address.clone(),
@@ -125,7 +131,7 @@
         load.tokens += change.tokens;
         load.prefill += change.prefill;
     } else {
-        // An endpoint that was listed anew has forgotten the load of earlier runs.
+        // An endpoint that was unlisted for long has forgotten the loads of its runs.
         load.runs = load.runs.saturating_sub(change.runs);
         load.tokens = load.tokens.saturating_sub(change.tokens);
         load.prefill = load.prefill.saturating_sub(change.prefill);
