Give all runs the same rank at the engines

Cause: an engine that is full lets a more urgent request preempt a running one, which is read again and pauses.

Change: no rank is sent to engines; the gateways still start urgent requests first.

--- a/crates/daisyyard_gateway/src/dialect.rs
+++ b/crates/daisyyard_gateway/src/dialect.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use daisyyard_core::catalog::{Catalog, Priority};
+use daisyyard_core::catalog::Catalog;
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::id::{EndpointId, Revision, Tokens};
 use daisyyard_derive::value;
@@ -43,8 +43,6 @@
     pub account: Option<String>,
     /// Time that is left.
     pub deadline: Duration,
-    /// Rank of the request among those of a model service.
-    pub priority: Option<Priority>,
     /// Engine that receives a copy of the run's memory.
     pub backup: Option<SocketAddr>,
     /// Where the run goes on, if it does.
--- a/crates/daisyyard_gateway/src/job.rs
+++ b/crates/daisyyard_gateway/src/job.rs
@@ -136,7 +136,6 @@
             endpoint: endpoint.name.clone(),
             account,
             deadline: self.left(),
-            priority: self.engine.map(|_| self.priority()),
             backup,
             resume,
         };
