Leave out endpoints that lose requests, and tell the other gateways

Ruled out: refused connections, which already eject.

Change: two requests in a row that end without an answer eject an endpoint for 0.5 s to 4 s; afterwards one more is enough. Digests name the endpoints that a gateway leaves out; two gateways are believed unless more than half of the service would be left out.

Tests pool_choice::losing_engine and reported_engine.

--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod config;
 pub mod contract;
 pub mod drain;
+pub(crate) mod ejection;
 pub mod endpoint;
 pub mod forward;
 pub mod gossip;
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -12,6 +12,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::ejection::Ejections;
 use crate::endpoint::{Endpoint, State};
 use crate::id::{EndpointId, InstanceId, Revision, ServiceId, Tokens, ZoneId};
 use crate::seat::{MEMORY_FOR_ALL, Seat};
@@ -105,6 +106,8 @@
     Failed,
     /// The endpoint did not accept a connection.
     Unreachable,
+    /// The endpoint broke the connection without an answer.
+    Lost,
     /// The request ended for reasons of its own.
     Nothing,
 }
@@ -116,6 +119,8 @@
     zone: Zone,
     /// Endpoints by identifier.
     seats: BTreeMap<EndpointId, Seat>,
+    /// Endpoints that other nodes leave out.
+    ejections: Ejections,
     /// Revision of the store up to which its entries are known.
     revision: Revision,
     /// Revision at which the newest endpoint was listed.
@@ -153,6 +158,7 @@
         Self {
             zone,
             seats: BTreeMap::new(),
+            ejections: Ejections::default(),
             revision: 0,
             arrival: 0,
             random: Pcg64Mcg::seed_from_u64(seed),
@@ -291,13 +297,17 @@
     /// Chooses an endpoint for a request, other than the excluded ones.
     pub fn choose(&mut self, need: &Need, excluded: &[EndpointId], now: Instant) -> Choice {
         let mut best: Option<(f64, EndpointId)> = None;
-        let mut live = 0;
-        for (id, seat) in &self.seats {
-            if !seat.serves(need.service) || excluded.contains(id) {
-                continue;
-            }
-            live += 1;
-            if !seat.usable(now) || !seat.fits(need, now) {
+        let serving = self.seats.iter();
+        let serving = serving.filter(|(_, seat)| seat.serves(need.service));
+        let live: Vec<EndpointId> = serving.map(|(id, _)| *id).collect();
+        let failing = self.ejections.among(&live, now);
+        let asked: Vec<EndpointId> = live
+            .into_iter()
+            .filter(|id| !excluded.contains(id))
+            .collect();
+        for id in &asked {
+            let seat = &self.seats[id];
+            if failing.contains(id) || !seat.usable(now) || !seat.fits(need, now) {
                 continue;
             }
             let weight = seat.weight(need, &self.zone, now) + self.random.random_range(0.0..JITTER);
@@ -306,10 +316,10 @@
             }
         }
         let Some((_, id)) = best else {
-            return if live > 0 {
-                Choice::Wait
-            } else {
+            return if asked.is_empty() {
                 Choice::Missing
+            } else {
+                Choice::Wait
             };
         };
         let seat = &self.seats[&id];
@@ -374,6 +384,17 @@
         }
     }
 
+    /// Returns the endpoints that this node leaves out because its requests failed there.
+    pub fn ejections(&self, now: Instant) -> impl Iterator<Item = EndpointId> {
+        let seats = self.seats.iter().filter(move |(_, seat)| !seat.usable(now));
+        seats.map(|(id, _)| *id)
+    }
+
+    /// Takes the endpoints that another node leaves out, which replace those known of it.
+    pub fn hear_ejections(&mut self, from: InstanceId, endpoints: &[EndpointId], now: Instant) {
+        self.ejections.hear(from, endpoints, now);
+    }
+
     /// Returns this node's loads.
     pub fn loads(&self) -> impl Iterator<Item = (EndpointId, Load)> {
         let used = |load: &Load| load.runs > 0 || load.tokens > 0;
--- a/crates/daisyyard_core/src/seat.rs
+++ b/crates/daisyyard_core/src/seat.rs
@@ -31,7 +31,9 @@
 const FAILURE_SHARE: f64 = 0.2;
 /// Time after which the load of a node that is not heard from is dropped.
 const DIGEST_LIFETIME: Duration = Duration::from_secs(2);
-/// First time for which an endpoint that does not accept connections is left out.
+/// Requests in a row that an endpoint loses before it is left out.
+const LOSSES: u32 = 2;
+/// First time for which an endpoint that does not accept or keep connections is left out.
 const EJECTION: Duration = Duration::from_millis(500);
 /// Longest time for which an endpoint is left out before it is tried again.
 const LONGEST_EJECTION: Duration = Duration::from_secs(4);
@@ -57,6 +59,8 @@
     pub(crate) unlisted: Option<Instant>,
     /// End of the time for which no request is sent, and its length.
     ejected: Option<(Instant, Duration)>,
+    /// Requests in a row that the endpoint lost.
+    losses: u32,
     /// Share of failed requests among the newest ones.
     failures: f64,
 }
@@ -74,6 +78,7 @@
             departed: None,
             unlisted: None,
             ejected: None,
+            losses: 0,
             failures: 0.0,
         }
     }
@@ -83,14 +88,29 @@
         let failed = match sign {
             Sign::Nothing => return,
             Sign::Sound => 0.0,
-            Sign::Failed | Sign::Unreachable => 1.0,
+            Sign::Failed | Sign::Unreachable | Sign::Lost => 1.0,
         };
         self.failures += FAILURE_SHARE * (failed - self.failures);
-        self.ejected = (sign == Sign::Unreachable).then(|| {
-            let last = self.ejected.map_or(EJECTION / 2, |(_, length)| length);
-            let length = (last * 2).min(LONGEST_EJECTION);
-            (now + length, length)
-        });
+        self.losses = if sign == Sign::Lost {
+            self.losses + 1
+        } else {
+            0
+        };
+        let again = self.ejected.is_some();
+        match sign {
+            Sign::Unreachable => self.eject(now),
+            // One request may be lost for reasons of its own.
+            Sign::Lost if again || self.losses >= LOSSES => self.eject(now),
+            Sign::Lost => {}
+            _ => self.ejected = None,
+        }
+    }
+
+    /// Leaves the endpoint out for a while, which doubles each time.
+    fn eject(&mut self, now: Instant) {
+        let last = self.ejected.map_or(EJECTION / 2, |(_, length)| length);
+        let length = (last * 2).min(LONGEST_EJECTION);
+        self.ejected = Some((now + length, length));
     }
 
     /// Returns whether the endpoint belongs to a service and is not leaving.
--- a/crates/daisyyard_core/tests/pool_choice.rs
+++ b/crates/daisyyard_core/tests/pool_choice.rs
@@ -171,6 +171,54 @@
     assert_matches!(pool.choose(&need(1, false), &[], again), Choice::Wait);
 }
 
+/// An engine that loses two requests in a row is left out, and is tried again with one request.
+///
+/// Guards against requests that may run once being lost, one by one, at an endpoint that accepts
+/// connections and breaks them.
+#[test]
+fn losing_engine() {
+    let now = Instant::now();
+    let one = id::of("one");
+    let mut pool = pool(&["one"], now);
+    pool.observe(one, Sign::Lost, now);
+    assert!(chosen(&mut pool, &need(1, false), &[], now).is_some());
+    pool.observe(one, Sign::Sound, now);
+    pool.observe(one, Sign::Lost, now);
+    assert!(chosen(&mut pool, &need(1, false), &[], now).is_some());
+    pool.observe(one, Sign::Lost, now);
+    assert_matches!(pool.choose(&need(1, false), &[], now), Choice::Wait);
+    let later = now + Duration::from_secs(1);
+    assert!(chosen(&mut pool, &need(1, false), &[], later).is_some());
+    pool.observe(one, Sign::Lost, later);
+    assert_matches!(pool.choose(&need(1, false), &[], later), Choice::Wait);
+}
+
+/// An engine that two other nodes left out is left out, unless that leaves too few engines.
+///
+/// Guards against every node losing requests of its own at an endpoint that others know to fail,
+/// and against a service that is emptied by hearsay.
+#[test]
+fn reported_engine() {
+    let now = Instant::now();
+    let (one, two) = (id::of("one"), id::of("two"));
+    let mut pool = pool(&["one", "two", "three"], now);
+    fill(&mut pool, "two", 100);
+    fill(&mut pool, "three", 2_000);
+    let small = need(1, false);
+    pool.hear_ejections(7, &[one], now);
+    assert_eq!(chosen(&mut pool, &small, &[], now).as_deref(), Some("one"));
+    pool.hear_ejections(8, &[one], now);
+    assert_eq!(chosen(&mut pool, &small, &[], now).as_deref(), Some("two"));
+    pool.hear_ejections(7, &[one, two], now);
+    pool.hear_ejections(8, &[one, two], now);
+    assert_eq!(chosen(&mut pool, &small, &[], now).as_deref(), Some("one"));
+    pool.hear_ejections(7, &[], now);
+    pool.hear_ejections(8, &[one], now);
+    assert_eq!(chosen(&mut pool, &small, &[], now).as_deref(), Some("one"));
+    pool.observe(one, Sign::Unreachable, now);
+    assert_eq!(pool.ejections(now).collect::<Vec<_>>(), vec![one]);
+}
+
 /// The loads of other nodes count until they are too old.
 #[test]
 fn other_loads() {
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -26,9 +26,11 @@
 /// Largest datagram: what fits one packet on any path.
 const MAX_DATAGRAM: usize = 1_400;
 /// Endpoints in one datagram.
-const ITEMS: usize = 36;
+const ITEMS: usize = 32;
 /// Endpoints that leave in one datagram.
 const DEPARTURES: usize = 16;
+/// Endpoints that are left out in one datagram.
+const EJECTIONS: usize = 12;
 /// Services in one datagram.
 const SERVICES: usize = 8;
 
@@ -56,6 +58,9 @@
     /// Revision of the store at which the newest endpoint was listed.
     #[prost(uint64, tag = "7")]
     arrival: Revision,
+    /// Endpoints that the sender leaves out.
+    #[prost(fixed64, repeated, tag = "8")]
+    ejections: Vec<EndpointId>,
 }
 
 /// An endpoint that began to leave.
@@ -166,6 +171,7 @@
             items: items.collect(),
             version: report.version,
             arrival: report.arrival,
+            ejections: report.ejections.iter().copied().take(EJECTIONS).collect(),
             departures: report
                 .departures
                 .iter()
@@ -189,6 +195,7 @@
             leaving: frame.leaving,
             version: frame.version,
             arrival: frame.arrival,
+            ejections: frame.ejections,
             departures: frame.departures.into_iter().map(Into::into).collect(),
             loads: frame.items.into_iter().map(Into::into).collect(),
             counts: frame.counts.into_iter().map(Into::into).collect(),
--- a/crates/daisyyard_gateway/src/exchange.rs
+++ b/crates/daisyyard_gateway/src/exchange.rs
@@ -308,7 +308,8 @@
 fn sign(failure: Failure) -> Sign {
     match failure {
         Failure::Refused | Failure::Unreachable => Sign::Unreachable,
-        Failure::Unwritten | Failure::Partial | Failure::Broken | Failure::Silent => Sign::Failed,
+        Failure::Unwritten | Failure::Partial | Failure::Broken => Sign::Lost,
+        Failure::Silent => Sign::Failed,
     }
 }
 
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -155,6 +155,8 @@
     pub(crate) arrival: Revision,
     /// Endpoints that began to leave, with the revisions of the store that say so.
     pub(crate) departures: Vec<(EndpointId, Revision)>,
+    /// Endpoints that it leaves out because its requests failed there.
+    pub(crate) ejections: Vec<EndpointId>,
     /// Its loads.
     pub(crate) loads: Vec<(EndpointId, Load)>,
     /// Its requests and repeated sends.
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -323,6 +323,7 @@
             leaving: self.leaving,
             version: self.version.unwrap_or(0),
             arrival: self.endpoints.arrival(),
+            ejections: self.endpoints.ejections(Instant::now()).collect(),
             departures: self.endpoints.departures(Instant::now()).collect(),
             loads: self.endpoints.loads().collect(),
             counts: self.allowance.counts(Instant::now()),
@@ -339,6 +340,8 @@
         if self.members.hear(message.from, message.leaving, now) {
             self.endpoints.learn(message.from, &message.loads, now);
             self.allowance.learn(message.from, message.counts, now);
+            let ejections = &message.ejections;
+            self.endpoints.hear_ejections(message.from, ejections, now);
             for (id, revision) in message.departures {
                 self.depart(id, revision);
             }
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -170,6 +170,9 @@
         if let Some(run) = self.runs.remove(&id) {
             self.load(&run, false);
             self.endpoints.observe(run.endpoint, sign, Instant::now());
+            if matches!(sign, Sign::Lost | Sign::Unreachable) {
+                self.changed.notify_one();
+            }
             self.schedule();
         }
     }
