Add a fault soak of the gateways

Cause: promises were checked under faults in one process of stand-ins only; nothing signalled, suspended or restarted real gateways while connections to the store and to engines misbehaved.

Checked from what callers and endpoints saw: runs of an attempt, refusals, bodies, events, denials, stops within the grace period, ends by themselves, and service after the last fault. Gateways install signal handlers before anything else. Addresses of processes are per test process and below the ports that connections get.

A signal during the load of the program ends any process, so the rig waits for the handler before SIGHUP.

--- a/crates/daisyyard/src/command.rs
+++ b/crates/daisyyard/src/command.rs
@@ -2,21 +2,25 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use daisyyard_gateway::gateway;
 use daisyyard_lab::check;
 use daisyyard_platform::dialect::DIALECT;
 use getopts::Options;
 
-use crate::embedded::Choice;
 use crate::settings::{Level, Log, Settings};
+use crate::soak::Choice;
 use crate::{
-    embedded, event, experiment, faults, gateway_settings, node, operator, report, settings,
+    embedded, event, experiment, faults, gateway_settings, node, operator, report, settings, soak,
 };
 
 /// Exit code of a command that was not understood or whose settings are at fault.
 const EXIT_USAGE: u8 = 2;
 
+/// Seconds for which the faults of a soak begin unless another time is given.
+const SOAK_S: u64 = 10;
+
 /// General help.
 const HELP: &str = "\
 Usage: daisyyard COMMAND [OPTIONS]
@@ -27,6 +31,7 @@
   check FILE            check a settings file and list every fault
   try [--keep]          run a small fleet on loopback and check the promises
   try --faults          run callers while parts of the fleet fail; `--seed N` repeats a run
+  soak --seed N --for S run gateways while they, the store and engines fail, and check the promises
   verify [--json]       check the core protocols against their specifications
   experiment NAME       run an experiment in virtual time; `experiment list` names them
   report burn           add up the counts of nodes; `report burn --help` explains it
@@ -42,7 +47,7 @@
         .iter()
         .any(|argument| argument == "--help" || argument == "-h");
     let result = match name {
-        "serve" | "gateway" | "check" | "try" | "verify" if asks => {
+        "serve" | "gateway" | "check" | "try" | "soak" | "verify" if asks => {
             print!("{}", help(name));
             Ok(ExitCode::SUCCESS)
         }
@@ -50,6 +55,7 @@
         "gateway" => run_gateway(rest),
         "check" => check(rest),
         "try" => attempt(rest),
+        "soak" => run_soak(rest),
         "verify" => verify(rest),
         "experiment" => experiment::run(rest),
         "report" => report::run(rest, runtime),
@@ -99,6 +105,14 @@
              callers for about 10 s while parts of the fleet fail at times drawn from the seed.\n\n\
              Exit codes: 0 if every promise that was checked held, 1 if not, 2 for wrong usage.\n"
         }
+        "soak" => {
+            "Usage: daisyyard soak [--seed N] [--for SECONDS] [--logs DIR]\n\n\
+             Runs three gateways as processes of their own, with stand-ins for the platform behind
+             a proxy, and callers. Faults drawn from the seed overlap: connections are delayed,
+             silenced, cut one way or reset; gateways are killed, suspended, stopped and reloaded;
+             engines and the store fail. Prints every promise that was broken.\n\n\
+             Exit codes: 0 if every promise held, 1 if not, 2 for wrong usage.\n"
+        }
         _ => {
             "Usage: daisyyard verify [--json]\n\n\
              Explores small specifications of the core protocols and prints, for each invariant,\n\
@@ -182,7 +196,7 @@
         let seed = seed.unwrap_or_else(rand::random);
         runtime()?.block_on(faults::run(&deployment, seed))?
     } else {
-        let choice = Choice {
+        let choice = embedded::Choice {
             keep: matches.opt_present("keep"),
             tokens: matches.opt_present("tokens"),
         };
@@ -195,6 +209,26 @@
     })
 }
 
+/// Runs a soak.
+fn run_soak(arguments: &[String]) -> anyhow::Result<ExitCode> {
+    let mut options = Options::new();
+    options.optopt("s", "seed", "seed of faults and callers", "N");
+    options.optopt("f", "for", "time for which faults begin", "SECONDS");
+    options.optopt("l", "logs", "keep the logs of the gateways here", "DIR");
+    let matches = options.parse(arguments)?;
+    let choice = Choice {
+        seed: matches.opt_get("seed")?.unwrap_or_else(rand::random),
+        length: Duration::from_secs(matches.opt_get("for")?.unwrap_or(SOAK_S)),
+        program: std::env::current_exe()?,
+        logs: matches.opt_get("logs")?,
+    };
+    Ok(if runtime()?.block_on(soak::run(&choice))? {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
 /// Checks the core protocols and prints the result.
 fn verify(arguments: &[String]) -> anyhow::Result<ExitCode> {
     let mut options = Options::new();
--- a/crates/daisyyard/tests/gateway_moves.rs
+++ b/crates/daisyyard/tests/gateway_moves.rs
@@ -9,7 +9,7 @@
 use platform::{Platform, events, stream};
 
 /// Number of events of the streams; at the stand-in's pace they take 2 s.
-const EVENTS: u32 = 100;
+const EVENTS: u64 = 100;
 /// Prompt and output of such a stream.
 const USAGE: &str = "100,400";
 
--- a/crates/daisyyard/tests/platform/mod.rs
+++ b/crates/daisyyard/tests/platform/mod.rs
@@ -7,9 +7,12 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_standin::platform_engine::{PlatformEngine, Runs, Seen};
+use daisyyard_standin::platform_site::{self, HOST};
+#[allow(unused_imports, reason = "each test file uses a part of the platform")]
+pub(crate) use daisyyard_standin::platform_site::{CREDENTIAL, config, events, settings};
 use daisyyard_standin::platform_store::PlatformStore;
+use daisyyard_standin::ports;
 use hyper::{Method, StatusCode};
-use serde_json::{Value, json};
 
 /// Time within which something expected happens, even on a busy machine.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(10);
@@ -17,10 +20,6 @@
 const LOOK: Duration = Duration::from_millis(10);
 /// Time between two events of an engine.
 pub(crate) const PACE: Duration = Duration::from_millis(20);
-/// Credential of the client account.
-pub(crate) const CREDENTIAL: &str = "secret-of-member-1";
-/// Host of all routes.
-const HOST: &str = "desk.example";
 
 /// The platform with its gateways.
 pub(crate) struct Platform {
@@ -104,13 +103,7 @@
     /// Writes the entry of an engine or endpoint.
     pub(crate) async fn list(&self, index: usize, service: &str, state: &str) {
         let engine = &self.engines[index];
-        let mut entry = json!({
-            "service": service, "address": engine.address.to_string(), "zone": "zone-a",
-            "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1,
-        });
-        if service == "model" {
-            entry["stage"] = json!("prefill_decode");
-        }
+        let entry = platform_site::entry(service, engine.address, state);
         self.store
             .put(&format!("servers/{}", engine.name), &entry)
             .await;
@@ -183,74 +176,9 @@
     }
 }
 
-/// Returns the text of a stream with a number of events.
-pub(crate) fn events(count: u32) -> String {
-    let event = |number| format!("id: {number}\ndata: piece {number}\n\n");
-    (1..=count).map(event).collect()
-}
-
-/// Returns a configuration.
-pub(crate) fn config(version: u64) -> Value {
-    let route = |name: &str, kind: &str, service: &str, attempts: u32, public: bool| {
-        json!({
-            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
-            "timeout_ms": 6000, "target_latency_ms": 1500, "priority": 0, "service": service,
-            "max_attempts": attempts, "public": public, "sticky": false, "resumable": false,
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("draft", "streaming", "model", 1, false),
-            route("book", "non_idempotent", "desk", 1, false),
-            route("stock", "idempotent", "desk", 2, false),
-            route("open", "idempotent", "desk", 1, true),
-        ],
-        "services": [
-            {
-                "name": "model", "health_path": "/healthz", "max_connections": 100,
-                "protocol": "h1", "tls": false,
-                "engine": {
-                    "slots": 8, "kv_cache_tokens": 40000, "kv_bytes": 1, "link_mbps": 1.0,
-                    "moves": true, "backups": true, "stride": 4, "most": 4, "pin_ms": 1.0,
-                    "hold_ms": 1.0, "handle_s": 5.0, "models": [{ "name": "m" }],
-                },
-            },
-            { "name": "desk", "health_path": "/healthz", "max_connections": 100 },
-        ],
-        "limits": {
-            "max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
-            "idle_timeout_ms": 15000,
-        },
-        "tenants": [{ "name": "member-1", "api_keys": [CREDENTIAL], "priority": 1 }],
-    })
-}
-
-/// Returns a loopback address that is free at the moment.
-fn free() -> SocketAddr {
-    let port = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    port.local_addr().expect("an address")
-}
-
-/// Returns settings of a gateway.
-pub(crate) fn settings(store: SocketAddr, number: usize, listen: [SocketAddr; 5]) -> Value {
-    let [requests, ready, directory, digests, metrics] = listen.map(|one| one.to_string());
-    json!({
-        "name": format!("gateway-{number}"), "zone": "zone-a", "region": "region-a",
-        "zones": [{ "zone": "zone-a", "region": "region-a" }],
-        "store": store.to_string(),
-        "listen": {
-            "requests": requests, "ready": ready, "directory": directory, "digests": digests,
-            "metrics": metrics,
-        },
-        "bounds": { "contact_ms": 3000, "grace_s": 8, "directory_s": 5 },
-        "repeats": { "ratio": 0.2, "slack": 52, "window_s": 10 },
-    })
-}
-
 /// Starts a gateway in a process of its own.
 pub(crate) fn spawn(store: SocketAddr, number: usize) -> Gateway {
-    let listen = [free(), free(), free(), free(), free()];
+    let listen = ports::free();
     let name = format!("daisyyard-gateway-{}.json", listen[0].port());
     let path = std::env::temp_dir().join(name);
     let settings = settings(store, number, listen);
--- a/crates/daisyyard/tests/process/mod.rs
+++ b/crates/daisyyard/tests/process/mod.rs
@@ -9,8 +9,8 @@
 
 /// Returns a loopback address that is free at the moment.
 pub(crate) fn free() -> SocketAddr {
-    let port = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    port.local_addr().expect("an address")
+    let [address] = daisyyard_standin::ports::free();
+    address
 }
 
 /// Starts `daisyyard serve` with settings that listen on an address, and waits until it accepts.
--- /dev/null
+++ b/crates/daisyyard/tests/soak_seeds.rs
@@ -0,0 +1,31 @@
+//! Guards against broken promises of gateways while processes, connections, the store and engines
+//! fail from outside.
+
+use std::time::Duration;
+
+use daisyyard::soak::{self, Choice};
+
+/// A soak with a seed breaks no promise.
+async fn holds(seed: u64) {
+    let choice = Choice {
+        seed,
+        length: Duration::from_secs(6),
+        program: env!("CARGO_BIN_EXE_daisyyard").into(),
+        logs: None,
+    };
+    let violations = soak::violations(&choice).await;
+    let violations = violations.expect("the gateways start");
+    assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+}
+
+/// A gateway was ended by `SIGHUP` as it started, because it installed its handlers last.
+#[tokio::test(flavor = "multi_thread")]
+async fn early_reload() {
+    holds(3).await;
+}
+
+/// A short soak.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_soak() {
+    holds(1).await;
+}
--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -62,6 +62,10 @@
 
 /// Runs a gateway until the process is told to stop.
 pub async fn run(source: Source, dialect: Dialect) -> anyhow::Result<()> {
+    // A signal that arrives before its handler is in place ends the process.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
     let mut settings = (source.load)(&source.path)?;
     let log = Log::open()?;
     let gateway = Gateway::start(&settings, dialect, log.clone()).await?;
@@ -72,9 +76,6 @@
             settings.name, settings.listen.requests
         ),
     );
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut reload = signal(SignalKind::hangup())?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/crates/daisyyard_standin/src/lib.rs
+++ b/crates/daisyyard_standin/src/lib.rs
@@ -13,5 +13,8 @@
 pub mod outage;
 pub mod plain;
 pub mod platform_engine;
+pub mod platform_site;
 pub mod platform_store;
+pub mod ports;
+pub mod proxy;
 pub mod store;
--- a/crates/daisyyard_standin/src/platform_engine.rs
+++ b/crates/daisyyard_standin/src/platform_engine.rs
@@ -18,6 +18,8 @@
 
 use daisyyard_http::{self as http, Body};
 
+use crate::proxy::Proxy;
+
 /// Events that wait for a slow reader.
 const BUFFER: usize = 4;
 /// Tokens of an event.
@@ -86,7 +88,7 @@
 pub struct PlatformEngine {
     /// Name of the engine.
     pub name: String,
-    /// Address on which the engine accepts requests.
+    /// Address by which others know the engine.
     pub address: SocketAddr,
     /// How requests are treated.
     mode: watch::Sender<Mode>,
@@ -135,9 +137,40 @@
 
 impl PlatformEngine {
     /// Starts an engine on a free loopback port, with the time between two events.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
     pub async fn start(name: &str, pace: Duration, runs: &Runs) -> anyhow::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
+        Ok(Self::serve(name, pace, runs, listener, address))
+    }
+
+    /// Starts an engine that others reach through a proxy.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
+    pub async fn start_behind(
+        proxy: &Proxy,
+        name: &str,
+        pace: Duration,
+        runs: &Runs,
+    ) -> anyhow::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        proxy.forward(listener.local_addr()?);
+        Ok(Self::serve(name, pace, runs, listener, proxy.address))
+    }
+
+    /// Serves an engine that others know by an address.
+    fn serve(
+        name: &str,
+        pace: Duration,
+        runs: &Runs,
+        listener: TcpListener,
+        address: SocketAddr,
+    ) -> Self {
         let (mode, shown) = watch::channel(Mode::Serving);
         let engine = Engine {
             name: name.to_owned(),
@@ -147,12 +180,12 @@
             runs: runs.commands.clone(),
         };
         let server = http::serve(listener, move |request| engine.clone().handle(request));
-        Ok(Self {
+        Self {
             name: name.to_owned(),
             address,
             mode,
             server,
-        })
+        }
     }
 
     /// Changes how requests are treated.
