--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod ledger;
 pub mod length;
 pub mod link;
+pub mod load;
 pub mod member;
 mod memory;
 pub mod order;
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -8,13 +8,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use daisyyard_derive::{record, token};
+use daisyyard_derive::token;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::ejection::Ejections;
 use crate::endpoint::{Endpoint, State};
-use crate::id::{EndpointId, InstanceId, Revision, ServiceId, Tokens, ZoneId};
+use crate::id::{EndpointId, InstanceId, Revision, ZoneId};
+use crate::load::{Load, Need};
 use crate::seat::{MEMORY_FOR_ALL, Seat};
 use crate::zone::Zone;
 
@@ -27,9 +28,6 @@
 /// Time for which other nodes are told that an endpoint leaves. They read it from the store
 /// themselves within this time.
 const DEPARTURE_TOLD: Duration = Duration::from_secs(2);
-/// Share of the expected output that is reserved. The runs of an engine are at different stages,
-/// so that they do not need their most at the same time.
-const OUTPUT_RESERVED: f64 = 0.6;
 /// Weight of an engine in another availability zone for a copy, which takes twice as long.
 const COPY_ZONE_WEIGHT: f64 = 1.0;
 /// Largest random weight; it keeps nodes with the same view from choosing the same endpoint.
@@ -38,38 +36,6 @@
 /// the links of an engine, so that they are spread more widely than runs.
 const COPY_JITTER: f64 = 0.8;
 
-/// Outputs, in tokens, that are so short that their run frees its memory within a moment, and ends
-/// before a copy of it could be of use.
-pub const SHORT_OUTPUT: Tokens = 100;
-
-/// What a request needs of an endpoint.
-#[record]
-pub struct Need {
-    /// Service that answers.
-    pub service: ServiceId,
-    /// Tokens of the prompt.
-    pub prompt: Tokens,
-    /// Tokens that are expected to be generated.
-    pub output: Tokens,
-    /// Tokens of context that the memory of an engine of the service holds.
-    pub memory: Tokens,
-    /// Connections that one endpoint of the service accepts.
-    pub connections: u32,
-    /// Whether a copy of the run's memory is wanted at another engine.
-    pub backup: bool,
-}
-
-/// Load of one node at one endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Load {
-    /// Requests in progress.
-    pub runs: u32,
-    /// Tokens of context that the requests and the copies of others are expected to need.
-    pub tokens: Tokens,
-    /// Prompt tokens of requests whose first token has not arrived.
-    pub prefill: Tokens,
-}
-
 /// Where to send a request.
 #[derive(Debug, Clone)]
 pub enum Choice {
@@ -129,29 +95,6 @@
     random: Pcg64Mcg,
 }
 
-impl Need {
-    /// Returns whether the request is expected to end within a moment.
-    pub(crate) fn is_short(&self) -> bool {
-        self.output < SHORT_OUTPUT
-    }
-
-    /// Returns the tokens of context that are reserved for the request.
-    pub fn tokens(&self) -> Tokens {
-        self.prompt + (self.output as f64 * OUTPUT_RESERVED) as Tokens
-    }
-}
-
-impl Load {
-    /// Returns the sum of two loads.
-    pub(crate) fn plus(self, other: Self) -> Self {
-        Self {
-            runs: self.runs + other.runs,
-            tokens: self.tokens + other.tokens,
-            prefill: self.prefill + other.prefill,
-        }
-    }
-}
-
 impl Pool {
     /// Creates an empty pool of a node in a zone.
     pub fn new(zone: Zone, seed: u64) -> Self {
--- a/crates/daisyyard_core/src/seat.rs
+++ b/crates/daisyyard_core/src/seat.rs
@@ -6,7 +6,8 @@
 
 use crate::endpoint::{Endpoint, Kind, State};
 use crate::id::{InstanceId, Revision, ServiceId};
-use crate::pool::{Load, Need, Sign};
+use crate::load::{Load, Need};
+use crate::pool::Sign;
 use crate::zone::{Distance, Zone};
 
 /// Share of an engine's memory that new long runs may reserve. The rest receives short runs and the
--- a/crates/daisyyard_core/tests/pool_choice.rs
+++ b/crates/daisyyard_core/tests/pool_choice.rs
@@ -7,7 +7,8 @@
 use assert_matches::assert_matches;
 use daisyyard_core::endpoint::{Endpoint, Kind, State};
 use daisyyard_core::id::{self, EndpointId};
-use daisyyard_core::pool::{Choice, Load, Need, Pool, Room, Sign};
+use daisyyard_core::load::{Load, Need};
+use daisyyard_core::pool::{Choice, Pool, Room, Sign};
 use daisyyard_core::zone::Zone;
 
 /// Tokens that an engine of these tests holds.
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -7,7 +7,7 @@
 
 use daisyyard_core::allowance::Count;
 use daisyyard_core::id::{EndpointId, InstanceId, Revision, ServiceId};
-use daisyyard_core::pool::Load;
+use daisyyard_core::load::Load;
 use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
--- a/crates/daisyyard_gateway/src/job.rs
+++ b/crates/daisyyard_gateway/src/job.rs
@@ -9,7 +9,7 @@
 use daisyyard_core::catalog::{Client, Engine, Kind, Priority, Route};
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::id::{ServiceId, Tokens};
-use daisyyard_core::pool::{Need, SHORT_OUTPUT};
+use daisyyard_core::load::{Need, SHORT_OUTPUT};
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Uri};
 
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body;
 pub mod dialect;
 pub(crate) mod digest;
+pub(crate) mod escape;
 pub(crate) mod event;
 pub mod events;
 pub(crate) mod exchange;
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -8,7 +8,8 @@
 use daisyyard_core::backlog::Due;
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::id::{EndpointId, InstanceId, RequestId, Revision, ServiceId};
-use daisyyard_core::pool::{Load, Need, Sign};
+use daisyyard_core::load::{Load, Need};
+use daisyyard_core::pool::Sign;
 use tokio::sync::{mpsc, oneshot};
 use xtra::WeakAddress;
 
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -17,32 +17,23 @@
 
 use crate::body::Piece;
 use crate::dialect::Resume;
+use crate::escape::{Leaving, wait};
 use crate::event::Event;
 use crate::events::Events;
 use crate::exchange::Exchange;
 use crate::job::Job;
-use crate::message::{Abandon, Escape, First, Grant, Hop, Notice, Repeat, Undo, Way};
+use crate::message::{First, Grant, Hop, Notice, Repeat, Undo};
 use crate::store;
 
 /// Time without an event after which an engine counts as silent.
 const SILENCE: Duration = Duration::from_millis(1_500);
-/// Time after the first event of a run at an engine until its first copy is complete elsewhere.
-const FIRST_BACKUP: Duration = Duration::from_millis(800);
-/// Time between two looks for an engine with room for a run whose own engine leaves.
-const STEP_PAUSE: Duration = Duration::from_millis(100);
 /// Time for an engine to go on with a run.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time for an engine to copy the memory of a run.
-const COPY_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// A copy that takes no longer leaves so little for the last one that callers see no pause.
-const SHORT_COPY: Duration = Duration::from_millis(50);
-/// Copies before the last one at most.
-const MOST_COPIES: u32 = 8;
 /// Longest time for which two engines work on one run while it goes from one to the other.
 const OVERLAP: Duration = Duration::from_millis(250);
 /// Reason to go on elsewhere: the engine leaves.
-const LEAVING: &str = "leaving";
+pub(crate) const LEAVING: &str = "leaving";
 /// Reason to go on elsewhere: the engine is silent. Without another engine to go on at, silence is no
 /// reason to end the stream.
 const SILENT: &str = "silent";
@@ -54,46 +45,21 @@
 #[derive(Debug)]
 pub(crate) struct Relay {
     /// What every request needs.
-    exchange: Exchange,
+    pub(crate) exchange: Exchange,
     /// The request.
-    job: Arc<Job>,
+    pub(crate) job: Arc<Job>,
     /// Room at the engine.
-    grant: Grant,
+    pub(crate) grant: Grant,
     /// Answer of the engine; none between two engines.
     upstream: Option<Upstream>,
     /// Passes events on to the caller.
     sender: mpsc::Sender<Piece>,
     /// Events that were passed on.
-    events: Events,
+    pub(crate) events: Events,
     /// When the first event came from the present engine.
-    begun: Option<Instant>,
+    pub(crate) begun: Option<Instant>,
     /// How far the way to another engine is prepared.
-    leaving: Leaving,
-}
-
-/// How far the way from an engine that leaves is prepared.
-#[derive(Debug)]
-enum Leaving {
-    /// The engine stays.
-    Stays,
-    /// The next step is due at a time.
-    Due(Instant),
-    /// The memory of the run is being copied to the engine with the room for it.
-    Copying(Copying),
-}
-
-/// A copy of the run's memory that is under way. The run goes on meanwhile, and copies follow each
-/// other until one has so little left that the run can stop for the last.
-#[derive(Debug)]
-struct Copying {
-    /// Asks the engine for the copy.
-    task: AbortOnDropHandle<Result<Bytes, store::Error>>,
-    /// Engine that receives the memory.
-    target: Arc<Endpoint>,
-    /// When the copy began.
-    began: Instant,
-    /// Copies before this one.
-    rounds: u32,
+    pub(crate) leaving: Leaving,
 }
 
 /// What to do next.
@@ -239,105 +205,9 @@
         Ok(())
     }
 
-    /// Returns whether the engines of the service move runs.
-    fn movable(&self) -> bool {
-        self.job.engine.is_some_and(|engine| engine.moves)
-    }
-
-    /// Takes the next step away from an engine that leaves; returns whether the stream goes on.
-    async fn step(&mut self) -> bool {
-        let way = self.exchange.pool.send(Escape(self.grant.run)).await;
-        match way.unwrap_or(Way::Nowhere) {
-            Way::Backup => {
-                let now = Instant::now();
-                let ready = self.begun.unwrap_or(now) + FIRST_BACKUP;
-                if ready > now {
-                    self.leaving = Leaving::Due(ready);
-                    return true;
-                }
-                self.go_on(None, LEAVING).await
-            }
-            Way::Move(target) if self.movable() => {
-                let details = format!(
-                    "request={} endpoint={} target={} events={}",
-                    self.job.attempt,
-                    self.grant.endpoint.name,
-                    target.name,
-                    self.events.count(),
-                );
-                self.exchange.log.emit(Event::CopyStarted, &details);
-                self.copy_on(target, 0);
-                true
-            }
-            Way::Move(_) | Way::Nowhere => {
-                self.leaving = Leaving::Due(Instant::now() + STEP_PAUSE);
-                true
-            }
-        }
-    }
-
-    /// Starts a copy that is not the last.
-    fn copy_on(&mut self, target: Arc<Endpoint>, rounds: u32) {
-        let copy = copy(&self.exchange, &self.job, &self.grant, &target, false);
-        self.leaving = Leaving::Copying(Copying {
-            task: AbortOnDropHandle::new(tokio::spawn(copy)),
-            target,
-            began: Instant::now(),
-            rounds,
-        });
-    }
-
-    /// Goes on after a copy: with another one, with the last one, or at the engine that has it;
-    /// returns whether the stream goes on.
-    async fn copied(&mut self, result: Result<Bytes, store::Error>) -> bool {
-        let leaving = std::mem::replace(&mut self.leaving, Leaving::Stays);
-        let Leaving::Copying(Copying {
-            target,
-            began,
-            rounds,
-            ..
-        }) = leaving
-        else {
-            return true;
-        };
-        let last = match result {
-            Ok(_) if began.elapsed() > SHORT_COPY && rounds < MOST_COPIES => {
-                self.copy_on(target, rounds + 1);
-                return true;
-            }
-            Ok(_) => copy(&self.exchange, &self.job, &self.grant, &target, true).await,
-            Err(error) => Err(error),
-        };
-        let read = self.exchange.dialect.engine.copied;
-        let copied = last.and_then(|answer| read(&answer).map_err(store::Error::Unusable));
-        match copied {
-            Ok(copied) => self.go_on(Some(copied.copy), LEAVING).await,
-            Err(error) => {
-                let details = format!(
-                    "request={} endpoint={} target={} ms={} rounds={rounds} reason={:?}",
-                    self.job.attempt,
-                    self.grant.endpoint.name,
-                    target.name,
-                    began.elapsed().as_millis(),
-                    error.to_string(),
-                );
-                self.exchange.log.emit(Event::CopyFailed, &details);
-                self.abandon().await;
-                true
-            }
-        }
-    }
-
-    /// Gives up the engine that was to receive the run, and looks for another one soon.
-    async fn abandon(&mut self) {
-        // The pool ends only with the process.
-        let _ = self.exchange.pool.send(Abandon(self.grant.run)).await;
-        self.leaving = Leaving::Due(Instant::now() + STEP_PAUSE);
-    }
-
     /// Lets the run go on at its backup engine, from the copy there or from one that was moved
     /// under a name; returns whether the stream goes on, here or there.
-    async fn go_on(&mut self, moved: Option<String>, reason: &'static str) -> bool {
+    pub(crate) async fn go_on(&mut self, moved: Option<String>, reason: &'static str) -> bool {
         let began = Instant::now();
         let source = Arc::clone(&self.grant.endpoint);
         // An engine that leaves or is silent runs the request until another one does.
@@ -439,29 +309,6 @@
     }
 }
 
-/// Asks the engine of a run to copy its memory to another engine; the last copy ends the run there.
-fn copy(
-    exchange: &Exchange,
-    job: &Job,
-    grant: &Grant,
-    target: &Endpoint,
-    last: bool,
-) -> impl Future<Output = Result<Bytes, store::Error>> + use<> {
-    let call = (exchange.dialect.engine.copy)(&job.attempt, target.address, last);
-    let source = grant.endpoint.address;
-    store::call(source, call, COPY_TIMEOUT)
-}
-
-/// Waits for a task, or for ever if there is none.
-async fn wait(
-    task: Option<&mut AbortOnDropHandle<Result<Bytes, store::Error>>>,
-) -> Result<Bytes, store::Error> {
-    match task {
-        Some(task) => task.await.unwrap_or(Err(store::Error::Broken)),
-        None => std::future::pending().await,
-    }
-}
-
 /// Waits until a time, or for ever if there is none.
 async fn sleep_until(time: Option<Instant>) {
     match time {
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -5,7 +5,8 @@
 
 use daisyyard_core::endpoint::{Endpoint, State};
 use daisyyard_core::id::{EndpointId, RequestId};
-use daisyyard_core::pool::{Choice, Load, Need, Room, Sign};
+use daisyyard_core::load::{Load, Need};
+use daisyyard_core::pool::{Choice, Room, Sign};
 use tokio::sync::mpsc;
 use xtra::{Context, Handler};
 
