Send the loads of a gateway in as many datagrams as they need

Cause: a digest carried the first endpoints only (48, and 32 since it also names endpoints that leave or are left out), so that a gateway with more told the others too little and they took full engines for free. Found in the read-through; the sites have no gateway with so many.

Change: further datagrams carry the rest and are added to the first.

--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -350,6 +350,11 @@
         for seat in self.seats.values_mut() {
             seat.others.remove(&from);
         }
+        self.learn_more(from, loads, now);
+    }
+
+    /// Takes further loads of another node.
+    pub fn learn_more(&mut self, from: InstanceId, loads: &[(EndpointId, Load)], now: Instant) {
         for (id, load) in loads {
             if let Some(seat) = self.seats.get_mut(id) {
                 seat.others.insert(from, (*load, now));
--- a/crates/daisyyard_core/tests/pool_choice.rs
+++ b/crates/daisyyard_core/tests/pool_choice.rs
@@ -236,6 +236,26 @@
     assert!(chosen(&mut pool, &need(1_000, false), &[], later).is_some());
 }
 
+/// The loads of a node that tells them in several parts count together, until it tells them anew.
+///
+/// Guards against engines that look free because a node has more loads than fit one message.
+#[test]
+fn loads_in_parts() {
+    let now = Instant::now();
+    let mut pool = pool(&["one", "two"], now);
+    let load = Load {
+        runs: 1,
+        tokens: MEMORY,
+        prefill: 0,
+    };
+    pool.learn(7, &[(id::of("one"), load)], now);
+    pool.learn_more(7, &[(id::of("two"), load)], now);
+    assert_matches!(pool.choose(&need(1_000, false), &[], now), Choice::Wait);
+    pool.learn(7, &[(id::of("one"), load)], now);
+    let found = chosen(&mut pool, &need(1_000, false), &[], now);
+    assert_eq!(found.as_deref(), Some("two"));
+}
+
 /// An endpoint receives no more requests than it accepts connections.
 #[test]
 fn connection_limit() {
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -61,6 +61,9 @@
     /// Endpoints that the sender leaves out.
     #[prost(fixed64, repeated, tag = "8")]
     ejections: Vec<EndpointId>,
+    /// Whether the loads belong to those of the frame before.
+    #[prost(bool, tag = "9")]
+    rest: bool,
 }
 
 /// An endpoint that began to leave.
@@ -162,10 +165,25 @@
     }
 }
 
-impl From<&Report> for Frame {
-    fn from(report: &Report) -> Self {
-        let items = report.loads.iter().take(ITEMS).map(Item::from);
+impl Frame {
+    /// Returns the frames of a report: one, or several if its loads do not fit one datagram.
+    fn all(report: &Report) -> Vec<Self> {
+        let (first, rest) = report.loads.split_at(report.loads.len().min(ITEMS));
+        let rest = rest.chunks(ITEMS);
+        let rest = rest.map(|loads| Self {
+            rest: true,
+            ..Self::new(report, loads)
+        });
+        std::iter::once(Self::new(report, first))
+            .chain(rest)
+            .collect()
+    }
+
+    /// Returns a frame with some of the loads of a report.
+    fn new(report: &Report, loads: &[(EndpointId, Load)]) -> Self {
+        let items = loads.iter().map(Item::from);
         Self {
+            rest: false,
             instance: report.from,
             leaving: report.leaving,
             items: items.collect(),
@@ -195,6 +213,7 @@
             leaving: frame.leaving,
             version: frame.version,
             arrival: frame.arrival,
+            rest: frame.rest,
             ejections: frame.ejections,
             departures: frame.departures.into_iter().map(Into::into).collect(),
             loads: frame.items.into_iter().map(Into::into).collect(),
@@ -217,7 +236,7 @@
 /// Sends and receives digests until the pool ends.
 async fn exchange(socket: UdpSocket, pool: WeakAddress<Pool>, changed: Arc<Notify>) {
     let mut buffer = vec![0; MAX_DATAGRAM];
-    let mut last = Frame::default();
+    let mut last = Vec::new();
     let mut sent = Instant::now();
     let mut due = sent + PERIOD;
     let mut quiet = 0;
@@ -228,12 +247,14 @@
                 let Ok(report) = pool.send(Digest).await else {
                     return;
                 };
-                let frame = Frame::from(&report);
+                let frames = Frame::all(&report);
                 quiet += 1;
-                if frame != last || quiet >= QUIET_PERIODS {
+                if frames != last || quiet >= QUIET_PERIODS {
                     quiet = 0;
-                    send(&socket, &frame, &report.targets).await;
-                    last = frame;
+                    for frame in &frames {
+                        send(&socket, frame, &report.targets).await;
+                    }
+                    last = frames;
                 }
                 sent = Instant::now();
                 due = sent + PERIOD;
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -158,6 +158,8 @@
     pub(crate) departures: Vec<(EndpointId, Revision)>,
     /// Endpoints that it leaves out because its requests failed there.
     pub(crate) ejections: Vec<EndpointId>,
+    /// Whether the loads belong to those of the report before.
+    pub(crate) rest: bool,
     /// Its loads.
     pub(crate) loads: Vec<(EndpointId, Load)>,
     /// Its requests and repeated sends.
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -323,6 +323,7 @@
             leaving: self.leaving,
             version: self.version.unwrap_or(0),
             arrival: self.endpoints.arrival(),
+            rest: false,
             ejections: self.endpoints.ejections(Instant::now()).collect(),
             departures: self.endpoints.departures(Instant::now()).collect(),
             loads: self.endpoints.loads().collect(),
@@ -338,7 +339,12 @@
     async fn handle(&mut self, message: Report, _: &mut Context<Self>) {
         let now = Instant::now();
         if self.members.hear(message.from, message.leaving, now) {
-            self.endpoints.learn(message.from, &message.loads, now);
+            let (from, loads) = (message.from, &message.loads);
+            if message.rest {
+                self.endpoints.learn_more(from, loads, now);
+            } else {
+                self.endpoints.learn(from, loads, now);
+            }
             self.allowance.learn(message.from, message.counts, now);
             let ejections = &message.ejections;
             self.endpoints.hear_ejections(message.from, ejections, now);
