Share only ejections that concern every gateway

Cause: a gateway whose path to an endpoint is cut leaves it out, and two such gateways would have made all others leave it out although they reach it.

Change: only endpoints that refuse connections or lose requests are named in digests, not those that cannot be reached.

--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -70,8 +70,10 @@
     Sound,
     /// The endpoint failed the request.
     Failed,
-    /// The endpoint did not accept a connection.
+    /// The endpoint could not be reached from here.
     Unreachable,
+    /// Nothing listens at the endpoint's address.
+    Refused,
     /// The endpoint broke the connection without an answer.
     Lost,
     /// The request ended for reasons of its own.
@@ -327,9 +329,11 @@
         }
     }
 
-    /// Returns the endpoints that this node leaves out because its requests failed there.
+    /// Returns the endpoints that this node leaves out for reasons that concern every node, unlike a
+    /// path that is broken here.
     pub fn ejections(&self, now: Instant) -> impl Iterator<Item = EndpointId> {
-        let seats = self.seats.iter().filter(move |(_, seat)| !seat.usable(now));
+        let failing = move |seat: &Seat| seat.fails_all && !seat.usable(now);
+        let seats = self.seats.iter().filter(move |(_, seat)| failing(seat));
         seats.map(|(id, _)| *id)
     }
 
--- a/crates/daisyyard_core/src/seat.rs
+++ b/crates/daisyyard_core/src/seat.rs
@@ -60,6 +60,8 @@
     pub(crate) unlisted: Option<Instant>,
     /// End of the time for which no request is sent, and its length.
     ejected: Option<(Instant, Duration)>,
+    /// Whether the endpoint is left out for a reason that concerns every node.
+    pub(crate) fails_all: bool,
     /// Requests in a row that the endpoint lost.
     losses: u32,
     /// Share of failed requests among the newest ones.
@@ -79,6 +81,7 @@
             departed: None,
             unlisted: None,
             ejected: None,
+            fails_all: false,
             losses: 0,
             failures: 0.0,
         }
@@ -89,7 +92,7 @@
         let failed = match sign {
             Sign::Nothing => return,
             Sign::Sound => 0.0,
-            Sign::Failed | Sign::Unreachable | Sign::Lost => 1.0,
+            Sign::Failed | Sign::Unreachable | Sign::Refused | Sign::Lost => 1.0,
         };
         self.failures += FAILURE_SHARE * (failed - self.failures);
         self.losses = if sign == Sign::Lost {
@@ -99,16 +102,17 @@
         };
         let again = self.ejected.is_some();
         match sign {
-            Sign::Unreachable => self.eject(now),
+            Sign::Unreachable | Sign::Refused => self.eject(sign, now),
             // One request may be lost for reasons of its own.
-            Sign::Lost if again || self.losses >= LOSSES => self.eject(now),
+            Sign::Lost if again || self.losses >= LOSSES => self.eject(sign, now),
             Sign::Lost => {}
             _ => self.ejected = None,
         }
     }
 
     /// Leaves the endpoint out for a while, which doubles each time.
-    fn eject(&mut self, now: Instant) {
+    fn eject(&mut self, sign: Sign, now: Instant) {
+        self.fails_all = sign != Sign::Unreachable;
         let last = self.ejected.map_or(EJECTION / 2, |(_, length)| length);
         let length = (last * 2).min(LONGEST_EJECTION);
         self.ejected = Some((now + length, length));
--- a/crates/daisyyard_core/tests/pool_choice.rs
+++ b/crates/daisyyard_core/tests/pool_choice.rs
@@ -216,7 +216,10 @@
     pool.hear_ejections(7, &[], now);
     pool.hear_ejections(8, &[one], now);
     assert_eq!(chosen(&mut pool, &small, &[], now).as_deref(), Some("one"));
-    pool.observe(one, Sign::Unreachable, now);
+    pool.observe(one, Sign::Refused, now);
+    assert_eq!(pool.ejections(now).collect::<Vec<_>>(), vec![one]);
+    // A path that is broken here says nothing about the paths of other nodes.
+    pool.observe(two, Sign::Unreachable, now);
     assert_eq!(pool.ejections(now).collect::<Vec<_>>(), vec![one]);
 }
 
--- a/crates/daisyyard_gateway/src/exchange.rs
+++ b/crates/daisyyard_gateway/src/exchange.rs
@@ -307,7 +307,8 @@
 /// Returns what a connection's failure says about the endpoint.
 fn sign(failure: Failure) -> Sign {
     match failure {
-        Failure::Refused | Failure::Unreachable => Sign::Unreachable,
+        Failure::Refused => Sign::Refused,
+        Failure::Unreachable => Sign::Unreachable,
         Failure::Unwritten | Failure::Partial | Failure::Broken => Sign::Lost,
         Failure::Silent => Sign::Failed,
     }
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -171,7 +171,7 @@
         if let Some(run) = self.runs.remove(&id) {
             self.load(&run, false);
             self.endpoints.observe(run.endpoint, sign, Instant::now());
-            if matches!(sign, Sign::Lost | Sign::Unreachable) {
+            if matches!(sign, Sign::Lost | Sign::Refused) {
                 self.changed.notify_one();
             }
             self.schedule();
