Use one copy of timers, JSON answers and store results

- The gateway's pool had a timer loop beside the node's ticker, and the soak a sleep_until beside the relay's: both are in daisyyard_gateway::timer, which the node uses too.
- kv.rs and store.rs sorted answers in the same matches twice each: Answer::value and Answer::written.
- Core's pool set a new and a known seat in two copies, and built two lists for each choice although no other gateway reports anything most of the time.
- Further datagrams of a digest repeated all but the loads; the targets of a digest stood in the message that is also received.
- The gateway's log could be without a logger, which never happens; its retry times had no names; JSON answers were written twice.
- The soak's test of a served request stood twice.

--- a/crates/daisyyard/src/admission.rs
+++ b/crates/daisyyard/src/admission.rs
@@ -9,6 +9,7 @@
 use daisyyard_core::id::{EndpointId, InstanceId, RequestId};
 use daisyyard_core::ledger::{self, Answer, Ledger, Next};
 use daisyyard_core::preset::Preset;
+use daisyyard_gateway::timer::{self, Tick};
 use tokio::sync::oneshot;
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
 
@@ -16,7 +17,6 @@
 use crate::peer::{Peer, Send};
 use crate::progress::made;
 pub(crate) use crate::progress::{Progress, Release};
-use crate::ticker::{self, Tick};
 use crate::wire::{self, Made, Message, Verdict};
 
 /// Time between two checks of waiting requests and expired grants.
@@ -107,7 +107,7 @@
         peer,
     };
     let address = xtra::spawn_tokio(actor, Mailbox::unbounded());
-    ticker::spawn(address.downgrade(), TICK);
+    timer::spawn(address.downgrade(), TICK);
     address
 }
 
--- a/crates/daisyyard/src/calls.rs
+++ b/crates/daisyyard/src/calls.rs
@@ -7,12 +7,12 @@
 use daisyyard_core::call::{Limits, Next, Partition, Reason, Step, Written};
 use daisyyard_core::id::{AccountId, Fingerprint, ServiceId};
 use daisyyard_core::record::{self, Answer, Attempt};
+use daisyyard_gateway::timer::{self, Tick};
 use tokio::sync::oneshot;
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
 
 use crate::event::{self, Event};
 use crate::registry::{self, Reply};
-use crate::ticker::{self, Tick};
 
 /// Least time between two writes of one partition; claims that arrive meanwhile share the next.
 const WRITE_PERIOD: Duration = Duration::from_millis(200);
@@ -156,7 +156,7 @@
         stats: Stats::default(),
     };
     let address = xtra::spawn_tokio(actor, Mailbox::unbounded());
-    ticker::spawn(address.downgrade(), TICK);
+    timer::spawn(address.downgrade(), TICK);
     address
 }
 
--- a/crates/daisyyard/src/command.rs
+++ b/crates/daisyyard/src/command.rs
@@ -10,7 +10,6 @@
 use getopts::Options;
 
 use crate::settings::{Level, Log, Settings};
-use crate::soak::Choice;
 use crate::{
     embedded, event, experiment, faults, gateway_settings, node, operator, report, settings, soak,
 };
@@ -101,15 +100,16 @@
             "Usage: daisyyard try [--deployment association|pit-works] [--keep] [--tokens]\n\
              \x20      daisyyard try --faults [--seed N] [--deployment association|pit-works]\n\n\
              Runs three nodes and stand-ins for the platform on loopback and checks the promises.\n\
-             --keep leaves the fleet running and prints commands that work on it; --faults runs\n\
+             --keep leaves the fleet running and prints commands that work on it; --tokens prints\n\
+             each token of the long answer as it arrives; --faults runs\n\
              callers for about 10 s while parts of the fleet fail at times drawn from the seed.\n\n\
              Exit codes: 0 if every promise that was checked held, 1 if not, 2 for wrong usage.\n"
         }
         "soak" => {
             "Usage: daisyyard soak [--seed N] [--for SECONDS] [--logs DIR]\n\n\
-             Runs three gateways as processes of their own, with stand-ins for the platform behind
-             a proxy, and callers. Faults drawn from the seed overlap: connections are delayed,
-             silenced, cut one way or reset; gateways are killed, suspended, stopped and reloaded;
+             Runs three gateways as processes of their own, with stand-ins for the platform behind\n\
+             a proxy, and callers. Faults drawn from the seed overlap: connections are delayed,\n\
+             silenced, cut one way or reset; gateways are killed, suspended, stopped and reloaded;\n\
              engines and the store fail. Prints every promise that was broken.\n\n\
              Exit codes: 0 if every promise held, 1 if not, 2 for wrong usage.\n"
         }
@@ -216,7 +216,7 @@
     options.optopt("f", "for", "time for which faults begin", "SECONDS");
     options.optopt("l", "logs", "keep the logs of the gateways here", "DIR");
     let matches = options.parse(arguments)?;
-    let choice = Choice {
+    let choice = soak::Choice {
         seed: matches.opt_get("seed")?.unwrap_or_else(rand::random),
         length: Duration::from_secs(matches.opt_get("for")?.unwrap_or(SOAK_S)),
         program: std::env::current_exe()?,
--- a/crates/daisyyard/src/kv.rs
+++ b/crates/daisyyard/src/kv.rs
@@ -34,6 +34,24 @@
     Written(Revision),
 }
 
+impl Answer {
+    /// Returns the value that was read.
+    pub(crate) fn value(self) -> Result<Option<Entry>, Error> {
+        match self {
+            Self::Value(entry) => Ok(entry),
+            Self::Unchanged | Self::Written(_) => Err(Error::Unanswered),
+        }
+    }
+
+    /// Returns the revision that was written.
+    pub(crate) fn written(self) -> Result<Revision, Error> {
+        match self {
+            Self::Written(revision) => Ok(revision),
+            Self::Value(_) | Self::Unchanged => Err(Error::Unanswered),
+        }
+    }
+}
+
 /// Why a call has no answer.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum Error {
@@ -148,10 +166,7 @@
 
 /// Reads a key once; returns its value, if it exists.
 pub(crate) async fn get(service: SocketAddr, key: &str) -> Result<Option<Entry>, Error> {
-    match Call::get(key).send(service).await? {
-        Answer::Value(entry) => Ok(entry),
-        Answer::Unchanged | Answer::Written(_) => Err(Error::Unanswered),
-    }
+    Call::get(key).send(service).await?.value()
 }
 
 /// Writes a key once if it has the expected revision.
@@ -161,11 +176,12 @@
     expected: Revision,
     value: Bytes,
 ) -> Written {
-    match Call::put(key, expected, value).send(service).await {
-        Ok(Answer::Written(revision)) => Written::Done(revision),
+    let answer = Call::put(key, expected, value).send(service).await;
+    match answer.and_then(Answer::written) {
+        Ok(revision) => Written::Done(revision),
         Err(Error::Conflict(_)) => Written::Conflict,
         Err(Error::Unsent) => Written::Unsent,
         // Any other status or a broken connection does not prove that the value is unchanged.
-        Ok(_) | Err(Error::Unanswered | Error::Declined(_)) => Written::Lost,
+        Err(Error::Unanswered | Error::Declined(_)) => Written::Lost,
     }
 }
--- a/crates/daisyyard/src/lib.rs
+++ b/crates/daisyyard/src/lib.rs
@@ -60,7 +60,6 @@
 pub mod status;
 pub(crate) mod store;
 pub(crate) mod table;
-pub(crate) mod ticker;
 pub(crate) mod track;
 pub(crate) mod upstream;
 pub mod wire;
--- a/crates/daisyyard/src/machine.rs
+++ b/crates/daisyyard/src/machine.rs
@@ -2,11 +2,12 @@
 
 use std::fs::File;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
+use daisyyard_gateway::timer;
 use daisyyard_standin::{platform_site, ports};
 use tokio::process::{Child, Command};
 use tokio::sync::{mpsc, oneshot};
@@ -16,7 +17,6 @@
 /// Time for a process that was told to stop: its grace period of 8 s, the longest pause, and a
 /// second of a busy machine.
 const STOP_LIMIT: Duration = Duration::from_secs(11);
-
 /// Longest time to load the program and install its handlers.
 const LOADING: Duration = Duration::from_millis(500);
 
@@ -104,7 +104,7 @@
 }
 
 /// Starts the program.
-fn start(terms: &Terms, settings: &PathBuf) -> anyhow::Result<Child> {
+fn start(terms: &Terms, settings: &Path) -> anyhow::Result<Child> {
     let output = match &terms.logs {
         Some(directory) => {
             let path = directory.join(format!("gateway-{}.log", terms.number));
@@ -156,7 +156,7 @@
                         return;
                     }
                 }
-                () = until(late) => {
+                () = timer::sleep_until(late) => {
                     self.fault("did not stop within the grace period");
                     self.stopping = None;
                     self.kill();
@@ -242,11 +242,3 @@
     let mask = mask.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
     mask.is_some_and(|mask| mask & 1 == 1)
 }
-
-/// Waits until a time, or for ever if there is none.
-async fn until(time: Option<Instant>) {
-    match time {
-        Some(time) => tokio::time::sleep_until(time.into()).await,
-        None => std::future::pending().await,
-    }
-}
--- a/crates/daisyyard/src/peer.rs
+++ b/crates/daisyyard/src/peer.rs
@@ -11,6 +11,7 @@
 use daisyyard_core::instance::{Instance, State};
 use daisyyard_core::member::{Change, Next, View};
 use daisyyard_core::preset::Document;
+use daisyyard_gateway::timer::{self, Tick};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
@@ -24,7 +25,6 @@
 use crate::meter::Meter;
 use crate::remote::Homes;
 use crate::status::{Source, Traffic};
-use crate::ticker::{self, Tick};
 use crate::wire::{self, Heartbeat, Message};
 
 /// Time between two heartbeats.
@@ -158,7 +158,7 @@
         traffic: Traffic::default(),
     };
     tokio::spawn(xtra::run(mailbox, actor));
-    ticker::spawn(address.downgrade(), PERIOD);
+    timer::spawn(address.downgrade(), PERIOD);
     (address, watched, tokio::spawn(listen(listener, terms)))
 }
 
--- a/crates/daisyyard/src/soak.rs
+++ b/crates/daisyyard/src/soak.rs
@@ -228,11 +228,7 @@
                 loop {
                     let attempt = format!("s{seed}-recovery-{number}-{kind:?}-{tries}");
                     let record = soak_caller::ask(machine.requests, attempt, kind).await;
-                    let served = |end: &End| {
-                        matches!(end, End::Answer { status, whole: true, .. }
-                            if *status == StatusCode::OK)
-                    };
-                    let served = served(&record.end);
+                    let served = record.end.is_served();
                     let late = Instant::now() >= end;
                     anyhow::ensure!(served || !late, "not served: {record:?}");
                     records.push(record);
@@ -262,7 +258,7 @@
 
 /// Returns the number of requests by how they ended.
 fn summary(records: &[Record]) -> String {
-    let served = |record: &&Record| matches!(record.end, End::Answer { status, whole: true, .. } if status.is_success());
+    let served = |record: &&Record| record.end.is_served();
     let refused =
         |record: &&Record| matches!(record.end, End::Answer { status, .. } if !status.is_success());
     let silent = |record: &&Record| record.end == End::Nothing;
--- a/crates/daisyyard/src/soak_caller.rs
+++ b/crates/daisyyard/src/soak_caller.rs
@@ -51,6 +51,13 @@
     },
 }
 
+impl End {
+    /// Returns whether a whole answer arrived from an endpoint that served the request.
+    pub(crate) fn is_served(&self) -> bool {
+        matches!(self, Self::Answer { status, whole: true, .. } if *status == StatusCode::OK)
+    }
+}
+
 /// A request and its end.
 #[derive(Debug, Clone)]
 pub(crate) struct Record {
--- a/crates/daisyyard/src/store.rs
+++ b/crates/daisyyard/src/store.rs
@@ -68,10 +68,7 @@
     /// Reads a key.
     pub(crate) async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
         let until = Some(Instant::now() + PATIENCE);
-        match self.call(Call::get(key), until).await? {
-            Answer::Value(entry) => Ok(entry),
-            Answer::Unchanged | Answer::Written(_) => Err(Error::Unanswered),
-        }
+        self.call(Call::get(key), until).await?.value()
     }
 
     /// Waits until a key's revision differs from the one given, or until a time has passed.
@@ -96,10 +93,8 @@
         value: Bytes,
     ) -> Result<(), Error> {
         let until = Some(Instant::now() + PATIENCE);
-        match self.call(Call::put(key, expected, value), until).await? {
-            Answer::Written(_) => Ok(()),
-            Answer::Value(_) | Answer::Unchanged => Err(Error::Unanswered),
-        }
+        let answer = self.call(Call::put(key, expected, value), until).await?;
+        answer.written().map(drop)
     }
 
     /// Writes a key and finds out by reading back whether a write without answer took effect.
--- a/crates/daisyyard_core/src/ejection.rs
+++ b/crates/daisyyard_core/src/ejection.rs
@@ -32,7 +32,11 @@
     ///
     /// If that were more than half of them, none is: the nodes that report may be at fault, and
     /// the service must not be emptied.
-    pub(crate) fn among(&self, live: &[EndpointId], now: Instant) -> Vec<EndpointId> {
+    pub(crate) fn among(
+        &self,
+        live: impl Iterator<Item = EndpointId> + Clone,
+        now: Instant,
+    ) -> Vec<EndpointId> {
         if self.heard.is_empty() {
             return Vec::new();
         }
@@ -41,9 +45,9 @@
             let heard = self.heard.values().filter(|(_, said)| fresh(said));
             heard.filter(|(ids, _)| ids.contains(id)).count()
         };
-        let ids = live.iter().copied();
-        let reported: Vec<EndpointId> = ids.filter(|id| reports(id) >= REPORTS).collect();
-        if reported.len() * 2 > live.len() {
+        let count = live.clone().count();
+        let reported: Vec<EndpointId> = live.filter(|id| reports(id) >= REPORTS).collect();
+        if reported.len() * 2 > count {
             Vec::new()
         } else {
             reported
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -119,27 +119,19 @@
     pub fn put(&mut self, endpoint: Endpoint, cold: Duration, now: Instant) -> bool {
         let leaving = endpoint.state != State::Live;
         let endpoint = Arc::new(endpoint);
-        let departed = leaving.then_some((now, self.revision));
-        if let Some(seat) = self.seats.get_mut(&endpoint.id) {
-            let begins = leaving && (seat.unlisted.is_some() || seat.endpoint.state == State::Live);
-            seat.endpoint = endpoint;
-            seat.cold_until = now + cold;
-            seat.doubtful_until = None;
-            seat.unlisted = None;
-            seat.listed_at = self.revision;
-            seat.departed = if leaving {
-                seat.departed.or(departed)
-            } else {
-                None
-            };
-            return begins;
-        }
-        let mut seat = Seat::new(Arc::clone(&endpoint), now + cold);
+        let known = self.endpoint(endpoint.id);
+        let left = known.is_some_and(|endpoint| endpoint.state != State::Live);
+        let seat = self.seats.entry(endpoint.id).or_insert_with(|| {
+            self.arrival = self.revision;
+            Seat::new(Arc::clone(&endpoint), now)
+        });
+        seat.endpoint = endpoint;
+        seat.cold_until = now + cold;
+        seat.doubtful_until = None;
+        seat.unlisted = None;
         seat.listed_at = self.revision;
-        seat.departed = departed;
-        self.arrival = self.revision;
-        self.seats.insert(endpoint.id, seat);
-        leaving
+        seat.departed = leaving.then(|| seat.departed.unwrap_or((now, self.revision)));
+        leaving && !left
     }
 
     /// Removes an endpoint that is no longer listed, at once or after a time in which it may be
@@ -200,9 +192,7 @@
             listed && seat.listed_at < revision
         });
         seat.is_some_and(|seat| {
-            let mut endpoint = Endpoint::clone(&seat.endpoint);
-            endpoint.state = State::Leaving;
-            seat.endpoint = Arc::new(endpoint);
+            Arc::make_mut(&mut seat.endpoint).state = State::Leaving;
             true
         })
     }
@@ -242,16 +232,14 @@
     /// Chooses an endpoint for a request, other than the excluded ones.
     pub fn choose(&mut self, need: &Need, excluded: &[EndpointId], now: Instant) -> Choice {
         let mut best: Option<(f64, EndpointId)> = None;
+        let mut live = 0;
         let serving = self.seats.iter();
         let serving = serving.filter(|(_, seat)| seat.serves(need.service));
-        let live: Vec<EndpointId> = serving.map(|(id, _)| *id).collect();
-        let failing = self.ejections.among(&live, now);
-        let asked: Vec<EndpointId> = live
-            .into_iter()
-            .filter(|id| !excluded.contains(id))
-            .collect();
-        for id in &asked {
-            let seat = &self.seats[id];
+        let failing = self
+            .ejections
+            .among(serving.clone().map(|(id, _)| *id), now);
+        for (id, seat) in serving.filter(|(id, _)| !excluded.contains(id)) {
+            live += 1;
             if failing.contains(id) || !seat.usable(now) || !seat.fits(need, now) {
                 continue;
             }
@@ -261,10 +249,10 @@
             }
         }
         let Some((_, id)) = best else {
-            return if asked.is_empty() {
-                Choice::Missing
-            } else {
+            return if live > 0 {
                 Choice::Wait
+            } else {
+                Choice::Missing
             };
         };
         let seat = &self.seats[&id];
--- a/crates/daisyyard_gateway/src/body.rs
+++ b/crates/daisyyard_gateway/src/body.rs
@@ -4,7 +4,9 @@
 use futures_util::StreamExt;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::Response;
 use hyper::body::Frame;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use tokio::sync::mpsc;
 
 /// Pieces of a streamed answer that wait for a slow caller before its engine is held back.
@@ -33,6 +35,14 @@
     body.map_err(|never| match never {}).boxed_unsync()
 }
 
+/// Returns an answer with a body in JSON.
+pub(crate) fn json(text: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(full(text));
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
+
 /// Returns a body that passes on pieces. It fails when the sender is dropped without an end, so
 /// that an answer that breaks off never looks complete.
 pub fn channel() -> (mpsc::Sender<Piece>, Body) {
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -61,7 +61,7 @@
     /// Endpoints that the sender leaves out.
     #[prost(fixed64, repeated, tag = "8")]
     ejections: Vec<EndpointId>,
-    /// Whether the loads belong to those of the frame before.
+    /// Whether the frame has nothing but further loads of the one before.
     #[prost(bool, tag = "9")]
     rest: bool,
 }
@@ -171,15 +171,18 @@
         let (first, rest) = report.loads.split_at(report.loads.len().min(ITEMS));
         let rest = rest.chunks(ITEMS);
         let rest = rest.map(|loads| Self {
+            instance: report.from,
+            leaving: report.leaving,
+            items: loads.iter().map(Item::from).collect(),
             rest: true,
-            ..Self::new(report, loads)
+            ..Self::default()
         });
         std::iter::once(Self::new(report, first))
             .chain(rest)
             .collect()
     }
 
-    /// Returns a frame with some of the loads of a report.
+    /// Returns the first frame of a report, with some of its loads.
     fn new(report: &Report, loads: &[(EndpointId, Load)]) -> Self {
         let items = loads.iter().map(Item::from);
         Self {
@@ -218,7 +221,6 @@
             departures: frame.departures.into_iter().map(Into::into).collect(),
             loads: frame.items.into_iter().map(Into::into).collect(),
             counts: frame.counts.into_iter().map(Into::into).collect(),
-            targets: Vec::new(),
         }
     }
 }
@@ -244,7 +246,7 @@
         tokio::select! {
             () = changed.notified() => due = due.min(sent + SHORTEST),
             () = tokio::time::sleep_until(due.into()) => {
-                let Ok(report) = pool.send(Digest).await else {
+                let Ok((report, targets)) = pool.send(Digest).await else {
                     return;
                 };
                 let frames = Frame::all(&report);
@@ -252,7 +254,7 @@
                 if frames != last || quiet >= QUIET_PERIODS {
                     quiet = 0;
                     for frame in &frames {
-                        send(&socket, frame, &report.targets).await;
+                        send(&socket, frame, &targets).await;
                     }
                     last = frames;
                 }
--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -260,12 +260,7 @@
     if offered.is_empty() {
         return Refusal::Leaving.response();
     }
-    let mut response = Response::new(body::full((dialect.addresses)(&offered, lifetime)));
-    let kind = hyper::header::HeaderValue::from_static("application/json");
-    response
-        .headers_mut()
-        .insert(hyper::header::CONTENT_TYPE, kind);
-    response
+    body::json((dialect.addresses)(&offered, lifetime))
 }
 
 /// Answers a scrape of the metrics.
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -27,3 +27,4 @@
 pub(crate) mod run;
 pub mod settings;
 pub(crate) mod store;
+pub mod timer;
--- a/crates/daisyyard_gateway/src/log.rs
+++ b/crates/daisyyard_gateway/src/log.rs
@@ -22,8 +22,8 @@
 /// The log of a gateway.
 #[derive(Debug, Clone)]
 pub(crate) struct Log {
-    /// Writes the lines; none are written without one.
-    logger: Option<Arc<Logger>>,
+    /// Writes the lines.
+    logger: Arc<Logger>,
     /// Bounds the lines.
     meter: Arc<Meter>,
 }
@@ -64,24 +64,16 @@
             .level_filter(LevelFilter::All)
             .build_arc()
             .context("cannot build the logger")?;
-        Ok(Self {
-            logger: Some(logger),
-            ..Self::silent()
-        })
-    }
-
-    /// Returns a log that writes nothing.
-    pub(crate) fn silent() -> Self {
         let meter = Meter {
             opened: Instant::now(),
             period: AtomicU64::new(0),
             lines: AtomicU64::new(0),
             dropped: AtomicU64::new(0),
         };
-        Self {
-            logger: None,
+        Ok(Self {
+            logger,
             meter: Arc::new(meter),
-        }
+        })
     }
 
     /// Logs an event with details in the form `key=value`, unless too many lines were logged.
@@ -98,18 +90,13 @@
 
     /// Writes a line.
     fn write(&self, event: Event, details: &str) {
-        let Some(logger) = &self.logger else {
-            return;
-        };
         let number = event as u32;
-        spdlog::log!(logger: logger, event.level(), "DY{number:04} {event:?} {details}");
+        spdlog::log!(logger: self.logger, event.level(), "DY{number:04} {event:?} {details}");
     }
 
     /// Writes the lines that wait.
     pub(crate) fn flush(&self) {
-        if let Some(logger) = &self.logger {
-            logger.flush();
-        }
+        self.logger.flush();
     }
 }
 
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -1,6 +1,5 @@
 //! Messages to the actor that owns the gateway's view of endpoints and of other gateways.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -158,12 +157,10 @@
     pub(crate) departures: Vec<(EndpointId, Revision)>,
     /// Endpoints that it leaves out because its requests failed there.
     pub(crate) ejections: Vec<EndpointId>,
-    /// Whether the loads belong to those of the report before.
+    /// Whether the report has nothing but further loads of the one before.
     pub(crate) rest: bool,
     /// Its loads.
     pub(crate) loads: Vec<(EndpointId, Load)>,
     /// Its requests and repeated sends.
     pub(crate) counts: Vec<(ServiceId, allowance::Count)>,
-    /// Where the report of this gateway is sent.
-    pub(crate) targets: Vec<SocketAddr>,
 }
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -21,6 +21,7 @@
 use crate::message::{Claim, Count, Digest, Facts, Leave, Notice, Offer, Rebind, Repeat, Report};
 use crate::run::Run;
 use crate::settings::Settings;
+use crate::timer::{self, Tick};
 
 /// Mean time between two starts of waiting requests, over all gateways. A digest reaches the others
 /// within this time.
@@ -63,10 +64,6 @@
     log: Log,
 }
 
-/// Lets time pass.
-#[derive(Debug)]
-struct Tick;
-
 /// Starts one of the waiting requests.
 #[derive(Debug)]
 struct Start;
@@ -102,22 +99,10 @@
         log,
     };
     tokio::spawn(xtra::run(mailbox, pool));
-    tokio::spawn(tick(address.downgrade()));
+    timer::spawn(address.downgrade(), PERIOD);
     address
 }
 
-/// Lets time pass for the actor until it ends.
-async fn tick(pool: WeakAddress<Pool>) {
-    let mut interval = tokio::time::interval(PERIOD);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        interval.tick().await;
-        if pool.send(Tick).await.is_err() {
-            return;
-        }
-    }
-}
-
 impl Pool {
     /// Lets one of the waiting requests start soon.
     ///
@@ -194,6 +179,23 @@
         }
     }
 
+    /// Takes the digest of another gateway.
+    fn learn(&mut self, report: Report, now: Instant) {
+        let from = report.from;
+        self.endpoints.learn(from, &report.loads, now);
+        self.endpoints.hear_ejections(from, &report.ejections, now);
+        self.allowance.learn(from, report.counts, now);
+        for (id, revision) in report.departures {
+            self.depart(id, revision);
+        }
+        // Requests that wait may find room at an endpoint that is new.
+        let wanted = !self.backlog.is_empty() && self.endpoints.is_behind(report.arrival);
+        let old = self.version.is_some_and(|held| held < report.version);
+        if wanted || old {
+            self.behind.notify_one();
+        }
+    }
+
     /// Takes from another gateway that an endpoint leaves.
     fn depart(&mut self, id: EndpointId, revision: Revision) {
         if !self.endpoints.depart(id, revision) {
@@ -315,21 +317,23 @@
 }
 
 impl Handler<Digest> for Pool {
-    type Return = Report;
+    /// The digest, and where it is sent.
+    type Return = (Report, Vec<SocketAddr>);
 
-    async fn handle(&mut self, _: Digest, _: &mut Context<Self>) -> Report {
-        Report {
+    async fn handle(&mut self, _: Digest, _: &mut Context<Self>) -> Self::Return {
+        let now = Instant::now();
+        let report = Report {
             from: self.me,
             leaving: self.leaving,
             version: self.version.unwrap_or(0),
             arrival: self.endpoints.arrival(),
             rest: false,
-            ejections: self.endpoints.ejections(Instant::now()).collect(),
-            departures: self.endpoints.departures(Instant::now()).collect(),
+            ejections: self.endpoints.ejections(now).collect(),
+            departures: self.endpoints.departures(now).collect(),
             loads: self.endpoints.loads().collect(),
-            counts: self.allowance.counts(Instant::now()),
-            targets: self.members.targets(),
-        }
+            counts: self.allowance.counts(now),
+        };
+        (report, self.members.targets())
     }
 }
 
@@ -338,27 +342,15 @@
 
     async fn handle(&mut self, message: Report, _: &mut Context<Self>) {
         let now = Instant::now();
-        if self.members.hear(message.from, message.leaving, now) {
-            let (from, loads) = (message.from, &message.loads);
-            if message.rest {
-                self.endpoints.learn_more(from, loads, now);
-            } else {
-                self.endpoints.learn(from, loads, now);
-            }
-            self.allowance.learn(message.from, message.counts, now);
-            let ejections = &message.ejections;
-            self.endpoints.hear_ejections(message.from, ejections, now);
-            for (id, revision) in message.departures {
-                self.depart(id, revision);
-            }
-            // Requests that wait may find room at an endpoint that is new.
-            let wanted = !self.backlog.is_empty() && self.endpoints.is_behind(message.arrival);
-            let old = self.version.is_some_and(|held| held < message.version);
-            if wanted || old {
-                self.behind.notify_one();
-            }
-            self.schedule();
+        if !self.members.hear(message.from, message.leaving, now) {
+            return;
         }
+        if message.rest {
+            self.endpoints.learn_more(message.from, &message.loads, now);
+        } else {
+            self.learn(message, now);
+        }
+        self.schedule();
     }
 }
 
--- a/crates/daisyyard_gateway/src/refusal.rs
+++ b/crates/daisyyard_gateway/src/refusal.rs
@@ -3,12 +3,20 @@
 use std::time::Duration;
 
 use daisyyard_core::attempt::Outcome;
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use serde_json::json;
 
 use crate::body::{self, Body};
 
+/// Time after which another gateway or endpoint can be asked.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
+/// Time after which an endpoint may have room.
+const RETRY_FULL: Duration = Duration::from_secs(1);
+/// Time after which a configuration may be known. The store has been away for a while, and callers
+/// may come back only once.
+const RETRY_UNCONFIGURED: Duration = Duration::from_secs(3);
+
 /// Why the gateway answers a request itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum Refusal {
@@ -76,10 +84,9 @@
     /// Returns when a caller may ask again.
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Leaving | Self::Declined => Some(Duration::from_millis(50)),
-            // The store has been away for a while, and callers may come back only once.
-            Self::Unconfigured => Some(Duration::from_secs(3)),
-            Self::Full => Some(Duration::from_secs(1)),
+            Self::Leaving | Self::Declined => Some(RETRY_ELSEWHERE),
+            Self::Unconfigured => Some(RETRY_UNCONFIGURED),
+            Self::Full => Some(RETRY_FULL),
             _ => None,
         }
     }
@@ -87,14 +94,12 @@
     /// Returns the answer.
     pub(crate) fn response(self) -> Response<Body> {
         let text = json!({ "error": self.to_string() }).to_string();
-        let mut response = Response::new(body::full(text));
+        let mut response = body::json(text);
         *response.status_mut() = self.status();
-        let headers = response.headers_mut();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         if let Some(time) = self.retry_after() {
             let seconds = format!("{:.3}", time.as_secs_f64());
             let seconds = HeaderValue::from_str(&seconds).expect("a number is a valid header");
-            headers.insert(RETRY_AFTER, seconds);
+            response.headers_mut().insert(RETRY_AFTER, seconds);
         }
         response
     }
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -24,6 +24,7 @@
 use crate::job::Job;
 use crate::message::{First, Grant, Hop, Notice, Repeat, Undo};
 use crate::store;
+use crate::timer::sleep_until;
 
 /// Time without an event after which an engine counts as silent.
 const SILENCE: Duration = Duration::from_millis(1_500);
@@ -308,11 +309,3 @@
         while self.grant.notices.try_recv().is_ok() {}
     }
 }
-
-/// Waits until a time, or for ever if there is none.
-async fn sleep_until(time: Option<Instant>) {
-    match time {
-        Some(time) => tokio::time::sleep_until(time.into()).await,
-        None => std::future::pending().await,
-    }
-}
--- a/crates/daisyyard/src/ticker.rs
+++ b/crates/daisyyard_gateway/src/timer.rs
@@ -1,16 +1,16 @@
-//! The timer of an actor.
+//! Timers of actors and tasks.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::time::MissedTickBehavior;
 use xtra::{Handler, WeakAddress};
 
 /// Lets time pass.
 #[derive(Debug)]
-pub(crate) struct Tick;
+pub struct Tick;
 
 /// Sends [`Tick`] to an actor once a period, until the actor ends.
-pub(crate) fn spawn<A: Handler<Tick>>(address: WeakAddress<A>, period: Duration) {
+pub fn spawn<A: Handler<Tick>>(address: WeakAddress<A>, period: Duration) {
     tokio::spawn(async move {
         let mut interval = tokio::time::interval(period);
         // After a pause of the process, one tick stands for all that were missed.
@@ -23,3 +23,11 @@
         }
     });
 }
+
+/// Waits until a time, or for ever if there is none.
+pub async fn sleep_until(time: Option<Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time.into()).await,
+        None => std::future::pending().await,
+    }
+}
