Divide the time left among the engines that an urgent request may still ask

Cause: an urgent request waited at each engine until a fixed time after its arrival, and 100 ms longer for a precise refusal. Ruled out: a lost release; the busy engine's home answered in time. Change: max_wait takes the time at which an engine is asked and divides what is left; the extra wait for a refusal applies only if no other engine will be asked.

--- a/crates/daisyyard/src/dispatch.rs
+++ b/crates/daisyyard/src/dispatch.rs
@@ -71,6 +71,8 @@
     pub(crate) tried: Vec<EndpointId>,
     /// Engines that were already asked for this admission.
     pub(crate) engines_asked: usize,
+    /// Time since the arrival of the request.
+    pub(crate) asked_at: Duration,
 }
 
 /// Replaces the known endpoints.
@@ -242,8 +244,10 @@
         }
         let rank = message.request.rank;
         let terms = self.preset.terms.get(&message.request.service);
-        let max_wait =
-            terms.map(|terms| route::max_wait(terms.contract(rank), rank, message.engines_asked));
+        let max_wait = terms.map(|terms| {
+            let contract = terms.contract(rank);
+            route::max_wait(contract, rank, message.engines_asked, message.asked_at)
+        });
         let class = Class {
             service: message.request.service,
             rank,
--- a/crates/daisyyard/src/generation.rs
+++ b/crates/daisyyard/src/generation.rs
@@ -32,8 +32,8 @@
 use crate::stream_reader::{End, Reader};
 use crate::upstream::{self, Error};
 
-/// Time past its admission deadline for which a request waits for the home's refusal, which states
-/// a more precise retry delay than [`DEFAULT_RETRY_AFTER`].
+/// Time past its admission deadline for which a request that asks no further engine waits for the
+/// home's refusal, which states a more precise retry delay than [`DEFAULT_RETRY_AFTER`].
 const ANSWER_GRACE: Duration = Duration::from_millis(100);
 /// Retry delay that a refusal states when no home answered.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -181,6 +181,7 @@
                 kind: endpoint::Kind::Engine,
                 tried: tried.clone(),
                 engines_asked,
+                asked_at: arrived.elapsed(),
             };
             let (endpoint, params, max_wait) = match actors.dispatch.send(route).await {
                 Ok(Target::Endpoint {
@@ -203,7 +204,13 @@
             let deadline = max_wait.map_or(self.deadline, |max_wait| arrived + max_wait);
             let deadline = deadline.min(self.deadline);
             let params = ledger::Request { deadline, ..params };
-            let decision = self.ask(actors, &endpoint, params, caller).await;
+            let may_move_on = engines_asked + 1 < MAX_ENGINES_ASKED && deadline < self.deadline;
+            let answer_by = if may_move_on {
+                deadline
+            } else {
+                deadline + ANSWER_GRACE
+            };
+            let decision = self.ask(actors, &endpoint, params, answer_by, caller).await;
             if decision == Some(Decision::Grant) {
                 return Ok(endpoint);
             }
@@ -226,15 +233,16 @@
         Err(refused.unwrap_or_else(|| Refusal::not_run(Kind::Overloaded, message)))
     }
 
-    /// Asks for admission to one engine; returns none if the caller is gone or the node stops.
+    /// Asks for admission to one engine and waits for the answer until `answer_by`; returns none if
+    /// the caller is gone or the node stops.
     async fn ask(
         &self,
         actors: &Actors,
         endpoint: &Endpoint,
         params: ledger::Request,
+        answer_by: Instant,
         caller: &mpsc::Sender<Delivery>,
     ) -> Option<Decision> {
-        let limit = params.deadline + ANSWER_GRACE;
         let (reply, decision) = oneshot::channel();
         let message = admission::RequestAdmission {
             endpoint: endpoint.clone(),
@@ -245,7 +253,7 @@
         tokio::select! {
             decision = decision => decision.ok(),
             () = caller.closed() => None,
-            () = tokio::time::sleep_until(limit.into()) => {
+            () = tokio::time::sleep_until(answer_by.into()) => {
                 Some(Decision::Refuse { retry_after: DEFAULT_RETRY_AFTER })
             }
         }
--- a/crates/daisyyard/src/service_call.rs
+++ b/crates/daisyyard/src/service_call.rs
@@ -242,6 +242,7 @@
                 kind: endpoint::Kind::Plain,
                 tried: attempts.tried().to_vec(),
                 engines_asked: 0,
+                asked_at: Duration::ZERO,
             };
             let endpoint = match actors.dispatch.send(route).await {
                 Ok(Target::Endpoint { endpoint, .. }) => endpoint,
--- a/crates/daisyyard_core/src/route.rs
+++ b/crates/daisyyard_core/src/route.rs
@@ -52,18 +52,23 @@
 const LAST_WAIT_SHARE: f64 = 0.96;
 
 /// Returns the time after its arrival until which a request waits at the `nth` engine asked,
-/// counted from zero.
+/// counted from zero, if it asks that engine `asked_at` after its arrival.
 ///
-/// An urgent request moves on from a busy engine while another one may still meet its target. A
-/// deferrable request stays, because moving on would cost its position in the queue.
-pub fn max_wait(contract: &Contract, rank: Rank, nth: usize) -> Duration {
+/// An urgent request moves on from a busy engine while another one may still meet its target. If it
+/// asks an engine late, the time left is divided among the engines that it may still ask, so that a
+/// delay at one engine does not use up the time of the next. A deferrable request stays, because
+/// moving on would cost its position in the queue.
+pub fn max_wait(contract: &Contract, rank: Rank, nth: usize, asked_at: Duration) -> Duration {
     if rank == Rank::Urgent {
-        let wait = if nth + 1 < MAX_ENGINES_ASKED {
-            contract.first_token * (nth as u32 + 1) / WAIT_DIVISOR
+        let last = contract.first_token.mul_f64(LAST_WAIT_SHARE);
+        let left = last.saturating_sub(asked_at);
+        let engines_left = MAX_ENGINES_ASKED.saturating_sub(nth).max(1) as u32;
+        let wait = if engines_left > 1 {
+            (left / engines_left).min(contract.first_token / WAIT_DIVISOR)
         } else {
-            contract.first_token.mul_f64(LAST_WAIT_SHARE)
+            left
         };
-        wait.min(contract.queue_timeout)
+        (asked_at + wait).min(contract.queue_timeout)
     } else {
         contract.queue_timeout
     }
--- a/crates/daisyyard_lab/src/fleet.rs
+++ b/crates/daisyyard_lab/src/fleet.rs
@@ -253,7 +253,9 @@
         let engine = world.engine_number(endpoint);
         let home = self.homes[Self::side(world, node)][engine];
         let contract = world.terms.contract(properties.rank);
-        let max_wait = route::max_wait(contract, properties.rank, pending.tried.len());
+        let asked_at = now.saturating_duration_since(world.events.instant(arrived));
+        let nth = pending.tried.len();
+        let max_wait = route::max_wait(contract, properties.rank, nth, asked_at);
         let mut admission_request = pending.request.clone();
         admission_request.deadline = world.events.instant(arrived + max_wait);
         pending.tried.push(engine);
