Resume streams at another engine and bound bytes that never end

A stream that may be resumed was also lost whenever its engine failed without a copy. Answers that are read whole were bounded each, not together, and the head of an answer could take 400 kB. Ruled out: passing the header on alone; the splitter has to know the position, and the gateway itself has to resume within one answer. Change: routes know resumable; such streams count as idempotent in retries and outcomes, start after the caller's position, and restart at another engine after the last forwarded event, within max_attempts and the retry budget. A malformed position is refused with 400.

--- a/crates/daisyyard/tests/platform/mod.rs
+++ b/crates/daisyyard/tests/platform/mod.rs
@@ -6,6 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use daisyyard_standin::faulty_endpoint::{Fault, FaultyEndpoint};
 use daisyyard_standin::platform_engine::{Arrival, PlatformEngine, Runs};
 use daisyyard_standin::platform_fixture::{self, HOST};
 #[allow(unused_imports, reason = "each test file uses a part of the platform")]
@@ -120,6 +121,20 @@
             .await;
     }
 
+    /// Starts an endpoint that breaks the protocol and writes its entry to the store.
+    pub(crate) async fn add_faulty(
+        &self,
+        name: &str,
+        service: &str,
+        fault: Fault,
+    ) -> FaultyEndpoint {
+        let endpoint = FaultyEndpoint::start(name, fault).await;
+        let endpoint = endpoint.expect("the endpoint starts");
+        let entry = platform_fixture::entry(service, endpoint.address, "ready");
+        self.store.put(&format!("servers/{name}"), &entry).await;
+        endpoint
+    }
+
     /// Starts a gateway and waits until it is ready.
     pub(crate) async fn start_gateway(&mut self) {
         let gateway = spawn_gateway(self.store.address, self.gateways.len());
--- a/crates/daisyyard_core/src/catalog.rs
+++ b/crates/daisyyard_core/src/catalog.rs
@@ -19,7 +19,8 @@
     Idempotent,
     /// The request may run at most once.
     NonIdempotent,
-    /// The request may run at most once and is answered with a stream of events.
+    /// The request is answered with a stream of events. It may run at most once, unless the stream
+    /// may be resumed.
     Streaming,
 }
 
@@ -36,6 +37,11 @@
     pub timeout: Duration,
     /// Time within which an answer, or the first event of a stream, has its full worth.
     pub target_latency: Duration,
+    /// Longest pause between two events of a stream for which it has its full worth, if the route
+    /// sets one.
+    pub target_gap: Option<Duration>,
+    /// Whether a stream may be resumed after an event, at any endpoint.
+    pub resumable: bool,
     /// Number of endpoints that one request may be sent to.
     pub max_attempts: u32,
     /// Priority of the requests.
@@ -186,6 +192,16 @@
 }
 
 impl Route {
+    /// Returns whether a request may run more than once: it is idempotent, or a stream that may be
+    /// resumed.
+    pub fn is_repeatable(&self) -> bool {
+        match self.kind {
+            Kind::Idempotent => true,
+            Kind::NonIdempotent => false,
+            Kind::Streaming => self.resumable,
+        }
+    }
+
     /// Returns the service at a point of the traffic split, from 0 (inclusive) to 1 (exclusive).
     pub fn service(&self, point: f64) -> Option<ServiceId> {
         let total: u32 = self.shares.iter().map(|(_, share)| share).sum();
--- a/crates/daisyyard_core/tests/catalog_lookup.rs
+++ b/crates/daisyyard_core/tests/catalog_lookup.rs
@@ -15,6 +15,8 @@
         kind: Kind::NonIdempotent,
         timeout: Duration::from_secs(1),
         target_latency: Duration::from_secs(1),
+        target_gap: None,
+        resumable: false,
         max_attempts: 1,
         priority: 0,
         public,
--- a/crates/daisyyard_gateway/src/codec.rs
+++ b/crates/daisyyard_gateway/src/codec.rs
@@ -32,6 +32,20 @@
     pub max_output_tokens: Option<Tokens>,
     /// Number of generated tokens that the caller expects.
     pub expected_output_tokens: Option<Tokens>,
+    /// Where the caller wants a stream to start.
+    pub position: Position,
+}
+
+/// Position in a stream, by the numbers of its events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Position {
+    /// The beginning of the stream.
+    #[default]
+    Start,
+    /// After the event with this number.
+    After(u64),
+    /// The caller states a position that is not a number.
+    Malformed,
 }
 
 /// What the gateway adds to a request before it forwards it to an endpoint.
@@ -45,19 +59,19 @@
     pub timeout: Duration,
     /// Engine that receives a backup of the run's KV cache.
     pub backup: Option<SocketAddr>,
-    /// Where the run resumes; `None` for a new run.
-    pub resume: Option<Resume>,
+    /// Copy of the KV cache from which the run resumes.
+    pub replica: Option<Replica>,
+    /// Number of the last event that the caller received; `None` for a stream from its beginning.
+    pub last_event: Option<u64>,
 }
 
-/// A run that resumes at an engine from a copy of its KV cache.
+/// A copy of a run's KV cache from which the run can resume.
 #[value]
-pub struct Resume {
+pub struct Replica {
     /// Engine that holds the copy, or that started the move.
     pub holder: SocketAddr,
     /// Handle of the copy at that engine.
     pub handle: String,
-    /// Number of the last event that the caller received.
-    pub last_event: u64,
 }
 
 /// What the headers of an endpoint's response state.
@@ -121,13 +135,6 @@
     pub lease: LeaseId,
 }
 
-/// A copy of a run's KV cache at another engine.
-#[value]
-pub struct Replica {
-    /// Handle of the copy.
-    pub handle: String,
-}
-
 /// Where a caller is located.
 #[value]
 pub struct Location {
@@ -161,8 +168,8 @@
 pub struct Engine {
     /// Copies the KV cache of a run to another engine; the last copy ends the run at the source.
     pub copy_cache: fn(attempt: &str, target: SocketAddr, last: bool) -> Call,
-    /// Decodes the response to `copy_cache`.
-    pub read_copy: fn(&[u8]) -> anyhow::Result<Replica>,
+    /// Decodes the handle of the copy from the response to `copy_cache`.
+    pub read_handle: fn(&[u8]) -> anyhow::Result<String>,
 }
 
 /// All functions that an adapter provides.
--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use xtra::Address;
 
 use crate::body::{self, Body};
+use crate::buffer::Buffer;
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::log::Log;
@@ -138,6 +139,7 @@
             pool: pool.clone(),
             configuration: configuration.clone(),
             phase: phase_view.clone(),
+            buffer: Buffer::new(),
             metrics: metrics.clone(),
             log: log.clone(),
         };
--- a/crates/daisyyard_gateway/src/ingress.rs
+++ b/crates/daisyyard_gateway/src/ingress.rs
@@ -10,6 +10,7 @@
 use hyper::header::{CONTENT_LENGTH, HOST};
 use hyper::{Request, Uri};
 
+use crate::codec::Position;
 use crate::job::Job;
 use crate::proxy::Proxy;
 use crate::refusal::Refusal;
@@ -44,6 +45,7 @@
         if self.is_leaving() && route.kind == Kind::Streaming {
             return Err(failed(Refusal::Leaving));
         }
+        let resume_after = position(&route, parameters.position).map_err(failed)?;
         let service = route
             .service(rand::random())
             .ok_or_else(|| failed(Refusal::Missing))?;
@@ -70,6 +72,7 @@
             uri: origin_form(&head.uri),
             headers: head.headers,
             body,
+            resume_after,
             arrived,
             deadline: arrived + timeout,
             route,
@@ -108,6 +111,17 @@
     route.cloned().ok_or(Refusal::Missing)
 }
 
+/// Returns the number of the event after which the caller resumes the stream of a route. The
+/// position is ignored if the stream cannot be resumed.
+fn position(route: &Route, position: Position) -> Result<Option<u64>, Refusal> {
+    match position {
+        _ if !route.is_repeatable() || route.kind != Kind::Streaming => Ok(None),
+        Position::Start => Ok(None),
+        Position::After(number) => Ok(Some(number)),
+        Position::Malformed => Err(Refusal::Misplaced),
+    }
+}
+
 /// Receives the body of a request within the configured limits.
 async fn receive_body(body: Incoming, limits: Limits) -> Result<Bytes, Refusal> {
     let collect = Limited::new(body, limits.max_body_bytes).collect();
--- a/crates/daisyyard_gateway/src/job.rs
+++ b/crates/daisyyard_gateway/src/job.rs
@@ -13,7 +13,7 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Uri};
 
-use crate::codec::{Codec, Directive, Parameters, Resume};
+use crate::codec::{Codec, Directive, Parameters, Replica};
 
 /// Expected output if the caller gives no hint.
 const DEFAULT_OUTPUT_TOKENS: Tokens = 256;
@@ -45,6 +45,8 @@
     pub(crate) headers: HeaderMap,
     /// Complete body.
     pub(crate) body: Bytes,
+    /// Number of the event after which the caller resumes the stream.
+    pub(crate) resume_after: Option<u64>,
     /// When the request arrived.
     pub(crate) arrived: Instant,
     /// When the response must be complete.
@@ -57,11 +59,6 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Returns whether the request may run more than once.
-    pub(crate) fn idempotent(&self) -> bool {
-        self.route.kind == Kind::Idempotent
-    }
-
     /// Returns the name of the route's kind for metrics and logs.
     pub(crate) fn kind(&self) -> &'static str {
         match self.route.kind {
@@ -116,13 +113,15 @@
         }
     }
 
-    /// Builds the request that is sent to an endpoint.
+    /// Builds the request that is sent to an endpoint; a stream starts after the event
+    /// `last_event`.
     pub(crate) fn request(
         &self,
         codec: &Codec,
         endpoint: &Endpoint,
         backup: Option<SocketAddr>,
-        resume: Option<Resume>,
+        replica: Option<Replica>,
+        last_event: Option<u64>,
     ) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
@@ -138,7 +137,8 @@
             account,
             timeout: self.remaining(),
             backup,
-            resume,
+            replica,
+            last_event,
         };
         (codec.write_request)(headers, &directive);
         request
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! `daisyyard_core` decide on routing, limits, retries, membership and recovery.
 
 pub mod body;
+pub(crate) mod buffer;
 pub mod codec;
 pub(crate) mod digest;
 pub(crate) mod event;
@@ -21,6 +22,7 @@
 pub(crate) mod refusal;
 pub(crate) mod registration;
 pub(crate) mod relay;
+pub(crate) mod restart;
 pub(crate) mod run;
 pub(crate) mod server;
 pub mod settings;
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -72,9 +72,25 @@
 #[derive(Debug)]
 pub(crate) struct FirstToken(pub(crate) RequestId);
 
-/// Makes the backup engine of a run its endpoint, and asks for an engine for a new backup.
+/// Makes the backup engine of a run its endpoint, and asks for an engine for a new backup. The
+/// signal is that of the previous endpoint.
 #[derive(Debug)]
-pub(crate) struct Failover(pub(crate) RequestId);
+pub(crate) struct Failover(pub(crate) RequestId, pub(crate) Signal);
+
+/// Asks for another engine at which a run starts anew. The signal is that of the previous endpoint.
+#[derive(Debug)]
+pub(crate) struct Restart(pub(crate) RequestId, pub(crate) Signal);
+
+/// Engines of a run that starts anew.
+#[derive(Debug)]
+pub(crate) enum Place {
+    /// The engine that executes the run, and the one that receives a backup of its KV cache.
+    Engine(Arc<Endpoint>, Option<Arc<Endpoint>>),
+    /// All other engines are full at the moment.
+    Full,
+    /// There is no other engine.
+    Missing,
+}
 
 /// Reverts a failover: the run stays at the first engine, and the second one remains its backup.
 #[derive(Debug)]
--- a/crates/daisyyard_gateway/src/migration.rs
+++ b/crates/daisyyard_gateway/src/migration.rs
@@ -121,10 +121,10 @@
             Ok(_) => request_copy(&self.proxy, &self.job, &self.grant, &target, true).await,
             Err(error) => Err(error),
         };
-        let read = self.proxy.codec.engine.read_copy;
-        let replica = last.and_then(|response| read(&response).map_err(store::Error::Unusable));
-        match replica {
-            Ok(replica) => self.fail_over(Some(replica.handle), LEAVING).await,
+        let read = self.proxy.codec.engine.read_handle;
+        let handle = last.and_then(|response| read(&response).map_err(store::Error::Unusable));
+        match handle {
+            Ok(handle) => self.fail_over(Some(handle), LEAVING).await,
             Err(error) => {
                 let details = format!(
                     "request={} endpoint={} target={} ms={} rounds={rounds} reason={:?}",
@@ -160,7 +160,7 @@
 ) -> impl Future<Output = Result<Bytes, store::Error>> + use<> {
     let call = (proxy.codec.engine.copy_cache)(&job.attempt, target.address, last);
     let source = grant.endpoint.address;
-    store::call(source, call, COPY_TIMEOUT)
+    store::call(source, call, COPY_TIMEOUT, store::MAX_RESULT_BYTES)
 }
 
 /// Waits for the result of a copy, or forever if there is none.
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -9,7 +9,6 @@
 use daisyyard_core::pool::Signal;
 use daisyyard_core::shared_retry_budget;
 use daisyyard_http::connection::{self, Answer, Failure};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response;
@@ -18,6 +17,7 @@
 use xtra::Address;
 
 use crate::body::{self, Body};
+use crate::buffer::{self, Buffer};
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::job::Job;
@@ -34,8 +34,6 @@
 const MAX_SENDS: usize = 4;
 /// Minimum remaining time for a retry.
 const MIN_REMAINING: Duration = Duration::from_millis(50);
-/// Maximum size of a buffered response, in bytes.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// Share of the remaining time for a send that another endpoint can repeat if it fails.
 const FIRST_SEND_SHARE: f64 = 0.5;
 
@@ -50,6 +48,8 @@
     pub(crate) configuration: Configuration,
     /// Phase of the graceful shutdown.
     pub(crate) phase: watch::Receiver<Phase>,
+    /// Memory for answers that are read whole.
+    pub(crate) buffer: Buffer,
     /// Metrics of the gateway.
     pub(crate) metrics: Metrics,
     /// Log of the gateway.
@@ -105,7 +105,8 @@
         let job = Arc::new(job);
         // The pool ends only with the process.
         let _ = self.pool.send(Count(job.service)).await;
-        let mut history = History::new(job.idempotent());
+        let repeatable = job.route.is_repeatable();
+        let mut history = History::new(repeatable);
         let mut tried: Vec<EndpointId> = Vec::new();
         let mut possible_runs = 0;
         loop {
@@ -132,9 +133,13 @@
                 tried.len() + 1,
             );
             self.log.emit(Event::RequestSent, &details);
-            let may_repeat = job.idempotent() && possible_runs + 1 < job.route.max_attempts;
-            let (progress, late, reason, response) = match self.send(&job, grant, may_repeat).await
-            {
+            let runs_left = if repeatable {
+                job.route.max_attempts.saturating_sub(possible_runs + 1)
+            } else {
+                0
+            };
+            let may_repeat = runs_left > 0;
+            let (progress, late, reason, response) = match self.send(&job, grant, runs_left).await {
                 Sent::Answered(response) => return response,
                 Sent::Failed {
                     progress,
@@ -185,11 +190,12 @@
         decision.is_ok_and(|decision| decision == shared_retry_budget::Decision::Retry)
     }
 
-    /// Sends a request once; `may_repeat` says whether another endpoint may repeat it.
-    async fn send(&self, job: &Arc<Job>, mut grant: Grant, may_repeat: bool) -> Sent {
+    /// Sends a request once; `runs_left` is the number of further endpoints that may run it.
+    async fn send(&self, job: &Arc<Job>, mut grant: Grant, runs_left: u32) -> Sent {
         let backup = grant.backup.as_ref().map(|backup| backup.address);
-        let request = job.request(&self.codec, &grant.endpoint, backup, None);
-        let timeout = if may_repeat {
+        let request = job.request(&self.codec, &grant.endpoint, backup, None, job.resume_after);
+        // A stream that waits at a full engine would only wait longer at another one.
+        let timeout = if runs_left > 0 && job.route.kind != Kind::Streaming {
             job.remaining().mul_f64(FIRST_SEND_SHARE)
         } else {
             job.remaining()
@@ -223,13 +229,19 @@
             return answer_unusable("unsigned_answer");
         }
         if status == StatusCode::OK && job.route.kind == Kind::Streaming {
-            return Sent::Answered(self.stream_response(job, grant, answer));
+            return Sent::Answered(self.stream_response(job, grant, answer, runs_left));
         }
         self.buffer_response(job, grant, answer, deadline).await
     }
 
     /// Forwards a stream in a task of its own.
-    fn stream_response(&self, job: &Arc<Job>, grant: Grant, answer: Answer) -> Response<Body> {
+    fn stream_response(
+        &self,
+        job: &Arc<Job>,
+        grant: Grant,
+        answer: Answer,
+        runs_left: u32,
+    ) -> Response<Body> {
         let (sender, body) = body::channel();
         let (parts, incoming) = answer.response.into_parts();
         let relay = Relay::new(
@@ -238,6 +250,7 @@
             grant,
             (incoming, answer.driver),
             sender,
+            runs_left,
         );
         tokio::spawn(relay.run());
         Response::from_parts(strip_connection_headers(parts), body)
@@ -252,21 +265,24 @@
         deadline: Instant,
     ) -> Sent {
         let (parts, incoming) = answer.response.into_parts();
-        let collect = Limited::new(incoming, MAX_RESPONSE_BYTES).collect();
-        let collected = tokio::time::timeout_at(deadline.into(), collect).await;
-        let Ok(collected) = collected else {
-            grant.signal = Signal::Failed;
-            return connection_failed(Failure::Silent);
-        };
-        let Ok(collected) = collected else {
-            grant.signal = Signal::Failed;
-            return answer_unusable("broken_answer");
+        let read = self.buffer.read(incoming);
+        let bytes = match tokio::time::timeout_at(deadline.into(), read).await {
+            Ok(Ok(bytes)) => bytes,
+            Ok(Err(buffer::Error::Broken)) => {
+                grant.signal = Signal::Failed;
+                return answer_unusable("broken_answer");
+            }
+            Ok(Err(buffer::Error::TooLong)) => {
+                grant.signal = Signal::Lost;
+                return answer_unusable("endless_answer");
+            }
+            Err(_elapsed) => {
+                grant.signal = Signal::Failed;
+                return connection_failed(Failure::Silent);
+            }
         };
         let status = parts.status;
-        let response = Response::from_parts(
-            strip_connection_headers(parts),
-            body::full(collected.to_bytes()),
-        );
+        let response = Response::from_parts(strip_connection_headers(parts), body::full(bytes));
         if status.is_server_error() {
             grant.signal = Signal::Failed;
             return Sent::Failed {
--- a/crates/daisyyard_gateway/src/refusal.rs
+++ b/crates/daisyyard_gateway/src/refusal.rs
@@ -23,6 +23,9 @@
     /// The request lacks a host or an attempt identifier.
     #[error("the request lacks a host or an attempt identifier; add it")]
     Malformed,
+    /// The position from which to resume a stream is not an event number.
+    #[error("the position in the stream is not an event number; send that of the last event")]
+    Misplaced,
     /// The body was incomplete or arrived too slowly.
     #[error("the body broke off or came too slowly; send it again")]
     Unread,
@@ -68,7 +71,7 @@
     /// Returns the status code of the response.
     pub(crate) fn status(self) -> StatusCode {
         match self {
-            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::Malformed | Self::Misplaced => StatusCode::BAD_REQUEST,
             Self::Unread => StatusCode::REQUEST_TIMEOUT,
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Missing => StatusCode::NOT_FOUND,
--- a/crates/daisyyard_gateway/src/registration.rs
+++ b/crates/daisyyard_gateway/src/registration.rs
@@ -11,7 +11,7 @@
 use crate::event::Event;
 use crate::log::Log;
 use crate::server::Phase;
-use crate::store::{self, Backoff, Error};
+use crate::store::{self, Backoff, Error, MAX_RESULT_BYTES};
 
 /// Timeout of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -57,7 +57,7 @@
         if let Some(lease) = lease {
             let revocation = (self.codec.store.revoke_lease)(lease);
             // If this fails, the lease expires on its own.
-            let _ = store::call(self.address, revocation, CALL_TIMEOUT).await;
+            let _ = store::call(self.address, revocation, CALL_TIMEOUT, MAX_RESULT_BYTES).await;
         }
     }
 
@@ -65,13 +65,20 @@
     async fn renew(&self, lease: Option<LeaseId>) -> Result<LeaseId, Error> {
         let store = self.codec.store;
         if let Some(lease) = lease {
-            store::call(self.address, (store.renew_lease)(lease), CALL_TIMEOUT).await?;
+            store::call(
+                self.address,
+                (store.renew_lease)(lease),
+                CALL_TIMEOUT,
+                MAX_RESULT_BYTES,
+            )
+            .await?;
             return Ok(lease);
         }
         let response = store::call(
             self.address,
             (store.grant_lease)(LEASE_LIFETIME),
             CALL_TIMEOUT,
+            MAX_RESULT_BYTES,
         )
         .await?;
         let lease = (store.read_lease)(&response).map_err(Error::Unusable)?;
@@ -80,7 +87,13 @@
             value: self.value.clone(),
             lease,
         };
-        store::call(self.address, (store.put)(&entry), CALL_TIMEOUT).await?;
+        store::call(
+            self.address,
+            (store.put)(&entry),
+            CALL_TIMEOUT,
+            MAX_RESULT_BYTES,
+        )
+        .await?;
         self.log.emit(Event::Registered, &format!("lease={lease}"));
         Ok(lease)
     }
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -16,7 +16,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::body::Chunk;
-use crate::codec::Resume;
+use crate::codec::Replica;
 use crate::event::Event;
 use crate::job::Job;
 use crate::message::{Failover, FirstToken, Grant, Notice, Retry, Rollback};
@@ -52,15 +52,17 @@
     /// Reservation of the engine.
     pub(crate) grant: Grant,
     /// Response of the current engine; `None` during a failover.
-    upstream: Option<Upstream>,
+    pub(crate) upstream: Option<Upstream>,
     /// Sends events to the caller.
-    sender: mpsc::Sender<Chunk>,
+    pub(crate) sender: mpsc::Sender<Chunk>,
     /// Splits the stream and tracks the forwarded events.
     pub(crate) splitter: Splitter,
     /// When the first data arrived from the current engine, or when the run resumed there.
     pub(crate) first_data_at: Option<Instant>,
     /// Progress of the migration to another engine.
     pub(crate) migration: State,
+    /// Number of further engines at which the run may start anew.
+    pub(crate) runs_left: u32,
 }
 
 /// What the relay does next.
@@ -83,6 +85,16 @@
     Expire,
 }
 
+/// Result of forwarding bytes of an engine.
+enum Delivery {
+    /// The complete events among the bytes were forwarded.
+    Sent,
+    /// The caller has disconnected.
+    CallerLeft,
+    /// The bytes are not events.
+    Malformed,
+}
+
 impl Relay {
     /// Creates the relay for a response whose headers have arrived.
     pub(crate) fn new(
@@ -91,16 +103,19 @@
         grant: Grant,
         upstream: Upstream,
         sender: mpsc::Sender<Chunk>,
+        runs_left: u32,
     ) -> Self {
+        let splitter = Splitter::starting_after(job.resume_after);
         Self {
             proxy,
             job,
             grant,
             upstream: Some(upstream),
             sender,
-            splitter: Splitter::default(),
+            splitter,
             first_data_at: None,
             migration: State::Idle,
+            runs_left,
         }
     }
 
@@ -108,11 +123,18 @@
     pub(crate) async fn run(mut self) {
         let reason = loop {
             match self.next().await {
-                Action::Deliver(bytes) => {
-                    if let Err(reason) = self.deliver(&bytes).await {
-                        break reason;
+                Action::Deliver(bytes) => match self.deliver(&bytes).await {
+                    Delivery::Sent => {}
+                    Delivery::CallerLeft => break "caller_left",
+                    Delivery::Malformed => {
+                        // What follows cannot be told apart from the event without an end.
+                        self.upstream = None;
+                        self.grant.signal = Signal::Lost;
+                        if !self.recover("malformed").await {
+                            break "interrupted";
+                        }
                     }
-                }
+                },
                 Action::Finish => {
                     self.grant.signal = Signal::Answered;
                     // Fails only if the caller has disconnected.
@@ -121,12 +143,12 @@
                 }
                 Action::Leave => self.migration = State::Due(Instant::now()),
                 Action::Step => {
-                    if !self.advance_migration().await {
+                    if !self.advance_migration().await && !self.restart(LEAVING).await {
                         break "interrupted";
                     }
                 }
                 Action::Copied(result) => {
-                    if !self.finish_copy(result).await {
+                    if !self.finish_copy(result).await && !self.restart(LEAVING).await {
                         break "interrupted";
                     }
                 }
@@ -134,7 +156,7 @@
                     if reason != SILENT {
                         self.grant.signal = Signal::Failed;
                     }
-                    if !self.fail_over(None, reason).await {
+                    if !self.recover(reason).await {
                         break "interrupted";
                     }
                 }
@@ -191,19 +213,25 @@
         }
     }
 
-    /// Forwards the new events among the bytes; on failure, returns the reason to end the stream.
-    async fn deliver(&mut self, bytes: &Bytes) -> Result<(), &'static str> {
+    /// Continues the run at another engine after a failure; returns whether the stream continues.
+    async fn recover(&mut self, reason: &'static str) -> bool {
+        self.fail_over(None, reason).await || self.restart(reason).await
+    }
+
+    /// Forwards the new events among the bytes.
+    async fn deliver(&mut self, bytes: &Bytes) -> Delivery {
         if self.first_data_at.is_none() {
             self.first_data_at = Some(Instant::now());
             // The pool ends only with the process.
             let _ = self.proxy.pool.send(FirstToken(self.grant.run)).await;
         }
-        let events = self.splitter.push(bytes).map_err(|_too_long| "malformed")?;
-        if !events.is_empty() {
-            let sent = self.sender.send(Chunk::Data(events)).await;
-            sent.map_err(|_closed| "caller_left")?;
+        let Ok(events) = self.splitter.push(bytes) else {
+            return Delivery::Malformed;
+        };
+        if !events.is_empty() && self.sender.send(Chunk::Data(events)).await.is_err() {
+            return Delivery::CallerLeft;
         }
-        Ok(())
+        Delivery::Sent
     }
 
     /// Resumes the run at its backup engine, from the backup there or from the copy with the handle
@@ -213,12 +241,13 @@
         let source = Arc::clone(&self.grant.endpoint);
         // An engine that is leaving or silent executes the run until another one resumes it.
         let running = moved.is_none() && (reason == LEAVING || reason == SILENT);
-        let failover = self.proxy.pool.send(Failover(self.grant.run)).await;
+        let failover = Failover(self.grant.run, self.grant.signal);
+        let failover = self.proxy.pool.send(failover).await;
         let Ok(Some((engine, backup))) = failover else {
             return running;
         };
         let means = if moved.is_some() { "move" } else { "backup" };
-        let resume = Resume {
+        let replica = Replica {
             // Only the engine that made the move knows the handle of the copy.
             holder: if moved.is_some() {
                 source.address
@@ -226,26 +255,14 @@
                 engine.address
             },
             handle: moved.unwrap_or_else(|| self.job.attempt.clone()),
-            last_event: self.splitter.last_number().unwrap_or(0),
         };
-        let last_event = resume.last_event;
         if !running {
             self.upstream = None;
         }
-        let resumed = self.resume(&engine, backup.as_deref(), resume).await;
-        let details = format!(
-            "request={} from={} to={} means={means} reason={reason} event={last_event} ms={} \
-             outcome={}",
-            self.job.attempt,
-            source.name,
-            engine.name,
-            started.elapsed().as_millis(),
-            resumed.err().unwrap_or("resumed"),
-        );
-        self.proxy.log.emit(Event::RunMoved, &details);
-        self.proxy
-            .metrics
-            .record_move(if resumed.is_ok() { means } else { "failed" });
+        let resumed = self
+            .resume(&engine, backup.as_deref(), Some(replica), RESUME_TIMEOUT)
+            .await;
+        self.record_move(&source, &engine, started, (means, reason), resumed);
         if resumed.is_ok() {
             self.switch_to(engine);
             return true;
@@ -263,13 +280,37 @@
         true
     }
 
-    /// Sends the request to the engine that holds the KV cache of its run; the new response
-    /// replaces the current one.
-    async fn resume(
+    /// Logs and counts a move of the run, given its means and the reason for it.
+    pub(crate) fn record_move(
+        &self,
+        source: &Endpoint,
+        engine: &Endpoint,
+        started: Instant,
+        (means, reason): (&'static str, &'static str),
+        resumed: Result<(), &'static str>,
+    ) {
+        let details = format!(
+            "request={} from={} to={} means={means} reason={reason} event={} ms={} outcome={}",
+            self.job.attempt,
+            source.name,
+            engine.name,
+            self.splitter.last_number().unwrap_or(0),
+            started.elapsed().as_millis(),
+            resumed.err().unwrap_or("resumed"),
+        );
+        self.proxy.log.emit(Event::RunMoved, &details);
+        let means = if resumed.is_ok() { means } else { "failed" };
+        self.proxy.metrics.record_move(means);
+    }
+
+    /// Sends the request to another engine, which continues after the last event that the caller
+    /// has, from a copy of the KV cache if there is one; the new response replaces the current one.
+    pub(crate) async fn resume(
         &mut self,
         engine: &Endpoint,
         backup: Option<&Endpoint>,
-        resume: Resume,
+        replica: Option<Replica>,
+        timeout: Duration,
     ) -> Result<(), &'static str> {
         let allowed = self.proxy.pool.send(Retry(self.job.service)).await;
         if !allowed.is_ok_and(|decision| decision == shared_retry_budget::Decision::Retry) {
@@ -277,8 +318,13 @@
         }
         let codec = &self.proxy.codec;
         let address = backup.map(|backup| backup.address);
-        let request = self.job.request(codec, engine, address, Some(resume));
-        let open = connection::send(engine.address, request, RESUME_TIMEOUT);
+        // An engine continues a copied run after event 0 if the caller has no event yet.
+        let first = replica.as_ref().map(|_| 0);
+        let last_event = self.splitter.last_number().or(first);
+        let request = self
+            .job
+            .request(codec, engine, address, replica, last_event);
+        let open = connection::send(engine.address, request, timeout);
         let mut open = std::pin::pin!(open);
         // Two engines may execute the same run only for a short time.
         let opened_early = tokio::time::timeout(MAX_OVERLAP, open.as_mut()).await;
@@ -300,7 +346,7 @@
     }
 
     /// Makes the engine that resumed the run the current one.
-    fn switch_to(&mut self, engine: Arc<Endpoint>) {
+    pub(crate) fn switch_to(&mut self, engine: Arc<Endpoint>) {
         self.grant.endpoint = engine;
         self.grant.signal = Signal::Neutral;
         self.migration = State::Idle;
--- /dev/null
+++ b/crates/daisyyard_gateway/src/restart.rs
@@ -0,0 +1,73 @@
+//! Restart of a stream that may be resumed at an engine without a copy of its KV cache: the prompt
+//! is read again, and the stream continues after the last event that the caller has.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use daisyyard_core::endpoint::Endpoint;
+use daisyyard_core::pool::Signal;
+
+use crate::message::{Place, Restart};
+use crate::relay::Relay;
+
+/// Delay before another attempt to find an engine with capacity.
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum number of engines that are asked for one restart, including those that decline.
+const MAX_ENGINES_ASKED: usize = 3;
+
+impl Relay {
+    /// Starts the run anew at another engine if the stream may be resumed and the route allows a
+    /// further run; returns whether the stream continues.
+    pub(crate) async fn restart(&mut self, reason: &'static str) -> bool {
+        for _ in 0..MAX_ENGINES_ASKED {
+            if self.runs_left == 0 {
+                return false;
+            }
+            // The previous engine must not execute the run beside the next one.
+            self.upstream = None;
+            let source = Arc::clone(&self.grant.endpoint);
+            let started = Instant::now();
+            let Some((engine, backup)) = self.find_engine().await else {
+                return false;
+            };
+            let timeout = self.job.remaining();
+            let resumed = self.resume(&engine, backup.as_deref(), None, timeout).await;
+            self.record_move(&source, &engine, started, ("restart", reason), resumed);
+            self.switch_to(engine);
+            match resumed {
+                Ok(()) => {
+                    self.runs_left -= 1;
+                    self.first_data_at = None;
+                    return true;
+                }
+                Err("declined") => {}
+                Err("not_allowed") => return false,
+                Err(_) => {
+                    self.runs_left -= 1;
+                    self.grant.signal = Signal::Failed;
+                }
+            }
+        }
+        false
+    }
+
+    /// Waits for an engine with capacity; returns none if there is no other engine, the caller
+    /// leaves, or the deadline passes.
+    async fn find_engine(&mut self) -> Option<(Arc<Endpoint>, Option<Arc<Endpoint>>)> {
+        while self.job.remaining() > Duration::ZERO {
+            let restart = Restart(self.grant.run, self.grant.signal);
+            match self.proxy.pool.send(restart).await {
+                Ok(Place::Engine(engine, backup)) => return Some((engine, backup)),
+                Ok(Place::Full) => {}
+                Ok(Place::Missing) | Err(_) => return None,
+            }
+            // The health of the previous endpoint has been updated once.
+            self.grant.signal = Signal::Neutral;
+            tokio::select! {
+                () = self.sender.closed() => return None,
+                () = tokio::time::sleep(RETRY_INTERVAL) => {}
+            }
+        }
+        None
+    }
+}
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -12,7 +12,8 @@
 use xtra::{Context, Handler};
 
 use crate::message::{
-    Abandon, Claim, Failover, FirstToken, Grant, Migrate, Notice, Plan, Release, Rollback,
+    Abandon, Claim, Failover, FirstToken, Grant, Migrate, Notice, Place, Plan, Release, Restart,
+    Rollback,
 };
 use crate::pool::Pool;
 
@@ -131,6 +132,14 @@
             .choose_engine(&run.need, zone, &excluded, purpose, now)
     }
 
+    /// Updates the health of an endpoint, and reports a failure that concerns all gateways at once.
+    fn observe(&mut self, endpoint: EndpointId, signal: Signal) {
+        self.endpoints.observe(endpoint, signal, Instant::now());
+        if matches!(signal, Signal::Lost | Signal::Refused) {
+            self.changed.notify_one();
+        }
+    }
+
     /// Returns an endpoint if it is live.
     fn live(&self, id: EndpointId) -> Option<Arc<Endpoint>> {
         let endpoint = self.endpoints.endpoint(id)?;
@@ -183,10 +192,7 @@
     async fn handle(&mut self, Release(id, signal): Release, _: &mut Context<Self>) {
         if let Some(run) = self.runs.remove(&id) {
             self.apply_load(&run, false);
-            self.endpoints.observe(run.endpoint, signal, Instant::now());
-            if matches!(signal, Signal::Lost | Signal::Refused) {
-                self.changed.notify_one();
-            }
+            self.observe(run.endpoint, signal);
             self.schedule();
         }
     }
@@ -203,8 +209,10 @@
 impl Handler<Failover> for Pool {
     type Return = Option<(Arc<Endpoint>, Option<Arc<Endpoint>>)>;
 
-    async fn handle(&mut self, Failover(id): Failover, _: &mut Context<Self>) -> Self::Return {
+    async fn handle(&mut self, message: Failover, _: &mut Context<Self>) -> Self::Return {
+        let Failover(id, signal) = message;
         let fail_over = |pool: &mut Self, run: &mut Run| {
+            pool.observe(run.endpoint, signal);
             let target = run.backup.take().and_then(|id| pool.live(id))?;
             run.endpoint = target.id;
             run.awaits_first_token = false;
@@ -220,6 +228,36 @@
     }
 }
 
+impl Handler<Restart> for Pool {
+    type Return = Place;
+
+    async fn handle(&mut self, Restart(id, signal): Restart, _: &mut Context<Self>) -> Place {
+        let restart = |pool: &mut Self, run: &mut Run| {
+            pool.observe(run.endpoint, signal);
+            run.backup = None;
+            if !run.rejected.contains(&run.endpoint) {
+                run.rejected.push(run.endpoint);
+            }
+            let now = Instant::now();
+            match pool.endpoints.choose(&run.need, &run.rejected, now) {
+                Choice::Send {
+                    endpoint, backup, ..
+                } => {
+                    run.endpoint = endpoint.id;
+                    run.backup = backup.as_ref().map(|backup| backup.id);
+                    run.awaits_first_token = true;
+                    Place::Engine(endpoint, backup)
+                }
+                Choice::Wait => Place::Full,
+                Choice::Missing => Place::Missing,
+            }
+        };
+        let place = self.update_run(id, restart).unwrap_or(Place::Missing);
+        self.changed.notify_one();
+        place
+    }
+}
+
 impl Handler<Rollback> for Pool {
     type Return = ();
 
--- a/crates/daisyyard_gateway/src/sse.rs
+++ b/crates/daisyyard_gateway/src/sse.rs
@@ -3,8 +3,8 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Maximum size of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of an event, in bytes. It bounds the memory of each stream.
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// An event exceeds `MAX_EVENT_BYTES`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -15,6 +15,8 @@
 pub struct Splitter {
     /// Bytes of an event whose end has not arrived yet.
     partial: BytesMut,
+    /// Number of these bytes that were searched for the end of the event.
+    searched: usize,
     /// Number of the last forwarded event.
     last_number: Option<u64>,
     /// Number of forwarded events.
@@ -22,11 +24,21 @@
 }
 
 impl Splitter {
+    /// Creates the splitter of a stream whose caller already has the event `last_number` and all
+    /// before it.
+    pub fn starting_after(last_number: Option<u64>) -> Self {
+        Self {
+            last_number,
+            ..Self::default()
+        }
+    }
+
     /// Adds bytes of the stream and returns the new events that are now complete.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, TooLong> {
         self.partial.extend_from_slice(bytes);
         let mut fresh = BytesMut::new();
-        while let Some(end) = find_event_end(&self.partial) {
+        while let Some(end) = self.find_event_end() {
+            self.searched = 0;
             let event = self.partial.split_to(end);
             if self.accept(&event) {
                 fresh.unsplit(event);
@@ -41,6 +53,7 @@
     /// Discards the bytes of an incomplete event before the stream resumes at another engine.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.searched = 0;
     }
 
     /// Returns the number of the last forwarded event.
@@ -58,6 +71,16 @@
         self.partial.is_empty()
     }
 
+    /// Returns the end of the first event, including its empty line.
+    fn find_event_end(&mut self) -> Option<usize> {
+        let unsearched = &self.partial[self.searched..];
+        let found = unsearched.windows(2).position(|pair| pair == b"\n\n");
+        let end = found.map(|offset| self.searched + offset + 2);
+        // The last byte may be the first of the two that end the event.
+        self.searched = self.partial.len().saturating_sub(1);
+        end
+    }
+
     /// Records an event unless it was already forwarded, and returns whether it is new. An event
     /// without a number is always new.
     fn accept(&mut self, event: &[u8]) -> bool {
@@ -71,12 +94,6 @@
     }
 }
 
-/// Returns the end of the first event, including its empty line.
-fn find_event_end(bytes: &[u8]) -> Option<usize> {
-    let end = bytes.windows(2).position(|pair| pair == b"\n\n")?;
-    Some(end + 2)
-}
-
 /// Returns the number in the `id` field of an event.
 fn event_number(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| *byte == b'\n');
--- a/crates/daisyyard_gateway/src/store.rs
+++ b/crates/daisyyard_gateway/src/store.rs
@@ -11,8 +11,10 @@
 
 use crate::codec::Call;
 
-/// Maximum size of a response, in bytes; it must fit a page of encoded values.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Maximum size of a response of the store, in bytes; it must fit a page of encoded values.
+pub(crate) const MAX_PAGE_BYTES: usize = 8 << 20;
+/// Maximum size of a response that states the result of a single call, in bytes.
+pub(crate) const MAX_RESULT_BYTES: usize = 64 << 10;
 
 /// Reason why a call has no usable response.
 #[derive(Debug, thiserror::Error)]
@@ -31,11 +33,12 @@
     Unusable(anyhow::Error),
 }
 
-/// Sends a call on a new connection and reads the complete response.
+/// Sends a call on a new connection and reads the complete response of at most `max_bytes`.
 pub(crate) async fn call(
     address: SocketAddr,
     call: Call,
     timeout: Duration,
+    max_bytes: usize,
 ) -> Result<Bytes, Error> {
     let mut request = Request::builder()
         .method(call.method)
@@ -50,7 +53,7 @@
         let answer = connection::send(address, request, timeout).await;
         let answer = answer.map_err(Error::Unanswered)?;
         let status = answer.response.status();
-        let body = Limited::new(answer.response.into_body(), MAX_RESPONSE_BYTES);
+        let body = Limited::new(answer.response.into_body(), max_bytes);
         let body = body.collect().await.map_err(|_broken| Error::Broken)?;
         Ok((status, body.to_bytes()))
     };
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -16,7 +16,7 @@
 use crate::message::Update;
 use crate::pool::Pool;
 use crate::settings::Bounds;
-use crate::store::{self, Backoff, Error};
+use crate::store::{self, Backoff, Error, MAX_PAGE_BYTES};
 
 /// Timeout of a read. The store usually answers within milliseconds, but it can be slow.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
@@ -128,7 +128,7 @@
         let mut after: Option<String> = None;
         loop {
             let call = (self.codec.store.list)(after.as_deref());
-            let response = store::call(self.address, call, READ_TIMEOUT).await?;
+            let response = store::call(self.address, call, READ_TIMEOUT, MAX_PAGE_BYTES).await?;
             let page = (self.codec.store.read_batch)(&response).map_err(Error::Unusable)?;
             if after.is_none() {
                 all.revision = page.revision;
@@ -144,7 +144,8 @@
     /// Waits for changes once; returns the next revision, or `None` if the watch history is lost.
     async fn watch(&mut self, revision: Revision) -> Option<Revision> {
         let call = (self.codec.store.watch)(revision, self.watch_timeout);
-        let response = store::call(self.address, call, self.watch_timeout + READ_TIMEOUT).await;
+        let timeout = self.watch_timeout + READ_TIMEOUT;
+        let response = store::call(self.address, call, timeout, MAX_PAGE_BYTES).await;
         let batch = response
             .and_then(|response| (self.codec.store.read_batch)(&response).map_err(Error::Unusable));
         match batch {
--- a/crates/daisyyard_gateway/tests/event_splits.rs
+++ b/crates/daisyyard_gateway/tests/event_splits.rs
@@ -40,6 +40,29 @@
 #[test]
 fn bounded_event() {
     let mut splitter = Splitter::default();
-    let bytes = vec![b'x'; (1 << 20) + 1];
+    let bytes = vec![b'x'; (256 << 10) + 1];
     assert_matches!(splitter.push(&bytes), Err(TooLong));
 }
+
+/// An event that arrives in many small parts is not searched from its start with each of them.
+#[test]
+fn searched_once() {
+    let started = std::time::Instant::now();
+    let mut splitter = Splitter::default();
+    for _ in 0..200_000 {
+        assert!(splitter.push(b"x").expect("short").is_empty());
+    }
+    let event = splitter.push(b"\n\n").expect("short");
+    assert_eq!(event.len(), 200_002);
+    let elapsed = started.elapsed();
+    assert!(elapsed < std::time::Duration::from_secs(5), "{elapsed:?}");
+}
+
+/// The events up to the position of a caller that resumes are dropped.
+#[test]
+fn starts_after_position() {
+    let mut splitter = Splitter::starting_after(Some(2));
+    let passed = splitter.push(b"id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    assert_eq!(&*passed.expect("short"), b"id: 3\ndata: c\n\n");
+    assert_eq!(splitter.last_number(), Some(3));
+}
--- a/crates/daisyyard_http/src/connection.rs
+++ b/crates/daisyyard_http/src/connection.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -23,6 +24,8 @@
 /// Idle time before the first keepalive probe, and the time between probes. Without probes, a
 /// connection whose state a middlebox has dropped would look open forever.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum size of the read buffer of a connection, in bytes, and so of the head of a response.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Number of unanswered keepalive probes after which the kernel closes the connection.
 const KEEPALIVE_PROBES: u32 = 3;
 /// Value of `TCP_USER_TIMEOUT`: how long sent bytes may stay unacknowledged.
@@ -77,7 +80,10 @@
         inner: socket,
         written: Arc::clone(&written),
     };
-    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(socket)).await;
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(socket))
+        .await;
     let Ok((mut sender, connection)) = handshake else {
         return Err(Failure::Unwritten);
     };
--- a/crates/daisyyard_standin/src/lib.rs
+++ b/crates/daisyyard_standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub(crate) mod decoder;
 pub mod engine;
 pub mod fault;
+pub mod faulty_endpoint;
 pub mod instance_list;
 pub(crate) mod keys;
 pub mod outage;
--- a/crates/daisyyard_standin/src/platform_fixture.rs
+++ b/crates/daisyyard_standin/src/platform_fixture.rs
@@ -9,7 +9,8 @@
 /// Host name that all routes match.
 pub const HOST: &str = "desk.example";
 
-/// Returns a configuration with one streaming route to engines and three routes to plain endpoints.
+/// Returns a configuration with two streaming routes to engines, of which `check` may be resumed,
+/// and three routes to plain endpoints.
 pub fn config(version: u64) -> Value {
     let route = |name: &str, kind: &str, service: &str, attempts: u32, public: bool| {
         json!({
@@ -18,10 +19,13 @@
             "max_attempts": attempts, "public": public, "sticky": false, "resumable": false,
         })
     };
+    let mut check = route("check", "streaming", "model", 2, false);
+    check["resumable"] = true.into();
     json!({
         "version": version,
         "routes": [
             route("draft", "streaming", "model", 1, false),
+            check,
             route("book", "non_idempotent", "desk", 1, false),
             route("stock", "idempotent", "desk", 2, false),
             route("open", "idempotent", "desk", 1, true),
