Send long streams to engines where they keep their longest allowed pause

Ruled out: the time to the first event (all in time); callers that block the relay. Change: gateways learn each engine's pace from gaps between events, share it in digests, and learn by which factor gaps are stretched. An engine at which the expected longest pause exceeds the route's target_gap gets long streams, their backups and moves, and prompts beside running streams only if the others are fuller. A new incarnation of an engine starts without a pace. What is still late started before the pace was known, or when the other engines were two thirds full.

--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -7,6 +7,7 @@
 use crate::endpoint::{Endpoint, Kind, State};
 use crate::id::{InstanceId, Revision, ServiceId};
 use crate::load::{Load, Need};
+use crate::pace::{Pace, Stretches};
 use crate::pool::Signal;
 use crate::zone::{Distance, Zone};
 
@@ -28,6 +29,8 @@
 const COLD_WEIGHT: f64 = 0.5;
 /// Weight of an endpoint whose requests all fail; it is proportional to the failure rate.
 const FAILURE_WEIGHT: f64 = 2.0;
+/// Weight of an engine at which a long stream is likely to pause for too long.
+const LONG_PAUSE_WEIGHT: f64 = 0.4;
 /// Smoothing factor of the failure rate, which is the weight of the newest result.
 const FAILURE_SMOOTHING: f64 = 0.2;
 /// Time after which the load of a node expires if no newer digest arrives.
@@ -66,6 +69,8 @@
     losses: u32,
     /// Exponentially smoothed share of failed requests.
     failure_rate: f64,
+    /// Pace of the engine.
+    pub(crate) pace: Pace,
 }
 
 impl Candidate {
@@ -84,6 +89,7 @@
             fails_everywhere: false,
             losses: 0,
             failure_rate: 0.0,
+            pace: Pace::default(),
         }
     }
 
@@ -168,7 +174,13 @@
 
     /// Returns the weight of the endpoint; the one with the lowest weight is chosen. A full
     /// endpoint has a weight of about one.
-    pub(crate) fn weight(&self, need: &Need, zone: &Zone, now: Instant) -> f64 {
+    pub(crate) fn weight(
+        &self,
+        need: &Need,
+        zone: &Zone,
+        stretches: &Stretches,
+        now: Instant,
+    ) -> f64 {
         let load = self.load(now);
         let usage = match self.endpoint.kind {
             Kind::Engine => {
@@ -187,6 +199,22 @@
         } else {
             0.0
         };
-        usage + distance + cold + FAILURE_WEIGHT * self.failure_rate
+        let pauses = self.pause_weight(need, load.runs, stretches);
+        usage + distance + cold + pauses + FAILURE_WEIGHT * self.failure_rate
+    }
+
+    /// Returns the weight for streams that are likely to pause for longer than the target of the
+    /// request because of it: its own stream, or those of the `runs` that its prompt delays. A short
+    /// stream ends before a pause is likely, so it is welcome at a slow engine that is idle.
+    pub(crate) fn pause_weight(&self, need: &Need, runs: u32, stretches: &Stretches) -> f64 {
+        let (Some(target), Some(pace)) = (need.target_gap, self.pace.estimate()) else {
+            return 0.0;
+        };
+        let concerns_stream = runs > 0 || !need.is_short();
+        if concerns_stream && stretches.longest_pause(need.service, pace) > target {
+            LONG_PAUSE_WEIGHT
+        } else {
+            0.0
+        }
     }
 }
--- a/crates/daisyyard_core/src/endpoint.rs
+++ b/crates/daisyyard_core/src/endpoint.rs
@@ -21,6 +21,8 @@
     pub zone: Zone,
     /// Address at which the endpoint accepts requests.
     pub address: SocketAddr,
+    /// Identifies one start of the endpoint; another start knows nothing of the one before.
+    pub incarnation: u64,
     /// Whether the endpoint is an engine or belongs to a plain service.
     pub kind: Kind,
     /// Whether the endpoint may receive new requests.
@@ -81,6 +83,7 @@
             service: id::of(service),
             zone,
             address,
+            incarnation: 0,
             kind,
             state: State::Live,
             checks_fencing: false,
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod member;
 mod memory;
 pub mod order;
+mod pace;
 pub mod peers;
 pub mod placement;
 pub mod pool;
--- a/crates/daisyyard_core/src/load.rs
+++ b/crates/daisyyard_core/src/load.rs
@@ -1,5 +1,7 @@
 //! Demand of a request on an endpoint, and the load that nodes have reserved there.
 
+use std::time::Duration;
+
 use daisyyard_derive::record;
 
 use crate::id::{ServiceId, Tokens};
@@ -25,6 +27,8 @@
     pub memory: Tokens,
     /// Maximum number of connections to one endpoint of the service.
     pub connections: u32,
+    /// Longest pause between two events with which a stream has its full worth, if there is a limit.
+    pub target_gap: Option<Duration>,
     /// Whether another engine should hold a backup copy of the generation's memory.
     pub backup: bool,
 }
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -17,6 +17,7 @@
 use crate::endpoint::{Endpoint, State};
 use crate::id::{EndpointId, InstanceId, Revision, ZoneId};
 use crate::load::{Load, Need};
+use crate::pace::{Pace, Stretches};
 use crate::zone::Zone;
 
 /// Share of the memory of an engine up to which it receives copies of runs at other engines. The
@@ -93,6 +94,8 @@
     revision: Revision,
     /// Revision of the store at which the newest endpoint was first listed.
     newest_listing: Revision,
+    /// Factors by which pauses in streams are stretched.
+    stretches: Stretches,
     /// Generator of the random weights.
     random: Pcg64Mcg,
 }
@@ -106,6 +109,7 @@
             ejections: Ejections::default(),
             revision: 0,
             newest_listing: 0,
+            stretches: Stretches::default(),
             random: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -125,6 +129,9 @@
             self.newest_listing = self.revision;
             Candidate::new(Arc::clone(&endpoint), now)
         });
+        if candidate.endpoint.incarnation != endpoint.incarnation {
+            candidate.pace = Pace::default();
+        }
         candidate.endpoint = endpoint;
         candidate.cold_until = now + cold;
         candidate.grace_until = None;
@@ -248,8 +255,8 @@
             if failing.contains(id) || !candidate.usable(now) || !candidate.fits(need, now) {
                 continue;
             }
-            let weight =
-                candidate.weight(need, &self.zone, now) + self.random.random_range(0.0..JITTER);
+            let weight = candidate.weight(need, &self.zone, &self.stretches, now)
+                + self.random.random_range(0.0..JITTER);
             if best.is_none_or(|(least, _)| weight < least) {
                 best = Some((weight, *id));
             }
@@ -296,7 +303,7 @@
                 && candidate.usable(now)
                 && candidate.grace_until.is_none()
         });
-        let random = &mut self.random;
+        let (random, stretches) = (&mut self.random, &self.stretches);
         let weighed = candidates.filter_map(|(_, candidate)| {
             let share = candidate.memory_share(need, now);
             // A copy within a zone takes half the time.
@@ -305,7 +312,8 @@
             } else {
                 COPY_ZONE_WEIGHT
             };
-            let weight = share + distance + random.random_range(0.0..COPY_JITTER);
+            let pauses = candidate.pause_weight(need, candidate.load(now).runs, stretches);
+            let weight = share + distance + pauses + random.random_range(0.0..COPY_JITTER);
             (share <= max_share).then_some((weight, candidate))
         });
         let least = weighed.min_by(|one, two| one.0.total_cmp(&two.0));
@@ -326,6 +334,35 @@
         }
     }
 
+    /// Adds gaps between events of a stream at an engine.
+    pub fn observe_gaps(&mut self, id: EndpointId, gaps: &[Duration]) {
+        let Some(candidate) = self.candidates.get_mut(&id) else {
+            return;
+        };
+        for gap in gaps {
+            candidate.pace.observe(*gap);
+            if let Some(pace) = candidate.pace.estimate() {
+                let service = candidate.endpoint.service;
+                self.stretches.observe(service, *gap, pace);
+            }
+        }
+    }
+
+    /// Returns the engines whose pace this node has observed.
+    pub fn paces(&self) -> impl Iterator<Item = (EndpointId, Duration)> {
+        let candidates = self.candidates.iter();
+        candidates.filter_map(|(id, candidate)| Some((*id, candidate.pace.own()?)))
+    }
+
+    /// Adds the paces of engines that another node observed.
+    pub fn learn_paces(&mut self, paces: &[(EndpointId, Duration)]) {
+        for (id, pace) in paces {
+            if let Some(candidate) = self.candidates.get_mut(id) {
+                candidate.pace.learn(*pace);
+            }
+        }
+    }
+
     /// Returns the endpoints that this node has ejected because they fail for all nodes. Those with
     /// a broken path from this node only are left out.
     pub fn ejections(&self, now: Instant) -> impl Iterator<Item = EndpointId> {
--- a/crates/daisyyard_core/tests/pool_choice.rs
+++ b/crates/daisyyard_core/tests/pool_choice.rs
@@ -39,6 +39,7 @@
         output: 0,
         memory: MEMORY,
         connections: 100,
+        target_gap: None,
         backup,
     }
 }
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -31,6 +31,8 @@
 const MAX_DEPARTURES: usize = 16;
 /// Maximum number of ejected endpoints in one datagram.
 const MAX_EJECTIONS: usize = 12;
+/// Maximum number of paces in one datagram.
+const MAX_PACES: usize = 16;
 /// Maximum number of services in one datagram.
 const MAX_SERVICES: usize = 8;
 
@@ -64,6 +66,9 @@
     /// Whether the frame only continues the loads of the previous frame.
     #[prost(bool, tag = "9")]
     continuation: bool,
+    /// Time between two events at engines that the sender has observed.
+    #[prost(message, repeated, tag = "10")]
+    paces: Vec<Pace>,
 }
 
 /// An endpoint that is leaving.
@@ -77,6 +82,17 @@
     revision: Revision,
 }
 
+/// Time between two events of a stream at one engine.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+struct Pace {
+    /// Identifier of the engine.
+    #[prost(fixed64, tag = "1")]
+    endpoint: EndpointId,
+    /// Time in microseconds.
+    #[prost(uint32, tag = "2")]
+    gap_us: u32,
+}
+
 /// Request counts of the sender for one service.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 struct Counts {
@@ -145,6 +161,22 @@
     }
 }
 
+impl From<&(EndpointId, Duration)> for Pace {
+    fn from((endpoint, gap): &(EndpointId, Duration)) -> Self {
+        Self {
+            endpoint: *endpoint,
+            gap_us: u32::try_from(gap.as_micros()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<Pace> for (EndpointId, Duration) {
+    fn from(pace: Pace) -> Self {
+        let gap = Duration::from_micros(pace.gap_us.into());
+        (pace.endpoint, gap)
+    }
+}
+
 impl From<&(ServiceId, Count)> for Counts {
     fn from((service, count): &(ServiceId, Count)) -> Self {
         Self {
@@ -204,6 +236,12 @@
                 .take(MAX_DEPARTURES)
                 .map(Departure::from)
                 .collect(),
+            paces: report
+                .paces
+                .iter()
+                .take(MAX_PACES)
+                .map(Pace::from)
+                .collect(),
             counts: report
                 .counts
                 .iter()
@@ -225,6 +263,7 @@
             ejections: frame.ejections,
             departures: frame.departures.into_iter().map(Into::into).collect(),
             loads: frame.loads.into_iter().map(Into::into).collect(),
+            paces: frame.paces.into_iter().map(Into::into).collect(),
             counts: frame.counts.into_iter().map(Into::into).collect(),
         }
     }
--- a/crates/daisyyard_gateway/src/job.rs
+++ b/crates/daisyyard_gateway/src/job.rs
@@ -87,6 +87,7 @@
             output,
             connections: self.connections,
             memory: self.engine.map_or(0, |engine| engine.memory),
+            target_gap: self.route.target_gap,
             backup: output >= SHORT_OUTPUT_TOKENS
                 && self.engine.is_some_and(|engine| engine.backups),
         }
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod codec;
 pub(crate) mod digest;
 pub(crate) mod event;
+pub(crate) mod gaps;
 pub mod gateway;
 pub(crate) mod ingress;
 pub(crate) mod job;
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages to the pool actor, which owns the gateway's state of endpoints and other gateways.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use daisyyard_core::backlog::Schedule;
 use daisyyard_core::endpoint::Endpoint;
@@ -72,6 +72,10 @@
 #[derive(Debug)]
 pub(crate) struct FirstToken(pub(crate) RequestId);
 
+/// Reports gaps between events of a run.
+#[derive(Debug)]
+pub(crate) struct ObserveGaps(pub(crate) RequestId, pub(crate) Vec<Duration>);
+
 /// Makes the backup engine of a run its endpoint, and asks for an engine for a new backup. The
 /// signal is that of the previous endpoint.
 #[derive(Debug)]
@@ -177,6 +181,8 @@
     pub(crate) continuation: bool,
     /// Load of the sender at each endpoint.
     pub(crate) loads: Vec<(EndpointId, Load)>,
+    /// Time between two events at each engine that the sender has observed.
+    pub(crate) paces: Vec<(EndpointId, Duration)>,
     /// Requests and retries of the sender for each service.
     pub(crate) counts: Vec<(ServiceId, shared_retry_budget::Count)>,
 }
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -190,6 +190,7 @@
     fn apply_report(&mut self, report: Report, now: Instant) {
         let from = report.from;
         self.endpoints.set_loads(from, &report.loads, now);
+        self.endpoints.learn_paces(&report.paces);
         self.endpoints.learn_ejections(from, &report.ejections, now);
         self.retry_budget.learn(from, report.counts, now);
         for (id, revision) in report.departures {
@@ -343,6 +344,7 @@
             ejections: self.endpoints.ejections(now).collect(),
             departures: self.endpoints.departures(now).collect(),
             loads: self.endpoints.loads().collect(),
+            paces: self.endpoints.paces().collect(),
             counts: self.retry_budget.counts(now),
         };
         (report, self.members.digest_targets())
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -18,8 +18,9 @@
 use crate::body::Chunk;
 use crate::codec::Replica;
 use crate::event::Event;
+use crate::gaps::Gaps;
 use crate::job::Job;
-use crate::message::{Failover, FirstToken, Grant, Notice, Retry, Rollback};
+use crate::message::{Failover, FirstToken, Grant, Notice, ObserveGaps, Retry, Rollback};
 use crate::migration::{State, join_copy};
 use crate::proxy::Proxy;
 use crate::sse::Splitter;
@@ -59,6 +60,8 @@
     pub(crate) splitter: Splitter,
     /// When the first data arrived from the current engine, or when the run resumed there.
     pub(crate) first_data_at: Option<Instant>,
+    /// Gaps between the events.
+    gaps: Gaps,
     /// Progress of the migration to another engine.
     pub(crate) migration: State,
     /// Number of further engines at which the run may start anew.
@@ -114,6 +117,7 @@
             sender,
             splitter,
             first_data_at: None,
+            gaps: Gaps::default(),
             migration: State::Idle,
             runs_left,
         }
@@ -225,9 +229,21 @@
             // The pool ends only with the process.
             let _ = self.proxy.pool.send(FirstToken(self.grant.run)).await;
         }
+        let count_before = self.splitter.event_count();
         let Ok(events) = self.splitter.push(bytes) else {
             return Delivery::Malformed;
         };
+        let event_count = self.splitter.event_count() - count_before;
+        let blocked = self.sender.capacity() == 0;
+        self.gaps.observe(event_count, blocked, Instant::now());
+        if let Some(gaps) = self.gaps.take_batch() {
+            // The pool ends only with the process.
+            let _ = self
+                .proxy
+                .pool
+                .send(ObserveGaps(self.grant.run, gaps))
+                .await;
+        }
         if !events.is_empty() && self.sender.send(Chunk::Data(events)).await.is_err() {
             return Delivery::CallerLeft;
         }
@@ -350,6 +366,7 @@
         self.grant.endpoint = engine;
         self.grant.signal = Signal::Neutral;
         self.migration = State::Idle;
+        self.gaps.reset();
         self.first_data_at = Some(Instant::now());
         // Notices from before the failover are about the previous engine.
         while self.grant.notices.try_recv().is_ok() {}
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -12,8 +12,8 @@
 use xtra::{Context, Handler};
 
 use crate::message::{
-    Abandon, Claim, Failover, FirstToken, Grant, Migrate, Notice, Place, Plan, Release, Restart,
-    Rollback,
+    Abandon, Claim, Failover, FirstToken, Grant, Migrate, Notice, ObserveGaps, Place, Plan,
+    Release, Restart, Rollback,
 };
 use crate::pool::Pool;
 
@@ -206,6 +206,16 @@
     }
 }
 
+impl Handler<ObserveGaps> for Pool {
+    type Return = ();
+
+    async fn handle(&mut self, ObserveGaps(id, gaps): ObserveGaps, _: &mut Context<Self>) {
+        if let Some(run) = self.runs.get(&id) {
+            self.endpoints.observe_gaps(run.endpoint, &gaps);
+        }
+    }
+}
+
 impl Handler<Failover> for Pool {
     type Return = Option<(Arc<Endpoint>, Option<Arc<Endpoint>>)>;
 
