Let a part of a large fleet serve callers and read the store

Cause: each gateway sent a digest to every other one up to ten times a second and was woken by every change of the store. Weighed: a home per engine (one exchange for each request, but the choice among 97 engines still needs their loads everywhere); sums by zone over elected nodes (about 16,000 datagrams a second at 295 nodes, 150 to 200 ms old); a small set of serving nodes (chosen: the least new state, and it also limits the calls). Change: all gateways rank the live ones by the same hash. The first of each zone serve callers, at least 24 and a quarter of the fleet, more with the rate of requests. Digests go to these at once and to the others each 600 ms; a reader in each zone passes changes of endpoints and gateways on to its zone, and the others read the store each 12 s, for a new configuration, or when no digest arrives.

--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod preset;
 pub mod queue;
 pub mod retry_budget;
+pub mod roster;
 pub mod route;
 mod share;
 pub mod shared_retry_budget;
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -28,7 +28,7 @@
 const LOAD_RETENTION: Duration = Duration::from_secs(10);
 /// Time for which other nodes are informed that an endpoint is leaving. Within this time, they
 /// read it from the store themselves.
-const DEPARTURE_REPORT_TIME: Duration = Duration::from_secs(2);
+const DEPARTURE_REPORT_TIME: Duration = Duration::from_secs(3);
 /// Weight of an engine in another availability zone for a copy, which then takes twice as long.
 const COPY_ZONE_WEIGHT: f64 = 1.0;
 /// Largest random weight, which prevents nodes with the same view from choosing the same endpoint.
@@ -114,9 +114,10 @@
         }
     }
 
-    /// Sets the revision of the store to which the following changes belong.
-    pub fn advance(&mut self, revision: Revision) {
-        self.revision = revision;
+    /// Sets the revision of the store to which the following changes belong, and returns the one
+    /// before.
+    pub fn advance(&mut self, revision: Revision) -> Revision {
+        std::mem::replace(&mut self.revision, revision)
     }
 
     /// Adds or updates an endpoint; returns whether it has started to leave.
@@ -172,9 +173,18 @@
         self.newest_listing
     }
 
-    /// Returns whether the entries of the store have not yet been read up to a revision.
+    /// Returns whether an endpoint that was listed at a revision may not be known yet.
     pub fn is_behind(&self, revision: Revision) -> bool {
-        self.revision < revision
+        self.revision.max(self.newest_listing) < revision
+    }
+
+    /// Returns whether a change of an endpoint at a revision is later than all that is known of it.
+    pub fn is_news(&self, id: EndpointId, revision: Revision) -> bool {
+        let known = self.candidates.get(&id).map_or(0, |known| {
+            let departed = known.departed.map_or(0, |(_, revision)| revision);
+            known.listed_at.max(departed)
+        });
+        known.max(self.revision) < revision
     }
 
     /// Returns the endpoints that recently started to leave, each with the revision of the store at
@@ -348,10 +358,11 @@
         }
     }
 
-    /// Returns the engines whose pace this node has observed.
+    /// Returns the engines that this node uses and whose pace it has observed.
     pub fn paces(&self) -> impl Iterator<Item = (EndpointId, Duration)> {
-        let candidates = self.candidates.iter();
-        candidates.filter_map(|(id, candidate)| Some((*id, candidate.pace.own()?)))
+        let used = self.candidates.iter();
+        let used = used.filter(|(_, candidate)| candidate.local_load.runs > 0);
+        used.filter_map(|(id, candidate)| Some((*id, candidate.pace.own()?)))
     }
 
     /// Adds the paces of engines that another node observed.
--- a/crates/daisyyard_core/src/shared_retry_budget.rs
+++ b/crates/daisyyard_core/src/shared_retry_budget.rs
@@ -127,6 +127,15 @@
         Decision::Retry
     }
 
+    /// Returns the requests per second of all nodes over the window.
+    pub fn request_rate(&self, now: Instant) -> f64 {
+        let own = self.slots.keys().map(|service| self.count(*service, now));
+        let others = self.others.values().flat_map(|report| &report.counts);
+        let all = own.chain(others.map(|(_, count)| *count));
+        let requests: u32 = all.map(|count| count.requests).sum();
+        f64::from(requests) / self.limits.window.as_secs_f64().max(1.0)
+    }
+
     /// Returns the counts of this node in the current window, by service.
     pub fn counts(&self, now: Instant) -> Vec<(ServiceId, Count)> {
         let services = self.slots.keys();
--- a/crates/daisyyard_gateway/src/codec.rs
+++ b/crates/daisyyard_gateway/src/codec.rs
@@ -113,11 +113,24 @@
     Other,
 }
 
+/// A change of a key of an endpoint or a gateway, as one gateway passes it on to others.
+#[value]
+pub struct Item {
+    /// Name of the key.
+    pub key: String,
+    /// Value of the key; `None` if it was deleted.
+    pub value: Option<Bytes>,
+    /// Revision of the store at the change.
+    pub revision: Revision,
+}
+
 /// Records from one page or watch response of the store.
 #[derive(Debug, Default)]
 pub struct Batch {
     /// Decoded contents of the keys.
     pub records: Vec<Record>,
+    /// Changes among them to pass on to gateways that do not read the store themselves.
+    pub items: Vec<Item>,
     /// Revision up to which the records are complete.
     pub revision: Revision,
     /// Key after which the next page starts, if there is one.
@@ -151,6 +164,8 @@
     pub watch: fn(after: Revision, wait: Duration) -> Call,
     /// Decodes the response to `list` or `watch`.
     pub read_batch: fn(&[u8]) -> anyhow::Result<Batch>,
+    /// Decodes a change that another gateway has passed on.
+    pub read_item: fn(&Item) -> Record,
     /// Creates a lease.
     pub grant_lease: fn(lifetime: Duration) -> Call,
     /// Decodes the response to `grant_lease`.
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -5,16 +5,18 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use daisyyard_core::id::{EndpointId, InstanceId, Revision, ServiceId};
 use daisyyard_core::load::Load;
 use daisyyard_core::shared_retry_budget::Count;
 use prost::Message;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinHandle;
 use xtra::{Address, WeakAddress};
 
-use crate::message::{Digest, Report};
+use crate::codec::Item;
+use crate::message::{Digest, Report, ShareNews};
 use crate::pool::Pool;
 
 /// Time between two digests if no change is reported earlier.
@@ -25,6 +27,10 @@
 const RESEND_INTERVALS: u32 = 4;
 /// Maximum size of a datagram; it fits into one packet on any path.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Maximum size of the tag and length of a field, in bytes.
+const MAX_FIELD_OVERHEAD_BYTES: usize = 12;
+/// Time between two digests to gateways that do not serve callers.
+const RESERVE_INTERVAL: Duration = Duration::from_millis(600);
 /// Maximum number of endpoint loads in one datagram.
 const MAX_LOADS: usize = 32;
 /// Maximum number of leaving endpoints in one datagram.
@@ -69,6 +75,13 @@
     /// Time between two events at engines that the sender has observed.
     #[prost(message, repeated, tag = "10")]
     paces: Vec<Pace>,
+    /// Changes that the sender has read from the store.
+    #[prost(message, repeated, tag = "11")]
+    news: Vec<Change>,
+    /// Time in milliseconds for which a deleted entry may be written again, after an outage of the
+    /// store.
+    #[prost(uint32, tag = "12")]
+    relist_ms: u32,
 }
 
 /// An endpoint that is leaving.
@@ -82,6 +95,20 @@
     revision: Revision,
 }
 
+/// A change of a key in the store.
+#[derive(Clone, PartialEq, Eq, Message)]
+struct Change {
+    /// Name of the key.
+    #[prost(string, tag = "1")]
+    key: String,
+    /// Value of the key; absent if it was deleted.
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    value: Option<Bytes>,
+    /// Revision of the store at the change.
+    #[prost(uint64, tag = "3")]
+    revision: Revision,
+}
+
 /// Time between two events of a stream at one engine.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 struct Pace {
@@ -161,6 +188,26 @@
     }
 }
 
+impl From<Item> for Change {
+    fn from(item: Item) -> Self {
+        Self {
+            key: item.key,
+            value: item.value,
+            revision: item.revision,
+        }
+    }
+}
+
+impl From<Change> for Item {
+    fn from(change: Change) -> Self {
+        Self {
+            key: change.key,
+            value: change.value,
+            revision: change.revision,
+        }
+    }
+}
+
 impl From<&(EndpointId, Duration)> for Pace {
     fn from((endpoint, gap): &(EndpointId, Duration)) -> Self {
         Self {
@@ -214,11 +261,36 @@
             .collect()
     }
 
+    /// Splits changes of the store into frames.
+    fn from_news(sender: InstanceId, news: News) -> Vec<Self> {
+        let relist_ms = news.relist_time.as_millis() as u32;
+        let mut frames: Vec<Self> = Vec::new();
+        let mut room = 0;
+        for change in news.items.into_iter().map(Change::from) {
+            let size = change.encoded_len() + MAX_FIELD_OVERHEAD_BYTES;
+            if size > room || frames.is_empty() {
+                room = MAX_DATAGRAM_BYTES - MAX_FIELD_OVERHEAD_BYTES * 4;
+                frames.push(Self {
+                    instance: sender,
+                    continuation: true,
+                    relist_ms,
+                    ..Self::default()
+                });
+            }
+            room = room.saturating_sub(size);
+            let last = frames.len() - 1;
+            frames[last].news.push(change);
+        }
+        frames
+    }
+
     /// Returns the first frame of a report, with the given part of its loads.
     fn first(report: &Report, loads: &[(EndpointId, Load)]) -> Self {
         let loads = loads.iter().map(EndpointLoad::from);
         Self {
             continuation: false,
+            news: Vec::new(),
+            relist_ms: 0,
             instance: report.from,
             leaving: report.leaving,
             loads: loads.collect(),
@@ -264,68 +336,132 @@
             departures: frame.departures.into_iter().map(Into::into).collect(),
             loads: frame.loads.into_iter().map(Into::into).collect(),
             paces: frame.paces.into_iter().map(Into::into).collect(),
+            news: frame.news.into_iter().map(Into::into).collect(),
+            relist_time: Duration::from_millis(frame.relist_ms.into()),
             counts: frame.counts.into_iter().map(Into::into).collect(),
         }
     }
 }
 
+/// Changes of the store to pass on to other gateways.
+#[derive(Debug)]
+pub(crate) struct News {
+    /// The changes.
+    pub(crate) items: Vec<Item>,
+    /// Time for which a deleted entry may be written again, after an outage of the store.
+    pub(crate) relist_time: Duration,
+}
+
+/// Task that sends and receives datagrams.
+#[derive(Debug)]
+struct Exchange {
+    /// Socket for all datagrams.
+    socket: UdpSocket,
+    /// Actor whose state is exchanged.
+    pool: WeakAddress<Pool>,
+    /// Frames of the last digest.
+    last_frames: Vec<Frame>,
+    /// Intervals since the last digest was sent.
+    unchanged: u32,
+    /// When a digest was last sent to the gateways that do not serve callers.
+    last_to_reserve: Instant,
+}
+
 /// Binds the socket and starts the task that sends and receives digests.
 pub(crate) async fn spawn(
     address: SocketAddr,
     pool: &Address<Pool>,
     changed: Arc<Notify>,
+    news: mpsc::UnboundedReceiver<News>,
 ) -> std::io::Result<JoinHandle<()>> {
-    let socket = UdpSocket::bind(address).await?;
-    Ok(tokio::spawn(run(socket, pool.downgrade(), changed)))
+    let exchange = Exchange {
+        socket: UdpSocket::bind(address).await?,
+        pool: pool.downgrade(),
+        last_frames: Vec::new(),
+        unchanged: 0,
+        last_to_reserve: Instant::now(),
+    };
+    Ok(tokio::spawn(exchange.run(changed, news)))
 }
 
-/// Sends and receives digests until the pool actor ends.
-async fn run(socket: UdpSocket, pool: WeakAddress<Pool>, changed: Arc<Notify>) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    let mut last_frames = Vec::new();
-    let mut last_sent = Instant::now();
-    let mut next_send = last_sent + DIGEST_INTERVAL;
-    let mut unchanged = 0;
-    loop {
-        tokio::select! {
-            () = changed.notified() => next_send = next_send.min(last_sent + MIN_DIGEST_INTERVAL),
-            () = tokio::time::sleep_until(next_send.into()) => {
-                let Ok((report, targets)) = pool.send(Digest).await else {
-                    return;
-                };
-                let frames = Frame::from_report(&report);
-                unchanged += 1;
-                if frames != last_frames || unchanged >= RESEND_INTERVALS {
-                    unchanged = 0;
-                    for frame in &frames {
-                        send(&socket, frame, &targets).await;
-                    }
-                    last_frames = frames;
+impl Exchange {
+    /// Sends and receives digests until the pool actor ends.
+    async fn run(mut self, changed: Arc<Notify>, mut news: mpsc::UnboundedReceiver<News>) {
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        let mut last_sent = Instant::now();
+        let mut next_send = last_sent + DIGEST_INTERVAL;
+        loop {
+            let continues = tokio::select! {
+                () = changed.notified() => {
+                    next_send = next_send.min(last_sent + MIN_DIGEST_INTERVAL);
+                    true
                 }
-                last_sent = Instant::now();
-                next_send = last_sent + DIGEST_INTERVAL;
-            }
-            received = socket.recv_from(&mut buffer) => {
-                // The datagram is foreign or damaged; the next digest replaces it.
-                let Ok((size, _)) = received else {
-                    continue;
-                };
-                let Ok(frame) = Frame::decode(&buffer[..size]) else {
-                    continue;
-                };
-                if pool.send(Report::from(frame)).await.is_err() {
-                    return;
+                () = tokio::time::sleep_until(next_send.into()) => {
+                    let sent = self.send_digest().await;
+                    last_sent = Instant::now();
+                    next_send = last_sent + DIGEST_INTERVAL;
+                    sent
                 }
+                Some(news) = news.recv() => self.send_news(news).await,
+                received = self.socket.recv_from(&mut buffer) => match received {
+                    Ok((size, _)) => self.receive(&buffer[..size]).await,
+                    // The next datagram replaces one that cannot be received.
+                    Err(_) => true,
+                },
+            };
+            if !continues {
+                return;
             }
         }
     }
-}
 
-/// Sends a frame to the other gateways.
-async fn send(socket: &UdpSocket, frame: &Frame, targets: &[SocketAddr]) {
-    let bytes = frame.encode_to_vec();
-    for target in targets {
-        // A lost datagram is replaced by the next one.
-        let _ = socket.send_to(&bytes, target).await;
+    /// Sends a digest if it has changed or the last one is old; returns whether the pool runs.
+    async fn send_digest(&mut self) -> bool {
+        let Ok((report, targets)) = self.pool.send(Digest).await else {
+            return false;
+        };
+        let frames = Frame::from_report(&report);
+        self.unchanged += 1;
+        if frames != self.last_frames || self.unchanged >= RESEND_INTERVALS {
+            self.unchanged = 0;
+            self.send(&frames, &targets.serving).await;
+            self.last_frames = frames;
+        }
+        if self.last_to_reserve.elapsed() >= RESERVE_INTERVAL {
+            self.last_to_reserve = Instant::now();
+            self.send(&self.last_frames, &targets.reserve).await;
+        }
+        true
+    }
+
+    /// Passes changes of the store on to the gateways that rely on this one; returns whether the
+    /// pool runs.
+    async fn send_news(&self, news: News) -> bool {
+        let Ok((sender, targets)) = self.pool.send(ShareNews).await else {
+            return false;
+        };
+        let frames = Frame::from_news(sender, news);
+        self.send(&frames, &targets).await;
+        true
+    }
+
+    /// Passes a datagram on to the pool; returns whether the pool runs.
+    async fn receive(&self, bytes: &[u8]) -> bool {
+        // The datagram is foreign or damaged; the next digest replaces it.
+        let Ok(frame) = Frame::decode(bytes) else {
+            return true;
+        };
+        self.pool.send(Report::from(frame)).await.is_ok()
+    }
+
+    /// Sends frames to gateways.
+    async fn send(&self, frames: &[Frame], targets: &[SocketAddr]) {
+        for frame in frames {
+            let bytes = frame.encode_to_vec();
+            for target in targets {
+                // A lost datagram is replaced by the next one.
+                let _ = self.socket.send_to(&bytes, target).await;
+            }
+        }
     }
 }
--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 use anyhow::Context;
 use hyper::{Request, Response, StatusCode};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio_util::task::TaskTracker;
 use xtra::Address;
 
@@ -107,13 +107,15 @@
         let scrapes = bind(listen.metrics)?;
         let changed = Arc::new(Notify::new());
         let refresh = Arc::new(Notify::new());
+        let (news, news_receiver) = mpsc::unbounded_channel();
         let pool = pool::spawn(
             settings,
+            codec,
             Arc::clone(&changed),
             Arc::clone(&refresh),
             log.clone(),
         );
-        let digests = digest::spawn(listen.digests, &pool, changed).await;
+        let digests = digest::spawn(listen.digests, &pool, changed, news_receiver).await;
         digests.with_context(|| format!("cannot bind {}; is it in use?", listen.digests))?;
         let metrics = Metrics::new()?;
         let (phase, phase_view) = watch::channel(Phase::Serving);
@@ -123,6 +125,7 @@
             settings.bounds,
             pool.clone(),
             refresh,
+            news,
             log.clone(),
         );
         tokio::spawn(watcher.run());
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -4,14 +4,21 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use daisyyard_core::id::{self, InstanceId};
+use daisyyard_core::id::{self, InstanceId, ZoneId};
+use daisyyard_core::roster::{Role, Roster};
 use serde::{Deserialize, Serialize};
 
 use crate::settings::Settings;
 
-/// Time without a digest after which a member is no longer offered to callers. Members send several
-/// digests per second.
+/// Time without a digest after which a serving member counts as lost. Members send several digests
+/// per second.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The same at a gateway in reserve, which gets fewer digests.
+const RESERVE_SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time for which a lost member is left out of the division of the fleet, unless it is heard again.
+const LOSS_TIME: Duration = Duration::from_secs(10);
+/// Time between two divisions of the fleet if no member changes.
+const ROSTER_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of addresses in one response.
 const MAX_ADDRESSES: usize = 64;
 /// Minimum number of members in a caller's zone for which only that zone is offered; with fewer,
@@ -48,10 +55,23 @@
     last_heard: Instant,
     /// Whether the gateway reports that it is leaving.
     leaving: bool,
+    /// Since when the gateway is expected to send digests; none while it does not serve.
+    expected_since: Option<Instant>,
+    /// Until when the gateway counts as lost.
+    lost_until: Option<Instant>,
     /// When the gateway is removed unless its entry is written again.
     relist_deadline: Option<Instant>,
 }
 
+/// Recipients of a digest.
+#[derive(Debug, Default)]
+pub struct Targets {
+    /// Gateways that serve callers, which get each digest.
+    pub serving: Vec<SocketAddr>,
+    /// The other gateways, which get fewer digests.
+    pub reserve: Vec<SocketAddr>,
+}
+
 /// All gateways known to one of them, including itself.
 #[derive(Debug)]
 pub struct Members {
@@ -63,6 +83,20 @@
     offered: bool,
     /// The other gateways.
     others: BTreeMap<InstanceId, Member>,
+    /// Division of the gateways.
+    roster: Roster,
+    /// When the gateways were last divided; none after a change.
+    divided_at: Option<Instant>,
+    /// Requests per second of the whole fleet.
+    requests_per_s: f64,
+}
+
+impl Member {
+    /// Returns whether the gateway should have sent a digest within the timeout, but has not.
+    fn is_silent(&self, timeout: Duration, now: Instant) -> bool {
+        let since = self.expected_since.unwrap_or(now).max(self.last_heard);
+        now.saturating_duration_since(since) >= timeout
+    }
 }
 
 impl Members {
@@ -74,6 +108,9 @@
             own_id: id::of(name),
             offered: false,
             others: BTreeMap::new(),
+            roster: Roster::default(),
+            divided_at: None,
+            requests_per_s: 0.0,
         }
     }
 
@@ -93,9 +130,12 @@
             entry,
             last_heard: now,
             leaving: false,
+            expected_since: Some(now),
+            lost_until: None,
             relist_deadline: None,
         };
         self.others.insert(id, member);
+        self.divided_at = None;
     }
 
     /// Removes a gateway whose entry was deleted, at once or at the deadline by which it may
@@ -108,6 +148,7 @@
             }
             _ => {
                 self.others.remove(&id);
+                self.divided_at = None;
             }
         }
     }
@@ -116,6 +157,7 @@
     pub fn retain(&mut self, names: &[String]) {
         let listed: Vec<InstanceId> = names.iter().map(|name| id::of(name)).collect();
         self.others.retain(|id, _| listed.contains(id));
+        self.divided_at = None;
     }
 
     /// Records a digest; returns whether its sender is known.
@@ -123,6 +165,9 @@
         let Some(member) = self.others.get_mut(&id) else {
             return false;
         };
+        if member.leaving != leaving || member.lost_until.take().is_some() {
+            self.divided_at = None;
+        }
         member.last_heard = now;
         member.leaving = leaving;
         true
@@ -143,10 +188,98 @@
         self.others.len() + 1
     }
 
+    /// Returns the number of gateways that serve callers.
+    pub fn serving_count(&self) -> usize {
+        self.roster.serving_count().max(1)
+    }
+
+    /// Returns the part of this gateway in the fleet.
+    pub fn role(&self) -> Role {
+        self.roster.role(self.own_id)
+    }
+
+    /// Returns whether a digest of another gateway has arrived recently.
+    pub fn is_connected(&self, now: Instant) -> bool {
+        let timeout = self.silence_timeout();
+        let heard = |member: &Member| now.saturating_duration_since(member.last_heard) < timeout;
+        self.others.values().any(heard)
+    }
+
     /// Returns the addresses to which digests are sent.
-    pub fn digest_targets(&self) -> Vec<SocketAddr> {
-        let entries = self.others.values().map(|member| member.entry.digests);
-        entries.collect()
+    pub fn digest_targets(&self) -> Targets {
+        let mut targets = Targets::default();
+        for (id, member) in &self.others {
+            let part = if self.roster.is_serving(*id) {
+                &mut targets.serving
+            } else {
+                &mut targets.reserve
+            };
+            part.push(member.entry.digests);
+        }
+        targets
+    }
+
+    /// Returns the addresses of the other gateways in the zone of this one.
+    pub fn zone_targets(&self) -> Vec<SocketAddr> {
+        let members = self.others.values().map(|member| &member.entry);
+        let local = members.filter(|entry| entry.zone == self.own_entry.zone);
+        local.map(|entry| entry.digests).collect()
+    }
+
+    /// Sets the rate of requests to the whole fleet.
+    pub fn set_request_rate(&mut self, requests_per_s: f64) {
+        self.requests_per_s = requests_per_s;
+    }
+
+    /// Divides the gateways into those that serve callers and the others, if a member has changed or
+    /// the last division is old.
+    pub fn update_roster(&mut self, now: Instant) {
+        let current = |divided_at| now.saturating_duration_since(divided_at) < ROSTER_INTERVAL;
+        if self.divided_at.is_some_and(current) {
+            return;
+        }
+        self.divided_at = Some(now);
+        let timeout = self.silence_timeout();
+        // If all are silent, this gateway is partitioned and cannot tell which of them are lost.
+        let partitioned = self.is_partitioned(now);
+        for member in self.others.values_mut() {
+            if !partitioned && member.is_silent(timeout, now) {
+                member.lost_until = Some(now + LOSS_TIME);
+            }
+        }
+        let lost = |member: &Member| member.lost_until.is_some_and(|until| until > now);
+        let live = self.others.iter();
+        let live = live.filter(|(_, member)| !member.leaving && !lost(member));
+        let own = (self.own_id, &self.own_entry);
+        let all = live.map(|(id, member)| (*id, &member.entry));
+        let nodes: Vec<(InstanceId, ZoneId)> = std::iter::once(own)
+            .chain(all)
+            .map(|(id, entry)| (id, id::of(&entry.zone)))
+            .collect();
+        self.roster = Roster::new(&nodes, self.requests_per_s);
+        for (id, member) in &mut self.others {
+            if self.roster.is_serving(*id) {
+                member.expected_since.get_or_insert(now);
+            } else {
+                member.expected_since = None;
+            }
+        }
+    }
+
+    /// Returns the time without a digest after which a serving gateway counts as lost.
+    fn silence_timeout(&self) -> Duration {
+        if self.role() == Role::Reserve {
+            RESERVE_SILENCE_TIMEOUT
+        } else {
+            SILENCE_TIMEOUT
+        }
+    }
+
+    /// Returns whether no digest has arrived recently from any gateway that should send them.
+    fn is_partitioned(&self, now: Instant) -> bool {
+        let timeout = self.silence_timeout();
+        let mut expected = self.others.values();
+        expected.all(|member| member.expected_since.is_none() || member.is_silent(timeout, now))
     }
 
     /// Returns the gateway addresses that a caller in a zone may use.
@@ -160,15 +293,18 @@
                 .is_some_and(|deadline| deadline <= now)
         };
         self.others.retain(|_, member| !expired(member));
-        let silent =
-            |member: &Member| now.saturating_duration_since(member.last_heard) >= SILENCE_TIMEOUT;
-        let partitioned = self.others.values().all(silent);
-        let others = self
-            .others
-            .values()
-            .filter(|member| !member.leaving && (partitioned || !silent(member)))
-            .map(|member| &member.entry);
-        let own_entry = self.offered.then_some(&self.own_entry);
+        self.update_roster(now);
+        let timeout = self.silence_timeout();
+        let partitioned = self.is_partitioned(now);
+        let serves = |id: &InstanceId, member: &Member| {
+            self.roster.is_serving(*id) && !member.is_silent(timeout, now)
+        };
+        let others = self.others.iter();
+        let others =
+            others.filter(|(id, member)| !member.leaving && (partitioned || serves(id, member)));
+        let others = others.map(|(_, member)| &member.entry);
+        let offers_itself = self.offered && self.roster.is_serving(self.own_id);
+        let own_entry = offers_itself.then_some(&self.own_entry);
         let all: Vec<&Entry> = own_entry.into_iter().chain(others).collect();
         let local: Vec<&Entry> = all
             .iter()
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -8,11 +8,12 @@
 use daisyyard_core::id::{EndpointId, InstanceId, RequestId, Revision, ServiceId};
 use daisyyard_core::load::{Load, Need};
 use daisyyard_core::pool::Signal;
+use daisyyard_core::roster::Role;
 use daisyyard_core::shared_retry_budget::{self, Limits};
 use tokio::sync::{mpsc, oneshot};
 use xtra::WeakAddress;
 
-use crate::codec::Record;
+use crate::codec::{Item, Record};
 use crate::pool::Pool;
 
 /// A change of the endpoint on which a run executes.
@@ -158,10 +159,25 @@
     pub(crate) version: Option<Revision>,
 }
 
+/// What the watcher has to know about this gateway's part in the fleet.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Standing {
+    /// Number of known gateways, including this one.
+    pub(crate) gateways: usize,
+    /// Part of this gateway in the fleet.
+    pub(crate) role: Role,
+    /// Whether digests arrive from other gateways.
+    pub(crate) connected: bool,
+}
+
 /// Asks for this gateway's digest and its recipients.
 #[derive(Debug)]
 pub(crate) struct Digest;
 
+/// Asks for the identifier of this gateway and the gateways that rely on its news of the store.
+#[derive(Debug)]
+pub(crate) struct ShareNews;
+
 /// The digest of one gateway.
 #[derive(Debug)]
 pub(crate) struct Report {
@@ -183,6 +199,10 @@
     pub(crate) loads: Vec<(EndpointId, Load)>,
     /// Time between two events at each engine that the sender has observed.
     pub(crate) paces: Vec<(EndpointId, Duration)>,
+    /// Changes that the sender has read from the store.
+    pub(crate) news: Vec<Item>,
+    /// Time for which a deleted entry among these may be written again.
+    pub(crate) relist_time: Duration,
     /// Requests and retries of the sender for each service.
     pub(crate) counts: Vec<(ServiceId, shared_retry_budget::Count)>,
 }
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -9,17 +9,19 @@
 use daisyyard_core::backlog::Backlog;
 use daisyyard_core::endpoint::{Endpoint, State};
 use daisyyard_core::id::{self, EndpointId, InstanceId, RequestId, Revision};
+use daisyyard_core::roster::Role;
 use daisyyard_core::shared_retry_budget::{self, Budget};
 use daisyyard_core::zone::Zone;
 use tokio::sync::Notify;
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
 
-use crate::codec::Record;
+use crate::codec::{Codec, Record};
 use crate::event::Event;
 use crate::log::Log;
-use crate::member::{Entry, Members};
+use crate::member::{Entry, Members, Targets};
 use crate::message::{
-    Claim, Count, Digest, Leave, Notice, Offer, Report, Retry, SetRetryLimits, Update,
+    Claim, Count, Digest, Leave, Notice, Offer, Report, Retry, SetRetryLimits, ShareNews, Standing,
+    Update,
 };
 use crate::run::Run;
 use crate::settings::Settings;
@@ -36,6 +38,8 @@
 pub(crate) struct Pool {
     /// Identifier of this gateway.
     own_id: InstanceId,
+    /// Functions that decode the platform's messages.
+    codec: Codec,
     /// Address of this actor, for the guards of runs.
     pub(crate) address: WeakAddress<Self>,
     /// Endpoints and their loads.
@@ -44,6 +48,8 @@
     zones: HashMap<String, Zone>,
     /// All known gateways.
     members: Members,
+    /// Part of this gateway in the fleet, as the watcher knows it.
+    standing: Option<Standing>,
     /// Runs that this gateway has started.
     pub(crate) runs: HashMap<RequestId, Run>,
     /// Identifier of the next run.
@@ -73,6 +79,7 @@
 /// Starts the pool actor and its timer.
 pub(crate) fn spawn(
     settings: &Settings,
+    codec: Codec,
     changed: Arc<Notify>,
     refresh: Arc<Notify>,
     log: Log,
@@ -81,6 +88,7 @@
     let zone = Zone::new(&settings.zone, &settings.region);
     let pool = Pool {
         own_id: id::of(&settings.name),
+        codec,
         address: address.downgrade(),
         endpoints: daisyyard_core::pool::Pool::new(zone, rand::random()),
         zones: settings
@@ -89,6 +97,7 @@
             .map(|(zone, region)| (zone.clone(), Zone::new(zone, region)))
             .collect(),
         members: Members::new(&settings.name, Entry::from(settings)),
+        standing: None,
         runs: HashMap::new(),
         next_run: 0,
         backlog: Backlog::default(),
@@ -116,7 +125,7 @@
             return;
         }
         self.scheduled = true;
-        let mean = MEAN_START_INTERVAL.saturating_mul(self.members.count() as u32);
+        let mean = MEAN_START_INTERVAL.saturating_mul(self.members.serving_count() as u32);
         let delay = mean.mul_f64(rand::random_range(0.0..2.0));
         let pool = self.address.clone();
         tokio::spawn(async move {
@@ -186,6 +195,51 @@
         }
     }
 
+    /// Applies changes that another gateway has read from the store.
+    fn apply_news(&mut self, report: Report, now: Instant) {
+        let relist_time = report.relist_time;
+        let relist_deadline = (!relist_time.is_zero()).then(|| now + relist_time);
+        for item in report.news {
+            let record = (self.codec.store.read_item)(&item);
+            let id = match &record {
+                Record::Endpoint(endpoint, _) => Some(endpoint.id),
+                Record::Unlisted(id) => Some(*id),
+                _ => None,
+            };
+            let Some(id) = id else {
+                self.apply(record, relist_deadline, now);
+                continue;
+            };
+            if self.endpoints.is_news(id, item.revision) {
+                let read = self.endpoints.advance(item.revision);
+                self.apply(record, relist_deadline, now);
+                self.endpoints.advance(read);
+            }
+        }
+    }
+
+    /// Returns the part of this gateway in the fleet.
+    fn current_standing(&self, now: Instant) -> Standing {
+        Standing {
+            gateways: self.members.count(),
+            role: self.members.role(),
+            connected: self.members.is_connected(now),
+        }
+    }
+
+    /// Divides the fleet anew, and ends a long pause of the watcher if this gateway must now read
+    /// the store itself.
+    fn update_roster(&mut self, now: Instant) {
+        let requests_per_s = self.retry_budget.request_rate(now);
+        self.members.set_request_rate(requests_per_s);
+        self.members.update_roster(now);
+        let new = self.current_standing(now);
+        let told = |standing: &Standing| standing.connected && standing.role != Role::Reader;
+        if self.standing.as_ref().is_some_and(told) && !told(&new) {
+            self.refresh.notify_one();
+        }
+    }
+
     /// Applies the digest of another gateway.
     fn apply_report(&mut self, report: Report, now: Instant) {
         let from = report.from;
@@ -263,7 +317,7 @@
         Retry(service): Retry,
         _: &mut Context<Self>,
     ) -> shared_retry_budget::Decision {
-        let nodes = self.members.count();
+        let nodes = self.members.serving_count();
         self.retry_budget.try_retry(service, nodes, Instant::now())
     }
 }
@@ -302,10 +356,9 @@
 }
 
 impl Handler<Update> for Pool {
-    /// Number of known gateways, including this one.
-    type Return = usize;
+    type Return = Standing;
 
-    async fn handle(&mut self, message: Update, _: &mut Context<Self>) -> usize {
+    async fn handle(&mut self, message: Update, _: &mut Context<Self>) -> Standing {
         let now = Instant::now();
         if message.version.is_some() && !self.leaving {
             self.members.start_offering();
@@ -325,13 +378,16 @@
             self.changed.notify_one();
         }
         self.schedule();
-        self.members.count()
+        self.update_roster(now);
+        let standing = self.current_standing(now);
+        self.standing = Some(standing);
+        standing
     }
 }
 
 impl Handler<Digest> for Pool {
-    /// The digest and the addresses of its recipients.
-    type Return = (Report, Vec<SocketAddr>);
+    /// The digest and its recipients.
+    type Return = (Report, Targets);
 
     async fn handle(&mut self, _: Digest, _: &mut Context<Self>) -> Self::Return {
         let now = Instant::now();
@@ -345,9 +401,26 @@
             departures: self.endpoints.departures(now).collect(),
             loads: self.endpoints.loads().collect(),
             paces: self.endpoints.paces().collect(),
+            news: Vec::new(),
+            relist_time: Duration::ZERO,
             counts: self.retry_budget.counts(now),
         };
-        (report, self.members.digest_targets())
+        // A gateway in reserve that has no part in the load has nothing to tell.
+        let idle = report.loads.is_empty() && report.counts.is_empty();
+        let targets = if idle && self.members.role() == Role::Reserve {
+            Targets::default()
+        } else {
+            self.members.digest_targets()
+        };
+        (report, targets)
+    }
+}
+
+impl Handler<ShareNews> for Pool {
+    type Return = (InstanceId, Vec<SocketAddr>);
+
+    async fn handle(&mut self, _: ShareNews, _: &mut Context<Self>) -> Self::Return {
+        (self.own_id, self.members.zone_targets())
     }
 }
 
@@ -362,7 +435,9 @@
         {
             return;
         }
-        if message.continuation {
+        if !message.news.is_empty() {
+            self.apply_news(message, now);
+        } else if message.continuation {
             self.endpoints.add_loads(message.from, &message.loads, now);
         } else {
             self.apply_report(message, now);
@@ -397,6 +472,7 @@
         }
         // Dropping a claim refuses the request.
         drop(self.backlog.expire(now));
+        self.update_roster(now);
         self.schedule();
     }
 }
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -6,14 +6,16 @@
 
 use daisyyard_core::catalog::Catalog;
 use daisyyard_core::id::Revision;
+use daisyyard_core::roster::Role;
 use hyper::StatusCode;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use xtra::Address;
 
 use crate::codec::{Batch, Codec, Record};
+use crate::digest::News;
 use crate::event::Event;
 use crate::log::Log;
-use crate::message::Update;
+use crate::message::{Standing, Update};
 use crate::pool::Pool;
 use crate::settings::Bounds;
 use crate::store::{self, Backoff, Error, MAX_PAGE_BYTES};
@@ -26,13 +28,20 @@
 /// Share of the recovery time for which a watch waits. A watch on a dead connection is then
 /// replaced early enough for the gateway to be up to date in time.
 const WATCH_SHARE: f64 = 0.75;
-/// Pause after changes before the next watch, for each gateway; the next response contains all that
-/// changes meanwhile. This limits the calls of all gateways together to about 40 per second.
+/// Pause after changes before the next watch of a gateway that hears from no other one, for each
+/// gateway; the next response contains all that changes meanwhile. This limits the calls of all
+/// gateways together to about 40 per second.
 const PAUSE_PER_GATEWAY: Duration = Duration::from_millis(25);
-/// Maximum share of the recovery time that a pause may take, so that changes apply in time even if
-/// the gateways cannot reach each other. Usually, one gateway reads a change early in the pauses of
-/// the others and notifies them by its digest.
+/// Maximum share of the recovery time that such a pause may take, so that changes apply in time even
+/// if the gateways cannot reach each other.
 const MAX_PAUSE_SHARE: f64 = 0.35;
+/// Pause after changes of a gateway that reads the store for others.
+const READER_PAUSE: Duration = Duration::from_millis(150);
+/// Time between two reads of a gateway that is told of changes by others. It is shorter than the
+/// history that a store keeps, so that the next read continues the last one.
+const TOLD_PAUSE: Duration = Duration::from_secs(12);
+/// Time for which the watch of such a gateway waits for changes.
+const TOLD_WAIT: Duration = Duration::from_millis(1);
 /// Time after a store outage in which endpoints and gateways may register again if their entries
 /// expired during the outage.
 const RELISTING_TIME: Duration = Duration::from_millis(2_200);
@@ -59,6 +68,10 @@
     catalog: watch::Sender<Option<Arc<Catalog>>>,
     /// Delay after failed calls.
     backoff: Backoff,
+    /// Passes changes on to other gateways.
+    news: mpsc::UnboundedSender<News>,
+    /// Part of this gateway in the fleet.
+    standing: Standing,
     /// Whether the last call to the store succeeded.
     available: bool,
     /// When the store answered again after its last outage.
@@ -75,6 +88,7 @@
         bounds: Bounds,
         pool: Address<Pool>,
         refresh: Arc<Notify>,
+        news: mpsc::UnboundedSender<News>,
         log: Log,
     ) -> (Self, Configuration) {
         let (catalog, configuration) = watch::channel(None);
@@ -87,6 +101,12 @@
             pool,
             catalog,
             backoff: Backoff::new(MAX_RETRY_DELAY),
+            news,
+            standing: Standing {
+                gateways: 1,
+                role: Role::Reader,
+                connected: false,
+            },
             available: true,
             reconnected_at: None,
             log,
@@ -143,8 +163,13 @@
 
     /// Waits for changes once; returns the next revision, or `None` if the watch history is lost.
     async fn watch(&mut self, revision: Revision) -> Option<Revision> {
-        let call = (self.codec.store.watch)(revision, self.watch_timeout);
-        let timeout = self.watch_timeout + READ_TIMEOUT;
+        let wait = if self.is_told() {
+            TOLD_WAIT
+        } else {
+            self.watch_timeout
+        };
+        let call = (self.codec.store.watch)(revision, wait);
+        let timeout = wait + READ_TIMEOUT;
         let response = store::call(self.address, call, timeout, MAX_PAGE_BYTES).await;
         let batch = response
             .and_then(|response| (self.codec.store.read_batch)(&response).map_err(Error::Unusable));
@@ -166,6 +191,14 @@
     /// Publishes records to the pool and to the receivers of the configuration.
     async fn publish(&mut self, batch: Batch, complete: bool) {
         let changed = !batch.records.is_empty();
+        if !batch.items.is_empty() && self.standing.role == Role::Reader {
+            let relist_time = self.relist_deadline().map_or(Duration::ZERO, |deadline| {
+                deadline.saturating_duration_since(Instant::now())
+            });
+            let items = batch.items;
+            // The task that sends datagrams ends only with the process.
+            let _ = self.news.send(News { items, relist_time });
+        }
         let mut others = Vec::with_capacity(batch.records.len());
         for record in batch.records {
             match record {
@@ -185,13 +218,26 @@
                 .map(|configuration| configuration.version),
         };
         // The pool ends only with the process.
-        let gateways = self.pool.send(message).await.unwrap_or(1);
-        if changed {
-            let pause = PAUSE_PER_GATEWAY.saturating_mul(gateways as u32);
-            let pause = pause.min(self.max_pause);
-            // The pause ends early if another gateway has read newer data.
-            let _ = tokio::time::timeout(pause, self.refresh.notified()).await;
+        if let Ok(standing) = self.pool.send(message).await {
+            self.standing = standing;
         }
+        let pause = if self.is_told() {
+            TOLD_PAUSE
+        } else if !changed {
+            Duration::ZERO
+        } else if self.standing.connected {
+            READER_PAUSE
+        } else {
+            let pause = PAUSE_PER_GATEWAY.saturating_mul(self.standing.gateways as u32);
+            pause.min(self.max_pause)
+        };
+        // The pause ends early if another gateway has read newer data.
+        let _ = tokio::time::timeout(pause, self.refresh.notified()).await;
+    }
+
+    /// Returns whether other gateways tell this one what changes in the store.
+    fn is_told(&self) -> bool {
+        self.standing.connected && self.standing.role != Role::Reader
     }
 
     /// Applies a version of the configuration unless a newer one is already current.
