Pace digests by the number of their recipients and renew leases less often

Cause: 74 serving gateways sent 20 MB/s of digests; paces were sent beside the loads, and gateways in reserve got loads that they rarely use. Change: at least 4 ms between digests, and 0.5 ms after a change, for each recipient; paces travel with the loads; reserves get digests without loads until they have a part in the load. Leases last 10 s and are renewed each 3 s.

--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -19,12 +19,17 @@
 use crate::message::{Digest, Report, ShareNews};
 use crate::pool::Pool;
 
-/// Time between two digests if no change is reported earlier.
+/// Least time between two digests if no change is reported earlier.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
-/// Minimum time between two digests. It bounds how stale the known loads of other gateways are.
-const MIN_DIGEST_INTERVAL: Duration = Duration::from_millis(5);
-/// Intervals after which an unchanged digest is sent again as a sign of life.
-const RESEND_INTERVALS: u32 = 4;
+/// The same for each recipient, so that the datagrams that a gateway receives are bounded.
+const DIGEST_INTERVAL_PER_TARGET: Duration = Duration::from_millis(4);
+/// Least time between a digest and one that reports a change early. It bounds how stale the known
+/// loads of other gateways are.
+const EARLY_INTERVAL: Duration = Duration::from_millis(5);
+/// The same for each recipient.
+const EARLY_INTERVAL_PER_TARGET: Duration = Duration::from_micros(500);
+/// Time after which an unchanged digest is sent again as a sign of life.
+const RESEND_INTERVAL: Duration = Duration::from_millis(400);
 /// Maximum size of a datagram; it fits into one packet on any path.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// Maximum size of the tag and length of a field, in bytes.
@@ -37,8 +42,6 @@
 const MAX_DEPARTURES: usize = 16;
 /// Maximum number of ejected endpoints in one datagram.
 const MAX_EJECTIONS: usize = 12;
-/// Maximum number of paces in one datagram.
-const MAX_PACES: usize = 16;
 /// Maximum number of services in one datagram.
 const MAX_SERVICES: usize = 8;
 
@@ -72,9 +75,6 @@
     /// Whether the frame only continues the loads of the previous frame.
     #[prost(bool, tag = "9")]
     continuation: bool,
-    /// Time between two events at engines that the sender has observed.
-    #[prost(message, repeated, tag = "10")]
-    paces: Vec<Pace>,
     /// Changes that the sender has read from the store.
     #[prost(message, repeated, tag = "11")]
     news: Vec<Change>,
@@ -109,17 +109,6 @@
     revision: Revision,
 }
 
-/// Time between two events of a stream at one engine.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
-struct Pace {
-    /// Identifier of the engine.
-    #[prost(fixed64, tag = "1")]
-    endpoint: EndpointId,
-    /// Time in microseconds.
-    #[prost(uint32, tag = "2")]
-    gap_us: u32,
-}
-
 /// Request counts of the sender for one service.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 struct Counts {
@@ -149,11 +138,18 @@
     /// Prompt tokens of requests that have no first token yet.
     #[prost(uint64, tag = "4")]
     prefill: u64,
+    /// Time between two events at the engine in microseconds; zero if the sender does not know it.
+    #[prost(uint32, tag = "5")]
+    gap_us: u32,
 }
 
-impl From<&(EndpointId, Load)> for EndpointLoad {
-    fn from((endpoint, load): &(EndpointId, Load)) -> Self {
+impl EndpointLoad {
+    /// Returns the load and the pace of an endpoint in wire format.
+    fn new((endpoint, load): &(EndpointId, Load), paces: &[(EndpointId, Duration)]) -> Self {
+        let pace = paces.iter().find(|(id, _)| id == endpoint);
+        let gap_us = pace.map_or(0, |(_, gap)| gap.as_micros());
         Self {
+            gap_us: u32::try_from(gap_us).unwrap_or(u32::MAX),
             endpoint: *endpoint,
             runs: load.runs,
             tokens: load.tokens,
@@ -208,22 +204,6 @@
     }
 }
 
-impl From<&(EndpointId, Duration)> for Pace {
-    fn from((endpoint, gap): &(EndpointId, Duration)) -> Self {
-        Self {
-            endpoint: *endpoint,
-            gap_us: u32::try_from(gap.as_micros()).unwrap_or(u32::MAX),
-        }
-    }
-}
-
-impl From<Pace> for (EndpointId, Duration) {
-    fn from(pace: Pace) -> Self {
-        let gap = Duration::from_micros(pace.gap_us.into());
-        (pace.endpoint, gap)
-    }
-}
-
 impl From<&(ServiceId, Count)> for Counts {
     fn from((service, count): &(ServiceId, Count)) -> Self {
         Self {
@@ -247,18 +227,21 @@
 impl Frame {
     /// Splits a report into frames; its loads may need more than one datagram.
     fn from_report(report: &Report) -> Vec<Self> {
+        let load = |load| EndpointLoad::new(load, &report.paces);
         let (first, rest) = report.loads.split_at(report.loads.len().min(MAX_LOADS));
         let rest = rest.chunks(MAX_LOADS);
         let rest = rest.map(|loads| Self {
             instance: report.from,
             leaving: report.leaving,
-            loads: loads.iter().map(EndpointLoad::from).collect(),
+            loads: loads.iter().map(load).collect(),
             continuation: true,
             ..Self::default()
         });
-        std::iter::once(Self::first(report, first))
-            .chain(rest)
-            .collect()
+        let first = Self {
+            loads: first.iter().map(load).collect(),
+            ..Self::without_loads(report)
+        };
+        std::iter::once(first).chain(rest).collect()
     }
 
     /// Splits changes of the store into frames.
@@ -284,16 +267,15 @@
         frames
     }
 
-    /// Returns the first frame of a report, with the given part of its loads.
-    fn first(report: &Report, loads: &[(EndpointId, Load)]) -> Self {
-        let loads = loads.iter().map(EndpointLoad::from);
+    /// Returns the first frame of a report without the loads.
+    fn without_loads(report: &Report) -> Self {
         Self {
             continuation: false,
             news: Vec::new(),
             relist_ms: 0,
             instance: report.from,
             leaving: report.leaving,
-            loads: loads.collect(),
+            loads: Vec::new(),
             version: report.version,
             newest_listing: report.newest_listing,
             ejections: report
@@ -308,12 +290,6 @@
                 .take(MAX_DEPARTURES)
                 .map(Departure::from)
                 .collect(),
-            paces: report
-                .paces
-                .iter()
-                .take(MAX_PACES)
-                .map(Pace::from)
-                .collect(),
             counts: report
                 .counts
                 .iter()
@@ -326,7 +302,13 @@
 
 impl From<Frame> for Report {
     fn from(frame: Frame) -> Self {
+        let known = frame.loads.iter().filter(|load| load.gap_us > 0);
+        let pace = |load: &EndpointLoad| {
+            let gap = Duration::from_micros(load.gap_us.into());
+            (load.endpoint, gap)
+        };
         Self {
+            paces: known.map(pace).collect(),
             from: frame.instance,
             leaving: frame.leaving,
             version: frame.version,
@@ -335,7 +317,6 @@
             ejections: frame.ejections,
             departures: frame.departures.into_iter().map(Into::into).collect(),
             loads: frame.loads.into_iter().map(Into::into).collect(),
-            paces: frame.paces.into_iter().map(Into::into).collect(),
             news: frame.news.into_iter().map(Into::into).collect(),
             relist_time: Duration::from_millis(frame.relist_ms.into()),
             counts: frame.counts.into_iter().map(Into::into).collect(),
@@ -361,10 +342,12 @@
     pool: WeakAddress<Pool>,
     /// Frames of the last digest.
     last_frames: Vec<Frame>,
-    /// Intervals since the last digest was sent.
-    unchanged: u32,
+    /// When the last digest was sent to the gateways that serve callers.
+    last_to_serving: Instant,
     /// When a digest was last sent to the gateways that do not serve callers.
     last_to_reserve: Instant,
+    /// Number of recipients of the last digest that serve callers.
+    targets: u32,
 }
 
 /// Binds the socket and starts the task that sends and receives digests.
@@ -378,8 +361,9 @@
         socket: UdpSocket::bind(address).await?,
         pool: pool.downgrade(),
         last_frames: Vec::new(),
-        unchanged: 0,
+        last_to_serving: Instant::now(),
         last_to_reserve: Instant::now(),
+        targets: 0,
     };
     Ok(tokio::spawn(exchange.run(changed, news)))
 }
@@ -393,13 +377,15 @@
         loop {
             let continues = tokio::select! {
                 () = changed.notified() => {
-                    next_send = next_send.min(last_sent + MIN_DIGEST_INTERVAL);
+                    let early = EARLY_INTERVAL.max(EARLY_INTERVAL_PER_TARGET * self.targets);
+                    next_send = next_send.min(last_sent + early);
                     true
                 }
                 () = tokio::time::sleep_until(next_send.into()) => {
                     let sent = self.send_digest().await;
                     last_sent = Instant::now();
-                    next_send = last_sent + DIGEST_INTERVAL;
+                    let interval = DIGEST_INTERVAL_PER_TARGET * self.targets;
+                    next_send = last_sent + DIGEST_INTERVAL.max(interval);
                     sent
                 }
                 Some(news) = news.recv() => self.send_news(news).await,
@@ -421,16 +407,18 @@
             return false;
         };
         let frames = Frame::from_report(&report);
-        self.unchanged += 1;
-        if frames != self.last_frames || self.unchanged >= RESEND_INTERVALS {
-            self.unchanged = 0;
+        let old = self.last_to_serving.elapsed() >= RESEND_INTERVAL;
+        if old || frames != self.last_frames {
+            self.last_to_serving = Instant::now();
             self.send(&frames, &targets.serving).await;
             self.last_frames = frames;
         }
         if self.last_to_reserve.elapsed() >= RESERVE_INTERVAL {
             self.last_to_reserve = Instant::now();
-            self.send(&self.last_frames, &targets.reserve).await;
+            let frame = Frame::without_loads(&report);
+            self.send(&[frame], &targets.reserve).await;
         }
+        self.targets = targets.serving.len() as u32;
         true
     }
 
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -66,7 +66,7 @@
 /// Recipients of a digest.
 #[derive(Debug, Default)]
 pub struct Targets {
-    /// Gateways that serve callers, which get each digest.
+    /// Gateways that serve callers, or did so recently; they get each digest.
     pub serving: Vec<SocketAddr>,
     /// The other gateways, which get fewer digests.
     pub reserve: Vec<SocketAddr>,
@@ -206,10 +206,12 @@
     }
 
     /// Returns the addresses to which digests are sent.
-    pub fn digest_targets(&self) -> Targets {
+    pub fn digest_targets(&self, now: Instant) -> Targets {
         let mut targets = Targets::default();
         for (id, member) in &self.others {
-            let part = if self.roster.is_serving(*id) {
+            // A gateway in reserve sends digests only while it has a part in the load.
+            let heard = now.saturating_duration_since(member.last_heard) < SILENCE_TIMEOUT;
+            let part = if heard || self.roster.is_serving(*id) {
                 &mut targets.serving
             } else {
                 &mut targets.reserve
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -410,7 +410,7 @@
         let targets = if idle && self.members.role() == Role::Reserve {
             Targets::default()
         } else {
-            self.members.digest_targets()
+            self.members.digest_targets(now)
         };
         (report, targets)
     }
--- a/crates/daisyyard_gateway/src/registration.rs
+++ b/crates/daisyyard_gateway/src/registration.rs
@@ -15,10 +15,13 @@
 
 /// Timeout of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Lifetime of the lease; the entry of a crashed gateway remains this long.
-const LEASE_LIFETIME: Duration = Duration::from_secs(4);
+/// Lifetime of the lease; the entry of a crashed gateway remains this long. Digests show sooner that
+/// it is lost.
+const LEASE_LIFETIME: Duration = Duration::from_secs(10);
+/// Maximum delay between retries of a call.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_300);
 /// Time between two renewals; two may fail before the lease expires.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_300);
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(3);
 
 /// Registers this gateway and renews its lease.
 #[derive(Debug)]
@@ -40,7 +43,7 @@
 impl Registration {
     /// Keeps the gateway registered until it leaves, then deletes the entry.
     pub(crate) async fn run(mut self) {
-        let mut backoff = Backoff::new(RENEWAL_INTERVAL);
+        let mut backoff = Backoff::new(MAX_RETRY_DELAY);
         let mut lease = None;
         while !self.is_leaving() {
             match self.renew(lease).await {
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -39,7 +39,7 @@
 const READER_PAUSE: Duration = Duration::from_millis(150);
 /// Time between two reads of a gateway that is told of changes by others. It is shorter than the
 /// history that a store keeps, so that the next read continues the last one.
-const TOLD_PAUSE: Duration = Duration::from_secs(12);
+const TOLD_PAUSE: Duration = Duration::from_secs(16);
 /// Time for which the watch of such a gateway waits for changes.
 const TOLD_WAIT: Duration = Duration::from_millis(1);
 /// Time after a store outage in which endpoints and gateways may register again if their entries
