Do not send a digest at the start of a call to a plain endpoint

Change: only runs at engines are reported early; loads of plain endpoints are sampled at regular times.

--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use daisyyard_core::endpoint::{Endpoint, State};
+use daisyyard_core::endpoint::{Endpoint, Kind, State};
 use daisyyard_core::id::{EndpointId, RequestId};
 use daisyyard_core::load::{Load, Need};
 use daisyyard_core::pool::{Choice, Purpose, Signal};
@@ -65,7 +65,11 @@
         };
         self.apply_load(&record, true);
         self.runs.insert(run, record);
-        self.changed.notify_one();
+        // A call to a plain endpoint ends before other gateways can use its load, and digests at the
+        // starts of calls would overstate their number.
+        if endpoint.kind == Kind::Engine {
+            self.changed.notify_one();
+        }
         let grant = Grant {
             run,
             endpoint,
