Let three gateways read the store for the whole fleet

Change: three readers in different zones, which pass on to all what they are the first to know. A gateway reports in its digest that it does not reach the store, and another one reads in its place. Without a configuration, a gateway reads the store itself, and any version that a digest names is newer.

--- a/crates/daisyyard_core/src/roster.rs
+++ b/crates/daisyyard_core/src/roster.rs
@@ -22,13 +22,13 @@
 /// Requests per second for which one node serves. It leaves room for bursts and for the loss of a
 /// zone.
 const REQUESTS_PER_NODE: f64 = 6.0;
-/// Least number of nodes that read the store in a fleet.
-const MIN_READERS: usize = 3;
+/// Number of nodes that read the store, in different availability zones if there are enough.
+const READERS: usize = 3;
 
 /// Part of a node in its fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
-    /// Serves callers, reads the store and tells its zone what has changed.
+    /// Serves callers, reads the store and tells the others what has changed.
     Reader,
     /// Serves callers.
     Serving,
@@ -36,6 +36,17 @@
     Reserve,
 }
 
+/// A live node.
+#[derive(Debug, Clone, Copy)]
+pub struct Node {
+    /// Identifier of the node.
+    pub id: InstanceId,
+    /// Availability zone of the node.
+    pub zone: ZoneId,
+    /// Whether the node reaches the store.
+    pub reaches_store: bool,
+}
+
 /// Division of the live nodes of a fleet.
 #[derive(Debug, Default)]
 pub struct Roster {
@@ -46,22 +57,29 @@
 }
 
 impl Roster {
-    /// Divides the live nodes, given with their availability zones, for a rate of requests.
-    pub fn new(nodes: &[(InstanceId, ZoneId)], requests_per_s: f64) -> Self {
+    /// Divides the live nodes for a rate of requests.
+    pub fn new(nodes: &[Node], requests_per_s: f64) -> Self {
         let mut zones: BTreeMap<ZoneId, Vec<InstanceId>> = BTreeMap::new();
-        for (node, zone) in nodes {
-            zones.entry(*zone).or_default().push(*node);
+        for node in nodes {
+            zones.entry(node.zone).or_default().push(node.id);
         }
         let wanted = serving_count(nodes.len(), requests_per_s);
-        let readers_in_zone = MIN_READERS.div_ceil(zones.len().max(1));
-        let mut roster = Self::default();
+        let readers_in_zone = READERS.div_ceil(zones.len().max(1));
+        let unreachable = nodes.iter().filter(|node| !node.reaches_store);
+        let unreachable: BTreeSet<InstanceId> = unreachable.map(|node| node.id).collect();
+        let mut serving = BTreeSet::new();
+        let mut readers = Vec::new();
         for members in zones.into_values() {
             let share = (wanted * members.len()).div_ceil(nodes.len());
             let ranked = home::first(RANKING, members, share.max(MIN_SERVING_IN_ZONE));
-            roster.readers.extend(ranked.iter().take(readers_in_zone));
-            roster.serving.extend(ranked);
+            let able = ranked.iter().filter(|id| !unreachable.contains(id));
+            readers.extend(able.take(readers_in_zone));
+            serving.extend(ranked);
+        }
+        Self {
+            serving,
+            readers: home::first(RANKING, readers, READERS).into_iter().collect(),
         }
-        roster
     }
 
     /// Returns the part of a node.
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -82,6 +82,9 @@
     /// store.
     #[prost(uint32, tag = "12")]
     relist_ms: u32,
+    /// Whether the sender does not reach the store.
+    #[prost(bool, tag = "13")]
+    store_lost: bool,
 }
 
 /// An endpoint that is leaving.
@@ -273,6 +276,7 @@
             continuation: false,
             news: Vec::new(),
             relist_ms: 0,
+            store_lost: report.store_lost,
             instance: report.from,
             leaving: report.leaving,
             loads: Vec::new(),
@@ -310,6 +314,7 @@
         Self {
             paces: known.map(pace).collect(),
             from: frame.instance,
+            store_lost: frame.store_lost,
             leaving: frame.leaving,
             version: frame.version,
             newest_listing: frame.newest_listing,
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use daisyyard_core::id::{self, InstanceId, ZoneId};
-use daisyyard_core::roster::{Role, Roster};
+use daisyyard_core::id::{self, InstanceId};
+use daisyyard_core::roster::{Node, Role, Roster};
 use serde::{Deserialize, Serialize};
 
 use crate::settings::Settings;
@@ -55,6 +55,8 @@
     last_heard: Instant,
     /// Whether the gateway reports that it is leaving.
     leaving: bool,
+    /// Whether the gateway reports that it reaches the store.
+    reaches_store: bool,
     /// Since when the gateway is expected to send digests; none while it does not serve.
     expected_since: Option<Instant>,
     /// Until when the gateway counts as lost.
@@ -81,6 +83,8 @@
     own_id: InstanceId,
     /// Whether this gateway is offered to callers.
     offered: bool,
+    /// Whether this gateway reaches the store.
+    reaches_store: bool,
     /// The other gateways.
     others: BTreeMap<InstanceId, Member>,
     /// Division of the gateways.
@@ -107,6 +111,7 @@
             own_entry,
             own_id: id::of(name),
             offered: false,
+            reaches_store: true,
             others: BTreeMap::new(),
             roster: Roster::default(),
             divided_at: None,
@@ -130,6 +135,7 @@
             entry,
             last_heard: now,
             leaving: false,
+            reaches_store: true,
             expected_since: Some(now),
             lost_until: None,
             relist_deadline: None,
@@ -173,6 +179,27 @@
         true
     }
 
+    /// Records whether another gateway reaches the store.
+    pub fn record_reach(&mut self, id: InstanceId, reaches_store: bool) {
+        if let Some(member) = self.others.get_mut(&id)
+            && member.reaches_store != reaches_store
+        {
+            member.reaches_store = reaches_store;
+            self.divided_at = None;
+        }
+    }
+
+    /// Sets whether this gateway reaches the store.
+    pub fn set_reach(&mut self, reaches_store: bool) {
+        self.reaches_store = reaches_store;
+        self.divided_at = None;
+    }
+
+    /// Returns whether this gateway reaches the store.
+    pub fn reaches_store(&self) -> bool {
+        self.reaches_store
+    }
+
     /// Starts offering this gateway to callers.
     pub fn start_offering(&mut self) {
         self.offered = true;
@@ -221,11 +248,10 @@
         targets
     }
 
-    /// Returns the addresses of the other gateways in the zone of this one.
-    pub fn zone_targets(&self) -> Vec<SocketAddr> {
-        let members = self.others.values().map(|member| &member.entry);
-        let local = members.filter(|entry| entry.zone == self.own_entry.zone);
-        local.map(|entry| entry.digests).collect()
+    /// Returns the addresses to which news of the store is sent.
+    pub fn news_targets(&self) -> Vec<SocketAddr> {
+        let entries = self.others.values().map(|member| member.entry.digests);
+        entries.collect()
     }
 
     /// Sets the rate of requests to the whole fleet.
@@ -252,12 +278,17 @@
         let lost = |member: &Member| member.lost_until.is_some_and(|until| until > now);
         let live = self.others.iter();
         let live = live.filter(|(_, member)| !member.leaving && !lost(member));
-        let own = (self.own_id, &self.own_entry);
-        let all = live.map(|(id, member)| (*id, &member.entry));
-        let nodes: Vec<(InstanceId, ZoneId)> = std::iter::once(own)
-            .chain(all)
-            .map(|(id, entry)| (id, id::of(&entry.zone)))
-            .collect();
+        let live = live.map(|(id, member)| Node {
+            id: *id,
+            zone: id::of(&member.entry.zone),
+            reaches_store: member.reaches_store,
+        });
+        let own = Node {
+            id: self.own_id,
+            zone: id::of(&self.own_entry.zone),
+            reaches_store: self.reaches_store,
+        };
+        let nodes: Vec<Node> = std::iter::once(own).chain(live).collect();
         self.roster = Roster::new(&nodes, self.requests_per_s);
         for (id, member) in &mut self.others {
             if self.roster.is_serving(*id) {
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -149,6 +149,8 @@
 pub(crate) struct Update {
     /// Decoded contents of the keys.
     pub(crate) records: Vec<Record>,
+    /// Changes among the records that may be passed on.
+    pub(crate) items: Vec<Item>,
     /// Until when a missing entry may be registered again, if the store was unavailable.
     pub(crate) relist_deadline: Option<Instant>,
     /// Whether the records are a complete list, so that entries missing from it no longer exist.
@@ -159,6 +161,10 @@
     pub(crate) version: Option<Revision>,
 }
 
+/// Reports whether this gateway reaches the store.
+#[derive(Debug)]
+pub(crate) struct StoreReach(pub(crate) bool);
+
 /// What the watcher has to know about this gateway's part in the fleet.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Standing {
@@ -185,6 +191,8 @@
     pub(crate) from: InstanceId,
     /// Whether the sender is leaving.
     pub(crate) leaving: bool,
+    /// Whether the sender does not reach the store.
+    pub(crate) store_lost: bool,
     /// Version of the sender's current configuration; zero until it has read the first one.
     pub(crate) version: Revision,
     /// Revision of the store at which the newest endpoint was listed.
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -15,13 +15,13 @@
 use tokio::sync::Notify;
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
 
-use crate::codec::{Codec, Record};
+use crate::codec::{Codec, Item, Record};
 use crate::event::Event;
 use crate::log::Log;
 use crate::member::{Entry, Members, Targets};
 use crate::message::{
     Claim, Count, Digest, Leave, Notice, Offer, Report, Retry, SetRetryLimits, ShareNews, Standing,
-    Update,
+    StoreReach, Update,
 };
 use crate::run::Run;
 use crate::settings::Settings;
@@ -253,7 +253,7 @@
         // A new endpoint may have capacity for waiting requests.
         let capacity_wanted =
             !self.backlog.is_empty() && self.endpoints.is_behind(report.newest_listing);
-        let outdated = self.version.is_some_and(|version| version < report.version);
+        let outdated = self.version.unwrap_or(0) < report.version;
         if capacity_wanted || outdated {
             self.refresh.notify_one();
         }
@@ -356,10 +356,17 @@
 }
 
 impl Handler<Update> for Pool {
-    type Return = Standing;
+    /// The part of this gateway in the fleet, and the changes that it is the first to know.
+    type Return = (Standing, Vec<Item>);
 
-    async fn handle(&mut self, message: Update, _: &mut Context<Self>) -> Standing {
+    async fn handle(&mut self, mut message: Update, _: &mut Context<Self>) -> Self::Return {
         let now = Instant::now();
+        let mut news = std::mem::take(&mut message.items);
+        news.retain(|item| match (self.codec.store.read_item)(item) {
+            Record::Endpoint(endpoint, _) => self.endpoints.is_news(endpoint.id, item.revision),
+            Record::Unlisted(id) => self.endpoints.is_news(id, item.revision),
+            _ => true,
+        });
         if message.version.is_some() && !self.leaving {
             self.members.start_offering();
         }
@@ -381,7 +388,7 @@
         self.update_roster(now);
         let standing = self.current_standing(now);
         self.standing = Some(standing);
-        standing
+        (standing, news)
     }
 }
 
@@ -394,6 +401,7 @@
         let report = Report {
             from: self.own_id,
             leaving: self.leaving,
+            store_lost: !self.members.reaches_store(),
             version: self.version.unwrap_or(0),
             newest_listing: self.endpoints.newest_listing(),
             continuation: false,
@@ -416,11 +424,20 @@
     }
 }
 
+impl Handler<StoreReach> for Pool {
+    type Return = ();
+
+    async fn handle(&mut self, StoreReach(reaches): StoreReach, _: &mut Context<Self>) {
+        self.members.set_reach(reaches);
+        self.changed.notify_one();
+    }
+}
+
 impl Handler<ShareNews> for Pool {
     type Return = (InstanceId, Vec<SocketAddr>);
 
     async fn handle(&mut self, _: ShareNews, _: &mut Context<Self>) -> Self::Return {
-        (self.own_id, self.members.zone_targets())
+        (self.own_id, self.members.news_targets())
     }
 }
 
@@ -435,6 +452,10 @@
         {
             return;
         }
+        if !message.continuation {
+            let reaches_store = !message.store_lost;
+            self.members.record_reach(message.from, reaches_store);
+        }
         if !message.news.is_empty() {
             self.apply_news(message, now);
         } else if message.continuation {
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -15,7 +15,7 @@
 use crate::digest::News;
 use crate::event::Event;
 use crate::log::Log;
-use crate::message::{Standing, Update};
+use crate::message::{Standing, StoreReach, Update};
 use crate::pool::Pool;
 use crate::settings::Bounds;
 use crate::store::{self, Backoff, Error, MAX_PAGE_BYTES};
@@ -35,8 +35,8 @@
 /// Maximum share of the recovery time that such a pause may take, so that changes apply in time even
 /// if the gateways cannot reach each other.
 const MAX_PAUSE_SHARE: f64 = 0.35;
-/// Pause after changes of a gateway that reads the store for others.
-const READER_PAUSE: Duration = Duration::from_millis(150);
+/// Mean pause after changes of a gateway that reads the store for others.
+const READER_PAUSE: Duration = Duration::from_millis(300);
 /// Time between two reads of a gateway that is told of changes by others. It is shorter than the
 /// history that a store keeps, so that the next read continues the last one.
 const TOLD_PAUSE: Duration = Duration::from_secs(16);
@@ -131,7 +131,7 @@
         loop {
             match self.read_pages().await {
                 Ok(batch) => {
-                    self.record_success();
+                    self.record_success().await;
                     let revision = batch.revision;
                     self.publish(batch, true).await;
                     return revision;
@@ -175,7 +175,7 @@
             .and_then(|response| (self.codec.store.read_batch)(&response).map_err(Error::Unusable));
         match batch {
             Ok(batch) => {
-                self.record_success();
+                self.record_success().await;
                 let next = batch.revision.max(revision);
                 self.publish(batch, false).await;
                 Some(next)
@@ -191,14 +191,6 @@
     /// Publishes records to the pool and to the receivers of the configuration.
     async fn publish(&mut self, batch: Batch, complete: bool) {
         let changed = !batch.records.is_empty();
-        if !batch.items.is_empty() && self.standing.role == Role::Reader {
-            let relist_time = self.relist_deadline().map_or(Duration::ZERO, |deadline| {
-                deadline.saturating_duration_since(Instant::now())
-            });
-            let items = batch.items;
-            // The task that sends datagrams ends only with the process.
-            let _ = self.news.send(News { items, relist_time });
-        }
         let mut others = Vec::with_capacity(batch.records.len());
         for record in batch.records {
             match record {
@@ -208,6 +200,7 @@
         }
         let message = Update {
             records: others,
+            items: batch.items,
             relist_deadline: self.relist_deadline(),
             complete,
             revision: batch.revision,
@@ -218,15 +211,23 @@
                 .map(|configuration| configuration.version),
         };
         // The pool ends only with the process.
-        if let Ok(standing) = self.pool.send(message).await {
+        if let Ok((standing, items)) = self.pool.send(message).await {
             self.standing = standing;
+            if !items.is_empty() && standing.role == Role::Reader {
+                let relist_time = self.relist_deadline().map_or(Duration::ZERO, |deadline| {
+                    deadline.saturating_duration_since(Instant::now())
+                });
+                // The task that sends datagrams ends only with the process.
+                let _ = self.news.send(News { items, relist_time });
+            }
         }
         let pause = if self.is_told() {
             TOLD_PAUSE
         } else if !changed {
             Duration::ZERO
         } else if self.standing.connected {
-            READER_PAUSE
+            // The readers do not read at the same moments.
+            READER_PAUSE.mul_f64(rand::random_range(0.5..1.5))
         } else {
             let pause = PAUSE_PER_GATEWAY.saturating_mul(self.standing.gateways as u32);
             pause.min(self.max_pause)
@@ -237,7 +238,8 @@
 
     /// Returns whether other gateways tell this one what changes in the store.
     fn is_told(&self) -> bool {
-        self.standing.connected && self.standing.role != Role::Reader
+        let configured = self.catalog.borrow().is_some();
+        configured && self.standing.connected && self.standing.role != Role::Reader
     }
 
     /// Applies a version of the configuration unless a newer one is already current.
@@ -266,10 +268,12 @@
     }
 
     /// Records that the store has answered.
-    fn record_success(&mut self) {
+    async fn record_success(&mut self) {
         self.backoff.reset();
         if !self.available {
             self.available = true;
+            // The pool ends only with the process.
+            let _ = self.pool.send(StoreReach(true)).await;
             self.reconnected_at = Some(Instant::now());
             self.log
                 .emit(Event::StoreRegained, &format!("address={}", self.address));
@@ -280,6 +284,7 @@
     async fn record_failure(&mut self, error: &Error) {
         if self.available {
             self.available = false;
+            let _ = self.pool.send(StoreReach(false)).await;
             let details = format!("address={} reason={:?}", self.address, error.to_string());
             self.log.emit(Event::StoreLost, &details);
         }
