Send digests to reserves of the own zone only

Cause: 74 serving gateways sent digests to 221 reserves, half of all datagrams. A reserve offers callers the gateways of its own zone. Gateways without a configuration read the store 3 times a second while the fleet started. Change: digests go to reserves of the sender's zone, which judge only these as silent. The short pause of readers needs a configuration.

--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -57,7 +57,7 @@
     leaving: bool,
     /// Whether the gateway reports that it reaches the store.
     reaches_store: bool,
-    /// Since when the gateway is expected to send digests; none while it does not serve.
+    /// Since when the gateway is expected to send digests to this one; none while it need not.
     expected_since: Option<Instant>,
     /// Until when the gateway counts as lost.
     lost_until: Option<Instant>,
@@ -70,7 +70,7 @@
 pub struct Targets {
     /// Gateways that serve callers, or did so recently; they get each digest.
     pub serving: Vec<SocketAddr>,
-    /// The other gateways, which get fewer digests.
+    /// The other gateways of the zone, which get fewer digests.
     pub reserve: Vec<SocketAddr>,
 }
 
@@ -238,12 +238,11 @@
         for (id, member) in &self.others {
             // A gateway in reserve sends digests only while it has a part in the load.
             let heard = now.saturating_duration_since(member.last_heard) < SILENCE_TIMEOUT;
-            let part = if heard || self.roster.is_serving(*id) {
-                &mut targets.serving
-            } else {
-                &mut targets.reserve
-            };
-            part.push(member.entry.digests);
+            if heard || self.roster.is_serving(*id) {
+                targets.serving.push(member.entry.digests);
+            } else if member.entry.zone == self.own_entry.zone {
+                targets.reserve.push(member.entry.digests);
+            }
         }
         targets
     }
@@ -290,8 +289,10 @@
         };
         let nodes: Vec<Node> = std::iter::once(own).chain(live).collect();
         self.roster = Roster::new(&nodes, self.requests_per_s);
+        let in_reserve = self.role() == Role::Reserve;
         for (id, member) in &mut self.others {
-            if self.roster.is_serving(*id) {
+            let sends = !in_reserve || member.entry.zone == self.own_entry.zone;
+            if sends && self.roster.is_serving(*id) {
                 member.expected_since.get_or_insert(now);
             } else {
                 member.expected_since = None;
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -225,7 +225,7 @@
             TOLD_PAUSE
         } else if !changed {
             Duration::ZERO
-        } else if self.standing.connected {
+        } else if self.standing.connected && self.standing.role == Role::Reader {
             // The readers do not read at the same moments.
             READER_PAUSE.mul_f64(rand::random_range(0.5..1.5))
         } else {
