--- /dev/null
+++ b/crates/daisyyard/tests/fleet_news.rs
@@ -0,0 +1,119 @@
+//! Guards against gateways that each read every change of the store, and against those that do not
+//! learn a change because they read less.
+
+mod platform;
+
+use std::time::Duration;
+
+use hyper::{Method, StatusCode};
+use platform::{Platform, plain_request, send, wait_until};
+use serde_json::json;
+
+/// Number of gateways, of which three read the store.
+const GATEWAYS: usize = 8;
+/// Number of changes of endpoints in the test.
+const CHANGES: u64 = 20;
+
+/// Starts a platform with gateways that know each other.
+async fn start() -> Platform {
+    let mut platform = Platform::start(0, 1).await;
+    for _ in 0..GATEWAYS {
+        platform.start_gateway().await;
+    }
+    for gateway in &platform.gateways {
+        let directory = gateway.directory;
+        wait_until("all gateways are listed", async || {
+            let text = platform::text(directory, "/-/resolution?zone=zone-a").await;
+            text.matches("127.").count() == GATEWAYS
+        })
+        .await;
+    }
+    platform
+}
+
+/// Sends a request without a body to one gateway and returns the status and the text.
+async fn get(platform: &Platform, gateway: usize, path: &str) -> (StatusCode, String) {
+    let credential = format!("Bearer {}", platform::CREDENTIAL);
+    let attempt = format!("attempt-{gateway}-{path}");
+    let headers = [
+        ("x-daisyyard-attempt-id", attempt.as_str()),
+        ("x-daisyyard-deadline-ms", "8000"),
+        ("authorization", credential.as_str()),
+    ];
+    let address = platform.gateways[gateway].requests;
+    let answer = send(address, &plain_request(Method::GET, path), &headers).await;
+    let (status, text) = answer.expect("the gateway answers");
+    (status, text.unwrap_or_default())
+}
+
+/// Changes of endpoints are read by a few gateways, and all of them use the new endpoint.
+#[tokio::test]
+async fn endpoints_told() {
+    let mut platform = start().await;
+    // Watches that wait for a change end with the first one.
+    platform.add_engine("plain-1", "desk").await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = platform.store.calls();
+    for number in 0..CHANGES {
+        let entry = json!({ "service": "desk", "number": number });
+        platform.store.put("servers/other", &entry).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    platform.add_engine("plain-2", "desk").await;
+    let calls = platform.store.calls() - before;
+    // Three readers pause for 0.3 s on average; the others renew their leases.
+    assert!(calls < GATEWAYS as u64 * 6, "{calls} calls");
+    for gateway in 0..GATEWAYS {
+        wait_until("the new endpoint is used", async || {
+            get(&platform, gateway, "/stock/1").await.1 == "whole plain-2"
+        })
+        .await;
+    }
+}
+
+/// An endpoint that leaves is no longer used by any gateway within a second.
+#[tokio::test]
+async fn departure_told() {
+    let mut platform = start().await;
+    platform.add_engine("plain-1", "desk").await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    platform.put_entry(0, "desk", "draining").await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for gateway in 0..GATEWAYS {
+        for _ in 0..4 {
+            let answer = get(&platform, gateway, "/stock/1").await;
+            assert_eq!(answer, (StatusCode::OK, "whole plain-1".to_owned()));
+        }
+    }
+}
+
+/// A new configuration is in force at all gateways within two seconds.
+#[tokio::test]
+async fn configuration_told() {
+    let platform = start().await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let mut config = platform::config(2);
+    config["routes"][2]["path_prefix"] = json!("/renamed/");
+    platform.store.put("op/config", &config).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for gateway in 0..GATEWAYS {
+        let (status, _) = get(&platform, gateway, "/renamed/1").await;
+        assert_eq!(status, StatusCode::OK, "gateway {gateway}");
+    }
+}
+
+/// When the gateways that read the store are killed, the others read it in their place.
+#[tokio::test]
+async fn readers_replaced() {
+    let mut platform = start().await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    // At least two of the three readers are among any seven of the eight gateways.
+    platform.gateways.drain(1..);
+    let mut config = platform::config(2);
+    config["routes"][2]["path_prefix"] = json!("/renamed/");
+    platform.store.put("op/config", &config).await;
+    wait_until("the new version is in force", async || {
+        get(&platform, 0, "/renamed/1").await.0 == StatusCode::OK
+    })
+    .await;
+}
--- a/crates/daisyyard_standin/src/platform_fixture.rs
+++ b/crates/daisyyard_standin/src/platform_fixture.rs
@@ -25,10 +25,10 @@
         "version": version,
         "routes": [
             route("draft", "streaming", "model", 1, false),
-            check,
             route("book", "non_idempotent", "desk", 1, false),
             route("stock", "idempotent", "desk", 2, false),
             route("open", "idempotent", "desk", 1, true),
+            check,
         ],
         "services": [
             {
