--- /dev/null
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -0,0 +1,155 @@
+//! What gateways tell each other: their digests, the changes that they read from the store, and the
+//! parts that each of them has in the fleet.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use daisyyard_core::id::InstanceId;
+use daisyyard_core::roster::Role;
+use xtra::{Context, Handler};
+
+use crate::codec::Record;
+use crate::member::Targets;
+use crate::message::{Digest, Report, ShareNews, Standing, StoreReach};
+use crate::pool::Pool;
+
+impl Pool {
+    /// Applies changes that another gateway has read from the store.
+    fn apply_news(&mut self, report: Report, now: Instant) {
+        let relist_time = report.relist_time;
+        let relist_deadline = (!relist_time.is_zero()).then(|| now + relist_time);
+        for item in report.news {
+            let record = (self.codec.store.read_item)(&item);
+            let id = match &record {
+                Record::Endpoint(endpoint, _) => Some(endpoint.id),
+                Record::Unlisted(id) => Some(*id),
+                _ => None,
+            };
+            let Some(id) = id else {
+                self.apply(record, relist_deadline, now);
+                continue;
+            };
+            if self.endpoints.is_news(id, item.revision) {
+                let read = self.endpoints.advance(item.revision);
+                self.apply(record, relist_deadline, now);
+                self.endpoints.advance(read);
+            }
+        }
+    }
+
+    /// Returns the part of this gateway in the fleet.
+    pub(crate) fn current_standing(&self, now: Instant) -> Standing {
+        Standing {
+            gateways: self.members.count(),
+            role: self.members.role(),
+            connected: self.members.is_connected(now),
+        }
+    }
+
+    /// Divides the fleet anew, and ends a long pause of the watcher if this gateway must now read
+    /// the store itself.
+    pub(crate) fn update_roster(&mut self, now: Instant) {
+        let requests_per_s = self.retry_budget.request_rate(now);
+        self.members.set_request_rate(requests_per_s);
+        self.members.update_roster(now);
+        let new = self.current_standing(now);
+        let told = |standing: &Standing| standing.connected && standing.role != Role::Reader;
+        if self.standing.as_ref().is_some_and(told) && !told(&new) {
+            self.refresh.notify_one();
+        }
+    }
+
+    /// Applies the digest of another gateway.
+    fn apply_report(&mut self, report: Report, now: Instant) {
+        let from = report.from;
+        self.endpoints.set_loads(from, &report.loads, now);
+        self.endpoints.learn_paces(&report.paces);
+        self.endpoints.learn_ejections(from, &report.ejections, now);
+        self.retry_budget.learn(from, report.counts, now);
+        for (id, revision) in report.departures {
+            self.mark_leaving(id, revision);
+        }
+        // A new endpoint may have capacity for waiting requests.
+        let capacity_wanted =
+            !self.backlog.is_empty() && self.endpoints.is_behind(report.newest_listing);
+        let outdated = self.version.unwrap_or(0) < report.version;
+        if capacity_wanted || outdated {
+            self.refresh.notify_one();
+        }
+    }
+}
+
+impl Handler<Digest> for Pool {
+    /// The digest and its recipients.
+    type Return = (Report, Targets);
+
+    async fn handle(&mut self, _: Digest, _: &mut Context<Self>) -> Self::Return {
+        let now = Instant::now();
+        let report = Report {
+            from: self.own_id,
+            leaving: self.leaving,
+            store_lost: !self.members.reaches_store(),
+            version: self.version.unwrap_or(0),
+            newest_listing: self.endpoints.newest_listing(),
+            continuation: false,
+            ejections: self.endpoints.ejections(now).collect(),
+            departures: self.endpoints.departures(now).collect(),
+            loads: self.endpoints.loads().collect(),
+            paces: self.endpoints.paces().collect(),
+            news: Vec::new(),
+            relist_time: Duration::ZERO,
+            counts: self.retry_budget.counts(now),
+        };
+        // A gateway in reserve that has no part in the load has nothing to tell.
+        let idle = report.loads.is_empty() && report.counts.is_empty();
+        let targets = if idle && self.members.role() == Role::Reserve {
+            Targets::default()
+        } else {
+            self.members.digest_targets(now)
+        };
+        (report, targets)
+    }
+}
+
+impl Handler<StoreReach> for Pool {
+    type Return = ();
+
+    async fn handle(&mut self, StoreReach(reaches): StoreReach, _: &mut Context<Self>) {
+        self.members.set_reach(reaches);
+        self.changed.notify_one();
+    }
+}
+
+impl Handler<ShareNews> for Pool {
+    type Return = (InstanceId, Vec<SocketAddr>);
+
+    async fn handle(&mut self, _: ShareNews, _: &mut Context<Self>) -> Self::Return {
+        (self.own_id, self.members.news_targets())
+    }
+}
+
+impl Handler<Report> for Pool {
+    type Return = ();
+
+    async fn handle(&mut self, message: Report, _: &mut Context<Self>) {
+        let now = Instant::now();
+        if !self
+            .members
+            .record_digest(message.from, message.leaving, now)
+        {
+            return;
+        }
+        if !message.continuation {
+            let reaches_store = !message.store_lost;
+            self.members.record_reach(message.from, reaches_store);
+        }
+        if !message.news.is_empty() {
+            self.apply_news(message, now);
+        } else if message.continuation {
+            self.endpoints.add_loads(message.from, &message.loads, now);
+        } else {
+            self.apply_report(message, now);
+        }
+        self.schedule();
+    }
+}
--- /dev/null
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -0,0 +1,318 @@
+//! Datagrams between gateways in their wire format.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use daisyyard_core::id::{EndpointId, InstanceId, Revision, ServiceId};
+use daisyyard_core::load::Load;
+use daisyyard_core::shared_retry_budget::Count;
+use prost::Message;
+
+use crate::codec::Item;
+use crate::message::Report;
+
+/// Maximum size of a datagram; it fits into one packet on any path.
+pub(crate) const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Maximum size of the tag and length of a field, in bytes.
+const MAX_FIELD_OVERHEAD_BYTES: usize = 12;
+/// Maximum number of endpoint loads in one datagram.
+const MAX_LOADS: usize = 32;
+/// Maximum number of leaving endpoints in one datagram.
+const MAX_DEPARTURES: usize = 16;
+/// Maximum number of ejected endpoints in one datagram.
+const MAX_EJECTIONS: usize = 12;
+/// Maximum number of services in one datagram.
+const MAX_SERVICES: usize = 8;
+
+/// Changes of the store to pass on to other gateways.
+#[derive(Debug)]
+pub(crate) struct News {
+    /// The changes.
+    pub(crate) items: Vec<Item>,
+    /// Time for which a deleted entry may be written again, after an outage of the store.
+    pub(crate) relist_time: Duration,
+}
+
+/// A digest in its wire format.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct Frame {
+    /// Identifier of the sender.
+    #[prost(fixed64, tag = "1")]
+    instance: InstanceId,
+    /// Whether the sender is leaving.
+    #[prost(bool, tag = "2")]
+    leaving: bool,
+    /// Load of the sender at each endpoint.
+    #[prost(message, repeated, tag = "3")]
+    loads: Vec<EndpointLoad>,
+    /// Requests and retries of the sender for each service.
+    #[prost(message, repeated, tag = "4")]
+    counts: Vec<Counts>,
+    /// Version of the sender's current configuration.
+    #[prost(uint64, tag = "5")]
+    version: Revision,
+    /// Endpoints that the sender knows to be leaving.
+    #[prost(message, repeated, tag = "6")]
+    departures: Vec<Departure>,
+    /// Revision of the store at which the newest endpoint was listed.
+    #[prost(uint64, tag = "7")]
+    newest_listing: Revision,
+    /// Endpoints that the sender has ejected after failures.
+    #[prost(fixed64, repeated, tag = "8")]
+    ejections: Vec<EndpointId>,
+    /// Whether the frame only continues the loads of the previous frame.
+    #[prost(bool, tag = "9")]
+    continuation: bool,
+    /// Changes that the sender has read from the store.
+    #[prost(message, repeated, tag = "11")]
+    news: Vec<Change>,
+    /// Time in milliseconds for which a deleted entry may be written again, after an outage of the
+    /// store.
+    #[prost(uint32, tag = "12")]
+    relist_ms: u32,
+    /// Whether the sender does not reach the store.
+    #[prost(bool, tag = "13")]
+    store_lost: bool,
+}
+
+/// An endpoint that is leaving.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+struct Departure {
+    /// Identifier of the endpoint.
+    #[prost(fixed64, tag = "1")]
+    endpoint: EndpointId,
+    /// Revision of the store at which the endpoint began to leave.
+    #[prost(uint64, tag = "2")]
+    revision: Revision,
+}
+
+/// A change of a key in the store.
+#[derive(Clone, PartialEq, Eq, Message)]
+struct Change {
+    /// Name of the key.
+    #[prost(string, tag = "1")]
+    key: String,
+    /// Value of the key; absent if it was deleted.
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    value: Option<Bytes>,
+    /// Revision of the store at the change.
+    #[prost(uint64, tag = "3")]
+    revision: Revision,
+}
+
+/// Request counts of the sender for one service.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+struct Counts {
+    /// Identifier of the service.
+    #[prost(fixed64, tag = "1")]
+    service: ServiceId,
+    /// Requests in the current window.
+    #[prost(uint32, tag = "2")]
+    requests: u32,
+    /// Retries in the current window.
+    #[prost(uint32, tag = "3")]
+    retries: u32,
+}
+
+/// Load of the sender at one endpoint.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+struct EndpointLoad {
+    /// Identifier of the endpoint.
+    #[prost(fixed64, tag = "1")]
+    endpoint: EndpointId,
+    /// Requests in progress.
+    #[prost(uint32, tag = "2")]
+    runs: u32,
+    /// Reserved KV cache, in tokens of context.
+    #[prost(uint64, tag = "3")]
+    tokens: u64,
+    /// Prompt tokens of requests that have no first token yet.
+    #[prost(uint64, tag = "4")]
+    prefill: u64,
+    /// Time between two events at the engine in microseconds; zero if the sender does not know it.
+    #[prost(uint32, tag = "5")]
+    gap_us: u32,
+}
+
+impl EndpointLoad {
+    /// Returns the load and the pace of an endpoint in wire format.
+    fn new((endpoint, load): &(EndpointId, Load), paces: &[(EndpointId, Duration)]) -> Self {
+        let pace = paces.iter().find(|(id, _)| id == endpoint);
+        let gap_us = pace.map_or(0, |(_, gap)| gap.as_micros());
+        Self {
+            gap_us: u32::try_from(gap_us).unwrap_or(u32::MAX),
+            endpoint: *endpoint,
+            runs: load.runs,
+            tokens: load.tokens,
+            prefill: load.prefill,
+        }
+    }
+}
+
+impl From<EndpointLoad> for (EndpointId, Load) {
+    fn from(endpoint_load: EndpointLoad) -> Self {
+        let load = Load {
+            runs: endpoint_load.runs,
+            tokens: endpoint_load.tokens,
+            prefill: endpoint_load.prefill,
+        };
+        (endpoint_load.endpoint, load)
+    }
+}
+
+impl From<&(EndpointId, Revision)> for Departure {
+    fn from((endpoint, revision): &(EndpointId, Revision)) -> Self {
+        Self {
+            endpoint: *endpoint,
+            revision: *revision,
+        }
+    }
+}
+
+impl From<Departure> for (EndpointId, Revision) {
+    fn from(departure: Departure) -> Self {
+        (departure.endpoint, departure.revision)
+    }
+}
+
+impl From<Item> for Change {
+    fn from(item: Item) -> Self {
+        Self {
+            key: item.key,
+            value: item.value,
+            revision: item.revision,
+        }
+    }
+}
+
+impl From<Change> for Item {
+    fn from(change: Change) -> Self {
+        Self {
+            key: change.key,
+            value: change.value,
+            revision: change.revision,
+        }
+    }
+}
+
+impl From<&(ServiceId, Count)> for Counts {
+    fn from((service, count): &(ServiceId, Count)) -> Self {
+        Self {
+            service: *service,
+            requests: count.requests,
+            retries: count.retries,
+        }
+    }
+}
+
+impl From<Counts> for (ServiceId, Count) {
+    fn from(counts: Counts) -> Self {
+        let count = Count {
+            requests: counts.requests,
+            retries: counts.retries,
+        };
+        (counts.service, count)
+    }
+}
+
+impl Frame {
+    /// Splits a report into frames; its loads may need more than one datagram.
+    pub(crate) fn from_report(report: &Report) -> Vec<Self> {
+        let load = |load| EndpointLoad::new(load, &report.paces);
+        let (first, rest) = report.loads.split_at(report.loads.len().min(MAX_LOADS));
+        let rest = rest.chunks(MAX_LOADS);
+        let rest = rest.map(|loads| Self {
+            instance: report.from,
+            leaving: report.leaving,
+            loads: loads.iter().map(load).collect(),
+            continuation: true,
+            ..Self::default()
+        });
+        let first = Self {
+            loads: first.iter().map(load).collect(),
+            ..Self::without_loads(report)
+        };
+        std::iter::once(first).chain(rest).collect()
+    }
+
+    /// Splits changes of the store into frames.
+    pub(crate) fn from_news(sender: InstanceId, news: News) -> Vec<Self> {
+        let relist_ms = news.relist_time.as_millis() as u32;
+        let mut frames: Vec<Self> = Vec::new();
+        let mut room = 0;
+        for change in news.items.into_iter().map(Change::from) {
+            let size = change.encoded_len() + MAX_FIELD_OVERHEAD_BYTES;
+            if size > room || frames.is_empty() {
+                room = MAX_DATAGRAM_BYTES - MAX_FIELD_OVERHEAD_BYTES * 4;
+                frames.push(Self {
+                    instance: sender,
+                    continuation: true,
+                    relist_ms,
+                    ..Self::default()
+                });
+            }
+            room = room.saturating_sub(size);
+            let last = frames.len() - 1;
+            frames[last].news.push(change);
+        }
+        frames
+    }
+
+    /// Returns the first frame of a report without the loads.
+    pub(crate) fn without_loads(report: &Report) -> Self {
+        Self {
+            continuation: false,
+            news: Vec::new(),
+            relist_ms: 0,
+            store_lost: report.store_lost,
+            instance: report.from,
+            leaving: report.leaving,
+            loads: Vec::new(),
+            version: report.version,
+            newest_listing: report.newest_listing,
+            ejections: report
+                .ejections
+                .iter()
+                .copied()
+                .take(MAX_EJECTIONS)
+                .collect(),
+            departures: report
+                .departures
+                .iter()
+                .take(MAX_DEPARTURES)
+                .map(Departure::from)
+                .collect(),
+            counts: report
+                .counts
+                .iter()
+                .take(MAX_SERVICES)
+                .map(Counts::from)
+                .collect(),
+        }
+    }
+}
+
+impl From<Frame> for Report {
+    fn from(frame: Frame) -> Self {
+        let known = frame.loads.iter().filter(|load| load.gap_us > 0);
+        let pace = |load: &EndpointLoad| {
+            let gap = Duration::from_micros(load.gap_us.into());
+            (load.endpoint, gap)
+        };
+        Self {
+            paces: known.map(pace).collect(),
+            from: frame.instance,
+            store_lost: frame.store_lost,
+            leaving: frame.leaving,
+            version: frame.version,
+            newest_listing: frame.newest_listing,
+            continuation: frame.continuation,
+            ejections: frame.ejections,
+            departures: frame.departures.into_iter().map(Into::into).collect(),
+            loads: frame.loads.into_iter().map(Into::into).collect(),
+            news: frame.news.into_iter().map(Into::into).collect(),
+            relist_time: Duration::from_millis(frame.relist_ms.into()),
+            counts: frame.counts.into_iter().map(Into::into).collect(),
+        }
+    }
+}
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod codec;
 pub(crate) mod digest;
 pub(crate) mod event;
+pub(crate) mod fleet;
+pub(crate) mod frame;
 pub(crate) mod gaps;
 pub mod gateway;
 pub(crate) mod ingress;
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -148,14 +148,11 @@
     /// register again.
     pub fn remove(&mut self, name: &str, relist_deadline: Option<Instant>) {
         let id = id::of(name);
-        match (relist_deadline, self.others.get_mut(&id)) {
-            (Some(deadline), Some(member)) => {
-                member.relist_deadline.get_or_insert(deadline);
-            }
-            _ => {
-                self.others.remove(&id);
-                self.divided_at = None;
-            }
+        if let (Some(deadline), Some(member)) = (relist_deadline, self.others.get_mut(&id)) {
+            member.relist_deadline.get_or_insert(deadline);
+        } else {
+            self.others.remove(&id);
+            self.divided_at = None;
         }
     }
 
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -9,7 +9,6 @@
 use daisyyard_core::backlog::Backlog;
 use daisyyard_core::endpoint::{Endpoint, State};
 use daisyyard_core::id::{self, EndpointId, InstanceId, RequestId, Revision};
-use daisyyard_core::roster::Role;
 use daisyyard_core::shared_retry_budget::{self, Budget};
 use daisyyard_core::zone::Zone;
 use tokio::sync::Notify;
@@ -18,11 +17,8 @@
 use crate::codec::{Codec, Item, Record};
 use crate::event::Event;
 use crate::log::Log;
-use crate::member::{Entry, Members, Targets};
-use crate::message::{
-    Claim, Count, Digest, Leave, Notice, Offer, Report, Retry, SetRetryLimits, ShareNews, Standing,
-    StoreReach, Update,
-};
+use crate::member::{Entry, Members};
+use crate::message::{Claim, Count, Leave, Notice, Offer, Retry, SetRetryLimits, Standing, Update};
 use crate::run::Run;
 use crate::settings::Settings;
 use crate::timer::{self, Tick};
@@ -37,9 +33,9 @@
 #[derive(Debug, Actor)]
 pub(crate) struct Pool {
     /// Identifier of this gateway.
-    own_id: InstanceId,
+    pub(crate) own_id: InstanceId,
     /// Functions that decode the platform's messages.
-    codec: Codec,
+    pub(crate) codec: Codec,
     /// Address of this actor, for the guards of runs.
     pub(crate) address: WeakAddress<Self>,
     /// Endpoints and their loads.
@@ -47,9 +43,9 @@
     /// Availability zones by name.
     zones: HashMap<String, Zone>,
     /// All known gateways.
-    members: Members,
+    pub(crate) members: Members,
     /// Part of this gateway in the fleet, as the watcher knows it.
-    standing: Option<Standing>,
+    pub(crate) standing: Option<Standing>,
     /// Runs that this gateway has started.
     pub(crate) runs: HashMap<RequestId, Run>,
     /// Identifier of the next run.
@@ -61,15 +57,15 @@
     /// Notifies the digest task of a change.
     pub(crate) changed: Arc<Notify>,
     /// Notifies the watcher that another gateway has read newer data from the store.
-    refresh: Arc<Notify>,
+    pub(crate) refresh: Arc<Notify>,
     /// Version of the current configuration.
-    version: Option<Revision>,
+    pub(crate) version: Option<Revision>,
     /// Retry budget of each service.
-    retry_budget: Budget,
+    pub(crate) retry_budget: Budget,
     /// Whether this gateway is leaving.
-    leaving: bool,
+    pub(crate) leaving: bool,
     /// Log of the gateway.
-    log: Log,
+    pub(crate) log: Log,
 }
 
 /// Instructs the actor to start one of the waiting requests.
@@ -136,7 +132,7 @@
     }
 
     /// Applies one record of the store.
-    fn apply(&mut self, record: Record, relist_deadline: Option<Instant>, now: Instant) {
+    pub(crate) fn apply(&mut self, record: Record, relist_deadline: Option<Instant>, now: Instant) {
         match record {
             Record::Endpoint(endpoint, warm_up) => self.update_endpoint(endpoint, warm_up, now),
             Record::Unlisted(id) => self.remove_endpoint(id, relist_deadline, now),
@@ -195,72 +191,8 @@
         }
     }
 
-    /// Applies changes that another gateway has read from the store.
-    fn apply_news(&mut self, report: Report, now: Instant) {
-        let relist_time = report.relist_time;
-        let relist_deadline = (!relist_time.is_zero()).then(|| now + relist_time);
-        for item in report.news {
-            let record = (self.codec.store.read_item)(&item);
-            let id = match &record {
-                Record::Endpoint(endpoint, _) => Some(endpoint.id),
-                Record::Unlisted(id) => Some(*id),
-                _ => None,
-            };
-            let Some(id) = id else {
-                self.apply(record, relist_deadline, now);
-                continue;
-            };
-            if self.endpoints.is_news(id, item.revision) {
-                let read = self.endpoints.advance(item.revision);
-                self.apply(record, relist_deadline, now);
-                self.endpoints.advance(read);
-            }
-        }
-    }
-
-    /// Returns the part of this gateway in the fleet.
-    fn current_standing(&self, now: Instant) -> Standing {
-        Standing {
-            gateways: self.members.count(),
-            role: self.members.role(),
-            connected: self.members.is_connected(now),
-        }
-    }
-
-    /// Divides the fleet anew, and ends a long pause of the watcher if this gateway must now read
-    /// the store itself.
-    fn update_roster(&mut self, now: Instant) {
-        let requests_per_s = self.retry_budget.request_rate(now);
-        self.members.set_request_rate(requests_per_s);
-        self.members.update_roster(now);
-        let new = self.current_standing(now);
-        let told = |standing: &Standing| standing.connected && standing.role != Role::Reader;
-        if self.standing.as_ref().is_some_and(told) && !told(&new) {
-            self.refresh.notify_one();
-        }
-    }
-
-    /// Applies the digest of another gateway.
-    fn apply_report(&mut self, report: Report, now: Instant) {
-        let from = report.from;
-        self.endpoints.set_loads(from, &report.loads, now);
-        self.endpoints.learn_paces(&report.paces);
-        self.endpoints.learn_ejections(from, &report.ejections, now);
-        self.retry_budget.learn(from, report.counts, now);
-        for (id, revision) in report.departures {
-            self.mark_leaving(id, revision);
-        }
-        // A new endpoint may have capacity for waiting requests.
-        let capacity_wanted =
-            !self.backlog.is_empty() && self.endpoints.is_behind(report.newest_listing);
-        let outdated = self.version.unwrap_or(0) < report.version;
-        if capacity_wanted || outdated {
-            self.refresh.notify_one();
-        }
-    }
-
     /// Marks an endpoint as leaving because another gateway has read so.
-    fn mark_leaving(&mut self, id: EndpointId, revision: Revision) {
+    pub(crate) fn mark_leaving(&mut self, id: EndpointId, revision: Revision) {
         if !self.endpoints.mark_leaving(id, revision) {
             return;
         }
@@ -275,7 +207,7 @@
     }
 
     /// Notifies the runs at an endpoint that it is leaving.
-    fn notify_runs(&self, id: EndpointId) {
+    pub(crate) fn notify_runs(&self, id: EndpointId) {
         for run in self.runs.values().filter(|run| run.endpoint == id) {
             // If the channel is full, it already holds the same notice.
             let _ = run.notices.try_send(Notice::Leaving);
@@ -392,81 +324,6 @@
     }
 }
 
-impl Handler<Digest> for Pool {
-    /// The digest and its recipients.
-    type Return = (Report, Targets);
-
-    async fn handle(&mut self, _: Digest, _: &mut Context<Self>) -> Self::Return {
-        let now = Instant::now();
-        let report = Report {
-            from: self.own_id,
-            leaving: self.leaving,
-            store_lost: !self.members.reaches_store(),
-            version: self.version.unwrap_or(0),
-            newest_listing: self.endpoints.newest_listing(),
-            continuation: false,
-            ejections: self.endpoints.ejections(now).collect(),
-            departures: self.endpoints.departures(now).collect(),
-            loads: self.endpoints.loads().collect(),
-            paces: self.endpoints.paces().collect(),
-            news: Vec::new(),
-            relist_time: Duration::ZERO,
-            counts: self.retry_budget.counts(now),
-        };
-        // A gateway in reserve that has no part in the load has nothing to tell.
-        let idle = report.loads.is_empty() && report.counts.is_empty();
-        let targets = if idle && self.members.role() == Role::Reserve {
-            Targets::default()
-        } else {
-            self.members.digest_targets(now)
-        };
-        (report, targets)
-    }
-}
-
-impl Handler<StoreReach> for Pool {
-    type Return = ();
-
-    async fn handle(&mut self, StoreReach(reaches): StoreReach, _: &mut Context<Self>) {
-        self.members.set_reach(reaches);
-        self.changed.notify_one();
-    }
-}
-
-impl Handler<ShareNews> for Pool {
-    type Return = (InstanceId, Vec<SocketAddr>);
-
-    async fn handle(&mut self, _: ShareNews, _: &mut Context<Self>) -> Self::Return {
-        (self.own_id, self.members.news_targets())
-    }
-}
-
-impl Handler<Report> for Pool {
-    type Return = ();
-
-    async fn handle(&mut self, message: Report, _: &mut Context<Self>) {
-        let now = Instant::now();
-        if !self
-            .members
-            .record_digest(message.from, message.leaving, now)
-        {
-            return;
-        }
-        if !message.continuation {
-            let reaches_store = !message.store_lost;
-            self.members.record_reach(message.from, reaches_store);
-        }
-        if !message.news.is_empty() {
-            self.apply_news(message, now);
-        } else if message.continuation {
-            self.endpoints.add_loads(message.from, &message.loads, now);
-        } else {
-            self.apply_report(message, now);
-        }
-        self.schedule();
-    }
-}
-
 impl Handler<Start> for Pool {
     type Return = ();
 
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -12,8 +12,8 @@
 use xtra::Address;
 
 use crate::codec::{Batch, Codec, Record};
-use crate::digest::News;
 use crate::event::Event;
+use crate::frame::News;
 use crate::log::Log;
 use crate::message::{Standing, StoreReach, Update};
 use crate::pool::Pool;
