--- a/crates/daisyyard_gateway/tests/member_offers.rs
+++ b/crates/daisyyard_gateway/tests/member_offers.rs
@@ -95,3 +95,36 @@
     members.start_offering();
     assert_eq!(ports(&mut members, "a", now), [1]);
 }
+
+/// In a large fleet a part of the gateways is offered. When one of these falls silent, another one
+/// takes its place, and when it is heard again, it has its place back.
+#[test]
+fn part_offered() {
+    let start = Instant::now();
+    let mut members = serving();
+    for port in 2..=60 {
+        members.put(&format!("gateway-{port}"), entry(port, "a"), start);
+    }
+    let offered = ports(&mut members, "a", start);
+    assert_eq!(offered.len(), 24);
+    let silent = offered[10];
+    let mut now = start;
+    let mut hear = |members: &mut Members, ports: std::ops::RangeInclusive<u16>, silent| {
+        for _ in 0..20 {
+            now += Duration::from_millis(100);
+            for port in ports.clone().filter(|port| *port != silent) {
+                members.record_digest(id::of(&format!("gateway-{port}")), false, now);
+            }
+            members.update_roster(now);
+        }
+        now
+    };
+    let later = hear(&mut members, 2..=60, silent);
+    let without = ports(&mut members, "a", later);
+    assert_eq!(without.len(), 24);
+    assert!(!without.contains(&silent), "a silent gateway is offered");
+    let kept = offered.iter().filter(|port| without.contains(port));
+    assert_eq!(kept.count(), 23);
+    let later = hear(&mut members, 2..=60, 0);
+    assert_eq!(ports(&mut members, "a", later), offered);
+}
