Read the store less: cheap reads of the configuration, rare complete reads, longer leases

Gateways that are told of changes watched each 16 s, and twice for each new configuration, as a second announcement arrived during the read. Change: a told gateway that hears of a newer configuration reads the configuration alone, which may be a few seconds old and costs a tenth; if that brings no newer one, it reads all keys. Announcements that arrive during a read are dropped, as digests repeat them. Complete reads follow once a minute, or when a gateway that is not listed has sent digests for 8 s. The first read of a gateway may be old too, as a watch completes it. Leases last 30 s and are renewed each 10 s; a lost gateway is therefore left out until it is heard again, and is probed each 10 s, instead of being offered again each 10 s.

--- a/crates/daisyyard/tests/fleet_news.rs
+++ b/crates/daisyyard/tests/fleet_news.rs
@@ -87,15 +87,21 @@
     }
 }
 
-/// A new configuration is in force at all gateways within two seconds.
+/// A new configuration is in force at all gateways within two seconds, for less than the price of
+/// one read for each gateway.
 #[tokio::test]
 async fn configuration_told() {
     let platform = start().await;
     tokio::time::sleep(Duration::from_secs(2)).await;
+    let price = platform.store.price();
     let mut config = platform::config(2);
     config["routes"][2]["path_prefix"] = json!("/renamed/");
     platform.store.put("op/config", &config).await;
     tokio::time::sleep(Duration::from_secs(2)).await;
+    // The watches of three readers end, and they start new ones; the five others read once, for a
+    // tenth of the price, and all renew their leases.
+    let price = (platform.store.price() - price) / 10;
+    assert!(price < GATEWAYS as u64, "the price of {price} calls");
     for gateway in 0..GATEWAYS {
         let (status, _) = get(&platform, gateway, "/renamed/1").await;
         assert_eq!(status, StatusCode::OK, "gateway {gateway}");
--- a/crates/daisyyard_gateway/src/codec.rs
+++ b/crates/daisyyard_gateway/src/codec.rs
@@ -10,7 +10,7 @@
 use daisyyard_core::catalog::Catalog;
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::id::{EndpointId, Revision, Tokens};
-use daisyyard_derive::value;
+use daisyyard_derive::{key, value};
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
 
@@ -155,14 +155,25 @@
     pub zone: String,
 }
 
+/// How recent the data of a read must be.
+#[key]
+pub enum Freshness {
+    /// All writes that were acknowledged before the read.
+    Latest,
+    /// Some state of the last few seconds; such a read costs the store less.
+    Recent,
+}
+
 /// Calls to the platform's store, with the decoders of their responses.
 #[derive(Debug, Clone, Copy)]
 pub struct Store {
     /// Reads one page of all keys, starting after the given key.
-    pub list: fn(after: Option<&str>) -> Call,
+    pub list: fn(after: Option<&str>, freshness: Freshness) -> Call,
     /// Waits for changes after a revision.
     pub watch: fn(after: Revision, wait: Duration) -> Call,
-    /// Decodes the response to `list` or `watch`.
+    /// Reads a recent configuration.
+    pub read_catalog: fn() -> Call,
+    /// Decodes the response to `list`, `watch` or `read_catalog`.
     pub read_batch: fn(&[u8]) -> anyhow::Result<Batch>,
     /// Decodes a change that another gateway has passed on.
     pub read_item: fn(&Item) -> Record,
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -137,6 +137,9 @@
             .members
             .record_digest(message.from, message.leaving, now)
         {
+            if self.members.record_unlisted(message.from, now) {
+                self.refresh.notify_one();
+            }
             return;
         }
         if !message.continuation {
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -15,10 +15,18 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The same at a gateway in reserve, which gets fewer digests.
 const RESERVE_SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Time for which a lost member is left out of the division of the fleet, unless it is heard again.
-const LOSS_TIME: Duration = Duration::from_secs(10);
+/// Time between two probes of a lost member. After a partition, neither side sends anything else to
+/// the members that it counts as lost.
+const PROBE_INTERVAL: Duration = Duration::from_secs(10);
+/// Time for which digests are sent to a lost member as a probe.
+const PROBE_TIME: Duration = Duration::from_millis(1_300);
 /// Time between two divisions of the fleet if no member changes.
 const ROSTER_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which the entry of a gateway that sends digests may be unknown. Its entry is then read
+/// from the store, as the news of it must be lost.
+const UNLISTED_TIME: Duration = Duration::from_secs(8);
+/// Maximum number of unlisted gateways that are remembered.
+const MAX_UNLISTED: usize = 64;
 /// Maximum number of addresses in one response.
 const MAX_ADDRESSES: usize = 64;
 /// Minimum number of members in a caller's zone for which only that zone is offered; with fewer,
@@ -59,8 +67,8 @@
     reaches_store: bool,
     /// Since when the gateway is expected to send digests to this one; none while it need not.
     expected_since: Option<Instant>,
-    /// Until when the gateway counts as lost.
-    lost_until: Option<Instant>,
+    /// Since when the gateway counts as lost; it does until it is heard again.
+    lost_since: Option<Instant>,
     /// When the gateway is removed unless its entry is written again.
     relist_deadline: Option<Instant>,
 }
@@ -70,7 +78,7 @@
 pub struct Targets {
     /// Gateways that serve callers, or did so recently; they get each digest.
     pub serving: Vec<SocketAddr>,
-    /// The other gateways of the zone, which get fewer digests.
+    /// The other gateways of the zone, and lost ones to probe; they get fewer digests.
     pub reserve: Vec<SocketAddr>,
 }
 
@@ -87,6 +95,8 @@
     reaches_store: bool,
     /// The other gateways.
     others: BTreeMap<InstanceId, Member>,
+    /// When gateways that are not listed first sent a digest.
+    unlisted: BTreeMap<InstanceId, Instant>,
     /// Division of the gateways.
     roster: Roster,
     /// When the gateways were last divided; none after a change.
@@ -101,6 +111,15 @@
         let since = self.expected_since.unwrap_or(now).max(self.last_heard);
         now.saturating_duration_since(since) >= timeout
     }
+
+    /// Returns whether the gateway is lost and a probe of it is due.
+    fn is_probed(&self, now: Instant) -> bool {
+        self.lost_since.is_some_and(|since| {
+            let lost_for = now.saturating_duration_since(since);
+            let since_probe = lost_for.as_millis() % PROBE_INTERVAL.as_millis();
+            lost_for >= PROBE_INTERVAL && since_probe < PROBE_TIME.as_millis()
+        })
+    }
 }
 
 impl Members {
@@ -113,6 +132,7 @@
             offered: false,
             reaches_store: true,
             others: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
             roster: Roster::default(),
             divided_at: None,
             requests_per_s: 0.0,
@@ -137,10 +157,11 @@
             leaving: false,
             reaches_store: true,
             expected_since: Some(now),
-            lost_until: None,
+            lost_since: None,
             relist_deadline: None,
         };
         self.others.insert(id, member);
+        self.unlisted.remove(&id);
         self.divided_at = None;
     }
 
@@ -160,15 +181,26 @@
     pub fn retain(&mut self, names: &[String]) {
         let listed: Vec<InstanceId> = names.iter().map(|name| id::of(name)).collect();
         self.others.retain(|id, _| listed.contains(id));
+        self.unlisted.clear();
         self.divided_at = None;
     }
 
+    /// Records a digest of a gateway that is not listed; returns whether it has sent digests for so
+    /// long that its entry must have been missed.
+    pub fn record_unlisted(&mut self, id: InstanceId, now: Instant) -> bool {
+        if self.unlisted.len() >= MAX_UNLISTED && !self.unlisted.contains_key(&id) {
+            return false;
+        }
+        let since = *self.unlisted.entry(id).or_insert(now);
+        now.saturating_duration_since(since) >= UNLISTED_TIME
+    }
+
     /// Records a digest; returns whether its sender is known.
     pub fn record_digest(&mut self, id: InstanceId, leaving: bool, now: Instant) -> bool {
         let Some(member) = self.others.get_mut(&id) else {
             return false;
         };
-        if member.leaving != leaving || member.lost_until.take().is_some() {
+        if member.leaving != leaving || member.lost_since.take().is_some() {
             self.divided_at = None;
         }
         member.last_heard = now;
@@ -237,7 +269,7 @@
             let heard = now.saturating_duration_since(member.last_heard) < SILENCE_TIMEOUT;
             if heard || self.roster.is_serving(*id) {
                 targets.serving.push(member.entry.digests);
-            } else if member.entry.zone == self.own_entry.zone {
+            } else if member.is_probed(now) || member.entry.zone == self.own_entry.zone {
                 targets.reserve.push(member.entry.digests);
             }
         }
@@ -268,12 +300,11 @@
         let partitioned = self.is_partitioned(now);
         for member in self.others.values_mut() {
             if !partitioned && member.is_silent(timeout, now) {
-                member.lost_until = Some(now + LOSS_TIME);
+                member.lost_since.get_or_insert(now);
             }
         }
-        let lost = |member: &Member| member.lost_until.is_some_and(|until| until > now);
         let live = self.others.iter();
-        let live = live.filter(|(_, member)| !member.leaving && !lost(member));
+        let live = live.filter(|(_, member)| !member.leaving && member.lost_since.is_none());
         let live = live.map(|(id, member)| Node {
             id: *id,
             zone: id::of(&member.entry.zone),
--- a/crates/daisyyard_gateway/src/registration.rs
+++ b/crates/daisyyard_gateway/src/registration.rs
@@ -17,11 +17,11 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Lifetime of the lease; the entry of a crashed gateway remains this long. Digests show sooner that
 /// it is lost.
-const LEASE_LIFETIME: Duration = Duration::from_secs(10);
+const LEASE_LIFETIME: Duration = Duration::from_secs(30);
 /// Maximum delay between retries of a call.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_300);
 /// Time between two renewals; two may fail before the lease expires.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(3);
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Registers this gateway and renews its lease.
 #[derive(Debug)]
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -7,11 +7,12 @@
 use daisyyard_core::catalog::Catalog;
 use daisyyard_core::id::Revision;
 use daisyyard_core::roster::Role;
+use futures_util::FutureExt;
 use hyper::StatusCode;
 use tokio::sync::{Notify, mpsc, watch};
 use xtra::Address;
 
-use crate::codec::{Batch, Codec, Record};
+use crate::codec::{Batch, Codec, Freshness, Record};
 use crate::event::Event;
 use crate::frame::News;
 use crate::log::Log;
@@ -37,11 +38,9 @@
 const MAX_PAUSE_SHARE: f64 = 0.35;
 /// Mean pause after changes of a gateway that reads the store for others.
 const READER_PAUSE: Duration = Duration::from_millis(300);
-/// Time between two reads of a gateway that is told of changes by others. It is shorter than the
-/// history that a store keeps, so that the next read continues the last one.
-const TOLD_PAUSE: Duration = Duration::from_secs(16);
-/// Time for which the watch of such a gateway waits for changes.
-const TOLD_WAIT: Duration = Duration::from_millis(1);
+/// Time between two complete reads of a gateway that is told of changes by others. They correct what
+/// lost datagrams have left out.
+const TOLD_PAUSE: Duration = Duration::from_mins(1);
 /// Time after a store outage in which endpoints and gateways may register again if their entries
 /// expired during the outage.
 const RELISTING_TIME: Duration = Duration::from_millis(2_200);
@@ -49,6 +48,17 @@
 /// The current configuration; `None` until the first one is read.
 pub(crate) type Configuration = watch::Receiver<Option<Arc<Catalog>>>;
 
+/// What a gateway reads next from the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Read {
+    /// The changes since the last read.
+    Changes,
+    /// The configuration, which may be a few seconds old.
+    Catalog,
+    /// All keys.
+    All,
+}
+
 /// Watches the store.
 #[derive(Debug)]
 pub(crate) struct Watcher {
@@ -72,6 +82,8 @@
     news: mpsc::UnboundedSender<News>,
     /// Part of this gateway in the fleet.
     standing: Standing,
+    /// Whether the last read of the configuration alone brought no newer one.
+    catalog_was_old: bool,
     /// Whether the last call to the store succeeded.
     available: bool,
     /// When the store answered again after its last outage.
@@ -107,6 +119,7 @@
                 role: Role::Reader,
                 connected: false,
             },
+            catalog_was_old: false,
             available: true,
             reconnected_at: None,
             log,
@@ -116,23 +129,63 @@
 
     /// Reads all keys and watches their changes, forever.
     pub(crate) async fn run(mut self) {
+        // Until there is a configuration, a watch follows the first read and completes it.
+        let mut revision = self.read_all(Freshness::Recent).await;
+        if self.version().is_some() {
+            revision = self.read_all(Freshness::Latest).await;
+        }
         loop {
-            let mut revision = self.read_all().await;
-            while let Some(next) = self.watch(revision).await {
-                revision = next;
+            let mut changed = true;
+            loop {
+                match self.next_read(changed).await {
+                    Read::Changes => match self.watch(revision).await {
+                        Some((next, any)) => (revision, changed) = (next, any),
+                        None => break,
+                    },
+                    Read::Catalog => {
+                        self.read_catalog(revision).await;
+                        changed = false;
+                    }
+                    Read::All => break,
+                }
             }
-            self.log
-                .emit(Event::StoreReread, &format!("revision={revision}"));
+            revision = self.read_all(Freshness::Latest).await;
+        }
+    }
+
+    /// Waits until the next read is due.
+    async fn next_read(&self, changed: bool) -> Read {
+        let told = self.is_told();
+        let pause = if told {
+            TOLD_PAUSE
+        } else if !changed {
+            Duration::ZERO
+        } else if self.standing.connected && self.standing.role == Role::Reader {
+            // The readers do not read at the same moments.
+            READER_PAUSE.mul_f64(rand::random_range(0.5..1.5))
+        } else {
+            let pause = PAUSE_PER_GATEWAY.saturating_mul(self.standing.gateways as u32);
+            pause.min(self.max_pause)
+        };
+        // The pause ends early if another gateway has read newer data.
+        let ended_early = tokio::time::timeout(pause, self.refresh.notified()).await;
+        if !told {
+            Read::Changes
+        } else if ended_early.is_ok() && !self.catalog_was_old {
+            Read::Catalog
+        } else {
+            Read::All
         }
     }
 
     /// Reads all keys, with retries, and returns the revision from which to watch.
-    async fn read_all(&mut self) -> Revision {
+    async fn read_all(&mut self, freshness: Freshness) -> Revision {
         loop {
-            match self.read_pages().await {
+            match self.read_pages(freshness).await {
                 Ok(batch) => {
                     self.record_success().await;
                     let revision = batch.revision;
+                    self.catalog_was_old = false;
                     self.publish(batch, true).await;
                     return revision;
                 }
@@ -143,11 +196,11 @@
 
     /// Reads all pages of keys. The pages are not one snapshot, so the watch starts at the revision
     /// of the first page.
-    async fn read_pages(&self) -> Result<Batch, Error> {
+    async fn read_pages(&self, freshness: Freshness) -> Result<Batch, Error> {
         let mut all = Batch::default();
         let mut after: Option<String> = None;
         loop {
-            let call = (self.codec.store.list)(after.as_deref());
+            let call = (self.codec.store.list)(after.as_deref(), freshness);
             let response = store::call(self.address, call, READ_TIMEOUT, MAX_PAGE_BYTES).await?;
             let page = (self.codec.store.read_batch)(&response).map_err(Error::Unusable)?;
             if after.is_none() {
@@ -161,13 +214,28 @@
         }
     }
 
-    /// Waits for changes once; returns the next revision, or `None` if the watch history is lost.
-    async fn watch(&mut self, revision: Revision) -> Option<Revision> {
-        let wait = if self.is_told() {
-            TOLD_WAIT
-        } else {
-            self.watch_timeout
-        };
+    /// Reads the configuration alone; this costs a tenth of a read of the newest data.
+    async fn read_catalog(&mut self, revision: Revision) {
+        let call = (self.codec.store.read_catalog)();
+        let response = store::call(self.address, call, READ_TIMEOUT, MAX_PAGE_BYTES).await;
+        let batch = response
+            .and_then(|response| (self.codec.store.read_batch)(&response).map_err(Error::Unusable));
+        match batch {
+            Ok(batch) => {
+                self.record_success().await;
+                let known = self.version();
+                // Other keys are known up to the revision of the last read.
+                self.publish(Batch { revision, ..batch }, false).await;
+                self.catalog_was_old = self.version() == known;
+            }
+            Err(error) => self.record_failure(&error).await,
+        }
+    }
+
+    /// Waits for changes once; returns the next revision and whether anything has changed, or
+    /// `None` if the watch history is lost.
+    async fn watch(&mut self, revision: Revision) -> Option<(Revision, bool)> {
+        let wait = self.watch_timeout;
         let call = (self.codec.store.watch)(revision, wait);
         let timeout = wait + READ_TIMEOUT;
         let response = store::call(self.address, call, timeout, MAX_PAGE_BYTES).await;
@@ -177,20 +245,26 @@
             Ok(batch) => {
                 self.record_success().await;
                 let next = batch.revision.max(revision);
+                let changed = !batch.records.is_empty();
                 self.publish(batch, false).await;
-                Some(next)
+                Some((next, changed))
+            }
+            Err(Error::Declined(StatusCode::GONE)) => {
+                self.log
+                    .emit(Event::StoreReread, &format!("revision={revision}"));
+                None
             }
-            Err(Error::Declined(StatusCode::GONE)) => None,
             Err(error) => {
                 self.record_failure(&error).await;
-                Some(revision)
+                Some((revision, false))
             }
         }
     }
 
     /// Publishes records to the pool and to the receivers of the configuration.
     async fn publish(&mut self, batch: Batch, complete: bool) {
-        let changed = !batch.records.is_empty();
+        // What was announced during the read is part of it, or is announced again.
+        let _ = self.refresh.notified().now_or_never();
         let mut others = Vec::with_capacity(batch.records.len());
         for record in batch.records {
             match record {
@@ -204,11 +278,7 @@
             relist_deadline: self.relist_deadline(),
             complete,
             revision: batch.revision,
-            version: self
-                .catalog
-                .borrow()
-                .as_ref()
-                .map(|configuration| configuration.version),
+            version: self.version(),
         };
         // The pool ends only with the process.
         if let Ok((standing, items)) = self.pool.send(message).await {
@@ -221,19 +291,6 @@
                 let _ = self.news.send(News { items, relist_time });
             }
         }
-        let pause = if self.is_told() {
-            TOLD_PAUSE
-        } else if !changed {
-            Duration::ZERO
-        } else if self.standing.connected && self.standing.role == Role::Reader {
-            // The readers do not read at the same moments.
-            READER_PAUSE.mul_f64(rand::random_range(0.5..1.5))
-        } else {
-            let pause = PAUSE_PER_GATEWAY.saturating_mul(self.standing.gateways as u32);
-            pause.min(self.max_pause)
-        };
-        // The pause ends early if another gateway has read newer data.
-        let _ = tokio::time::timeout(pause, self.refresh.notified()).await;
     }
 
     /// Returns whether other gateways tell this one what changes in the store.
@@ -242,6 +299,12 @@
         configured && self.standing.connected && self.standing.role != Role::Reader
     }
 
+    /// Returns the version of the current configuration.
+    fn version(&self) -> Option<Revision> {
+        let configuration = self.catalog.borrow();
+        configuration.as_ref().map(|catalog| catalog.version)
+    }
+
     /// Applies a version of the configuration unless a newer one is already current.
     fn apply_catalog(&self, catalog: Catalog) {
         let version = catalog.version;
--- a/crates/daisyyard_gateway/tests/member_offers.rs
+++ b/crates/daisyyard_gateway/tests/member_offers.rs
@@ -128,3 +128,50 @@
     let later = hear(&mut members, 2..=60, 0);
     assert_eq!(ports(&mut members, "a", later), offered);
 }
+
+/// The entry of a gateway that is heard but not listed counts as missed after a while, and once only
+/// for each list that is read.
+#[test]
+fn unlisted_gateway() {
+    let start = Instant::now();
+    let mut members = serving();
+    let id = id::of("two");
+    assert!(!members.record_digest(id, false, start));
+    assert!(!members.record_unlisted(id, start));
+    let later = start + Duration::from_secs(10);
+    assert!(members.record_unlisted(id, later));
+    members.retain(&[]);
+    assert!(!members.record_unlisted(id, later));
+    members.put("two", entry(2, "a"), later);
+    assert!(members.record_digest(id, false, later));
+    members.remove("two", None);
+    let later = later + Duration::from_secs(10);
+    assert!(!members.record_unlisted(id, later));
+}
+
+/// A gateway that stays silent is not offered again as long as its entry lasts, but it is probed, so
+/// that two gateways that count each other as lost meet again after a partition.
+#[test]
+fn probed_gateway() {
+    let start = Instant::now();
+    let mut members = serving();
+    members.put("two", entry(2, "b"), start);
+    members.put("three", entry(3, "b"), start);
+    let mut probes = 0;
+    for tick in 1..=300 {
+        let now = start + Duration::from_millis(100) * tick;
+        members.record_digest(id::of("two"), false, now);
+        let lost = tick > 15;
+        let offered = ports(&mut members, "b", now).contains(&3);
+        assert!(!(lost && offered), "offered after {tick} x 100 ms");
+        let targets = members.digest_targets(now);
+        let silent = entry(3, "b").digests;
+        assert!(!(lost && targets.serving.contains(&silent)));
+        probes += usize::from(targets.reserve.contains(&silent));
+    }
+    assert!((10..=40).contains(&probes), "{probes} probes in 30 s");
+    let now = start + Duration::from_secs(31);
+    members.record_digest(id::of("two"), false, now);
+    members.record_digest(id::of("three"), false, now);
+    assert_eq!(ports(&mut members, "b", now), [2, 3]);
+}
--- a/crates/daisyyard_standin/src/platform_store.rs
+++ b/crates/daisyyard_standin/src/platform_store.rs
@@ -43,6 +43,8 @@
     mode: watch::Sender<Mode>,
     /// Number of calls received so far, in any mode.
     calls: watch::Receiver<u64>,
+    /// Price of these calls, in tenths of a call.
+    price: watch::Receiver<u64>,
     /// Task that owns the keys, and server task.
     tasks: Vec<JoinHandle<()>>,
 }
@@ -55,10 +57,12 @@
         let (commands, receiver) = mpsc::unbounded_channel();
         let (mode, current_mode) = watch::channel(Mode::Serving);
         let (counter, calls) = watch::channel(0);
+        let (meter, price) = watch::channel(0);
         let owner = tokio::spawn(platform_keys::run(receiver));
         let sender = commands.clone();
-        let server = http::serve(listener, move |request| {
+        let server = http::serve(listener, move |request: Request<Incoming>| {
             counter.send_modify(|calls| *calls += 1);
+            meter.send_modify(|total| *total += price_of(&request));
             handle(request, sender.clone(), *current_mode.borrow())
         });
         Ok(Self {
@@ -66,6 +70,7 @@
             commands,
             mode,
             calls,
+            price,
             tasks: vec![owner, server],
         })
     }
@@ -80,6 +85,11 @@
         *self.calls.borrow()
     }
 
+    /// Returns the price of the calls received so far, in tenths of a call.
+    pub fn price(&self) -> u64 {
+        *self.price.borrow()
+    }
+
     /// Returns a handle that writes keys.
     pub fn writer(&self) -> Writer {
         Writer(self.commands.clone())
@@ -129,6 +139,14 @@
     }
 }
 
+/// Returns the price of a call in tenths of a call.
+fn price_of(request: &Request<Incoming>) -> u64 {
+    let uri = request.uri();
+    let serializable = parameter(uri.query().unwrap_or_default(), "serializable") == "1";
+    let renewal = uri.path().starts_with("/-/kv-keep/");
+    if serializable || renewal { 1 } else { 10 }
+}
+
 /// Handles one call.
 async fn handle(
     request: Request<Incoming>,
