Spread runs over engines by the number of runs that digests do not show yet

With 74 serving gateways a digest may follow the last one by 37 ms, while 130 to 230 runs start per second. Ruled out: a wait at the gateway (median 0 until the burst), lost digests (over four fifths of the single earlier runs were known). Change: core/choice.rs (moved out of pool.rs) compares only a random sample of the engines, the smaller the more runs are likely unseen, and starts a run only with the probability that a place is left when engines have fewer places than that. Fleets with few nodes compare all engines as before.

--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::endpoint::{Endpoint, Kind, State};
-use crate::id::{InstanceId, Revision, ServiceId};
+use crate::id::{InstanceId, Revision, ServiceId, Tokens};
 use crate::load::{Load, Need};
 use crate::pace::{Pace, Stretches};
 use crate::pool::Signal;
@@ -151,17 +151,25 @@
         (self.load(now).tokens + need.tokens()) as f64 / need.memory.max(1) as f64
     }
 
+    /// Returns how many requests like this one the endpoint has room for.
+    pub(crate) fn places(&self, need: &Need, now: Instant) -> usize {
+        if !self.fits(need, now) {
+            return 0;
+        }
+        let load = self.load(now);
+        let memory = (need.memory as f64 * max_share(need)) as Tokens;
+        let by_memory = memory.saturating_sub(load.tokens) / need.tokens().max(1);
+        let by_slots = u64::from(self.endpoint.slots.saturating_sub(load.runs));
+        by_memory.min(by_slots).max(1) as usize
+    }
+
     /// Returns whether the endpoint has room for a request.
     pub(crate) fn fits(&self, need: &Need, now: Instant) -> bool {
         let runs = self.load(now).runs;
         match self.endpoint.kind {
             Kind::Engine => {
                 let idle = runs == 0;
-                let max_share = if need.is_short() {
-                    MAX_MEMORY_SHARE
-                } else {
-                    MAX_LONG_RUN_MEMORY_SHARE
-                };
+                let max_share = max_share(need);
                 let has_memory = idle || self.memory_share(need, now) <= max_share;
                 runs < self.endpoint.slots.min(need.connections) && has_memory
             }
@@ -218,3 +226,12 @@
         }
     }
 }
+
+/// Returns the share of the memory of an engine that may be reserved when a request starts.
+fn max_share(need: &Need) -> f64 {
+    if need.is_short() {
+        MAX_MEMORY_SHARE
+    } else {
+        MAX_LONG_RUN_MEMORY_SHARE
+    }
+}
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -15,6 +15,7 @@
 mod candidate;
 mod capacity;
 pub mod catalog;
+pub mod choice;
 pub mod config;
 pub mod contract;
 pub mod drain;
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -1,4 +1,4 @@
-//! Pool of the endpoints of all services as one node sees them, and the choice among them.
+//! Pool of the endpoints of all services as one node sees them.
 //!
 //! A node knows its own load exactly, and the load of other nodes from their digests, which are a
 //! fraction of a second old. The expected memory is reserved when a request is sent, so that
@@ -9,61 +9,23 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_derive::key;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use crate::candidate::{Candidate, MAX_MEMORY_SHARE};
+use crate::candidate::Candidate;
 use crate::ejection::Ejections;
 use crate::endpoint::{Endpoint, State};
-use crate::id::{EndpointId, InstanceId, Revision, ZoneId};
-use crate::load::{Load, Need};
+use crate::id::{EndpointId, InstanceId, Revision};
+use crate::load::Load;
 use crate::pace::{Pace, Stretches};
 use crate::zone::Zone;
 
-/// Share of the memory of an engine up to which it receives copies of runs at other engines. The
-/// rest is for new runs.
-const MAX_COPY_MEMORY_SHARE: f64 = 0.6;
 /// Time for which the loads of an endpoint are kept after it is no longer listed. Its entry may be
 /// listed again within seconds, and its runs continue in the meantime.
 const LOAD_RETENTION: Duration = Duration::from_secs(10);
 /// Time for which other nodes are informed that an endpoint is leaving. Within this time, they
 /// read it from the store themselves.
 const DEPARTURE_REPORT_TIME: Duration = Duration::from_secs(3);
-/// Weight of an engine in another availability zone for a copy, which then takes twice as long.
-const COPY_ZONE_WEIGHT: f64 = 1.0;
-/// Largest random weight, which prevents nodes with the same view from choosing the same endpoint.
-const JITTER: f64 = 0.05;
-/// Largest random weight of an engine for a copy. An engine transfers copies one after another
-/// over its links, so they are spread more widely than runs.
-const COPY_JITTER: f64 = 0.8;
-
-/// Result of the choice of an endpoint for a request.
-#[derive(Debug, Clone)]
-pub enum Choice {
-    /// Send the request to an endpoint.
-    Send {
-        /// Endpoint that runs the request.
-        endpoint: Arc<Endpoint>,
-        /// Engine that receives a copy of the memory of the run.
-        backup: Option<Arc<Endpoint>>,
-        /// Share of the memory of the endpoint that is reserved, including the request.
-        memory_share: f64,
-    },
-    /// Wait, because no endpoint can take the request now.
-    Wait,
-    /// The service has no live endpoint, apart from excluded ones.
-    Missing,
-}
-
-/// Purpose for which an engine is chosen.
-#[key]
-pub enum Purpose {
-    /// A run.
-    Run,
-    /// A copy of a run that another engine executes.
-    Copy,
-}
-
 /// Result of a request, as far as it concerns the health of the endpoint.
 #[key]
 pub enum Signal {
@@ -85,19 +47,21 @@
 #[derive(Debug)]
 pub struct Pool {
     /// Availability zone of the node.
-    zone: Zone,
+    pub(crate) zone: Zone,
     /// Endpoints by identifier.
-    candidates: BTreeMap<EndpointId, Candidate>,
+    pub(crate) candidates: BTreeMap<EndpointId, Candidate>,
     /// Endpoints that other nodes have ejected.
-    ejections: Ejections,
+    pub(crate) ejections: Ejections,
     /// Revision of the store up to which its entries have been read.
     revision: Revision,
     /// Revision of the store at which the newest endpoint was first listed.
     newest_listing: Revision,
     /// Factors by which pauses in streams are stretched.
-    stretches: Stretches,
+    pub(crate) stretches: Stretches,
+    /// Number of runs that other nodes are likely to have started since their last digests.
+    pub(crate) unseen_runs: usize,
     /// Generator of the random weights.
-    random: Pcg64Mcg,
+    pub(crate) random: Pcg64Mcg,
 }
 
 impl Pool {
@@ -110,6 +74,7 @@
             revision: 0,
             newest_listing: 0,
             stretches: Stretches::default(),
+            unseen_runs: 0,
             random: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -120,6 +85,11 @@
         std::mem::replace(&mut self.revision, revision)
     }
 
+    /// Sets how many runs other nodes are likely to have started since their last digests.
+    pub fn set_unseen_runs(&mut self, runs: usize) {
+        self.unseen_runs = runs;
+    }
+
     /// Adds or updates an endpoint; returns whether it has started to leave.
     pub fn put(&mut self, endpoint: Endpoint, cold: Duration, now: Instant) -> bool {
         let leaving = endpoint.state != State::Live;
@@ -251,85 +221,6 @@
             .then_some(&candidate.endpoint)
     }
 
-    /// Chooses an endpoint for a request among those that are not excluded.
-    pub fn choose(&mut self, need: &Need, excluded: &[EndpointId], now: Instant) -> Choice {
-        let mut best: Option<(f64, EndpointId)> = None;
-        let mut live = 0;
-        let serving = self.candidates.iter();
-        let serving = serving.filter(|(_, candidate)| candidate.serves(need.service));
-        let failing = self
-            .ejections
-            .ejected(serving.clone().map(|(id, _)| *id), now);
-        for (id, candidate) in serving.filter(|(id, _)| !excluded.contains(id)) {
-            live += 1;
-            if failing.contains(id) || !candidate.usable(now) || !candidate.fits(need, now) {
-                continue;
-            }
-            let weight = candidate.weight(need, &self.zone, &self.stretches, now)
-                + self.random.random_range(0.0..JITTER);
-            if best.is_none_or(|(least, _)| weight < least) {
-                best = Some((weight, *id));
-            }
-        }
-        let Some((_, id)) = best else {
-            return if live > 0 {
-                Choice::Wait
-            } else {
-                Choice::Missing
-            };
-        };
-        let candidate = &self.candidates[&id];
-        let (endpoint, memory_share) = (
-            Arc::clone(&candidate.endpoint),
-            candidate.memory_share(need, now),
-        );
-        let zone = Some(endpoint.zone.id);
-        let backup = need
-            .backup
-            .then(|| self.choose_engine(need, zone, &[id], Purpose::Copy, now));
-        Choice::Send {
-            endpoint,
-            backup: backup.flatten(),
-            memory_share,
-        }
-    }
-
-    /// Chooses an engine for a copy of a run in a zone, or for the run itself when it must move.
-    pub fn choose_engine(
-        &mut self,
-        need: &Need,
-        zone: Option<ZoneId>,
-        excluded: &[EndpointId],
-        purpose: Purpose,
-        now: Instant,
-    ) -> Option<Arc<Endpoint>> {
-        let max_share = match purpose {
-            Purpose::Run => MAX_MEMORY_SHARE,
-            Purpose::Copy => MAX_COPY_MEMORY_SHARE,
-        };
-        let candidates = self.candidates.iter().filter(|(id, candidate)| {
-            !excluded.contains(id)
-                && candidate.serves(need.service)
-                && candidate.usable(now)
-                && candidate.grace_until.is_none()
-        });
-        let (random, stretches) = (&mut self.random, &self.stretches);
-        let weighed = candidates.filter_map(|(_, candidate)| {
-            let share = candidate.memory_share(need, now);
-            // A copy within a zone takes half the time.
-            let distance = if zone == Some(candidate.endpoint.zone.id) {
-                0.0
-            } else {
-                COPY_ZONE_WEIGHT
-            };
-            let pauses = candidate.pause_weight(need, candidate.load(now).runs, stretches);
-            let weight = share + distance + pauses + random.random_range(0.0..COPY_JITTER);
-            (share <= max_share).then_some((weight, candidate))
-        });
-        let least = weighed.min_by(|one, two| one.0.total_cmp(&two.0));
-        least.map(|(_, candidate)| Arc::clone(&candidate.endpoint))
-    }
-
     /// Changes the load of this node at an endpoint.
     pub fn update_load(&mut self, id: EndpointId, change: impl FnOnce(&mut Load)) {
         if let Some(candidate) = self.candidates.get_mut(&id) {
--- a/crates/daisyyard_core/src/shared_retry_budget.rs
+++ b/crates/daisyyard_core/src/shared_retry_budget.rs
@@ -16,6 +16,9 @@
 /// Age at which the counts of another node are discarded.
 const COUNTS_LIFETIME: Duration = Duration::from_secs(1);
 
+/// Least time over which a rate of requests is taken.
+const MIN_RATE_TIME: Duration = Duration::from_secs(1);
+
 /// Limits on the retries of all nodes together.
 #[record]
 pub struct Limits {
@@ -127,6 +130,21 @@
         Decision::Retry
     }
 
+    /// Returns the requests per second of all nodes to a service over the window, or over the time
+    /// for which this node has had requests if that is shorter.
+    pub fn service_rate(&self, service: ServiceId, now: Instant) -> f64 {
+        let others = self.others.values().flat_map(|report| &report.counts);
+        let others = others.filter(|(id, _)| *id == service);
+        let requests: u32 = others.map(|(_, count)| count.requests).sum();
+        let requests = requests + self.count(service, now).requests;
+        let oldest = self.slots.get(&service).and_then(VecDeque::front);
+        let age = oldest.map_or(Duration::ZERO, |slot| {
+            now.saturating_duration_since(slot.start)
+        });
+        let time = age.min(self.limits.window).max(MIN_RATE_TIME);
+        f64::from(requests) / time.as_secs_f64()
+    }
+
     /// Returns the requests per second of all nodes over the window.
     pub fn request_rate(&self, now: Instant) -> f64 {
         let own = self.slots.keys().map(|service| self.count(*service, now));
--- a/crates/daisyyard_core/tests/engine_pace.rs
+++ b/crates/daisyyard_core/tests/engine_pace.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use daisyyard_core::choice::{Choice, Purpose};
 use daisyyard_core::endpoint::{Endpoint, Kind};
 use daisyyard_core::id;
 use daisyyard_core::load::Need;
-use daisyyard_core::pool::{Choice, Pool, Purpose};
+use daisyyard_core::pool::Pool;
 use daisyyard_core::zone::Zone;
 
 /// Gap between two events at an engine of usual pace when nothing disturbs it.
--- a/crates/daisyyard_core/tests/pool_choice.rs
+++ b/crates/daisyyard_core/tests/pool_choice.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
+use daisyyard_core::choice::{Choice, Purpose};
 use daisyyard_core::endpoint::{Endpoint, Kind, State};
 use daisyyard_core::id::{self, EndpointId};
 use daisyyard_core::load::{Load, Need};
-use daisyyard_core::pool::{Choice, Pool, Purpose, Signal};
+use daisyyard_core::pool::{Pool, Signal};
 use daisyyard_core::zone::Zone;
 
 /// Memory of an engine in tokens.
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -29,6 +29,12 @@
 /// Time between two digests to gateways that do not serve callers.
 const RESERVE_INTERVAL: Duration = Duration::from_millis(600);
 
+/// Returns the least time between a digest to a number of recipients and one that reports a change
+/// early.
+pub(crate) fn early_interval(targets: u32) -> Duration {
+    EARLY_INTERVAL.max(EARLY_INTERVAL_PER_TARGET * targets)
+}
+
 /// Task that sends and receives datagrams.
 #[derive(Debug)]
 struct Exchange {
@@ -73,8 +79,7 @@
         loop {
             let continues = tokio::select! {
                 () = changed.notified() => {
-                    let early = EARLY_INTERVAL.max(EARLY_INTERVAL_PER_TARGET * self.targets);
-                    next_send = next_send.min(last_sent + early);
+                    next_send = next_send.min(last_sent + early_interval(self.targets));
                     true
                 }
                 () = tokio::time::sleep_until(next_send.into()) => {
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -4,13 +4,15 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use daisyyard_core::choice::{Choice, Purpose};
 use daisyyard_core::endpoint::{Endpoint, Kind, State};
-use daisyyard_core::id::{EndpointId, RequestId};
+use daisyyard_core::id::{EndpointId, RequestId, ServiceId};
 use daisyyard_core::load::{Load, Need};
-use daisyyard_core::pool::{Choice, Purpose, Signal};
+use daisyyard_core::pool::Signal;
 use tokio::sync::mpsc;
 use xtra::{Context, Handler};
 
+use crate::digest::early_interval;
 use crate::message::{
     Abandon, Claim, Failover, FirstToken, Grant, Migrate, Notice, ObserveGaps, Place, Plan,
     Release, Restart, Rollback,
@@ -20,6 +22,9 @@
 /// Maximum number of waiting requests; a request beyond it is refused and may be retried later.
 const MAX_WAITING_REQUESTS: usize = 512;
 
+/// Upper end of the age of digests, in times of the least interval between two of them.
+const DIGEST_AGE_FACTOR: u32 = 4;
+
 /// A run of this gateway at an endpoint.
 #[derive(Debug)]
 pub(crate) struct Run {
@@ -43,6 +48,8 @@
         if claim.reply.is_closed() {
             return None;
         }
+        let unseen_runs = self.count_unseen_runs(claim.need.service, now);
+        self.endpoints.set_unseen_runs(unseen_runs);
         let choice = self.endpoints.choose(&claim.need, &claim.excluded, now);
         let Choice::Send {
             endpoint,
@@ -84,6 +91,14 @@
         None
     }
 
+    /// Returns how many runs of a service other gateways are likely to have started since their last
+    /// digests. A number that is too high costs less than one that is too low, and the rate of
+    /// requests is that of the last seconds, so the age of digests is taken at its upper end.
+    fn count_unseen_runs(&self, service: ServiceId, now: Instant) -> usize {
+        let age = early_interval(self.members.serving_count() as u32) * DIGEST_AGE_FACTOR;
+        (self.retry_budget.service_rate(service, now) * age.as_secs_f64()) as usize
+    }
+
     /// Adds the load of a run to its endpoint and backup engine, or subtracts it.
     fn apply_load(&mut self, run: &Run, add: bool) {
         let run_load = Load {
