Start urgent and short requests before others, and hopeless ones last

Change: an arriving request starts at once if only requests of a lower priority, or longer ones of the same priority, wait for its service. Short requests come before long ones of their priority. Requests whose expected first token comes after their target come last; the expected time is learned from the runs of the gateway.

--- a/crates/daisyyard_core/src/backlog.rs
+++ b/crates/daisyyard_core/src/backlog.rs
@@ -1,6 +1,6 @@
 //! Backlog of a node: requests that wait for an endpoint with free capacity.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use daisyyard_derive::key;
 
@@ -11,9 +11,11 @@
 pub struct Schedule {
     /// Priority of the request.
     pub priority: Priority,
+    /// Whether the request frees its place almost at once.
+    pub short: bool,
     /// When the request arrived.
     pub arrived: Instant,
-    /// Latest start that still meets the latency target.
+    /// Latest time of the first token that still meets the latency target.
     pub target: Instant,
     /// When the request stops waiting.
     pub expires: Instant,
@@ -35,6 +37,14 @@
     entries: Vec<Entry<T>>,
 }
 
+impl Schedule {
+    /// Returns whether a request that arrives may start although another one waits.
+    #[must_use]
+    pub fn overtakes(&self, waiting: &Self) -> bool {
+        (self.priority, !self.short) < (waiting.priority, !waiting.short)
+    }
+}
+
 impl<T> Default for Backlog<T> {
     fn default() -> Self {
         Self {
@@ -68,20 +78,29 @@
     }
 
     /// Returns whether any waiting request satisfies the predicate.
-    pub fn any(&self, predicate: impl Fn(&T) -> bool) -> bool {
-        self.entries.iter().any(|entry| predicate(&entry.request))
+    pub fn any(&self, predicate: impl Fn(&Schedule, &T) -> bool) -> bool {
+        let mut entries = self.entries.iter();
+        entries.any(|entry| predicate(&entry.schedule, &entry.request))
     }
 
     /// Passes the requests to `start` until it accepts one, and returns whether it did. `start`
-    /// returns a request that it cannot start.
+    /// returns a request that it cannot start. `lead` returns the time that a request is expected to
+    /// take from its start to its first token.
     ///
-    /// Requests are ordered by priority, then those that can still meet their target, then by
-    /// arrival. A request without an endpoint does not block those after it, which may be for other
+    /// Requests are ordered by priority, then those that can still meet their target, then short
+    /// ones, then by arrival. A short request takes its place for a fraction of the time that a long
+    /// one does, and its target is closer. A request without an endpoint does not block those after it, which may be for other
     /// services.
-    pub fn start(&mut self, now: Instant, mut start: impl FnMut(T) -> Option<T>) -> bool {
+    pub fn start(
+        &mut self,
+        now: Instant,
+        lead: impl Fn(&T) -> Duration,
+        mut start: impl FnMut(T) -> Option<T>,
+    ) -> bool {
         self.entries.sort_by_key(|entry| {
             let schedule = entry.schedule;
-            (schedule.priority, schedule.target <= now, schedule.arrived)
+            let late = schedule.target <= now + lead(&entry.request);
+            (schedule.priority, late, !schedule.short, schedule.arrived)
         });
         let mut started = false;
         let entries = std::mem::take(&mut self.entries);
--- a/crates/daisyyard_core/tests/stale_views.rs
+++ b/crates/daisyyard_core/tests/stale_views.rs
@@ -183,7 +183,7 @@
             let mut pool = new_pool(node, now);
             for number in 1..ENGINES {
                 pool.update_load(id::of(&name(number)), |load| {
-                    (load.runs, load.tokens) = (9, MEMORY)
+                    (load.runs, load.tokens) = (9, MEMORY);
                 });
             }
             pool.set_unseen_runs(unseen_runs);
--- a/crates/daisyyard_gateway/src/job.rs
+++ b/crates/daisyyard_gateway/src/job.rs
@@ -108,6 +108,7 @@
         let target = self.arrived + self.route.target_latency;
         Schedule {
             priority: self.priority(),
+            short: self.expected_output() < SHORT_OUTPUT_TOKENS,
             arrived: self.arrived,
             target,
             expires: target.min(self.deadline),
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -8,7 +8,7 @@
 
 use daisyyard_core::backlog::Backlog;
 use daisyyard_core::endpoint::{Endpoint, State};
-use daisyyard_core::id::{self, EndpointId, InstanceId, RequestId, Revision};
+use daisyyard_core::id::{self, EndpointId, InstanceId, RequestId, Revision, ServiceId};
 use daisyyard_core::shared_retry_budget::{self, Budget};
 use daisyyard_core::zone::Zone;
 use tokio::sync::Notify;
@@ -52,6 +52,8 @@
     pub(crate) next_run: RequestId,
     /// Requests that wait for capacity.
     pub(crate) backlog: Backlog<Claim>,
+    /// Expected time from the start of a run to its first token, by service.
+    pub(crate) leads: HashMap<ServiceId, Duration>,
     /// Whether the start of a waiting request is already scheduled.
     scheduled: bool,
     /// Notifies the digest task of a change.
@@ -97,6 +99,7 @@
         runs: HashMap::new(),
         next_run: 0,
         backlog: Backlog::default(),
+        leads: HashMap::new(),
         scheduled: false,
         changed,
         refresh,
@@ -331,7 +334,9 @@
         self.scheduled = false;
         let now = Instant::now();
         let mut backlog = std::mem::take(&mut self.backlog);
-        let started = backlog.start(now, |claim| self.grant(claim, now));
+        let leads = self.leads.clone();
+        let lead = |claim: &Claim| leads.get(&claim.need.service).copied().unwrap_or_default();
+        let started = backlog.start(now, lead, |claim| self.grant(claim, now));
         self.backlog = backlog;
         // If nothing could start, the next change in the pool schedules another attempt.
         if started {
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -25,6 +25,9 @@
 /// Upper end of the age of digests, in times of the least interval between two of them.
 const DIGEST_AGE_FACTOR: u32 = 4;
 
+/// Weight of the newest run in the expected time to the first token.
+const LEAD_SMOOTHING: f64 = 0.1;
+
 /// A run of this gateway at an endpoint.
 #[derive(Debug)]
 pub(crate) struct Run {
@@ -36,6 +39,8 @@
     rejected: Vec<EndpointId>,
     /// Resources that the request needs.
     need: Need,
+    /// When the run was sent to its endpoint.
+    sent_at: Instant,
     /// Whether the first token has not arrived yet.
     awaits_first_token: bool,
     /// Notifies the task of the request of changes of the endpoint.
@@ -67,6 +72,7 @@
             backup: backup.as_ref().map(|backup| backup.id),
             rejected: Vec::new(),
             need: claim.need,
+            sent_at: now,
             awaits_first_token: true,
             notices,
         };
@@ -187,8 +193,11 @@
         let now = Instant::now();
         let schedule = message.schedule;
         let service = message.need.service;
-        // A request must not overtake those that already wait for the same service.
-        let waits = self.backlog.any(|claim| claim.need.service == service);
+        // A request must not overtake those that already wait for the same service, unless it is
+        // short and fits where they do not.
+        let waits = self
+            .backlog
+            .any(|waiting, claim| claim.need.service == service && !schedule.overtakes(waiting));
         let claim = if waits {
             Some(message)
         } else {
@@ -221,7 +230,13 @@
     type Return = ();
 
     async fn handle(&mut self, FirstToken(id): FirstToken, _: &mut Context<Self>) {
-        self.update_run(id, |_, run| run.awaits_first_token = false);
+        let observe = |pool: &mut Self, run: &mut Run| {
+            run.awaits_first_token = false;
+            let lead = pool.leads.entry(run.need.service).or_default();
+            *lead =
+                lead.mul_f64(1.0 - LEAD_SMOOTHING) + run.sent_at.elapsed().mul_f64(LEAD_SMOOTHING);
+        };
+        self.update_run(id, observe);
     }
 }
 
@@ -274,6 +289,7 @@
                 } => {
                     run.endpoint = endpoint.id;
                     run.backup = backup.as_ref().map(|backup| backup.id);
+                    run.sent_at = now;
                     run.awaits_first_token = true;
                     Place::Engine(endpoint, backup)
                 }
