Tell changes of endpoints once, and compare what gateways know

They found them only by reading the store while requests waited (the digests' revision of the newest endpoint), which restarted gateways also triggered at others. Ruled out: news rejected as old (two thirds of it, as three readers tell each change). Change: unchanged entries are told again after 10 s at most and no longer logged. News leaves in groups of 12 kB each 10 ms, and at most 8 datagrams wait. Digests carry a value of the set of endpoints that the readers know; a gateway whose own set differs for 3 s reads the store. The revision of the newest endpoint is gone. A change too large for a datagram is left out instead of sent as an undecodable one.

--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -54,8 +54,6 @@
     pub(crate) ejections: Ejections,
     /// Revision of the store up to which its entries have been read.
     revision: Revision,
-    /// Revision of the store at which the newest endpoint was first listed.
-    newest_listing: Revision,
     /// Factors by which pauses in streams are stretched.
     pub(crate) stretches: Stretches,
     /// Number of runs that other nodes are likely to have started since their last digests.
@@ -72,7 +70,6 @@
             candidates: BTreeMap::new(),
             ejections: Ejections::default(),
             revision: 0,
-            newest_listing: 0,
             stretches: Stretches::default(),
             unseen_runs: 0,
             random: Pcg64Mcg::seed_from_u64(seed),
@@ -96,10 +93,10 @@
         let endpoint = Arc::new(endpoint);
         let known = self.endpoint(endpoint.id);
         let left = known.is_some_and(|endpoint| endpoint.state != State::Live);
-        let candidate = self.candidates.entry(endpoint.id).or_insert_with(|| {
-            self.newest_listing = self.revision;
-            Candidate::new(Arc::clone(&endpoint), now)
-        });
+        let candidate = self
+            .candidates
+            .entry(endpoint.id)
+            .or_insert_with(|| Candidate::new(Arc::clone(&endpoint), now));
         if candidate.endpoint.incarnation != endpoint.incarnation {
             candidate.pace = Pace::default();
         }
@@ -138,14 +135,26 @@
         })
     }
 
-    /// Returns the revision of the store at which the newest endpoint was first listed.
-    pub fn newest_listing(&self) -> Revision {
-        self.newest_listing
+    /// Returns a value that identifies the set of listed endpoints, to compare it with that of another
+    /// node.
+    pub fn listing(&self) -> u64 {
+        let listed = self.candidates.iter();
+        let listed = listed.filter(|(_, candidate)| candidate.unlisted_at.is_none());
+        listed.fold(0, |sum, (id, _)| sum ^ id)
     }
 
-    /// Returns whether an endpoint that was listed at a revision may not be known yet.
-    pub fn is_behind(&self, revision: Revision) -> bool {
-        self.revision.max(self.newest_listing) < revision
+    /// Returns whether an entry differs from what is known of its endpoint. Endpoints write their
+    /// entries again and again as a sign of life.
+    pub fn is_changed(&self, entry: &Endpoint) -> bool {
+        self.candidates.get(&entry.id).is_none_or(|candidate| {
+            let known = &candidate.endpoint;
+            let in_doubt = candidate.unlisted_at.is_some() || candidate.grace_until.is_some();
+            in_doubt
+                || (known.address, known.service, known.zone.id)
+                    != (entry.address, entry.service, entry.zone.id)
+                || (known.state, known.slots, known.incarnation)
+                    != (entry.state, entry.slots, entry.incarnation)
+        })
     }
 
     /// Returns whether a change of an endpoint at a revision is later than all that is known of it.
--- a/crates/daisyyard_core/tests/pool_choice.rs
+++ b/crates/daisyyard_core/tests/pool_choice.rs
@@ -303,3 +303,26 @@
             .is_some()
     );
 }
+
+/// An entry that an endpoint writes again without a change is not taken for news, but one that was
+/// in doubt, that leaves or that has started anew is.
+#[test]
+fn unchanged_entry() {
+    let now = Instant::now();
+    let mut pool = pool(&["one"], now);
+    let entry = engine("one", "a");
+    assert!(!pool.is_changed(&entry));
+    assert!(pool.is_changed(&engine("two", "a")));
+    let mut leaving = entry.clone();
+    leaving.state = State::Leaving;
+    assert!(pool.is_changed(&leaving));
+    let mut restarted = entry.clone();
+    restarted.incarnation += 1;
+    assert!(pool.is_changed(&restarted));
+    pool.remove(entry.id, Some(now + Duration::from_secs(2)), now);
+    assert!(pool.is_changed(&entry));
+    pool.put(entry.clone(), Duration::ZERO, now);
+    assert!(!pool.is_changed(&entry));
+    pool.remove(entry.id, None, now);
+    assert!(pool.is_changed(&entry));
+}
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -1,6 +1,7 @@
 //! Digests: UDP datagrams in which each gateway reports to the others its load at each endpoint and
 //! what it has recently read from the store.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -35,6 +36,14 @@
     EARLY_INTERVAL.max(EARLY_INTERVAL_PER_TARGET * targets)
 }
 
+/// Time between two groups of datagrams of news.
+const NEWS_INTERVAL: Duration = Duration::from_millis(10);
+/// Maximum size of such a group in bytes. A link drops what exceeds its rate, and it also carries
+/// digests and requests.
+const NEWS_GROUP_BYTES: usize = 12_000;
+/// Maximum number of datagrams of news that wait. Gateways read larger changes themselves.
+const MAX_WAITING_NEWS: usize = 8;
+
 /// Task that sends and receives datagrams.
 #[derive(Debug)]
 struct Exchange {
@@ -50,6 +59,12 @@
     last_to_reserve: Instant,
     /// Number of recipients of the last digest that serve callers.
     targets: u32,
+    /// Frames of news that have not been sent yet.
+    news: VecDeque<Frame>,
+    /// Gateways that still get the first of them.
+    recipients: Vec<SocketAddr>,
+    /// When the next group may be sent.
+    next_news: Instant,
 }
 
 /// Binds the socket and starts the task that sends and receives digests.
@@ -66,6 +81,9 @@
         last_to_serving: Instant::now(),
         last_to_reserve: Instant::now(),
         targets: 0,
+        news: VecDeque::new(),
+        recipients: Vec::new(),
+        next_news: Instant::now(),
     };
     Ok(tokio::spawn(exchange.run(changed, news)))
 }
@@ -89,7 +107,14 @@
                     next_send = last_sent + DIGEST_INTERVAL.max(interval);
                     sent
                 }
-                Some(news) = news.recv() => self.send_news(news).await,
+                () = tokio::time::sleep_until(self.next_news.into()), if !self.news.is_empty() => {
+                    self.send_news().await
+                }
+                Some(news) = news.recv() => {
+                    self.news.extend(Frame::from_news(news));
+                    self.news.truncate(MAX_WAITING_NEWS);
+                    true
+                }
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((size, _)) => self.receive(&buffer[..size]).await,
                     // The next datagram replaces one that cannot be received.
@@ -123,14 +148,29 @@
         true
     }
 
-    /// Passes changes of the store on to the gateways that rely on this one; returns whether the
-    /// pool runs.
-    async fn send_news(&self, news: News) -> bool {
-        let Ok((sender, targets)) = self.pool.send(ShareNews).await else {
-            return false;
+    /// Passes the first frame of changes on to some of the gateways that rely on this one; returns
+    /// whether the pool runs.
+    async fn send_news(&mut self) -> bool {
+        self.next_news = Instant::now() + NEWS_INTERVAL;
+        if self.recipients.is_empty() {
+            let Ok((sender, targets)) = self.pool.send(ShareNews).await else {
+                return false;
+            };
+            self.recipients = targets;
+            if let Some(frame) = self.news.front_mut() {
+                frame.set_sender(sender);
+            }
+        }
+        let Some(frame) = self.news.front().cloned() else {
+            return true;
         };
-        let frames = Frame::from_news(sender, news);
-        self.send(&frames, &targets).await;
+        let group = (NEWS_GROUP_BYTES / frame.encoded_len().max(1)).max(1);
+        let rest = self.recipients.len().saturating_sub(group);
+        let targets = self.recipients.split_off(rest);
+        self.send(&[frame], &targets).await;
+        if self.recipients.is_empty() {
+            self.news.pop_front();
+        }
         true
     }
 
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -8,11 +8,17 @@
 use daisyyard_core::roster::Role;
 use xtra::{Context, Handler};
 
-use crate::codec::Record;
+use crate::codec::{Item, Record};
 use crate::member::Targets;
 use crate::message::{Digest, Report, ShareNews, Standing, StoreReach};
 use crate::pool::Pool;
 
+/// Time after which an unchanged entry of an endpoint is told to the other gateways again.
+const RETELL_INTERVAL: Duration = Duration::from_secs(10);
+/// Time for which a gateway may know other endpoints than the readers of the store do. It then reads
+/// the store itself, as news must be lost.
+const MISMATCH_TIME: Duration = Duration::from_secs(3);
+
 impl Pool {
     /// Applies changes that another gateway has read from the store.
     fn apply_news(&mut self, report: Report, now: Instant) {
@@ -69,14 +75,59 @@
         for (id, revision) in report.departures {
             self.mark_leaving(id, revision);
         }
-        // A new endpoint may have capacity for waiting requests.
-        let capacity_wanted =
-            !self.backlog.is_empty() && self.endpoints.is_behind(report.newest_listing);
         let outdated = self.version.unwrap_or(0) < report.version;
-        if capacity_wanted || outdated {
+        if self.is_incomplete(report.listing, now) || outdated {
             self.refresh.notify_one();
         }
     }
+
+    /// Returns whether this gateway has long known other endpoints than the readers of the store do.
+    /// Each gateway passes on what it last heard of the readers' set.
+    fn is_incomplete(&mut self, readers_listing: u64, now: Instant) -> bool {
+        if self.members.role() == Role::Reader || readers_listing == 0 {
+            self.mismatch_since = None;
+            return false;
+        }
+        self.readers_listing = readers_listing;
+        if readers_listing == self.endpoints.listing() {
+            self.mismatch_since = None;
+            return false;
+        }
+        let since = *self.mismatch_since.get_or_insert(now);
+        now.saturating_duration_since(since) >= MISMATCH_TIME
+    }
+
+    /// Returns the set of endpoints that the readers of the store know.
+    fn readers_listing(&self) -> u64 {
+        if self.members.role() == Role::Reader {
+            self.endpoints.listing()
+        } else {
+            self.readers_listing
+        }
+    }
+
+    /// Returns whether a change that this gateway has read is worth telling the others: they do not
+    /// know it from their own reads, or were not told for so long that they may have missed it.
+    pub(crate) fn is_worth_telling(&mut self, item: &Item, now: Instant) -> bool {
+        match (self.codec.store.read_item)(item) {
+            Record::Endpoint(endpoint, _) => {
+                let told = self.told_at.get(&endpoint.id);
+                let due =
+                    told.is_none_or(|at| now.saturating_duration_since(*at) >= RETELL_INTERVAL);
+                let tells = self.endpoints.is_news(endpoint.id, item.revision)
+                    && (due || self.endpoints.is_changed(&endpoint));
+                if tells {
+                    self.told_at.insert(endpoint.id, now);
+                }
+                tells
+            }
+            Record::Unlisted(id) => {
+                self.told_at.remove(&id);
+                self.endpoints.is_news(id, item.revision)
+            }
+            _ => true,
+        }
+    }
 }
 
 impl Handler<Digest> for Pool {
@@ -90,7 +141,7 @@
             leaving: self.leaving,
             store_lost: !self.members.reaches_store(),
             version: self.version.unwrap_or(0),
-            newest_listing: self.endpoints.newest_listing(),
+            listing: self.readers_listing(),
             continuation: false,
             ejections: self.endpoints.ejections(now).collect(),
             departures: self.endpoints.departures(now).collect(),
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -15,6 +15,8 @@
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// Maximum size of the tag and length of a field, in bytes.
 const MAX_FIELD_OVERHEAD_BYTES: usize = 12;
+/// Maximum size of the changes in a datagram; the rest is for the other fields.
+const MAX_NEWS_BYTES: usize = MAX_DATAGRAM_BYTES - MAX_FIELD_OVERHEAD_BYTES * 4;
 /// Maximum number of endpoint loads in one datagram.
 const MAX_LOADS: usize = 32;
 /// Maximum number of leaving endpoints in one datagram.
@@ -54,15 +56,15 @@
     /// Endpoints that the sender knows to be leaving.
     #[prost(message, repeated, tag = "6")]
     departures: Vec<Departure>,
-    /// Revision of the store at which the newest endpoint was listed.
-    #[prost(uint64, tag = "7")]
-    newest_listing: Revision,
     /// Endpoints that the sender has ejected after failures.
     #[prost(fixed64, repeated, tag = "8")]
     ejections: Vec<EndpointId>,
     /// Whether the frame only continues the loads of the previous frame.
     #[prost(bool, tag = "9")]
     continuation: bool,
+    /// Identifies the set of endpoints that the readers of the store know.
+    #[prost(fixed64, tag = "10")]
+    listing: u64,
     /// Changes that the sender has read from the store.
     #[prost(message, repeated, tag = "11")]
     news: Vec<Change>,
@@ -235,17 +237,20 @@
         std::iter::once(first).chain(rest).collect()
     }
 
-    /// Splits changes of the store into frames.
-    pub(crate) fn from_news(sender: InstanceId, news: News) -> Vec<Self> {
+    /// Splits changes of the store into frames. A change that is too large for a datagram is left
+    /// out; the gateways find it in their next complete read.
+    pub(crate) fn from_news(news: News) -> Vec<Self> {
         let relist_ms = news.relist_time.as_millis() as u32;
         let mut frames: Vec<Self> = Vec::new();
         let mut room = 0;
         for change in news.items.into_iter().map(Change::from) {
             let size = change.encoded_len() + MAX_FIELD_OVERHEAD_BYTES;
+            if size > MAX_NEWS_BYTES {
+                continue;
+            }
             if size > room || frames.is_empty() {
-                room = MAX_DATAGRAM_BYTES - MAX_FIELD_OVERHEAD_BYTES * 4;
+                room = MAX_NEWS_BYTES;
                 frames.push(Self {
-                    instance: sender,
                     continuation: true,
                     relist_ms,
                     ..Self::default()
@@ -258,6 +263,11 @@
         frames
     }
 
+    /// Sets the sender.
+    pub(crate) fn set_sender(&mut self, sender: InstanceId) {
+        self.instance = sender;
+    }
+
     /// Returns the first frame of a report without the loads.
     pub(crate) fn without_loads(report: &Report) -> Self {
         Self {
@@ -269,7 +279,7 @@
             leaving: report.leaving,
             loads: Vec::new(),
             version: report.version,
-            newest_listing: report.newest_listing,
+            listing: report.listing,
             ejections: report
                 .ejections
                 .iter()
@@ -305,7 +315,7 @@
             store_lost: frame.store_lost,
             leaving: frame.leaving,
             version: frame.version,
-            newest_listing: frame.newest_listing,
+            listing: frame.listing,
             continuation: frame.continuation,
             ejections: frame.ejections,
             departures: frame.departures.into_iter().map(Into::into).collect(),
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -195,12 +195,12 @@
     pub(crate) store_lost: bool,
     /// Version of the sender's current configuration; zero until it has read the first one.
     pub(crate) version: Revision,
-    /// Revision of the store at which the newest endpoint was listed.
-    pub(crate) newest_listing: Revision,
     /// Leaving endpoints, with the revisions of the store at which they began to leave.
     pub(crate) departures: Vec<(EndpointId, Revision)>,
     /// Endpoints that the sender has ejected because its requests to them failed.
     pub(crate) ejections: Vec<EndpointId>,
+    /// Identifies the set of endpoints that the readers of the store know; zero if it is unknown.
+    pub(crate) listing: u64,
     /// Whether the report only continues the loads of the previous one.
     pub(crate) continuation: bool,
     /// Load of the sender at each endpoint.
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -60,6 +60,12 @@
     pub(crate) changed: Arc<Notify>,
     /// Notifies the watcher that another gateway has read newer data from the store.
     pub(crate) refresh: Arc<Notify>,
+    /// When other gateways were last told of each endpoint.
+    pub(crate) told_at: HashMap<EndpointId, Instant>,
+    /// Set of endpoints that the readers of the store know, as it was last heard; zero if unknown.
+    pub(crate) readers_listing: u64,
+    /// Since when this gateway knows other endpoints than the readers of the store do.
+    pub(crate) mismatch_since: Option<Instant>,
     /// Version of the current configuration.
     pub(crate) version: Option<Revision>,
     /// Retry budget of each service.
@@ -103,6 +109,9 @@
         scheduled: false,
         changed,
         refresh,
+        told_at: HashMap::new(),
+        readers_listing: 0,
+        mismatch_since: None,
         version: None,
         retry_budget: Budget::new(settings.retry_budget.clone()),
         leaving: false,
@@ -172,7 +181,9 @@
         } else {
             Event::EndpointLeaving
         };
-        self.log.emit(event, &details);
+        if self.endpoints.is_changed(&endpoint) {
+            self.log.emit(event, &details);
+        }
         if self.endpoints.put(endpoint, warm_up, now) {
             self.notify_runs(id);
         }
@@ -297,26 +308,21 @@
     async fn handle(&mut self, mut message: Update, _: &mut Context<Self>) -> Self::Return {
         let now = Instant::now();
         let mut news = std::mem::take(&mut message.items);
-        news.retain(|item| match (self.codec.store.read_item)(item) {
-            Record::Endpoint(endpoint, _) => self.endpoints.is_news(endpoint.id, item.revision),
-            Record::Unlisted(id) => self.endpoints.is_news(id, item.revision),
-            _ => true,
-        });
+        news.retain(|item| self.is_worth_telling(item, now));
         if message.version.is_some() && !self.leaving {
             self.members.start_offering();
         }
         self.version = message.version;
         self.endpoints.advance(message.revision);
         if message.complete {
+            self.mismatch_since = None;
             self.retain(&message.records, message.relist_deadline, now);
         }
         for record in message.records {
             self.apply(record, message.relist_deadline, now);
         }
-        let departures = self.endpoints.departures(now).next().is_some();
-        if departures || self.endpoints.newest_listing() == message.revision {
-            // Runs at a leaving endpoint have little time to migrate, and requests of other
-            // gateways may wait for a new endpoint.
+        if self.endpoints.departures(now).next().is_some() {
+            // Runs at a leaving endpoint have little time to migrate.
             self.changed.notify_one();
         }
         self.schedule();
