--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -13,7 +13,7 @@
 
 /// Share of the memory of an engine that new long runs may reserve. The rest is for short runs, for
 /// runs of leaving engines, and for outputs that are longer than expected.
-const MAX_LONG_RUN_MEMORY_SHARE: f64 = 0.9;
+const MAX_LONG_RUN_MEMORY_SHARE: f64 = 0.8;
 /// Share of the memory of an engine that may be reserved by all runs, including short runs and runs
 /// of leaving engines.
 pub(crate) const MAX_MEMORY_SHARE: f64 = 1.0;
--- a/crates/daisyyard_core/tests/pool_choice.rs
+++ b/crates/daisyyard_core/tests/pool_choice.rs
@@ -326,3 +326,19 @@
     pool.remove(entry.id, None, now);
     assert!(pool.is_changed(&entry));
 }
+
+/// Long runs leave a fifth of the memory of an engine to short ones, which are urgent and would wait
+/// at a full engine until a long run ends.
+#[test]
+fn room_for_short() {
+    let now = Instant::now();
+    let mut pool = pool(&["one"], now);
+    reserve(&mut pool, "one", 7_500);
+    let short = need(1_000, false);
+    let long = Need {
+        output: 200,
+        ..short.clone()
+    };
+    assert_matches!(pool.choose(&long, &[], now), Choice::Wait);
+    assert_eq!(chosen(&mut pool, &short, &[], now), Some("one".to_owned()));
+}
