--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -116,7 +116,7 @@
                     true
                 }
                 received = self.socket.recv_from(&mut buffer) => match received {
-                    Ok((size, _)) => self.receive(&buffer[..size]).await,
+                    Ok((size, sender)) => self.receive(&buffer[..size], sender).await,
                     // The next datagram replaces one that cannot be received.
                     Err(_) => true,
                 },
@@ -142,6 +142,8 @@
         if self.last_to_reserve.elapsed() >= RESERVE_INTERVAL {
             self.last_to_reserve = Instant::now();
             let frame = Frame::without_loads(&report);
+            self.send(&[frame.clone().into_probe()], &targets.probed)
+                .await;
             self.send(&[frame], &targets.reserve).await;
         }
         self.targets = targets.serving.len() as u32;
@@ -174,12 +176,18 @@
         true
     }
 
-    /// Passes a datagram on to the pool; returns whether the pool runs.
-    async fn receive(&self, bytes: &[u8]) -> bool {
+    /// Passes a datagram on to the pool, and answers a probe; returns whether the pool runs.
+    async fn receive(&self, bytes: &[u8], sender: SocketAddr) -> bool {
         // The datagram is foreign or damaged; the next digest replaces it.
         let Ok(frame) = Frame::decode(bytes) else {
             return true;
         };
+        if frame.is_probe() {
+            let Ok((report, _)) = self.pool.send(Digest).await else {
+                return false;
+            };
+            self.send(&[Frame::without_loads(&report)], &[sender]).await;
+        }
         self.pool.send(Report::from(frame)).await.is_ok()
     }
 
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -153,11 +153,11 @@
         };
         // A gateway in reserve that has no part in the load has nothing to tell.
         let idle = report.loads.is_empty() && report.counts.is_empty();
-        let targets = if idle && self.members.role() == Role::Reserve {
-            Targets::default()
-        } else {
-            self.members.digest_targets(now)
-        };
+        let mut targets = self.members.digest_targets(now);
+        if idle && self.members.role() == Role::Reserve {
+            targets.serving.clear();
+            targets.reserve.clear();
+        }
         (report, targets)
     }
 }
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -59,9 +59,9 @@
     /// Endpoints that the sender has ejected after failures.
     #[prost(fixed64, repeated, tag = "8")]
     ejections: Vec<EndpointId>,
-    /// Whether the frame only continues the loads of the previous frame.
-    #[prost(bool, tag = "9")]
-    continuation: bool,
+    /// What the frame is for.
+    #[prost(enumeration = "Purpose", tag = "9")]
+    purpose: i32,
     /// Identifies the set of endpoints that the readers of the store know.
     #[prost(fixed64, tag = "10")]
     listing: u64,
@@ -77,6 +77,18 @@
     store_lost: bool,
 }
 
+/// What a frame is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+enum Purpose {
+    /// It reports the state of the sender.
+    Digest = 0,
+    /// It adds to the previous frame, or tells news of the store.
+    Continuation = 1,
+    /// It reports the state of the sender and asks for that of the recipient, which counts as lost.
+    Probe = 2,
+}
+
 /// An endpoint that is leaving.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 struct Departure {
@@ -227,7 +239,7 @@
             instance: report.from,
             leaving: report.leaving,
             loads: loads.iter().map(load).collect(),
-            continuation: true,
+            purpose: Purpose::Continuation.into(),
             ..Self::default()
         });
         let first = Self {
@@ -251,7 +263,7 @@
             if size > room || frames.is_empty() {
                 room = MAX_NEWS_BYTES;
                 frames.push(Self {
-                    continuation: true,
+                    purpose: Purpose::Continuation.into(),
                     relist_ms,
                     ..Self::default()
                 });
@@ -263,6 +275,19 @@
         frames
     }
 
+    /// Returns the frame as one that asks the recipient for a digest.
+    pub(crate) fn into_probe(self) -> Self {
+        Self {
+            purpose: Purpose::Probe.into(),
+            ..self
+        }
+    }
+
+    /// Returns whether the sender asks for a digest.
+    pub(crate) fn is_probe(&self) -> bool {
+        self.purpose() == Purpose::Probe
+    }
+
     /// Sets the sender.
     pub(crate) fn set_sender(&mut self, sender: InstanceId) {
         self.instance = sender;
@@ -271,7 +296,7 @@
     /// Returns the first frame of a report without the loads.
     pub(crate) fn without_loads(report: &Report) -> Self {
         Self {
-            continuation: false,
+            purpose: Purpose::Digest.into(),
             news: Vec::new(),
             relist_ms: 0,
             store_lost: report.store_lost,
@@ -316,7 +341,7 @@
             leaving: frame.leaving,
             version: frame.version,
             listing: frame.listing,
-            continuation: frame.continuation,
+            continuation: frame.purpose() == Purpose::Continuation,
             ejections: frame.ejections,
             departures: frame.departures.into_iter().map(Into::into).collect(),
             loads: frame.loads.into_iter().map(Into::into).collect(),
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -15,10 +15,10 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The same at a gateway in reserve, which gets fewer digests.
 const RESERVE_SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Time between two probes of a lost member. After a partition, neither side sends anything else to
-/// the members that it counts as lost.
-const PROBE_INTERVAL: Duration = Duration::from_secs(10);
-/// Time for which digests are sent to a lost member as a probe.
+/// Time between two probes of a lost member, which answers with a digest. After a partition, neither
+/// side sends anything else to the members that it counts as lost, and members in reserve are silent.
+const PROBE_INTERVAL: Duration = Duration::from_secs(5);
+/// Time for which probes are sent, as some may be lost.
 const PROBE_TIME: Duration = Duration::from_millis(1_300);
 /// Time between two divisions of the fleet if no member changes.
 const ROSTER_INTERVAL: Duration = Duration::from_millis(500);
@@ -78,8 +78,10 @@
 pub struct Targets {
     /// Gateways that serve callers, or did so recently; they get each digest.
     pub serving: Vec<SocketAddr>,
-    /// The other gateways of the zone, and lost ones to probe; they get fewer digests.
+    /// The other gateways of the zone, which get fewer digests.
     pub reserve: Vec<SocketAddr>,
+    /// Lost gateways that are asked for a digest.
+    pub probed: Vec<SocketAddr>,
 }
 
 /// All gateways known to one of them, including itself.
@@ -269,9 +271,12 @@
             let heard = now.saturating_duration_since(member.last_heard) < SILENCE_TIMEOUT;
             if heard || self.roster.is_serving(*id) {
                 targets.serving.push(member.entry.digests);
-            } else if member.is_probed(now) || member.entry.zone == self.own_entry.zone {
+            } else if member.entry.zone == self.own_entry.zone {
                 targets.reserve.push(member.entry.digests);
             }
+            if member.is_probed(now) {
+                targets.probed.push(member.entry.digests);
+            }
         }
         targets
     }
