Compare endpoints with what the readers themselves report

Cause: each gateway passed on the last value that it had heard of the readers' set, and took it from any other one, so that an older value could circulate among the serving gateways and hide that one of them lacks an endpoint. Change: serving gateways take the value from readers only, those in reserve from any that serves. Constants stand before functions.

--- a/crates/daisyyard_core/src/backlog.rs
+++ b/crates/daisyyard_core/src/backlog.rs
@@ -89,8 +89,8 @@
     ///
     /// Requests are ordered by priority, then those that can still meet their target, then short
     /// ones, then by arrival. A short request takes its place for a fraction of the time that a long
-    /// one does, and its target is closer. A request without an endpoint does not block those after it, which may be for other
-    /// services.
+    /// one does, and its target is closer. A request without an endpoint does not block those after
+    /// it, which may be for other services.
     pub fn start(
         &mut self,
         now: Instant,
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod ledger;
 pub mod length;
 pub mod link;
+pub mod listing;
 pub mod load;
 mod lru;
 pub mod member;
--- a/crates/daisyyard_core/src/shared_retry_budget.rs
+++ b/crates/daisyyard_core/src/shared_retry_budget.rs
@@ -15,7 +15,6 @@
 const USED_SHARE: f64 = 0.8;
 /// Age at which the counts of another node are discarded.
 const COUNTS_LIFETIME: Duration = Duration::from_secs(1);
-
 /// Least time over which a rate of requests is taken.
 const MIN_RATE_TIME: Duration = Duration::from_secs(1);
 
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -29,13 +29,6 @@
 const RESEND_INTERVAL: Duration = Duration::from_millis(400);
 /// Time between two digests to gateways that do not serve callers.
 const RESERVE_INTERVAL: Duration = Duration::from_millis(600);
-
-/// Returns the least time between a digest to a number of recipients and one that reports a change
-/// early.
-pub(crate) fn early_interval(targets: u32) -> Duration {
-    EARLY_INTERVAL.max(EARLY_INTERVAL_PER_TARGET * targets)
-}
-
 /// Time between two groups of datagrams of news.
 const NEWS_INTERVAL: Duration = Duration::from_millis(10);
 /// Maximum size of such a group in bytes. A link drops what exceeds its rate, and it also carries
@@ -67,6 +60,12 @@
     next_news: Instant,
 }
 
+/// Returns the least time between a digest to a number of recipients and one that reports a change
+/// early.
+pub(crate) fn early_interval(targets: u32) -> Duration {
+    EARLY_INTERVAL.max(EARLY_INTERVAL_PER_TARGET * targets)
+}
+
 /// Binds the socket and starts the task that sends and receives digests.
 pub(crate) async fn spawn(
     address: SocketAddr,
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -15,9 +15,6 @@
 
 /// Time after which an unchanged entry of an endpoint is told to the other gateways again.
 const RETELL_INTERVAL: Duration = Duration::from_secs(10);
-/// Time for which a gateway may know other endpoints than the readers of the store do. It then reads
-/// the store itself, as news must be lost.
-const MISMATCH_TIME: Duration = Duration::from_secs(3);
 
 impl Pool {
     /// Applies changes that another gateway has read from the store.
@@ -76,33 +73,32 @@
             self.mark_leaving(id, revision);
         }
         let outdated = self.version.unwrap_or(0) < report.version;
-        if self.is_incomplete(report.listing, now) || outdated {
+        if self.is_incomplete(from, report.listing, now) || outdated {
             self.refresh.notify_one();
         }
     }
 
-    /// Returns whether this gateway has long known other endpoints than the readers of the store do.
-    /// Each gateway passes on what it last heard of the readers' set.
-    fn is_incomplete(&mut self, readers_listing: u64, now: Instant) -> bool {
-        if self.members.role() == Role::Reader || readers_listing == 0 {
-            self.mismatch_since = None;
-            return false;
-        }
-        self.readers_listing = readers_listing;
-        if readers_listing == self.endpoints.listing() {
-            self.mismatch_since = None;
-            return false;
+    /// Returns whether this gateway lacks endpoints that the readers of the store know, or the other
+    /// way round. A gateway in reserve hears of the readers from those that serve.
+    fn is_incomplete(&mut self, from: InstanceId, readers: u64, now: Instant) -> bool {
+        let relayed = self.members.role_of(from) != Role::Reader;
+        match self.members.role() {
+            Role::Reader => false,
+            // The readers reach this gateway directly, and a relayed value may be an older one.
+            Role::Serving if relayed => false,
+            Role::Serving | Role::Reserve => {
+                let own = self.endpoints.listing();
+                self.listing.compare(readers, own, now)
+            }
         }
-        let since = *self.mismatch_since.get_or_insert(now);
-        now.saturating_duration_since(since) >= MISMATCH_TIME
     }
 
-    /// Returns the set of endpoints that the readers of the store know.
+    /// Returns the value of the set of endpoints that the readers of the store know.
     fn readers_listing(&self) -> u64 {
         if self.members.role() == Role::Reader {
             self.endpoints.listing()
         } else {
-            self.readers_listing
+            self.listing.readers()
         }
     }
 
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -256,6 +256,11 @@
         self.roster.role(self.own_id)
     }
 
+    /// Returns the part of another gateway in the fleet.
+    pub fn role_of(&self, id: InstanceId) -> Role {
+        self.roster.role(id)
+    }
+
     /// Returns whether a digest of another gateway has arrived recently.
     pub fn is_connected(&self, now: Instant) -> bool {
         let timeout = self.silence_timeout();
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -9,6 +9,7 @@
 use daisyyard_core::backlog::Backlog;
 use daisyyard_core::endpoint::{Endpoint, State};
 use daisyyard_core::id::{self, EndpointId, InstanceId, RequestId, Revision, ServiceId};
+use daisyyard_core::listing::Listing;
 use daisyyard_core::shared_retry_budget::{self, Budget};
 use daisyyard_core::zone::Zone;
 use tokio::sync::Notify;
@@ -62,10 +63,8 @@
     pub(crate) refresh: Arc<Notify>,
     /// When other gateways were last told of each endpoint.
     pub(crate) told_at: HashMap<EndpointId, Instant>,
-    /// Set of endpoints that the readers of the store know, as it was last heard; zero if unknown.
-    pub(crate) readers_listing: u64,
-    /// Since when this gateway knows other endpoints than the readers of the store do.
-    pub(crate) mismatch_since: Option<Instant>,
+    /// Endpoints that the readers of the store know.
+    pub(crate) listing: Listing,
     /// Version of the current configuration.
     pub(crate) version: Option<Revision>,
     /// Retry budget of each service.
@@ -110,8 +109,7 @@
         changed,
         refresh,
         told_at: HashMap::new(),
-        readers_listing: 0,
-        mismatch_since: None,
+        listing: Listing::default(),
         version: None,
         retry_budget: Budget::new(settings.retry_budget.clone()),
         leaving: false,
@@ -315,7 +313,7 @@
         self.version = message.version;
         self.endpoints.advance(message.revision);
         if message.complete {
-            self.mismatch_since = None;
+            self.listing.reset();
             self.retain(&message.records, message.relist_deadline, now);
         }
         for record in message.records {
