Put no configuration in force that an old read brought

Cause: a gateway that restarts published the configuration of its first read, which may be seconds old, before it read the newest one; if the store then rejected it, it served removed routes and credentials meanwhile. Found by reading the change. Change: the first, cheap read counts only if there is no configuration yet; a watch completes it. The stand-in store can answer old reads only.

--- a/crates/daisyyard/tests/gateway_store.rs
+++ b/crates/daisyyard/tests/gateway_store.rs
@@ -133,3 +133,26 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// A gateway that can only read old data does not put an old configuration in force, which may
+/// contain routes and credentials that the operator has removed.
+#[tokio::test]
+async fn ignores_old_config() {
+    let mut platform = Platform::start(0, 1).await;
+    platform.store.set_mode(Mode::RecentOnly);
+    let gateway = platform::spawn_gateway(platform.store.address, 0);
+    let ready = gateway.ready;
+    platform.gateways.push(gateway);
+    wait_until("the gateway listens", async || {
+        platform::status(ready, "/-/readiness").await.is_some()
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let status = platform::status(ready, "/-/readiness").await;
+    assert_eq!(status, Some(StatusCode::SERVICE_UNAVAILABLE));
+    platform.store.set_mode(Mode::Serving);
+    wait_until("the gateway is ready", async || {
+        platform::status(ready, "/-/readiness").await == Some(StatusCode::OK)
+    })
+    .await;
+}
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -129,11 +129,10 @@
 
     /// Reads all keys and watches their changes, forever.
     pub(crate) async fn run(mut self) {
-        // Until there is a configuration, a watch follows the first read and completes it.
-        let mut revision = self.read_all(Freshness::Recent).await;
-        if self.version().is_some() {
-            revision = self.read_all(Freshness::Latest).await;
-        }
+        let mut revision = match self.read_before_config().await {
+            Some(revision) => revision,
+            None => self.read_all().await,
+        };
         loop {
             let mut changed = true;
             loop {
@@ -149,7 +148,7 @@
                     Read::All => break,
                 }
             }
-            revision = self.read_all(Freshness::Latest).await;
+            revision = self.read_all().await;
         }
     }
 
@@ -178,10 +177,24 @@
         }
     }
 
+    /// Reads all keys as they were a moment ago, which costs the store less, if there is no
+    /// configuration yet: a watch then completes them before this gateway serves. With a
+    /// configuration, an old read could put one in force that the operator has replaced.
+    async fn read_before_config(&mut self) -> Option<Revision> {
+        let batch = self.read_pages(Freshness::Recent).await.ok()?;
+        let configured = |record: &Record| matches!(record, Record::Catalog(_));
+        if batch.records.iter().any(configured) {
+            return None;
+        }
+        let revision = batch.revision;
+        self.publish(batch, true).await;
+        Some(revision)
+    }
+
     /// Reads all keys, with retries, and returns the revision from which to watch.
-    async fn read_all(&mut self, freshness: Freshness) -> Revision {
+    async fn read_all(&mut self) -> Revision {
         loop {
-            match self.read_pages(freshness).await {
+            match self.read_pages(Freshness::Latest).await {
                 Ok(batch) => {
                     self.record_success().await;
                     let revision = batch.revision;
--- a/crates/daisyyard_standin/src/platform_store.rs
+++ b/crates/daisyyard_standin/src/platform_store.rs
@@ -24,6 +24,8 @@
     Serving,
     /// Calls fail with status 503 and have no effect.
     Declining,
+    /// Calls other than reads that may be old fail with status 503.
+    RecentOnly,
     /// Calls are neither executed nor answered.
     Silent,
 }
@@ -141,10 +143,17 @@
 
 /// Returns the price of a call in tenths of a call.
 fn price_of(request: &Request<Incoming>) -> u64 {
-    let uri = request.uri();
-    let serializable = parameter(uri.query().unwrap_or_default(), "serializable") == "1";
-    let renewal = uri.path().starts_with("/-/kv-keep/");
-    if serializable || renewal { 1 } else { 10 }
+    let renewal = request.uri().path().starts_with("/-/kv-keep/");
+    if is_serializable(request) || renewal {
+        1
+    } else {
+        10
+    }
+}
+
+/// Returns whether a call is a read whose data may be old.
+fn is_serializable(request: &Request<Incoming>) -> bool {
+    parameter(request.uri().query().unwrap_or_default(), "serializable") == "1"
 }
 
 /// Handles one call.
@@ -155,7 +164,10 @@
 ) -> Response<Body> {
     match mode {
         Mode::Serving => {}
-        Mode::Declining => return http::json(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
+        Mode::RecentOnly if is_serializable(&request) => {}
+        Mode::RecentOnly | Mode::Declining => {
+            return http::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+        }
         Mode::Silent => std::future::pending().await,
     }
     let path = request.uri().path().to_owned();
