--- a/crates/daisyyard_core/src/shared_retry_budget.rs
+++ b/crates/daisyyard_core/src/shared_retry_budget.rs
@@ -115,10 +115,7 @@
     pub fn try_retry(&mut self, service: ServiceId, nodes: usize, now: Instant) -> Decision {
         self.others
             .retain(|_, report| now.saturating_duration_since(report.received) < COUNTS_LIFETIME);
-        let others = self.others.values().flat_map(|report| &report.counts);
-        let others = others.filter(|(id, _)| *id == service);
-        let own = self.count(service, now);
-        let all = others.fold(own, |sum, (_, count)| sum + *count);
+        let all = self.total(service, now);
         let known = (self.others.len() + 1).min(nodes.max(1));
         let slack = self.limits.slack * known as f64 / nodes.max(1) as f64;
         let limit = (self.limits.ratio * f64::from(all.requests) + slack) * USED_SHARE;
@@ -132,10 +129,7 @@
     /// Returns the requests per second of all nodes to a service over the window, or over the time
     /// for which this node has had requests if that is shorter.
     pub fn service_rate(&self, service: ServiceId, now: Instant) -> f64 {
-        let others = self.others.values().flat_map(|report| &report.counts);
-        let others = others.filter(|(id, _)| *id == service);
-        let requests: u32 = others.map(|(_, count)| count.requests).sum();
-        let requests = requests + self.count(service, now).requests;
+        let requests = self.total(service, now).requests;
         let oldest = self.slots.get(&service).and_then(VecDeque::front);
         let age = oldest.map_or(Duration::ZERO, |slot| {
             now.saturating_duration_since(slot.start)
@@ -173,6 +167,14 @@
         );
     }
 
+    /// Returns the counts of all nodes for a service in the current window.
+    fn total(&self, service: ServiceId, now: Instant) -> Count {
+        let others = self.others.values().flat_map(|report| &report.counts);
+        let others = others.filter(|(id, _)| *id == service);
+        let own = self.count(service, now);
+        others.fold(own, |sum, (_, count)| sum + *count)
+    }
+
     /// Returns the counts of this node for a service in the current window.
     fn count(&self, service: ServiceId, now: Instant) -> Count {
         let window = self.limits.window + self.limits.window / SLOTS_PER_WINDOW;
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -56,8 +56,7 @@
         self.members.set_request_rate(requests_per_s);
         self.members.update_roster(now);
         let new = self.current_standing(now);
-        let told = |standing: &Standing| standing.connected && standing.role != Role::Reader;
-        if self.standing.as_ref().is_some_and(told) && !told(&new) {
+        if self.standing.as_ref().is_some_and(Standing::is_told) && !new.is_told() {
             self.refresh.notify_one();
         }
     }
--- a/crates/daisyyard_gateway/src/job.rs
+++ b/crates/daisyyard_gateway/src/job.rs
@@ -88,8 +88,7 @@
             connections: self.connections,
             memory: self.engine.map_or(0, |engine| engine.memory),
             target_gap: self.route.target_gap,
-            backup: output >= SHORT_OUTPUT_TOKENS
-                && self.engine.is_some_and(|engine| engine.backups),
+            backup: !self.is_short() && self.engine.is_some_and(|engine| engine.backups),
         }
     }
 
@@ -103,12 +102,17 @@
         hint.unwrap_or(DEFAULT_OUTPUT_TOKENS).min(limit)
     }
 
+    /// Returns whether the expected output is short.
+    fn is_short(&self) -> bool {
+        self.expected_output() < SHORT_OUTPUT_TOKENS
+    }
+
     /// Returns the priority and the times by which waiting requests are ordered.
     pub(crate) fn schedule(&self) -> Schedule {
         let target = self.arrived + self.route.target_latency;
         Schedule {
             priority: self.priority(),
-            short: self.expected_output() < SHORT_OUTPUT_TOKENS,
+            short: self.is_short(),
             arrived: self.arrived,
             target,
             expires: target.min(self.deadline),
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -188,8 +188,11 @@
     }
 
     /// Records a digest of a gateway that is not listed; returns whether it has sent digests for so
-    /// long that its entry must have been missed.
+    /// long that its entry must have been missed. A reader of the store misses none.
     pub fn record_unlisted(&mut self, id: InstanceId, now: Instant) -> bool {
+        if self.role() == Role::Reader {
+            return false;
+        }
         if self.unlisted.len() >= MAX_UNLISTED && !self.unlisted.contains_key(&id) {
             return false;
         }
@@ -202,7 +205,8 @@
         let Some(member) = self.others.get_mut(&id) else {
             return false;
         };
-        if member.leaving != leaving || member.lost_since.take().is_some() {
+        let was_lost = member.lost_since.take().is_some();
+        if was_lost || member.leaving != leaving {
             self.divided_at = None;
         }
         member.last_heard = now;
@@ -276,12 +280,11 @@
             let heard = now.saturating_duration_since(member.last_heard) < SILENCE_TIMEOUT;
             if heard || self.roster.is_serving(*id) {
                 targets.serving.push(member.entry.digests);
+            } else if member.is_probed(now) {
+                targets.probed.push(member.entry.digests);
             } else if member.entry.zone == self.own_entry.zone {
                 targets.reserve.push(member.entry.digests);
             }
-            if member.is_probed(now) {
-                targets.probed.push(member.entry.digests);
-            }
         }
         targets
     }
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -176,6 +176,13 @@
     pub(crate) connected: bool,
 }
 
+impl Standing {
+    /// Returns whether other gateways tell this one what changes in the store.
+    pub(crate) fn is_told(&self) -> bool {
+        self.connected && self.role != Role::Reader
+    }
+}
+
 /// Asks for this gateway's digest and its recipients.
 #[derive(Debug)]
 pub(crate) struct Digest;
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -24,7 +24,6 @@
 
 /// Upper end of the age of digests, in times of the least interval between two of them.
 const DIGEST_AGE_FACTOR: u32 = 4;
-
 /// Weight of the newest run in the expected time to the first token.
 const LEAD_SMOOTHING: f64 = 0.1;
 
@@ -193,8 +192,8 @@
         let now = Instant::now();
         let schedule = message.schedule;
         let service = message.need.service;
-        // A request must not overtake those that already wait for the same service, unless it is
-        // short and fits where they do not.
+        // A request must not overtake those that already wait for the same service, unless it comes
+        // before them by its priority or because it is short.
         let waits = self
             .backlog
             .any(|waiting, claim| claim.need.service == service && !schedule.overtakes(waiting));
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -306,10 +306,9 @@
         }
     }
 
-    /// Returns whether other gateways tell this one what changes in the store.
+    /// Returns whether this gateway relies on others for what changes in the store.
     fn is_told(&self) -> bool {
-        let configured = self.catalog.borrow().is_some();
-        configured && self.standing.connected && self.standing.role != Role::Reader
+        self.version().is_some() && self.standing.is_told()
     }
 
     /// Returns the version of the current configuration.
--- a/crates/daisyyard_gateway/tests/member_offers.rs
+++ b/crates/daisyyard_gateway/tests/member_offers.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_core::id;
+use daisyyard_core::roster::Role;
 use daisyyard_gateway::member::{Entry, Members};
 
 /// Returns an entry whose addresses derive from a port.
@@ -176,3 +177,37 @@
     members.record_digest(id::of("three"), false, now);
     assert_eq!(ports(&mut members, "b", now), [2, 3]);
 }
+
+/// A gateway that reads the store is not woken by the digests of one whose entry has ended, which
+/// would make it read the store at the rate of these digests.
+#[test]
+fn reader_unlisted() {
+    let start = Instant::now();
+    let mut members = serving();
+    members.update_roster(start);
+    assert_eq!(members.role(), Role::Reader);
+    let id = id::of("two");
+    assert!(!members.record_unlisted(id, start));
+    assert!(!members.record_unlisted(id, start + Duration::from_secs(10)));
+}
+
+/// A lost gateway counts as heard even if it reports at the same time that it is leaving.
+#[test]
+fn heard_leaving() {
+    let start = Instant::now();
+    let mut members = serving();
+    members.put("two", entry(2, "b"), start);
+    members.put("three", entry(3, "b"), start);
+    let probed = |members: &Members, now| {
+        let targets = members.digest_targets(now);
+        targets.probed.contains(&entry(3, "b").digests)
+    };
+    members.update_roster(start);
+    let lost = start + Duration::from_secs(2);
+    members.record_digest(id::of("two"), false, lost);
+    members.update_roster(lost);
+    let later = lost + Duration::from_millis(5_200);
+    assert!(probed(&members, later));
+    members.record_digest(id::of("three"), true, later);
+    assert!(!probed(&members, later + Duration::from_secs(5)));
+}
