Log which gateways read the store and by which read a version came

The log of a gateway that serves an old configuration did not say whether it read the store itself or relied on others, nor by which read it adopted a version, so that the three hypotheses of docs/incidents/config-late.md looked alike. StandingChanged (DY0116) names the part of the gateway and whether it is told of changes; CatalogAdopted names the read.

--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -29,6 +29,8 @@
     CatalogAdopted = 114,
     /// The gateway has registered its entry in the store.
     Registered = 115,
+    /// The gateway has another part in reading the store than before.
+    StandingChanged = 116,
     /// The entry of an endpoint was added or changed.
     EndpointListed = 120,
     /// An endpoint accepts no new requests.
@@ -67,6 +69,7 @@
     (Event::ValueUnusable, Level::Warn),
     (Event::CatalogAdopted, Level::Info),
     (Event::Registered, Level::Info),
+    (Event::StandingChanged, Level::Info),
     (Event::EndpointListed, Level::Info),
     (Event::EndpointLeaving, Level::Info),
     (Event::EndpointGone, Level::Info),
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -9,6 +9,7 @@
 use xtra::{Context, Handler};
 
 use crate::codec::{Item, Record};
+use crate::event::Event;
 use crate::member::Targets;
 use crate::message::{Digest, Report, ShareNews, Standing, StoreReach};
 use crate::pool::Pool;
@@ -56,6 +57,19 @@
         self.members.set_request_rate(requests_per_s);
         self.members.update_roster(now);
         let new = self.current_standing(now);
+        if self
+            .logged_standing
+            .replace(new)
+            .is_none_or(|old| old != new)
+        {
+            let details = format!(
+                "role={:?} told={} gateways={}",
+                new.role,
+                new.is_told(),
+                new.gateways
+            );
+            self.log.emit(Event::StandingChanged, &details);
+        }
         if self.standing.as_ref().is_some_and(Standing::is_told) && !new.is_told() {
             self.refresh.notify_one();
         }
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -166,7 +166,7 @@
 pub(crate) struct StoreReach(pub(crate) bool);
 
 /// What the watcher has to know about this gateway's part in the fleet.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Standing {
     /// Number of known gateways, including this one.
     pub(crate) gateways: usize,
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -47,6 +47,8 @@
     pub(crate) members: Members,
     /// Part of this gateway in the fleet, as the watcher knows it.
     pub(crate) standing: Option<Standing>,
+    /// Part of this gateway in the fleet, as it was last logged.
+    pub(crate) logged_standing: Option<Standing>,
     /// Runs that this gateway has started.
     pub(crate) runs: HashMap<RequestId, Run>,
     /// Identifier of the next run.
@@ -101,6 +103,7 @@
             .collect(),
         members: Members::new(&settings.name, Entry::from(settings)),
         standing: None,
+        logged_standing: None,
         runs: HashMap::new(),
         next_run: 0,
         backlog: Backlog::default(),
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -187,7 +187,7 @@
             return None;
         }
         let revision = batch.revision;
-        self.publish(batch, true).await;
+        self.publish(batch, Read::All).await;
         Some(revision)
     }
 
@@ -199,7 +199,7 @@
                     self.record_success().await;
                     let revision = batch.revision;
                     self.catalog_was_old = false;
-                    self.publish(batch, true).await;
+                    self.publish(batch, Read::All).await;
                     return revision;
                 }
                 Err(error) => self.record_failure(&error).await,
@@ -238,7 +238,8 @@
                 self.record_success().await;
                 let known = self.version();
                 // Other keys are known up to the revision of the last read.
-                self.publish(Batch { revision, ..batch }, false).await;
+                self.publish(Batch { revision, ..batch }, Read::Catalog)
+                    .await;
                 self.catalog_was_old = self.version() == known;
             }
             Err(error) => self.record_failure(&error).await,
@@ -259,7 +260,7 @@
                 self.record_success().await;
                 let next = batch.revision.max(revision);
                 let changed = !batch.records.is_empty();
-                self.publish(batch, false).await;
+                self.publish(batch, Read::Changes).await;
                 Some((next, changed))
             }
             Err(Error::Declined(StatusCode::GONE)) => {
@@ -275,13 +276,13 @@
     }
 
     /// Publishes records to the pool and to the receivers of the configuration.
-    async fn publish(&mut self, batch: Batch, complete: bool) {
+    async fn publish(&mut self, batch: Batch, read: Read) {
         // What was announced during the read is part of it, or is announced again.
         let _ = self.refresh.notified().now_or_never();
         let mut others = Vec::with_capacity(batch.records.len());
         for record in batch.records {
             match record {
-                Record::Catalog(catalog) => self.apply_catalog(*catalog),
+                Record::Catalog(catalog) => self.apply_catalog(*catalog, read),
                 record => others.push(record),
             }
         }
@@ -289,7 +290,7 @@
             records: others,
             items: batch.items,
             relist_deadline: self.relist_deadline(),
-            complete,
+            complete: read == Read::All,
             revision: batch.revision,
             version: self.version(),
         };
@@ -318,7 +319,7 @@
     }
 
     /// Applies a version of the configuration unless a newer one is already current.
-    fn apply_catalog(&self, catalog: Catalog) {
+    fn apply_catalog(&self, catalog: Catalog, read: Read) {
         let version = catalog.version;
         let routes = catalog.route_count();
         let newer = self.catalog.send_if_modified(|configuration| {
@@ -331,7 +332,7 @@
             newer
         });
         if newer {
-            let details = format!("version={version} routes={routes}");
+            let details = format!("version={version} routes={routes} read={read:?}");
             self.log.emit(Event::CatalogAdopted, &details);
         }
     }
