--- /dev/null
+++ b/crates/daisyyard/tests/silent_readers.rs
@@ -0,0 +1,115 @@
+//! Guards against a gateway that keeps an old configuration because the gateways that read the store
+//! for it have lost the store, or are suspended, without notice.
+
+mod platform;
+
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use daisyyard_core::id;
+use daisyyard_core::roster::{Node, Role, Roster};
+use daisyyard_standin::proxy::{Link, Proxy};
+use hyper::{Method, StatusCode};
+use platform::{Platform, plain_request, send, wait_until};
+use serde_json::json;
+
+/// Number of gateways, of which three read the store.
+const GATEWAYS: usize = 6;
+/// Time after the store has confirmed a configuration by which it is in force (`config_apply_ms`).
+const CONFIG_BOUND: Duration = Duration::from_secs(2);
+
+/// Gateways that reach the store through a proxy each.
+struct Fleet {
+    /// The platform.
+    platform: Platform,
+    /// Paths of the gateways to the store.
+    links: Vec<Proxy>,
+}
+
+impl Fleet {
+    /// Starts the gateways and waits until they know each other.
+    async fn start() -> Self {
+        let mut platform = Platform::start(0, 1).await;
+        let mut links = Vec::new();
+        for number in 0..GATEWAYS {
+            let link = Proxy::start().await.expect("the proxy starts");
+            link.set_target(platform.store.address);
+            let gateway = platform::spawn_gateway(link.address, number);
+            platform.gateways.push(gateway);
+            links.push(link);
+        }
+        for gateway in &platform.gateways {
+            wait_until("all gateways are listed", async || {
+                let text = platform::text(gateway.directory, "/-/resolution?zone=zone-a").await;
+                text.matches("127.").count() == GATEWAYS
+            })
+            .await;
+        }
+        // A gateway relies on others once the watch has ended that it began before it knew them.
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        Self { platform, links }
+    }
+
+    /// Returns the gateways with a part in the fleet.
+    fn with_role(role: Role) -> Vec<usize> {
+        let gateway = |number: usize| id::of(&format!("gateway-{number}"));
+        let node = |number| Node {
+            id: gateway(number),
+            zone: id::of("zone-a"),
+            reaches_store: true,
+        };
+        let nodes: Vec<Node> = (0..GATEWAYS).map(node).collect();
+        let roster = Roster::new(&nodes, 0.0);
+        let numbers = 0..GATEWAYS;
+        numbers
+            .filter(|number| roster.role(gateway(*number)) == role)
+            .collect()
+    }
+
+    /// Adds a route, and checks that the gateways serve it once the bound has passed.
+    async fn check_change(&self, gateways: &[usize]) {
+        let mut config = platform::config(2);
+        config["routes"][2]["path_prefix"] = json!("/renamed/");
+        self.platform.store.put("op/config", &config).await;
+        let confirmed = Instant::now();
+        tokio::time::sleep_until((confirmed + CONFIG_BOUND).into()).await;
+        let credential = format!("Bearer {}", platform::CREDENTIAL);
+        let headers = [
+            ("x-daisyyard-attempt-id", "attempt-1"),
+            ("x-daisyyard-deadline-ms", "8000"),
+            ("authorization", credential.as_str()),
+        ];
+        for number in gateways {
+            let address = self.platform.gateways[*number].requests;
+            let request = plain_request(Method::GET, "/renamed/1");
+            let answer = send(address, &request, &headers).await;
+            let (status, _) = answer.expect("the gateway answers");
+            assert_eq!(status, StatusCode::OK, "gateway {number}");
+        }
+    }
+}
+
+/// The readers, and the gateways that take their places, lose the store while their calls wait for
+/// an answer.
+#[tokio::test]
+async fn store_lost() {
+    let fleet = Fleet::start().await;
+    let told = Fleet::with_role(Role::Serving)[0];
+    let others = fleet.links.iter().enumerate();
+    for (_, link) in others.filter(|(number, _)| *number != told) {
+        link.set_link(Link::Silent);
+    }
+    fleet.check_change(&[told]).await;
+}
+
+/// The readers are suspended at the same moment; the other gateways hear each other.
+#[tokio::test]
+async fn readers_suspended() {
+    let fleet = Fleet::start().await;
+    for number in Fleet::with_role(Role::Reader) {
+        let id = fleet.platform.gateways[number].process.id().to_string();
+        let status = Command::new("kill").args(["-STOP", &id]).status();
+        assert!(status.expect("the signal is sent").success());
+    }
+    fleet.check_change(&Fleet::with_role(Role::Serving)).await;
+}
