Read the store when nobody else has read it for too long

Callers saw a new route refused with 404, and keys that had been taken away still in use, more than 2 s after the version was confirmed, at gateways that reach the store.

Cause: five of eight gateways rely on three readers for what changes. A reader notices a lost store only when its watch is given up after 3.25 s or a connection fails after 1 s, and successors that have lost the store too are found out one after another. Meanwhile the others cannot tell a store in which nothing changes from readers that have lost it. The class of fault: relying on others without a bound on the age of what they know.

Change: digests carry the age of the sender's knowledge, and each gateway counts on from it. Above three quarters of the time in which a configuration must be in force (new setting bounds.config_ms, filled in by the platform) it reads the store itself. Watches wait for half of that time, so that the readers' knowledge is young enough. The watcher now follows the standing that the pool publishes; it used a copy from its last successful read.

gateway_faults::lists_missing_section expects one fault more, as the section has one more key.

--- a/crates/daisyyard/src/gateway_settings.rs
+++ b/crates/daisyyard/src/gateway_settings.rs
@@ -61,6 +61,7 @@
 fn bounds<'a>(s: &mut Parser<'a>, r: &mut Section<'a>) -> Bounds {
     Bounds {
         max_recovery_time: millis(s, r, "contact_ms"),
+        max_config_delay: millis(s, r, "config_ms"),
         grace: seconds(s, r, "grace_s"),
         max_addresses_lifetime: seconds(s, r, "directory_s"),
     }
--- a/crates/daisyyard/tests/gateway_faults.rs
+++ b/crates/daisyyard/tests/gateway_faults.rs
@@ -43,7 +43,7 @@
         .expect("an object")
         .remove("bounds");
     let faults = parse(Path::new("s.json"), &settings.to_string()).expect_err("faults");
-    assert_eq!(faults.0.len(), 3, "{faults}");
+    assert_eq!(faults.0.len(), 4, "{faults}");
 }
 
 /// `daisyyard check --gateway` reports the faults and exits with code 2.
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod home;
 pub mod id;
 pub mod instance;
+pub mod knowledge;
 pub mod ledger;
 pub mod length;
 pub mod link;
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -133,7 +133,10 @@
         };
         let frames = Frame::from_report(&report);
         let old = self.last_to_serving.elapsed() >= RESEND_INTERVAL;
-        if old || frames != self.last_frames {
+        let mut pairs = frames.iter().zip(&self.last_frames);
+        let tells_more = frames.len() != self.last_frames.len()
+            || pairs.any(|(frame, last)| frame.tells_more_than(last));
+        if old || tells_more {
             self.last_to_serving = Instant::now();
             self.send(&frames, &targets.serving).await;
             self.last_frames = frames;
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_core::id::InstanceId;
+use daisyyard_core::knowledge;
 use daisyyard_core::roster::Role;
 use xtra::{Context, Handler};
 
@@ -47,32 +48,38 @@
             gateways: self.members.count(),
             role: self.members.role(),
             connected: self.members.is_connected(now),
+            stale: self.knowledge.is_stale(now),
         }
     }
 
-    /// Divides the fleet anew, and ends a long pause of the watcher if this gateway must now read
-    /// the store itself.
+    /// Divides the fleet anew, and tells the watcher if the part of this gateway has changed.
     pub(crate) fn update_roster(&mut self, now: Instant) {
         let requests_per_s = self.retry_budget.request_rate(now);
         self.members.set_request_rate(requests_per_s);
         self.members.update_roster(now);
         let new = self.current_standing(now);
-        if self
-            .logged_standing
-            .replace(new)
-            .is_none_or(|old| old != new)
-        {
+        let changed = self.standing.send_if_modified(|standing| {
+            let old = std::mem::replace(standing, new);
+            old != new
+        });
+        if changed {
             let details = format!(
-                "role={:?} told={} gateways={}",
+                "role={:?} told={} stale={} gateways={}",
                 new.role,
                 new.is_told(),
+                new.stale,
                 new.gateways
             );
             self.log.emit(Event::StandingChanged, &details);
         }
-        if self.standing.as_ref().is_some_and(Standing::is_told) && !new.is_told() {
-            self.refresh.notify_one();
-        }
+    }
+
+    /// Returns the age of what this gateway knows of the configuration. A gateway in reserve does not
+    /// pass on what it has heard, because others may have passed that on to it.
+    fn report_knowledge(&self, now: Instant) -> Option<knowledge::Report> {
+        let report = self.version.and_then(|_| self.knowledge.report(now))?;
+        let passes_on = self.members.role() != Role::Reserve;
+        (report.first_hand || passes_on).then_some(report)
     }
 
     /// Applies the digest of another gateway.
@@ -86,6 +93,14 @@
             self.mark_leaving(id, revision);
         }
         let outdated = self.version.unwrap_or(0) < report.version;
+        // A gateway in reserve hears no reader if there is none in its zone.
+        let in_reserve = self.members.role() == Role::Reserve;
+        let heard = report
+            .knowledge
+            .filter(|heard| heard.first_hand || in_reserve);
+        if let Some(heard) = heard.filter(|_| !outdated) {
+            self.knowledge.hear(heard, now);
+        }
         if self.is_incomplete(from, report.listing, now) || outdated {
             self.refresh.notify_one();
         }
@@ -150,6 +165,7 @@
             leaving: self.leaving,
             store_lost: !self.members.reaches_store(),
             version: self.version.unwrap_or(0),
+            knowledge: self.report_knowledge(now),
             listing: self.readers_listing(),
             continuation: false,
             ejections: self.endpoints.ejections(now).collect(),
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use daisyyard_core::id::{EndpointId, InstanceId, Revision, ServiceId};
+use daisyyard_core::knowledge;
 use daisyyard_core::load::Load;
 use daisyyard_core::shared_retry_budget::Count;
 use prost::Message;
@@ -75,6 +76,9 @@
     /// Whether the sender does not reach the store.
     #[prost(bool, tag = "13")]
     store_lost: bool,
+    /// Age of what the sender knows of the configuration; absent if it is stale.
+    #[prost(message, optional, tag = "14")]
+    knowledge: Option<Knowledge>,
 }
 
 /// What a frame is for.
@@ -89,6 +93,17 @@
     Probe = 2,
 }
 
+/// Age of what the sender knows of the configuration.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+struct Knowledge {
+    /// Time in milliseconds for which changes may be unknown to the sender.
+    #[prost(uint32, tag = "1")]
+    age_ms: u32,
+    /// Whether the sender has read the store itself.
+    #[prost(bool, tag = "2")]
+    first_hand: bool,
+}
+
 /// An endpoint that is leaving.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 struct Departure {
@@ -229,6 +244,26 @@
     }
 }
 
+impl From<knowledge::Report> for Knowledge {
+    fn from(report: knowledge::Report) -> Self {
+        // Rounded up, so that knowledge never looks younger than it is.
+        let age_ms = report.age.as_micros().div_ceil(1_000);
+        Self {
+            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+            first_hand: report.first_hand,
+        }
+    }
+}
+
+impl From<Knowledge> for knowledge::Report {
+    fn from(knowledge: Knowledge) -> Self {
+        Self {
+            age: Duration::from_millis(knowledge.age_ms.into()),
+            first_hand: knowledge.first_hand,
+        }
+    }
+}
+
 impl Frame {
     /// Splits a report into frames; its loads may need more than one datagram.
     pub(crate) fn from_report(report: &Report) -> Vec<Self> {
@@ -275,6 +310,22 @@
         frames
     }
 
+    /// Returns whether the frame tells more than the one before. Knowledge that has only aged tells
+    /// nothing, as the recipients know how long ago it was reported.
+    pub(crate) fn tells_more_than(&self, last: &Self) -> bool {
+        let renewed = match (self.knowledge, last.knowledge) {
+            (Some(new), Some(old)) => new.first_hand != old.first_hand || new.age_ms < old.age_ms,
+            (new, old) => new.is_some() != old.is_some(),
+        };
+        let knowledge = last.knowledge;
+        renewed
+            || *last
+                != Self {
+                    knowledge,
+                    ..self.clone()
+                }
+    }
+
     /// Returns the frame as one that asks the recipient for a digest.
     pub(crate) fn into_probe(self) -> Self {
         Self {
@@ -300,6 +351,7 @@
             news: Vec::new(),
             relist_ms: 0,
             store_lost: report.store_lost,
+            knowledge: report.knowledge.map(Knowledge::from),
             instance: report.from,
             leaving: report.leaving,
             loads: Vec::new(),
@@ -340,6 +392,7 @@
             store_lost: frame.store_lost,
             leaving: frame.leaving,
             version: frame.version,
+            knowledge: frame.knowledge.map(knowledge::Report::from),
             listing: frame.listing,
             continuation: frame.purpose() == Purpose::Continuation,
             ejections: frame.ejections,
--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -108,7 +108,7 @@
         let changed = Arc::new(Notify::new());
         let refresh = Arc::new(Notify::new());
         let (news, news_receiver) = mpsc::unbounded_channel();
-        let pool = pool::spawn(
+        let (pool, standing) = pool::spawn(
             settings,
             codec,
             Arc::clone(&changed),
@@ -124,7 +124,7 @@
             codec,
             settings.bounds,
             pool.clone(),
-            refresh,
+            (refresh, standing),
             news,
             log.clone(),
         );
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -6,6 +6,7 @@
 use daisyyard_core::backlog::Schedule;
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::id::{EndpointId, InstanceId, RequestId, Revision, ServiceId};
+use daisyyard_core::knowledge;
 use daisyyard_core::load::{Load, Need};
 use daisyyard_core::pool::Signal;
 use daisyyard_core::roster::Role;
@@ -155,6 +156,8 @@
     pub(crate) relist_deadline: Option<Instant>,
     /// Whether the records are a complete list, so that entries missing from it no longer exist.
     pub(crate) complete: bool,
+    /// When the records were complete; none if they may have been old when they were read.
+    pub(crate) complete_at: Option<Instant>,
     /// Revision of the store up to which the records are complete.
     pub(crate) revision: Revision,
     /// Version of the current configuration; `None` until the first one is read.
@@ -174,12 +177,26 @@
     pub(crate) role: Role,
     /// Whether digests arrive from other gateways.
     pub(crate) connected: bool,
+    /// Whether the store may have changed for so long that this gateway must read it.
+    pub(crate) stale: bool,
+}
+
+impl Default for Standing {
+    /// Returns the part of a gateway that knows no other one.
+    fn default() -> Self {
+        Self {
+            gateways: 1,
+            role: Role::Reader,
+            connected: false,
+            stale: true,
+        }
+    }
 }
 
 impl Standing {
     /// Returns whether other gateways tell this one what changes in the store.
     pub(crate) fn is_told(&self) -> bool {
-        self.connected && self.role != Role::Reader
+        self.connected && self.role != Role::Reader && !self.stale
     }
 }
 
@@ -202,6 +219,8 @@
     pub(crate) store_lost: bool,
     /// Version of the sender's current configuration; zero until it has read the first one.
     pub(crate) version: Revision,
+    /// Age of what the sender knows of the configuration; none if it is stale.
+    pub(crate) knowledge: Option<knowledge::Report>,
     /// Leaving endpoints, with the revisions of the store at which they began to leave.
     pub(crate) departures: Vec<(EndpointId, Revision)>,
     /// Endpoints that the sender has ejected because its requests to them failed.
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -9,10 +9,11 @@
 use daisyyard_core::backlog::Backlog;
 use daisyyard_core::endpoint::{Endpoint, State};
 use daisyyard_core::id::{self, EndpointId, InstanceId, RequestId, Revision, ServiceId};
+use daisyyard_core::knowledge::Knowledge;
 use daisyyard_core::listing::Listing;
 use daisyyard_core::shared_retry_budget::{self, Budget};
 use daisyyard_core::zone::Zone;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
 
 use crate::codec::{Codec, Item, Record};
@@ -30,6 +31,10 @@
 /// Time between two checks for waiting requests and endpoints that have expired.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Age of the knowledge above which this gateway reads the store itself, as a share of the time in
+/// which a configuration must be in force. The rest is for the read.
+const MAX_AGE_SHARE: f64 = 0.75;
+
 /// State of the pool actor.
 #[derive(Debug, Actor)]
 pub(crate) struct Pool {
@@ -45,10 +50,10 @@
     zones: HashMap<String, Zone>,
     /// All known gateways.
     pub(crate) members: Members,
-    /// Part of this gateway in the fleet, as the watcher knows it.
-    pub(crate) standing: Option<Standing>,
-    /// Part of this gateway in the fleet, as it was last logged.
-    pub(crate) logged_standing: Option<Standing>,
+    /// Tells the watcher the part of this gateway in the fleet.
+    pub(crate) standing: watch::Sender<Standing>,
+    /// Age of what this gateway knows of the configuration.
+    pub(crate) knowledge: Knowledge,
     /// Runs that this gateway has started.
     pub(crate) runs: HashMap<RequestId, Run>,
     /// Identifier of the next run.
@@ -88,8 +93,9 @@
     changed: Arc<Notify>,
     refresh: Arc<Notify>,
     log: Log,
-) -> Address<Pool> {
+) -> (Address<Pool>, watch::Receiver<Standing>) {
     let (address, mailbox) = Mailbox::unbounded();
+    let (standing, standing_view) = watch::channel(Standing::default());
     let zone = Zone::new(&settings.zone, &settings.region);
     let pool = Pool {
         own_id: id::of(&settings.name),
@@ -102,8 +108,8 @@
             .map(|(zone, region)| (zone.clone(), Zone::new(zone, region)))
             .collect(),
         members: Members::new(&settings.name, Entry::from(settings)),
-        standing: None,
-        logged_standing: None,
+        standing,
+        knowledge: Knowledge::new(settings.bounds.max_config_delay.mul_f64(MAX_AGE_SHARE)),
         runs: HashMap::new(),
         next_run: 0,
         backlog: Backlog::default(),
@@ -120,7 +126,7 @@
     };
     tokio::spawn(xtra::run(mailbox, pool));
     timer::spawn(address.downgrade(), CHECK_INTERVAL);
-    address
+    (address, standing_view)
 }
 
 impl Pool {
@@ -303,8 +309,8 @@
 }
 
 impl Handler<Update> for Pool {
-    /// The part of this gateway in the fleet, and the changes that it is the first to know.
-    type Return = (Standing, Vec<Item>);
+    /// The changes that this gateway is the first to know.
+    type Return = Vec<Item>;
 
     async fn handle(&mut self, mut message: Update, _: &mut Context<Self>) -> Self::Return {
         let now = Instant::now();
@@ -314,6 +320,9 @@
             self.members.start_offering();
         }
         self.version = message.version;
+        if let Some(complete_at) = message.complete_at {
+            self.knowledge.read(complete_at);
+        }
         self.endpoints.advance(message.revision);
         if message.complete {
             self.listing.reset();
@@ -328,9 +337,7 @@
         }
         self.schedule();
         self.update_roster(now);
-        let standing = self.current_standing(now);
-        self.standing = Some(standing);
-        (standing, news)
+        news
     }
 }
 
--- a/crates/daisyyard_gateway/src/settings.rs
+++ b/crates/daisyyard_gateway/src/settings.rs
@@ -47,6 +47,8 @@
 pub struct Bounds {
     /// Maximum time after the end of a fault until the gateway's state is up to date again.
     pub max_recovery_time: Duration,
+    /// Maximum time from the confirmation of a configuration until it is in force.
+    pub max_config_delay: Duration,
     /// Time between the stop signal and the end of the process.
     pub grace: Duration,
     /// Maximum time for which callers may cache gateway addresses.
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -26,9 +26,9 @@
 /// Maximum delay between retries while the store is unavailable. A gateway that has just started
 /// serves no requests until the store has answered once.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Share of the recovery time for which a watch waits. A watch on a dead connection is then
-/// replaced early enough for the gateway to be up to date in time.
-const WATCH_SHARE: f64 = 0.75;
+/// Time for which a watch waits, as a share of the time in which a configuration must be in force.
+/// The knowledge of the readers is then young enough for the gateways that rely on them.
+const WATCH_SHARE: f64 = 0.5;
 /// Pause after changes before the next watch of a gateway that hears from no other one, for each
 /// gateway; the next response contains all that changes meanwhile. This limits the calls of all
 /// gateways together to about 40 per second.
@@ -81,7 +81,7 @@
     /// Passes changes on to other gateways.
     news: mpsc::UnboundedSender<News>,
     /// Part of this gateway in the fleet.
-    standing: Standing,
+    standing: watch::Receiver<Standing>,
     /// Whether the last read of the configuration alone brought no newer one.
     catalog_was_old: bool,
     /// Whether the last call to the store succeeded.
@@ -99,7 +99,7 @@
         codec: Codec,
         bounds: Bounds,
         pool: Address<Pool>,
-        refresh: Arc<Notify>,
+        (refresh, standing): (Arc<Notify>, watch::Receiver<Standing>),
         news: mpsc::UnboundedSender<News>,
         log: Log,
     ) -> (Self, Configuration) {
@@ -107,18 +107,14 @@
         let watcher = Self {
             address,
             codec,
-            watch_timeout: bounds.max_recovery_time.mul_f64(WATCH_SHARE),
+            watch_timeout: bounds.max_config_delay.mul_f64(WATCH_SHARE),
             max_pause: bounds.max_recovery_time.mul_f64(MAX_PAUSE_SHARE),
             refresh,
             pool,
             catalog,
             backoff: Backoff::new(MAX_RETRY_DELAY),
             news,
-            standing: Standing {
-                gateways: 1,
-                role: Role::Reader,
-                connected: false,
-            },
+            standing,
             catalog_was_old: false,
             available: true,
             reconnected_at: None,
@@ -152,28 +148,43 @@
         }
     }
 
-    /// Waits until the next read is due.
-    async fn next_read(&self, changed: bool) -> Read {
-        let told = self.is_told();
-        let pause = if told {
-            TOLD_PAUSE
-        } else if !changed {
-            Duration::ZERO
-        } else if self.standing.connected && self.standing.role == Role::Reader {
-            // The readers do not read at the same moments.
-            READER_PAUSE.mul_f64(rand::random_range(0.5..1.5))
-        } else {
-            let pause = PAUSE_PER_GATEWAY.saturating_mul(self.standing.gateways as u32);
-            pause.min(self.max_pause)
-        };
-        // The pause ends early if another gateway has read newer data.
-        let ended_early = tokio::time::timeout(pause, self.refresh.notified()).await;
-        if !told {
-            Read::Changes
-        } else if ended_early.is_ok() && !self.catalog_was_old {
-            Read::Catalog
-        } else {
-            Read::All
+    /// Waits until the next read is due; `changed` says whether the last one brought any changes.
+    async fn next_read(&mut self, changed: bool) -> Read {
+        let started = Instant::now();
+        loop {
+            let standing = *self.standing.borrow_and_update();
+            let told = self.version().is_some() && standing.is_told();
+            let pause = match standing {
+                _ if told => TOLD_PAUSE,
+                _ if !changed => Duration::ZERO,
+                // The readers do not read at the same moments.
+                Standing {
+                    role: Role::Reader,
+                    connected: true,
+                    ..
+                } => READER_PAUSE.mul_f64(rand::random_range(0.5..1.5)),
+                // Changes may be unknown for as long as the bound allows.
+                Standing { stale: true, .. } => Duration::ZERO,
+                _ => {
+                    let pause = PAUSE_PER_GATEWAY.saturating_mul(standing.gateways as u32);
+                    pause.min(self.max_pause)
+                }
+            };
+            tokio::select! {
+                () = tokio::time::sleep_until((started + pause).into()) => {
+                    return if told { Read::All } else { Read::Changes };
+                }
+                // Another gateway has read newer data.
+                () = self.refresh.notified() => {
+                    return match told {
+                        false => Read::Changes,
+                        true if self.catalog_was_old => Read::All,
+                        true => Read::Catalog,
+                    };
+                }
+                // The pool ends only with the process.
+                _ = self.standing.changed() => {}
+            }
         }
     }
 
@@ -187,19 +198,20 @@
             return None;
         }
         let revision = batch.revision;
-        self.publish(batch, Read::All).await;
+        self.publish(batch, Read::All, None).await;
         Some(revision)
     }
 
     /// Reads all keys, with retries, and returns the revision from which to watch.
     async fn read_all(&mut self) -> Revision {
         loop {
+            let started = Instant::now();
             match self.read_pages(Freshness::Latest).await {
                 Ok(batch) => {
                     self.record_success().await;
                     let revision = batch.revision;
                     self.catalog_was_old = false;
-                    self.publish(batch, Read::All).await;
+                    self.publish(batch, Read::All, Some(started)).await;
                     return revision;
                 }
                 Err(error) => self.record_failure(&error).await,
@@ -238,7 +250,7 @@
                 self.record_success().await;
                 let known = self.version();
                 // Other keys are known up to the revision of the last read.
-                self.publish(Batch { revision, ..batch }, Read::Catalog)
+                self.publish(Batch { revision, ..batch }, Read::Catalog, None)
                     .await;
                 self.catalog_was_old = self.version() == known;
             }
@@ -252,6 +264,7 @@
         let wait = self.watch_timeout;
         let call = (self.codec.store.watch)(revision, wait);
         let timeout = wait + READ_TIMEOUT;
+        let started = Instant::now();
         let response = store::call(self.address, call, timeout, MAX_PAGE_BYTES).await;
         let batch = response
             .and_then(|response| (self.codec.store.read_batch)(&response).map_err(Error::Unusable));
@@ -260,7 +273,9 @@
                 self.record_success().await;
                 let next = batch.revision.max(revision);
                 let changed = !batch.records.is_empty();
-                self.publish(batch, Read::Changes).await;
+                // A response that was delayed on its way may have left at the end of the wait.
+                let complete_at = Instant::now().min(started + wait);
+                self.publish(batch, Read::Changes, Some(complete_at)).await;
                 Some((next, changed))
             }
             Err(Error::Declined(StatusCode::GONE)) => {
@@ -275,8 +290,9 @@
         }
     }
 
-    /// Publishes records to the pool and to the receivers of the configuration.
-    async fn publish(&mut self, batch: Batch, read: Read) {
+    /// Publishes records to the pool and to the receivers of the configuration. They were complete at
+    /// a time, unless they may be old.
+    async fn publish(&mut self, batch: Batch, read: Read, complete_at: Option<Instant>) {
         // What was announced during the read is part of it, or is announced again.
         let _ = self.refresh.notified().now_or_never();
         let mut others = Vec::with_capacity(batch.records.len());
@@ -291,27 +307,21 @@
             items: batch.items,
             relist_deadline: self.relist_deadline(),
             complete: read == Read::All,
+            complete_at,
             revision: batch.revision,
             version: self.version(),
         };
         // The pool ends only with the process.
-        if let Ok((standing, items)) = self.pool.send(message).await {
-            self.standing = standing;
-            if !items.is_empty() && standing.role == Role::Reader {
-                let relist_time = self.relist_deadline().map_or(Duration::ZERO, |deadline| {
-                    deadline.saturating_duration_since(Instant::now())
-                });
-                // The task that sends datagrams ends only with the process.
-                let _ = self.news.send(News { items, relist_time });
-            }
+        let items = self.pool.send(message).await.unwrap_or_default();
+        if !items.is_empty() && self.standing.borrow().role == Role::Reader {
+            let relist_time = self.relist_deadline().map_or(Duration::ZERO, |deadline| {
+                deadline.saturating_duration_since(Instant::now())
+            });
+            // The task that sends datagrams ends only with the process.
+            let _ = self.news.send(News { items, relist_time });
         }
     }
 
-    /// Returns whether this gateway relies on others for what changes in the store.
-    fn is_told(&self) -> bool {
-        self.version().is_some() && self.standing.is_told()
-    }
-
     /// Returns the version of the current configuration.
     fn version(&self) -> Option<Revision> {
         let configuration = self.catalog.borrow();
--- a/crates/daisyyard_standin/src/platform_fixture.rs
+++ b/crates/daisyyard_standin/src/platform_fixture.rs
@@ -74,7 +74,7 @@
             "requests": requests, "ready": ready, "directory": directory, "digests": digests,
             "metrics": metrics,
         },
-        "bounds": { "contact_ms": 3000, "grace_s": 8, "directory_s": 5 },
+        "bounds": { "contact_ms": 3000, "config_ms": 2000, "grace_s": 8, "directory_s": 5 },
         "repeats": { "ratio": 0.2, "slack": 52, "window_s": 10 },
     })
 }
