Log the content of requests and the runs that endpoints break off

The logs named attempts only, so that tries of the same request could not be told from other requests: RequestSent now has the fingerprint of account, method, path and body, and RunBroken (DY0138) names the run that an endpoint broke off before it had answered or run well.

--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -53,6 +53,8 @@
     CopyFailed = 136,
     /// The KV cache of a run is being copied because its engine is leaving.
     CopyStarted = 137,
+    /// An endpoint closed the connection of a run before it answered or had sent much of a stream.
+    RunBroken = 138,
 }
 
 /// Log level of each event.
@@ -81,6 +83,7 @@
     (Event::RunLost, Level::Warn),
     (Event::CopyFailed, Level::Warn),
     (Event::CopyStarted, Level::Info),
+    (Event::RunBroken, Level::Warn),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/ingress.rs
+++ b/crates/daisyyard_gateway/src/ingress.rs
@@ -11,7 +11,7 @@
 use hyper::{Request, Uri};
 
 use crate::codec::Position;
-use crate::job::Job;
+use crate::job::{self, Job};
 use crate::proxy::Proxy;
 use crate::refusal::Refusal;
 use crate::server::Phase;
@@ -61,15 +61,17 @@
             .timeout
             .unwrap_or(route.timeout)
             .min(route.timeout);
+        let uri = origin_form(&head.uri);
         Ok(Job {
             parameters,
             attempt,
+            content: job::content(client.as_deref(), &head.method, &uri, &body),
             client,
             service,
             connections,
             engine,
             method: head.method,
-            uri: origin_form(&head.uri),
+            uri,
             headers: head.headers,
             body,
             resume_after,
--- a/crates/daisyyard_gateway/src/job.rs
+++ b/crates/daisyyard_gateway/src/job.rs
@@ -8,7 +8,7 @@
 use daisyyard_core::backlog::Schedule;
 use daisyyard_core::catalog::{Client, Engine, Kind, Priority, Route};
 use daisyyard_core::endpoint::Endpoint;
-use daisyyard_core::id::{ServiceId, Tokens};
+use daisyyard_core::id::{self, Fingerprint, ServiceId, Tokens};
 use daisyyard_core::load::{Need, SHORT_OUTPUT_TOKENS};
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Uri};
@@ -27,6 +27,8 @@
     pub(crate) parameters: Parameters,
     /// Identifier of the caller's attempt, for the log and the engines.
     pub(crate) attempt: String,
+    /// Fingerprint of what the caller asks for: its account, the method, the path and the body.
+    pub(crate) content: Fingerprint,
     /// Route of the request.
     pub(crate) route: Arc<Route>,
     /// Client account; `None` if the route needs no credential.
@@ -53,6 +55,19 @@
     pub(crate) deadline: Instant,
 }
 
+/// Returns the fingerprint of what a caller asks for. It covers the account, so that one account
+/// cannot affect the requests of another one.
+pub(crate) fn content(
+    client: Option<&Client>,
+    method: &Method,
+    uri: &Uri,
+    body: &[u8],
+) -> Fingerprint {
+    let account = client.map_or(0, |client| client.account.id);
+    let head = format!("{method} {uri}\n");
+    id::fingerprint(account, &[head.as_bytes(), body].concat())
+}
+
 impl Job {
     /// Returns the time until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -120,9 +120,10 @@
             };
             let endpoint = grant.endpoint.id;
             let details = format!(
-                "request={} endpoint={} backup={} prompt={} output={} filled={:.2} waited_ms={} \
-                 left_ms={} try={}",
+                "request={} content={:032x} endpoint={} backup={} prompt={} output={} filled={:.2} \
+                 waited_ms={} left_ms={} try={}",
                 job.attempt,
+                job.content,
                 grant.endpoint.name,
                 grant.backup.as_ref().map_or("-", |backup| &backup.name),
                 job.parameters.prompt_tokens,
@@ -204,6 +205,9 @@
         let answer = match connection::send(grant.endpoint.address, request, timeout).await {
             Ok(answer) => answer,
             Err(failure) => {
+                if matches!(failure, Failure::Partial | Failure::Broken) {
+                    self.report_broken(job, &grant, 0);
+                }
                 grant.signal = health_signal(failure);
                 return connection_failed(failure);
             }
@@ -269,6 +273,7 @@
         let bytes = match tokio::time::timeout_at(deadline.into(), read).await {
             Ok(Ok(bytes)) => bytes,
             Ok(Err(buffer::Error::Broken)) => {
+                self.report_broken(job, &grant, 0);
                 grant.signal = Signal::Failed;
                 return answer_unusable("broken_answer");
             }
@@ -296,6 +301,15 @@
         Sent::Answered(self.forward(job, response, "answered"))
     }
 
+    /// Logs that an endpoint closed the connection of a run early, after a number of events.
+    pub(crate) fn report_broken(&self, job: &Job, grant: &Grant, events: u64) {
+        let details = format!(
+            "request={} content={:032x} endpoint={} events={events}",
+            job.attempt, job.content, grant.endpoint.name,
+        );
+        self.log.emit(Event::RunBroken, &details);
+    }
+
     /// Forwards an endpoint's response to the caller.
     fn forward(&self, job: &Job, response: Response<Body>, reason: &'static str) -> Response<Body> {
         self.record_end(job, response.status(), reason);
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -32,6 +32,9 @@
 /// Timeout for an engine to resume a run.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time from the first data of a run after which its engine does not crash because of the run.
+const PROOF_TIME: Duration = Duration::from_millis(250);
+
 /// Maximum time for which two engines execute the same run during a failover.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
 /// Failover reason: the engine is leaving.
@@ -159,6 +162,7 @@
                 Action::Fail(reason) => {
                     if reason != SILENT {
                         self.grant.signal = Signal::Failed;
+                        self.report_broken();
                     }
                     if !self.recover(reason).await {
                         break "interrupted";
@@ -217,6 +221,16 @@
         }
     }
 
+    /// Reports that the engine has broken off the run, unless it had run well for some time: the run
+    /// itself may be the reason.
+    fn report_broken(&self) {
+        let ran_well = |first_data: Instant| first_data.elapsed() >= PROOF_TIME;
+        if !self.first_data_at.is_some_and(ran_well) {
+            let events = self.splitter.event_count();
+            self.proxy.report_broken(&self.job, &self.grant, events);
+        }
+    }
+
     /// Continues the run at another engine after a failure; returns whether the stream continues.
     async fn recover(&mut self, reason: &'static str) -> bool {
         self.fail_over(None, reason).await || self.restart(reason).await
