Refuse requests that three crashes of endpoints have in common

Cause: gateways remember nothing of what was in progress when an endpoint broke off a run, so each try is a new request to each of them. The class of fault: evidence about a request that is not kept beyond the request.

Change: core::crash counts, for each content (account, method, path, body), the crashes in a row that have it in common. Contents with three are refused with 503 and the time until the record expires; waiting ones are refused at once, and neither repeats nor resumptions are sent. A run that goes well cancels the crashes before it. Gateways report what they observe in datagrams of their own; records merge in any order, and crashes that several gateways see count once.

Ruled out: repeats within a try (a draft is sent once a try). The register of suspects of the product's own node does not fit: it lets suspects run alone, which a gateway that sees only its own runs at an engine cannot do.

--- a/crates/daisyyard_core/src/backlog.rs
+++ b/crates/daisyyard_core/src/backlog.rs
@@ -77,6 +77,14 @@
         ended.map(|entry| entry.request).collect()
     }
 
+    /// Removes and returns the requests that satisfy the predicate.
+    pub fn remove(&mut self, predicate: impl Fn(&T) -> bool) -> Vec<T> {
+        let removed = self
+            .entries
+            .extract_if(.., |entry| predicate(&entry.request));
+        removed.map(|entry| entry.request).collect()
+    }
+
     /// Returns whether any waiting request satisfies the predicate.
     pub fn any(&self, predicate: impl Fn(&Schedule, &T) -> bool) -> bool {
         let mut entries = self.entries.iter();
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod choice;
 pub mod config;
 pub mod contract;
+pub mod crash;
 pub mod drain;
 pub(crate) mod ejection;
 pub mod endpoint;
--- /dev/null
+++ b/crates/daisyyard_core/tests/crash_evidence.rs
@@ -0,0 +1,155 @@
+//! Guards against contents that crash one endpoint after another, and against the refusal of contents
+//! that were in progress at crashes by chance.
+
+use std::time::{Duration, Instant};
+
+use daisyyard_core::crash::{Crash, Evidence, MAX_CRASHES, Record, Verdict};
+use daisyyard_core::id::Fingerprint;
+use daisyyard_core::suspect::RECORD_TTL;
+use proptest::prelude::*;
+
+/// Content that crashes endpoints.
+const DEADLY: Fingerprint = 1;
+/// Content that is in progress at some crashes.
+const SOUND: Fingerprint = 2;
+
+/// Returns a time after the start of the test.
+fn after(start: Instant, millis: u64) -> Instant {
+    start + Duration::from_millis(millis)
+}
+
+/// Returns a crash of an endpoint after a run of 100 ms.
+fn crash(start: Instant, endpoint: u64, millis: u64) -> Crash {
+    Crash {
+        endpoint,
+        sent_at: after(start, millis - 100),
+        at: after(start, millis),
+    }
+}
+
+/// A content is refused after three crashes in a row, until the records expire.
+#[test]
+fn refuses_third_crash() {
+    let start = Instant::now();
+    let mut evidence = Evidence::new();
+    for number in 1..=MAX_CRASHES as u64 {
+        assert_eq!(evidence.verdict(&[DEADLY], start), Verdict::Allow);
+        evidence.record_crash(&[DEADLY], crash(start, number, number * 1_000));
+    }
+    let until = after(start, 3_000) + RECORD_TTL;
+    assert_eq!(
+        evidence.verdict(&[SOUND, DEADLY], after(start, 3_000)),
+        Verdict::Refuse(until)
+    );
+    assert_eq!(
+        evidence.verdict(&[SOUND], after(start, 3_000)),
+        Verdict::Allow
+    );
+    assert_eq!(evidence.verdict(&[DEADLY], until), Verdict::Allow);
+}
+
+/// Repeats that are each sent right after the crash before count separately.
+#[test]
+fn counts_quick_repeats() {
+    let start = Instant::now();
+    let mut evidence = Evidence::new();
+    for number in 1..=3 {
+        let mut crash = crash(start, number, 100 + number * 30);
+        crash.sent_at = after(start, 100 + number * 30 - 20);
+        evidence.record_crash(&[DEADLY], crash);
+    }
+    assert!(evidence.verdict(&[DEADLY], start) != Verdict::Allow);
+}
+
+/// A rack that is lost with runs of one content at several endpoints is one crash.
+#[test]
+fn counts_rack_once() {
+    let start = Instant::now();
+    let mut evidence = Evidence::new();
+    for endpoint in 1..=5 {
+        evidence.record_crash(&[SOUND], crash(start, endpoint, 1_000 + endpoint));
+    }
+    assert_eq!(evidence.get(SOUND).map(Record::count), Some(1));
+}
+
+/// Several nodes that report the break of runs at one endpoint report one crash.
+#[test]
+fn counts_endpoint_once() {
+    let start = Instant::now();
+    let mut evidence = Evidence::new();
+    for delay in [0, 600, 1_200] {
+        let late = Crash {
+            sent_at: after(start, 900),
+            ..crash(start, 1, 1_000 + delay)
+        };
+        evidence.record_crash(&[SOUND], late);
+    }
+    assert_eq!(evidence.get(SOUND).map(Record::count), Some(1));
+}
+
+/// A run that goes well cancels the crashes before it, at this node and at those that hear of it.
+#[test]
+fn proof_cancels_crashes() {
+    let start = Instant::now();
+    let mut evidence = Evidence::new();
+    let mut other = Evidence::new();
+    for number in 1..=2 {
+        for record in evidence.record_crash(&[SOUND], crash(start, number, number * 1_000)) {
+            other.learn(&record, start);
+        }
+    }
+    for record in evidence.record_proof(&[SOUND], after(start, 2_500)) {
+        assert!(other.learn(&record, start));
+    }
+    for evidence in [&mut evidence, &mut other] {
+        evidence.record_crash(&[SOUND], crash(start, 3, 3_000));
+        assert_eq!(evidence.get(SOUND).map(Record::count), Some(1));
+    }
+}
+
+/// Contents of a flood of broken runs do not exhaust the memory, and refused ones stay refused.
+#[test]
+fn stays_bounded() {
+    let start = Instant::now();
+    let mut evidence = Evidence::new();
+    for number in 1..=3 {
+        evidence.record_crash(&[DEADLY], crash(start, number, number * 1_000));
+    }
+    for content in 10..5_000 {
+        evidence.record_crash(&[content], crash(start, 9, 5_000));
+    }
+    let kept = (10..5_000).filter(|content| evidence.get(*content).is_some());
+    assert!(kept.count() < 1_024);
+    assert!(evidence.verdict(&[DEADLY], start) != Verdict::Allow);
+}
+
+proptest! {
+    /// Records that arrive in any order, repeatedly, lead all nodes to the same verdict.
+    #[test]
+    fn merges_any_order(
+        crashes in proptest::collection::vec((1_u64..4, 1_u64..40), 1..5),
+        proof in proptest::option::of(1_u64..40),
+        rotation in 0_usize..6,
+    ) {
+        let start = Instant::now();
+        let mut records = Vec::new();
+        let mut one = Evidence::new();
+        for (endpoint, decisecond) in crashes {
+            // Each crash is reported by the node that saw it, which may know no other one.
+            let mut source = Evidence::new();
+            records.extend(source.record_crash(&[SOUND], crash(start, endpoint, decisecond * 3_000)));
+        }
+        let proven_at = proof.map(|proof| after(start, proof * 3_000));
+        records.push(Record { content: SOUND, crashes: Vec::new(), proven_at });
+        for record in &records {
+            one.learn(record, start);
+        }
+        let mut two = Evidence::new();
+        let rotation = rotation % records.len();
+        for record in records[rotation..].iter().chain(&records).rev() {
+            two.learn(record, start);
+        }
+        let count = |evidence: &Evidence| evidence.get(SOUND).map(Record::count);
+        prop_assert_eq!(count(&one), count(&two));
+    }
+}
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -13,7 +13,7 @@
 use xtra::{Address, WeakAddress};
 
 use crate::frame::{Frame, MAX_DATAGRAM_BYTES, News};
-use crate::message::{Digest, Report, ShareNews};
+use crate::message::{Digest, Report, ShareEvidence, ShareNews};
 use crate::pool::Pool;
 
 /// Least time between two digests if no change is reported earlier.
@@ -58,6 +58,10 @@
     recipients: Vec<SocketAddr>,
     /// When the next group may be sent.
     next_news: Instant,
+    /// When crashes and proofs of contents were last sent.
+    last_evidence: Instant,
+    /// Revision of these.
+    evidence_revision: u64,
 }
 
 /// Returns the least time between a digest to a number of recipients and one that reports a change
@@ -83,6 +87,8 @@
         news: VecDeque::new(),
         recipients: Vec::new(),
         next_news: Instant::now(),
+        last_evidence: Instant::now(),
+        evidence_revision: 0,
     };
     Ok(tokio::spawn(exchange.run(changed, news)))
 }
@@ -141,8 +147,21 @@
             self.send(&frames, &targets.serving).await;
             self.last_frames = frames;
         }
+        let Ok(evidence) = self.pool.send(ShareEvidence).await else {
+            return false;
+        };
+        if evidence.revision != self.evidence_revision
+            || self.last_evidence.elapsed() >= RESEND_INTERVAL
+        {
+            self.last_evidence = Instant::now();
+            self.evidence_revision = evidence.revision;
+            let frames = Frame::from_evidence(evidence.from, &evidence.recent);
+            self.send(&frames, &targets.serving).await;
+        }
         if self.last_to_reserve.elapsed() >= RESERVE_INTERVAL {
             self.last_to_reserve = Instant::now();
+            let refused = Frame::from_evidence(evidence.from, &evidence.refused);
+            self.send(&refused, &targets.reserve).await;
             let frame = Frame::without_loads(&report);
             self.send(&[frame.clone().into_probe()], &targets.probed)
                 .await;
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -55,6 +55,8 @@
     CopyStarted = 137,
     /// An endpoint closed the connection of a run before it answered or had sent much of a stream.
     RunBroken = 138,
+    /// Requests with a content are refused from now on, because it crashes endpoints, or no longer.
+    ContentRefused = 139,
 }
 
 /// Log level of each event.
@@ -84,6 +86,7 @@
     (Event::CopyFailed, Level::Warn),
     (Event::CopyStarted, Level::Info),
     (Event::RunBroken, Level::Warn),
+    (Event::ContentRefused, Level::Warn),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -175,6 +175,7 @@
             news: Vec::new(),
             relist_time: Duration::ZERO,
             counts: self.retry_budget.counts(now),
+            evidence: Vec::new(),
         };
         // A gateway in reserve that has no part in the load has nothing to tell.
         let idle = report.loads.is_empty() && report.counts.is_empty();
@@ -222,6 +223,7 @@
             let reaches_store = !message.store_lost;
             self.members.record_reach(message.from, reaches_store);
         }
+        self.learn_evidence(&message.evidence, now);
         if !message.news.is_empty() {
             self.apply_news(message, now);
         } else if message.continuation {
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -1,9 +1,10 @@
 //! Datagrams between gateways in their wire format.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use daisyyard_core::id::{EndpointId, InstanceId, Revision, ServiceId};
+use daisyyard_core::crash;
+use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, Revision, ServiceId};
 use daisyyard_core::knowledge;
 use daisyyard_core::load::Load;
 use daisyyard_core::shared_retry_budget::Count;
@@ -24,6 +25,8 @@
 const MAX_DEPARTURES: usize = 16;
 /// Maximum number of ejected endpoints in one datagram.
 const MAX_EJECTIONS: usize = 12;
+/// Maximum number of records of contents in one datagram.
+const MAX_CONTENTS: usize = 8;
 /// Maximum number of services in one datagram.
 const MAX_SERVICES: usize = 8;
 
@@ -79,6 +82,9 @@
     /// Age of what the sender knows of the configuration; absent if it is stale.
     #[prost(message, optional, tag = "14")]
     knowledge: Option<Knowledge>,
+    /// Crashes and proofs of contents.
+    #[prost(message, repeated, tag = "15")]
+    evidence: Vec<ContentRecord>,
 }
 
 /// What a frame is for.
@@ -93,6 +99,80 @@
     Probe = 2,
 }
 
+/// What the sender knows of the crashes of a content.
+#[derive(Clone, PartialEq, Eq, Message)]
+struct ContentRecord {
+    /// Higher half of the fingerprint of the content.
+    #[prost(fixed64, tag = "1")]
+    content_high: u64,
+    /// Lower half of the fingerprint of the content.
+    #[prost(fixed64, tag = "2")]
+    content_low: u64,
+    /// Crashes of endpoints that ran the content.
+    #[prost(message, repeated, tag = "3")]
+    crashes: Vec<Crash>,
+    /// Time in milliseconds since a run with the content went well; absent if none has.
+    #[prost(uint32, optional, tag = "4")]
+    proven_age_ms: Option<u32>,
+}
+
+/// A crash of an endpoint that ran a content.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+struct Crash {
+    /// Identifier of the endpoint.
+    #[prost(fixed64, tag = "1")]
+    endpoint: EndpointId,
+    /// Time in milliseconds since the run was sent.
+    #[prost(uint32, tag = "2")]
+    sent_age_ms: u32,
+    /// Time in milliseconds since the run was broken off.
+    #[prost(uint32, tag = "3")]
+    age_ms: u32,
+}
+
+impl ContentRecord {
+    /// Returns a record in wire format.
+    fn new(record: &crash::Record, now: Instant) -> Self {
+        let age = |at| millis(now.saturating_duration_since(at));
+        let crash = |crash: &crash::Crash| Crash {
+            endpoint: crash.endpoint,
+            sent_age_ms: age(crash.sent_at),
+            age_ms: age(crash.at),
+        };
+        Self {
+            content_high: (record.content >> u64::BITS) as u64,
+            content_low: record.content as u64,
+            crashes: record.crashes.iter().map(crash).collect(),
+            proven_age_ms: record.proven_at.map(age),
+        }
+    }
+
+    /// Returns the record that was received now; crashes before the start of the clock are left out.
+    fn record(&self, now: Instant) -> crash::Record {
+        let at = |age_ms: u32| now.checked_sub(Duration::from_millis(age_ms.into()));
+        let crash = |crash: &Crash| {
+            Some(crash::Crash {
+                endpoint: crash.endpoint,
+                sent_at: at(crash.sent_age_ms)?,
+                at: at(crash.age_ms)?,
+            })
+        };
+        let mut crashes: Vec<crash::Crash> = self.crashes.iter().filter_map(crash).collect();
+        crashes.sort_by_key(|crash| crash.at);
+        crash::Record {
+            content: Fingerprint::from(self.content_high) << u64::BITS
+                | Fingerprint::from(self.content_low),
+            crashes,
+            proven_at: self.proven_age_ms.and_then(at),
+        }
+    }
+}
+
+/// Returns a time in whole milliseconds.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Age of what the sender knows of the configuration.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 struct Knowledge {
@@ -284,6 +364,21 @@
         std::iter::once(first).chain(rest).collect()
     }
 
+    /// Splits records of contents into frames.
+    pub(crate) fn from_evidence(from: InstanceId, records: &[crash::Record]) -> Vec<Self> {
+        let now = Instant::now();
+        let frame = |records: &[crash::Record]| Self {
+            instance: from,
+            purpose: Purpose::Continuation.into(),
+            evidence: records
+                .iter()
+                .map(|record| ContentRecord::new(record, now))
+                .collect(),
+            ..Self::default()
+        };
+        records.chunks(MAX_CONTENTS).map(frame).collect()
+    }
+
     /// Splits changes of the store into frames. A change that is too large for a datagram is left
     /// out; the gateways find it in their next complete read.
     pub(crate) fn from_news(news: News) -> Vec<Self> {
@@ -352,6 +447,7 @@
             relist_ms: 0,
             store_lost: report.store_lost,
             knowledge: report.knowledge.map(Knowledge::from),
+            evidence: Vec::new(),
             instance: report.from,
             leaving: report.leaving,
             loads: Vec::new(),
@@ -381,6 +477,7 @@
 
 impl From<Frame> for Report {
     fn from(frame: Frame) -> Self {
+        let now = Instant::now();
         let known = frame.loads.iter().filter(|load| load.gap_us > 0);
         let pace = |load: &EndpointLoad| {
             let gap = Duration::from_micros(load.gap_us.into());
@@ -401,6 +498,11 @@
             news: frame.news.into_iter().map(Into::into).collect(),
             relist_time: Duration::from_millis(frame.relist_ms.into()),
             counts: frame.counts.into_iter().map(Into::into).collect(),
+            evidence: frame
+                .evidence
+                .iter()
+                .map(|record| record.record(now))
+                .collect(),
         }
     }
 }
--- a/crates/daisyyard_gateway/src/ingress.rs
+++ b/crates/daisyyard_gateway/src/ingress.rs
@@ -65,7 +65,7 @@
         Ok(Job {
             parameters,
             attempt,
-            content: job::content(client.as_deref(), &head.method, &uri, &body),
+            contents: [job::content(client.as_deref(), &head.method, &uri, &body)].into(),
             client,
             service,
             connections,
--- a/crates/daisyyard_gateway/src/job.rs
+++ b/crates/daisyyard_gateway/src/job.rs
@@ -28,7 +28,7 @@
     /// Identifier of the caller's attempt, for the log and the engines.
     pub(crate) attempt: String,
     /// Fingerprint of what the caller asks for: its account, the method, the path and the body.
-    pub(crate) content: Fingerprint,
+    pub(crate) contents: Arc<[Fingerprint]>,
     /// Route of the request.
     pub(crate) route: Arc<Route>,
     /// Client account; `None` if the route needs no credential.
@@ -69,6 +69,11 @@
 }
 
 impl Job {
+    /// Returns the fingerprint of what the caller asks for as a whole.
+    pub(crate) fn content(&self) -> Fingerprint {
+        self.contents.first().copied().unwrap_or_default()
+    }
+
     /// Returns the time until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body;
 pub(crate) mod buffer;
 pub mod codec;
+pub(crate) mod content;
 pub(crate) mod digest;
 pub(crate) mod event;
 pub(crate) mod fleet;
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -4,8 +4,9 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_core::backlog::Schedule;
+use daisyyard_core::crash;
 use daisyyard_core::endpoint::Endpoint;
-use daisyyard_core::id::{EndpointId, InstanceId, RequestId, Revision, ServiceId};
+use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, RequestId, Revision, ServiceId};
 use daisyyard_core::knowledge;
 use daisyyard_core::load::{Load, Need};
 use daisyyard_core::pool::Signal;
@@ -33,8 +34,19 @@
     pub(crate) schedule: Schedule,
     /// Endpoints that must not be chosen again.
     pub(crate) excluded: Vec<EndpointId>,
-    /// Receives the endpoint; dropped if none has capacity in time.
-    pub(crate) reply: oneshot::Sender<Grant>,
+    /// Fingerprints of what the caller asks for.
+    pub(crate) contents: Arc<[Fingerprint]>,
+    /// Receives the placement; dropped if no endpoint has capacity in time.
+    pub(crate) reply: oneshot::Sender<Placement>,
+}
+
+/// Where a request may run.
+#[derive(Debug)]
+pub(crate) enum Placement {
+    /// It may run at this endpoint.
+    Granted(Grant),
+    /// It crashes endpoints and is refused for this time.
+    Refused(Duration),
 }
 
 /// A reservation of an endpoint for a request; dropping it releases the capacity.
@@ -74,6 +86,14 @@
 #[derive(Debug)]
 pub(crate) struct FirstToken(pub(crate) RequestId);
 
+/// Reports that the endpoint of a run has broken it off before it went well.
+#[derive(Debug)]
+pub(crate) struct Break(pub(crate) RequestId);
+
+/// Reports that a run has gone well for some time, so that it does not crash its endpoint.
+#[derive(Debug)]
+pub(crate) struct Proof(pub(crate) RequestId);
+
 /// Reports gaps between events of a run.
 #[derive(Debug)]
 pub(crate) struct ObserveGaps(pub(crate) RequestId, pub(crate) Vec<Duration>);
@@ -204,6 +224,23 @@
 #[derive(Debug)]
 pub(crate) struct Digest;
 
+/// Asks for the crashes and proofs of contents that this gateway reports.
+#[derive(Debug)]
+pub(crate) struct ShareEvidence;
+
+/// Crashes and proofs of contents that a gateway reports.
+#[derive(Debug, Default)]
+pub(crate) struct EvidenceReport {
+    /// Identifier of the gateway.
+    pub(crate) from: InstanceId,
+    /// Changes with each observation of the gateway.
+    pub(crate) revision: u64,
+    /// Records for the gateways that serve callers.
+    pub(crate) recent: Vec<crash::Record>,
+    /// Records for the gateways in reserve.
+    pub(crate) refused: Vec<crash::Record>,
+}
+
 /// Asks for the identifier of this gateway and the gateways that rely on its news of the store.
 #[derive(Debug)]
 pub(crate) struct ShareNews;
@@ -239,4 +276,6 @@
     pub(crate) relist_time: Duration,
     /// Requests and retries of the sender for each service.
     pub(crate) counts: Vec<(ServiceId, shared_retry_budget::Count)>,
+    /// Crashes and proofs of contents that the sender reports.
+    pub(crate) evidence: Vec<crash::Record>,
 }
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -7,8 +7,11 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_core::backlog::Backlog;
+use daisyyard_core::crash;
 use daisyyard_core::endpoint::{Endpoint, State};
-use daisyyard_core::id::{self, EndpointId, InstanceId, RequestId, Revision, ServiceId};
+use daisyyard_core::id::{
+    self, EndpointId, Fingerprint, InstanceId, RequestId, Revision, ServiceId,
+};
 use daisyyard_core::knowledge::Knowledge;
 use daisyyard_core::listing::Listing;
 use daisyyard_core::shared_retry_budget::{self, Budget};
@@ -76,6 +79,12 @@
     pub(crate) version: Option<Revision>,
     /// Retry budget of each service.
     pub(crate) retry_budget: Budget,
+    /// Crashes that contents of requests have in common.
+    pub(crate) evidence: crash::Evidence,
+    /// When this gateway last observed a crash or a proof of each content.
+    pub(crate) observed_at: HashMap<Fingerprint, Instant>,
+    /// Number of these observations so far.
+    pub(crate) observations: u64,
     /// Whether this gateway is leaving.
     pub(crate) leaving: bool,
     /// Log of the gateway.
@@ -121,6 +130,9 @@
         listing: Listing::default(),
         version: None,
         retry_budget: Budget::new(settings.retry_budget.clone()),
+        evidence: crash::Evidence::new(),
+        observed_at: HashMap::new(),
+        observations: 0,
         leaving: false,
         log,
     };
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -22,7 +22,7 @@
 use crate::event::Event;
 use crate::job::Job;
 use crate::log::Log;
-use crate::message::{Claim, Count, Grant, Retry};
+use crate::message::{Break, Claim, Count, Grant, Placement, Retry};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::refusal::Refusal;
@@ -110,20 +110,20 @@
         let mut tried: Vec<EndpointId> = Vec::new();
         let mut possible_runs = 0;
         loop {
-            let Some(grant) = self.claim(&job, &tried).await else {
-                let refusal = if tried.is_empty() {
-                    Refusal::Full
-                } else {
-                    Refusal::after_send(history.outcome(), false)
-                };
-                return self.refuse(&job, refusal);
+            let grant = match self.claim(&job, &tried).await {
+                Ok(grant) => grant,
+                Err(refusal) if tried.is_empty() => return self.refuse(&job, refusal),
+                Err(_) => {
+                    let refusal = Refusal::after_send(history.outcome(), false);
+                    return self.refuse(&job, refusal);
+                }
             };
             let endpoint = grant.endpoint.id;
             let details = format!(
                 "request={} content={:032x} endpoint={} backup={} prompt={} output={} filled={:.2} \
                  waited_ms={} left_ms={} try={}",
                 job.attempt,
-                job.content,
+                job.content(),
                 grant.endpoint.name,
                 grant.backup.as_ref().map_or("-", |backup| &backup.name),
                 job.parameters.prompt_tokens,
@@ -172,17 +172,23 @@
         }
     }
 
-    /// Asks the pool for an endpoint; returns `None` if none has capacity in time.
-    async fn claim(&self, job: &Job, tried: &[EndpointId]) -> Option<Grant> {
+    /// Asks the pool for an endpoint; returns the refusal if none may run the request in time.
+    async fn claim(&self, job: &Job, tried: &[EndpointId]) -> Result<Grant, Refusal> {
         let (reply, granted) = oneshot::channel();
         let claim = Claim {
             need: job.need(),
             schedule: job.schedule(),
             excluded: tried.to_vec(),
+            contents: Arc::clone(&job.contents),
             reply,
         };
-        self.pool.send(claim).await.ok()?;
-        granted.await.ok()
+        // The pool ends only with the process.
+        let _ = self.pool.send(claim).await;
+        match granted.await {
+            Ok(Placement::Granted(grant)) => Ok(grant),
+            Ok(Placement::Refused(time)) => Err(Refusal::Suspected(time)),
+            Err(_) => Err(Refusal::Full),
+        }
     }
 
     /// Asks the pool whether the retry budget allows another send.
@@ -206,7 +212,7 @@
             Ok(answer) => answer,
             Err(failure) => {
                 if matches!(failure, Failure::Partial | Failure::Broken) {
-                    self.report_broken(job, &grant, 0);
+                    self.report_broken(job, &grant, 0).await;
                 }
                 grant.signal = health_signal(failure);
                 return connection_failed(failure);
@@ -273,7 +279,7 @@
         let bytes = match tokio::time::timeout_at(deadline.into(), read).await {
             Ok(Ok(bytes)) => bytes,
             Ok(Err(buffer::Error::Broken)) => {
-                self.report_broken(job, &grant, 0);
+                self.report_broken(job, &grant, 0).await;
                 grant.signal = Signal::Failed;
                 return answer_unusable("broken_answer");
             }
@@ -301,13 +307,17 @@
         Sent::Answered(self.forward(job, response, "answered"))
     }
 
-    /// Logs that an endpoint closed the connection of a run early, after a number of events.
-    pub(crate) fn report_broken(&self, job: &Job, grant: &Grant, events: u64) {
+    /// Reports that an endpoint closed the connection of a run early, after a number of events.
+    pub(crate) async fn report_broken(&self, job: &Job, grant: &Grant, events: u64) {
         let details = format!(
             "request={} content={:032x} endpoint={} events={events}",
-            job.attempt, job.content, grant.endpoint.name,
+            job.attempt,
+            job.content(),
+            grant.endpoint.name,
         );
         self.log.emit(Event::RunBroken, &details);
+        // The pool ends only with the process.
+        let _ = self.pool.send(Break(grant.run)).await;
     }
 
     /// Forwards an endpoint's response to the caller.
@@ -322,6 +332,7 @@
             Refusal::Full => "full",
             Refusal::Declined => "declined",
             Refusal::Late => "late",
+            Refusal::Suspected(_) => "suspected",
             _ => "lost",
         };
         self.record_end(job, refusal.status(), reason);
--- a/crates/daisyyard_gateway/src/refusal.rs
+++ b/crates/daisyyard_gateway/src/refusal.rs
@@ -47,6 +47,9 @@
     /// No endpoint had capacity in time.
     #[error("no endpoint had room in time; ask again later")]
     Full,
+    /// The request is likely to crash the endpoint that runs it; it is refused for this time.
+    #[error("endpoints crashed when they ran this request; change it before you send it again")]
+    Suspected(Duration),
     /// None of the endpoints to which the request was sent has run it.
     #[error("the endpoints that were asked did not run the request; ask again")]
     Declined,
@@ -76,9 +79,11 @@
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Missing => StatusCode::NOT_FOUND,
             Self::Denied => StatusCode::UNAUTHORIZED,
-            Self::Unconfigured | Self::Leaving | Self::Full | Self::Declined => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Unconfigured
+            | Self::Leaving
+            | Self::Full
+            | Self::Declined
+            | Self::Suspected(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -90,6 +95,7 @@
             Self::Leaving | Self::Declined => Some(RETRY_ELSEWHERE_DELAY),
             Self::Unconfigured => Some(RETRY_UNCONFIGURED_DELAY),
             Self::Full => Some(RETRY_FULL_DELAY),
+            Self::Suspected(time) => Some(time),
             _ => None,
         }
     }
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -20,7 +20,7 @@
 use crate::event::Event;
 use crate::gaps::Gaps;
 use crate::job::Job;
-use crate::message::{Failover, FirstToken, Grant, Notice, ObserveGaps, Retry, Rollback};
+use crate::message::{Failover, FirstToken, Grant, Notice, ObserveGaps, Proof, Retry, Rollback};
 use crate::migration::{State, join_copy};
 use crate::proxy::Proxy;
 use crate::sse::Splitter;
@@ -63,6 +63,8 @@
     pub(crate) splitter: Splitter,
     /// When the first data arrived from the current engine, or when the run resumed there.
     pub(crate) first_data_at: Option<Instant>,
+    /// Whether the run has gone well at an engine for some time.
+    proven: bool,
     /// Gaps between the events.
     gaps: Gaps,
     /// Progress of the migration to another engine.
@@ -120,6 +122,7 @@
             sender,
             splitter,
             first_data_at: None,
+            proven: false,
             gaps: Gaps::default(),
             migration: State::Idle,
             runs_left,
@@ -162,7 +165,7 @@
                 Action::Fail(reason) => {
                     if reason != SILENT {
                         self.grant.signal = Signal::Failed;
-                        self.report_broken();
+                        self.report_broken().await;
                     }
                     if !self.recover(reason).await {
                         break "interrupted";
@@ -223,11 +226,22 @@
 
     /// Reports that the engine has broken off the run, unless it had run well for some time: the run
     /// itself may be the reason.
-    fn report_broken(&self) {
-        let ran_well = |first_data: Instant| first_data.elapsed() >= PROOF_TIME;
-        if !self.first_data_at.is_some_and(ran_well) {
+    async fn report_broken(&self) {
+        if !self.proven {
             let events = self.splitter.event_count();
-            self.proxy.report_broken(&self.job, &self.grant, events);
+            self.proxy
+                .report_broken(&self.job, &self.grant, events)
+                .await;
+        }
+    }
+
+    /// Reports once that the run does not crash its engine.
+    async fn report_proof(&mut self) {
+        let ran_well = |first_data: Instant| first_data.elapsed() >= PROOF_TIME;
+        if !self.proven && self.first_data_at.is_some_and(ran_well) {
+            self.proven = true;
+            // The pool ends only with the process.
+            let _ = self.proxy.pool.send(Proof(self.grant.run)).await;
         }
     }
 
@@ -243,6 +257,7 @@
             // The pool ends only with the process.
             let _ = self.proxy.pool.send(FirstToken(self.grant.run)).await;
         }
+        self.report_proof().await;
         let count_before = self.splitter.event_count();
         let Ok(events) = self.splitter.push(bytes) else {
             return Delivery::Malformed;
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -5,8 +5,9 @@
 use std::time::Instant;
 
 use daisyyard_core::choice::{Choice, Purpose};
+use daisyyard_core::crash::Verdict;
 use daisyyard_core::endpoint::{Endpoint, Kind, State};
-use daisyyard_core::id::{EndpointId, RequestId, ServiceId};
+use daisyyard_core::id::{EndpointId, Fingerprint, RequestId, ServiceId};
 use daisyyard_core::load::{Load, Need};
 use daisyyard_core::pool::Signal;
 use tokio::sync::mpsc;
@@ -14,8 +15,8 @@
 
 use crate::digest::early_interval;
 use crate::message::{
-    Abandon, Claim, Failover, FirstToken, Grant, Migrate, Notice, ObserveGaps, Place, Plan,
-    Release, Restart, Rollback,
+    Abandon, Claim, Failover, FirstToken, Grant, Migrate, Notice, ObserveGaps, Place, Placement,
+    Plan, Release, Restart, Rollback,
 };
 use crate::pool::Pool;
 
@@ -38,8 +39,10 @@
     rejected: Vec<EndpointId>,
     /// Resources that the request needs.
     need: Need,
+    /// Fingerprints of what the caller asks for.
+    pub(crate) contents: Arc<[Fingerprint]>,
     /// When the run was sent to its endpoint.
-    sent_at: Instant,
+    pub(crate) sent_at: Instant,
     /// Whether the first token has not arrived yet.
     awaits_first_token: bool,
     /// Notifies the task of the request of changes of the endpoint.
@@ -52,6 +55,11 @@
         if claim.reply.is_closed() {
             return None;
         }
+        if let Verdict::Refuse(until) = self.evidence.verdict(&claim.contents, now) {
+            // If the caller has disconnected, nobody needs the refusal.
+            let _ = claim.reply.send(Placement::Refused(until - now));
+            return None;
+        }
         let unseen_runs = self.count_unseen_runs(claim.need.service, now);
         self.endpoints.set_unseen_runs(unseen_runs);
         let choice = self.endpoints.choose(&claim.need, &claim.excluded, now);
@@ -71,6 +79,7 @@
             backup: backup.as_ref().map(|backup| backup.id),
             rejected: Vec::new(),
             need: claim.need,
+            contents: claim.contents,
             sent_at: now,
             awaits_first_token: true,
             notices,
@@ -92,7 +101,7 @@
             pool: self.address.clone(),
         };
         // If the caller has disconnected, the grant is dropped, which releases the capacity.
-        let _ = claim.reply.send(grant);
+        let _ = claim.reply.send(Placement::Granted(grant));
         None
     }
 
@@ -220,6 +229,9 @@
         if let Some(run) = self.runs.remove(&id) {
             self.apply_load(&run, false);
             self.observe(run.endpoint, signal);
+            if signal == Signal::Answered {
+                self.record_proof(&run.contents);
+            }
             self.schedule();
         }
     }
@@ -256,8 +268,13 @@
         let Failover(id, signal) = message;
         let fail_over = |pool: &mut Self, run: &mut Run| {
             pool.observe(run.endpoint, signal);
+            let now = Instant::now();
+            if pool.evidence.verdict(&run.contents, now) != Verdict::Allow {
+                return None;
+            }
             let target = run.backup.take().and_then(|id| pool.live(id))?;
             run.endpoint = target.id;
+            run.sent_at = now;
             run.awaits_first_token = false;
             let backup = if run.need.backup {
                 pool.choose_backup(run, Purpose::Copy)
@@ -282,6 +299,9 @@
                 run.rejected.push(run.endpoint);
             }
             let now = Instant::now();
+            if pool.evidence.verdict(&run.contents, now) != Verdict::Allow {
+                return Place::Missing;
+            }
             match pool.endpoints.choose(&run.need, &run.rejected, now) {
                 Choice::Send {
                     endpoint, backup, ..
--- a/crates/daisyyard_standin/src/platform_engine.rs
+++ b/crates/daisyyard_standin/src/platform_engine.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -25,6 +25,12 @@
 /// Number of tokens that an event stands for.
 const TOKENS_PER_EVENT: u64 = 4;
 
+/// Word in the body of a request that makes each engine break off the connection when it runs the
+/// request.
+pub const CRASH_WORD: &str = "crash=1";
+/// Length that the answer to such a request claims to have, in bytes.
+const CRASH_ANSWER_BYTES: usize = 64;
+
 /// Treatment of requests by an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mode {
@@ -245,6 +251,9 @@
         let resumed = headers.contains_key("kv-from");
         let available = !resumed || self.has_copy(&attempt).await;
         let ran = expected == self.name && mode != Mode::Declining && available;
+        let crashes = body
+            .windows(CRASH_WORD.len())
+            .any(|word| word == CRASH_WORD.as_bytes());
         let arrival = Arrival {
             engine: self.name.clone(),
             path: parts.uri.to_string(),
@@ -264,6 +273,13 @@
                 .insert("x-daisyyard-not-executed", yes);
             return declined;
         }
+        if crashes {
+            let (_, receiver) = mpsc::channel(READER_BUFFER_EVENTS);
+            let mut cut = response(StatusCode::OK, &attempt, http::channel(receiver));
+            let length = HeaderValue::from(CRASH_ANSWER_BYTES);
+            cut.headers_mut().insert(CONTENT_LENGTH, length);
+            return cut;
+        }
         match mode {
             Mode::Failing => response(
                 StatusCode::INTERNAL_SERVER_ERROR,
