Wait for readiness in the test of silent readers

It asked a gateway for addresses before the process listened, and failed once in a full run with a refused connection. The checks are unchanged.

--- a/crates/daisyyard/tests/silent_readers.rs
+++ b/crates/daisyyard/tests/silent_readers.rs
@@ -39,6 +39,10 @@
             links.push(link);
         }
         for gateway in &platform.gateways {
+            wait_until("the gateway is ready", async || {
+                platform::status(gateway.ready, "/-/readiness").await == Some(StatusCode::OK)
+            })
+            .await;
             wait_until("all gateways are listed", async || {
                 let text = platform::text(gateway.directory, "/-/resolution?zone=zone-a").await;
                 text.matches("127.").count() == GATEWAYS
