Keep the refusals of contents in the store

Cause: the records of crashes lived in the processes of the gateways only. The class of fault: what must last is kept where it does not.

Change: the gateway that observes the last crash writes the refusal to the platform's store under a lease of ten minutes, and a reader of the store does so 2 s later if that gateway has ended. Gateways read the refusals with all other keys when they start; a run that goes well deletes them.

--- a/crates/daisyyard/tests/crashing_content.rs
+++ b/crates/daisyyard/tests/crashing_content.rs
@@ -122,3 +122,21 @@
     assert_eq!(status, Some(StatusCode::SERVICE_UNAVAILABLE));
     assert_eq!(platform.ran("/draft/1").await.len(), before);
 }
+
+/// Gateways that are all killed at the same moment still refuse the request after their start.
+#[tokio::test]
+async fn survives_kill() {
+    let mut platform = start(4, 0, 2).await;
+    let request = crashing(Method::POST, "/draft/1");
+    check_sends(&platform, &request).await;
+    platform.gateways.clear();
+    for _ in 0..2 {
+        platform.start_gateway().await;
+    }
+    let before = platform.ran("/draft/1").await.len();
+    for gateway in 0..2 {
+        let status = send_to(&platform, gateway, "after-kill", &request).await;
+        assert_eq!(status, Some(StatusCode::SERVICE_UNAVAILABLE));
+    }
+    assert_eq!(platform.ran("/draft/1").await.len(), before);
+}
--- a/crates/daisyyard_core/src/crash.rs
+++ b/crates/daisyyard_core/src/crash.rs
@@ -54,6 +54,8 @@
     pub crashes: Vec<Crash>,
     /// When a run with the content last went well.
     pub proven_at: Option<Instant>,
+    /// When the refusal of the content was last read from the store; none if it is not there.
+    pub stored_at: Option<Instant>,
 }
 
 /// Contents that were in progress at crashes.
@@ -70,13 +72,20 @@
             content,
             crashes: Vec::new(),
             proven_at: None,
+            stored_at: None,
         }
     }
 
+    /// Returns when the content last crashed an endpoint.
+    #[must_use]
+    pub fn last_crash(&self) -> Option<Instant> {
+        self.crashes.last().map(|crash| crash.at)
+    }
+
     /// Returns when the record expires.
     fn expires(&self) -> Option<Instant> {
-        let last = self.crashes.last().map(|crash| crash.at);
-        Some(last.max(self.proven_at)? + RECORD_TTL)
+        let last = self.last_crash().max(self.proven_at).max(self.stored_at);
+        Some(last? + RECORD_TTL)
     }
 
     /// Returns the number of crashes in a row since a run last went well.
@@ -102,7 +111,7 @@
     /// Returns whether requests with the content are refused.
     #[must_use]
     pub fn is_refused(&self) -> bool {
-        self.count() >= MAX_CRASHES
+        self.count() >= MAX_CRASHES || self.stored_at > self.proven_at
     }
 
     /// Adds a crash; returns whether it was not known.
@@ -173,7 +182,8 @@
         for content in contents {
             // Only contents of crashes need a proof.
             let record = self.records.get_mut(content);
-            if let Some(record) = record.filter(|record| record.count() > 0) {
+            let suspected = |record: &&mut Record| record.count() > 0 || record.is_refused();
+            if let Some(record) = record.filter(suspected) {
                 record.prove(now);
                 changed.push(record.clone());
             }
@@ -198,6 +208,16 @@
         new
     }
 
+    /// Records that the store has the refusal of a content, or no longer.
+    pub fn record_stored(&mut self, content: Fingerprint, stored: bool, now: Instant) {
+        if stored {
+            self.record(content).stored_at = Some(now);
+            self.evict(now);
+        } else if let Some(record) = self.records.get_mut(&content) {
+            record.stored_at = None;
+        }
+    }
+
     /// Returns the records of contents that are refused.
     pub fn refused(&self, now: Instant) -> impl Iterator<Item = &Record> {
         let records = self.records.values();
--- a/crates/daisyyard_core/tests/crash_evidence.rs
+++ b/crates/daisyyard_core/tests/crash_evidence.rs
@@ -107,6 +107,24 @@
     }
 }
 
+/// A refusal that was read from the store holds without any crash, until the store has it no longer or
+/// a run goes well.
+#[test]
+fn keeps_stored_refusal() {
+    let start = Instant::now();
+    let mut evidence = Evidence::new();
+    evidence.record_stored(DEADLY, true, start);
+    assert_eq!(
+        evidence.verdict(&[DEADLY], start),
+        Verdict::Refuse(start + RECORD_TTL)
+    );
+    evidence.record_stored(DEADLY, false, start);
+    assert_eq!(evidence.verdict(&[DEADLY], start), Verdict::Allow);
+    evidence.record_stored(DEADLY, true, start);
+    evidence.record_proof(&[DEADLY], after(start, 1));
+    assert_eq!(evidence.verdict(&[DEADLY], after(start, 1)), Verdict::Allow);
+}
+
 /// Contents of a flood of broken runs do not exhaust the memory, and refused ones stay refused.
 #[test]
 fn stays_bounded() {
@@ -140,7 +158,7 @@
             records.extend(source.record_crash(&[SOUND], crash(start, endpoint, decisecond * 3_000)));
         }
         let proven_at = proof.map(|proof| after(start, proof * 3_000));
-        records.push(Record { content: SOUND, crashes: Vec::new(), proven_at });
+        records.push(Record { content: SOUND, crashes: Vec::new(), proven_at, stored_at: None });
         for record in &records {
             one.learn(record, start);
         }
--- a/crates/daisyyard_gateway/src/content.rs
+++ b/crates/daisyyard_gateway/src/content.rs
@@ -8,6 +8,7 @@
 use daisyyard_core::roster::Role;
 use xtra::{Context, Handler};
 
+use crate::archive::Change;
 use crate::event::Event;
 use crate::message::{Break, EvidenceReport, Placement, Proof, ShareEvidence};
 use crate::pool::Pool;
@@ -16,6 +17,10 @@
 /// times, as datagrams are lost.
 const REPORT_TIME: Duration = Duration::from_secs(3);
 
+/// Time after the last crash by which the refusal of a content is in the store, unless the gateway
+/// that observed the crash has ended.
+const STORE_TIME: Duration = Duration::from_secs(2);
+
 impl Pool {
     /// Records that a run with these contents went well.
     pub(crate) fn record_proof(&mut self, contents: &[Fingerprint]) {
@@ -25,6 +30,10 @@
             let changed = self.evidence.record_proof(&[content], now);
             self.report_observations(&changed, now);
             self.apply_change(content, refused, now);
+            if refused && !self.is_refused(content) {
+                // The task ends only with the process.
+                let _ = self.archive.send(Change::Remove(content));
+            }
         }
     }
 
@@ -38,6 +47,38 @@
         }
     }
 
+    /// Records that the store has the refusal of a content, or no longer.
+    pub(crate) fn apply_refusal(&mut self, content: Fingerprint, stored: bool, now: Instant) {
+        let refused = self.is_refused(content);
+        self.evidence.record_stored(content, stored, now);
+        self.apply_change(content, refused, now);
+    }
+
+    /// Stores the refusals that the gateway which observed the last crash has not stored, because it
+    /// has ended since.
+    pub(crate) fn store_refusals(&mut self, now: Instant) {
+        if self.members.role() != Role::Reader {
+            return;
+        }
+        let missing = |record: &&Record| {
+            let last_crash = record.last_crash();
+            let due = |at: Instant| now.saturating_duration_since(at) >= STORE_TIME;
+            record.stored_at.is_none() && last_crash.is_some_and(due)
+        };
+        let missing: Vec<Fingerprint> = self
+            .evidence
+            .refused(now)
+            .filter(missing)
+            .map(|record| record.content)
+            .collect();
+        for content in missing {
+            // The watch confirms it; until then it counts as stored.
+            self.evidence.record_stored(content, true, now);
+            // The task ends only with the process.
+            let _ = self.archive.send(Change::Put(content));
+        }
+    }
+
     /// Reports changed records to the other gateways.
     fn report_observations(&mut self, changed: &[Record], now: Instant) {
         if changed.is_empty() {
@@ -108,6 +149,10 @@
             let changed = self.evidence.record_crash(&[content], crash);
             self.report_observations(&changed, now);
             self.apply_change(content, refused, now);
+            if !refused && self.is_refused(content) {
+                // The task ends only with the process.
+                let _ = self.archive.send(Change::Put(content));
+            }
         }
     }
 }
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -57,6 +57,8 @@
     RunBroken = 138,
     /// Requests with a content are refused from now on, because it crashes endpoints, or no longer.
     ContentRefused = 139,
+    /// The store rejected a change of the refusal of a content; it is tried again.
+    RefusalUnstored = 140,
 }
 
 /// Log level of each event.
@@ -87,6 +89,7 @@
     (Event::CopyStarted, Level::Info),
     (Event::RunBroken, Level::Warn),
     (Event::ContentRefused, Level::Warn),
+    (Event::RefusalUnstored, Level::Warn),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! An adapter describes the platform's messages with a [`codec::Codec`]; this crate and
 //! `daisyyard_core` decide on routing, limits, retries, membership and recovery.
 
+pub(crate) mod archive;
 pub mod body;
 pub(crate) mod buffer;
 pub mod codec;
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -16,9 +16,10 @@
 use daisyyard_core::listing::Listing;
 use daisyyard_core::shared_retry_budget::{self, Budget};
 use daisyyard_core::zone::Zone;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
 
+use crate::archive;
 use crate::codec::{Codec, Item, Record};
 use crate::event::Event;
 use crate::log::Log;
@@ -85,6 +86,8 @@
     pub(crate) observed_at: HashMap<Fingerprint, Instant>,
     /// Number of these observations so far.
     pub(crate) observations: u64,
+    /// Task that keeps refusals of contents in the store.
+    pub(crate) archive: mpsc::UnboundedSender<archive::Change>,
     /// Whether this gateway is leaving.
     pub(crate) leaving: bool,
     /// Log of the gateway.
@@ -133,6 +136,7 @@
         evidence: crash::Evidence::new(),
         observed_at: HashMap::new(),
         observations: 0,
+        archive: archive::spawn(settings.store, codec, log.clone()),
         leaving: false,
         log,
     };
@@ -179,6 +183,7 @@
                 let details = format!("key={key} reason={reason:?}");
                 self.log.emit(Event::ValueUnusable, &details);
             }
+            Record::Refusal(content, stored) => self.apply_refusal(content, stored, now),
             // The watcher keeps the configuration.
             Record::Catalog(_) | Record::Other => {}
         }
@@ -381,6 +386,7 @@
         }
         // Dropping a claim refuses the request.
         drop(self.backlog.expire(now));
+        self.store_refusals(now);
         self.update_roster(now);
         self.schedule();
     }
