Log the parts of prompts whose runs endpoints break off

No source read the parts of a prompt, so that the logs could not show what different requests have in common. The adapter decodes the parts that requests may share, and RunBroken names their fingerprints.

--- a/crates/daisyyard_gateway/src/codec.rs
+++ b/crates/daisyyard_gateway/src/codec.rs
@@ -34,6 +34,8 @@
     pub expected_output_tokens: Option<Tokens>,
     /// Where the caller wants a stream to start.
     pub position: Position,
+    /// Fingerprints of the parts of the prompt that other requests may share, in their order.
+    pub shared_parts: Vec<Fingerprint>,
 }
 
 /// Position in a stream, by the numbers of its events.
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -310,9 +310,10 @@
     /// Reports that an endpoint closed the connection of a run early, after a number of events.
     pub(crate) async fn report_broken(&self, job: &Job, grant: &Grant, events: u64) {
         let details = format!(
-            "request={} content={:032x} endpoint={} events={events}",
+            "request={} content={:032x} parts={:032x?} endpoint={} events={events}",
             job.attempt,
             job.content(),
+            job.parameters.shared_parts,
             grant.endpoint.name,
         );
         self.log.emit(Event::RunBroken, &details);
