Refuse requests with a part of a prompt that crashes engines

Cause: only whole requests were compared, so that nothing the requests had in common was recorded. The class of fault: evidence that is kept under a key which the next occurrence does not repeat.

Change: the contents of a request are itself and the shared parts of its prompt. A crash implicates them all, so contents that crashes do not tell apart are refused as a group, only for requests with the whole group; those with just the sound parts are sent, and prove them. The store keeps groups, which it names in the keys. Reports are limited to 16 records at a time.

--- a/crates/daisyyard_core/src/crash.rs
+++ b/crates/daisyyard_core/src/crash.rs
@@ -2,8 +2,12 @@
 //!
 //! Nodes record which contents were in progress when endpoints broke runs off, and tell each other in
 //! datagrams, which can be lost, repeated and reordered. A content is refused once several crashes in a
-//! row have it in common. A run that goes well proves its content sound, which cancels all earlier
+//! row have it in common. A run that goes well proves its contents sound, which cancels all earlier
 //! crashes: contents that are in progress at a crash by chance are soon run elsewhere.
+//!
+//! A request has several contents: itself as a whole, and the parts of its prompt that others share. A
+//! crash implicates all of them, so contents that crashes do not tell apart are refused as a group: only
+//! requests with all of them. Requests which share just the sound ones go on and prove them.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -54,15 +58,18 @@
     pub crashes: Vec<Crash>,
     /// When a run with the content last went well.
     pub proven_at: Option<Instant>,
-    /// When the refusal of the content was last read from the store; none if it is not there.
-    pub stored_at: Option<Instant>,
 }
 
+/// Contents that crashes do not tell apart, in ascending order; requests with all of them are refused.
+pub type Group = Vec<Fingerprint>;
+
 /// Contents that were in progress at crashes.
 #[derive(Debug, Default)]
 pub struct Evidence {
     /// Records by content.
     records: HashMap<Fingerprint, Record>,
+    /// Groups that were read from the store, with the time of the read.
+    stored: HashMap<Group, Instant>,
 }
 
 impl Record {
@@ -72,7 +79,6 @@
             content,
             crashes: Vec::new(),
             proven_at: None,
-            stored_at: None,
         }
     }
 
@@ -84,18 +90,29 @@
 
     /// Returns when the record expires.
     fn expires(&self) -> Option<Instant> {
-        let last = self.last_crash().max(self.proven_at).max(self.stored_at);
-        Some(last? + RECORD_TTL)
+        Some(self.last_crash().max(self.proven_at)? + RECORD_TTL)
     }
 
     /// Returns the number of crashes in a row since a run last went well.
     #[must_use]
     pub fn count(&self) -> usize {
+        self.count_without(None)
+    }
+
+    /// Returns whether another content was in progress at so many of these crashes that the rest is not
+    /// enough to refuse this one.
+    fn is_explained_by(&self, other: &Self) -> bool {
+        self.count_without(Some(other)) < MAX_CRASHES
+    }
+
+    /// Returns the number of crashes in a row that another record does not share.
+    fn count_without(&self, other: Option<&Self>) -> usize {
         let unproven = self.crashes.iter();
         let unproven = unproven.filter(|crash| Some(crash.at) > self.proven_at);
+        let explained = |crash: &Crash| other.is_some_and(|other| other.has(crash));
         let mut last: Option<&Crash> = None;
         let mut count = 0;
-        for crash in unproven {
+        for crash in unproven.filter(|crash| !explained(crash)) {
             let separate = last.is_none_or(|last| {
                 crash.sent_at > last.at
                     || crash.at.saturating_duration_since(last.at) >= MIN_CRASH_INTERVAL
@@ -108,21 +125,25 @@
         count
     }
 
+    /// Returns whether the record contains a crash, perhaps as another node reported it.
+    fn has(&self, crash: &Crash) -> bool {
+        // Runs that were in progress at one endpoint at the same time were broken off by one crash.
+        self.crashes.iter().any(|known| {
+            let overlap = known.sent_at <= crash.at + REPORT_TOLERANCE
+                && crash.sent_at <= known.at + REPORT_TOLERANCE;
+            known.endpoint == crash.endpoint && overlap
+        })
+    }
+
     /// Returns whether requests with the content are refused.
     #[must_use]
     pub fn is_refused(&self) -> bool {
-        self.count() >= MAX_CRASHES || self.stored_at > self.proven_at
+        self.count() >= MAX_CRASHES
     }
 
     /// Adds a crash; returns whether it was not known.
     fn add(&mut self, crash: Crash) -> bool {
-        // Runs that were in progress at one endpoint at the same time were broken off by one crash.
-        let same = |known: &Crash| {
-            let overlap = known.sent_at <= crash.at + REPORT_TOLERANCE
-                && crash.sent_at <= known.at + REPORT_TOLERANCE;
-            known.endpoint == crash.endpoint && overlap
-        };
-        if self.crashes.iter().any(same) {
+        if self.has(&crash) {
             return false;
         }
         let later = self.crashes.iter().position(|known| known.at > crash.at);
@@ -152,17 +173,65 @@
     /// Decides whether a request with these contents may be sent.
     #[must_use]
     pub fn verdict(&self, contents: &[Fingerprint], now: Instant) -> Verdict {
-        let records = contents
+        let has_all = |group: &Group| group.iter().all(|content| contents.contains(content));
+        let refused = contents
             .iter()
-            .filter_map(|content| self.records.get(content));
-        let refused = records.filter(|record| record.is_refused());
-        let until = refused.filter_map(Record::expires).max();
-        match until.filter(|until| *until > now) {
+            .filter_map(|content| self.records.get(content))
+            .filter(|record| record.is_refused() && has_all(&self.group_of(record, now)))
+            .filter_map(Record::expires);
+        let stored = self.stored.iter().filter(|(group, _)| has_all(group));
+        let stored = stored.map(|(_, read_at)| *read_at + RECORD_TTL);
+        match refused.chain(stored).max().filter(|until| *until > now) {
             Some(until) => Verdict::Refuse(until),
             None => Verdict::Allow,
         }
     }
 
+    /// Returns the groups of contents that are refused, other than those in the store, which the crashes
+    /// up to a time show.
+    #[must_use]
+    pub fn unstored_groups(&self, until: Instant, now: Instant) -> Vec<Group> {
+        let shown = |record: &&Record| record.last_crash().is_some_and(|at| at <= until);
+        let records = self.refused(now).filter(shown);
+        let mut groups: Vec<Group> = records.map(|record| self.group_of(record, now)).collect();
+        groups.sort();
+        groups.dedup();
+        groups.retain(|group| !self.stored.contains_key(group));
+        groups
+    }
+
+    /// Returns the refused contents that crashes do not tell apart from a refused one.
+    fn group_of(&self, record: &Record, now: Instant) -> Group {
+        let explains = |other: &&Record| record.is_explained_by(other);
+        let contents = self.refused(now).filter(explains);
+        let mut group: Group = contents.map(|other| other.content).collect();
+        group.sort_unstable();
+        group
+    }
+
+    /// Records that the store has a group of refused contents.
+    pub fn record_stored(&mut self, group: Group, now: Instant) {
+        self.stored.insert(group, now);
+    }
+
+    /// Records that the store does not have a group any longer.
+    pub fn remove_stored(&mut self, group: &Group) {
+        self.stored.remove(group);
+    }
+
+    /// Forgets which groups the store has, before all of them are read again.
+    pub fn clear_stored(&mut self) {
+        self.stored.clear();
+    }
+
+    /// Removes and returns the groups in the store that a run with these contents, which went well,
+    /// disproves.
+    pub fn disprove(&mut self, contents: &[Fingerprint]) -> Vec<Group> {
+        let disproved = |group: &Group| group.iter().all(|content| contents.contains(content));
+        let groups = self.stored.extract_if(|group, _| disproved(group));
+        groups.map(|(group, _)| group).collect()
+    }
+
     /// Records a crash at which contents were in progress; returns the records that have changed.
     pub fn record_crash(&mut self, contents: &[Fingerprint], crash: Crash) -> Vec<Record> {
         let mut changed = Vec::new();
@@ -182,8 +251,7 @@
         for content in contents {
             // Only contents of crashes need a proof.
             let record = self.records.get_mut(content);
-            let suspected = |record: &&mut Record| record.count() > 0 || record.is_refused();
-            if let Some(record) = record.filter(suspected) {
+            if let Some(record) = record.filter(|record| record.count() > 0) {
                 record.prove(now);
                 changed.push(record.clone());
             }
@@ -208,16 +276,6 @@
         new
     }
 
-    /// Records that the store has the refusal of a content, or no longer.
-    pub fn record_stored(&mut self, content: Fingerprint, stored: bool, now: Instant) {
-        if stored {
-            self.record(content).stored_at = Some(now);
-            self.evict(now);
-        } else if let Some(record) = self.records.get_mut(&content) {
-            record.stored_at = None;
-        }
-    }
-
     /// Returns the records of contents that are refused.
     pub fn refused(&self, now: Instant) -> impl Iterator<Item = &Record> {
         let records = self.records.values();
--- a/crates/daisyyard_gateway/src/archive.rs
+++ b/crates/daisyyard_gateway/src/archive.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use daisyyard_core::id::Fingerprint;
+use daisyyard_core::crash::Group;
 use daisyyard_core::suspect::RECORD_TTL;
 use tokio::sync::mpsc;
 
@@ -19,12 +19,12 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 
 /// Change of the refusals in the store.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 pub(crate) enum Change {
-    /// The content is refused.
-    Put(Fingerprint),
-    /// The content is no longer refused.
-    Remove(Fingerprint),
+    /// The group of contents is refused.
+    Put(Group),
+    /// The group of contents is no longer refused.
+    Remove(Group),
 }
 
 /// Writes refusals to the store.
@@ -48,7 +48,7 @@
     };
     tokio::spawn(async move {
         while let Some(change) = changes.recv().await {
-            archive.apply(change).await;
+            archive.apply(&change).await;
         }
     });
     sender
@@ -56,7 +56,7 @@
 
 impl Archive {
     /// Makes a change, with retries until the store has confirmed it.
-    async fn apply(&self, change: Change) {
+    async fn apply(&self, change: &Change) {
         let mut backoff = Backoff::new(MAX_RETRY_DELAY);
         while let Err(error) = self.write(change).await {
             // The watcher logs that the store is unavailable.
@@ -69,15 +69,15 @@
     }
 
     /// Makes a change once. A repeated change has the same result.
-    async fn write(&self, change: Change) -> Result<(), Error> {
+    async fn write(&self, change: &Change) -> Result<(), Error> {
         let store = self.codec.store;
         let call = match change {
-            Change::Put(content) => {
+            Change::Put(group) => {
                 let response = self.call((store.grant_lease)(RECORD_TTL)).await?;
                 let lease = (store.read_lease)(&response).map_err(Error::Unusable)?;
-                (store.put_refusal)(content, lease)
+                (store.put_refusal)(group, lease)
             }
-            Change::Remove(content) => (store.remove_refusal)(content),
+            Change::Remove(group) => (store.remove_refusal)(group),
         };
         self.call(call).await.map(drop)
     }
--- a/crates/daisyyard_gateway/src/codec.rs
+++ b/crates/daisyyard_gateway/src/codec.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use daisyyard_core::catalog::Catalog;
+use daisyyard_core::crash::Group;
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::id::{EndpointId, Fingerprint, Revision, Tokens};
 use daisyyard_derive::{key, value};
@@ -109,8 +110,8 @@
     Unlisted(EndpointId),
     /// A gateway: its name within the key, and its entry unless that was deleted.
     Gateway(String, Option<Bytes>),
-    /// A content that is refused because it crashes endpoints, and whether it still is.
-    Refusal(Fingerprint, bool),
+    /// A group of contents that is refused because it crashes endpoints, and whether it still is.
+    Refusal(Group, bool),
     /// A value that cannot be decoded: its key and the reason.
     Unusable(String, String),
     /// A key that the gateway does not use.
@@ -191,10 +192,10 @@
     pub revoke_lease: fn(LeaseId) -> Call,
     /// Writes the entry of a gateway.
     pub put: fn(&Entry) -> Call,
-    /// Writes the refusal of a content, which ends with the lease.
-    pub put_refusal: fn(Fingerprint, LeaseId) -> Call,
-    /// Deletes the refusal of a content.
-    pub remove_refusal: fn(Fingerprint) -> Call,
+    /// Writes the refusal of a group of contents, which ends with the lease.
+    pub put_refusal: fn(&Group, LeaseId) -> Call,
+    /// Deletes the refusal of a group of contents.
+    pub remove_refusal: fn(&Group) -> Call,
 }
 
 /// Calls to the control interface of the engines.
--- a/crates/daisyyard_gateway/src/content.rs
+++ b/crates/daisyyard_gateway/src/content.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use daisyyard_core::crash::{Crash, Record, Verdict};
+use daisyyard_core::crash::{Crash, Group, Record, Verdict};
 use daisyyard_core::id::Fingerprint;
 use daisyyard_core::roster::Role;
 use xtra::{Context, Handler};
@@ -17,6 +17,12 @@
 /// times, as datagrams are lost.
 const REPORT_TIME: Duration = Duration::from_secs(3);
 
+/// Maximum number of contents in a group that is stored, as the key names them all. Larger groups become
+/// smaller with the first proofs.
+const MAX_STORED_CONTENTS: usize = 5;
+/// Maximum number of records that are reported at a time, the newest ones. When many endpoints are lost
+/// at once, the rest goes unreported; a content that crashes endpoints is soon observed again.
+const MAX_REPORTED: usize = 16;
 /// Time after the last crash by which the refusal of a content is in the store, unless the gateway
 /// that observed the crash has ended.
 const STORE_TIME: Duration = Duration::from_secs(2);
@@ -30,10 +36,10 @@
             let changed = self.evidence.record_proof(&[content], now);
             self.report_observations(&changed, now);
             self.apply_change(content, refused, now);
-            if refused && !self.is_refused(content) {
-                // The task ends only with the process.
-                let _ = self.archive.send(Change::Remove(content));
-            }
+        }
+        for group in self.evidence.disprove(contents) {
+            // The task ends only with the process.
+            let _ = self.archive.send(Change::Remove(group));
         }
     }
 
@@ -47,35 +53,35 @@
         }
     }
 
-    /// Records that the store has the refusal of a content, or no longer.
-    pub(crate) fn apply_refusal(&mut self, content: Fingerprint, stored: bool, now: Instant) {
-        let refused = self.is_refused(content);
-        self.evidence.record_stored(content, stored, now);
-        self.apply_change(content, refused, now);
+    /// Records that the store has the refusal of a group of contents, or no longer.
+    pub(crate) fn apply_refusal(&mut self, group: Group, stored: bool, now: Instant) {
+        if stored {
+            self.evidence.record_stored(group, now);
+            self.refuse_waiting(now);
+        } else {
+            self.evidence.remove_stored(&group);
+        }
     }
 
     /// Stores the refusals that the gateway which observed the last crash has not stored, because it
-    /// has ended since.
+    /// has ended since, or because proofs have made the group smaller.
     pub(crate) fn store_refusals(&mut self, now: Instant) {
-        if self.members.role() != Role::Reader {
-            return;
+        if self.members.role() == Role::Reader
+            && let Some(until) = now.checked_sub(STORE_TIME)
+        {
+            self.store_groups(until, now);
         }
-        let missing = |record: &&Record| {
-            let last_crash = record.last_crash();
-            let due = |at: Instant| now.saturating_duration_since(at) >= STORE_TIME;
-            record.stored_at.is_none() && last_crash.is_some_and(due)
-        };
-        let missing: Vec<Fingerprint> = self
-            .evidence
-            .refused(now)
-            .filter(missing)
-            .map(|record| record.content)
-            .collect();
-        for content in missing {
-            // The watch confirms it; until then it counts as stored.
-            self.evidence.record_stored(content, true, now);
+    }
+
+    /// Stores the refusals that the crashes up to a time show.
+    fn store_groups(&mut self, until: Instant, now: Instant) {
+        let mut groups = self.evidence.unstored_groups(until, now);
+        groups.retain(|group| group.len() <= MAX_STORED_CONTENTS);
+        for group in groups {
+            // The task repeats the write until it succeeds.
+            self.evidence.record_stored(group.clone(), now);
             // The task ends only with the process.
-            let _ = self.archive.send(Change::Put(content));
+            let _ = self.archive.send(Change::Put(group));
         }
     }
 
@@ -116,13 +122,18 @@
             crashes.join(","),
         );
         self.log.emit(Event::ContentRefused, &details);
+        self.refuse_waiting(now);
+    }
+
+    /// Refuses the waiting requests that must not be sent any longer.
+    fn refuse_waiting(&mut self, now: Instant) {
         let evidence = &self.evidence;
-        let refused = |contents: &[Fingerprint]| evidence.verdict(contents, now);
+        let verdict = |contents: &[Fingerprint]| evidence.verdict(contents, now);
         let claims = self
             .backlog
-            .remove(|claim| refused(&claim.contents) != Verdict::Allow);
+            .remove(|claim| verdict(&claim.contents) != Verdict::Allow);
         for claim in claims {
-            if let Verdict::Refuse(until) = refused(&claim.contents) {
+            if let Verdict::Refuse(until) = verdict(&claim.contents) {
                 // If the caller has disconnected, nobody needs the refusal.
                 let _ = claim.reply.send(Placement::Refused(until - now));
             }
@@ -149,11 +160,8 @@
             let changed = self.evidence.record_crash(&[content], crash);
             self.report_observations(&changed, now);
             self.apply_change(content, refused, now);
-            if !refused && self.is_refused(content) {
-                // The task ends only with the process.
-                let _ = self.archive.send(Change::Put(content));
-            }
         }
+        self.store_groups(now, now);
     }
 }
 
@@ -176,9 +184,11 @@
         let refused: Vec<Record> = self.evidence.refused(now).cloned().collect();
         self.observed_at
             .retain(|_, at| now.saturating_duration_since(*at) < REPORT_TIME);
-        let observed = self.observed_at.keys();
-        let observed = observed.filter_map(|content| self.evidence.get(*content));
-        let mut recent: Vec<Record> = observed.cloned().collect();
+        let mut observed: Vec<(&Fingerprint, &Instant)> = self.observed_at.iter().collect();
+        observed.sort_by_key(|(_, at)| std::cmp::Reverse(**at));
+        let observed = observed.into_iter();
+        let observed = observed.filter_map(|(content, _)| self.evidence.get(*content));
+        let mut recent: Vec<Record> = observed.take(MAX_REPORTED).cloned().collect();
         if self.members.role() == Role::Reader {
             // Gateways that have just started have heard none of the earlier reports.
             let missing = |record: &&Record| !self.observed_at.contains_key(&record.content);
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -164,7 +164,6 @@
                 | Fingerprint::from(self.content_low),
             crashes,
             proven_at: self.proven_age_ms.and_then(at),
-            stored_at: None,
         }
     }
 }
--- a/crates/daisyyard_gateway/src/ingress.rs
+++ b/crates/daisyyard_gateway/src/ingress.rs
@@ -62,10 +62,17 @@
             .unwrap_or(route.timeout)
             .min(route.timeout);
         let uri = origin_form(&head.uri);
+        let contents = job::contents(
+            client.as_deref(),
+            &head.method,
+            &uri,
+            &body,
+            &parameters.shared_parts,
+        );
         Ok(Job {
             parameters,
             attempt,
-            contents: [job::content(client.as_deref(), &head.method, &uri, &body)].into(),
+            contents,
             client,
             service,
             connections,
--- a/crates/daisyyard_gateway/src/job.rs
+++ b/crates/daisyyard_gateway/src/job.rs
@@ -27,7 +27,8 @@
     pub(crate) parameters: Parameters,
     /// Identifier of the caller's attempt, for the log and the engines.
     pub(crate) attempt: String,
-    /// Fingerprint of what the caller asks for: its account, the method, the path and the body.
+    /// Fingerprints of what the caller asks for: its account, method, path and body as a whole, and the
+    /// parts of its prompt that other requests may share.
     pub(crate) contents: Arc<[Fingerprint]>,
     /// Route of the request.
     pub(crate) route: Arc<Route>,
@@ -55,14 +56,24 @@
     pub(crate) deadline: Instant,
 }
 
-/// Returns the fingerprint of what a caller asks for. It covers the account, so that one account
-/// cannot affect the requests of another one.
-pub(crate) fn content(
+/// Returns the fingerprints of what a caller asks for: the request as a whole, then the parts of its
+/// prompt that other requests may share.
+pub(crate) fn contents(
     client: Option<&Client>,
     method: &Method,
     uri: &Uri,
     body: &[u8],
-) -> Fingerprint {
+    shared_parts: &[Fingerprint],
+) -> Arc<[Fingerprint]> {
+    let whole = content(client, method, uri, body);
+    std::iter::once(whole)
+        .chain(shared_parts.iter().copied())
+        .collect()
+}
+
+/// Returns the fingerprint of a request as a whole. It covers the account, so that one account
+/// cannot affect the requests of another one.
+fn content(client: Option<&Client>, method: &Method, uri: &Uri, body: &[u8]) -> Fingerprint {
     let account = client.map_or(0, |client| client.account.id);
     let head = format!("{method} {uri}\n");
     id::fingerprint(account, &[head.as_bytes(), body].concat())
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -183,7 +183,7 @@
                 let details = format!("key={key} reason={reason:?}");
                 self.log.emit(Event::ValueUnusable, &details);
             }
-            Record::Refusal(content, stored) => self.apply_refusal(content, stored, now),
+            Record::Refusal(group, stored) => self.apply_refusal(group, stored, now),
             // The watcher keeps the configuration.
             Record::Catalog(_) | Record::Other => {}
         }
@@ -343,6 +343,7 @@
         self.endpoints.advance(message.revision);
         if message.complete {
             self.listing.reset();
+            self.evidence.clear_stored();
             self.retain(&message.records, message.relist_deadline, now);
         }
         for record in message.records {
