--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -174,7 +174,11 @@
                 runs < self.endpoint.slots.min(need.connections) && has_memory
             }
             Kind::Plain => {
-                let max_runs = self.endpoint.slots.max(1) * PLAIN_REQUESTS_PER_SLOT;
+                let max_runs = self
+                    .endpoint
+                    .slots
+                    .max(1)
+                    .saturating_mul(PLAIN_REQUESTS_PER_SLOT);
                 runs < max_runs.min(need.connections)
             }
         }
