--- a/crates/daisyyard_standin/src/faulty_endpoint.rs
+++ b/crates/daisyyard_standin/src/faulty_endpoint.rs
@@ -27,6 +27,14 @@
     EndlessTail,
     /// A stream breaks off in the middle of the event after this number of events.
     CutEvent(u64),
+    /// A stream of this number of events has neither a length nor chunks and ends with the connection.
+    Unframed(u64),
+    /// As before, but the stream ends inside the event after them.
+    UnframedCut(u64),
+    /// The connection closes in the middle of the head of the answer.
+    CutHead,
+    /// The request is run, and a refusal of another one comes in place of its answer.
+    OtherRefusal,
 }
 
 /// What a faulty endpoint has seen.
@@ -157,6 +165,27 @@
                 self.send(socket, answer.as_bytes()).await?;
                 self.send_forever(socket).await
             }
+            Fault::Unframed(events) | Fault::UnframedCut(events) => {
+                self.send(socket, format!("{start}\r\n").as_bytes()).await?;
+                for number in 1..=events {
+                    let event = format!("id: {number}\ndata: piece {number}\n\n");
+                    self.send(socket, event.as_bytes()).await?;
+                }
+                if matches!(self.fault, Fault::UnframedCut(_)) {
+                    self.send(socket, b"id: 9\nda").await?;
+                }
+                // A socket that is closed with unread bytes is reset.
+                socket.shutdown().await?;
+                while socket.read_buf(&mut Vec::new()).await? > 0 {}
+                Ok(())
+            }
+            Fault::CutHead => self.send(socket, start.as_bytes()).await,
+            Fault::OtherRefusal => {
+                let refusal = "HTTP/1.1 503 Service Unavailable\r\n\
+                               x-daisyyard-attempt-id: another\r\n\
+                               x-daisyyard-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+                self.send(socket, refusal.as_bytes()).await
+            }
             Fault::CutEvent(events) => {
                 let head = format!("{start}transfer-encoding: chunked\r\n\r\n");
                 self.send(socket, head.as_bytes()).await?;
