Break off a stream without a length that ends before its first event

A caller got a complete, empty stream with status 200 when an engine closed the connection after the head of an answer without a length. Such a response now counts as broken off, unless the caller has resumed the stream at its end.

odd_answers::unframed_stream fails before (an empty body that looks complete) and passes now.

--- a/crates/daisyyard/tests/odd_answers.rs
+++ b/crates/daisyyard/tests/odd_answers.rs
@@ -64,12 +64,13 @@
     assert_eq!(status, StatusCode::BAD_GATEWAY);
 }
 
-/// A stream without a length that ends after an event is complete; one that ends inside an event is
-/// not.
+/// A stream without a length that ends after an event is complete; one that ends inside an event, or
+/// before the first one, is not.
 #[tokio::test]
 async fn unframed_stream() {
     assert_eq!(stream(Fault::Unframed(5)).await, Some(events(5)));
     assert_eq!(stream(Fault::UnframedCut(3)).await, None);
+    assert_eq!(stream(Fault::Unframed(0)).await, None);
 }
 
 /// An answer without a length ends with its connection.
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -198,6 +198,10 @@
             State::Copying(copying) => Some(&mut copying.task),
             _ => None,
         };
+        // A response without a length that ends before its first event was broken off, unless the caller
+        // has resumed the stream at its end.
+        let has_events = self.splitter.event_count() > 0 || self.job.resume_after.is_some();
+        let is_complete = self.splitter.is_complete() && has_events;
         let Some((incoming, _)) = &mut self.upstream else {
             return Action::Fail("closed");
         };
@@ -209,7 +213,7 @@
                     Err(_) => Action::Deliver(Bytes::new()),
                 },
                 Some(Err(_)) => Action::Fail("broken"),
-                None if self.splitter.is_complete() => Action::Finish,
+                None if is_complete => Action::Finish,
                 None => Action::Fail("cut"),
             },
             notice = self.grant.notices.recv(), if idle => match notice {
