Split the parts of datagrams and the reports of runs from their files

The wire types of the parts of a datagram are in wire.rs, the reports of broken and sound runs in proof.rs; nothing else changes.

--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -22,7 +22,7 @@
 use crate::event::Event;
 use crate::job::Job;
 use crate::log::Log;
-use crate::message::{Break, Claim, Count, Grant, Placement, Retry};
+use crate::message::{Claim, Count, Grant, Placement, Retry};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::refusal::Refusal;
@@ -312,20 +312,6 @@
         Sent::Answered(self.forward(job, response, "answered"))
     }
 
-    /// Reports that an endpoint closed the connection of a run early, after a number of events.
-    pub(crate) async fn report_broken(&self, job: &Job, grant: &Grant, events: u64) {
-        let details = format!(
-            "request={} content={:032x} parts={:032x?} endpoint={} events={events}",
-            job.attempt,
-            job.content(),
-            job.parameters.shared_parts,
-            grant.endpoint.name,
-        );
-        self.log.emit(Event::RunBroken, &details);
-        // The pool ends only with the process.
-        let _ = self.pool.send(Break(grant.run)).await;
-    }
-
     /// Forwards an endpoint's response to the caller.
     fn forward(&self, job: &Job, response: Response<Body>, reason: &'static str) -> Response<Body> {
         self.record_end(job, response.status(), reason);
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -20,7 +20,7 @@
 use crate::event::Event;
 use crate::gaps::Gaps;
 use crate::job::Job;
-use crate::message::{Failover, FirstToken, Grant, Notice, ObserveGaps, Proof, Retry, Rollback};
+use crate::message::{Failover, FirstToken, Grant, Notice, ObserveGaps, Retry, Rollback};
 use crate::migration::{State, join_copy};
 use crate::proxy::Proxy;
 use crate::sse::Splitter;
@@ -32,9 +32,6 @@
 /// Timeout for an engine to resume a run.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Time from the first data of a run after which its engine does not crash because of the run.
-const PROOF_TIME: Duration = Duration::from_millis(250);
-
 /// Maximum time for which two engines execute the same run during a failover.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
 /// Failover reason: the engine is leaving.
@@ -64,7 +61,7 @@
     /// When the first data arrived from the current engine, or when the run resumed there.
     pub(crate) first_data_at: Option<Instant>,
     /// Whether the run has gone well at an engine for some time.
-    proven: bool,
+    pub(crate) proven: bool,
     /// Gaps between the events.
     gaps: Gaps,
     /// Progress of the migration to another engine.
@@ -228,27 +225,6 @@
         }
     }
 
-    /// Reports that the engine has broken off the run, unless it had run well for some time: the run
-    /// itself may be the reason.
-    async fn report_broken(&self) {
-        if !self.proven {
-            let events = self.splitter.event_count();
-            self.proxy
-                .report_broken(&self.job, &self.grant, events)
-                .await;
-        }
-    }
-
-    /// Reports once that the run does not crash its engine.
-    async fn report_proof(&mut self) {
-        let ran_well = |first_data: Instant| first_data.elapsed() >= PROOF_TIME;
-        if !self.proven && self.first_data_at.is_some_and(ran_well) {
-            self.proven = true;
-            // The pool ends only with the process.
-            let _ = self.proxy.pool.send(Proof(self.grant.run)).await;
-        }
-    }
-
     /// Continues the run at another engine after a failure; returns whether the stream continues.
     async fn recover(&mut self, reason: &'static str) -> bool {
         self.fail_over(None, reason).await || self.restart(reason).await
--- /dev/null
+++ b/crates/daisyyard_gateway/src/wire.rs
@@ -0,0 +1,261 @@
+//! Parts of the datagrams between gateways in their wire format.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use daisyyard_core::crash;
+use daisyyard_core::id::{EndpointId, Fingerprint, Revision, ServiceId};
+use daisyyard_core::knowledge;
+use daisyyard_core::load::Load;
+use daisyyard_core::shared_retry_budget::Count;
+use prost::Message;
+
+use crate::codec::Item;
+
+/// What the sender knows of the crashes of a content.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct ContentRecord {
+    /// Higher half of the fingerprint of the content.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) content_high: u64,
+    /// Lower half of the fingerprint of the content.
+    #[prost(fixed64, tag = "2")]
+    pub(crate) content_low: u64,
+    /// Crashes of endpoints that ran the content.
+    #[prost(message, repeated, tag = "3")]
+    pub(crate) crashes: Vec<Crash>,
+    /// Time in milliseconds since a run with the content went well; absent if none has.
+    #[prost(uint32, optional, tag = "4")]
+    pub(crate) proven_age_ms: Option<u32>,
+}
+
+/// A crash of an endpoint that ran a content.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct Crash {
+    /// Identifier of the endpoint.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) endpoint: EndpointId,
+    /// Time in milliseconds since the run was sent.
+    #[prost(uint32, tag = "2")]
+    pub(crate) sent_age_ms: u32,
+    /// Time in milliseconds since the run was broken off.
+    #[prost(uint32, tag = "3")]
+    pub(crate) age_ms: u32,
+}
+
+impl ContentRecord {
+    /// Returns a record in wire format.
+    pub(crate) fn new(record: &crash::Record, now: Instant) -> Self {
+        let age = |at| millis(now.saturating_duration_since(at));
+        let crash = |crash: &crash::Crash| Crash {
+            endpoint: crash.endpoint,
+            sent_age_ms: age(crash.sent_at),
+            age_ms: age(crash.at),
+        };
+        Self {
+            content_high: (record.content >> u64::BITS) as u64,
+            content_low: record.content as u64,
+            crashes: record.crashes.iter().map(crash).collect(),
+            proven_age_ms: record.proven_at.map(age),
+        }
+    }
+
+    /// Returns the record that was received now; crashes before the start of the clock are left out.
+    pub(crate) fn record(&self, now: Instant) -> crash::Record {
+        let at = |age_ms: u32| now.checked_sub(Duration::from_millis(age_ms.into()));
+        let crash = |crash: &Crash| {
+            Some(crash::Crash {
+                endpoint: crash.endpoint,
+                sent_at: at(crash.sent_age_ms)?,
+                at: at(crash.age_ms)?,
+            })
+        };
+        let mut crashes: Vec<crash::Crash> = self.crashes.iter().filter_map(crash).collect();
+        crashes.sort_by_key(|crash| crash.at);
+        crash::Record {
+            content: Fingerprint::from(self.content_high) << u64::BITS
+                | Fingerprint::from(self.content_low),
+            crashes,
+            proven_at: self.proven_age_ms.and_then(at),
+        }
+    }
+}
+
+/// Returns a time in whole milliseconds.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Age of what the sender knows of the configuration.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct Knowledge {
+    /// Time in milliseconds for which changes may be unknown to the sender.
+    #[prost(uint32, tag = "1")]
+    pub(crate) age_ms: u32,
+    /// Whether the sender has read the store itself.
+    #[prost(bool, tag = "2")]
+    pub(crate) first_hand: bool,
+}
+
+/// An endpoint that is leaving.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct Departure {
+    /// Identifier of the endpoint.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) endpoint: EndpointId,
+    /// Revision of the store at which the endpoint began to leave.
+    #[prost(uint64, tag = "2")]
+    pub(crate) revision: Revision,
+}
+
+/// A change of a key in the store.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct Change {
+    /// Name of the key.
+    #[prost(string, tag = "1")]
+    pub(crate) key: String,
+    /// Value of the key; absent if it was deleted.
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    pub(crate) value: Option<Bytes>,
+    /// Revision of the store at the change.
+    #[prost(uint64, tag = "3")]
+    pub(crate) revision: Revision,
+}
+
+/// Request counts of the sender for one service.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct Counts {
+    /// Identifier of the service.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) service: ServiceId,
+    /// Requests in the current window.
+    #[prost(uint32, tag = "2")]
+    pub(crate) requests: u32,
+    /// Retries in the current window.
+    #[prost(uint32, tag = "3")]
+    pub(crate) retries: u32,
+}
+
+/// Load of the sender at one endpoint.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct EndpointLoad {
+    /// Identifier of the endpoint.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) endpoint: EndpointId,
+    /// Requests in progress.
+    #[prost(uint32, tag = "2")]
+    pub(crate) runs: u32,
+    /// Reserved KV cache, in tokens of context.
+    #[prost(uint64, tag = "3")]
+    pub(crate) tokens: u64,
+    /// Prompt tokens of requests that have no first token yet.
+    #[prost(uint64, tag = "4")]
+    pub(crate) prefill: u64,
+    /// Time between two events at the engine in microseconds; zero if the sender does not know it.
+    #[prost(uint32, tag = "5")]
+    pub(crate) gap_us: u32,
+}
+
+impl EndpointLoad {
+    /// Returns the load and the pace of an endpoint in wire format.
+    pub(crate) fn new(
+        (endpoint, load): &(EndpointId, Load),
+        paces: &[(EndpointId, Duration)],
+    ) -> Self {
+        let pace = paces.iter().find(|(id, _)| id == endpoint);
+        let gap_us = pace.map_or(0, |(_, gap)| gap.as_micros());
+        Self {
+            gap_us: u32::try_from(gap_us).unwrap_or(u32::MAX),
+            endpoint: *endpoint,
+            runs: load.runs,
+            tokens: load.tokens,
+            prefill: load.prefill,
+        }
+    }
+}
+
+impl From<EndpointLoad> for (EndpointId, Load) {
+    fn from(endpoint_load: EndpointLoad) -> Self {
+        let load = Load {
+            runs: endpoint_load.runs,
+            tokens: endpoint_load.tokens,
+            prefill: endpoint_load.prefill,
+        };
+        (endpoint_load.endpoint, load)
+    }
+}
+
+impl From<&(EndpointId, Revision)> for Departure {
+    fn from((endpoint, revision): &(EndpointId, Revision)) -> Self {
+        Self {
+            endpoint: *endpoint,
+            revision: *revision,
+        }
+    }
+}
+
+impl From<Departure> for (EndpointId, Revision) {
+    fn from(departure: Departure) -> Self {
+        (departure.endpoint, departure.revision)
+    }
+}
+
+impl From<Item> for Change {
+    fn from(item: Item) -> Self {
+        Self {
+            key: item.key,
+            value: item.value,
+            revision: item.revision,
+        }
+    }
+}
+
+impl From<Change> for Item {
+    fn from(change: Change) -> Self {
+        Self {
+            key: change.key,
+            value: change.value,
+            revision: change.revision,
+        }
+    }
+}
+
+impl From<&(ServiceId, Count)> for Counts {
+    fn from((service, count): &(ServiceId, Count)) -> Self {
+        Self {
+            service: *service,
+            requests: count.requests,
+            retries: count.retries,
+        }
+    }
+}
+
+impl From<Counts> for (ServiceId, Count) {
+    fn from(counts: Counts) -> Self {
+        let count = Count {
+            requests: counts.requests,
+            retries: counts.retries,
+        };
+        (counts.service, count)
+    }
+}
+
+impl From<knowledge::Report> for Knowledge {
+    fn from(report: knowledge::Report) -> Self {
+        // Rounded up, so that knowledge never looks younger than it is.
+        let age_ms = report.age.as_micros().div_ceil(1_000);
+        Self {
+            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+            first_hand: report.first_hand,
+        }
+    }
+}
+
+impl From<Knowledge> for knowledge::Report {
+    fn from(knowledge: Knowledge) -> Self {
+        Self {
+            age: Duration::from_millis(knowledge.age_ms.into()),
+            first_hand: knowledge.first_hand,
+        }
+    }
+}
