--- a/crates/daisyyard/tests/platform/mod.rs
+++ b/crates/daisyyard/tests/platform/mod.rs
@@ -171,6 +171,24 @@
         send(self.gateways[0].requests, &request, &headers).await
     }
 
+    /// Sends a request through one gateway; the body is `None` if the answer is interrupted.
+    pub(crate) async fn send_through(
+        &self,
+        gateway: usize,
+        attempt: &str,
+        request: &Request<'_>,
+    ) -> (StatusCode, Option<String>) {
+        let credential = format!("Bearer {CREDENTIAL}");
+        let mut headers = vec![
+            ("x-daisyyard-attempt-id", attempt),
+            ("x-daisyyard-deadline-ms", "8000"),
+            ("authorization", credential.as_str()),
+        ];
+        headers.extend(request.headers.iter().copied());
+        let answer = send(self.gateways[gateway].requests, request, &headers).await;
+        answer.expect("the gateway answers")
+    }
+
     /// Returns the requests with this path that engines or endpoints ran.
     pub(crate) async fn ran(&self, path: &str) -> Vec<Arrival> {
         let mut requests = self.runs.arrivals().await;
--- a/crates/daisyyard_gateway/src/content.rs
+++ b/crates/daisyyard_gateway/src/content.rs
@@ -1,6 +1,7 @@
 //! Contents of requests that crash endpoints: what the runs of this gateway show, what other gateways
 //! report, and the refusal of requests that wait.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use daisyyard_core::crash::{Crash, Group, Record, Verdict};
@@ -16,7 +17,6 @@
 /// Time for which an observation is reported to the other gateways. Each report is repeated several
 /// times, as datagrams are lost.
 const REPORT_TIME: Duration = Duration::from_secs(3);
-
 /// Maximum number of contents in a group that is stored, as the key names them all. Larger groups become
 /// smaller with the first proofs.
 const MAX_STORED_CONTENTS: usize = 5;
@@ -154,7 +154,7 @@
             sent_at: run.sent_at,
             at: now,
         };
-        let contents = std::sync::Arc::clone(&run.contents);
+        let contents = Arc::clone(&run.contents);
         for content in contents.iter().copied() {
             let refused = self.is_refused(content);
             let changed = self.evidence.record_crash(&[content], crash);
@@ -170,7 +170,7 @@
 
     async fn handle(&mut self, Proof(id): Proof, _: &mut Context<Self>) {
         if let Some(run) = self.runs.get(&id) {
-            let contents = std::sync::Arc::clone(&run.contents);
+            let contents = Arc::clone(&run.contents);
             self.record_proof(&contents);
         }
     }
--- a/crates/daisyyard_gateway/src/metrics.rs
+++ b/crates/daisyyard_gateway/src/metrics.rs
@@ -21,6 +21,8 @@
 const RETRIES: &str = "daisyyard_gateway_repeats_total";
 /// Counter of runs that moved to another engine, by means.
 const MOVES: &str = "daisyyard_gateway_moves_total";
+/// Counter of runs that endpoints broke off early, by kind.
+const BROKEN: &str = "daisyyard_gateway_broken_runs_total";
 /// Module and level under which the metrics are registered.
 const ORIGIN: Metadata<'static> = Metadata::new(module_path!(), Level::INFO, Some(module_path!()));
 
@@ -72,6 +74,11 @@
         self.count(MOVES, &[("means", means)]);
     }
 
+    /// Counts a run that its endpoint broke off before it had gone well.
+    pub(crate) fn record_break(&self, kind: &'static str) {
+        self.count(BROKEN, &[("kind", kind)]);
+    }
+
     /// Increments a counter.
     fn count(&self, name: &'static str, labels: &[(&'static str, &'static str)]) {
         let key = Key::from_parts(KeyName::from_const_str(name), labels);
--- a/crates/daisyyard_gateway/src/proof.rs
+++ b/crates/daisyyard_gateway/src/proof.rs
@@ -23,6 +23,7 @@
             grant.endpoint.name,
         );
         self.log.emit(Event::RunBroken, &details);
+        self.metrics.record_break(job.kind());
         // The pool ends only with the process.
         let _ = self.pool.send(Break(grant.run)).await;
     }
