Correct two comments on empty streams and stored groups

The check of empty streams does not look at the framing of the response, and the groups marked as stored include those whose write is still in progress. Comments only; formatting was checked, the tests were not run again for this commit.

--- a/crates/daisyyard_core/src/crash.rs
+++ b/crates/daisyyard_core/src/crash.rs
@@ -68,7 +68,7 @@
 pub struct Evidence {
     /// Records by content.
     records: HashMap<Fingerprint, Record>,
-    /// Groups that were read from the store, with the time of the read.
+    /// Groups that the store has or is being given, with the time at which that was last known.
     stored: HashMap<Group, Instant>,
 }
 
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -195,8 +195,8 @@
             State::Copying(copying) => Some(&mut copying.task),
             _ => None,
         };
-        // A response without a length that ends before its first event was broken off, unless the caller
-        // has resumed the stream at its end.
+        // A response that ends before its first event was broken off, whether or not it has a length,
+        // unless the caller has resumed the stream at its end.
         let has_events = self.splitter.event_count() > 0 || self.job.resume_after.is_some();
         let is_complete = self.splitter.is_complete() && has_events;
         let Some((incoming, _)) = &mut self.upstream else {
