Review case 2: a dark backup engine costs the streams that wait at sound engines

Cause: the wait for the first event counts as silence, and the current stream is dropped before the other engine has answered.

--- a/review/standin/endless.rs
+++ b/review/standin/endless.rs
@@ -31,6 +31,7 @@
             zone: ["costa-a", "costa-b", "costa-c"][zone].to_owned(),
             slots: if service == "asistente" { 24 } else { 6 },
             stream,
+            queue: Duration::ZERO,
             work: Duration::from_millis(30),
             drops_closed: true,
         };
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -12,6 +13,10 @@
 use crate::record::Record;
 use crate::store::Store;
 
+unsafe extern "C" {
+    fn listen(socket: i32, backlog: i32) -> i32;
+}
+
 /// Interval of the engines' writes to the store.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Time from the start of a run until its backup engine has a copy.
@@ -46,6 +51,8 @@
     pub slots: u32,
     /// Events of a stream and the time between two; none at a plain server.
     pub stream: Option<(u64, Duration)>,
+    /// Time that a stream waits in the engine's queue, after its head, before its first event.
+    pub queue: Duration,
     /// Time that a plain server works on a request.
     pub work: Duration,
     /// Whether a run ends when its channel closes. Most servers do this.
@@ -59,12 +66,13 @@
     store: Store,
     seen: Arc<Seen>,
     record: Record,
-    born: u64,
+    born: AtomicU64,
+    listener: TcpListener,
+    /// Channels that fill the queue of new ones while the engine is dark.
+    fillers: Mutex<Vec<TcpStream>>,
+    dark: AtomicBool,
     draining: AtomicBool,
     sequence: AtomicU64,
-    /// Share of the requests that fail after they have run, in percent, and the status.
-    failing: Mutex<Option<(u64, &'static str)>>,
-    counter: AtomicU64,
     /// Of so many answers one is bytes without end; 0 for none.
     endless: AtomicU64,
     /// Number of answers since then.
@@ -88,17 +96,20 @@
             store: store.clone(),
             seen: Arc::clone(seen),
             record: record.clone(),
-            born: born as u64,
+            born: AtomicU64::new(born as u64),
+            listener: listener.try_clone().expect("a bound socket"),
+            fillers: Mutex::default(),
+            dark: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
-            failing: Mutex::new(None),
-            counter: AtomicU64::new(0),
             endless: AtomicU64::new(0),
             spoiled: AtomicU64::new(0),
         });
         engine.beat();
         let server = Arc::clone(&engine);
-        http::serve(listener, move |request, socket| {
+        let pausing = Arc::clone(&engine);
+        let takes = move || !pausing.dark.load(Ordering::Acquire);
+        http::serve_while(listener, takes, move |request, socket| {
             server.answer(&request, socket);
         });
         let writer = Arc::clone(&engine);
@@ -112,6 +123,9 @@
     }
 
     fn beat(&self) {
+        if self.dark.load(Ordering::Acquire) {
+            return;
+        }
         let draining = self.draining.load(Ordering::Acquire);
         let state = if draining { "draining" } else { "ready" };
         let sequence = self.sequence.fetch_add(1, Ordering::AcqRel);
@@ -122,7 +136,7 @@
         };
         let entry = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}{stage}}}",
-            self.habits.service, self.address, self.habits.zone, self.habits.slots, self.born
+            self.habits.service, self.address, self.habits.zone, self.habits.slots, self.born.load(Ordering::Acquire)
         );
         self.store.put(&format!("servers/{}", self.id), &entry);
     }
@@ -134,9 +148,28 @@
         self.record.line(&format!("server {} reports draining", self.id));
     }
 
-    /// From now on fails a share of the requests, after it has run them.
-    pub fn fail(&self, share: Option<(u64, &'static str)>) {
-        *self.failing.lock().unwrap() = share;
+    /// Loses power: it takes no new channel, and what it has goes silent.
+    pub fn go_dark(&self) {
+        self.dark.store(true, Ordering::Release);
+        // SAFETY: changes the backlog of a socket that this engine owns.
+        unsafe { listen(self.listener.as_raw_fd(), 0) };
+        let mut fillers = self.fillers.lock().unwrap();
+        let wait = Duration::from_millis(20);
+        while let Ok(filler) = TcpStream::connect_timeout(&self.address, wait) {
+            fillers.push(filler);
+        }
+        self.record.line(&format!("server {} is dark", self.id));
+    }
+
+    /// Is back as a new incarnation that knows nothing of before.
+    pub fn return_from_dark(&self) {
+        self.fillers.lock().unwrap().clear();
+        // SAFETY: as above.
+        unsafe { listen(self.listener.as_raw_fd(), 128) };
+        self.born.fetch_add(1, Ordering::AcqRel);
+        self.dark.store(false, Ordering::Release);
+        self.beat();
+        self.record.line(&format!("server {} is back", self.id));
     }
 
     fn answer(&self, request: &Message, mut socket: TcpStream) {
@@ -233,18 +266,9 @@
 
     fn run(&self, request: &Message, attempt: &str, mut socket: TcpStream, number: usize) {
         std::thread::sleep(self.habits.work);
-        let count = self.counter.fetch_add(1, Ordering::AcqRel);
-        let failing = *self.failing.lock().unwrap();
-        let status = match failing {
-            Some((percent, status)) if count * percent / 100 != (count + 1) * percent / 100 => {
-                status
-            }
-            _ => "200 OK",
-        };
-        let code = status.split(' ').next().and_then(|code| code.parse().ok());
-        self.note(number, code);
+        self.note(number, Some(200));
         self.record.line(&format!(
-            "server {} has run {attempt} ({} bytes) and answers {status}",
+            "server {} has run {attempt} ({} bytes)",
             self.id,
             request.body.len()
         ));
@@ -253,7 +277,7 @@
             ("X-Daisyyard-Attempt-Id", attempt),
             ("X-Daisyyard-Server-Signature", signature.as_str()),
         ];
-        let answer = http::response(status, &headers, &[b'x'; 800]);
+        let answer = http::response("200 OK", &headers, &[b'x'; 800]);
         let _ = http::write_message(&mut socket, &answer);
     }
 
@@ -265,7 +289,6 @@
         (events, gap): (u64, Duration),
         number: usize,
     ) {
-        let started = Instant::now();
         let last = request.header("last-event-id").and_then(|id| id.parse().ok());
         let backup = request.header("x-daisyyard-kv-backup");
         let backup = backup.and_then(|address| address.parse().ok());
@@ -277,8 +300,16 @@
         );
         let mut open = socket.write_all(head.as_bytes()).is_ok();
         let mut copied = false;
+        std::thread::sleep(self.habits.queue);
+        let born = self.born.load(Ordering::Acquire);
+        let started = Instant::now();
         for event in last.unwrap_or(0u64) + 1..=events {
             std::thread::sleep(gap);
+            if self.dark.load(Ordering::Acquire) || self.born.load(Ordering::Acquire) != born {
+                // The run has ended with the incarnation; a silent channel stays open.
+                std::thread::sleep(Duration::from_secs(5));
+                return;
+            }
             if let Some(backup) = backup.filter(|_| !copied && started.elapsed() > COPY_TIME) {
                 copied = true;
                 let mut copies = self.seen.copies.lock().unwrap();
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http::{Channel, Message};
@@ -20,6 +21,20 @@
     folder: PathBuf,
 }
 
+/// Returns an address that nothing uses. Its port lies below those that the system gives to channels,
+/// and is given out once only.
+fn free_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = 10_000 + (std::process::id() * 7_919 % 20_000) as u16;
+    loop {
+        let port = first + NEXT.fetch_add(1, Ordering::AcqRel) % 2_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
 /// Starts a gateway and notes its process in the file `pids`, for the script.
 fn start_process(name: &str, folder: &Path) -> Child {
     let log = File::options().create(true).append(true).open(folder.join(format!("{name}.log")));
@@ -45,16 +60,20 @@
 
 impl Gateway {
     pub fn start(number: usize, store: &Store, folder: &Path, record: &Record) -> Self {
-        let sockets: Vec<TcpListener> = (0..4)
-            .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
-            .collect();
-        let digests = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-        let ports: Vec<SocketAddr> = sockets
-            .iter()
-            .map(|socket| socket.local_addr().expect("a bound socket"))
-            .collect();
-        let digest_port = digests.local_addr().expect("a bound socket");
-        drop((sockets, digests));
+        loop {
+            let mut gateway = Self::start_once(number, store, folder, record);
+            std::thread::sleep(Duration::from_millis(300));
+            // A process ends at once if another program has taken one of its ports meanwhile.
+            if matches!(gateway.child.try_wait(), Ok(None)) {
+                return gateway;
+            }
+            record.line(&format!("gateway {} found a port in use", gateway.name));
+        }
+    }
+
+    fn start_once(number: usize, store: &Store, folder: &Path, record: &Record) -> Self {
+        let ports: [SocketAddr; 4] = std::array::from_fn(|_| free_address());
+        let digest_port = free_address();
         let zone = ZONES[number % ZONES.len()];
         let name = format!("frontend-{zone}-{}", number / ZONES.len() + 1);
         let zones = ZONES.map(|zone| format!("{{\"zone\":\"{zone}\",\"region\":\"costa\"}}"));
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -160,9 +160,25 @@
 
 /// Takes requests in a thread each, until the process ends.
 pub fn serve(listener: TcpListener, handler: impl Fn(Message, TcpStream) + Send + Sync + 'static) {
+    serve_while(listener, || true, handler);
+}
+
+/// The same, but takes new channels only while a condition holds.
+pub fn serve_while(
+    listener: TcpListener,
+    takes: impl Fn() -> bool + Send + 'static,
+    handler: impl Fn(Message, TcpStream) + Send + Sync + 'static,
+) {
     let handler = Arc::new(handler);
     std::thread::spawn(move || {
-        for socket in listener.incoming().flatten() {
+        loop {
+            if !takes() {
+                std::thread::sleep(Duration::from_millis(5));
+                continue;
+            }
+            let Ok((socket, _)) = listener.accept() else {
+                continue;
+            };
             let handler = Arc::clone(&handler);
             std::thread::spawn(move || {
                 let _ = socket.set_nodelay(true);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 //! environment leaves the disruption out. Exits with 1 if the rule was broken, 0 if it held, and 2
 //! if the case could not run.
 
+mod dark;
 mod endless;
 mod engine;
 mod fleet;
@@ -9,7 +10,6 @@
 mod json;
 mod memory;
 mod record;
-mod refused;
 mod store;
 mod twice;
 
@@ -65,8 +65,8 @@
     });
     fleet::configure(&setting.store);
     let verdict = match case.as_str() {
+        "dark" => dark::play(&setting),
         "endless" => endless::play(&setting),
-        "refused" => refused::play(&setting),
         "twice" => twice::play(&setting),
         "memory" => memory::play(&setting),
         _ => Verdict::Unable("there is no such case"),
--- a/review/standin/memory.rs
+++ b/review/standin/memory.rs
@@ -37,6 +37,7 @@
                 zone: ["costa-a", "costa-b", "costa-c"][number].to_owned(),
                 slots: 6,
                 stream: None,
+                queue: Duration::ZERO,
                 work: Duration::from_millis(30),
                 drops_closed: true,
             };
--- a/review/standin/twice.rs
+++ b/review/standin/twice.rs
@@ -25,6 +25,7 @@
                 zone: ["costa-a", "costa-b", "costa-c"][number % 3].to_owned(),
                 slots: 24,
                 stream: Some((EVENTS, GAP)),
+                queue: Duration::ZERO,
                 work: Duration::ZERO,
                 // Most engines drop a request when its channel closes; one does not.
                 drops_closed: number != 0,
