--- a/review/standin/dark.rs
+++ b/review/standin/dark.rs
@@ -40,6 +40,7 @@
             slots: if plain { 6 } else { 24 },
             stream: (!plain).then_some((EVENTS, GAP)),
             queue: QUEUE,
+            late_head: false,
             work: Duration::from_millis(30),
             drops_closed: true,
         };
--- a/review/standin/endless.rs
+++ b/review/standin/endless.rs
@@ -32,6 +32,7 @@
             slots: if service == "asistente" { 24 } else { 6 },
             stream,
             queue: Duration::ZERO,
+            late_head: false,
             work: Duration::from_millis(30),
             drops_closed: true,
         };
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -51,8 +51,10 @@
     pub slots: u32,
     /// Events of a stream and the time between two; none at a plain server.
     pub stream: Option<(u64, Duration)>,
-    /// Time that a stream waits in the engine's queue, after its head, before its first event.
+    /// Time that a stream waits in the engine's queue before its first event.
     pub queue: Duration,
+    /// Whether the head of a stream is sent with its first event, and not before the wait.
+    pub late_head: bool,
     /// Time that a plain server works on a request.
     pub work: Duration,
     /// Whether a run ends when its channel closes. Most servers do this.
@@ -298,9 +300,14 @@
              X-Daisyyard-Server-Signature: {}.{attempt}\r\n\r\n",
             self.id
         );
+        if self.habits.late_head {
+            std::thread::sleep(self.habits.queue);
+        }
         let mut open = socket.write_all(head.as_bytes()).is_ok();
         let mut copied = false;
-        std::thread::sleep(self.habits.queue);
+        if !self.habits.late_head {
+            std::thread::sleep(self.habits.queue);
+        }
         let born = self.born.load(Ordering::Acquire);
         let started = Instant::now();
         for event in last.unwrap_or(0u64) + 1..=events {
--- a/review/standin/memory.rs
+++ b/review/standin/memory.rs
@@ -1,50 +1,70 @@
-//! Many users come at once, with requests as long as the limits allow. The memory of a gateway has a
-//! limit, at which the platform kills the process and starts it again.
+//! Many users come at once, and their drafts have bodies as long as the limits allow. The memory of a
+//! gateway has a limit, at which the platform kills the process and starts it again.
 
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::engine::{Engine, Habits};
 use crate::fleet::{self, Gateway};
-use crate::http::Channel;
+use crate::http::{self, Channel};
 use crate::{Setting, Verdict};
 
 /// Limit on the memory of a machine, as in the settings of the deployment.
 const MEMORY_BYTES: u64 = 110 << 20;
 /// Longest body, as in the configuration.
 const BODY_BYTES: usize = 4_194_304;
-const GATEWAYS: usize = 2;
-/// Twice the 34 clients of the deployment: a burst of 2 times the usual number.
-const CLIENTS: usize = 68;
-/// Length of the burst.
+const GATEWAYS: usize = 3;
+const ENGINES: usize = 11;
+const EVENTS: u64 = 233;
+const GAP: Duration = Duration::from_millis(28);
+/// Wait for the first event; the objective is 4 s.
+const QUEUE: Duration = Duration::from_millis(2_000);
+/// Time between two drafts: 4.24 a second.
+const PAUSE: Duration = Duration::from_millis(236);
+/// The burst: times the usual number of drafts, and its length.
+const BURST: f64 = 2.6;
 const LENGTH: Duration = Duration::from_millis(5_900);
+/// Time of the usual traffic before the burst and after it.
+const USUAL: Duration = Duration::from_secs(10);
 /// Number of requests on kept channels that may be passed on and never answered.
 const MAX_LOST: usize = 3;
-/// Pause of a client before it opens a new channel.
-const PAUSE: Duration = Duration::from_millis(50);
-/// Usual clients, and the time between two short requests of each; together about 42 a second.
-const USUAL_CLIENTS: usize = 24;
-const USUAL_PAUSE: Duration = Duration::from_millis(540);
+/// Clients of the ledger, and the time between two requests of each; together about 42 a second.
+const LEDGER_CLIENTS: usize = 24;
+const LEDGER_PAUSE: Duration = Duration::from_millis(540);
 const RESTART: Duration = Duration::from_millis(300);
 
+/// What the clients have seen.
+#[derive(Default)]
+struct Counts {
+    drafts: AtomicUsize,
+    whole: AtomicUsize,
+    refused: AtomicUsize,
+    /// Drafts and ledger requests that were passed on and got no byte of an answer.
+    lost_drafts: AtomicUsize,
+    lost_short: AtomicUsize,
+    /// Streams that were broken off after their head.
+    broken_off: AtomicUsize,
+}
+
 pub fn play(setting: &Setting) -> Verdict {
     let record = &setting.record;
-    let _engines: Vec<_> = (0..3)
-        .map(|number| {
-            let habits = Habits {
-                service: "libro-socios".to_owned(),
-                zone: ["costa-a", "costa-b", "costa-c"][number].to_owned(),
-                slots: 6,
-                stream: None,
-                queue: Duration::ZERO,
-                work: Duration::from_millis(30),
-                drops_closed: true,
-            };
-            let id = format!("i-plain{number}");
-            Engine::start(&id, habits, &setting.store, &setting.seen, record)
-        })
-        .collect();
+    let start = |service: &str, number: usize| {
+        let plain = service == "libro-socios";
+        let habits = Habits {
+            service: service.to_owned(),
+            zone: ["costa-a", "costa-b", "costa-c"][number % 3].to_owned(),
+            slots: if plain { 6 } else { 24 },
+            stream: (!plain).then_some((EVENTS, GAP)),
+            queue: QUEUE,
+            late_head: true,
+            work: Duration::from_millis(30),
+            drops_closed: true,
+        };
+        let id = format!("i-{}{number}", if plain { "plain" } else { "model" });
+        Engine::start(&id, habits, &setting.store, &setting.seen, record)
+    };
+    let _plain: Vec<_> = (0..3).map(|number| start("libro-socios", number)).collect();
+    let _engines: Vec<_> = (0..ENGINES).map(|number| start("asistente", number)).collect();
     let gateways: Vec<Gateway> = (0..GATEWAYS)
         .map(|number| Gateway::start(number, &setting.store, &setting.folder, record))
         .collect();
@@ -54,13 +74,9 @@
     std::thread::sleep(Duration::from_secs(4));
     let addresses: Vec<_> = gateways.iter().map(|gateway| gateway.requests).collect();
     let ended = AtomicBool::new(false);
-    let lost = AtomicUsize::new(0);
-    let short_lost = AtomicUsize::new(0);
-    let answered = AtomicUsize::new(0);
+    let sent_all = AtomicBool::new(false);
     let peak = AtomicUsize::new(0);
-    // Without the burst, the same requests come one after the other.
-    let turn = Mutex::new(());
-    let started = Instant::now();
+    let counts = Counts::default();
     let mut kills: Vec<usize> = Vec::new();
     let watch = |mut gateway: Gateway| {
         let mut kills = 0;
@@ -87,86 +103,35 @@
         let platform: Vec<_> = gateways
             .map(|gateway| scope.spawn(|| watch(gateway)))
             .collect();
-        let clients: Vec<_> = (0..CLIENTS)
-            .map(|client| {
-                let (turn, lost, answered) = (&turn, &lost, &answered);
-                let address = addresses[client % GATEWAYS];
-                scope.spawn(move || {
-                    let mut number = 0;
-                    while started.elapsed() < LENGTH {
-                        std::thread::sleep(PAUSE);
-                        let Ok(mut channel) = Channel::open(address, Duration::from_secs(3)) else {
-                            continue;
-                        };
-                        // The channel is kept from a short request to long ones.
-                        number += 1;
-                        let id = format!("{client:08x}{number:08x}");
-                        let short = fleet::request("GET", "ledger-read", &id, 1_500, Vec::new());
-                        if channel.call(&short).is_err() {
-                            continue;
-                        }
-                        while started.elapsed() < LENGTH {
-                            number += 1;
-                            let id = format!("{client:08x}{number:08x}");
-                            let body = vec![b'p'; BODY_BYTES];
-                            let long = fleet::request("POST", "ledger-post", &id, 1_500, body);
-                            let waits = (!setting.trouble).then(|| turn.lock().unwrap());
-                            record.line(&format!("client {client} sends {id}"));
-                            let answer = channel.call(&long);
-                            drop(waits);
-                            let status = answer.as_ref().map_or(0, |answer| answer.status());
-                            record.line(&format!("client {client} gets {status} for {id}"));
-                            if answer.is_err() {
-                                if has_run(setting, &id) {
-                                    record.line(&format!("BROKEN: {id} runs and is never answered"));
-                                    lost.fetch_add(1, Ordering::AcqRel);
-                                }
-                                break;
-                            }
-                            answered.fetch_add(1, Ordering::AcqRel);
-                        }
-                    }
-                })
-            })
-            .collect();
-        let usual: Vec<_> = (0..USUAL_CLIENTS)
+        let (counts, sent_all) = (&counts, &sent_all);
+        let ledger: Vec<_> = (0..LEDGER_CLIENTS)
             .map(|client| {
-                let (lost, short_lost) = (&lost, &short_lost);
                 let address = addresses[client % GATEWAYS];
                 scope.spawn(move || {
+                    std::thread::sleep(LEDGER_PAUSE / LEDGER_CLIENTS as u32 * client as u32);
                     let mut number = 0;
-                    std::thread::sleep(USUAL_PAUSE / USUAL_CLIENTS as u32 * client as u32);
-                    while started.elapsed() < LENGTH {
-                        let Ok(mut channel) = Channel::open(address, Duration::from_secs(3)) else {
-                            std::thread::sleep(PAUSE);
-                            continue;
-                        };
-                        let mut kept = false;
-                        while started.elapsed() < LENGTH {
-                            number += 1;
-                            let id = format!("{:08x}{number:08x}", 0x1000 + client);
-                            let body = b"payment".to_vec();
-                            let short = fleet::request("POST", "ledger-post", &id, 1_500, body);
-                            record.line(&format!("usual client {client} sends {id}"));
-                            let answer = channel.call(&short);
-                            let status = answer.as_ref().map_or(0, |answer| answer.status());
-                            record.line(&format!("usual client {client} gets {status} for {id}"));
-                            if answer.is_err() {
-                                if kept && has_run(setting, &id) {
-                                    record.line(&format!("BROKEN: {id} runs and is never answered"));
-                                    lost.fetch_add(1, Ordering::AcqRel);
-                                    short_lost.fetch_add(1, Ordering::AcqRel);
-                                }
-                                break;
-                            }
-                            kept = true;
-                            std::thread::sleep(USUAL_PAUSE);
-                        }
+                    while !sent_all.load(Ordering::Acquire) {
+                        use_ledger(setting, address, client, &mut number, (counts, sent_all));
+                        std::thread::sleep(LEDGER_PAUSE);
                     }
                 })
             })
             .collect();
-        for client in clients.into_iter().chain(usual) {
+        let started = Instant::now();
+        let mut clients = Vec::new();
+        while started.elapsed() < USUAL + LENGTH + USUAL {
+            let elapsed = started.elapsed();
+            let many = setting.trouble && elapsed >= USUAL && elapsed < USUAL + LENGTH;
+            std::thread::sleep(if many { PAUSE.div_f64(BURST) } else { PAUSE });
+            let number = clients.len();
+            let address = addresses[number % GATEWAYS];
+            clients.push(scope.spawn(move || draft(setting, address, number, counts)));
+        }
+        for client in clients {
+            let _ = client.join();
+        }
+        sent_all.store(true, Ordering::Release);
+        for client in ledger {
             let _ = client.join();
         }
         ended.store(true, Ordering::Release);
@@ -174,13 +139,18 @@
             kills.push(one.join().unwrap_or(0));
         }
     });
-    let lost = lost.load(Ordering::Acquire);
+    let count = |number: &AtomicUsize| number.load(Ordering::Acquire);
+    let lost = count(&counts.lost_drafts) + count(&counts.lost_short);
     record.say(&format!(
-        "most memory {} MB of {} MB; processes of the two machines killed {kills:?} times; {} long requests answered; {lost} requests on kept channels, {} of them short ones, were run and never answered",
-        peak.load(Ordering::Acquire) >> 20,
+        "most memory {} MB of {} MB; processes of the machines killed {kills:?} times; {} drafts, {} whole, {} refused, {} broken off after their head; {lost} requests on kept channels ({} drafts, {} of the ledger) were run and got no answer",
+        count(&peak) >> 20,
         MEMORY_BYTES >> 20,
-        answered.load(Ordering::Acquire),
-        short_lost.load(Ordering::Acquire),
+        count(&counts.drafts),
+        count(&counts.whole),
+        count(&counts.refused),
+        count(&counts.broken_off),
+        count(&counts.lost_drafts),
+        count(&counts.lost_short),
     ));
     if lost > MAX_LOST {
         Verdict::Broken
@@ -189,6 +159,75 @@
     }
 }
 
+/// Asks for a draft on a channel that is kept from a short request.
+fn draft(setting: &Setting, address: std::net::SocketAddr, number: usize, counts: &Counts) {
+    let record = &setting.record;
+    let Ok(mut channel) = Channel::open(address, Duration::from_secs(16)) else {
+        return;
+    };
+    let id = format!("{:08x}{number:08x}", 1);
+    let short = fleet::request("GET", "ledger-read", &id, 1_500, Vec::new());
+    if channel.call(&short).is_err() {
+        return;
+    }
+    let id = format!("{:08x}{number:08x}", 2);
+    let request = fleet::request("POST", "customs-draft", &id, 39_000, vec![b'p'; BODY_BYTES]);
+    record.line(&format!("client sends draft {id}"));
+    counts.drafts.fetch_add(1, Ordering::AcqRel);
+    let Ok(head) = channel.send(&request) else {
+        record.line(&format!("client gets no answer to {id}"));
+        if has_run(setting, &id) {
+            record.line(&format!("BROKEN: {id} runs and gets no answer"));
+            counts.lost_drafts.fetch_add(1, Ordering::AcqRel);
+        }
+        return;
+    };
+    if head.status() != 200 {
+        record.line(&format!("client gets {} for {id}", head.status()));
+        counts.refused.fetch_add(1, Ordering::AcqRel);
+        return;
+    }
+    let whole = loop {
+        match http::read_chunk(&mut channel.reader) {
+            Ok(Some(_)) => {}
+            Ok(None) => break true,
+            Err(_) => break false,
+        }
+    };
+    record.line(&format!("client has the stream of {id}, whole: {whole}"));
+    let counter = if whole { &counts.whole } else { &counts.broken_off };
+    counter.fetch_add(1, Ordering::AcqRel);
+}
+
+/// Sends payments on one channel until it breaks.
+fn use_ledger(
+    setting: &Setting,
+    address: std::net::SocketAddr,
+    client: usize,
+    number: &mut usize,
+    (counts, sent_all): (&Counts, &AtomicBool),
+) {
+    let record = &setting.record;
+    let Ok(mut channel) = Channel::open(address, Duration::from_secs(3)) else {
+        return;
+    };
+    let mut kept = false;
+    while !sent_all.load(Ordering::Acquire) {
+        *number += 1;
+        let id = format!("{:08x}{number:08x}", 0x1000 + client);
+        let payment = fleet::request("POST", "ledger-post", &id, 1_500, b"payment".to_vec());
+        if channel.call(&payment).is_err() {
+            if kept && has_run(setting, &id) {
+                record.line(&format!("BROKEN: {id} runs and gets no answer"));
+                counts.lost_short.fetch_add(1, Ordering::AcqRel);
+            }
+            return;
+        }
+        kept = true;
+        std::thread::sleep(LEDGER_PAUSE);
+    }
+}
+
 /// Returns whether a server has begun to run an attempt.
 fn has_run(setting: &Setting, attempt: &str) -> bool {
     let arrivals = setting.seen.arrivals.lock().unwrap();
--- a/review/standin/twice.rs
+++ b/review/standin/twice.rs
@@ -26,6 +26,7 @@
                 slots: 24,
                 stream: Some((EVENTS, GAP)),
                 queue: Duration::ZERO,
+                late_head: false,
                 work: Duration::ZERO,
                 // Most engines drop a request when its channel closes; one does not.
                 drops_closed: number != 0,
