--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -21,6 +21,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Time from the start of a run until its backup engine has a copy.
 const COPY_TIME: Duration = Duration::from_millis(150);
+/// Tokens of an event.
+const STRIDE: u64 = 4;
 
 /// A request that reached a server.
 #[derive(Debug, Clone)]
@@ -49,9 +51,9 @@
     pub service: String,
     pub zone: String,
     pub slots: u32,
-    /// Events of a stream and the time between two; none at a plain server.
+    /// Most events of a stream and the time between two; none at a plain server.
     pub stream: Option<(u64, Duration)>,
-    /// Time that a stream waits in the engine's queue before its first event.
+    /// Time until the first event of a stream.
     pub queue: Duration,
     /// Whether the head of a stream is sent with its first event, and not before the wait.
     pub late_head: bool,
@@ -291,6 +293,9 @@
         (events, gap): (u64, Duration),
         number: usize,
     ) {
+        let usage = request.header("x-daisyyard-token-usage").unwrap_or("");
+        let output = usage.split(',').nth(1).and_then(|tokens| tokens.parse().ok());
+        let events = output.map_or(events, |tokens: u64| events.min(tokens.div_ceil(STRIDE)));
         let last = request.header("last-event-id").and_then(|id| id.parse().ok());
         let backup = request.header("x-daisyyard-kv-backup");
         let backup = backup.and_then(|address| address.parse().ok());
--- a/review/standin/memory.rs
+++ b/review/standin/memory.rs
@@ -17,10 +17,13 @@
 const ENGINES: usize = 11;
 const EVENTS: u64 = 233;
 const GAP: Duration = Duration::from_millis(28);
-/// Wait for the first event; the objective is 4 s.
-const QUEUE: Duration = Duration::from_millis(2_000);
+/// Time until the first event: a prompt of 3,079 tokens at 14 a ms, beside other runs.
+const FIRST: Duration = Duration::from_millis(400);
 /// Time between two drafts: 4.24 a second.
 const PAUSE: Duration = Duration::from_millis(236);
+/// Time between two origin checks: 5.92 a second. Their bodies are as on the sheet.
+const CHECK_PAUSE: Duration = Duration::from_millis(169);
+const CHECK_BYTES: usize = 2_900;
 /// The burst: times the usual number of drafts, and its length.
 const BURST: f64 = 2.6;
 const LENGTH: Duration = Duration::from_millis(5_900);
@@ -39,8 +42,10 @@
     drafts: AtomicUsize,
     whole: AtomicUsize,
     refused: AtomicUsize,
-    /// Drafts and ledger requests that were passed on and got no byte of an answer.
+    /// Requests that were passed on and got no byte of an answer: drafts, origin checks and those of
+    /// the ledger.
     lost_drafts: AtomicUsize,
+    lost_checks: AtomicUsize,
     lost_short: AtomicUsize,
     /// Streams that were broken off after their head.
     broken_off: AtomicUsize,
@@ -55,7 +60,7 @@
             zone: ["costa-a", "costa-b", "costa-c"][number % 3].to_owned(),
             slots: if plain { 6 } else { 24 },
             stream: (!plain).then_some((EVENTS, GAP)),
-            queue: QUEUE,
+            queue: FIRST,
             late_head: true,
             work: Duration::from_millis(30),
             drops_closed: true,
@@ -117,6 +122,16 @@
                 })
             })
             .collect();
+        let addresses = &addresses;
+        let checks = scope.spawn(move || {
+            let mut number = 0;
+            while !sent_all.load(Ordering::Acquire) {
+                std::thread::sleep(CHECK_PAUSE);
+                number += 1;
+                let address = addresses[number % GATEWAYS];
+                scope.spawn(move || check(setting, address, number, counts));
+            }
+        });
         let started = Instant::now();
         let mut clients = Vec::new();
         while started.elapsed() < USUAL + LENGTH + USUAL {
@@ -134,15 +149,17 @@
         for client in ledger {
             let _ = client.join();
         }
+        let _ = checks.join();
         ended.store(true, Ordering::Release);
         for one in platform {
             kills.push(one.join().unwrap_or(0));
         }
     });
     let count = |number: &AtomicUsize| number.load(Ordering::Acquire);
-    let lost = count(&counts.lost_drafts) + count(&counts.lost_short);
+    let lost =
+        count(&counts.lost_drafts) + count(&counts.lost_checks) + count(&counts.lost_short);
     record.say(&format!(
-        "most memory {} MB of {} MB; processes of the machines killed {kills:?} times; {} drafts, {} whole, {} refused, {} broken off after their head; {lost} requests on kept channels ({} drafts, {} of the ledger) were run and got no answer",
+        "most memory {} MB of {} MB; processes of the machines killed {kills:?} times; {} drafts, {} whole, {} refused, {} broken off after their head; {lost} requests on kept channels ({} drafts, {} origin checks, {} of the ledger) were run and got no answer",
         count(&peak) >> 20,
         MEMORY_BYTES >> 20,
         count(&counts.drafts),
@@ -150,6 +167,7 @@
         count(&counts.refused),
         count(&counts.broken_off),
         count(&counts.lost_drafts),
+        count(&counts.lost_checks),
         count(&counts.lost_short),
     ));
     if lost > MAX_LOST {
@@ -161,42 +179,81 @@
 
 /// Asks for a draft on a channel that is kept from a short request.
 fn draft(setting: &Setting, address: std::net::SocketAddr, number: usize, counts: &Counts) {
-    let record = &setting.record;
-    let Ok(mut channel) = Channel::open(address, Duration::from_secs(16)) else {
+    let Some(mut channel) = open_kept(address, &format!("{:08x}{number:08x}", 1)) else {
         return;
     };
-    let id = format!("{:08x}{number:08x}", 1);
-    let short = fleet::request("GET", "ledger-read", &id, 1_500, Vec::new());
-    if channel.call(&short).is_err() {
-        return;
-    }
+    let record = &setting.record;
     let id = format!("{:08x}{number:08x}", 2);
     let request = fleet::request("POST", "customs-draft", &id, 39_000, vec![b'p'; BODY_BYTES]);
     record.line(&format!("client sends draft {id}"));
     counts.drafts.fetch_add(1, Ordering::AcqRel);
-    let Ok(head) = channel.send(&request) else {
+    let Some(status) = open_stream(setting, &mut channel, &request, &id, &counts.lost_drafts) else {
+        return;
+    };
+    if status != 200 {
+        counts.refused.fetch_add(1, Ordering::AcqRel);
+        return;
+    }
+    let whole = read_rest(&mut channel);
+    record.line(&format!("client has the stream of {id}, whole: {whole}"));
+    let counter = if whole { &counts.whole } else { &counts.broken_off };
+    counter.fetch_add(1, Ordering::AcqRel);
+}
+
+/// Asks for an origin check on such a channel.
+fn check(setting: &Setting, address: std::net::SocketAddr, number: usize, counts: &Counts) {
+    let Some(mut channel) = open_kept(address, &format!("{:08x}{number:08x}", 3)) else {
+        return;
+    };
+    let id = format!("{:08x}{number:08x}", 4);
+    let request = fleet::request("POST", "origin-check", &id, 6_000, vec![b'c'; CHECK_BYTES]);
+    setting.record.line(&format!("client sends check {id}"));
+    if open_stream(setting, &mut channel, &request, &id, &counts.lost_checks).is_some() {
+        read_rest(&mut channel);
+    }
+}
+
+/// Opens a channel and gets one short answer on it.
+fn open_kept(address: std::net::SocketAddr, id: &str) -> Option<Channel> {
+    let mut channel = Channel::open(address, Duration::from_secs(16)).ok()?;
+    let short = fleet::request("GET", "ledger-read", id, 1_500, Vec::new());
+    channel.call(&short).ok()?;
+    Some(channel)
+}
+
+/// Sends a request for a stream and returns the status of its answer; none if the channel ends without
+/// one.
+fn open_stream(
+    setting: &Setting,
+    channel: &mut Channel,
+    request: &http::Message,
+    id: &str,
+    lost: &AtomicUsize,
+) -> Option<u16> {
+    let record = &setting.record;
+    let Ok(head) = channel.send(request) else {
         record.line(&format!("client gets no answer to {id}"));
-        if has_run(setting, &id) {
+        if has_run(setting, id) {
             record.line(&format!("BROKEN: {id} runs and gets no answer"));
-            counts.lost_drafts.fetch_add(1, Ordering::AcqRel);
+            lost.fetch_add(1, Ordering::AcqRel);
         }
-        return;
+        return None;
     };
     if head.status() != 200 {
         record.line(&format!("client gets {} for {id}", head.status()));
-        counts.refused.fetch_add(1, Ordering::AcqRel);
-        return;
     }
-    let whole = loop {
+    Some(head.status())
+}
+
+/// Reads a stream to its end; returns whether it is whole.
+fn read_rest(channel: &mut Channel) -> bool {
+    loop {
         match http::read_chunk(&mut channel.reader) {
             Ok(Some(_)) => {}
-            Ok(None) => break true,
-            Err(_) => break false,
+            Ok(None) => return true,
+            Err(_) => return false,
         }
-    };
-    record.line(&format!("client has the stream of {id}, whole: {whole}"));
-    let counter = if whole { &counts.whole } else { &counts.broken_off };
-    counter.fetch_add(1, Ordering::AcqRel);
+    }
 }
 
 /// Sends payments on one channel until it breaks.
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -29,7 +29,8 @@
     /// Writes a line also to standard output.
     pub fn say(&self, text: &str) {
         self.line(text);
-        println!("{text}");
+        // The record has the line also if nobody reads the output.
+        let _ = writeln!(std::io::stdout(), "{text}");
     }
 
     pub fn time(&self, at: Instant) -> f64 {
