--- a/review/seen/dark-backup/run.sh
+++ b/review/seen/dark-backup/run.sh
@@ -2,7 +2,7 @@
 # Plays the case; TROUBLE=0 leaves the disruption out. Exits with 1 if the rule was broken, 0 if it
 # held, and 2 if the case could not run. Build first: the deploy file's command, and review/build.sh.
 here=$(cd "$(dirname "$0")" && pwd)
-cd "$here/../.." || exit 2
+cd "$here/../../.." || exit 2
 [ -x target/release/daisyyard ] && [ -x target/review/standin ] || exit 2
 folder=$(mktemp -d) || exit 2
 finish() {
