--- a/review/standin/dark.rs
+++ b/review/standin/dark.rs
@@ -42,7 +42,6 @@
             queue: QUEUE,
             late_head: false,
             work: Duration::from_millis(30),
-            drops_closed: true,
         };
         Engine::start(&id, habits, &setting.store, &setting.seen, record)
     };
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -59,8 +59,6 @@
     pub late_head: bool,
     /// Time that a plain server works on a request.
     pub work: Duration,
-    /// Whether a run ends when its channel closes. Most servers do this.
-    pub drops_closed: bool,
 }
 
 pub struct Engine {
@@ -76,6 +74,8 @@
     fillers: Mutex<Vec<TcpStream>>,
     dark: AtomicBool,
     draining: AtomicBool,
+    /// Whether a run ends when its channel closes.
+    drops_closed: AtomicBool,
     sequence: AtomicU64,
     /// Of so many answers one is bytes without end; 0 for none.
     endless: AtomicU64,
@@ -105,6 +105,7 @@
             fillers: Mutex::default(),
             dark: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            drops_closed: AtomicBool::new(true),
             sequence: AtomicU64::new(0),
             endless: AtomicU64::new(0),
             spoiled: AtomicU64::new(0),
@@ -152,6 +153,11 @@
         self.record.line(&format!("server {} reports draining", self.id));
     }
 
+    /// From now on a run goes on when its channel closes. Most servers drop it.
+    pub fn keep_closed(&self) {
+        self.drops_closed.store(false, Ordering::Release);
+    }
+
     /// Loses power: it takes no new channel, and what it has goes silent.
     pub fn go_dark(&self) {
         self.dark.store(true, Ordering::Release);
@@ -333,13 +339,13 @@
             let was_open = open;
             open = open && socket.write_all(chunk.as_bytes()).is_ok();
             if was_open && !open {
-                let what = if self.habits.drops_closed { "ends" } else { "goes on with" };
+                let what = if self.drops_closed.load(Ordering::Acquire) { "ends" } else { "goes on with" };
                 self.record.line(&format!(
                     "server {} sees that the channel of {attempt} is closed and {what} it",
                     self.id
                 ));
             }
-            if !open && self.habits.drops_closed {
+            if !open && self.drops_closed.load(Ordering::Acquire) {
                 return;
             }
         }
--- a/review/standin/memory.rs
+++ b/review/standin/memory.rs
@@ -63,7 +63,6 @@
             queue: FIRST,
             late_head: true,
             work: Duration::from_millis(30),
-            drops_closed: true,
         };
         let id = format!("i-{}{number}", if plain { "plain" } else { "model" });
         Engine::start(&id, habits, &setting.store, &setting.seen, record)
--- a/review/standin/twice.rs
+++ b/review/standin/twice.rs
@@ -1,6 +1,7 @@
 //! An engine that leaves is one of those that go on with a request when its channel closes. Its runs
 //! continue at their backup engines, and it still works on them.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::engine::{Arrival, Engine, Habits};
@@ -28,8 +29,6 @@
                 queue: Duration::ZERO,
                 late_head: false,
                 work: Duration::ZERO,
-                // Most engines drop a request when its channel closes; one does not.
-                drops_closed: number != 0,
             };
             let id = format!("i-model{number}");
             Engine::start(&id, habits, &setting.store, &setting.seen, record)
@@ -61,7 +60,15 @@
             .collect();
         std::thread::sleep(Duration::from_millis(1_500));
         if setting.trouble {
-            engines[0].drain();
+            // The engine with most streams leaves, and is one that doesn't drop them.
+            let arrivals = setting.seen.arrivals.lock().unwrap().clone();
+            let streams = |engine: &&Arc<Engine>| {
+                arrivals.iter().filter(|one| one.engine == engine.id).count()
+            };
+            if let Some(leaving) = engines.iter().max_by_key(streams) {
+                leaving.keep_closed();
+                leaving.drain();
+            }
         }
         let results = clients.into_iter().map(|client| client.join());
         whole = results.filter(|result| matches!(result, Ok(true))).count();
