Stop a run at its engine before another one continues it

What callers saw: nothing, their streams were whole.

Cause: a closed connection was taken for a stopped run; some engines ignore it. The same holds where a connection breaks or falls silent, where bytes are no events, and where a stream that may be resumed starts anew. A refused last copy stopped the run, and the handle of the memory that the engine keeps was not read.

Ruled out: a late answer of the new engine (the old connection was closed after 250 ms at most, and all resumed within milliseconds), and a connection that stays open (the record shows each closed).

Change: the gateway asks the engine to stop the run by the last copy of a move (halt.rs), and its answer decides where the run continues (failover.rs). An engine that does not answer is asked for 3 s more.

The stand-in for faulty endpoints answers control calls with 404, as an engine that has broken its runs off, and does not count them: resumed_streams::keeps_run_limit counts requests of callers, and its assertion is unchanged.

--- a/crates/daisyyard_gateway/src/codec.rs
+++ b/crates/daisyyard_gateway/src/codec.rs
@@ -88,6 +88,17 @@
     pub declined: bool,
 }
 
+impl Receipt {
+    /// Returns whether the response belongs to an attempt. An endpoint that is full may refuse a
+    /// request before it has read the identifier.
+    pub fn answers(&self, attempt: &str) -> bool {
+        match self.attempt.as_deref() {
+            Some(answered) => answered == attempt,
+            None => self.declined,
+        }
+    }
+}
+
 /// A call to the platform's store or to the control interface of an engine.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -198,13 +209,27 @@
     pub remove_refusal: fn(&Group) -> Call,
 }
 
+/// What an engine answers when it is asked to copy the KV cache of a run to another engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Transfer {
+    /// The copy is complete and has this handle.
+    Copied(String),
+    /// The other engine has no room or cannot be reached. If the engine has stopped the run for the
+    /// copy, it keeps the KV cache under the handle.
+    Refused(Option<String>),
+    /// The engine does not execute the run.
+    Missing,
+    /// A copy of the run is already in progress.
+    Busy,
+}
+
 /// Calls to the control interface of the engines.
 #[derive(Debug, Clone, Copy)]
 pub struct Engine {
     /// Copies the KV cache of a run to another engine; the last copy ends the run at the source.
     pub copy_cache: fn(attempt: &str, target: SocketAddr, last: bool) -> Call,
-    /// Decodes the handle of the copy from the response to `copy_cache`.
-    pub read_handle: fn(&[u8]) -> anyhow::Result<String>,
+    /// Decodes the response to `copy_cache`.
+    pub read_transfer: fn(StatusCode, &[u8]) -> anyhow::Result<Transfer>,
 }
 
 /// All functions that an adapter provides.
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -59,6 +59,8 @@
     ContentRefused = 139,
     /// The store rejected a change of the refusal of a content; it is tried again.
     RefusalUnstored = 140,
+    /// An engine was asked to stop a run so that another one can continue it.
+    RunHalted = 141,
 }
 
 /// Log level of each event.
@@ -90,6 +92,7 @@
     (Event::RunBroken, Level::Warn),
     (Event::ContentRefused, Level::Warn),
     (Event::RefusalUnstored, Level::Warn),
+    (Event::RunHalted, Level::Info),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -103,6 +103,17 @@
 #[derive(Debug)]
 pub(crate) struct Failover(pub(crate) RequestId, pub(crate) Signal);
 
+/// Engines of a run that another engine takes over.
+#[derive(Debug)]
+pub(crate) struct Takeover {
+    /// Backup engine, which resumes the run.
+    pub(crate) engine: Arc<Endpoint>,
+    /// Engine for a new backup of the run's KV cache.
+    pub(crate) backup: Option<Arc<Endpoint>>,
+    /// Whether the previous engine accepts requests, as far as is known.
+    pub(crate) source_live: bool,
+}
+
 /// Asks for another engine at which a run starts anew. The signal is that of the previous endpoint.
 #[derive(Debug)]
 pub(crate) struct Restart(pub(crate) RequestId, pub(crate) Signal);
@@ -137,8 +148,8 @@
 /// How a run can migrate away from its engine.
 #[derive(Debug, Clone)]
 pub(crate) enum Plan {
-    /// The run resumes at the engine that keeps its backup.
-    Backup,
+    /// The KV cache moves to this engine, which has a backup of it.
+    Backup(Arc<Endpoint>),
     /// The KV cache moves to this engine, which has capacity.
     Move(Arc<Endpoint>),
     /// No engine has capacity at the moment.
--- a/crates/daisyyard_gateway/src/migration.rs
+++ b/crates/daisyyard_gateway/src/migration.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use daisyyard_core::endpoint::Endpoint;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::codec::Transfer;
 use crate::event::Event;
 use crate::job::Job;
-use crate::message::{Abandon, Grant, Migrate, Plan};
+use crate::message::{Abandon, Migrate, Plan};
 use crate::proxy::Proxy;
 use crate::relay::{LEAVING, Relay};
 use crate::store;
@@ -20,7 +20,7 @@
 /// Delay before another attempt to find an engine with capacity for the run.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of one copy of a run's KV cache.
-const COPY_TIMEOUT: Duration = Duration::from_secs(3);
+pub(crate) const COPY_TIMEOUT: Duration = Duration::from_secs(3);
 /// After a copy this short, the last one is small enough that callers notice no pause.
 const SHORT_COPY_TIME: Duration = Duration::from_millis(50);
 /// Maximum number of repeated copies before the last one, which stops the run.
@@ -42,9 +42,11 @@
 #[derive(Debug)]
 pub(crate) struct Copying {
     /// Task that waits for the engine to finish the copy.
-    pub(crate) task: AbortOnDropHandle<Result<Bytes, store::Error>>,
+    pub(crate) task: AbortOnDropHandle<Result<Transfer, store::Error>>,
     /// Engine that receives the KV cache.
     target: Arc<Endpoint>,
+    /// Whether that engine has a backup of the run besides.
+    has_backup: bool,
     /// When the copy started.
     started: Instant,
     /// Number of copies before this one.
@@ -53,7 +55,7 @@
 
 impl Relay {
     /// Returns whether the engines of the service can move runs.
-    fn supports_moves(&self) -> bool {
+    pub(crate) fn supports_moves(&self) -> bool {
         self.job.engine.is_some_and(|engine| engine.moves)
     }
 
@@ -61,51 +63,59 @@
     pub(crate) async fn advance_migration(&mut self) -> bool {
         let plan = self.proxy.pool.send(Migrate(self.grant.run)).await;
         match plan.unwrap_or(Plan::Unavailable) {
-            Plan::Backup => {
+            Plan::Backup(target) if self.supports_moves() => {
                 let now = Instant::now();
                 let backup_ready_at = self.first_data_at.unwrap_or(now) + FIRST_BACKUP_TIME;
                 if backup_ready_at > now {
                     self.migration = State::Due(backup_ready_at);
                     return true;
                 }
-                self.fail_over(None, LEAVING).await
+                self.begin_copies(target, true);
+                true
             }
             Plan::Move(target) if self.supports_moves() => {
-                let details = format!(
-                    "request={} endpoint={} target={} events={}",
-                    self.job.attempt,
-                    self.grant.endpoint.name,
-                    target.name,
-                    self.splitter.event_count(),
-                );
-                self.proxy.log.emit(Event::CopyStarted, &details);
-                self.start_copy(target, 0);
+                self.begin_copies(target, false);
                 true
             }
-            Plan::Move(_) | Plan::Unavailable => {
+            Plan::Backup(_) | Plan::Move(_) | Plan::Unavailable => {
                 self.migration = State::Due(Instant::now() + RETRY_INTERVAL);
                 true
             }
         }
     }
 
+    /// Starts the first copy.
+    fn begin_copies(&mut self, target: Arc<Endpoint>, has_backup: bool) {
+        let details = format!(
+            "request={} endpoint={} target={} events={} backup={has_backup}",
+            self.job.attempt,
+            self.grant.endpoint.name,
+            target.name,
+            self.splitter.event_count(),
+        );
+        self.proxy.log.emit(Event::CopyStarted, &details);
+        self.start_copy(target, has_backup, 0);
+    }
+
     /// Starts a copy that is not the last one.
-    fn start_copy(&mut self, target: Arc<Endpoint>, rounds: u32) {
-        let copy = request_copy(&self.proxy, &self.job, &self.grant, &target, false);
+    fn start_copy(&mut self, target: Arc<Endpoint>, has_backup: bool, rounds: u32) {
+        let copy = request_copy(&self.proxy, &self.job, &self.grant.endpoint, &target, false);
         self.migration = State::Copying(Copying {
             task: AbortOnDropHandle::new(tokio::spawn(copy)),
             target,
+            has_backup,
             started: Instant::now(),
             rounds,
         });
     }
 
-    /// Handles the end of a copy: starts another one, makes the last one, or resumes at the target;
+    /// Handles the end of a copy: starts another one, or makes the last one and resumes at the target;
     /// returns whether the stream continues.
-    pub(crate) async fn finish_copy(&mut self, result: Result<Bytes, store::Error>) -> bool {
+    pub(crate) async fn finish_copy(&mut self, result: Result<Transfer, store::Error>) -> bool {
         let state = std::mem::replace(&mut self.migration, State::Idle);
         let State::Copying(Copying {
             target,
+            has_backup,
             started,
             rounds,
             ..
@@ -113,28 +123,26 @@
         else {
             return true;
         };
-        let last = match result {
-            Ok(_) if started.elapsed() > SHORT_COPY_TIME && rounds < MAX_LIVE_COPIES => {
-                self.start_copy(target, rounds + 1);
-                return true;
+        match result {
+            Ok(Transfer::Copied(_))
+                if started.elapsed() > SHORT_COPY_TIME && rounds < MAX_LIVE_COPIES =>
+            {
+                self.start_copy(target, has_backup, rounds + 1);
+                true
             }
-            Ok(_) => request_copy(&self.proxy, &self.job, &self.grant, &target, true).await,
-            Err(error) => Err(error),
-        };
-        let read = self.proxy.codec.engine.read_handle;
-        let handle = last.and_then(|response| read(&response).map_err(store::Error::Unusable));
-        match handle {
-            Ok(handle) => self.fail_over(Some(handle), LEAVING).await,
-            Err(error) => {
+            Ok(Transfer::Copied(_)) => self.fail_over(LEAVING).await,
+            failed => {
                 let details = format!(
-                    "request={} endpoint={} target={} ms={} rounds={rounds} reason={:?}",
+                    "request={} endpoint={} target={} ms={} rounds={rounds} reason={failed:?}",
                     self.job.attempt,
                     self.grant.endpoint.name,
                     target.name,
                     started.elapsed().as_millis(),
-                    error.to_string(),
                 );
                 self.proxy.log.emit(Event::CopyFailed, &details);
+                if has_backup {
+                    return self.fail_over(LEAVING).await;
+                }
                 self.abandon_target().await;
                 true
             }
@@ -149,24 +157,28 @@
     }
 }
 
-/// Asks the engine of a run to copy the KV cache to another engine; the last copy ends the run at
-/// the source.
-fn request_copy(
+/// Asks the engine `source` of a run to copy the KV cache to another engine; the last copy stops the
+/// run at the source.
+pub(crate) fn request_copy(
     proxy: &Proxy,
     job: &Job,
-    grant: &Grant,
+    source: &Endpoint,
     target: &Endpoint,
     last: bool,
-) -> impl Future<Output = Result<Bytes, store::Error>> + use<> {
-    let call = (proxy.codec.engine.copy_cache)(&job.attempt, target.address, last);
-    let source = grant.endpoint.address;
-    store::call(source, call, COPY_TIMEOUT, store::MAX_RESULT_BYTES)
+) -> impl Future<Output = Result<Transfer, store::Error>> + use<> {
+    let engine = proxy.codec.engine;
+    let call = (engine.copy_cache)(&job.attempt, target.address, last);
+    let exchange = store::exchange(source.address, call, COPY_TIMEOUT, store::MAX_RESULT_BYTES);
+    async move {
+        let (status, body) = exchange.await?;
+        (engine.read_transfer)(status, &body).map_err(store::Error::Unusable)
+    }
 }
 
 /// Waits for the result of a copy, or forever if there is none.
 pub(crate) async fn join_copy(
-    task: Option<&mut AbortOnDropHandle<Result<Bytes, store::Error>>>,
-) -> Result<Bytes, store::Error> {
+    task: Option<&mut AbortOnDropHandle<Result<Transfer, store::Error>>>,
+) -> Result<Transfer, store::Error> {
     match task {
         Some(task) => task.await.unwrap_or(Err(store::Error::Broken)),
         None => std::future::pending().await,
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -220,12 +220,7 @@
         };
         let status = answer.response.status();
         let receipt = (self.codec.read_response)(status, answer.response.headers());
-        let own = match receipt.attempt.as_deref() {
-            Some(attempt) => attempt == job.attempt,
-            // An endpoint that is full may refuse a request before it has read the identifier.
-            None => receipt.declined,
-        };
-        if !own {
+        if !receipt.answers(&job.attempt) {
             // The response belongs to another request. This request may have run, but its response
             // cannot be identified.
             grant.signal = Signal::Failed;
--- a/crates/daisyyard_gateway/src/restart.rs
+++ b/crates/daisyyard_gateway/src/restart.rs
@@ -7,6 +7,9 @@
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::pool::Signal;
 
+use crate::codec::Replica;
+use crate::failover::Obstacle;
+use crate::halt::Halt;
 use crate::message::{Place, Restart};
 use crate::relay::Relay;
 
@@ -23,15 +26,28 @@
             if self.runs_left == 0 {
                 return false;
             }
-            // The previous engine must not execute the run beside the next one.
             self.upstream = None;
             let source = Arc::clone(&self.grant.endpoint);
             let started = Instant::now();
             let Some((engine, backup)) = self.find_engine().await else {
                 return false;
             };
-            let timeout = self.job.remaining();
-            let resumed = self.resume(&engine, backup.as_deref(), None, timeout).await;
+            let resumed = if self.may_send_again().await {
+                // The previous engine must not execute the run beside the next one.
+                let replica = match self.halt(&source, &engine, reason).await {
+                    Halt::Moved(handle) => Some(Replica {
+                        holder: source.address,
+                        handle,
+                    }),
+                    Halt::Running => return false,
+                    Halt::Kept(_) | Halt::Ended | Halt::Unanswered => None,
+                };
+                let timeout = self.job.remaining();
+                self.resume(&engine, backup.as_deref(), replica, timeout)
+                    .await
+            } else {
+                Err(Obstacle::NotAllowed)
+            };
             self.record_move(&source, &engine, started, ("restart", reason), resumed);
             self.switch_to(engine);
             match resumed {
@@ -40,9 +56,9 @@
                     self.first_data_at = None;
                     return true;
                 }
-                Err("declined") => {}
-                Err("not_allowed") => return false,
-                Err(_) => {
+                Err(Obstacle::Declined) => {}
+                Err(Obstacle::NotAllowed) => return false,
+                Err(Obstacle::Unsent | Obstacle::Unanswered) => {
                     self.runs_left -= 1;
                     self.grant.signal = Signal::Failed;
                 }
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -16,7 +16,7 @@
 use crate::digest::early_interval;
 use crate::message::{
     Abandon, Claim, Failover, FirstToken, Grant, Migrate, Notice, ObserveGaps, Place, Placement,
-    Plan, Release, Restart, Rollback,
+    Plan, Release, Restart, Rollback, Takeover,
 };
 use crate::pool::Pool;
 
@@ -262,7 +262,7 @@
 }
 
 impl Handler<Failover> for Pool {
-    type Return = Option<(Arc<Endpoint>, Option<Arc<Endpoint>>)>;
+    type Return = Option<Takeover>;
 
     async fn handle(&mut self, message: Failover, _: &mut Context<Self>) -> Self::Return {
         let Failover(id, signal) = message;
@@ -272,8 +272,9 @@
             if pool.evidence.verdict(&run.contents, now) != Verdict::Allow {
                 return None;
             }
-            let target = run.backup.take().and_then(|id| pool.live(id))?;
-            run.endpoint = target.id;
+            let engine = run.backup.take().and_then(|id| pool.live(id))?;
+            let source_live = pool.live(run.endpoint).is_some();
+            run.endpoint = engine.id;
             run.sent_at = now;
             run.awaits_first_token = false;
             let backup = if run.need.backup {
@@ -282,7 +283,11 @@
                 None
             };
             run.backup = backup.as_ref().map(|backup| backup.id);
-            Some((target, backup))
+            Some(Takeover {
+                engine,
+                backup,
+                source_live,
+            })
         };
         self.update_run(id, fail_over)?
     }
@@ -346,8 +351,8 @@
 
     async fn handle(&mut self, Migrate(id): Migrate, _: &mut Context<Self>) -> Plan {
         let migrate = |pool: &mut Self, run: &mut Run| {
-            if run.backup.and_then(|id| pool.live(id)).is_some() {
-                return Plan::Backup;
+            if let Some(backup) = run.backup.and_then(|id| pool.live(id)) {
+                return Plan::Backup(backup);
             }
             let backup = pool.choose_backup(run, Purpose::Run);
             run.backup = backup.as_ref().map(|backup| backup.id);
--- a/crates/daisyyard_gateway/src/store.rs
+++ b/crates/daisyyard_gateway/src/store.rs
@@ -33,13 +33,28 @@
     Unusable(anyhow::Error),
 }
 
-/// Sends a call on a new connection and reads the complete response of at most `max_bytes`.
+/// Sends a call on a new connection and returns the complete response of at most `max_bytes` if its
+/// status is 200.
 pub(crate) async fn call(
     address: SocketAddr,
     call: Call,
     timeout: Duration,
     max_bytes: usize,
 ) -> Result<Bytes, Error> {
+    match exchange(address, call, timeout, max_bytes).await? {
+        (StatusCode::OK, body) => Ok(body),
+        (status, _) => Err(Error::Declined(status)),
+    }
+}
+
+/// Sends a call on a new connection and returns the status and the complete body, of at most
+/// `max_bytes`, of the response.
+pub(crate) async fn exchange(
+    address: SocketAddr,
+    call: Call,
+    timeout: Duration,
+    max_bytes: usize,
+) -> Result<(StatusCode, Bytes), Error> {
     let mut request = Request::builder()
         .method(call.method)
         .uri(call.path)
@@ -58,12 +73,7 @@
         Ok((status, body.to_bytes()))
     };
     let exchange = tokio::time::timeout(timeout, exchange).await;
-    let (status, body) = exchange.map_err(|_elapsed| Error::Unanswered(Failure::Silent))??;
-    if status == StatusCode::OK {
-        Ok(body)
-    } else {
-        Err(Error::Declined(status))
-    }
+    exchange.map_err(|_elapsed| Error::Unanswered(Failure::Silent))?
 }
 
 /// Exponential backoff after failed calls.
--- a/crates/daisyyard_standin/src/faulty_endpoint.rs
+++ b/crates/daisyyard_standin/src/faulty_endpoint.rs
@@ -14,6 +14,9 @@
 /// Time between two parts of the endless bytes.
 const PART_INTERVAL: Duration = Duration::from_millis(1);
 
+/// Prefix of the paths of calls to the control interface.
+const CONTROL_PREFIX: &str = "/-/";
+
 /// How the endpoint breaks the protocol.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
@@ -40,7 +43,7 @@
 /// What a faulty endpoint has seen.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Counts {
-    /// Requests whose head was read.
+    /// Requests of callers whose head was read.
     pub requests: u64,
     /// Connections that the caller closed while the endpoint sent bytes.
     pub closed: u64,
@@ -129,9 +132,21 @@
     /// Reads a request and answers it with the fault; errors mean that the caller has closed the
     /// connection.
     async fn serve(mut self, mut socket: TcpStream) {
-        let Ok(attempt) = read_attempt(&mut socket).await else {
+        let Ok(head) = read_head(&mut socket).await else {
             return;
         };
+        if head
+            .split(' ')
+            .nth(1)
+            .is_some_and(|path| path.starts_with(CONTROL_PREFIX))
+        {
+            // The endpoint has broken its runs off, so that there is nothing to stop or move.
+            let missing = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+            // Fails only if the caller has closed the connection.
+            let _ = socket.write_all(missing).await;
+            return;
+        }
+        let attempt = attempt(&head);
         self.counts.send_modify(|counts| counts.requests += 1);
         if self.answer(&mut socket, &attempt).await.is_err() {
             self.counts.send_modify(|counts| counts.closed += 1);
@@ -221,16 +236,20 @@
     }
 }
 
-/// Reads the head of a request and returns the identifier of its attempt.
-async fn read_attempt(socket: &mut TcpStream) -> std::io::Result<String> {
+/// Reads the head of a request and returns it in lowercase.
+async fn read_head(socket: &mut TcpStream) -> std::io::Result<String> {
     let mut head = Vec::new();
     while !head.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
         if socket.read_buf(&mut head).await? == 0 {
             return Err(std::io::ErrorKind::UnexpectedEof.into());
         }
     }
-    let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
+    Ok(String::from_utf8_lossy(&head).to_ascii_lowercase())
+}
+
+/// Returns the identifier of a request's attempt.
+fn attempt(head: &str) -> String {
     let mut lines = head.lines();
     let attempt = lines.find_map(|line| line.strip_prefix("x-daisyyard-attempt-id:"));
-    Ok(attempt.unwrap_or_default().trim().to_owned())
+    attempt.unwrap_or_default().trim().to_owned()
 }
--- a/crates/daisyyard_standin/src/platform_engine.rs
+++ b/crates/daisyyard_standin/src/platform_engine.rs
@@ -3,9 +3,9 @@
 //! All engines of a test share one task that tracks the runs, so that a run can continue on another
 //! engine. The task also records the requests that each engine received.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -61,6 +61,28 @@
     pub body: Bytes,
     /// Whether the engine ran the request.
     pub ran: bool,
+    /// When the engine received the request.
+    pub at: Instant,
+}
+
+/// What an engine does with a run whose connection is closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Close {
+    /// The run ends.
+    Stops,
+    /// The run goes on to its end unless the engine is told to stop it.
+    Ignored,
+}
+
+/// Room that an engine finds for copies of its runs at other engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Room {
+    /// Copies succeed.
+    Free,
+    /// Copies are refused; the last one stops the run all the same.
+    Full,
+    /// Copies are refused, and no run is stopped.
+    Unavailable,
 }
 
 /// Message to the task that tracks the runs.
@@ -72,14 +94,27 @@
     Arrivals(oneshot::Sender<Vec<Arrival>>),
     /// Set the engine that runs an attempt.
     Run(String, SocketAddr),
+    /// Note that an engine was told to stop its run of an attempt.
+    Stop(String, SocketAddr),
+    /// Note that an engine works on an attempt at the moment.
+    Work(String, SocketAddr),
+    /// Return when an engine last worked on an attempt.
+    LastWork(String, SocketAddr, oneshot::Sender<Option<Instant>>),
     /// Note that an engine has a copy of the memory of an attempt.
     Copy(String, SocketAddr),
-    /// Return the engine that runs an attempt, and whether the given engine has a copy.
-    Find(
-        String,
-        SocketAddr,
-        oneshot::Sender<(Option<SocketAddr>, bool)>,
-    ),
+    /// Return what is known of an attempt at an engine.
+    Find(String, SocketAddr, oneshot::Sender<Found>),
+}
+
+/// What is known of an attempt at an engine.
+#[derive(Debug, Clone, Copy)]
+struct Found {
+    /// Whether this engine, and no other, runs the attempt since the last start of it.
+    is_current: bool,
+    /// Whether the engine was told to stop its run of the attempt.
+    is_stopped: bool,
+    /// Whether the engine has a copy of the memory of the attempt, or keeps that of a stopped run.
+    has_memory: bool,
 }
 
 /// Handle to the task that tracks the runs of all engines; dropping it stops the task.
@@ -100,6 +135,10 @@
     pub address: SocketAddr,
     /// Treatment of requests.
     mode: watch::Sender<Mode>,
+    /// Treatment of runs whose connection is closed.
+    close: watch::Sender<Close>,
+    /// Room for copies at other engines.
+    room: watch::Sender<Room>,
     /// Server task.
     server: JoinHandle<()>,
 }
@@ -113,6 +152,10 @@
     address: SocketAddr,
     /// Treatment of requests.
     mode: watch::Receiver<Mode>,
+    /// Treatment of runs whose connection is closed.
+    close: watch::Receiver<Close>,
+    /// Room for copies at other engines.
+    room: watch::Receiver<Room>,
     /// Time between two events of a stream.
     event_interval: Duration,
     /// Channel to the task that tracks the runs.
@@ -135,6 +178,14 @@
         let _ = self.commands.send(Command::Arrivals(reply));
         answer.await.unwrap_or_default()
     }
+
+    /// Returns when an engine last worked on an attempt.
+    pub async fn last_work(&self, attempt: &str, engine: SocketAddr) -> Option<Instant> {
+        let (reply, answer) = oneshot::channel();
+        let command = Command::LastWork(attempt.to_owned(), engine, reply);
+        let _ = self.commands.send(command);
+        answer.await.ok()?
+    }
 }
 
 impl Drop for Runs {
@@ -186,10 +237,14 @@
         address: SocketAddr,
     ) -> Self {
         let (mode, current_mode) = watch::channel(Mode::Serving);
+        let (close, current_close) = watch::channel(Close::Stops);
+        let (room, current_room) = watch::channel(Room::Free);
         let handler = Handler {
             name: name.to_owned(),
             address,
             mode: current_mode,
+            close: current_close,
+            room: current_room,
             event_interval,
             runs: runs.commands.clone(),
         };
@@ -198,6 +253,8 @@
             name: name.to_owned(),
             address,
             mode,
+            close,
+            room,
             server,
         }
     }
@@ -206,6 +263,16 @@
     pub fn set_mode(&self, mode: Mode) {
         self.mode.send_replace(mode);
     }
+
+    /// Sets the treatment of runs whose connection is closed.
+    pub fn set_close(&self, close: Close) {
+        self.close.send_replace(close);
+    }
+
+    /// Sets the room for copies at other engines.
+    pub fn set_room(&self, room: Room) {
+        self.room.send_replace(room);
+    }
 }
 
 impl Drop for PlatformEngine {
@@ -218,7 +285,9 @@
 async fn run(mut commands: mpsc::UnboundedReceiver<Command>) {
     let mut arrivals = Vec::new();
     let mut running: HashMap<String, SocketAddr> = HashMap::new();
-    let mut copies: HashMap<String, Vec<SocketAddr>> = HashMap::new();
+    let mut copies: HashSet<(String, SocketAddr)> = HashSet::new();
+    let mut stopped: HashSet<(String, SocketAddr)> = HashSet::new();
+    let mut worked: HashMap<(String, SocketAddr), Instant> = HashMap::new();
     while let Some(command) = commands.recv().await {
         match command {
             Command::Record(request) => arrivals.push(*request),
@@ -226,13 +295,30 @@
                 let _ = reply.send(arrivals.clone());
             }
             Command::Run(attempt, engine) => {
+                stopped.remove(&(attempt.clone(), engine));
                 running.insert(attempt, engine);
             }
-            Command::Copy(attempt, engine) => copies.entry(attempt).or_default().push(engine),
+            Command::Stop(attempt, engine) => {
+                stopped.insert((attempt, engine));
+            }
+            Command::Work(attempt, engine) => {
+                worked.insert((attempt, engine), Instant::now());
+            }
+            Command::LastWork(attempt, engine, reply) => {
+                let _ = reply.send(worked.get(&(attempt, engine)).copied());
+            }
+            Command::Copy(attempt, engine) => {
+                copies.insert((attempt, engine));
+            }
             Command::Find(attempt, engine, reply) => {
-                let locations = copies.get(&attempt);
-                let has_copy = locations.is_some_and(|engines| engines.contains(&engine));
-                let _ = reply.send((running.get(&attempt).copied(), has_copy));
+                let is_current = running.get(&attempt) == Some(&engine);
+                let key = (attempt, engine);
+                let is_stopped = stopped.contains(&key);
+                let _ = reply.send(Found {
+                    is_current,
+                    is_stopped,
+                    has_memory: is_stopped || copies.contains(&key),
+                });
             }
         }
     }
@@ -251,7 +337,7 @@
         let mode = *self.mode.borrow();
         let expected = header_text(&headers, "x-daisyyard-expected-instance");
         let resumed = headers.contains_key("kv-from");
-        let available = !resumed || self.has_copy(&attempt).await;
+        let available = !resumed || self.find(&attempt).await.is_some_and(|it| it.has_memory);
         let ran = expected == self.name && mode != Mode::Declining && available;
         let crashes = body
             .windows(CRASH_WORD.len())
@@ -265,6 +351,7 @@
             headers: headers.clone(),
             body,
             ran,
+            at: Instant::now(),
         };
         let _ = self.runs.send(Command::Record(Box::new(arrival)));
         if expected != self.name {
@@ -321,14 +408,21 @@
         }
         let run = attempt.to_owned();
         tokio::spawn(async move {
+            let mut is_open = true;
             for number in first_event..=events {
                 tokio::time::sleep(self.event_interval).await;
-                if self.current_engine(&run).await != Some(self.address) {
+                let Some(found) = self.find(&run).await else {
+                    return;
+                };
+                let close = *self.close.borrow();
+                if found.is_stopped || (!found.is_current && close == Close::Stops) {
                     // The run has moved to another engine: stop sending, but keep the stream open.
                     std::future::pending::<()>().await;
                 }
+                let _ = self.runs.send(Command::Work(run.clone(), self.address));
                 let event = format!("id: {number}\ndata: piece {number}\n\n");
-                if sender.send(event.into()).await.is_err() {
+                is_open = is_open && sender.send(event.into()).await.is_ok();
+                if !is_open && close == Close::Stops {
                     return;
                 }
             }
@@ -343,29 +437,36 @@
         let target = body["target"]
             .as_str()
             .and_then(|target| target.parse().ok());
-        if let Some(target) = target {
-            let _ = self.runs.send(Command::Copy(attempt.clone(), target));
-            if body["last"] == true {
-                let _ = self.runs.send(Command::Run(attempt, target));
+        let Some(target) = target else {
+            return http::json(StatusCode::BAD_REQUEST, &json!({}));
+        };
+        let room = *self.room.borrow();
+        let stops = body["last"] == true && room != Room::Unavailable;
+        if stops {
+            let _ = self.runs.send(Command::Stop(attempt.clone(), self.address));
+        }
+        match room {
+            Room::Free => {
+                let _ = self.runs.send(Command::Copy(attempt, target));
+                http::json(StatusCode::OK, &json!({ "handle": "copy-1", "created": 0 }))
+            }
+            Room::Full if stops => {
+                let kept = json!({ "handle": "kept-1" });
+                http::json(StatusCode::SERVICE_UNAVAILABLE, &kept)
+            }
+            Room::Full | Room::Unavailable => {
+                http::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}))
             }
         }
-        http::json(StatusCode::OK, &json!({ "handle": "copy-1", "created": 0 }))
-    }
-
-    /// Returns whether this engine has a copy of the memory of a run.
-    async fn has_copy(&self, attempt: &str) -> bool {
-        let (reply, answer) = oneshot::channel();
-        let command = Command::Find(attempt.to_owned(), self.address, reply);
-        let _ = self.runs.send(command);
-        answer.await.is_ok_and(|(_, has_copy)| has_copy)
     }
 
-    /// Returns the engine that currently runs an attempt.
-    async fn current_engine(&self, attempt: &str) -> Option<SocketAddr> {
+    /// Returns what is known of an attempt at this engine; `None` if the task that tracks the runs
+    /// has ended.
+    async fn find(&self, attempt: &str) -> Option<Found> {
         let (reply, answer) = oneshot::channel();
         let command = Command::Find(attempt.to_owned(), self.address, reply);
         let _ = self.runs.send(command);
-        answer.await.ok()?.0
+        answer.await.ok()
     }
 }
 
--- a/crates/daisyyard_standin/src/proxy.rs
+++ b/crates/daisyyard_standin/src/proxy.rs
@@ -1,4 +1,5 @@
-//! A loopback TCP proxy that can delay, stall or close its connections, or stall only responses.
+//! A loopback TCP proxy that can delay, stall or close its connections, or stall only responses. The
+//! open connections can also be stalled or closed for good while new ones work.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,6 +28,15 @@
     Broken,
 }
 
+/// What happens to the connections that are open at one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// They are closed at both ends.
+    Closed,
+    /// They forward nothing any more and stay open.
+    Stalled,
+}
+
 /// A running proxy; dropping it closes its connections.
 #[derive(Debug)]
 pub struct Proxy {
@@ -36,6 +46,8 @@
     link: watch::Sender<Link>,
     /// Address that new connections are forwarded to.
     target: watch::Sender<Option<SocketAddr>>,
+    /// Cuts the connections that are open when it changes.
+    cut: watch::Sender<Option<Cut>>,
     /// Task that accepts connections.
     server: JoinHandle<()>,
 }
@@ -52,11 +64,13 @@
         let address = listener.local_addr()?;
         let (link, current_link) = watch::channel(Link::Open);
         let (target, current_target) = watch::channel(None);
-        let server = tokio::spawn(accept(listener, current_target, current_link));
+        let (cut, cuts) = watch::channel(None);
+        let server = tokio::spawn(accept(listener, current_target, current_link, cuts));
         Ok(Self {
             address,
             link,
             target,
+            cut,
             server,
         })
     }
@@ -70,6 +84,11 @@
     pub fn set_link(&self, link: Link) {
         self.link.send_replace(link);
     }
+
+    /// Cuts the connections that are open now; new ones work.
+    pub fn cut_open(&self, cut: Cut) {
+        self.cut.send_replace(Some(cut));
+    }
 }
 
 impl Drop for Proxy {
@@ -83,19 +102,28 @@
     listener: TcpListener,
     target: watch::Receiver<Option<SocketAddr>>,
     link: watch::Receiver<Link>,
+    cuts: watch::Receiver<Option<Cut>>,
 ) {
     let mut connections = JoinSet::new();
     while let Ok((client, _)) = listener.accept().await {
         let current = *target.borrow();
         if let Some(target) = current {
-            connections.spawn(relay(client, target, link.clone()));
+            let mut cuts = cuts.clone();
+            cuts.mark_unchanged();
+            connections.spawn(relay(client, target, link.clone(), cuts));
         }
         while connections.try_join_next().is_some() {}
     }
 }
 
-/// Forwards bytes until both directions have ended or the link is [`Link::Broken`].
-async fn relay(client: TcpStream, target: SocketAddr, mut link: watch::Receiver<Link>) {
+/// Forwards bytes until both directions have ended, the link is [`Link::Broken`] or the connection is
+/// cut.
+async fn relay(
+    client: TcpStream,
+    target: SocketAddr,
+    mut link: watch::Receiver<Link>,
+    mut cuts: watch::Receiver<Option<Cut>>,
+) {
     if *link.borrow() == Link::Broken {
         return;
     }
@@ -109,10 +137,17 @@
     let requests = copy(client_read, server_write, link.clone(), false);
     let responses = copy(server_read, client_write, link.clone(), true);
     let both = async { tokio::join!(requests, responses) };
-    tokio::select! {
-        _ = both => {}
+    let mut both = std::pin::pin!(both);
+    let is_cut = tokio::select! {
+        _ = both.as_mut() => false,
         // The sender lives as long as the proxy, so this also ends when the proxy is dropped.
-        _ = link.wait_for(|link| *link == Link::Broken) => {}
+        _ = link.wait_for(|link| *link == Link::Broken) => false,
+        cut = cuts.changed() => cut.is_ok(),
+    };
+    let cut = *cuts.borrow();
+    if is_cut && cut == Some(Cut::Stalled) {
+        // The directions are not polled any more.
+        std::future::pending::<()>().await;
     }
 }
 
