Break off interim answers without end

But 1xx heads without end were read at full speed until the caller's deadline.

Cause: only one head is bounded, and each interim answer is a head of its own. Ruled out: the reader's buffer, bodies and events, which have bounds and tests.

Change: at most 128 KiB are read before the head of the answer is complete.

--- a/crates/daisyyard/tests/endless_bytes.rs
+++ b/crates/daisyyard/tests/endless_bytes.rs
@@ -53,6 +53,14 @@
     assert_eq!(status, StatusCode::BAD_GATEWAY);
 }
 
+/// Interim answers without end: the caller is told at once that the outcome is unknown, and the gateway
+/// does not spend its time on reading them.
+#[tokio::test]
+async fn in_interim() {
+    let (status, _) = call(Fault::EndlessInterim).await;
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+}
+
 /// A body without end: none of it reaches the caller, who is told that the outcome is unknown.
 #[tokio::test]
 async fn in_body() {
@@ -126,6 +134,56 @@
     .await;
 }
 
+/// Endless bytes of each kind in many answers at once stay within the memory of a gateway, and the
+/// process goes on.
+#[tokio::test]
+async fn each_kind() {
+    let mut platform = Platform::start(0, 0).await;
+    let faults = [
+        ("desk", "/book/1", Fault::EndlessHead),
+        ("desk", "/book/1", Fault::EndlessBody),
+        ("desk", "/book/1", Fault::EndlessInterim),
+        ("desk", "/book/1", Fault::EndlessTail),
+        ("model", "/draft/1", Fault::EndlessHead),
+        ("model", "/draft/1", Fault::EndlessInterim),
+        ("model", "/draft/1", Fault::EndlessEvent),
+    ];
+    let mut endpoints = Vec::new();
+    for (number, (service, _, fault)) in faults.iter().enumerate() {
+        let name = format!("faulty-{number}");
+        endpoints.push(platform.add_faulty(&name, service, *fault).await);
+    }
+    platform.start_gateway().await;
+    let address = platform.gateways[0].requests;
+    let calls = (0..20).flat_map(|round| faults.map(|(_, path, _)| (round, path)));
+    let calls = calls.enumerate().map(|(number, (_, path))| {
+        tokio::spawn(async move {
+            let attempt = format!("attempt-{number}");
+            let credential = format!("Bearer {}", platform::CREDENTIAL);
+            let request = stream_request(path, "100,20");
+            let mut headers = vec![
+                ("x-daisyyard-attempt-id", attempt.as_str()),
+                ("x-daisyyard-deadline-ms", "8000"),
+                ("authorization", credential.as_str()),
+            ];
+            headers.extend(request.headers.iter().copied());
+            platform::send(address, &request, &headers).await
+        })
+    });
+    let calls: Vec<_> = calls.collect();
+    for call in calls {
+        call.await.expect("no panic").expect("an answer");
+    }
+    for endpoint in &endpoints {
+        let bytes = endpoint.counts().bytes;
+        assert!(bytes > 0, "{} was not asked", endpoint.name);
+    }
+    let peak_kb = peak_memory_kb(platform.gateways[0].process.id());
+    assert!(peak_kb < MAX_MEMORY_KB, "{peak_kb} kB");
+    let process = &mut platform.gateways[0].process;
+    assert!(process.try_wait().expect("the state").is_none());
+}
+
 /// An endpoint whose answers never end is left out after a few requests.
 #[tokio::test]
 async fn endpoint_left_out() {
--- a/crates/daisyyard_http/src/connection.rs
+++ b/crates/daisyyard_http/src/connection.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -26,6 +26,9 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum size of the read buffer of a connection, in bytes, and so of the head of a response.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
+/// Maximum number of bytes that are read before the head of the response is complete. It bounds interim
+/// responses (1xx), each of which has a head of its own, and leaves room for the start of the body.
+const MAX_UNANSWERED_BYTES: usize = 2 * MAX_BUFFER_BYTES;
 /// Number of unanswered keepalive probes after which the kernel closes the connection.
 const KEEPALIVE_PROBES: u32 = 3;
 /// Value of `TCP_USER_TIMEOUT`: how long sent bytes may stay unacknowledged.
@@ -76,9 +79,12 @@
         return Err(Failure::Unwritten);
     }
     let written = Arc::new(AtomicUsize::new(0));
+    let answered = Arc::new(AtomicBool::new(false));
     let socket = Socket {
         inner: socket,
         written: Arc::clone(&written),
+        unanswered_bytes: 0,
+        answered: Arc::clone(&answered),
     };
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
@@ -92,7 +98,10 @@
         let _ = connection.await;
     }));
     match tokio::time::timeout(timeout, sender.send_request(request)).await {
-        Ok(Ok(response)) => Ok(Answer { response, driver }),
+        Ok(Ok(response)) => {
+            answered.store(true, Ordering::Release);
+            Ok(Answer { response, driver })
+        }
         result => {
             // The byte count is final only once the driver has stopped writing.
             driver.abort();
@@ -132,13 +141,18 @@
     }
 }
 
-/// A socket that counts the bytes that the kernel accepted for sending.
+/// A socket that counts the bytes that the kernel accepted for sending, and bounds those that are read
+/// before the response.
 #[derive(Debug)]
 struct Socket {
     /// Socket that does the I/O.
     inner: TcpStream,
     /// Number of bytes that the kernel accepted.
     written: Arc<AtomicUsize>,
+    /// Number of bytes that were read before the head of the response was complete.
+    unanswered_bytes: usize,
+    /// Whether the head of the response is complete.
+    answered: Arc<AtomicBool>,
 }
 
 impl AsyncRead for Socket {
@@ -147,7 +161,16 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(cx, buf)
+        let filled = buf.filled().len();
+        let poll = Pin::new(&mut self.inner).poll_read(cx, buf);
+        if !self.answered.load(Ordering::Acquire) {
+            self.unanswered_bytes += buf.filled().len() - filled;
+            if self.unanswered_bytes > MAX_UNANSWERED_BYTES {
+                let text = "the peer sends bytes without end before its response; check the peer";
+                return Poll::Ready(Err(io::Error::other(text)));
+            }
+        }
+        poll
     }
 }
 
--- a/crates/daisyyard_standin/src/faulty_endpoint.rs
+++ b/crates/daisyyard_standin/src/faulty_endpoint.rs
@@ -11,6 +11,8 @@
 
 /// Size of one part of the endless bytes.
 const PART_BYTES: usize = 4 << 10;
+/// Number of interim answers that are sent at once.
+const PART_INTERIMS: usize = 2_000;
 /// Time between two parts of the endless bytes.
 const PART_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -22,6 +24,8 @@
 pub enum Fault {
     /// The head of the answer never ends.
     EndlessHead,
+    /// Interim answers (1xx) come without end.
+    EndlessInterim,
     /// The body of an answer without a length never ends.
     EndlessBody,
     /// An event of a stream never ends.
@@ -165,6 +169,12 @@
                     .await?;
                 self.send_forever(socket).await
             }
+            Fault::EndlessInterim => {
+                let interim = "HTTP/1.1 100 Continue\r\n\r\n".repeat(PART_INTERIMS);
+                loop {
+                    self.send(socket, interim.as_bytes()).await?;
+                }
+            }
             Fault::EndlessBody => {
                 self.send(socket, format!("{start}\r\n").as_bytes()).await?;
                 self.send_forever(socket).await
