Start a process of a test again if its port is held

The trial of a port leaves a listening socket open for a moment, and a process that another thread starts just then holds a copy until its exec. A gateway that starts meanwhile ends with "cannot listen"; the test fails though nothing is at fault.

--- a/crates/daisyyard/src/gateway_process.rs
+++ b/crates/daisyyard/src/gateway_process.rs
@@ -12,6 +12,8 @@
 use tokio::process::{Child, Command};
 use tokio::sync::{mpsc, oneshot};
 
+/// Index of the address of a gateway's metrics, which it serves once all others are open.
+const METRICS_INDEX: usize = 4;
 /// Delay between the end of a process and its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 /// Limit on a planned stop: the grace period of 8 s, the longest pause of 2 s, and 1 s for a busy
@@ -78,18 +80,20 @@
     faults: Vec<String>,
 }
 
-/// Writes the settings of a gateway and starts its process and supervisor.
-pub(crate) fn spawn(spec: Spec) -> anyhow::Result<Handle> {
-    let addresses = ports::free_addresses();
-    let name = format!(
-        "daisyyard-soak-{}-{}",
-        std::process::id(),
-        addresses[0].port()
-    );
-    let settings_path = std::env::temp_dir().join(name).with_extension("json");
-    let text = platform_fixture::settings(spec.store_address, spec.number, addresses).to_string();
-    std::fs::write(&settings_path, text).context("cannot write a settings file")?;
-    let child = start(&spec, &settings_path)?;
+/// Writes the settings of a gateway and starts its process and supervisor, once the process listens.
+pub(crate) async fn spawn(spec: Spec) -> anyhow::Result<Handle> {
+    let start_on = |addresses: [SocketAddr; 5]| {
+        let (id, port) = (std::process::id(), addresses[0].port());
+        let name = format!("daisyyard-soak-{id}-{port}");
+        let settings_path = std::env::temp_dir().join(name).with_extension("json");
+        let settings = platform_fixture::settings(spec.store_address, spec.number, addresses);
+        std::fs::write(&settings_path, settings.to_string())
+            .context("cannot write a settings file")?;
+        Ok((start(&spec, &settings_path)?, settings_path))
+    };
+    let has_ended = |(child, _): &mut (Child, PathBuf)| !matches!(child.try_wait(), Ok(None));
+    let ((child, settings_path), addresses) =
+        ports::start_on(METRICS_INDEX, start_on, has_ended).await?;
     let (controls, received) = mpsc::channel(16);
     let supervisor = Supervisor {
         spec,
--- a/crates/daisyyard/src/soak.rs
+++ b/crates/daisyyard/src/soak.rs
@@ -159,7 +159,9 @@
                 log_directory: options.log_directory.clone(),
             };
             environment.store_links.push(proxy);
-            environment.gateways.push(gateway_process::spawn(spec)?);
+            environment
+                .gateways
+                .push(gateway_process::spawn(spec).await?);
         }
         Ok(environment)
     }
--- a/crates/daisyyard/tests/gateway_store.rs
+++ b/crates/daisyyard/tests/gateway_store.rs
@@ -73,7 +73,7 @@
 async fn waits_for_config() {
     let mut platform = Platform::start(0, 1).await;
     platform.store.set_mode(Mode::Declining);
-    let gateway = platform::spawn_gateway(platform.store.address, 0);
+    let gateway = platform::spawn_gateway(platform.store.address, 0).await;
     let (ready, requests) = (gateway.ready, gateway.requests);
     platform.gateways.push(gateway);
     wait_until("the gateway listens", async || {
@@ -99,7 +99,7 @@
 async fn holds_early_request() {
     let mut platform = Platform::start(0, 1).await;
     platform.store.set_mode(Mode::Declining);
-    let gateway = platform::spawn_gateway(platform.store.address, 0);
+    let gateway = platform::spawn_gateway(platform.store.address, 0).await;
     let requests = gateway.requests;
     platform.gateways.push(gateway);
     wait_until("the gateway listens", async || {
@@ -140,7 +140,7 @@
 async fn ignores_old_config() {
     let mut platform = Platform::start(0, 1).await;
     platform.store.set_mode(Mode::RecentOnly);
-    let gateway = platform::spawn_gateway(platform.store.address, 0);
+    let gateway = platform::spawn_gateway(platform.store.address, 0).await;
     let ready = gateway.ready;
     platform.gateways.push(gateway);
     wait_until("the gateway listens", async || {
--- a/crates/daisyyard/tests/graceful_leave.rs
+++ b/crates/daisyyard/tests/graceful_leave.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod process;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use cluster::{Cluster, MODEL};
@@ -20,7 +21,7 @@
 const CREDENTIAL: &str = "Bearer token-member-0001";
 
 /// Returns the addresses that a node lists for callers.
-async fn addresses(node: std::net::SocketAddr) -> Vec<String> {
+async fn addresses(node: SocketAddr) -> Vec<String> {
     let call = daisyyard_http::call(node, Method::GET, "/addresses", &[], "");
     let (_, body) = call.await.expect("an answer");
     let value: Value = serde_json::from_slice(&body).expect("JSON");
@@ -30,7 +31,7 @@
 }
 
 /// Makes a call with an idempotency key through a node.
-async fn pay(node: std::net::SocketAddr, key: &str) -> StatusCode {
+async fn pay(node: SocketAddr, key: &str) -> StatusCode {
     let headers = [("authorization", CREDENTIAL), ("idempotency-key", key)];
     let path = "/services/libro-socios/payments";
     let call = daisyyard_http::call(node, Method::POST, path, &headers, "body");
@@ -138,15 +139,16 @@
     let list = daisyyard_standin::instance_list::List::start(Vec::new()).await;
     let list = list.expect("the list starts");
     let store = Store::start().await.expect("the store starts");
-    let address = process::free_address();
-    let settings = json!({
-        "name": "node-0", "zone": "costa-a", "region": "costa",
-        "listen": address, "peer": "127.0.0.1:0", "list": list.address, "store": store.address,
-        "key": "shared-cluster-key", "accounts": [{"account": "member-1", "token": "token-member-0001"}],
-        "operators": [{"operator": "ines", "token": "operator-token-0001"}],
-        "timing": {"addresses_ms": 200}, "services": [MODEL],
-    });
-    let mut process = process::serve(address, &settings).await;
+    let settings = |address: SocketAddr| {
+        json!({
+            "name": "node-0", "zone": "costa-a", "region": "costa",
+            "listen": address, "peer": "127.0.0.1:0", "list": list.address, "store": store.address,
+            "key": "shared-cluster-key", "accounts": [{"account": "member-1", "token": "token-member-0001"}],
+            "operators": [{"operator": "ines", "token": "operator-token-0001"}],
+            "timing": {"addresses_ms": 200}, "services": [MODEL],
+        })
+    };
+    let (mut process, address) = process::serve(settings).await;
     let words = format!("drain --node {address} --token operator-token-0001");
     let words: Vec<String> = words.split(' ').map(str::to_owned).collect();
     let report = operator::execute(&words).await.expect("a known command");
--- a/crates/daisyyard/tests/planned_stop.rs
+++ b/crates/daisyyard/tests/planned_stop.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod process;
 
+use std::net::SocketAddr;
 use std::process::Command;
 use std::time::Duration;
 
@@ -85,15 +86,16 @@
 #[tokio::test]
 async fn exits_clean() {
     let fleet = Fleet::start(1, 0, fleet::timing()).await;
-    let address = process::free_address();
-    let settings = json!({
-        "name": "node-0", "zone": "costa-a", "region": "costa",
-        "listen": address, "peer": "127.0.0.1:0",
-        "list": fleet.list.address, "store": fleet.store.address,
-        "key": "shared-fleet-key", "accounts": [{"account": "member-1", "token": "token-member-0001"}],
-        "timing": {"addresses_ms": 200}, "services": [fleet::MODEL],
-    });
-    let mut process = process::serve(address, &settings).await;
+    let settings = |address: SocketAddr| {
+        json!({
+            "name": "node-0", "zone": "costa-a", "region": "costa",
+            "listen": address, "peer": "127.0.0.1:0",
+            "list": fleet.list.address, "store": fleet.store.address,
+            "key": "shared-fleet-key", "accounts": [{"account": "member-1", "token": "token-member-0001"}],
+            "timing": {"addresses_ms": 200}, "services": [fleet::MODEL],
+        })
+    };
+    let (mut process, address) = process::serve(settings).await;
     let prompt = "a customs declaration length=150";
     let mut caller = Caller::post(address, &fleet::body(prompt, true)).await;
     let (text, _) = caller.read_tokens(2).await;
--- a/crates/daisyyard/tests/platform/mod.rs
+++ b/crates/daisyyard/tests/platform/mod.rs
@@ -19,6 +19,8 @@
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval between two checks of an expected condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Index of the address of a gateway's metrics, which it serves once all others are open.
+const METRICS_INDEX: usize = 4;
 /// Interval between two events of an engine.
 pub(crate) const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -137,7 +139,7 @@
 
     /// Starts a gateway and waits until it is ready.
     pub(crate) async fn start_gateway(&mut self) {
-        let gateway = spawn_gateway(self.store.address, self.gateways.len());
+        let gateway = spawn_gateway(self.store.address, self.gateways.len()).await;
         let ready = gateway.ready;
         self.gateways.push(gateway);
         wait_until("the gateway is ready", async || {
@@ -220,25 +222,39 @@
     }
 }
 
-/// Starts a gateway process.
-pub(crate) fn spawn_gateway(store: SocketAddr, number: usize) -> Gateway {
-    let listen = ports::free_addresses();
-    let name = format!("daisyyard-gateway-{}.json", listen[0].port());
-    let path = std::env::temp_dir().join(name);
-    let settings = settings(store, number, listen);
-    std::fs::write(&path, settings.to_string()).expect("a settings file");
-    let process = Command::new(env!("CARGO_BIN_EXE_daisyyard"))
-        .args(["gateway", "--config"])
-        .arg(&path)
-        .stdout(Stdio::null())
-        .spawn()
-        .expect("the gateway starts");
+/// Starts a gateway process and waits until it listens.
+pub(crate) async fn spawn_gateway(store: SocketAddr, number: usize) -> Gateway {
+    spawn_gateway_with(store, number, |_| {}).await
+}
+
+/// Starts a gateway process whose settings are changed by `adapt`, and waits until it listens.
+pub(crate) async fn spawn_gateway_with(
+    store: SocketAddr,
+    number: usize,
+    adapt: impl Fn(&mut serde_json::Value),
+) -> Gateway {
+    let start = |listen: [SocketAddr; 5]| {
+        let name = format!("daisyyard-gateway-{}.json", listen[0].port());
+        let path = std::env::temp_dir().join(name);
+        let mut settings = settings(store, number, listen);
+        adapt(&mut settings);
+        std::fs::write(&path, settings.to_string())?;
+        let process = Command::new(env!("CARGO_BIN_EXE_daisyyard"))
+            .args(["gateway", "--config"])
+            .arg(&path)
+            .stdout(Stdio::null())
+            .spawn()?;
+        Ok(process)
+    };
+    let has_ended = |process: &mut Child| !matches!(process.try_wait(), Ok(None));
+    let started = ports::start_on(METRICS_INDEX, start, has_ended).await;
+    let (process, listen) = started.expect("the gateway starts");
     Gateway {
         process,
         requests: listen[0],
         ready: listen[1],
         directory: listen[2],
-        metrics: listen[4],
+        metrics: listen[METRICS_INDEX],
     }
 }
 
--- a/crates/daisyyard/tests/silent_readers.rs
+++ b/crates/daisyyard/tests/silent_readers.rs
@@ -34,7 +34,7 @@
         for number in 0..GATEWAYS {
             let link = Proxy::start().await.expect("the proxy starts");
             link.set_target(platform.store.address);
-            let gateway = platform::spawn_gateway(link.address, number);
+            let gateway = platform::spawn_gateway(link.address, number).await;
             platform.gateways.push(gateway);
             links.push(link);
         }
