Compare the whole addresses that gateways offer in tests

The tests counted "127." in the directory's answer, which occurs twice in an address whose third number is 127: so in one of 256 processes. They now wait until each gateway offers exactly the addresses of all gateways, which is stricter: a wrong address fails as well.

--- a/crates/daisyyard/tests/crashing_content.rs
+++ b/crates/daisyyard/tests/crashing_content.rs
@@ -23,13 +23,7 @@
     for _ in 0..gateways {
         platform.start_gateway().await;
     }
-    for gateway in &platform.gateways {
-        platform::wait_until("all gateways are listed", async || {
-            let text = platform::text(gateway.directory, "/-/resolution?zone=zone-a").await;
-            text.matches("127.").count() == gateways
-        })
-        .await;
-    }
+    platform::wait_until_listed(&platform.gateways).await;
     platform
 }
 
--- a/crates/daisyyard/tests/fleet_news.rs
+++ b/crates/daisyyard/tests/fleet_news.rs
@@ -20,14 +20,7 @@
     for _ in 0..GATEWAYS {
         platform.start_gateway().await;
     }
-    for gateway in &platform.gateways {
-        let directory = gateway.directory;
-        wait_until("all gateways are listed", async || {
-            let text = platform::text(directory, "/-/resolution?zone=zone-a").await;
-            text.matches("127.").count() == GATEWAYS
-        })
-        .await;
-    }
+    platform::wait_until_listed(&platform.gateways).await;
     platform
 }
 
--- a/crates/daisyyard/tests/platform/mod.rs
+++ b/crates/daisyyard/tests/platform/mod.rs
@@ -267,6 +267,33 @@
     }
 }
 
+/// Waits until each gateway offers the addresses of all gateways, and no others, to callers.
+pub(crate) async fn wait_until_listed(gateways: &[Gateway]) {
+    let mut expected: Vec<String> = gateways
+        .iter()
+        .map(|gateway| gateway.requests.to_string())
+        .collect();
+    expected.sort();
+    for gateway in gateways {
+        wait_until("all gateways are listed", async || {
+            offered(gateway.directory).await == expected
+        })
+        .await;
+    }
+}
+
+/// Returns the addresses that a gateway offers to callers, in order.
+async fn offered(directory: SocketAddr) -> Vec<String> {
+    let text = text(directory, "/-/resolution?zone=zone-a").await;
+    let answer: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+    let addresses = answer["addresses"].as_array().into_iter().flatten();
+    let mut addresses: Vec<String> = addresses
+        .filter_map(|address| address.as_str().map(str::to_owned))
+        .collect();
+    addresses.sort();
+    addresses
+}
+
 /// Returns the status of a request without headers.
 pub(crate) async fn status(address: SocketAddr, path: &str) -> Option<StatusCode> {
     let answer = daisyyard_http::call(address, Method::GET, path, &[], "").await;
--- a/crates/daisyyard/tests/silent_readers.rs
+++ b/crates/daisyyard/tests/silent_readers.rs
@@ -43,12 +43,8 @@
                 platform::status(gateway.ready, "/-/readiness").await == Some(StatusCode::OK)
             })
             .await;
-            wait_until("all gateways are listed", async || {
-                let text = platform::text(gateway.directory, "/-/resolution?zone=zone-a").await;
-                text.matches("127.").count() == GATEWAYS
-            })
-            .await;
         }
+        platform::wait_until_listed(&platform.gateways).await;
         // A gateway relies on others once the watch has ended that it began before it knew them.
         tokio::time::sleep(Duration::from_secs(3)).await;
         Self { platform, links }
