Refuse requests that may outlast a planned stop, and answer the others

What callers saw (report of another operator; the same here): in a planned stop, requests that came late in the grace period were passed on and cut at its end without an answer.

Cause: the end of the process was known only to the final time limit, which drops all connections. Ruled out: that connections are accepted for too long (requests on open connections, with late bodies or from the queue were passed on as well), and that answers are lost as the process exits.

Change: the end is announced when the stop begins (ending.rs). A request whose deadline is later gets 503 unless it was sent to an endpoint before; one that has no answer 0.1 s before the end gets 504. The result of a send moved to sent.rs.

--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -25,7 +25,7 @@
 use crate::server::{self, Phase, Server};
 use crate::settings::Settings;
 use crate::watcher::{Configuration, Watcher};
-use crate::{digest, refusal::Refusal};
+use crate::{digest, ending, refusal::Refusal};
 
 /// Time for which callers may cache addresses, unless the deployment allows less. Some callers keep
 /// them for three times as long.
@@ -56,6 +56,8 @@
     pool: Address<Pool>,
     /// Phase of the graceful shutdown.
     phase: watch::Sender<Phase>,
+    /// Announces the end of the process to requests in progress.
+    ending: ending::Sender,
     /// Tracks the connections on which requests arrive.
     requests: TaskTracker,
     /// Log of the gateway.
@@ -119,6 +121,7 @@
         digests.with_context(|| format!("cannot bind {}; is it in use?", listen.digests))?;
         let metrics = Metrics::new()?;
         let (phase, phase_view) = watch::channel(Phase::Serving);
+        let (ending, ending_view) = ending::channel();
         let (watcher, configuration) = Watcher::new(
             settings.store,
             codec,
@@ -142,6 +145,7 @@
             pool: pool.clone(),
             configuration: configuration.clone(),
             phase: phase_view.clone(),
+            ending: ending_view,
             buffer: Buffer::new(),
             metrics: metrics.clone(),
             log: log.clone(),
@@ -170,6 +174,7 @@
         Ok(Self {
             pool,
             phase,
+            ending,
             requests: tasks,
             log,
         })
@@ -201,12 +206,13 @@
         }
     }
 
-    /// Shuts the gateway down gracefully: redirects callers to other gateways and finishes the
-    /// requests in progress.
+    /// Shuts the gateway down gracefully: redirects callers to other gateways and finishes the requests in
+    /// progress. Those that may outlast the process are refused if they were not sent yet.
     async fn stop(self, settings: &Settings) {
         let grace = settings.bounds.grace.saturating_sub(STOP_MARGIN);
         let details = format!("name={} grace_ms={}", settings.name, grace.as_millis());
         self.log.emit(Event::GatewayLeaving, &details);
+        self.ending.announce(grace);
         let finish = async {
             let _ = self.pool.send(Leave).await;
             self.phase.send_replace(Phase::Leaving);
--- a/crates/daisyyard_gateway/src/ingress.rs
+++ b/crates/daisyyard_gateway/src/ingress.rs
@@ -54,13 +54,20 @@
             .ok_or_else(|| failed(Refusal::Missing))?;
         let (connections, engine) = (traits.max_connections, traits.engine);
         let (mut head, body) = request.into_parts();
-        let body = receive_body(body, catalog.limits).await.map_err(failed)?;
+        let body = tokio::select! {
+            body = receive_body(body, catalog.limits) => body.map_err(failed)?,
+            () = self.ending.reached() => return Err(failed(Refusal::Leaving)),
+        };
         daisyyard_http::remove_hop_by_hop(&mut head.headers);
         head.headers.remove(CONTENT_LENGTH);
         let timeout = parameters
             .timeout
             .unwrap_or(route.timeout)
             .min(route.timeout);
+        let deadline = arrived + timeout;
+        if self.ending.precedes(deadline) {
+            return Err(failed(Refusal::Leaving));
+        }
         let uri = origin_form(&head.uri);
         let contents = job::contents(
             client.as_deref(),
@@ -83,7 +90,7 @@
             body,
             resume_after,
             arrived,
-            deadline: arrived + timeout,
+            deadline,
             route,
         })
     }
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -19,6 +19,7 @@
 use crate::body::{self, Body};
 use crate::buffer::{self, Buffer};
 use crate::codec::Codec;
+use crate::ending::Ending;
 use crate::event::Event;
 use crate::job::Job;
 use crate::log::Log;
@@ -27,6 +28,7 @@
 use crate::pool::Pool;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
+use crate::sent::{self, Sent, answer_unusable, connection_failed, health_signal};
 use crate::server::Phase;
 use crate::watcher::Configuration;
 
@@ -48,6 +50,8 @@
     pub(crate) configuration: Configuration,
     /// Phase of the graceful shutdown.
     pub(crate) phase: watch::Receiver<Phase>,
+    /// When the process ends.
+    pub(crate) ending: Ending,
     /// Memory for answers that are read whole.
     pub(crate) buffer: Buffer,
     /// Metrics of the gateway.
@@ -56,24 +60,6 @@
     pub(crate) log: Log,
 }
 
-/// Result of sending a request once.
-enum Sent {
-    /// The response for the caller.
-    Answered(Response<Body>),
-    /// The endpoint failed; `progress` says whether it may have run the request. A response that it
-    /// sent is forwarded unless a retry succeeds.
-    Failed {
-        /// How far the request got.
-        progress: Progress,
-        /// Whether the endpoint timed out.
-        late: bool,
-        /// Name of the failure for logs and metrics.
-        reason: &'static str,
-        /// Error response of the endpoint, if there is one.
-        response: Option<Response<Body>>,
-    },
-}
-
 impl Proxy {
     /// Handles one request and returns the response.
     pub(crate) async fn handle(self, request: Request<Incoming>) -> Response<Body> {
@@ -140,7 +126,11 @@
                 0
             };
             let may_repeat = runs_left > 0;
-            let (progress, late, reason, response) = match self.send(&job, grant, runs_left).await {
+            let sent = tokio::select! {
+                sent = self.send(&job, grant, runs_left) => sent,
+                () = self.ending.reached() => sent::stopped(),
+            };
+            let (progress, late, reason, response) = match sent {
                 Sent::Answered(response) => return response,
                 Sent::Failed {
                     progress,
@@ -153,7 +143,9 @@
             history.advance(progress);
             let not_run = matches!(progress, Progress::Unsent | Progress::Declined);
             possible_runs += u32::from(!not_run);
-            let worth_retrying = tried.len() < MAX_SENDS && job.remaining() > MIN_REMAINING;
+            let worth_retrying = tried.len() < MAX_SENDS
+                && job.remaining() > MIN_REMAINING
+                && !self.ending.precedes(job.deadline);
             let retry = worth_retrying && (not_run || may_repeat) && self.retry_allowed(&job).await;
             match history.fail(retry) {
                 Decision::Retry => {
@@ -184,7 +176,12 @@
         };
         // The pool ends only with the process.
         let _ = self.pool.send(claim).await;
-        match granted.await {
+        let granted = tokio::select! {
+            biased;
+            () = self.ending.precluding(job.deadline) => return Err(Refusal::Leaving),
+            granted = granted => granted,
+        };
+        match granted {
             Ok(Placement::Granted(grant)) => Ok(grant),
             Ok(Placement::Refused(time)) => Err(Refusal::Suspected(time)),
             Err(_) => Err(Refusal::Full),
@@ -317,6 +314,7 @@
     fn refuse(&self, job: &Job, refusal: Refusal) -> Response<Body> {
         let reason = match refusal {
             Refusal::Full => "full",
+            Refusal::Leaving => "leaving",
             Refusal::Declined => "declined",
             Refusal::Late => "late",
             Refusal::Suspected(_) => "suspected",
@@ -347,41 +345,3 @@
     parts.headers.remove(CONTENT_LENGTH);
     parts
 }
-
-/// Returns what a connection failure indicates about the endpoint.
-fn health_signal(failure: Failure) -> Signal {
-    match failure {
-        Failure::Refused => Signal::Refused,
-        Failure::Unreachable => Signal::Unreachable,
-        Failure::Unwritten | Failure::Partial | Failure::Broken => Signal::Lost,
-        Failure::Silent => Signal::Failed,
-    }
-}
-
-/// Returns the result of a send whose connection failed.
-fn connection_failed(failure: Failure) -> Sent {
-    let (progress, reason) = match failure {
-        Failure::Refused => (Progress::Unsent, "refused"),
-        Failure::Unreachable => (Progress::Unsent, "unreachable"),
-        Failure::Unwritten => (Progress::Unsent, "unwritten"),
-        // An endpoint may start to run a request before it has received all of it.
-        Failure::Partial | Failure::Broken => (Progress::Written, "broken"),
-        Failure::Silent => (Progress::Written, "silent"),
-    };
-    Sent::Failed {
-        progress,
-        late: failure == Failure::Silent,
-        reason,
-        response: None,
-    }
-}
-
-/// Returns the result of a send whose response cannot be used.
-fn answer_unusable(reason: &'static str) -> Sent {
-    Sent::Failed {
-        progress: Progress::Written,
-        late: false,
-        reason,
-        response: None,
-    }
-}
