Notice the end of a store outage when the store is back

What callers saw: nothing; requests reached an engine that had left.

Cause: after an outage, entries that vanish stay usable for 2.2 s. That time began with the first answer after the outage, but a call made in its last moments fails only 2 s later, the next watch waits up to 1 s, and a gateway that is told of changes made no call until the next configuration. One failed call counted as an outage, too.

Ruled out by the log of the stand-in run: removals that are learned late (1 ms), and entries that digests bring back (one gateway).

Change: calls to a lost store don't wait for changes, told gateways probe it each second with the cheapest read, and outages of less than 1 s expire no entries.

--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -7,6 +7,7 @@
 use daisyyard_core::catalog::Catalog;
 use daisyyard_core::id::Revision;
 use daisyyard_core::roster::Role;
+use daisyyard_http::connection::Failure;
 use futures_util::FutureExt;
 use hyper::StatusCode;
 use tokio::sync::{Notify, mpsc, watch};
@@ -41,6 +42,11 @@
 /// Time between two complete reads of a gateway that is told of changes by others. They correct what
 /// lost datagrams have left out.
 const TOLD_PAUSE: Duration = Duration::from_mins(1);
+/// Time between two calls of a gateway that is told of changes by others and does not reach the store. It
+/// must know within this time that the store is back: what vanishes after that counts as doubtful.
+const PROBE_PAUSE: Duration = Duration::from_secs(1);
+/// Shortest outage of the store in which entries may expire, which takes some missed heartbeats.
+const MIN_EXPIRING_OUTAGE: Duration = Duration::from_secs(1);
 /// Time after a store outage in which endpoints and gateways may register again if their entries
 /// expired during the outage.
 const RELISTING_TIME: Duration = Duration::from_millis(2_200);
@@ -84,8 +90,8 @@
     standing: watch::Receiver<Standing>,
     /// Whether the last read of the configuration alone brought no newer one.
     catalog_was_old: bool,
-    /// Whether the last call to the store succeeded.
-    available: bool,
+    /// Since when the store has not answered; `None` if the last call succeeded.
+    lost_at: Option<Instant>,
     /// When the store answered again after its last outage.
     reconnected_at: Option<Instant>,
     /// Log of the gateway.
@@ -116,7 +122,7 @@
             news,
             standing,
             catalog_was_old: false,
-            available: true,
+            lost_at: None,
             reconnected_at: None,
             log,
         };
@@ -155,6 +161,7 @@
             let standing = *self.standing.borrow_and_update();
             let told = self.version().is_some() && standing.is_told();
             let pause = match standing {
+                _ if told && self.lost_at.is_some() => PROBE_PAUSE,
                 _ if told => TOLD_PAUSE,
                 _ if !changed => Duration::ZERO,
                 // The readers do not read at the same moments.
@@ -172,7 +179,11 @@
             };
             tokio::select! {
                 () = tokio::time::sleep_until((started + pause).into()) => {
-                    return if told { Read::All } else { Read::Changes };
+                    return match told {
+                        true if self.lost_at.is_some() => Read::Catalog,
+                        true => Read::All,
+                        false => Read::Changes,
+                    };
                 }
                 // Another gateway has read newer data.
                 () = self.refresh.notified() => {
@@ -214,7 +225,7 @@
                     self.publish(batch, Read::All, Some(started)).await;
                     return revision;
                 }
-                Err(error) => self.record_failure(&error).await,
+                Err(error) => self.record_failure(&error, started).await,
             }
         }
     }
@@ -242,6 +253,7 @@
     /// Reads the configuration alone; this costs a tenth of a read of the newest data.
     async fn read_catalog(&mut self, revision: Revision) {
         let call = (self.codec.store.read_catalog)();
+        let started = Instant::now();
         let response = store::call(self.address, call, READ_TIMEOUT, MAX_PAGE_BYTES).await;
         let batch = response
             .and_then(|response| (self.codec.store.read_batch)(&response).map_err(Error::Unusable));
@@ -254,14 +266,17 @@
                     .await;
                 self.catalog_was_old = self.version() == known;
             }
-            Err(error) => self.record_failure(&error).await,
+            Err(error) => self.record_failure(&error, started).await,
         }
     }
 
-    /// Waits for changes once; returns the next revision and whether anything has changed, or
+    /// Waits for changes once, but not while the store is lost, so that its return is noticed at once; returns the next revision and whether anything has changed, or
     /// `None` if the watch history is lost.
     async fn watch(&mut self, revision: Revision) -> Option<(Revision, bool)> {
-        let wait = self.watch_timeout;
+        let wait = match self.lost_at {
+            Some(_) => Duration::ZERO,
+            None => self.watch_timeout,
+        };
         let call = (self.codec.store.watch)(revision, wait);
         let timeout = wait + READ_TIMEOUT;
         let started = Instant::now();
@@ -284,7 +299,7 @@
                 None
             }
             Err(error) => {
-                self.record_failure(&error).await;
+                self.record_failure(&error, started).await;
                 Some((revision, false))
             }
         }
@@ -356,20 +371,31 @@
     /// Records that the store has answered.
     async fn record_success(&mut self) {
         self.backoff.reset();
-        if !self.available {
-            self.available = true;
-            // The pool ends only with the process.
-            let _ = self.pool.send(StoreReach(true)).await;
+        let Some(lost_at) = self.lost_at.take() else {
+            return;
+        };
+        // The pool ends only with the process.
+        let _ = self.pool.send(StoreReach(true)).await;
+        if lost_at.elapsed() >= MIN_EXPIRING_OUTAGE {
             self.reconnected_at = Some(Instant::now());
-            self.log
-                .emit(Event::StoreRegained, &format!("address={}", self.address));
         }
+        let details = format!(
+            "address={} ms={}",
+            self.address,
+            lost_at.elapsed().as_millis()
+        );
+        self.log.emit(Event::StoreRegained, &details);
     }
 
-    /// Records that a call to the store failed, and waits before the next one.
-    async fn record_failure(&mut self, error: &Error) {
-        if self.available {
-            self.available = false;
+    /// Records that a call to the store, started at the given time, failed, and waits before the next
+    /// one.
+    async fn record_failure(&mut self, error: &Error, started: Instant) {
+        if self.lost_at.is_none() {
+            let timed_out = matches!(
+                error,
+                Error::Unanswered(Failure::Silent | Failure::Unreachable)
+            );
+            self.lost_at = Some(if timed_out { started } else { Instant::now() });
             let _ = self.pool.send(StoreReach(false)).await;
             let details = format!("address={} reason={:?}", self.address, error.to_string());
             self.log.emit(Event::StoreLost, &details);
--- a/crates/daisyyard_standin/src/platform_store.rs
+++ b/crates/daisyyard_standin/src/platform_store.rs
@@ -17,6 +17,9 @@
 
 use crate::platform_keys::{self, Command, Watch};
 
+/// Path of a watch.
+const WATCH_PATH: &str = "/-/kv-watch";
+
 /// Treatment of calls by the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mode {
@@ -45,6 +48,8 @@
     mode: watch::Sender<Mode>,
     /// Number of calls received so far, in any mode.
     calls: watch::Receiver<u64>,
+    /// Number of watches among them.
+    watches: watch::Receiver<u64>,
     /// Price of these calls, in tenths of a call.
     price: watch::Receiver<u64>,
     /// Task that owns the keys, and server task.
@@ -59,11 +64,15 @@
         let (commands, receiver) = mpsc::unbounded_channel();
         let (mode, current_mode) = watch::channel(Mode::Serving);
         let (counter, calls) = watch::channel(0);
+        let (watch_counter, watches) = watch::channel(0);
         let (meter, price) = watch::channel(0);
         let owner = tokio::spawn(platform_keys::run(receiver));
         let sender = commands.clone();
         let server = http::serve(listener, move |request: Request<Incoming>| {
             counter.send_modify(|calls| *calls += 1);
+            if request.uri().path() == WATCH_PATH {
+                watch_counter.send_modify(|watches| *watches += 1);
+            }
             meter.send_modify(|total| *total += price_of(&request));
             handle(request, sender.clone(), *current_mode.borrow())
         });
@@ -72,6 +81,7 @@
             commands,
             mode,
             calls,
+            watches,
             price,
             tasks: vec![owner, server],
         })
@@ -87,6 +97,11 @@
         *self.calls.borrow()
     }
 
+    /// Returns the number of watches received so far, in any mode.
+    pub fn watches(&self) -> u64 {
+        *self.watches.borrow()
+    }
+
     /// Returns the price of the calls received so far, in tenths of a call.
     pub fn price(&self) -> u64 {
         *self.price.borrow()
@@ -102,6 +117,11 @@
         self.writer().put(key, value).await;
     }
 
+    /// Deletes a key.
+    pub async fn remove(&self, key: &str) {
+        self.writer().remove(key).await;
+    }
+
     /// Discards the history of changes and fails the waiting watches.
     pub fn compact(&self) {
         let _ = self.commands.send(Command::Compact);
@@ -121,11 +141,22 @@
 impl Writer {
     /// Writes a key without a lease.
     pub async fn put(&self, key: &str, value: &Value) {
-        let (reply, answer) = oneshot::channel();
         let value = STANDARD.encode(value.to_string());
+        let puts = vec![(key.to_owned(), value, 0)];
+        self.write(puts, Vec::new()).await;
+    }
+
+    /// Deletes a key.
+    pub async fn remove(&self, key: &str) {
+        self.write(Vec::new(), vec![key.to_owned()]).await;
+    }
+
+    /// Writes and deletes keys, and waits until that is done.
+    async fn write(&self, puts: Vec<(String, String, u64)>, removed: Vec<String>) {
+        let (reply, answer) = oneshot::channel();
         let command = Command::Write {
-            puts: vec![(key.to_owned(), value, 0)],
-            removed: Vec::new(),
+            puts,
+            removed,
             reply,
         };
         let _ = self.0.send(command);
@@ -180,7 +211,7 @@
     let lease = path.rsplit('/').next().and_then(|last| last.parse().ok());
     let answer = match (method, path.as_str(), lease) {
         (Method::GET, "/-/kv-range", _) => range(&query, &commands).await,
-        (Method::GET, "/-/kv-watch", _) => watch_changes(&query, &commands).await,
+        (Method::GET, WATCH_PATH, _) => watch_changes(&query, &commands).await,
         (Method::POST, "/-/kv-txn", _) => write(&body, &commands).await,
         (Method::POST, "/-/kv-lease", _) => grant_lease(&body, &commands).await,
         (Method::POST, _, Some(lease)) => renew_lease(lease, &commands).await,
