--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod member;
 mod memory;
 pub mod order;
+pub mod outage;
 mod pace;
 pub mod peers;
 pub mod placement;
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -6,6 +6,7 @@
 
 use daisyyard_core::catalog::Catalog;
 use daisyyard_core::id::Revision;
+use daisyyard_core::outage::Outage;
 use daisyyard_core::roster::Role;
 use daisyyard_http::connection::Failure;
 use futures_util::FutureExt;
@@ -45,12 +46,6 @@
 /// Time between two calls of a gateway that is told of changes by others and does not reach the store. It
 /// must know within this time that the store is back: what vanishes after that counts as doubtful.
 const PROBE_PAUSE: Duration = Duration::from_secs(1);
-/// Shortest outage of the store in which entries may expire, which takes some missed heartbeats.
-const MIN_EXPIRING_OUTAGE: Duration = Duration::from_secs(1);
-/// Time after a store outage in which endpoints and gateways may register again if their entries
-/// expired during the outage.
-const RELISTING_TIME: Duration = Duration::from_millis(2_200);
-
 /// The current configuration; `None` until the first one is read.
 pub(crate) type Configuration = watch::Receiver<Option<Arc<Catalog>>>;
 
@@ -90,10 +85,8 @@
     standing: watch::Receiver<Standing>,
     /// Whether the last read of the configuration alone brought no newer one.
     catalog_was_old: bool,
-    /// Since when the store has not answered; `None` if the last call succeeded.
-    lost_at: Option<Instant>,
-    /// When the store answered again after its last outage.
-    reconnected_at: Option<Instant>,
+    /// Outages of the store.
+    outage: Outage,
     /// Log of the gateway.
     log: Log,
 }
@@ -122,8 +115,7 @@
             news,
             standing,
             catalog_was_old: false,
-            lost_at: None,
-            reconnected_at: None,
+            outage: Outage::default(),
             log,
         };
         (watcher, configuration)
@@ -161,7 +153,7 @@
             let standing = *self.standing.borrow_and_update();
             let told = self.version().is_some() && standing.is_told();
             let pause = match standing {
-                _ if told && self.lost_at.is_some() => PROBE_PAUSE,
+                _ if told && self.outage.is_on() => PROBE_PAUSE,
                 _ if told => TOLD_PAUSE,
                 _ if !changed => Duration::ZERO,
                 // The readers do not read at the same moments.
@@ -180,7 +172,7 @@
             tokio::select! {
                 () = tokio::time::sleep_until((started + pause).into()) => {
                     return match told {
-                        true if self.lost_at.is_some() => Read::Catalog,
+                        true if self.outage.is_on() => Read::Catalog,
                         true => Read::All,
                         false => Read::Changes,
                     };
@@ -273,9 +265,10 @@
     /// Waits for changes once, but not while the store is lost, so that its return is noticed at once; returns the next revision and whether anything has changed, or
     /// `None` if the watch history is lost.
     async fn watch(&mut self, revision: Revision) -> Option<(Revision, bool)> {
-        let wait = match self.lost_at {
-            Some(_) => Duration::ZERO,
-            None => self.watch_timeout,
+        let wait = if self.outage.is_on() {
+            Duration::ZERO
+        } else {
+            self.watch_timeout
         };
         let call = (self.codec.store.watch)(revision, wait);
         let timeout = wait + READ_TIMEOUT;
@@ -320,7 +313,7 @@
         let message = Update {
             records: others,
             items: batch.items,
-            relist_deadline: self.relist_deadline(),
+            relist_deadline: self.outage.relist_deadline(Instant::now()),
             complete: read == Read::All,
             complete_at,
             revision: batch.revision,
@@ -329,9 +322,9 @@
         // The pool ends only with the process.
         let items = self.pool.send(message).await.unwrap_or_default();
         if !items.is_empty() && self.standing.borrow().role == Role::Reader {
-            let relist_time = self.relist_deadline().map_or(Duration::ZERO, |deadline| {
-                deadline.saturating_duration_since(Instant::now())
-            });
+            let now = Instant::now();
+            let deadline = self.outage.relist_deadline(now);
+            let relist_time = deadline.map_or(Duration::ZERO, |deadline| deadline - now);
             // The task that sends datagrams ends only with the process.
             let _ = self.news.send(News { items, relist_time });
         }
@@ -362,40 +355,27 @@
         }
     }
 
-    /// Returns until when a missing entry may be registered again after an outage of the store.
-    fn relist_deadline(&self) -> Option<Instant> {
-        let deadline = self.reconnected_at? + RELISTING_TIME;
-        (deadline > Instant::now()).then_some(deadline)
-    }
-
     /// Records that the store has answered.
     async fn record_success(&mut self) {
         self.backoff.reset();
-        let Some(lost_at) = self.lost_at.take() else {
+        let Some(lasted) = self.outage.record_success(Instant::now()) else {
             return;
         };
         // The pool ends only with the process.
         let _ = self.pool.send(StoreReach(true)).await;
-        if lost_at.elapsed() >= MIN_EXPIRING_OUTAGE {
-            self.reconnected_at = Some(Instant::now());
-        }
-        let details = format!(
-            "address={} ms={}",
-            self.address,
-            lost_at.elapsed().as_millis()
-        );
+        let details = format!("address={} ms={}", self.address, lasted.as_millis());
         self.log.emit(Event::StoreRegained, &details);
     }
 
     /// Records that a call to the store, started at the given time, failed, and waits before the next
     /// one.
     async fn record_failure(&mut self, error: &Error, started: Instant) {
-        if self.lost_at.is_none() {
-            let timed_out = matches!(
-                error,
-                Error::Unanswered(Failure::Silent | Failure::Unreachable)
-            );
-            self.lost_at = Some(if timed_out { started } else { Instant::now() });
+        let timed_out = matches!(
+            error,
+            Error::Unanswered(Failure::Silent | Failure::Unreachable)
+        );
+        let since = if timed_out { started } else { Instant::now() };
+        if self.outage.record_failure(since) {
             let _ = self.pool.send(StoreReach(false)).await;
             let details = format!("address={} reason={:?}", self.address, error.to_string());
             self.log.emit(Event::StoreLost, &details);
