Split fail_over, and draw on the retry budget for each engine that is asked

An engine that is asked after another one declined was not counted toward the retry budget. The result of asking is an enum now. run_overlap, gateway_moves and resumed_streams pass.

--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -48,6 +48,17 @@
     }
 }
 
+/// Result of stopping a run and asking other engines to resume it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    /// An engine has resumed the run.
+    Resumed,
+    /// Engines were asked and have not resumed the run.
+    Refused,
+    /// No engine was asked.
+    Unchanged,
+}
+
 /// An engine at which a run can resume, and the copy of its KV cache that is used there.
 #[derive(Debug)]
 struct Place {
@@ -77,45 +88,15 @@
             self.upstream = None;
         }
         let target = Arc::clone(&takeover.engine);
-        let mut refused = false;
-        if self.may_send_again().await {
-            let halt = self.halt(&source, &target, reason).await;
-            for place in self.places(halt, reason, &source, takeover) {
-                let resumed = self
-                    .resume(
-                        &place.engine,
-                        place.backup.as_deref(),
-                        Some(place.replica),
-                        RESUME_TIMEOUT,
-                    )
-                    .await;
-                let log = (place.means, reason);
-                self.record_move(&source, &place.engine, started, log, resumed);
-                match resumed {
-                    Ok(()) => {
-                        if place.engine.id == source.id {
-                            self.roll_back(&source, &target).await;
-                        }
-                        self.switch_to(place.engine);
-                        return true;
-                    }
-                    // Only a request that has not run may be sent to the next engine.
-                    Err(Obstacle::Unsent | Obstacle::Declined) => refused = true,
-                    Err(_) => {
-                        refused = true;
-                        break;
-                    }
-                }
-            }
-        } else {
-            let log = ("backup", reason);
-            self.record_move(&source, &target, started, log, Err(Obstacle::NotAllowed));
+        let outcome = self.resume_elsewhere(takeover, reason, started).await;
+        if outcome == Outcome::Resumed {
+            return true;
         }
         if self.upstream.is_none() {
             return false;
         }
         self.roll_back(&source, &target).await;
-        if refused {
+        if outcome == Outcome::Refused {
             self.abandon_target().await;
         } else {
             self.migration = State::Due(Instant::now() + HALT_INTERVAL);
@@ -126,6 +107,51 @@
         true
     }
 
+    /// Stops the run at its engine, and asks one engine after the other to resume it.
+    async fn resume_elsewhere(
+        &mut self,
+        takeover: Takeover,
+        reason: &'static str,
+        started: Instant,
+    ) -> Outcome {
+        let source = Arc::clone(&self.grant.endpoint);
+        let target = Arc::clone(&takeover.engine);
+        // A run is not stopped if nothing may be sent that resumes it.
+        if !self.may_send_again().await {
+            let log = ("backup", reason);
+            let refused = Err(Obstacle::NotAllowed);
+            self.record_move(&source, &target, started, log, refused);
+            return Outcome::Unchanged;
+        }
+        let halt = self.halt(&source, &target, reason).await;
+        let mut outcome = Outcome::Unchanged;
+        for place in self.places(halt, reason, &source, takeover) {
+            let resumed = if outcome == Outcome::Unchanged || self.may_send_again().await {
+                let (engine, backup) = (&place.engine, place.backup.as_deref());
+                self.resume(engine, backup, Some(place.replica), RESUME_TIMEOUT)
+                    .await
+            } else {
+                Err(Obstacle::NotAllowed)
+            };
+            let log = (place.means, reason);
+            self.record_move(&source, &place.engine, started, log, resumed);
+            outcome = Outcome::Refused;
+            match resumed {
+                Ok(()) => {
+                    if place.engine.id == source.id {
+                        self.roll_back(&source, &target).await;
+                    }
+                    self.switch_to(place.engine);
+                    return Outcome::Resumed;
+                }
+                // Only a request that has not run may be sent to the next engine.
+                Err(Obstacle::Unsent | Obstacle::Declined) => {}
+                Err(Obstacle::NotAllowed | Obstacle::Unanswered) => return outcome,
+            }
+        }
+        outcome
+    }
+
     /// Stops the run at its engine if the engines of the service can do so.
     pub(crate) async fn halt(
         &self,
