Keep runs with a backup at a leaving engine until it ends

Change: a run with a backup stays until its engine ends, and continues from the backup then; a target that refuses the last copy is given up at once, as before.

gateway_moves::moves_from_draining had an engine that announces its leaving and never leaves, and demanded that the run moves at once. What callers need is the whole stream, so the engine now ends 0.3 s later; all assertions stay. run_overlap::leaving_engine plays this, and moved_run, unstopped_run the runs without a backup.

--- a/crates/daisyyard/tests/gateway_moves.rs
+++ b/crates/daisyyard/tests/gateway_moves.rs
@@ -10,6 +10,8 @@
 
 /// Number of events of a stream; at the stand-in's interval they take 2 s.
 const EVENT_COUNT: u64 = 100;
+/// Time between the announcement that an engine leaves and its end.
+const LINGER_TIME: Duration = Duration::from_millis(300);
 /// Token usage of such a stream: prompt and output tokens.
 const USAGE: &str = "100,400";
 
@@ -88,8 +90,8 @@
     assert_eq!(platform.ran("/draft/1").await.len(), 1);
 }
 
-/// When its engine is listed as draining, a stream continues on another engine without a lost or
-/// duplicate event, and it moves only once.
+/// When its engine is listed as draining and ends, a stream continues on another engine without a lost
+/// or duplicate event, and it moves only once.
 #[tokio::test]
 async fn moves_from_draining() {
     let mut platform = Platform::start(2, 0).await;
@@ -105,6 +107,8 @@
         writer
             .put(&format!("servers/{}", engine.name), &entry)
             .await;
+        tokio::time::sleep(LINGER_TIME).await;
+        drop(engines.remove(index));
     })
     .await;
     assert_eq!(answer, (StatusCode::OK, Some(events(EVENT_COUNT))));
--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -20,9 +20,6 @@
 const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum time for which an engine may execute a run beside one that is asked to resume it.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
-/// Delay before an engine that did not stop a run is asked again.
-const HALT_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Why an engine did not resume a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Obstacle {
@@ -96,10 +93,8 @@
             return false;
         }
         self.roll_back(&source, &target).await;
-        if outcome == Outcome::Refused {
+        if outcome == Outcome::Refused || reason == LEAVING {
             self.abandon_target().await;
-        } else {
-            self.migration = State::Due(Instant::now() + HALT_INTERVAL);
         }
         if reason == SILENT {
             self.migration = State::Idle;
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -148,8 +148,8 @@
 /// How a run can migrate away from its engine.
 #[derive(Debug, Clone)]
 pub(crate) enum Plan {
-    /// The KV cache moves to this engine, which has a backup of it.
-    Backup(Arc<Endpoint>),
+    /// The run has a backup, from which it continues once its engine ends.
+    Backup,
     /// The KV cache moves to this engine, which has capacity.
     Move(Arc<Endpoint>),
     /// No engine has capacity at the moment.
--- a/crates/daisyyard_gateway/src/migration.rs
+++ b/crates/daisyyard_gateway/src/migration.rs
@@ -15,8 +15,6 @@
 use crate::relay::{LEAVING, Relay};
 use crate::store;
 
-/// Time from the first event of a run at an engine until the first backup is complete.
-const FIRST_BACKUP_TIME: Duration = Duration::from_millis(800);
 /// Delay before another attempt to find an engine with capacity for the run.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of one copy of a run's KV cache.
@@ -45,8 +43,6 @@
     pub(crate) task: AbortOnDropHandle<Result<Transfer, store::Error>>,
     /// Engine that receives the KV cache.
     target: Arc<Endpoint>,
-    /// Whether that engine has a backup of the run besides.
-    has_backup: bool,
     /// When the copy started.
     started: Instant,
     /// Number of copies before this one.
@@ -63,21 +59,13 @@
     pub(crate) async fn advance_migration(&mut self) -> bool {
         let plan = self.proxy.pool.send(Migrate(self.grant.run)).await;
         match plan.unwrap_or(Plan::Unavailable) {
-            Plan::Backup(target) if self.supports_moves() => {
-                let now = Instant::now();
-                let backup_ready_at = self.first_data_at.unwrap_or(now) + FIRST_BACKUP_TIME;
-                if backup_ready_at > now {
-                    self.migration = State::Due(backup_ready_at);
-                    return true;
-                }
-                self.begin_copies(target, true);
-                true
-            }
             Plan::Move(target) if self.supports_moves() => {
-                self.begin_copies(target, false);
+                self.begin_copies(target);
                 true
             }
-            Plan::Backup(_) | Plan::Move(_) | Plan::Unavailable => {
+            // A run with a backup goes on until the engine ends, which leaves the engine's link to the
+            // runs without one. The backup engine then continues it.
+            Plan::Backup | Plan::Move(_) | Plan::Unavailable => {
                 self.migration = State::Due(Instant::now() + RETRY_INTERVAL);
                 true
             }
@@ -85,25 +73,24 @@
     }
 
     /// Starts the first copy.
-    fn begin_copies(&mut self, target: Arc<Endpoint>, has_backup: bool) {
+    fn begin_copies(&mut self, target: Arc<Endpoint>) {
         let details = format!(
-            "request={} endpoint={} target={} events={} backup={has_backup}",
+            "request={} endpoint={} target={} events={}",
             self.job.attempt,
             self.grant.endpoint.name,
             target.name,
             self.splitter.event_count(),
         );
         self.proxy.log.emit(Event::CopyStarted, &details);
-        self.start_copy(target, has_backup, 0);
+        self.start_copy(target, 0);
     }
 
     /// Starts a copy that is not the last one.
-    fn start_copy(&mut self, target: Arc<Endpoint>, has_backup: bool, rounds: u32) {
+    fn start_copy(&mut self, target: Arc<Endpoint>, rounds: u32) {
         let copy = request_copy(&self.proxy, &self.job, &self.grant.endpoint, &target, false);
         self.migration = State::Copying(Copying {
             task: AbortOnDropHandle::new(tokio::spawn(copy)),
             target,
-            has_backup,
             started: Instant::now(),
             rounds,
         });
@@ -115,7 +102,6 @@
         let state = std::mem::replace(&mut self.migration, State::Idle);
         let State::Copying(Copying {
             target,
-            has_backup,
             started,
             rounds,
             ..
@@ -127,7 +113,7 @@
             Ok(Transfer::Copied(_))
                 if started.elapsed() > SHORT_COPY_TIME && rounds < MAX_LIVE_COPIES =>
             {
-                self.start_copy(target, has_backup, rounds + 1);
+                self.start_copy(target, rounds + 1);
                 true
             }
             Ok(Transfer::Copied(_)) => self.fail_over(LEAVING).await,
@@ -140,9 +126,6 @@
                     started.elapsed().as_millis(),
                 );
                 self.proxy.log.emit(Event::CopyFailed, &details);
-                if has_backup {
-                    return self.fail_over(LEAVING).await;
-                }
                 self.abandon_target().await;
                 true
             }
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -351,8 +351,8 @@
 
     async fn handle(&mut self, Migrate(id): Migrate, _: &mut Context<Self>) -> Plan {
         let migrate = |pool: &mut Self, run: &mut Run| {
-            if let Some(backup) = run.backup.and_then(|id| pool.live(id)) {
-                return Plan::Backup(backup);
+            if run.backup.and_then(|id| pool.live(id)).is_some() {
+                return Plan::Backup;
             }
             let backup = pool.choose_backup(run, Purpose::Run);
             run.backup = backup.as_ref().map(|backup| backup.id);
