Log the remedy of a failed copy again, and reword two comments

CopyFailed printed the debug form of an error since runs are stopped before they move; it prints its text again, which names the remedy. The comments of the watch and of the probes of a lost store say what they do in plainer words.

--- a/crates/daisyyard_gateway/src/migration.rs
+++ b/crates/daisyyard_gateway/src/migration.rs
@@ -118,8 +118,12 @@
             }
             Ok(Transfer::Copied(_)) => self.fail_over(LEAVING).await,
             failed => {
+                let reason = match failed {
+                    Ok(answer) => format!("{answer:?}"),
+                    Err(error) => error.to_string(),
+                };
                 let details = format!(
-                    "request={} endpoint={} target={} ms={} rounds={rounds} reason={failed:?}",
+                    "request={} endpoint={} target={} ms={} rounds={rounds} reason={reason:?}",
                     self.job.attempt,
                     self.grant.endpoint.name,
                     target.name,
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -43,8 +43,8 @@
 /// Time between two complete reads of a gateway that is told of changes by others. They correct what
 /// lost datagrams have left out.
 const TOLD_PAUSE: Duration = Duration::from_mins(1);
-/// Time between two calls of a gateway that is told of changes by others and does not reach the store. It
-/// must know within this time that the store is back: what vanishes after that counts as doubtful.
+/// Time between two calls of a gateway that is told of changes by others while it does not reach the
+/// store. If it noticed the return later, entries that vanish then would count as doubtful.
 const PROBE_PAUSE: Duration = Duration::from_secs(1);
 /// The current configuration; `None` until the first one is read.
 pub(crate) type Configuration = watch::Receiver<Option<Arc<Catalog>>>;
@@ -262,8 +262,9 @@
         }
     }
 
-    /// Waits for changes once, but not while the store is lost, so that its return is noticed at once; returns the next revision and whether anything has changed, or
-    /// `None` if the watch history is lost.
+    /// Asks for changes once; returns the next revision and whether anything has changed, or `None` if
+    /// the watch history is lost. The store answers at once if it was lost before, so that its return is
+    /// noticed; otherwise it waits for changes.
     async fn watch(&mut self, revision: Revision) -> Option<(Revision, bool)> {
         let wait = if self.outage.is_on() {
             Duration::ZERO
