Decide in one place whether requests may go to an endpoint

The choice of an endpoint, that of an engine for a copy, and failovers each tested for themselves whether an endpoint is listed, live and not ejected. Evacuated zones and cold endpoints need a further test in each of them, and a path that is forgotten sends where nothing may go. core::access now answers with a reason and the time at which it ends, where that is known; no decision changes.

--- /dev/null
+++ b/crates/daisyyard_core/src/access.rs
@@ -0,0 +1,55 @@
+//! Whether requests may go to an endpoint now and, if not, why and until when.
+//!
+//! Every way by which something reaches an endpoint asks here: first sends, repeats, resumptions,
+//! moves and backups, so that no path goes on sending to an endpoint that another one avoids.
+
+use std::time::Instant;
+
+use daisyyard_derive::key;
+
+use crate::candidate::Candidate;
+use crate::endpoint::State;
+
+/// Why nothing may be sent to an endpoint now.
+#[key]
+pub enum Reason {
+    /// The endpoint is no longer listed.
+    Unlisted,
+    /// The endpoint accepts no new requests and shuts down soon.
+    Leaving,
+    /// Requests to the endpoint failed, so that it is avoided for some time.
+    Ejected,
+}
+
+/// Whether something may be sent to an endpoint now.
+#[key]
+pub enum Access {
+    /// Requests may be sent.
+    Open,
+    /// Nothing may be sent for this reason until this time, as far as it is known.
+    Closed(Reason, Option<Instant>),
+}
+
+impl Access {
+    /// Returns whether requests may be sent.
+    #[must_use]
+    pub fn is_open(self) -> bool {
+        self == Self::Open
+    }
+}
+
+impl Candidate {
+    /// Returns whether something may be sent to the endpoint now.
+    pub(crate) fn access(&self, now: Instant) -> Access {
+        if self.unlisted_at.is_some() {
+            return Access::Closed(Reason::Unlisted, None);
+        }
+        if self.endpoint.state != State::Live {
+            return Access::Closed(Reason::Leaving, None);
+        }
+        match self.ejected_until() {
+            Some(until) if until > now => Access::Closed(Reason::Ejected, Some(until)),
+            _ => Access::Open,
+        }
+    }
+}
--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::endpoint::{Endpoint, Kind, State};
+use crate::access::{Access, Reason};
+use crate::endpoint::{Endpoint, Kind};
 use crate::id::{InstanceId, Revision, ServiceId, Tokens};
 use crate::load::{Load, Need};
 use crate::pace::{Pace, Stretches};
@@ -126,15 +127,19 @@
         self.ejected = Some((now + duration, duration));
     }
 
-    /// Returns whether the endpoint is listed, live and part of a service.
-    pub(crate) fn serves(&self, service: ServiceId) -> bool {
-        let listed = self.unlisted_at.is_none();
-        listed && self.endpoint.service == service && self.endpoint.state == State::Live
+    /// Returns whether the endpoint is part of a service and could serve it: it is open, or it is
+    /// ejected and may be asked again later.
+    pub(crate) fn serves(&self, service: ServiceId, now: Instant) -> bool {
+        let may_serve = matches!(
+            self.access(now),
+            Access::Open | Access::Closed(Reason::Ejected, _)
+        );
+        self.endpoint.service == service && may_serve
     }
 
-    /// Returns whether the endpoint is not ejected.
-    pub(crate) fn usable(&self, now: Instant) -> bool {
-        self.ejected.is_none_or(|(until, _)| until <= now)
+    /// Returns the end of the latest ejection, which may have passed.
+    pub(crate) fn ejected_until(&self) -> Option<Instant> {
+        self.ejected.map(|(until, _)| until)
     }
 
     /// Returns the sum of the loads of all nodes.
--- a/crates/daisyyard_core/src/choice.rs
+++ b/crates/daisyyard_core/src/choice.rs
@@ -64,7 +64,7 @@
     /// Chooses an endpoint for a request among those that are not excluded.
     pub fn choose(&mut self, need: &Need, excluded: &[EndpointId], now: Instant) -> Choice {
         let serving = self.candidates.iter();
-        let serving = serving.filter(|(_, candidate)| candidate.serves(need.service));
+        let serving = serving.filter(|(_, candidate)| candidate.serves(need.service, now));
         let failing = self
             .ejections
             .ejected(serving.clone().map(|(id, _)| *id), now);
@@ -75,7 +75,7 @@
         if live.is_empty() {
             return Choice::Missing;
         }
-        live.retain(|(id, candidate)| !failing.contains(id) && candidate.usable(now));
+        live.retain(|(id, candidate)| !failing.contains(id) && candidate.access(now).is_open());
         let unseen_runs = if serves_engines(&live) {
             self.unseen_runs
         } else {
@@ -134,8 +134,8 @@
         };
         let candidates = self.candidates.iter().filter(|(id, candidate)| {
             !excluded.contains(id)
-                && candidate.serves(need.service)
-                && candidate.usable(now)
+                && candidate.endpoint.service == need.service
+                && candidate.access(now).is_open()
                 && candidate.grace_until.is_none()
         });
         let (random, stretches) = (&mut self.random, &self.stretches);
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -5,6 +5,7 @@
 //! current time, and returns a small enum that says what to do next. The node, the experiments and
 //! the protocol checker run the same code.
 
+pub mod access;
 pub mod account;
 mod admission;
 pub mod attempt;
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -12,6 +12,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::access::Access;
 use crate::candidate::Candidate;
 use crate::ejection::Ejections;
 use crate::endpoint::{Endpoint, State};
@@ -230,6 +231,11 @@
             .then_some(&candidate.endpoint)
     }
 
+    /// Returns whether something may be sent to an endpoint now; none if the endpoint is not known.
+    pub fn access(&self, id: EndpointId, now: Instant) -> Option<Access> {
+        Some(self.candidates.get(&id)?.access(now))
+    }
+
     /// Changes the load of this node at an endpoint.
     pub fn update_load(&mut self, id: EndpointId, change: impl FnOnce(&mut Load)) {
         if let Some(candidate) = self.candidates.get_mut(&id) {
@@ -277,8 +283,10 @@
     /// Returns the endpoints that this node has ejected because they fail for all nodes. Those with
     /// a broken path from this node only are left out.
     pub fn ejections(&self, now: Instant) -> impl Iterator<Item = EndpointId> {
-        let failing =
-            move |candidate: &Candidate| candidate.fails_everywhere && !candidate.usable(now);
+        let failing = move |candidate: &Candidate| {
+            let ejected = candidate.ejected_until().is_some_and(|until| until > now);
+            candidate.fails_everywhere && ejected
+        };
         let candidates = self
             .candidates
             .iter()
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use daisyyard_core::access::{Access, Reason};
 use daisyyard_core::choice::{Choice, Purpose};
 use daisyyard_core::crash::Verdict;
-use daisyyard_core::endpoint::{Endpoint, Kind, State};
+use daisyyard_core::endpoint::{Endpoint, Kind};
 use daisyyard_core::id::{EndpointId, Fingerprint, RequestId, ServiceId};
 use daisyyard_core::load::{Load, Need};
 use daisyyard_core::pool::Signal;
@@ -173,10 +174,15 @@
         }
     }
 
-    /// Returns an endpoint if it is live.
+    /// Returns an endpoint that takes part in the service. One that is ejected counts, because it may
+    /// still hold a run or a copy that no other endpoint has.
     fn live(&self, id: EndpointId) -> Option<Arc<Endpoint>> {
-        let endpoint = self.endpoints.endpoint(id)?;
-        (endpoint.state == State::Live).then(|| Arc::clone(endpoint))
+        match self.endpoints.access(id, Instant::now())? {
+            Access::Open | Access::Closed(Reason::Ejected, _) => {
+                self.endpoints.endpoint(id).map(Arc::clone)
+            }
+            Access::Closed(..) => None,
+        }
     }
 }
 
