Decide in the core which availability zones are evacuated

An operator must be able to evacuate a zone, and nodes learn of it by reads of the store, news and digests, late, lost or repeated. `access` closes the endpoints of evacuated zones for all that asks it, and a choice tells a request that only evacuations keep from being served.

--- a/crates/daisyyard_core/src/access.rs
+++ b/crates/daisyyard_core/src/access.rs
@@ -17,6 +17,8 @@
     Unlisted,
     /// The endpoint accepts no new requests and shuts down soon.
     Leaving,
+    /// The availability zone of the endpoint is evacuated.
+    Evacuated,
     /// Requests to the endpoint failed, so that it is avoided for some time.
     Ejected,
 }
@@ -47,6 +49,9 @@
         if self.endpoint.state != State::Live {
             return Access::Closed(Reason::Leaving, None);
         }
+        if self.evacuated {
+            return Access::Closed(Reason::Evacuated, None);
+        }
         match self.ejected_until() {
             Some(until) if until > now => Access::Closed(Reason::Ejected, Some(until)),
             _ => Access::Open,
--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -62,6 +62,8 @@
     pub(crate) departed: Option<(Instant, Revision)>,
     /// Time at which the endpoint was removed from the list; none while it is listed.
     pub(crate) unlisted_at: Option<Instant>,
+    /// Whether the availability zone of the endpoint is evacuated.
+    pub(crate) evacuated: bool,
     /// End and duration of the latest ejection.
     ejected: Option<(Instant, Duration)>,
     /// Whether the endpoint was ejected for a failure that affects all nodes.
@@ -86,6 +88,7 @@
             listed_at: 0,
             departed: None,
             unlisted_at: None,
+            evacuated: false,
             ejected: None,
             fails_everywhere: false,
             losses: 0,
@@ -137,6 +140,12 @@
         self.endpoint.service == service && may_serve
     }
 
+    /// Returns whether the endpoint could serve a service if its zone were not evacuated.
+    pub(crate) fn would_serve(&self, service: ServiceId, now: Instant) -> bool {
+        let evacuated = self.access(now) == Access::Closed(Reason::Evacuated, None);
+        self.endpoint.service == service && evacuated
+    }
+
     /// Returns the end of the latest ejection, which may have passed.
     pub(crate) fn ejected_until(&self) -> Option<Instant> {
         self.ejected.map(|(until, _)| until)
--- a/crates/daisyyard_core/src/choice.rs
+++ b/crates/daisyyard_core/src/choice.rs
@@ -49,6 +49,8 @@
     Wait,
     /// The service has no live endpoint, apart from excluded ones.
     Missing,
+    /// The service has live endpoints in evacuated zones only, apart from excluded ones.
+    Evacuated,
 }
 
 /// Purpose for which an engine is chosen.
@@ -73,7 +75,11 @@
             .filter(|(id, _)| !excluded.contains(id))
             .collect();
         if live.is_empty() {
-            return Choice::Missing;
+            return if self.only_evacuated(need.service, excluded, now) {
+                Choice::Evacuated
+            } else {
+                Choice::Missing
+            };
         }
         live.retain(|(id, candidate)| !failing.contains(id) && candidate.access(now).is_open());
         let unseen_runs = if serves_engines(&live) {
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -16,6 +16,7 @@
 use crate::candidate::Candidate;
 use crate::ejection::Ejections;
 use crate::endpoint::{Endpoint, State};
+use crate::evacuation::Register;
 use crate::id::{EndpointId, InstanceId, Revision};
 use crate::load::Load;
 use crate::pace::{Pace, Stretches};
@@ -53,6 +54,8 @@
     pub(crate) candidates: BTreeMap<EndpointId, Candidate>,
     /// Endpoints that other nodes have ejected.
     pub(crate) ejections: Ejections,
+    /// Evacuated availability zones.
+    pub(crate) evacuations: Register,
     /// Revision of the store up to which its entries have been read.
     revision: Revision,
     /// Factors by which pauses in streams are stretched.
@@ -70,6 +73,7 @@
             zone,
             candidates: BTreeMap::new(),
             ejections: Ejections::default(),
+            evacuations: Register::default(),
             revision: 0,
             stretches: Stretches::default(),
             unseen_runs: 0,
@@ -101,6 +105,7 @@
         if candidate.endpoint.incarnation != endpoint.incarnation {
             candidate.pace = Pace::default();
         }
+        candidate.evacuated = self.evacuations.is_evacuated(endpoint.zone.id);
         candidate.endpoint = endpoint;
         candidate.cold_until = now + cold;
         candidate.grace_until = None;
