Evacuate availability zones by order of the operator

The operator writes op/evacuate/ZONE into the store and deletes it to revoke the evacuation. Gateways learn the orders from their own reads, from news and from digests, which carry all of them with their revisions, also to gateways in reserve. What a gateway hears from another one counts as known only after its orders are merged.

Nothing more is sent to the endpoints of an evacuated zone: the pool chooses none of them, and a request whose endpoint or backup engine is evacuated between the grant and the send is withheld once the connection is open. Where only evacuated endpoints are left, requests are refused at once, also those that wait, with status 503 and Retry-After. Runs in progress end where they are.

--- a/crates/daisyyard_core/tests/zone_evacuation.rs
+++ b/crates/daisyyard_core/tests/zone_evacuation.rs
@@ -208,8 +208,13 @@
     ]
 }
 
-/// Returns a history, which zones are evacuated by each change, and messages to nodes about it.
-fn play() -> impl Strategy<Value = (Vec<(ZoneId, bool)>, Vec<(usize, Message)>)> {
+/// Changes of the store: each evacuates a zone or revokes that.
+type History = Vec<(ZoneId, bool)>;
+/// Messages with the nodes that receive them.
+type Messages = Vec<(usize, Message)>;
+
+/// Returns a history, and messages to nodes about it.
+fn play() -> impl Strategy<Value = (History, Messages)> {
     let change = (0..ZONES, any::<bool>());
     let history = proptest::collection::vec(change, 1..12);
     history.prop_flat_map(|history| {
@@ -255,8 +260,9 @@
                     let orders: Vec<Order> = nodes[from].orders().collect();
                     let revision = nodes[from].complete_at();
                     nodes[to].complete(revision, &orders, now);
-                    for zone in 0..ZONES as usize {
-                        heard[to][zone] = heard[to][zone].max(heard[from][zone]);
+                    let told = heard[from];
+                    for (highest, told) in heard[to].iter_mut().zip(told) {
+                        *highest = told.max(*highest);
                     }
                 }
             }
--- a/crates/daisyyard_gateway/src/codec.rs
+++ b/crates/daisyyard_gateway/src/codec.rs
@@ -10,6 +10,7 @@
 use daisyyard_core::catalog::Catalog;
 use daisyyard_core::crash::Group;
 use daisyyard_core::endpoint::Endpoint;
+use daisyyard_core::evacuation::Order;
 use daisyyard_core::id::{EndpointId, Fingerprint, Revision, Tokens};
 use daisyyard_derive::{key, value};
 use hyper::header::HeaderMap;
@@ -123,13 +124,16 @@
     Gateway(String, Option<Bytes>),
     /// A group of contents that is refused because it crashes endpoints, and whether it still is.
     Refusal(Group, bool),
+    /// The name of an availability zone, and the newest order to evacuate it or to revoke that.
+    /// Revision zero stands for that of the read.
+    Evacuation(String, Order),
     /// A value that cannot be decoded: its key and the reason.
     Unusable(String, String),
     /// A key that the gateway does not use.
     Other,
 }
 
-/// A change of a key of an endpoint or a gateway, as one gateway passes it on to others.
+/// A change of a key of an endpoint, a gateway or an evacuation, as one gateway passes it on to others.
 #[value]
 pub struct Item {
     /// Name of the key.
--- /dev/null
+++ b/crates/daisyyard_gateway/src/evacuation.rs
@@ -0,0 +1,197 @@
+//! Evacuated availability zones in a gateway: what it learns of them, and the requests and runs that
+//! they concern.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use daisyyard_core::endpoint::Endpoint;
+use daisyyard_core::evacuation::{Change, Order};
+use daisyyard_core::id::{Revision, ZoneId};
+use daisyyard_http::connection::{self, Answer, Failure};
+use http_body_util::Full;
+use hyper::Request;
+use tokio::sync::watch;
+
+use crate::codec::Record;
+use crate::event::Event;
+use crate::message::Placement;
+use crate::pool::Pool;
+
+/// Where a gateway learned an order to evacuate a zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// Its own read of the store.
+    Read,
+    /// A change that another gateway has passed on.
+    News,
+    /// The digest of another gateway.
+    Digest,
+}
+
+/// The evacuated zones, for tasks that have been granted an endpoint.
+#[derive(Debug, Clone)]
+pub(crate) struct Zones(watch::Receiver<Vec<ZoneId>>);
+
+/// Reason why a request to an endpoint got no response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Unsent {
+    /// It was not sent, because its endpoint or its backup engine is in an evacuated zone.
+    Evacuated,
+    /// The connection failed.
+    Failed(Failure),
+}
+
+impl Zones {
+    /// Returns a channel for the evacuated zones, of which there are none.
+    pub(crate) fn channel() -> (watch::Sender<Vec<ZoneId>>, Self) {
+        let (sender, receiver) = watch::channel(Vec::new());
+        (sender, Self(receiver))
+    }
+
+    /// Returns whether an endpoint is in one of the zones.
+    pub(crate) fn contain(&self, endpoint: &Endpoint) -> bool {
+        self.0.borrow().contains(&endpoint.zone.id)
+    }
+
+    /// Sends a request to an endpoint unless an evacuation has started since the endpoint or the
+    /// backup engine was chosen. Connecting may take a second, so this is checked after it.
+    pub(crate) async fn send(
+        &self,
+        endpoint: &Endpoint,
+        backup: Option<&Endpoint>,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Answer, Unsent> {
+        let is_closed = || {
+            let mut concerned = std::iter::once(endpoint).chain(backup);
+            concerned.any(|endpoint| self.contain(endpoint))
+        };
+        if is_closed() {
+            return Err(Unsent::Evacuated);
+        }
+        let connection = connection::open(endpoint.address).await;
+        let connection = connection.map_err(Unsent::Failed)?;
+        if is_closed() {
+            return Err(Unsent::Evacuated);
+        }
+        let answer = connection.send(request, timeout).await;
+        answer.map_err(Unsent::Failed)
+    }
+}
+
+impl Pool {
+    /// Learns the orders among records of the store that are known up to a revision.
+    pub(crate) fn read_evacuations(
+        &mut self,
+        records: &[Record],
+        revision: Revision,
+        complete: bool,
+        now: Instant,
+    ) {
+        let mut orders = Vec::new();
+        for record in records {
+            let Record::Evacuation(name, order) = record else {
+                continue;
+            };
+            let mut order = *order;
+            if order.revision == 0 {
+                order.revision = revision;
+            }
+            self.learn_evacuation(name, order, Source::Read, now);
+            orders.push(order);
+        }
+        if complete {
+            self.complete_evacuations(revision, &orders, Source::Read, now);
+        }
+    }
+
+    /// Learns the newest order for a zone with this name.
+    pub(crate) fn learn_evacuation(
+        &mut self,
+        name: &str,
+        order: Order,
+        source: Source,
+        now: Instant,
+    ) {
+        if let Some(change) = self.endpoints.learn_evacuation(order, now) {
+            self.apply_evacuation(change, Some(name), source);
+            self.publish_evacuations(now);
+        }
+    }
+
+    /// Learns all orders that stand at a revision.
+    pub(crate) fn complete_evacuations(
+        &mut self,
+        revision: Revision,
+        orders: &[Order],
+        source: Source,
+        now: Instant,
+    ) {
+        let changes = self.endpoints.complete_evacuations(revision, orders, now);
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            self.apply_evacuation(change, None, source);
+        }
+        self.publish_evacuations(now);
+    }
+
+    /// Logs an evacuation that has started or ended.
+    fn apply_evacuation(&self, change: Change, name: Option<&str>, source: Source) {
+        let (event, zone, revision) = match change {
+            Change::Started(zone, revision) => (Event::EvacuationStarted, zone, revision),
+            Change::Ended(zone, revision) => (Event::EvacuationEnded, zone, revision),
+            Change::Ignored(zone, revision) => (Event::EvacuationVoid, zone, revision),
+        };
+        let known = self.zones.values().find(|known| known.id == zone);
+        let name = name.or(known.map(|known| known.name.as_str()));
+        let name = name.map_or_else(|| format!("{zone:x}"), |name| format!("{name:?}"));
+        let runs = self.count_runs(|endpoint| endpoint.zone.id == zone);
+        let details = format!("zone={name} revision={revision} source={source:?} runs={runs}");
+        self.log.emit(event, &details);
+        let is_known = known.is_some() || self.endpoints.has_zone(zone);
+        if event == Event::EvacuationStarted && !is_known {
+            let details = format!("zone={name} revision={revision} reason=\"unknown zone\"");
+            self.log.emit(Event::EvacuationVoid, &details);
+        }
+    }
+
+    /// Publishes the evacuated zones within the gateway and to other gateways.
+    fn publish_evacuations(&mut self, now: Instant) {
+        let standing = self.endpoints.evacuations().standing();
+        self.evacuated
+            .send_replace(standing.map(|order| order.zone).collect());
+        self.changed.notify_one();
+        self.enforce_evacuations(now);
+        self.schedule();
+    }
+
+    /// Refuses the waiting requests that only evacuations keep from being served, and counts the runs in
+    /// evacuated zones.
+    pub(crate) fn enforce_evacuations(&mut self, now: Instant) {
+        let zones = self.endpoints.evacuations().standing().count();
+        let endpoints = &self.endpoints;
+        if zones == 0 {
+            self.metrics.set_evacuated(0, 0);
+            return;
+        }
+        let runs = self.runs.values();
+        let runs = runs.filter(|run| endpoints.is_evacuated(run.endpoint));
+        self.metrics.set_evacuated(zones, runs.count());
+        let claims = self
+            .backlog
+            .remove(|claim| endpoints.only_evacuated(claim.need.service, &claim.excluded, now));
+        for claim in claims {
+            // If the caller has disconnected, nobody needs the refusal.
+            let _ = claim.reply.send(Placement::Evacuated);
+        }
+    }
+
+    /// Returns the number of runs at endpoints that satisfy the predicate.
+    fn count_runs(&self, predicate: impl Fn(&Endpoint) -> bool) -> usize {
+        let runs = self.runs.values();
+        let endpoints = runs.filter_map(|run| self.endpoints.endpoint(run.endpoint));
+        endpoints.filter(|endpoint| predicate(endpoint)).count()
+    }
+}
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -61,6 +61,13 @@
     RefusalUnstored = 140,
     /// An engine was asked to stop a run so that another one can continue it.
     RunHalted = 141,
+    /// Nothing more is sent to the endpoints of an availability zone.
+    EvacuationStarted = 150,
+    /// Requests are sent to the endpoints of an availability zone again.
+    EvacuationEnded = 151,
+    /// The evacuation of an availability zone has no effect: the zone has no endpoint that is known,
+    /// or too many zones are evacuated.
+    EvacuationVoid = 152,
 }
 
 /// Log level of each event.
@@ -93,6 +100,9 @@
     (Event::ContentRefused, Level::Warn),
     (Event::RefusalUnstored, Level::Warn),
     (Event::RunHalted, Level::Info),
+    (Event::EvacuationStarted, Level::Warn),
+    (Event::EvacuationEnded, Level::Warn),
+    (Event::EvacuationVoid, Level::Warn),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -6,10 +6,11 @@
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::pool::Signal;
 use daisyyard_core::shared_retry_budget;
-use daisyyard_http::connection::{self, Failure};
+use daisyyard_http::connection::Failure;
 use hyper::StatusCode;
 
 use crate::codec::Replica;
+use crate::evacuation::Unsent;
 use crate::event::Event;
 use crate::halt::{Halt, halt};
 use crate::message::{Failover, Retry, Rollback, Takeover};
@@ -265,7 +266,7 @@
         let request = self
             .job
             .request(codec, engine, address, replica, last_event);
-        let open = connection::send(engine.address, request, timeout);
+        let open = self.proxy.zones.send(engine, backup, request, timeout);
         let mut open = std::pin::pin!(open);
         // Two engines may execute the same run only for a short time.
         let opened_early = tokio::time::timeout(MAX_OVERLAP, open.as_mut()).await;
@@ -275,9 +276,14 @@
             self.upstream = None;
             open.await
         };
-        let answer = opened.map_err(|failure| match failure {
-            Failure::Refused | Failure::Unreachable | Failure::Unwritten => Obstacle::Unsent,
-            Failure::Partial | Failure::Broken | Failure::Silent => Obstacle::Unanswered,
+        let answer = opened.map_err(|unsent| match unsent {
+            Unsent::Evacuated
+            | Unsent::Failed(Failure::Refused | Failure::Unreachable | Failure::Unwritten) => {
+                Obstacle::Unsent
+            }
+            Unsent::Failed(Failure::Partial | Failure::Broken | Failure::Silent) => {
+                Obstacle::Unanswered
+            }
         })?;
         let status = answer.response.status();
         let receipt = (codec.read_response)(status, answer.response.headers());
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -10,6 +10,7 @@
 use xtra::{Context, Handler};
 
 use crate::codec::{Item, Record};
+use crate::evacuation::Source;
 use crate::event::Event;
 use crate::member::Targets;
 use crate::message::{Digest, Report, ShareNews, Standing, StoreReach};
@@ -25,6 +26,10 @@
         let relist_deadline = (!relist_time.is_zero()).then(|| now + relist_time);
         for item in report.news {
             let record = (self.codec.store.read_item)(&item);
+            if let Record::Evacuation(name, order) = record {
+                self.learn_evacuation(&name, order, Source::News, now);
+                continue;
+            }
             let id = match &record {
                 Record::Endpoint(endpoint, _) => Some(endpoint.id),
                 Record::Unlisted(id) => Some(*id),
@@ -92,6 +97,9 @@
         for (id, revision) in report.departures {
             self.mark_leaving(id, revision);
         }
+        // What the sender knows counts as known here only after this.
+        let orders = &report.evacuations;
+        self.complete_evacuations(report.evacuations_at, orders, Source::Digest, now);
         let outdated = self.version.unwrap_or(0) < report.version;
         // A gateway in reserve hears no reader if there is none in its zone.
         let in_reserve = self.members.role() == Role::Reserve;
@@ -167,6 +175,8 @@
             version: self.version.unwrap_or(0),
             knowledge: self.report_knowledge(now),
             listing: self.readers_listing(),
+            evacuations: self.endpoints.evacuations().orders().collect(),
+            evacuations_at: self.endpoints.evacuations().complete_at(),
             continuation: false,
             ejections: self.endpoints.ejections(now).collect(),
             departures: self.endpoints.departures(now).collect(),
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -9,7 +9,7 @@
 
 use crate::codec::Item;
 use crate::message::Report;
-use crate::wire::{Change, ContentRecord, Counts, Departure, EndpointLoad, Knowledge};
+use crate::wire::{Change, ContentRecord, Counts, Departure, EndpointLoad, Evacuation, Knowledge};
 
 /// Maximum size of a datagram; it fits into one packet on any path.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -83,6 +83,12 @@
     /// Crashes and proofs of contents.
     #[prost(message, repeated, tag = "15")]
     evidence: Vec<ContentRecord>,
+    /// Newest orders to evacuate availability zones that the sender knows.
+    #[prost(message, repeated, tag = "16")]
+    evacuations: Vec<Evacuation>,
+    /// Revision of the store up to which other zones are not evacuated.
+    #[prost(uint64, tag = "17")]
+    evacuations_at: Revision,
 }
 
 /// What a frame is for.
@@ -101,7 +107,9 @@
     /// Splits a report into frames; its loads may need more than one datagram.
     pub(crate) fn from_report(report: &Report) -> Vec<Self> {
         let load = |load| EndpointLoad::new(load, &report.paces);
-        let (first, rest) = report.loads.split_at(report.loads.len().min(MAX_LOADS));
+        // An order for a zone takes no more bytes than a load.
+        let max_first = MAX_LOADS.saturating_sub(report.evacuations.len());
+        let (first, rest) = report.loads.split_at(report.loads.len().min(max_first));
         let rest = rest.chunks(MAX_LOADS);
         let rest = rest.map(|loads| Self {
             instance: report.from,
@@ -201,6 +209,8 @@
             store_lost: report.store_lost,
             knowledge: report.knowledge.map(Knowledge::from),
             evidence: Vec::new(),
+            evacuations: report.evacuations.iter().map(Evacuation::from).collect(),
+            evacuations_at: report.evacuations_at,
             instance: report.from,
             leaving: report.leaving,
             loads: Vec::new(),
@@ -245,6 +255,8 @@
             knowledge: frame.knowledge.map(knowledge::Report::from),
             listing: frame.listing,
             continuation: frame.purpose() == Purpose::Continuation,
+            evacuations: frame.evacuations.into_iter().map(Into::into).collect(),
+            evacuations_at: frame.evacuations_at,
             ejections: frame.ejections,
             departures: frame.departures.into_iter().map(Into::into).collect(),
             loads: frame.loads.into_iter().map(Into::into).collect(),
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -6,6 +6,7 @@
 use daisyyard_core::backlog::Schedule;
 use daisyyard_core::crash;
 use daisyyard_core::endpoint::Endpoint;
+use daisyyard_core::evacuation::Order;
 use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, RequestId, Revision, ServiceId};
 use daisyyard_core::knowledge;
 use daisyyard_core::load::{Load, Need};
@@ -47,6 +48,8 @@
     Granted(Grant),
     /// It crashes endpoints and is refused for this time.
     Refused(Duration),
+    /// All endpoints that might run it are in evacuated availability zones.
+    Evacuated,
 }
 
 /// A reservation of an endpoint for a request; dropping it releases the capacity.
@@ -275,6 +278,10 @@
     pub(crate) ejections: Vec<EndpointId>,
     /// Identifies the set of endpoints that the readers of the store know; zero if it is unknown.
     pub(crate) listing: u64,
+    /// Newest orders to evacuate availability zones that the sender knows.
+    pub(crate) evacuations: Vec<Order>,
+    /// Revision of the store up to which other zones are not evacuated; zero if it is unknown.
+    pub(crate) evacuations_at: Revision,
     /// Whether the report only continues the loads of the previous one.
     pub(crate) continuation: bool,
     /// Load of the sender at each endpoint.
--- a/crates/daisyyard_gateway/src/metrics.rs
+++ b/crates/daisyyard_gateway/src/metrics.rs
@@ -23,6 +23,10 @@
 const MOVES: &str = "daisyyard_gateway_moves_total";
 /// Counter of runs that endpoints broke off early, by kind.
 const BROKEN: &str = "daisyyard_gateway_broken_runs_total";
+/// Gauge of evacuated availability zones.
+const EVACUATED_ZONES: &str = "daisyyard_gateway_evacuated_zones";
+/// Gauge of runs of this gateway at endpoints of evacuated zones.
+const EVACUATED_RUNS: &str = "daisyyard_gateway_runs_in_evacuated_zones";
 /// Module and level under which the metrics are registered.
 const ORIGIN: Metadata<'static> = Metadata::new(module_path!(), Level::INFO, Some(module_path!()));
 
@@ -79,6 +83,15 @@
         self.count(BROKEN, &[("kind", kind)]);
     }
 
+    /// Sets the number of evacuated availability zones and of runs of this gateway there.
+    pub(crate) fn set_evacuated(&self, zones: usize, runs: usize) {
+        for (name, value) in [(EVACUATED_ZONES, zones), (EVACUATED_RUNS, runs)] {
+            let key = Key::from_name(KeyName::from_const_str(name));
+            let gauge = self.recorder.register_gauge(&key, &ORIGIN);
+            gauge.set(value as f64);
+        }
+    }
+
     /// Increments a counter.
     fn count(&self, name: &'static str, labels: &[(&'static str, &'static str)]) {
         let key = Key::from_parts(KeyName::from_const_str(name), labels);
--- a/crates/daisyyard_gateway/src/migration.rs
+++ b/crates/daisyyard_gateway/src/migration.rs
@@ -110,6 +110,11 @@
             return true;
         };
         match result {
+            // Nothing more goes to an evacuated zone; the next engine gets a copy from the start.
+            Ok(Transfer::Copied(_)) if self.proxy.zones.contain(&target) => {
+                self.abandon_target().await;
+                true
+            }
             Ok(Transfer::Copied(_))
                 if started.elapsed() > SHORT_COPY_TIME && rounds < MAX_LIVE_COPIES =>
             {
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -10,7 +10,7 @@
 use daisyyard_core::crash;
 use daisyyard_core::endpoint::{Endpoint, State};
 use daisyyard_core::id::{
-    self, EndpointId, Fingerprint, InstanceId, RequestId, Revision, ServiceId,
+    self, EndpointId, Fingerprint, InstanceId, RequestId, Revision, ServiceId, ZoneId,
 };
 use daisyyard_core::knowledge::Knowledge;
 use daisyyard_core::listing::Listing;
@@ -21,10 +21,12 @@
 
 use crate::archive;
 use crate::codec::{Codec, Item, Record};
+use crate::evacuation::Zones;
 use crate::event::Event;
 use crate::log::Log;
 use crate::member::{Entry, Members};
 use crate::message::{Claim, Count, Leave, Notice, Offer, Retry, SetRetryLimits, Standing, Update};
+use crate::metrics::Metrics;
 use crate::run::Run;
 use crate::settings::Settings;
 use crate::timer::{self, Tick};
@@ -51,7 +53,11 @@
     /// Endpoints and their loads.
     pub(crate) endpoints: daisyyard_core::pool::Pool,
     /// Availability zones by name.
-    zones: HashMap<String, Zone>,
+    pub(crate) zones: HashMap<String, Zone>,
+    /// Publishes the evacuated availability zones.
+    pub(crate) evacuated: watch::Sender<Vec<ZoneId>>,
+    /// Metrics of the gateway.
+    pub(crate) metrics: Metrics,
     /// All known gateways.
     pub(crate) members: Members,
     /// Tells the watcher the part of this gateway in the fleet.
@@ -104,10 +110,13 @@
     codec: Codec,
     changed: Arc<Notify>,
     refresh: Arc<Notify>,
+    metrics: Metrics,
     log: Log,
-) -> (Address<Pool>, watch::Receiver<Standing>) {
+) -> (Address<Pool>, watch::Receiver<Standing>, Zones) {
     let (address, mailbox) = Mailbox::unbounded();
     let (standing, standing_view) = watch::channel(Standing::default());
+    let (evacuated, zones) = Zones::channel();
+    metrics.set_evacuated(0, 0);
     let zone = Zone::new(&settings.zone, &settings.region);
     let pool = Pool {
         own_id: id::of(&settings.name),
@@ -119,6 +128,8 @@
             .iter()
             .map(|(zone, region)| (zone.clone(), Zone::new(zone, region)))
             .collect(),
+        evacuated,
+        metrics,
         members: Members::new(&settings.name, Entry::from(settings)),
         standing,
         knowledge: Knowledge::new(settings.bounds.max_config_delay.mul_f64(MAX_AGE_SHARE)),
@@ -142,7 +153,7 @@
     };
     tokio::spawn(xtra::run(mailbox, pool));
     timer::spawn(address.downgrade(), CHECK_INTERVAL);
-    (address, standing_view)
+    (address, standing_view, zones)
 }
 
 impl Pool {
@@ -184,8 +195,8 @@
                 self.log.emit(Event::ValueUnusable, &details);
             }
             Record::Refusal(group, stored) => self.apply_refusal(group, stored, now),
-            // The watcher keeps the configuration.
-            Record::Catalog(_) | Record::Other => {}
+            // The watcher keeps the configuration, and evacuations are learned with their source.
+            Record::Catalog(_) | Record::Evacuation(..) | Record::Other => {}
         }
     }
 
@@ -341,6 +352,7 @@
             self.knowledge.read(complete_at);
         }
         self.endpoints.advance(message.revision);
+        self.read_evacuations(&message.records, message.revision, message.complete, now);
         if message.complete {
             self.listing.reset();
             self.evidence.clear_stored();
@@ -387,6 +399,7 @@
         }
         // Dropping a claim refuses the request.
         drop(self.backlog.expire(now));
+        self.enforce_evacuations(now);
         self.store_refusals(now);
         self.update_roster(now);
         self.schedule();
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use daisyyard_core::attempt::{Decision, History, Progress};
+use daisyyard_core::attempt::{Decision, History, Outcome, Progress};
 use daisyyard_core::catalog::Kind;
 use daisyyard_core::id::EndpointId;
 use daisyyard_core::pool::Signal;
 use daisyyard_core::shared_retry_budget;
-use daisyyard_http::connection::{self, Answer, Failure};
+use daisyyard_http::connection::{Answer, Failure};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response;
@@ -20,6 +20,7 @@
 use crate::buffer::{self, Buffer};
 use crate::codec::Codec;
 use crate::ending::Ending;
+use crate::evacuation::{Unsent, Zones};
 use crate::event::Event;
 use crate::job::Job;
 use crate::log::Log;
@@ -52,6 +53,8 @@
     pub(crate) phase: watch::Receiver<Phase>,
     /// When the process ends.
     pub(crate) ending: Ending,
+    /// Evacuated availability zones.
+    pub(crate) zones: Zones,
     /// Memory for answers that are read whole.
     pub(crate) buffer: Buffer,
     /// Metrics of the gateway.
@@ -99,8 +102,14 @@
             let grant = match self.claim(&job, &tried).await {
                 Ok(grant) => grant,
                 Err(refusal) if tried.is_empty() => return self.refuse(&job, refusal),
-                Err(_) => {
-                    let refusal = Refusal::after_send(history.outcome(), false);
+                Err(refusal) => {
+                    let outcome = history.outcome();
+                    let evacuated = refusal == Refusal::Evacuated && outcome == Outcome::NotRun;
+                    let refusal = if evacuated {
+                        refusal
+                    } else {
+                        Refusal::after_send(outcome, false)
+                    };
                     return self.refuse(&job, refusal);
                 }
             };
@@ -184,6 +193,7 @@
         match granted {
             Ok(Placement::Granted(grant)) => Ok(grant),
             Ok(Placement::Refused(time)) => Err(Refusal::Suspected(time)),
+            Ok(Placement::Evacuated) => Err(Refusal::Evacuated),
             Err(_) => Err(Refusal::Full),
         }
     }
@@ -205,9 +215,11 @@
             job.remaining()
         };
         let deadline = Instant::now() + timeout;
-        let answer = match connection::send(grant.endpoint.address, request, timeout).await {
+        let (endpoint, backup) = (&grant.endpoint, grant.backup.as_deref());
+        let answer = match self.zones.send(endpoint, backup, request, timeout).await {
             Ok(answer) => answer,
-            Err(failure) => {
+            Err(Unsent::Evacuated) => return sent::withheld(),
+            Err(Unsent::Failed(failure)) => {
                 if matches!(failure, Failure::Partial | Failure::Broken) {
                     self.report_broken(job, &grant, 0).await;
                 }
@@ -314,6 +326,7 @@
     fn refuse(&self, job: &Job, refusal: Refusal) -> Response<Body> {
         let reason = match refusal {
             Refusal::Full => "full",
+            Refusal::Evacuated => "evacuated",
             Refusal::Leaving => "leaving",
             Refusal::Declined => "declined",
             Refusal::Late => "late",
--- a/crates/daisyyard_gateway/src/refusal.rs
+++ b/crates/daisyyard_gateway/src/refusal.rs
@@ -17,6 +17,10 @@
 /// time, and a caller may retry only once.
 const RETRY_UNCONFIGURED_DELAY: Duration = Duration::from_secs(3);
 
+/// Delay before a retry when all endpoints are in evacuated zones. A mistaken order is revoked within
+/// seconds at best, and a caller may retry only once.
+const RETRY_EVACUATED_DELAY: Duration = Duration::from_secs(2);
+
 /// Reason why the gateway answers a request itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum Refusal {
@@ -47,6 +51,9 @@
     /// No endpoint had capacity in time.
     #[error("no endpoint had room in time; ask again later")]
     Full,
+    /// All endpoints are in evacuated availability zones.
+    #[error("all endpoints are in evacuated zones; ask again when an evacuation has ended")]
+    Evacuated,
     /// The request is likely to crash the endpoint that runs it; it is refused for this time.
     #[error("endpoints crashed when they ran this request; change it before you send it again")]
     Suspected(Duration),
@@ -82,6 +89,7 @@
             Self::Unconfigured
             | Self::Leaving
             | Self::Full
+            | Self::Evacuated
             | Self::Declined
             | Self::Suspected(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
@@ -95,6 +103,7 @@
             Self::Leaving | Self::Declined => Some(RETRY_ELSEWHERE_DELAY),
             Self::Unconfigured => Some(RETRY_UNCONFIGURED_DELAY),
             Self::Full => Some(RETRY_FULL_DELAY),
+            Self::Evacuated => Some(RETRY_EVACUATED_DELAY),
             Self::Suspected(time) => Some(time),
             _ => None,
         }
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -64,6 +64,11 @@
         let unseen_runs = self.count_unseen_runs(claim.need.service, now);
         self.endpoints.set_unseen_runs(unseen_runs);
         let choice = self.endpoints.choose(&claim.need, &claim.excluded, now);
+        if matches!(choice, Choice::Evacuated) {
+            // If the caller has disconnected, nobody needs the refusal.
+            let _ = claim.reply.send(Placement::Evacuated);
+            return None;
+        }
         let Choice::Send {
             endpoint,
             backup,
@@ -324,7 +329,7 @@
                     Place::Engine(endpoint, backup)
                 }
                 Choice::Wait => Place::Full,
-                Choice::Missing => Place::Missing,
+                Choice::Missing | Choice::Evacuated => Place::Missing,
             }
         };
         let place = self.update_run(id, restart).unwrap_or(Place::Missing);
--- a/crates/daisyyard_gateway/src/sent.rs
+++ b/crates/daisyyard_gateway/src/sent.rs
@@ -63,6 +63,16 @@
     }
 }
 
+/// Returns the result of a send that was withheld because the zone of the endpoint is evacuated.
+pub(crate) fn withheld() -> Sent {
+    Sent::Failed {
+        progress: Progress::Unsent,
+        late: false,
+        reason: "evacuated",
+        response: None,
+    }
+}
+
 /// Returns the result of a send whose response has not arrived when the process ends.
 pub(crate) fn stopped() -> Sent {
     Sent::Failed {
--- a/crates/daisyyard_gateway/src/wire.rs
+++ b/crates/daisyyard_gateway/src/wire.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use daisyyard_core::crash;
-use daisyyard_core::id::{EndpointId, Fingerprint, Revision, ServiceId};
+use daisyyard_core::evacuation::Order;
+use daisyyard_core::id::{EndpointId, Fingerprint, Revision, ServiceId, ZoneId};
 use daisyyard_core::knowledge;
 use daisyyard_core::load::Load;
 use daisyyard_core::shared_retry_budget::Count;
@@ -108,6 +109,20 @@
     pub(crate) revision: Revision,
 }
 
+/// The newest order to evacuate an availability zone that the sender knows.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct Evacuation {
+    /// Identifier of the zone.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) zone: ZoneId,
+    /// Revision of the store at which the order was given or revoked.
+    #[prost(uint64, tag = "2")]
+    pub(crate) revision: Revision,
+    /// Whether the zone is evacuated.
+    #[prost(bool, tag = "3")]
+    pub(crate) standing: bool,
+}
+
 /// A change of a key in the store.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub(crate) struct Change {
@@ -200,6 +215,26 @@
     }
 }
 
+impl From<&Order> for Evacuation {
+    fn from(order: &Order) -> Self {
+        Self {
+            zone: order.zone,
+            revision: order.revision,
+            standing: order.standing,
+        }
+    }
+}
+
+impl From<Evacuation> for Order {
+    fn from(evacuation: Evacuation) -> Self {
+        Self {
+            zone: evacuation.zone,
+            revision: evacuation.revision,
+            standing: evacuation.standing,
+        }
+    }
+}
+
 impl From<Item> for Change {
     fn from(item: Item) -> Self {
         Self {
--- a/crates/daisyyard_http/src/connection.rs
+++ b/crates/daisyyard_http/src/connection.rs
@@ -60,13 +60,21 @@
     Silent,
 }
 
+/// A connection on which nothing has been sent.
+#[derive(Debug)]
+pub struct Connection(TcpStream);
+
 /// Sends a request on a new connection and returns the response once its head has arrived.
 pub async fn send(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     timeout: Duration,
 ) -> Result<Answer, Failure> {
-    let body_bytes = hyper::body::Body::size_hint(request.body()).lower() as usize;
+    open(address).await?.send(request, timeout).await
+}
+
+/// Opens a connection.
+pub async fn open(address: SocketAddr) -> Result<Connection, Failure> {
     let socket = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let socket = match socket {
         Ok(Ok(socket)) => socket,
@@ -78,39 +86,51 @@
     if set_options(&socket).is_err() {
         return Err(Failure::Unwritten);
     }
-    let written = Arc::new(AtomicUsize::new(0));
-    let answered = Arc::new(AtomicBool::new(false));
-    let socket = Socket {
-        inner: socket,
-        written: Arc::clone(&written),
-        unanswered_bytes: 0,
-        answered: Arc::clone(&answered),
-    };
-    let handshake = http1::Builder::new()
-        .max_buf_size(MAX_BUFFER_BYTES)
-        .handshake(TokioIo::new(socket))
-        .await;
-    let Ok((mut sender, connection)) = handshake else {
-        return Err(Failure::Unwritten);
-    };
-    let driver = AbortOnDropHandle::new(tokio::spawn(async move {
-        // The reader of the body gets the error of a failed connection.
-        let _ = connection.await;
-    }));
-    match tokio::time::timeout(timeout, sender.send_request(request)).await {
-        Ok(Ok(response)) => {
-            answered.store(true, Ordering::Release);
-            Ok(Answer { response, driver })
-        }
-        result => {
-            // The byte count is final only once the driver has stopped writing.
-            driver.abort();
-            let _ = driver.await;
-            Err(classify(
-                written.load(Ordering::Acquire),
-                body_bytes,
-                result.is_err(),
-            ))
+    Ok(Connection(socket))
+}
+
+impl Connection {
+    /// Sends a request and returns the response once its head has arrived.
+    pub async fn send(
+        self,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Answer, Failure> {
+        let body_bytes = hyper::body::Body::size_hint(request.body()).lower() as usize;
+        let written = Arc::new(AtomicUsize::new(0));
+        let answered = Arc::new(AtomicBool::new(false));
+        let socket = Socket {
+            inner: self.0,
+            written: Arc::clone(&written),
+            unanswered_bytes: 0,
+            answered: Arc::clone(&answered),
+        };
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(socket))
+            .await;
+        let Ok((mut sender, connection)) = handshake else {
+            return Err(Failure::Unwritten);
+        };
+        let driver = AbortOnDropHandle::new(tokio::spawn(async move {
+            // The reader of the body gets the error of a failed connection.
+            let _ = connection.await;
+        }));
+        match tokio::time::timeout(timeout, sender.send_request(request)).await {
+            Ok(Ok(response)) => {
+                answered.store(true, Ordering::Release);
+                Ok(Answer { response, driver })
+            }
+            result => {
+                // The byte count is final only once the driver has stopped writing.
+                driver.abort();
+                let _ = driver.await;
+                Err(classify(
+                    written.load(Ordering::Acquire),
+                    body_bytes,
+                    result.is_err(),
+                ))
+            }
         }
     }
 }
