--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::endpoint::{Endpoint, Kind, State};
+use crate::access::{Access, Reason};
+use crate::endpoint::{Endpoint, Kind};
 use crate::id::{InstanceId, Revision, ServiceId, Tokens};
 use crate::load::{Load, Need};
 use crate::pace::{Pace, Stretches};
@@ -61,6 +62,8 @@
     pub(crate) departed: Option<(Instant, Revision)>,
     /// Time at which the endpoint was removed from the list; none while it is listed.
     pub(crate) unlisted_at: Option<Instant>,
+    /// Whether the availability zone of the endpoint is evacuated.
+    pub(crate) evacuated: bool,
     /// End and duration of the latest ejection.
     ejected: Option<(Instant, Duration)>,
     /// Whether the endpoint was ejected for a failure that affects all nodes.
@@ -85,6 +88,7 @@
             listed_at: 0,
             departed: None,
             unlisted_at: None,
+            evacuated: false,
             ejected: None,
             fails_everywhere: false,
             losses: 0,
@@ -126,15 +130,25 @@
         self.ejected = Some((now + duration, duration));
     }
 
-    /// Returns whether the endpoint is listed, live and part of a service.
-    pub(crate) fn serves(&self, service: ServiceId) -> bool {
-        let listed = self.unlisted_at.is_none();
-        listed && self.endpoint.service == service && self.endpoint.state == State::Live
+    /// Returns whether the endpoint is part of a service and could serve it: it is open, or it is
+    /// ejected and may be asked again later.
+    pub(crate) fn serves(&self, service: ServiceId, now: Instant) -> bool {
+        let may_serve = matches!(
+            self.access(now),
+            Access::Open | Access::Closed(Reason::Ejected, _)
+        );
+        self.endpoint.service == service && may_serve
     }
 
-    /// Returns whether the endpoint is not ejected.
-    pub(crate) fn usable(&self, now: Instant) -> bool {
-        self.ejected.is_none_or(|(until, _)| until <= now)
+    /// Returns whether the endpoint could serve a service if its zone were not evacuated.
+    pub(crate) fn would_serve(&self, service: ServiceId, now: Instant) -> bool {
+        let evacuated = self.access(now) == Access::Closed(Reason::Evacuated, None);
+        self.endpoint.service == service && evacuated
+    }
+
+    /// Returns the end of the latest ejection, which may have passed.
+    pub(crate) fn ejected_until(&self) -> Option<Instant> {
+        self.ejected.map(|(until, _)| until)
     }
 
     /// Returns the sum of the loads of all nodes.
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -12,9 +12,11 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::access::Access;
 use crate::candidate::Candidate;
 use crate::ejection::Ejections;
 use crate::endpoint::{Endpoint, State};
+use crate::evacuation::Register;
 use crate::id::{EndpointId, InstanceId, Revision};
 use crate::load::Load;
 use crate::pace::{Pace, Stretches};
@@ -52,6 +54,8 @@
     pub(crate) candidates: BTreeMap<EndpointId, Candidate>,
     /// Endpoints that other nodes have ejected.
     pub(crate) ejections: Ejections,
+    /// Evacuated availability zones.
+    pub(crate) evacuations: Register,
     /// Revision of the store up to which its entries have been read.
     revision: Revision,
     /// Factors by which pauses in streams are stretched.
@@ -69,6 +73,7 @@
             zone,
             candidates: BTreeMap::new(),
             ejections: Ejections::default(),
+            evacuations: Register::default(),
             revision: 0,
             stretches: Stretches::default(),
             unseen_runs: 0,
@@ -100,6 +105,7 @@
         if candidate.endpoint.incarnation != endpoint.incarnation {
             candidate.pace = Pace::default();
         }
+        candidate.evacuated = self.evacuations.is_evacuated(endpoint.zone.id);
         candidate.endpoint = endpoint;
         candidate.cold_until = now + cold;
         candidate.grace_until = None;
@@ -230,6 +236,11 @@
             .then_some(&candidate.endpoint)
     }
 
+    /// Returns whether something may be sent to an endpoint now; none if the endpoint is not known.
+    pub fn access(&self, id: EndpointId, now: Instant) -> Option<Access> {
+        Some(self.candidates.get(&id)?.access(now))
+    }
+
     /// Changes the load of this node at an endpoint.
     pub fn update_load(&mut self, id: EndpointId, change: impl FnOnce(&mut Load)) {
         if let Some(candidate) = self.candidates.get_mut(&id) {
@@ -277,8 +288,10 @@
     /// Returns the endpoints that this node has ejected because they fail for all nodes. Those with
     /// a broken path from this node only are left out.
     pub fn ejections(&self, now: Instant) -> impl Iterator<Item = EndpointId> {
-        let failing =
-            move |candidate: &Candidate| candidate.fails_everywhere && !candidate.usable(now);
+        let failing = move |candidate: &Candidate| {
+            let ejected = candidate.ejected_until().is_some_and(|until| until > now);
+            candidate.fails_everywhere && ejected
+        };
         let candidates = self
             .candidates
             .iter()
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use daisyyard_core::access::{Access, Reason};
 use daisyyard_core::choice::{Choice, Purpose};
 use daisyyard_core::crash::Verdict;
-use daisyyard_core::endpoint::{Endpoint, Kind, State};
+use daisyyard_core::endpoint::{Endpoint, Kind};
 use daisyyard_core::id::{EndpointId, Fingerprint, RequestId, ServiceId};
 use daisyyard_core::load::{Load, Need};
 use daisyyard_core::pool::Signal;
@@ -63,6 +64,11 @@
         let unseen_runs = self.count_unseen_runs(claim.need.service, now);
         self.endpoints.set_unseen_runs(unseen_runs);
         let choice = self.endpoints.choose(&claim.need, &claim.excluded, now);
+        if matches!(choice, Choice::Evacuated) {
+            // If the caller has disconnected, nobody needs the refusal.
+            let _ = claim.reply.send(Placement::Evacuated);
+            return None;
+        }
         let Choice::Send {
             endpoint,
             backup,
@@ -173,10 +179,15 @@
         }
     }
 
-    /// Returns an endpoint if it is live.
+    /// Returns an endpoint that takes part in the service. One that is ejected counts, because it may
+    /// still hold a run or a copy that no other endpoint has.
     fn live(&self, id: EndpointId) -> Option<Arc<Endpoint>> {
-        let endpoint = self.endpoints.endpoint(id)?;
-        (endpoint.state == State::Live).then(|| Arc::clone(endpoint))
+        match self.endpoints.access(id, Instant::now())? {
+            Access::Open | Access::Closed(Reason::Ejected, _) => {
+                self.endpoints.endpoint(id).map(Arc::clone)
+            }
+            Access::Closed(..) => None,
+        }
     }
 }
 
@@ -318,7 +329,7 @@
                     Place::Engine(endpoint, backup)
                 }
                 Choice::Wait => Place::Full,
-                Choice::Missing => Place::Missing,
+                Choice::Missing | Choice::Evacuated => Place::Missing,
             }
         };
         let place = self.update_run(id, restart).unwrap_or(Place::Missing);
