--- a/crates/daisyyard/src/gateway_settings.rs
+++ b/crates/daisyyard/src/gateway_settings.rs
@@ -4,12 +4,17 @@
 use std::time::Duration;
 
 use daisyyard_core::shared_retry_budget::Limits;
+use daisyyard_core::warmup::Allowance;
 use daisyyard_gateway::settings::{Bounds, Listen, Settings};
 
-use crate::settings_parser::{self, Faults, Parser, Section};
+use crate::settings_parser::{self, Expectation, Faults, Parser, Section};
 
 /// Largest time that a setting accepts, in seconds.
 const MAX_TIME_S: f64 = 3_600.0;
+/// Largest factor on the rate that a cold endpoint tolerates.
+const MAX_OVERAGE: f64 = 100.0;
+/// Largest number of requests to a cold endpoint beyond that rate.
+const MAX_COLD_SLACK: f64 = 1e6;
 /// Largest number of retries that a setting accepts.
 const MAX_RETRIES: f64 = 1e9;
 
@@ -64,9 +69,32 @@
         max_config_delay: millis(s, r, "config_ms"),
         grace: seconds(s, r, "grace_s"),
         max_addresses_lifetime: seconds(s, r, "directory_s"),
+        cold: allowance(s, r),
     }
 }
 
+/// Parses how far the requests to a cold endpoint may exceed what it tolerates; both keys are given,
+/// or none.
+fn allowance<'a>(s: &mut Parser<'a>, r: &mut Section<'a>) -> Option<Allowance> {
+    const KEYS: [&str; 2] = ["cold_overage", "cold_slack"];
+    if !KEYS.iter().any(|key| r.has(key)) {
+        r.allow(&KEYS);
+        return None;
+    }
+    let overage = Expectation {
+        expected: "a number from 1 to 100, together with cold_slack; remove both to set no bound",
+        example: "1.5",
+    };
+    let slack = Expectation {
+        expected: "a number from 0 to 1000000, together with cold_overage; remove both to set no bound",
+        example: "5",
+    };
+    Some(Allowance {
+        overage: s.expected_number(r, KEYS[0], 1.0..=MAX_OVERAGE, overage),
+        slack: s.expected_number(r, KEYS[1], 0.0..=MAX_COLD_SLACK, slack),
+    })
+}
+
 /// Parses the limits of the retry budget.
 fn retry_limits<'a>(s: &mut Parser<'a>, r: &mut Section<'a>) -> Limits {
     Limits {
--- a/crates/daisyyard/src/service_call.rs
+++ b/crates/daisyyard/src/service_call.rs
@@ -261,13 +261,17 @@
                 Ok(_) => (Signal::Served, false),
                 Err(Failure::Refused | Failure::Unreachable) => (Signal::Dead, false),
                 Err(Failure::Broken | Failure::Partial) => (Signal::Broken, true),
-                Err(Failure::Unwritten | Failure::Silent) => (Signal::Broken, false),
+                Err(Failure::Unwritten | Failure::Late | Failure::Silent) => {
+                    (Signal::Broken, false)
+                }
             };
             self.report(actors, &endpoint, signal, lost).await;
             match sent {
                 Ok(Disposition::Answered(reply)) => return Ok(reply),
                 Ok(Disposition::Declined) => attempts.reach(Progress::Declined),
-                Err(Failure::Refused | Failure::Unreachable | Failure::Unwritten) => {
+                Err(
+                    Failure::Refused | Failure::Unreachable | Failure::Unwritten | Failure::Late,
+                ) => {
                     attempts.reach(Progress::Unsent);
                 }
                 Err(Failure::Partial | Failure::Broken | Failure::Silent) => {
--- a/crates/daisyyard/src/settings_parser.rs
+++ b/crates/daisyyard/src/settings_parser.rs
@@ -270,6 +270,17 @@
             expected: "a number within the documented bounds",
             example,
         };
+        self.expected_number(section, key, bounds, expectation)
+    }
+
+    /// Reads a required number within bounds, with its own text for a fault.
+    pub(crate) fn expected_number(
+        &mut self,
+        section: &mut Section<'a>,
+        key: &'static str,
+        bounds: std::ops::RangeInclusive<f64>,
+        expectation: Expectation,
+    ) -> f64 {
         let accept = |value: &Value<'a>| {
             let number: f64 = value.as_number_lit()?.value.parse().ok()?;
             bounds.contains(&number).then_some(number)
@@ -432,8 +443,13 @@
         }
     }
 
+    /// Marks keys as known that may be absent.
+    pub(crate) fn allow(&mut self, keys: &[&'static str]) {
+        self.known.extend(keys);
+    }
+
     /// Returns whether a key is present and was not read yet.
-    fn has(&self, key: &str) -> bool {
+    pub(crate) fn has(&self, key: &str) -> bool {
         self.unread
             .iter()
             .any(|property| property.name.as_str() == key)
--- a/crates/daisyyard/src/upstream.rs
+++ b/crates/daisyyard/src/upstream.rs
@@ -76,7 +76,7 @@
             Failure::Refused => Self::Unconnected { refused: true },
             Failure::Unreachable => Self::Unconnected { refused: false },
             // An engine cannot run a request whose JSON body is incomplete.
-            Failure::Unwritten | Failure::Partial => Self::Unsent,
+            Failure::Unwritten | Failure::Partial | Failure::Late => Self::Unsent,
             Failure::Broken | Failure::Silent => Self::Lost,
         }
     }
@@ -127,7 +127,7 @@
             Ok(_) | Err(Failure::Silent | Failure::Unreachable) => return Probe::Silent,
             Err(Failure::Refused) => return Probe::Refused,
             // While a process exits, the kernel accepts connections until its socket is closed.
-            Err(Failure::Unwritten | Failure::Partial | Failure::Broken) => {
+            Err(Failure::Unwritten | Failure::Late | Failure::Partial | Failure::Broken) => {
                 tokio::time::sleep(PROBE_RETRY_DELAY).await;
             }
         }
--- /dev/null
+++ b/crates/daisyyard/tests/cold_endpoints.rs
@@ -0,0 +1,168 @@
+//! Guards against gateways that together send more requests to a cold endpoint than it tolerates, and
+//! against bounds in deployments that set none.
+
+mod platform;
+
+use std::time::{Duration, Instant};
+
+use daisyyard_core::warmup::OWNER_WAIT;
+use daisyyard_standin::platform_fixture;
+use hyper::{Method, StatusCode};
+use platform::{
+    Platform, config, plain_request, spawn_gateway_with, text, wait_until, wait_until_listed,
+};
+use serde_json::json;
+
+/// Bound on the requests that arrive at a cold endpoint in any second, with the settings below.
+const BOUND: usize = 8;
+/// Time for which endpoints are cold, longer than a test sends.
+const COLD_S: f64 = 20.0;
+/// Time after the start of gateways until they may use their shares.
+const SETTLING_TIME: Duration = OWNER_WAIT.saturating_add(Duration::from_secs(1));
+
+/// Starts gateways and plain endpoints of a service whose cold endpoints tolerate few requests.
+async fn start(gateways: usize, endpoints: usize) -> Platform {
+    let mut platform = Platform::start(0, endpoints).await;
+    let mut limited = config(2);
+    limited["services"][1]["cold_start_s"] = COLD_S.into();
+    limited["services"][1]["cold_per_s"] = 6.into();
+    platform.store.put("op/config", &limited).await;
+    for number in 0..gateways {
+        add_gateway(&mut platform, number).await;
+    }
+    wait_until_listed(&platform.gateways).await;
+    tokio::time::sleep(SETTLING_TIME).await;
+    platform
+}
+
+/// Starts a gateway that bounds the requests to cold endpoints.
+async fn add_gateway(platform: &mut Platform, number: usize) {
+    let adapt = |settings: &mut serde_json::Value| {
+        settings["bounds"]["cold_overage"] = json!(1.0);
+        settings["bounds"]["cold_slack"] = json!(2.0);
+    };
+    let gateway = spawn_gateway_with(platform.store.address, number, adapt).await;
+    platform.gateways.insert(number, gateway);
+}
+
+/// Writes the entry of an endpoint that has started anew and states this cold time, and waits until all
+/// gateways know it.
+async fn restart_endpoint(platform: &Platform, index: usize, cold_ms: u64) {
+    let engine = &platform.engines[index];
+    let mut entry = platform_fixture::entry("desk", engine.address, "ready");
+    (entry["born"], entry["cold_remaining_ms"]) = (7.into(), cold_ms.into());
+    let key = format!("servers/{}", engine.name);
+    platform.store.put(&key, &entry).await;
+    wait_until_cold(platform).await;
+}
+
+/// Waits until all gateways count one endpoint as cold.
+async fn wait_until_cold(platform: &Platform) {
+    for gateway in &platform.gateways {
+        wait_until("the endpoint is cold", async || {
+            text(gateway.metrics, "/metrics")
+                .await
+                .contains("daisyyard_gateway_cold_endpoints 1")
+        })
+        .await;
+    }
+}
+
+/// Sends requests through all gateways at once, and returns the number of answers from endpoints.
+async fn crowd(platform: &Platform, path: &str, requests: usize) -> usize {
+    let send = async |number: usize| {
+        let attempt = format!("crowd-{number}-{path}");
+        let gateway = number % platform.gateways.len();
+        let request = plain_request(Method::GET, path);
+        let (status, _) = platform.send_through(gateway, &attempt, &request).await;
+        usize::from(status == StatusCode::OK)
+    };
+    let answers = futures_util::future::join_all((0..requests).map(send)).await;
+    answers.iter().sum()
+}
+
+/// Returns the largest number of requests that an endpoint received in any second.
+async fn peak(platform: &Platform, endpoint: &str) -> usize {
+    let mut arrivals = platform.runs.arrivals().await;
+    arrivals.retain(|arrival| arrival.engine == endpoint);
+    let mut times: Vec<Instant> = arrivals.iter().map(|arrival| arrival.at).collect();
+    times.sort();
+    let second = |first: &Instant| {
+        let end = *first + Duration::from_secs(1);
+        times
+            .iter()
+            .filter(|at| **at >= *first && **at < end)
+            .count()
+    };
+    times.iter().map(second).max().unwrap_or(0)
+}
+
+/// Several gateways with many requests keep the bound of an endpoint that has started anew, and serve
+/// what it allows.
+#[tokio::test]
+async fn restarted_endpoint() {
+    let platform = start(3, 1).await;
+    restart_endpoint(&platform, 0, 0).await;
+    let served = crowd(&platform, "/stock/1", 60).await;
+    assert!(served >= 2, "{served} were served");
+    let peak = peak(&platform, "plain-0").await;
+    assert!(peak <= BOUND, "{peak} requests in a second");
+}
+
+/// A gateway that is killed and starts again within the second does not use its share twice.
+#[tokio::test]
+async fn killed_gateway() {
+    let mut platform = start(2, 1).await;
+    restart_endpoint(&platform, 0, 20_000).await;
+    for round in 0..3 {
+        crowd(&platform, &format!("/stock/{round}"), 20).await;
+        drop(platform.gateways.remove(0));
+        add_gateway(&mut platform, 0).await;
+    }
+    crowd(&platform, "/stock/last", 20).await;
+    let peak = peak(&platform, "plain-0").await;
+    assert!(peak <= BOUND, "{peak} requests in a second");
+}
+
+/// Requests go to the warm endpoint while another one is cold.
+#[tokio::test]
+async fn warm_endpoint() {
+    let platform = start(1, 2).await;
+    restart_endpoint(&platform, 0, 0).await;
+    let served = crowd(&platform, "/stock/1", 10).await;
+    assert_eq!(served, 10);
+    assert_eq!(peak(&platform, "plain-0").await, 0);
+    let metrics = text(platform.gateways[0].metrics, "/metrics").await;
+    let counter = "daisyyard_gateway_cold_sends_total{effect=\"elsewhere\"} 10";
+    assert!(metrics.contains(counter), "{metrics}");
+}
+
+/// What an endpoint states in an answer to one gateway reaches the others, which the store does not
+/// tell.
+#[tokio::test]
+async fn stated_in_answer() {
+    let platform = start(2, 1).await;
+    platform.engines[0].set_cold(Some(20_000));
+    assert_eq!(crowd(&platform, "/stock/1", 1).await, 1);
+    wait_until_cold(&platform).await;
+    crowd(&platform, "/stock/2", 40).await;
+    let peak = peak(&platform, "plain-0").await;
+    assert!(peak <= BOUND, "{peak} requests in a second");
+}
+
+/// Without the two settings, a cold endpoint is served as before.
+#[tokio::test]
+async fn no_bound() {
+    let mut platform = Platform::start(0, 1).await;
+    let mut limited = config(2);
+    limited["services"][1]["cold_start_s"] = COLD_S.into();
+    limited["services"][1]["cold_per_s"] = 6.into();
+    platform.store.put("op/config", &limited).await;
+    platform.start_gateway().await;
+    let engine = &platform.engines[0];
+    let mut entry = platform_fixture::entry("desk", engine.address, "ready");
+    (entry["born"], entry["cold_remaining_ms"]) = (7.into(), 20_000.into());
+    platform.store.put("servers/plain-0", &entry).await;
+    engine.set_cold(Some(20_000));
+    assert_eq!(crowd(&platform, "/stock/1", 40).await, 40);
+}
--- a/crates/daisyyard/tests/gateway_faults.rs
+++ b/crates/daisyyard/tests/gateway_faults.rs
@@ -62,3 +62,26 @@
     assert!(text.contains("listen.requests"), "{text}");
     assert!(text.contains("repeats.slack"), "{text}");
 }
+
+/// The bound on requests to cold endpoints is optional, and half of it is a fault whose text names the
+/// remedy.
+#[test]
+fn cold_bound() {
+    let parsed = |settings: &serde_json::Value| parse(Path::new("s.json"), &settings.to_string());
+    let mut settings = valid_settings();
+    let without = parsed(&settings).expect("valid settings");
+    assert_eq!(without.bounds.cold, None);
+    settings["bounds"]["cold_overage"] = 1.5.into();
+    let faults = parsed(&settings).expect_err("faults");
+    let text = faults.to_string();
+    assert!(text.contains("bounds.cold_slack"), "{text}");
+    assert!(text.contains("remove both"), "{text}");
+    settings["bounds"]["cold_slack"] = 5.into();
+    let with = parsed(&settings).expect("valid settings").bounds.cold;
+    let with = with.expect("a bound");
+    assert!((with.overage - 1.5).abs() < f64::EPSILON);
+    assert!((with.slack - 5.0).abs() < f64::EPSILON);
+    settings["bounds"]["cold_overage"] = 0.5.into();
+    let faults = parsed(&settings).expect_err("faults");
+    assert_eq!(faults.0.len(), 1, "{faults}");
+}
--- a/crates/daisyyard_core/src/access.rs
+++ b/crates/daisyyard_core/src/access.rs
@@ -19,6 +19,8 @@
     Leaving,
     /// Requests to the endpoint failed, so that it is avoided for some time.
     Ejected,
+    /// The endpoint is cold, and this node has no place left in the rate that it tolerates.
+    Cold,
 }
 
 /// Whether something may be sent to an endpoint now.
@@ -49,7 +51,10 @@
         }
         match self.ejected_until() {
             Some(until) if until > now => Access::Closed(Reason::Ejected, Some(until)),
-            _ => Access::Open,
+            _ => match self.warmup.closed_until(now) {
+                Some(until) => Access::Closed(Reason::Cold, Some(until)),
+                None => Access::Open,
+            },
         }
     }
 }
--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -10,6 +10,7 @@
 use crate::load::{Load, Need};
 use crate::pace::{Pace, Stretches};
 use crate::pool::Signal;
+use crate::warmup::Warmup;
 use crate::zone::{Distance, Zone};
 
 /// Share of the memory of an engine that new long runs may reserve. The rest is for short runs, for
@@ -72,6 +73,8 @@
     failure_rate: f64,
     /// Pace of the engine.
     pub(crate) pace: Pace,
+    /// Cold time of the endpoint, and the places that this node takes meanwhile.
+    pub(crate) warmup: Warmup,
 }
 
 impl Candidate {
@@ -91,6 +94,7 @@
             losses: 0,
             failure_rate: 0.0,
             pace: Pace::default(),
+            warmup: Warmup::default(),
         }
     }
 
@@ -128,11 +132,11 @@
     }
 
     /// Returns whether the endpoint is part of a service and could serve it: it is open, or it is
-    /// ejected and may be asked again later.
+    /// ejected or cold and may be asked later.
     pub(crate) fn serves(&self, service: ServiceId, now: Instant) -> bool {
         let may_serve = matches!(
             self.access(now),
-            Access::Open | Access::Closed(Reason::Ejected, _)
+            Access::Open | Access::Closed(Reason::Ejected | Reason::Cold, _)
         );
         self.endpoint.service == service && may_serve
     }
--- a/crates/daisyyard_core/src/catalog.rs
+++ b/crates/daisyyard_core/src/catalog.rs
@@ -8,6 +8,7 @@
 
 use crate::account::Account;
 use crate::id::{Revision, ServiceId, Tokens};
+use crate::warmup::ColdStart;
 
 /// Priority of a request; zero is the highest.
 pub type Priority = u8;
@@ -61,6 +62,8 @@
     pub max_connections: u32,
     /// Properties of the engines, if the endpoints are engines.
     pub engine: Option<Engine>,
+    /// What endpoints tolerate while they are cold, if that is limited.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Properties that all engines of a service have in common.
@@ -185,6 +188,13 @@
         self.services.get(&id)
     }
 
+    /// Returns what cold endpoints tolerate, by service.
+    pub fn cold_starts(&self) -> HashMap<ServiceId, ColdStart> {
+        let services = self.services.values();
+        let limited = services.filter_map(|service| Some((service.id, service.cold_start?)));
+        limited.collect()
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/daisyyard_core/src/choice.rs
+++ b/crates/daisyyard_core/src/choice.rs
@@ -15,6 +15,7 @@
 use rand::seq::SliceRandom;
 
 use crate::candidate::{Candidate, MAX_MEMORY_SHARE};
+use crate::coldness;
 use crate::endpoint::{Endpoint, Kind};
 use crate::id::{EndpointId, ZoneId};
 use crate::load::Need;
@@ -25,6 +26,8 @@
 const MAX_COPY_MEMORY_SHARE: f64 = 0.6;
 /// Weight of an engine in another availability zone for a copy, which then takes twice as long.
 const COPY_ZONE_WEIGHT: f64 = 1.0;
+/// Weight of a cold engine to which requests are limited for a copy; it exceeds all others together.
+const COPY_COLD_WEIGHT: f64 = 8.0;
 /// Largest random weight, which prevents nodes with the same view from choosing the same endpoint.
 const JITTER: f64 = 0.05;
 /// Largest random weight of an engine for a copy. An engine transfers copies one after another
@@ -76,6 +79,7 @@
             return Choice::Missing;
         }
         live.retain(|(id, candidate)| !failing.contains(id) && candidate.access(now).is_open());
+        coldness::prefer_warm(&mut live, need, now);
         let unseen_runs = if serves_engines(&live) {
             self.unseen_runs
         } else {
@@ -148,7 +152,12 @@
                 COPY_ZONE_WEIGHT
             };
             let pauses = candidate.pause_weight(need, candidate.load(now).runs, stretches);
-            let weight = share + distance + pauses + random.random_range(0.0..COPY_JITTER);
+            let cold = if candidate.warmup.is_cold(now) {
+                COPY_COLD_WEIGHT
+            } else {
+                0.0
+            };
+            let weight = share + distance + cold + pauses + random.random_range(0.0..COPY_JITTER);
             (share <= max_share).then_some((weight, candidate))
         });
         let least = weighed.min_by(|one, two| one.0.total_cmp(&two.0));
--- a/crates/daisyyard_core/src/endpoint.rs
+++ b/crates/daisyyard_core/src/endpoint.rs
@@ -5,7 +5,7 @@
 
 use daisyyard_derive::{key, record, value};
 
-use crate::id::{self, EndpointId, ServiceId, Tokens};
+use crate::id::{self, EndpointId, Revision, ServiceId, Tokens};
 use crate::zone::Zone;
 
 /// An endpoint that requests are sent to.
@@ -23,6 +23,8 @@
     pub address: SocketAddr,
     /// Identifies one start of the endpoint; another start knows nothing of the one before.
     pub incarnation: u64,
+    /// Revision of the store at which the entry of the endpoint was written; zero if it is not known.
+    pub revision: Revision,
     /// Whether the endpoint is an engine or belongs to a plain service.
     pub kind: Kind,
     /// Whether the endpoint may receive new requests.
@@ -84,6 +86,7 @@
             zone,
             address,
             incarnation: 0,
+            revision: 0,
             kind,
             state: State::Live,
             checks_fencing: false,
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -14,6 +14,7 @@
 
 use crate::access::Access;
 use crate::candidate::Candidate;
+use crate::coldness::Coldness;
 use crate::ejection::Ejections;
 use crate::endpoint::{Endpoint, State};
 use crate::id::{EndpointId, InstanceId, Revision};
@@ -59,6 +60,8 @@
     pub(crate) stretches: Stretches,
     /// Number of runs that other nodes are likely to have started since their last digests.
     pub(crate) unseen_runs: usize,
+    /// Bounds on the requests to cold endpoints.
+    pub(crate) coldness: Coldness,
     /// Generator of the random weights.
     pub(crate) random: Pcg64Mcg,
 }
@@ -73,6 +76,7 @@
             revision: 0,
             stretches: Stretches::default(),
             unseen_runs: 0,
+            coldness: Coldness::default(),
             random: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -92,6 +96,7 @@
     pub fn put(&mut self, endpoint: Endpoint, cold: Duration, now: Instant) -> bool {
         let leaving = endpoint.state != State::Live;
         let endpoint = Arc::new(endpoint);
+        let id = endpoint.id;
         let known = self.endpoint(endpoint.id);
         let left = known.is_some_and(|endpoint| endpoint.state != State::Live);
         let candidate = self
@@ -107,6 +112,7 @@
         candidate.unlisted_at = None;
         candidate.listed_at = self.revision;
         candidate.departed = leaving.then(|| candidate.departed.unwrap_or((now, self.revision)));
+        self.read_cold_entry(id, cold, now);
         leaving && !left
     }
 
--- a/crates/daisyyard_core/src/roster.rs
+++ b/crates/daisyyard_core/src/roster.rs
@@ -98,6 +98,11 @@
         self.serving.contains(&node)
     }
 
+    /// Returns the nodes that serve callers, in the order of their identifiers.
+    pub fn serving(&self) -> impl Iterator<Item = InstanceId> {
+        self.serving.iter().copied()
+    }
+
     /// Returns the number of nodes that serve callers.
     pub fn serving_count(&self) -> usize {
         self.serving.len()
--- a/crates/daisyyard_gateway/src/codec.rs
+++ b/crates/daisyyard_gateway/src/codec.rs
@@ -84,6 +84,8 @@
     pub attempt: Option<String>,
     /// Whether the endpoint signed the response.
     pub signed: bool,
+    /// Time for which the endpoint states that it is still cold.
+    pub cold: Option<Duration>,
     /// Whether the endpoint states that it did not run the request.
     pub declined: bool,
 }
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -166,6 +166,8 @@
             self.send(&[frame.clone().into_probe()], &targets.probed)
                 .await;
             self.send(&[frame], &targets.reserve).await;
+            let cold = Frame::from_cold(&report);
+            self.send(cold.as_slice(), &targets.reserve).await;
         }
         self.targets = targets.serving.len() as u32;
         true
@@ -208,6 +210,8 @@
                 return false;
             };
             self.send(&[Frame::without_loads(&report)], &[sender]).await;
+            let cold = Frame::from_cold(&report);
+            self.send(cold.as_slice(), &[sender]).await;
         }
         self.pool.send(Report::from(frame)).await.is_ok()
     }
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -61,6 +61,10 @@
     RefusalUnstored = 140,
     /// An engine was asked to stop a run so that another one can continue it.
     RunHalted = 141,
+    /// Requests to an endpoint are limited, because it is cold.
+    EndpointCold = 160,
+    /// Requests to an endpoint are no longer limited.
+    EndpointWarm = 161,
 }
 
 /// Log level of each event.
@@ -93,6 +97,8 @@
     (Event::ContentRefused, Level::Warn),
     (Event::RefusalUnstored, Level::Warn),
     (Event::RunHalted, Level::Info),
+    (Event::EndpointCold, Level::Info),
+    (Event::EndpointWarm, Level::Info),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -6,15 +6,16 @@
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::pool::Signal;
 use daisyyard_core::shared_retry_budget;
-use daisyyard_http::connection::{self, Failure};
+use daisyyard_http::connection;
 use hyper::StatusCode;
 
 use crate::codec::Replica;
 use crate::event::Event;
 use crate::halt::{Halt, halt};
-use crate::message::{Failover, Retry, Rollback, Takeover};
+use crate::message::{Failover, GiveBack, Retry, Rollback, Takeover};
 use crate::migration::State;
 use crate::relay::{LEAVING, Relay, SILENT};
+use crate::sent::is_unsent;
 
 /// Timeout for an engine to resume a run.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
@@ -27,6 +28,8 @@
     NotAllowed,
     /// The request did not reach the engine.
     Unsent,
+    /// No place in the rate of a cold engine became free in time.
+    Cold,
     /// The engine did not run the request.
     Declined,
     /// The engine may have run the request, but its answer is missing or unusable.
@@ -39,6 +42,7 @@
         match self {
             Self::NotAllowed => "not_allowed",
             Self::Unsent => "unsent",
+            Self::Cold => "cold",
             Self::Declined => "declined",
             Self::Unanswered => "unanswered",
         }
@@ -140,7 +144,7 @@
                     return Outcome::Resumed;
                 }
                 // Only a request that has not run may be sent to the next engine.
-                Err(Obstacle::Unsent | Obstacle::Declined) => {}
+                Err(Obstacle::Unsent | Obstacle::Cold | Obstacle::Declined) => {}
                 Err(Obstacle::NotAllowed | Obstacle::Unanswered) => return outcome,
             }
         }
@@ -265,7 +269,10 @@
         let request = self
             .job
             .request(codec, engine, address, replica, last_event);
-        let open = connection::send(engine.address, request, timeout);
+        let place = self.proxy.enter(engine, timeout).await;
+        let place = place.ok_or(Obstacle::Cold)?;
+        let leave_by = place.and_then(|place| place.leave_by);
+        let open = connection::send_by(engine.address, request, timeout, leave_by);
         let mut open = std::pin::pin!(open);
         // Two engines may execute the same run only for a short time.
         let opened_early = tokio::time::timeout(MAX_OVERLAP, open.as_mut()).await;
@@ -275,12 +282,20 @@
             self.upstream = None;
             open.await
         };
-        let answer = opened.map_err(|failure| match failure {
-            Failure::Refused | Failure::Unreachable | Failure::Unwritten => Obstacle::Unsent,
-            Failure::Partial | Failure::Broken | Failure::Silent => Obstacle::Unanswered,
-        })?;
+        let answer = match opened {
+            Ok(answer) => answer,
+            Err(failure) if is_unsent(failure) => {
+                if let Some(place) = place {
+                    // The pool ends only with the process.
+                    let _ = self.proxy.pool.send(GiveBack(engine.id, place)).await;
+                }
+                return Err(Obstacle::Unsent);
+            }
+            Err(_) => return Err(Obstacle::Unanswered),
+        };
         let status = answer.response.status();
         let receipt = (codec.read_response)(status, answer.response.headers());
+        self.proxy.report_cold(engine, &receipt).await;
         if !receipt.answers(&self.job.attempt) {
             return Err(Obstacle::Unanswered);
         }
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -57,6 +57,7 @@
         let requests_per_s = self.retry_budget.request_rate(now);
         self.members.set_request_rate(requests_per_s);
         self.members.update_roster(now);
+        self.update_cold(now);
         let new = self.current_standing(now);
         let changed = self.standing.send_if_modified(|standing| {
             let old = std::mem::replace(standing, new);
@@ -134,12 +135,14 @@
     /// know it from their own reads, or were not told for so long that they may have missed it.
     pub(crate) fn is_worth_telling(&mut self, item: &Item, now: Instant) -> bool {
         match (self.codec.store.read_item)(item) {
-            Record::Endpoint(endpoint, _) => {
+            Record::Endpoint(endpoint, cold) => {
+                let (id, revision) = (endpoint.id, endpoint.revision);
+                let cold_news = self.endpoints.is_cold_news(id, revision, cold, now);
                 let told = self.told_at.get(&endpoint.id);
                 let due =
                     told.is_none_or(|at| now.saturating_duration_since(*at) >= RETELL_INTERVAL);
                 let tells = self.endpoints.is_news(endpoint.id, item.revision)
-                    && (due || self.endpoints.is_changed(&endpoint));
+                    && (due || self.endpoints.is_changed(&endpoint) || cold_news);
                 if tells {
                     self.told_at.insert(endpoint.id, now);
                 }
@@ -169,6 +172,7 @@
             listing: self.readers_listing(),
             continuation: false,
             ejections: self.endpoints.ejections(now).collect(),
+            cold: self.endpoints.cold_reports(now).collect(),
             departures: self.endpoints.departures(now).collect(),
             loads: self.endpoints.loads().collect(),
             paces: self.endpoints.paces().collect(),
@@ -224,6 +228,7 @@
             self.members.record_reach(message.from, reaches_store);
         }
         self.learn_evidence(&message.evidence, now);
+        self.endpoints.hear_cold(&message.cold, now);
         if !message.news.is_empty() {
             self.apply_news(message, now);
         } else if message.continuation {
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -9,7 +9,9 @@
 
 use crate::codec::Item;
 use crate::message::Report;
-use crate::wire::{Change, ContentRecord, Counts, Departure, EndpointLoad, Knowledge};
+use crate::wire::{
+    Change, ColdEndpoint, ContentRecord, Counts, Departure, EndpointLoad, Knowledge,
+};
 
 /// Maximum size of a datagram; it fits into one packet on any path.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -23,6 +25,8 @@
 const MAX_DEPARTURES: usize = 16;
 /// Maximum number of ejected endpoints in one datagram.
 const MAX_EJECTIONS: usize = 12;
+/// Maximum number of cold endpoints that a sender reports; they fill a datagram of their own.
+const MAX_COLD: usize = 32;
 /// Maximum number of records of contents in one datagram.
 const MAX_CONTENTS: usize = 8;
 /// Maximum number of services in one datagram.
@@ -83,6 +87,9 @@
     /// Crashes and proofs of contents.
     #[prost(message, repeated, tag = "15")]
     evidence: Vec<ContentRecord>,
+    /// Cold endpoints that the sender knows by itself.
+    #[prost(message, repeated, tag = "20")]
+    cold: Vec<ColdEndpoint>,
 }
 
 /// What a frame is for.
@@ -114,7 +121,23 @@
             loads: first.iter().map(load).collect(),
             ..Self::without_loads(report)
         };
-        std::iter::once(first).chain(rest).collect()
+        let first = std::iter::once(first).chain(rest);
+        first.chain(Self::from_cold(report)).collect()
+    }
+
+    /// Returns the frame of the cold endpoints in a report; none if there are none. If there are too
+    /// many, those that are cold for the longest time are reported.
+    pub(crate) fn from_cold(report: &Report) -> Option<Self> {
+        let mut cold = report.cold.clone();
+        cold.sort_unstable_by_key(|cold| (std::cmp::Reverse(cold.remaining), cold.endpoint));
+        cold.truncate(MAX_COLD);
+        (!cold.is_empty()).then(|| Self {
+            instance: report.from,
+            leaving: report.leaving,
+            purpose: Purpose::Continuation.into(),
+            cold: cold.into_iter().map(ColdEndpoint::from).collect(),
+            ..Self::default()
+        })
     }
 
     /// Splits records of contents into frames.
@@ -158,18 +181,21 @@
         frames
     }
 
-    /// Returns whether the frame tells more than the one before. Knowledge that has only aged tells
-    /// nothing, as the recipients know how long ago it was reported.
+    /// Returns whether the frame tells more than the one before. Knowledge and cold times that have only
+    /// aged tell nothing, as the recipients know how long ago they were reported.
     pub(crate) fn tells_more_than(&self, last: &Self) -> bool {
         let renewed = match (self.knowledge, last.knowledge) {
             (Some(new), Some(old)) => new.first_hand != old.first_hand || new.age_ms < old.age_ms,
             (new, old) => new.is_some() != old.is_some(),
         };
-        let knowledge = last.knowledge;
+        let (knowledge, cold) = (last.knowledge, last.cold.clone());
+        let told = |cold: &ColdEndpoint| last.cold.iter().any(|last| last.covers(cold));
         renewed
+            || !self.cold.iter().all(told)
             || *last
                 != Self {
                     knowledge,
+                    cold,
                     ..self.clone()
                 }
     }
@@ -201,6 +227,7 @@
             store_lost: report.store_lost,
             knowledge: report.knowledge.map(Knowledge::from),
             evidence: Vec::new(),
+            cold: Vec::new(),
             instance: report.from,
             leaving: report.leaving,
             loads: Vec::new(),
@@ -246,6 +273,7 @@
             listing: frame.listing,
             continuation: frame.purpose() == Purpose::Continuation,
             ejections: frame.ejections,
+            cold: frame.cold.into_iter().map(Into::into).collect(),
             departures: frame.departures.into_iter().map(Into::into).collect(),
             loads: frame.loads.into_iter().map(Into::into).collect(),
             news: frame.news.into_iter().map(Into::into).collect(),
--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -17,7 +17,7 @@
 use crate::event::Event;
 use crate::log::Log;
 use crate::member::Entry;
-use crate::message::{Leave, Offer, SetRetryLimits};
+use crate::message::{Leave, Offer, SetColdAllowance, SetRetryLimits};
 use crate::metrics::Metrics;
 use crate::pool::{self, Pool};
 use crate::proxy::Proxy;
@@ -110,22 +110,22 @@
         let changed = Arc::new(Notify::new());
         let refresh = Arc::new(Notify::new());
         let (news, news_receiver) = mpsc::unbounded_channel();
+        let metrics = Metrics::new()?;
         let (pool, standing) = pool::spawn(
             settings,
             codec,
             Arc::clone(&changed),
             Arc::clone(&refresh),
-            log.clone(),
+            (log.clone(), metrics.clone()),
         );
         let digests = digest::spawn(listen.digests, &pool, changed, news_receiver).await;
         digests.with_context(|| format!("cannot bind {}; is it in use?", listen.digests))?;
-        let metrics = Metrics::new()?;
         let (phase, phase_view) = watch::channel(Phase::Serving);
         let (ending, ending_view) = ending::channel();
         let (watcher, configuration) = Watcher::new(
             settings.store,
             codec,
-            settings.bounds,
+            &settings.bounds,
             pool.clone(),
             (refresh, standing),
             news,
@@ -190,6 +190,8 @@
                     .pool
                     .send(SetRetryLimits(new.retry_budget.clone()))
                     .await;
+                let allowance = new.bounds.cold.clone();
+                let _ = self.pool.send(SetColdAllowance(allowance)).await;
                 let details = format!(
                     "name={} grace_ms={}",
                     new.name,
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -8,6 +8,7 @@
 use daisyyard_core::roster::{Node, Role, Roster};
 use serde::{Deserialize, Serialize};
 
+use crate::colleague::Member;
 use crate::settings::Settings;
 
 /// Time without a digest after which a serving member counts as lost. Members send several digests
@@ -15,11 +16,6 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The same at a gateway in reserve, which gets fewer digests.
 const RESERVE_SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Time between two probes of a lost member, which answers with a digest. After a partition, neither
-/// side sends anything else to the members that it counts as lost, and members in reserve are silent.
-const PROBE_INTERVAL: Duration = Duration::from_secs(5);
-/// Time for which probes are sent, as some may be lost.
-const PROBE_TIME: Duration = Duration::from_millis(1_300);
 /// Time between two divisions of the fleet if no member changes.
 const ROSTER_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which the entry of a gateway that sends digests may be unknown. Its entry is then read
@@ -54,25 +50,6 @@
     }
 }
 
-/// Another gateway.
-#[derive(Debug)]
-struct Member {
-    /// Entry of the gateway in the store.
-    entry: Entry,
-    /// When the gateway was first listed or last sent a digest.
-    last_heard: Instant,
-    /// Whether the gateway reports that it is leaving.
-    leaving: bool,
-    /// Whether the gateway reports that it reaches the store.
-    reaches_store: bool,
-    /// Since when the gateway is expected to send digests to this one; none while it need not.
-    expected_since: Option<Instant>,
-    /// Since when the gateway counts as lost; it does until it is heard again.
-    lost_since: Option<Instant>,
-    /// When the gateway is removed unless its entry is written again.
-    relist_deadline: Option<Instant>,
-}
-
 /// Recipients of a digest.
 #[derive(Debug, Default)]
 pub struct Targets {
@@ -88,17 +65,21 @@
 #[derive(Debug)]
 pub struct Members {
     /// Entry of this gateway.
-    own_entry: Entry,
+    pub(crate) own_entry: Entry,
     /// Identifier of this gateway.
-    own_id: InstanceId,
+    pub(crate) own_id: InstanceId,
     /// Whether this gateway is offered to callers.
     offered: bool,
     /// Whether this gateway reaches the store.
     reaches_store: bool,
     /// The other gateways.
-    others: BTreeMap<InstanceId, Member>,
+    pub(crate) others: BTreeMap<InstanceId, Member>,
     /// When gateways that are not listed first sent a digest.
     unlisted: BTreeMap<InstanceId, Instant>,
+    /// Whether this gateway's own entry is listed; none if it never was.
+    pub(crate) own_listed: Option<bool>,
+    /// Number of changes of the list of gateways.
+    pub(crate) listing: u64,
     /// Division of the gateways.
     roster: Roster,
     /// When the gateways were last divided; none after a change.
@@ -107,23 +88,6 @@
     requests_per_s: f64,
 }
 
-impl Member {
-    /// Returns whether the gateway should have sent a digest within the timeout, but has not.
-    fn is_silent(&self, timeout: Duration, now: Instant) -> bool {
-        let since = self.expected_since.unwrap_or(now).max(self.last_heard);
-        now.saturating_duration_since(since) >= timeout
-    }
-
-    /// Returns whether the gateway is lost and a probe of it is due.
-    fn is_probed(&self, now: Instant) -> bool {
-        self.lost_since.is_some_and(|since| {
-            let lost_for = now.saturating_duration_since(since);
-            let since_probe = lost_for.as_millis() % PROBE_INTERVAL.as_millis();
-            lost_for >= PROBE_INTERVAL && since_probe < PROBE_TIME.as_millis()
-        })
-    }
-}
-
 impl Members {
     /// Creates the member set of a gateway that knows only itself and is not offered to callers
     /// yet.
@@ -135,6 +99,8 @@
             reaches_store: true,
             others: BTreeMap::new(),
             unlisted: BTreeMap::new(),
+            own_listed: None,
+            listing: 0,
             roster: Roster::default(),
             divided_at: None,
             requests_per_s: 0.0,
@@ -145,6 +111,7 @@
     pub fn put(&mut self, name: &str, entry: Entry, now: Instant) {
         let id = id::of(name);
         if id == self.own_id {
+            self.list_own(true);
             return;
         }
         let known = self.others.get(&id);
@@ -165,6 +132,7 @@
         self.others.insert(id, member);
         self.unlisted.remove(&id);
         self.divided_at = None;
+        self.listing += 1;
     }
 
     /// Removes a gateway whose entry was deleted, at once or at the deadline by which it may
@@ -173,16 +141,22 @@
         let id = id::of(name);
         if let (Some(deadline), Some(member)) = (relist_deadline, self.others.get_mut(&id)) {
             member.relist_deadline.get_or_insert(deadline);
+        } else if id == self.own_id {
+            self.list_own(false);
         } else {
             self.others.remove(&id);
             self.divided_at = None;
+            self.listing += 1;
         }
     }
 
     /// Removes all gateways that a complete list does not name.
     pub fn retain(&mut self, names: &[String]) {
         let listed: Vec<InstanceId> = names.iter().map(|name| id::of(name)).collect();
+        let before = self.others.len();
         self.others.retain(|id, _| listed.contains(id));
+        self.listing += u64::from(self.others.len() != before);
+        self.list_own(listed.contains(&self.own_id));
         self.unlisted.clear();
         self.divided_at = None;
     }
@@ -367,7 +341,9 @@
                 .relist_deadline
                 .is_some_and(|deadline| deadline <= now)
         };
+        let before = self.others.len();
         self.others.retain(|_, member| !expired(member));
+        self.listing += u64::from(self.others.len() != before);
         self.update_roster(now);
         let timeout = self.silence_timeout();
         let partitioned = self.is_partitioned(now);
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages to the pool actor, which owns the gateway's state of endpoints and other gateways.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -12,6 +13,7 @@
 use daisyyard_core::pool::Signal;
 use daisyyard_core::roster::Role;
 use daisyyard_core::shared_retry_budget::{self, Limits};
+use daisyyard_core::warmup::{self, Allowance, ColdStart};
 use tokio::sync::{mpsc, oneshot};
 use xtra::WeakAddress;
 
@@ -36,6 +38,8 @@
     pub(crate) excluded: Vec<EndpointId>,
     /// Fingerprints of what the caller asks for.
     pub(crate) contents: Arc<[Fingerprint]>,
+    /// Whether the request has waited because endpoints were cold.
+    pub(crate) waited_for_cold: bool,
     /// Receives the placement; dropped if no endpoint has capacity in time.
     pub(crate) reply: oneshot::Sender<Placement>,
 }
@@ -60,6 +64,8 @@
     pub(crate) backup: Option<Arc<Endpoint>>,
     /// Share of the endpoint's KV cache that was reserved after the request was added.
     pub(crate) memory_share: f64,
+    /// Place in the rate of a cold endpoint; none once the request may have left.
+    pub(crate) place: Option<warmup::Place>,
     /// Receives changes of the endpoint.
     pub(crate) notices: mpsc::Receiver<Notice>,
     /// What the end of the run indicates about the endpoint.
@@ -71,8 +77,12 @@
 impl Drop for Grant {
     fn drop(&mut self) {
         let (pool, done) = (self.pool.clone(), Release(self.run, self.signal));
+        let place = self.place.map(|place| GiveBack(self.endpoint.id, place));
         // The pool outlives all requests unless the process ends.
         tokio::spawn(async move {
+            if let Some(place) = place {
+                let _ = pool.send(place).await;
+            }
             let _ = pool.send(done).await;
         });
     }
@@ -82,6 +92,26 @@
 #[derive(Debug)]
 pub(crate) struct Release(pub(crate) RequestId, pub(crate) Signal);
 
+/// Gives back a place in the rate of a cold endpoint, because the request has certainly not left.
+#[derive(Debug)]
+pub(crate) struct GiveBack(pub(crate) EndpointId, pub(crate) warmup::Place);
+
+/// Asks for a place in the rate of an endpoint at which a run is to resume.
+#[derive(Debug)]
+pub(crate) struct Enter(pub(crate) EndpointId);
+
+/// Reports that an incarnation of an endpoint has stated for how long it is still cold.
+#[derive(Debug)]
+pub(crate) struct LearnCold(pub(crate) EndpointId, pub(crate) u64, pub(crate) Duration);
+
+/// Replaces what cold endpoints tolerate, by service.
+#[derive(Debug)]
+pub(crate) struct SetColdStarts(pub(crate) HashMap<ServiceId, ColdStart>);
+
+/// Replaces how far requests to cold endpoints may exceed that.
+#[derive(Debug)]
+pub(crate) struct SetColdAllowance(pub(crate) Option<Allowance>);
+
 /// Reports that the first token of a run has arrived.
 #[derive(Debug)]
 pub(crate) struct FirstToken(pub(crate) RequestId);
@@ -273,6 +303,8 @@
     pub(crate) departures: Vec<(EndpointId, Revision)>,
     /// Endpoints that the sender has ejected because its requests to them failed.
     pub(crate) ejections: Vec<EndpointId>,
+    /// Cold endpoints that the sender knows by itself.
+    pub(crate) cold: Vec<warmup::Report>,
     /// Identifies the set of endpoints that the readers of the store know; zero if it is unknown.
     pub(crate) listing: u64,
     /// Whether the report only continues the loads of the previous one.
--- a/crates/daisyyard_gateway/src/metrics.rs
+++ b/crates/daisyyard_gateway/src/metrics.rs
@@ -23,6 +23,10 @@
 const MOVES: &str = "daisyyard_gateway_moves_total";
 /// Counter of runs that endpoints broke off early, by kind.
 const BROKEN: &str = "daisyyard_gateway_broken_runs_total";
+/// Gauge of endpoints to which requests are limited because they are cold.
+const COLD_ENDPOINTS: &str = "daisyyard_gateway_cold_endpoints";
+/// Counter of sends that waited or went to a warm endpoint because endpoints were cold, by effect.
+const COLD_SENDS: &str = "daisyyard_gateway_cold_sends_total";
 /// Module and level under which the metrics are registered.
 const ORIGIN: Metadata<'static> = Metadata::new(module_path!(), Level::INFO, Some(module_path!()));
 
@@ -79,6 +83,18 @@
         self.count(BROKEN, &[("kind", kind)]);
     }
 
+    /// Sets the number of cold endpoints.
+    pub(crate) fn set_cold(&self, endpoints: usize) {
+        let key = Key::from_name(KeyName::from_const_str(COLD_ENDPOINTS));
+        let gauge = self.recorder.register_gauge(&key, &ORIGIN);
+        gauge.set(endpoints as f64);
+    }
+
+    /// Counts a send that waited or went elsewhere because endpoints were cold.
+    pub(crate) fn record_cold(&self, effect: &'static str) {
+        self.count(COLD_SENDS, &[("effect", effect)]);
+    }
+
     /// Increments a counter.
     fn count(&self, name: &'static str, labels: &[(&'static str, &'static str)]) {
         let key = Key::from_parts(KeyName::from_const_str(name), labels);
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -21,10 +21,12 @@
 
 use crate::archive;
 use crate::codec::{Codec, Item, Record};
+use crate::cold::Cold;
 use crate::event::Event;
 use crate::log::Log;
 use crate::member::{Entry, Members};
 use crate::message::{Claim, Count, Leave, Notice, Offer, Retry, SetRetryLimits, Standing, Update};
+use crate::metrics::Metrics;
 use crate::run::Run;
 use crate::settings::Settings;
 use crate::timer::{self, Tick};
@@ -88,6 +90,8 @@
     pub(crate) observations: u64,
     /// Task that keeps refusals of contents in the store.
     pub(crate) archive: mpsc::UnboundedSender<archive::Change>,
+    /// Bound on the requests to cold endpoints.
+    pub(crate) cold: Cold,
     /// Whether this gateway is leaving.
     pub(crate) leaving: bool,
     /// Log of the gateway.
@@ -104,7 +108,7 @@
     codec: Codec,
     changed: Arc<Notify>,
     refresh: Arc<Notify>,
-    log: Log,
+    (log, metrics): (Log, Metrics),
 ) -> (Address<Pool>, watch::Receiver<Standing>) {
     let (address, mailbox) = Mailbox::unbounded();
     let (standing, standing_view) = watch::channel(Standing::default());
@@ -137,6 +141,7 @@
         observed_at: HashMap::new(),
         observations: 0,
         archive: archive::spawn(settings.store, codec, log.clone()),
+        cold: Cold::new(settings.bounds.cold.clone(), metrics),
         leaving: false,
         log,
     };
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -172,6 +172,7 @@
             schedule: job.schedule(),
             excluded: tried.to_vec(),
             contents: Arc::clone(&job.contents),
+            waited_for_cold: false,
             reply,
         };
         // The pool ends only with the process.
@@ -205,9 +206,14 @@
             job.remaining()
         };
         let deadline = Instant::now() + timeout;
-        let answer = match connection::send(grant.endpoint.address, request, timeout).await {
+        // From here on, the request may reach the endpoint.
+        let place = grant.place.take();
+        let leave_by = place.and_then(|place| place.leave_by);
+        let address = grant.endpoint.address;
+        let answer = match connection::send_by(address, request, timeout, leave_by).await {
             Ok(answer) => answer,
             Err(failure) => {
+                grant.place = place.filter(|_| sent::is_unsent(failure));
                 if matches!(failure, Failure::Partial | Failure::Broken) {
                     self.report_broken(job, &grant, 0).await;
                 }
@@ -217,6 +223,7 @@
         };
         let status = answer.response.status();
         let receipt = (self.codec.read_response)(status, answer.response.headers());
+        self.report_cold(&grant.endpoint, &receipt).await;
         if !receipt.answers(&job.attempt) {
             // The response belongs to another request. This request may have run, but its response
             // cannot be identified.
--- a/crates/daisyyard_gateway/src/restart.rs
+++ b/crates/daisyyard_gateway/src/restart.rs
@@ -56,7 +56,7 @@
                     self.first_data_at = None;
                     return true;
                 }
-                Err(Obstacle::Declined) => {}
+                Err(Obstacle::Cold | Obstacle::Declined) => {}
                 Err(Obstacle::NotAllowed) => return false,
                 Err(Obstacle::Unsent | Obstacle::Unanswered) => {
                     self.runs_left -= 1;
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -70,8 +70,9 @@
             memory_share,
         } = choice
         else {
-            return Some(claim);
+            return Some(self.note_cold_wait(claim, now));
         };
+        let place = self.take_place(&endpoint, now);
         let run = self.next_run;
         self.next_run += 1;
         let (notices, receiver) = mpsc::channel(1);
@@ -97,6 +98,7 @@
             endpoint,
             backup,
             memory_share,
+            place,
             notices: receiver,
             signal: Signal::Neutral,
             pool: self.address.clone(),
@@ -174,11 +176,11 @@
         }
     }
 
-    /// Returns an endpoint that takes part in the service. One that is ejected counts, because it may
-    /// still hold a run or a copy that no other endpoint has.
+    /// Returns an endpoint that takes part in the service. One that is ejected or cold counts, because it
+    /// may still hold a run or a copy that no other endpoint has.
     fn live(&self, id: EndpointId) -> Option<Arc<Endpoint>> {
         match self.endpoints.access(id, Instant::now())? {
-            Access::Open | Access::Closed(Reason::Ejected, _) => {
+            Access::Open | Access::Closed(Reason::Ejected | Reason::Cold, _) => {
                 self.endpoints.endpoint(id).map(Arc::clone)
             }
             Access::Closed(..) => None,
--- a/crates/daisyyard_gateway/src/sent.rs
+++ b/crates/daisyyard_gateway/src/sent.rs
@@ -32,6 +32,15 @@
         Failure::Unreachable => Signal::Unreachable,
         Failure::Unwritten | Failure::Partial | Failure::Broken => Signal::Lost,
         Failure::Silent => Signal::Failed,
+        Failure::Late => Signal::Neutral,
+    }
+}
+
+/// Returns whether nothing of a request has certainly reached the endpoint after a failure.
+pub(crate) fn is_unsent(failure: Failure) -> bool {
+    match failure {
+        Failure::Refused | Failure::Unreachable | Failure::Unwritten | Failure::Late => true,
+        Failure::Partial | Failure::Broken | Failure::Silent => false,
     }
 }
 
@@ -41,6 +50,7 @@
         Failure::Refused => (Progress::Unsent, "refused"),
         Failure::Unreachable => (Progress::Unsent, "unreachable"),
         Failure::Unwritten => (Progress::Unsent, "unwritten"),
+        Failure::Late => (Progress::Unsent, "unsent"),
         // An endpoint may start to run a request before it has received all of it.
         Failure::Partial | Failure::Broken => (Progress::Written, "broken"),
         Failure::Silent => (Progress::Written, "silent"),
--- a/crates/daisyyard_gateway/src/settings.rs
+++ b/crates/daisyyard_gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use daisyyard_core::shared_retry_budget::Limits;
+use daisyyard_core::warmup::Allowance;
 use daisyyard_derive::record;
 
 /// Settings of a gateway.
@@ -21,7 +22,7 @@
     pub listen: Listen,
     /// Address of the platform's store.
     pub store: SocketAddr,
-    /// Time limits of the deployment.
+    /// Limits of the deployment on times and rates.
     pub bounds: Bounds,
     /// Limits of the retry budget, which all gateways share.
     pub retry_budget: Limits,
@@ -42,8 +43,8 @@
     pub metrics: SocketAddr,
 }
 
-/// Time limits of a deployment.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Limits of a deployment on times and rates.
+#[record]
 pub struct Bounds {
     /// Maximum time after the end of a fault until the gateway's state is up to date again.
     pub max_recovery_time: Duration,
@@ -53,4 +54,7 @@
     pub grace: Duration,
     /// Maximum time for which callers may cache gateway addresses.
     pub max_addresses_lifetime: Duration,
+    /// How far the requests to a cold endpoint may exceed the rate that it tolerates; none if they are
+    /// not limited.
+    pub cold: Option<Allowance>,
 }
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -18,7 +18,7 @@
 use crate::event::Event;
 use crate::frame::News;
 use crate::log::Log;
-use crate::message::{Standing, StoreReach, Update};
+use crate::message::{SetColdStarts, Standing, StoreReach, Update};
 use crate::pool::Pool;
 use crate::settings::Bounds;
 use crate::store::{self, Backoff, Error, MAX_PAGE_BYTES};
@@ -96,7 +96,7 @@
     pub(crate) fn new(
         address: SocketAddr,
         codec: Codec,
-        bounds: Bounds,
+        bounds: &Bounds,
         pool: Address<Pool>,
         (refresh, standing): (Arc<Notify>, watch::Receiver<Standing>),
         news: mpsc::UnboundedSender<News>,
@@ -307,7 +307,7 @@
         let mut others = Vec::with_capacity(batch.records.len());
         for record in batch.records {
             match record {
-                Record::Catalog(catalog) => self.apply_catalog(*catalog, read),
+                Record::Catalog(catalog) => self.apply_catalog(*catalog, read).await,
                 record => others.push(record),
             }
         }
@@ -338,8 +338,9 @@
     }
 
     /// Applies a version of the configuration unless a newer one is already current.
-    fn apply_catalog(&self, catalog: Catalog, read: Read) {
+    async fn apply_catalog(&self, catalog: Catalog, read: Read) {
         let version = catalog.version;
+        let cold_starts = catalog.cold_starts();
         let routes = catalog.route_count();
         let newer = self.catalog.send_if_modified(|configuration| {
             let newer = configuration
@@ -353,6 +354,8 @@
         if newer {
             let details = format!("version={version} routes={routes} read={read:?}");
             self.log.emit(Event::CatalogAdopted, &details);
+            // The pool ends only with the process.
+            let _ = self.pool.send(SetColdStarts(cold_starts)).await;
         }
     }
 
--- a/crates/daisyyard_gateway/src/wire.rs
+++ b/crates/daisyyard_gateway/src/wire.rs
@@ -8,6 +8,7 @@
 use daisyyard_core::knowledge;
 use daisyyard_core::load::Load;
 use daisyyard_core::shared_retry_budget::Count;
+use daisyyard_core::warmup;
 use prost::Message;
 
 use crate::codec::Item;
@@ -108,6 +109,53 @@
     pub(crate) revision: Revision,
 }
 
+/// A cold endpoint.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct ColdEndpoint {
+    /// Identifier of the endpoint.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) endpoint: EndpointId,
+    /// Incarnation that is cold.
+    #[prost(uint64, tag = "2")]
+    pub(crate) incarnation: u64,
+    /// Time in milliseconds for which it is still cold.
+    #[prost(uint32, tag = "3")]
+    pub(crate) remaining_ms: u32,
+    /// Revision of the latest entry of the endpoint that the sender has read.
+    #[prost(uint64, tag = "4")]
+    pub(crate) revision: Revision,
+}
+
+impl ColdEndpoint {
+    /// Returns whether this report, which was sent before the other one, covers it.
+    pub(crate) fn covers(&self, later: &Self) -> bool {
+        let same = |one: &Self| (one.endpoint, one.incarnation, one.revision);
+        same(self) == same(later) && self.remaining_ms >= later.remaining_ms
+    }
+}
+
+impl From<warmup::Report> for ColdEndpoint {
+    fn from(report: warmup::Report) -> Self {
+        Self {
+            endpoint: report.endpoint,
+            incarnation: report.incarnation,
+            remaining_ms: millis(report.remaining),
+            revision: report.revision,
+        }
+    }
+}
+
+impl From<ColdEndpoint> for warmup::Report {
+    fn from(cold: ColdEndpoint) -> Self {
+        Self {
+            endpoint: cold.endpoint,
+            incarnation: cold.incarnation,
+            revision: cold.revision,
+            remaining: Duration::from_millis(cold.remaining_ms.into()),
+        }
+    }
+}
+
 /// A change of a key in the store.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub(crate) struct Change {
--- a/crates/daisyyard_http/src/connection.rs
+++ b/crates/daisyyard_http/src/connection.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -52,6 +52,8 @@
     Unreachable,
     /// The connection failed before any byte of the request was written.
     Unwritten,
+    /// The request could not leave by the given time, so nothing of it was written.
+    Late,
     /// The connection failed after a part of the request was written.
     Partial,
     /// The connection failed after the whole request may have been written.
@@ -65,14 +67,30 @@
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     timeout: Duration,
+) -> Result<Answer, Failure> {
+    send_by(address, request, timeout, None).await
+}
+
+/// Sends a request on a new connection and returns the response once its head has arrived. If a time is
+/// given, the request leaves by then or not at all.
+pub async fn send_by(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    timeout: Duration,
+    leave_by: Option<Instant>,
 ) -> Result<Answer, Failure> {
     let body_bytes = hyper::body::Body::size_hint(request.body()).lower() as usize;
-    let socket = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let is_late = || leave_by.is_some_and(|time| time <= Instant::now());
+    let time_left = leave_by.map(|time| time.saturating_duration_since(Instant::now()));
+    let connect_timeout = time_left.unwrap_or(CONNECT_TIMEOUT).min(CONNECT_TIMEOUT);
+    let socket = tokio::time::timeout(connect_timeout, TcpStream::connect(address)).await;
     let socket = match socket {
+        Ok(Ok(_)) if is_late() => return Err(Failure::Late),
         Ok(Ok(socket)) => socket,
         Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
             return Err(Failure::Refused);
         }
+        _ if time_left == Some(Duration::ZERO) => return Err(Failure::Late),
         _ => return Err(Failure::Unreachable),
     };
     if set_options(&socket).is_err() {
--- a/crates/daisyyard_standin/src/platform_engine.rs
+++ b/crates/daisyyard_standin/src/platform_engine.rs
@@ -139,6 +139,8 @@
     close: watch::Sender<Close>,
     /// Room for copies at other engines.
     room: watch::Sender<Room>,
+    /// Time in milliseconds for which responses state that the engine is cold.
+    cold: watch::Sender<Option<u64>>,
     /// Server task.
     server: JoinHandle<()>,
 }
@@ -239,6 +241,7 @@
         let (mode, current_mode) = watch::channel(Mode::Serving);
         let (close, current_close) = watch::channel(Close::Stops);
         let (room, current_room) = watch::channel(Room::Free);
+        let (cold, current_cold) = watch::channel(None);
         let handler = Handler {
             name: name.to_owned(),
             address,
@@ -248,13 +251,17 @@
             event_interval,
             runs: runs.commands.clone(),
         };
-        let server = http::serve(listener, move |request| handler.clone().handle(request));
+        let server = http::serve(listener, move |request| {
+            let (handler, cold) = (handler.clone(), *current_cold.borrow());
+            async move { state_cold(handler.handle(request).await, cold) }
+        });
         Self {
             name: name.to_owned(),
             address,
             mode,
             close,
             room,
+            cold,
             server,
         }
     }
@@ -269,6 +276,11 @@
         self.close.send_replace(close);
     }
 
+    /// Sets the time in milliseconds for which responses state that the engine is cold.
+    pub fn set_cold(&self, cold: Option<u64>) {
+        self.cold.send_replace(cold);
+    }
+
     /// Sets the room for copies at other engines.
     pub fn set_room(&self, room: Room) {
         self.room.send_replace(room);
@@ -470,6 +482,15 @@
     }
 }
 
+/// States in a response for how many milliseconds the engine is cold.
+fn state_cold(mut response: Response<Body>, cold: Option<u64>) -> Response<Body> {
+    if let Some(cold) = cold {
+        let value = HeaderValue::from(cold);
+        response.headers_mut().insert("x-daisyyard-cold-ms", value);
+    }
+    response
+}
+
 /// Returns the value of a header, or an empty string.
 fn header_text(headers: &HeaderMap, name: &str) -> String {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
