Let the soak start all endpoints cold

Change: from time to time all endpoints of a soak start anew and are cold. The times are drawn apart from those of the other faults, so that seeds of older runs keep their schedules. The gateways have a bound on the requests to cold endpoints.

--- a/crates/daisyyard/src/gateway_process.rs
+++ b/crates/daisyyard/src/gateway_process.rs
@@ -86,7 +86,9 @@
         let (id, port) = (std::process::id(), addresses[0].port());
         let name = format!("daisyyard-soak-{id}-{port}");
         let settings_path = std::env::temp_dir().join(name).with_extension("json");
-        let settings = platform_fixture::settings(spec.store_address, spec.number, addresses);
+        let mut settings = platform_fixture::settings(spec.store_address, spec.number, addresses);
+        settings["bounds"]["cold_overage"] = 1.5.into();
+        settings["bounds"]["cold_slack"] = 5.into();
         std::fs::write(&settings_path, settings.to_string())
             .context("cannot write a settings file")?;
         Ok((start(&spec, &settings_path)?, settings_path))
--- a/crates/daisyyard/src/soak.rs
+++ b/crates/daisyyard/src/soak.rs
@@ -3,6 +3,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
@@ -52,6 +53,8 @@
     endpoints: Vec<PlatformEngine>,
     /// Proxy in front of each endpoint.
     endpoint_links: Vec<Proxy>,
+    /// Number of starts of the endpoints.
+    starts: AtomicU64,
     /// Record of the requests received by all endpoints.
     runs: Runs,
     /// Gateway processes.
@@ -135,6 +138,7 @@
             store_links: Vec::new(),
             endpoints: Vec::new(),
             endpoint_links: Vec::new(),
+            starts: AtomicU64::new(0),
             runs: Runs::start(),
             gateways: Vec::new(),
         };
@@ -147,7 +151,7 @@
                     .await?;
             environment.endpoints.push(endpoint);
             environment.endpoint_links.push(proxy);
-            environment.write_entry(number, "ready").await;
+            environment.write_entry(number, "ready", 0).await;
         }
         for number in 0..GATEWAYS {
             let proxy = Proxy::start().await?;
@@ -168,14 +172,19 @@
 
     /// Writes a configuration version to the store.
     async fn configure(&self, version: u64) {
-        let config = platform_fixture::config(version);
+        let mut config = platform_fixture::config(version);
+        for service in config["services"].as_array_mut().into_iter().flatten() {
+            (service["cold_start_s"], service["cold_per_s"]) = (1.0.into(), 26.0.into());
+        }
         self.store.put("op/config", &config).await;
     }
 
-    /// Writes the entry of an endpoint to the store, with its state.
-    async fn write_entry(&self, number: usize, state: &str) {
+    /// Writes the entry of an endpoint to the store, with its state and the time for which it is cold.
+    async fn write_entry(&self, number: usize, state: &str, cold_ms: u64) {
         let endpoint = &self.endpoints[number];
-        let entry = platform_fixture::entry(service_name(number), endpoint.address, state);
+        let mut entry = platform_fixture::entry(service_name(number), endpoint.address, state);
+        entry["born"] = self.starts.load(Ordering::Relaxed).into();
+        entry["cold_remaining_ms"] = cold_ms.into();
         let key = format!("servers/{}", endpoint.name);
         self.store.put(&key, &entry).await;
     }
@@ -202,9 +211,9 @@
                 self.endpoints[endpoint].set_mode(EngineMode::Serving);
             }
             Fault::Leave(endpoint) => {
-                self.write_entry(endpoint, "draining").await;
+                self.write_entry(endpoint, "draining", 0).await;
                 tokio::time::sleep(duration).await;
-                self.write_entry(endpoint, "ready").await;
+                self.write_entry(endpoint, "ready", 0).await;
             }
             Fault::Kill(gateway) => self.gateways[gateway].send(Control::Kill).await,
             Fault::Pause(gateway) => {
@@ -215,6 +224,13 @@
             Fault::Stop(gateway) => self.gateways[gateway].send(Control::Stop).await,
             Fault::Reload(gateway) => self.gateways[gateway].send(Control::Reload).await,
             Fault::Configure => self.configure(number + 2).await,
+            Fault::Cold => {
+                self.starts.fetch_add(1, Ordering::Relaxed);
+                for number in 0..self.endpoints.len() {
+                    self.write_entry(number, "ready", duration.as_millis() as u64)
+                        .await;
+                }
+            }
         }
     }
 
--- a/crates/daisyyard/src/soak_schedule.rs
+++ b/crates/daisyyard/src/soak_schedule.rs
@@ -21,6 +21,10 @@
 const START_INTERVAL_MS: std::ops::Range<u64> = 100..700;
 /// Range of the durations of faults, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 200..2_000;
+/// Range of the times between two starts of all endpoints, in milliseconds.
+const COLD_INTERVAL_MS: std::ops::Range<u64> = 4_000..9_000;
+/// Seed of the times of these starts, apart from that of the other faults, which seeds of older runs keep.
+const COLD_SEED: u64 = 0x636f_6c64;
 /// Upper bound of the delay on a slow link, in milliseconds.
 const MAX_LINK_DELAY_MS: u64 = 300;
 
@@ -49,6 +53,8 @@
     Reload(usize),
     /// A new version of the configuration is written.
     Configure,
+    /// All endpoints have started anew and are cold.
+    Cold,
 }
 
 /// Fault with its start and duration.
@@ -64,6 +70,23 @@
 
 /// Draws the faults of a soak; `period` is the time within which they begin.
 pub(crate) fn draw(seed: u64, period: Duration) -> Vec<Event> {
+    let mut events = draw_faults(seed, period);
+    let mut random = Pcg64Mcg::seed_from_u64(seed ^ COLD_SEED);
+    let mut at = Duration::from_millis(random.random_range(COLD_INTERVAL_MS));
+    while at < period {
+        events.push(Event {
+            at,
+            duration: Duration::from_secs(1),
+            fault: Fault::Cold,
+        });
+        at += Duration::from_millis(random.random_range(COLD_INTERVAL_MS));
+    }
+    events.sort_by_key(|event| event.at);
+    events
+}
+
+/// Draws the faults that affect one process or link, or the store.
+fn draw_faults(seed: u64, period: Duration) -> Vec<Event> {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let mut events = Vec::new();
     let mut at = Duration::ZERO;
