--- a/crates/daisyyard_gateway/src/evacuation.rs
+++ b/crates/daisyyard_gateway/src/evacuation.rs
@@ -16,6 +16,7 @@
 use crate::event::Event;
 use crate::message::Placement;
 use crate::pool::Pool;
+use crate::sent::is_unsent;
 
 /// Where a gateway learned an order to evacuate a zone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,6 +42,16 @@
     Failed(Failure),
 }
 
+impl Unsent {
+    /// Returns whether nothing of the request has certainly reached the endpoint.
+    pub(crate) fn is_certain(self) -> bool {
+        match self {
+            Self::Evacuated => true,
+            Self::Failed(failure) => is_unsent(failure),
+        }
+    }
+}
+
 impl Zones {
     /// Returns a channel for the evacuated zones, of which there are none.
     pub(crate) fn channel() -> (watch::Sender<Vec<ZoneId>>, Self) {
@@ -54,13 +65,15 @@
     }
 
     /// Sends a request to an endpoint unless an evacuation has started since the endpoint or the
-    /// backup engine was chosen. Connecting may take a second, so this is checked after it.
+    /// backup engine was chosen. Connecting may take a second, so this is checked after it. If a time
+    /// is given, the request leaves by then or not at all.
     pub(crate) async fn send(
         &self,
         endpoint: &Endpoint,
         backup: Option<&Endpoint>,
         request: Request<Full<Bytes>>,
         timeout: Duration,
+        leave_by: Option<Instant>,
     ) -> Result<Answer, Unsent> {
         let is_closed = || {
             let mut concerned = std::iter::once(endpoint).chain(backup);
@@ -69,7 +82,7 @@
         if is_closed() {
             return Err(Unsent::Evacuated);
         }
-        let connection = connection::open(endpoint.address).await;
+        let connection = connection::open(endpoint.address, leave_by).await;
         let connection = connection.map_err(Unsent::Failed)?;
         if is_closed() {
             return Err(Unsent::Evacuated);
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -68,6 +68,10 @@
     /// The evacuation of an availability zone has no effect: the zone has no endpoint that is known,
     /// or too many zones are evacuated.
     EvacuationVoid = 152,
+    /// Requests to an endpoint are limited, because it is cold.
+    EndpointCold = 160,
+    /// Requests to an endpoint are no longer limited.
+    EndpointWarm = 161,
 }
 
 /// Log level of each event.
@@ -103,6 +107,8 @@
     (Event::EvacuationStarted, Level::Warn),
     (Event::EvacuationEnded, Level::Warn),
     (Event::EvacuationVoid, Level::Warn),
+    (Event::EndpointCold, Level::Info),
+    (Event::EndpointWarm, Level::Info),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -17,7 +17,7 @@
 use crate::event::Event;
 use crate::log::Log;
 use crate::member::Entry;
-use crate::message::{Leave, Offer, SetRetryLimits};
+use crate::message::{Leave, Offer, SetColdAllowance, SetRetryLimits};
 use crate::metrics::Metrics;
 use crate::pool::{self, Pool};
 use crate::proxy::Proxy;
@@ -116,8 +116,7 @@
             codec,
             Arc::clone(&changed),
             Arc::clone(&refresh),
-            metrics.clone(),
-            log.clone(),
+            (log.clone(), metrics.clone()),
         );
         let digests = digest::spawn(listen.digests, &pool, changed, news_receiver).await;
         digests.with_context(|| format!("cannot bind {}; is it in use?", listen.digests))?;
@@ -126,7 +125,7 @@
         let (watcher, configuration) = Watcher::new(
             settings.store,
             codec,
-            settings.bounds,
+            &settings.bounds,
             pool.clone(),
             (refresh, standing),
             news,
@@ -192,6 +191,8 @@
                     .pool
                     .send(SetRetryLimits(new.retry_budget.clone()))
                     .await;
+                let allowance = new.bounds.cold.clone();
+                let _ = self.pool.send(SetColdAllowance(allowance)).await;
                 let details = format!(
                     "name={} grace_ms={}",
                     new.name,
--- a/crates/daisyyard_gateway/src/metrics.rs
+++ b/crates/daisyyard_gateway/src/metrics.rs
@@ -27,6 +27,10 @@
 const EVACUATED_ZONES: &str = "daisyyard_gateway_evacuated_zones";
 /// Gauge of runs of this gateway at endpoints of evacuated zones.
 const EVACUATED_RUNS: &str = "daisyyard_gateway_runs_in_evacuated_zones";
+/// Gauge of endpoints to which requests are limited because they are cold.
+const COLD_ENDPOINTS: &str = "daisyyard_gateway_cold_endpoints";
+/// Counter of sends that waited or went to a warm endpoint because endpoints were cold, by effect.
+const COLD_SENDS: &str = "daisyyard_gateway_cold_sends_total";
 /// Module and level under which the metrics are registered.
 const ORIGIN: Metadata<'static> = Metadata::new(module_path!(), Level::INFO, Some(module_path!()));
 
@@ -85,11 +89,25 @@
 
     /// Sets the number of evacuated availability zones and of runs of this gateway there.
     pub(crate) fn set_evacuated(&self, zones: usize, runs: usize) {
-        for (name, value) in [(EVACUATED_ZONES, zones), (EVACUATED_RUNS, runs)] {
-            let key = Key::from_name(KeyName::from_const_str(name));
-            let gauge = self.recorder.register_gauge(&key, &ORIGIN);
-            gauge.set(value as f64);
-        }
+        self.set(EVACUATED_ZONES, zones);
+        self.set(EVACUATED_RUNS, runs);
+    }
+
+    /// Sets the number of cold endpoints.
+    pub(crate) fn set_cold(&self, endpoints: usize) {
+        self.set(COLD_ENDPOINTS, endpoints);
+    }
+
+    /// Counts a send that waited or went elsewhere because endpoints were cold.
+    pub(crate) fn record_cold(&self, effect: &'static str) {
+        self.count(COLD_SENDS, &[("effect", effect)]);
+    }
+
+    /// Sets a gauge.
+    fn set(&self, name: &'static str, value: usize) {
+        let key = Key::from_name(KeyName::from_const_str(name));
+        let gauge = self.recorder.register_gauge(&key, &ORIGIN);
+        gauge.set(value as f64);
     }
 
     /// Increments a counter.
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -21,6 +21,7 @@
 
 use crate::archive;
 use crate::codec::{Codec, Item, Record};
+use crate::cold::Cold;
 use crate::evacuation::Zones;
 use crate::event::Event;
 use crate::log::Log;
@@ -94,6 +95,8 @@
     pub(crate) observations: u64,
     /// Task that keeps refusals of contents in the store.
     pub(crate) archive: mpsc::UnboundedSender<archive::Change>,
+    /// Bound on the requests to cold endpoints.
+    pub(crate) cold: Cold,
     /// Whether this gateway is leaving.
     pub(crate) leaving: bool,
     /// Log of the gateway.
@@ -110,8 +113,7 @@
     codec: Codec,
     changed: Arc<Notify>,
     refresh: Arc<Notify>,
-    metrics: Metrics,
-    log: Log,
+    (log, metrics): (Log, Metrics),
 ) -> (Address<Pool>, watch::Receiver<Standing>, Zones) {
     let (address, mailbox) = Mailbox::unbounded();
     let (standing, standing_view) = watch::channel(Standing::default());
@@ -129,7 +131,7 @@
             .map(|(zone, region)| (zone.clone(), Zone::new(zone, region)))
             .collect(),
         evacuated,
-        metrics,
+        metrics: metrics.clone(),
         members: Members::new(&settings.name, Entry::from(settings)),
         standing,
         knowledge: Knowledge::new(settings.bounds.max_config_delay.mul_f64(MAX_AGE_SHARE)),
@@ -148,6 +150,7 @@
         observed_at: HashMap::new(),
         observations: 0,
         archive: archive::spawn(settings.store, codec, log.clone()),
+        cold: Cold::new(settings.bounds.cold.clone(), metrics),
         leaving: false,
         log,
     };
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -181,6 +181,7 @@
             schedule: job.schedule(),
             excluded: tried.to_vec(),
             contents: Arc::clone(&job.contents),
+            waited_for_cold: false,
             reply,
         };
         // The pool ends only with the process.
@@ -215,11 +216,21 @@
             job.remaining()
         };
         let deadline = Instant::now() + timeout;
+        // From here on, the request may reach the endpoint.
+        let place = grant.place.take();
+        let leave_by = place.and_then(|place| place.leave_by);
         let (endpoint, backup) = (&grant.endpoint, grant.backup.as_deref());
-        let answer = match self.zones.send(endpoint, backup, request, timeout).await {
+        let sent = self
+            .zones
+            .send(endpoint, backup, request, timeout, leave_by);
+        let answer = match sent.await {
             Ok(answer) => answer,
-            Err(Unsent::Evacuated) => return sent::withheld(),
+            Err(Unsent::Evacuated) => {
+                grant.place = place;
+                return sent::withheld();
+            }
             Err(Unsent::Failed(failure)) => {
+                grant.place = place.filter(|_| sent::is_unsent(failure));
                 if matches!(failure, Failure::Partial | Failure::Broken) {
                     self.report_broken(job, &grant, 0).await;
                 }
@@ -229,6 +240,7 @@
         };
         let status = answer.response.status();
         let receipt = (self.codec.read_response)(status, answer.response.headers());
+        self.report_cold(&grant.endpoint, &receipt).await;
         if !receipt.answers(&job.attempt) {
             // The response belongs to another request. This request may have run, but its response
             // cannot be identified.
