--- a/crates/daisyyard/src/gateway_settings.rs
+++ b/crates/daisyyard/src/gateway_settings.rs
@@ -10,6 +10,9 @@
 
 /// Largest time that a setting accepts, in seconds.
 const MAX_TIME_S: f64 = 3_600.0;
+/// Times that the setting for evacuations accepts, in milliseconds. Gateways cannot learn an order much
+/// faster than they are told of changes.
+const EVACUATION_MS: std::ops::RangeInclusive<u64> = 1_000..=3_600_000;
 /// Largest number of retries that a setting accepts.
 const MAX_RETRIES: f64 = 1e9;
 
@@ -62,6 +65,7 @@
     Bounds {
         max_recovery_time: millis(s, r, "contact_ms"),
         max_config_delay: millis(s, r, "config_ms"),
+        max_evacuation_delay: s.millis(r, "evacuation_ms", EVACUATION_MS, Duration::MAX),
         grace: seconds(s, r, "grace_s"),
         max_addresses_lifetime: seconds(s, r, "directory_s"),
     }
--- a/crates/daisyyard/src/soak.rs
+++ b/crates/daisyyard/src/soak.rs
@@ -28,6 +28,15 @@
 /// Time between two checks for an expected state.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Availability zone that is evacuated.
+const EVACUATED_ZONE: &str = "zone-b";
+/// Key of the order to evacuate it.
+const EVACUATION: &str = "op/evacuate/zone-b";
+/// Time from the order until no request may reach the zone.
+const EVACUATION_TIME: Duration = Duration::from_secs(5);
+/// Requests of each kind that are sent through each gateway after that.
+const EVACUATION_CHECKS: usize = 4;
+
 /// Options of the command.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -99,7 +108,13 @@
         ));
     }
     let mut faults = JoinSet::new();
-    for event in soak_schedule::draw(options.seed, options.duration) {
+    let mut events = soak_schedule::draw(options.seed, options.duration);
+    events.extend(soak_schedule::draw_evacuations(
+        options.seed,
+        options.duration,
+    ));
+    events.sort_by_key(|event| event.at);
+    for event in events {
         tokio::time::sleep_until((started + event.at).into()).await;
         faults.spawn(Arc::clone(&environment).inject(
             event.fault,
@@ -117,6 +132,11 @@
     if let Err(error) = environment.check_recovery(options.seed, &mut records).await {
         violations.push(format!("recovery: {error:#}"));
     }
+    violations.extend(
+        environment
+            .check_evacuation(options.seed, &mut records)
+            .await,
+    );
     violations.extend(soak_audit::violations(
         &records,
         &environment.runs.arrivals().await,
@@ -175,7 +195,8 @@
     /// Writes the entry of an endpoint to the store, with its state.
     async fn write_entry(&self, number: usize, state: &str) {
         let endpoint = &self.endpoints[number];
-        let entry = platform_fixture::entry(service_name(number), endpoint.address, state);
+        let mut entry = platform_fixture::entry(service_name(number), endpoint.address, state);
+        entry["zone"] = zone_name(number).into();
         let key = format!("servers/{}", endpoint.name);
         self.store.put(&key, &entry).await;
     }
@@ -215,6 +236,11 @@
             Fault::Stop(gateway) => self.gateways[gateway].send(Control::Stop).await,
             Fault::Reload(gateway) => self.gateways[gateway].send(Control::Reload).await,
             Fault::Configure => self.configure(number + 2).await,
+            Fault::Evacuate => {
+                self.store.put(EVACUATION, &serde_json::json!({})).await;
+                tokio::time::sleep(duration).await;
+                self.store.remove(EVACUATION).await;
+            }
         }
     }
 
@@ -242,6 +268,30 @@
         Ok(())
     }
 
+    /// Evacuates a zone while nothing else is wrong, and returns the requests that reach it although they
+    /// may not.
+    async fn check_evacuation(&self, seed: u64, records: &mut Vec<Record>) -> Vec<String> {
+        self.store.put(EVACUATION, &serde_json::json!({})).await;
+        tokio::time::sleep(EVACUATION_TIME).await;
+        let from = Instant::now();
+        for (number, gateway) in self.gateways.iter().enumerate() {
+            for kind in [Kind::Draft(4), Kind::Book, Kind::Stock].repeat(EVACUATION_CHECKS) {
+                let attempt = format!("s{seed}-evacuation-{number}-{}", records.len());
+                records
+                    .push(soak_caller::send_request(gateway.request_address, attempt, kind).await);
+            }
+        }
+        self.store.remove(EVACUATION).await;
+        let zones = self.endpoints.iter().enumerate();
+        let evacuated = zones.filter(|(number, _)| zone_name(*number) == EVACUATED_ZONE);
+        let evacuated: Vec<&str> = evacuated.map(|(_, one)| one.name.as_str()).collect();
+        let mut arrivals = self.runs.arrivals().await;
+        arrivals.retain(|one| one.at > from && evacuated.contains(&one.engine.as_str()));
+        let late = arrivals.iter();
+        late.map(|one| format!("{} reached {} in an evacuated zone", one.path, one.engine))
+            .collect()
+    }
+
     /// Sends requests until every gateway has served each kind, and appends the records.
     async fn check_recovery(&self, seed: u64, records: &mut Vec<Record>) -> anyhow::Result<()> {
         self.wait_until_ready().await?;
@@ -269,6 +319,15 @@
     }
 }
 
+/// Returns the availability zone of the endpoint with this number.
+fn zone_name(number: usize) -> &'static str {
+    if number.is_multiple_of(2) {
+        "zone-a"
+    } else {
+        EVACUATED_ZONE
+    }
+}
+
 /// Changes how a proxy treats connections for a time.
 async fn disturb(proxy: &Proxy, link: Link, duration: Duration) {
     proxy.set_link(link);
--- a/crates/daisyyard/src/soak_schedule.rs
+++ b/crates/daisyyard/src/soak_schedule.rs
@@ -24,6 +24,9 @@
 /// Upper bound of the delay on a slow link, in milliseconds.
 const MAX_LINK_DELAY_MS: u64 = 300;
 
+/// Range of the times between two evacuations, in milliseconds.
+const EVACUATION_INTERVAL_MS: std::ops::Range<u64> = 500..4_000;
+
 /// Fault, with the number of the gateway or endpoint that it affects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -49,6 +52,8 @@
     Reload(usize),
     /// A new version of the configuration is written.
     Configure,
+    /// One of the zones is evacuated.
+    Evacuate,
 }
 
 /// Fault with its start and duration.
@@ -80,6 +85,25 @@
     }
 }
 
+/// Draws the evacuations of a soak. They have a generator of their own, so that the other faults of a seed
+/// stay the same.
+pub(crate) fn draw_evacuations(seed: u64, period: Duration) -> Vec<Event> {
+    let mut random = Pcg64Mcg::seed_from_u64(!seed);
+    let mut events = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += Duration::from_millis(random.random_range(EVACUATION_INTERVAL_MS));
+        if at >= period {
+            return events;
+        }
+        events.push(Event {
+            at,
+            duration: Duration::from_millis(random.random_range(DURATION_MS)),
+            fault: Fault::Evacuate,
+        });
+    }
+}
+
 /// Draws the kind and target of a fault.
 fn draw_fault(random: &mut Pcg64Mcg) -> Fault {
     let gateway = random.random_range(0..GATEWAYS);
--- a/crates/daisyyard/tests/gateway_faults.rs
+++ b/crates/daisyyard/tests/gateway_faults.rs
@@ -62,3 +62,17 @@
     assert!(text.contains("listen.requests"), "{text}");
     assert!(text.contains("repeats.slack"), "{text}");
 }
+
+/// The time for evacuations is optional, and one that no gateway can meet is a fault.
+#[test]
+fn evacuation_time() {
+    let mut settings = valid_settings();
+    let parsed = parse(Path::new("s.json"), &settings.to_string()).expect("valid settings");
+    assert_eq!(parsed.bounds.max_evacuation_delay, std::time::Duration::MAX);
+    settings["bounds"]["evacuation_ms"] = 5_000.into();
+    let parsed = parse(Path::new("s.json"), &settings.to_string()).expect("valid settings");
+    assert_eq!(parsed.bounds.max_evacuation_delay.as_secs(), 5);
+    settings["bounds"]["evacuation_ms"] = 10.into();
+    let faults = parse(Path::new("s.json"), &settings.to_string()).expect_err("a fault");
+    assert_eq!(faults.0[0].key, "bounds.evacuation_ms");
+}
--- a/crates/daisyyard/tests/zone_orders.rs
+++ b/crates/daisyyard/tests/zone_orders.rs
@@ -6,10 +6,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use daisyyard_standin::platform_engine::{Arrival, Close, Mode as EngineMode};
+use daisyyard_standin::platform_engine::{Arrival, Mode as EngineMode, PlatformEngine, Room};
 use daisyyard_standin::platform_fixture;
 use daisyyard_standin::platform_store::Mode;
-use daisyyard_standin::proxy::{Link, Proxy};
+use daisyyard_standin::proxy::{Cut, Link, Proxy};
 use futures_util::future;
 use http_body_util::Full;
 use hyper::header::{HOST, RETRY_AFTER};
@@ -19,6 +19,8 @@
 
 /// Key of the order to evacuate the zone.
 const ORDER: &str = "op/evacuate/zone-b";
+/// Header that names the engine for a backup.
+const BACKUP: &str = "x-daisyyard-kv-backup";
 /// Time after the order from which no request may reach the zone (`evacuation_ms`).
 const EVACUATION_TIME: Duration = Duration::from_secs(5);
 /// Requests that are sent through each gateway after it.
@@ -37,16 +39,9 @@
     platform.store.put(&key, &entry).await;
 }
 
-/// Starts a gateway that reads the store at an address and knows that both zones are in its region.
+/// Starts a gateway that reads the store at an address.
 async fn add_gateway(platform: &mut Platform, store: SocketAddr) {
-    let number = platform.gateways.len();
-    let gateway = platform::spawn_gateway_with(store, number, |settings| {
-        settings["zones"] = json!([
-            { "zone": "zone-a", "region": "region-a" },
-            { "zone": "zone-b", "region": "region-a" },
-        ]);
-    });
-    let gateway = gateway.await;
+    let gateway = platform::spawn_gateway(store, platform.gateways.len()).await;
     let ready = gateway.ready;
     platform.gateways.push(gateway);
     wait_until("the gateway is ready", async || {
@@ -60,8 +55,7 @@
     let mut platform = Platform::start(0, 2).await;
     put_in_zone(&platform, 1, "desk", "zone-b").await;
     for _ in 0..gateways {
-        let store = platform.store.address;
-        add_gateway(&mut platform, store).await;
+        platform.start_gateway().await;
     }
     // Gateways in reserve are not listed for callers.
     if gateways < GATEWAYS_WITH_RESERVE {
@@ -153,10 +147,13 @@
     check_avoided(&platform, Instant::now()).await;
 }
 
-/// A store that is silent right after the order leaves no gateway without it.
+/// A store that is silent right after the order leaves no gateway without it, as watches that wait are
+/// answered.
 #[tokio::test]
 async fn silent_store() {
     let platform = start(GATEWAYS).await;
+    // The readers pause after the entries of the gateways, and then wait for the next change.
+    tokio::time::sleep(Duration::from_secs(2)).await;
     platform.store.put(ORDER, &json!({})).await;
     let ordered = Instant::now();
     platform.store.set_mode(Mode::Silent);
@@ -193,8 +190,7 @@
 async fn started_later() {
     let mut platform = start(1).await;
     platform.store.put(ORDER, &json!({})).await;
-    let store = platform.store.address;
-    add_gateway(&mut platform, store).await;
+    platform.start_gateway().await;
     let answers = future::join_all((0..CHECKS * 4).map(|_| ask(&platform, 1))).await;
     assert!(answers.iter().all(|(_, body)| body == "whole plain-0"));
 }
@@ -257,83 +253,122 @@
 #[tokio::test]
 async fn runs_end() {
     let mut platform = Platform::start(2, 0).await;
-    put_in_zone(&platform, 1, "model", "zone-b").await;
-    let store = platform.store.address;
-    add_gateway(&mut platform, store).await;
-    let stream = stream_request("/draft/1", "100,400");
-    let sent = future::join_all((0..4).map(|number| {
-        let (platform, stream) = (&platform, &stream);
+    put_in_zone(&platform, 0, "model", "zone-b").await;
+    platform.put_entry(1, "model", "draining").await;
+    platform.start_gateway().await;
+    let stream = |number: usize| {
+        let platform = &platform;
         async move {
             let attempt = format!("attempt-{number}");
-            platform.send_through(0, &attempt, stream).await
+            let stream = stream_request("/draft/1", "100,400");
+            platform.send_through(0, &attempt, &stream).await
         }
-    }));
+    };
     let order = async {
-        wait_until("the zone runs a stream", async || {
-            let arrivals = platform.runs.arrivals().await;
-            arrivals.iter().any(|arrival| arrival.engine == "engine-1")
+        wait_until("the zone runs the streams", async || {
+            platform.ran("/draft/1").await.len() == 4
         })
         .await;
+        platform.put_entry(1, "model", "ready").await;
         platform.store.put(ORDER, &json!({})).await;
     };
-    let (answers, ()) = tokio::join!(sent, order);
+    let (answers, ()) = tokio::join!(future::join_all((0..4).map(stream)), order);
     for answer in answers {
         assert_eq!(answer, (StatusCode::OK, Some(platform::events(100))));
     }
-    let before = platform.runs.arrivals().await.len();
-    for number in 4..8 {
-        let attempt = format!("attempt-{number}");
-        let stream = stream_request("/draft/1", "100,400");
-        let (status, _) = platform.send_through(0, &attempt, &stream).await;
-        assert_eq!(status, StatusCode::OK);
+    let answers = future::join_all((4..8).map(stream)).await;
+    assert!(answers.iter().all(|(status, _)| *status == StatusCode::OK));
+    for arrival in platform.runs.arrivals().await.split_off(4) {
+        assert_eq!(arrival.engine, "engine-1");
+        assert_eq!(arrival.headers.get(BACKUP), None);
+    }
+}
+
+/// Two engines in different zones behind proxies, and a gateway.
+struct Scene {
+    /// The platform.
+    platform: Platform,
+    /// Proxies in front of the engines.
+    proxies: Vec<Proxy>,
+}
+
+impl Scene {
+    /// Starts the engines and a gateway.
+    async fn start() -> Self {
+        let mut platform = Platform::start(0, 0).await;
+        let mut proxies = Vec::new();
+        for (number, zone) in ["zone-a", "zone-b"].into_iter().enumerate() {
+            let proxy = Proxy::start().await.expect("the proxy starts");
+            let (name, runs) = (format!("engine-{number}"), &platform.runs);
+            let engine =
+                PlatformEngine::start_behind(&proxy, &name, platform::EVENT_INTERVAL, runs);
+            platform
+                .engines
+                .push(engine.await.expect("the engine starts"));
+            put_in_zone(&platform, number, "model", zone).await;
+            proxies.push(proxy);
+        }
+        platform.start_gateway().await;
+        Self { platform, proxies }
     }
-    for arrival in platform.runs.arrivals().await.split_off(before) {
-        assert_eq!(arrival.engine, "engine-0");
-        let backup = arrival.headers.get("x-daisyyard-kv-backup");
-        assert_eq!(backup, None);
+
+    /// Plays a stream with a backup, of whose engine and backup engine `evacuated` chooses the one in the
+    /// zone to evacuate; then cuts the stream. Returns the names of the engine of the stream and of those
+    /// that are asked to go on with it.
+    async fn play(
+        &self,
+        evacuated: impl Fn(usize) -> usize,
+        disturb: impl Fn(&Self, usize),
+        cut: Cut,
+    ) -> (String, Vec<String>) {
+        let platform = &self.platform;
+        let stream = stream_request("/check/1", "100,800");
+        let sent = platform.send_through(0, "attempt-1", &stream);
+        let act = async {
+            wait_until("the stream runs", async || {
+                !platform.ran("/check/1").await.is_empty()
+            })
+            .await;
+            let first = platform.ran("/check/1").await.remove(0);
+            assert!(first.headers.contains_key(BACKUP));
+            let index = usize::from(first.engine == "engine-1");
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            let zone = ["zone-a", "zone-b"][evacuated(index)];
+            let key = format!("op/evacuate/{zone}");
+            platform.store.put(&key, &json!({})).await;
+            let metrics = platform.gateways[0].metrics;
+            wait_until("the order is in force", async || {
+                let text = platform::text(metrics, "/metrics").await;
+                text.contains("daisyyard_gateway_evacuated_zones 1")
+            })
+            .await;
+            disturb(self, index);
+            self.proxies[index].cut_open(cut);
+            first.engine
+        };
+        let (_, first) = tokio::join!(sent, act);
+        let arrivals = platform.runs.arrivals().await.split_off(1);
+        (first, arrivals.into_iter().map(|one| one.engine).collect())
     }
 }
 
-/// A stream whose engine breaks off is not resumed at the zone that holds its copy, nor at the
-/// engine itself if that is in the zone.
+/// A stream whose engine breaks off is not resumed at an engine of the zone that holds its backup.
 #[tokio::test]
-async fn nothing_resumed() {
-    let mut platform = Platform::start(3, 0).await;
-    put_in_zone(&platform, 1, "model", "zone-b").await;
-    put_in_zone(&platform, 2, "model", "zone-b").await;
-    for engine in &platform.engines {
-        engine.set_close(Close::Stops);
-    }
-    let store = platform.store.address;
-    add_gateway(&mut platform, store).await;
-    let stream = stream_request("/check/1", "100,400");
-    let sent = future::join_all((0..6).map(|number| {
-        let (platform, stream) = (&platform, &stream);
-        async move {
-            let attempt = format!("attempt-{number}");
-            platform.send_through(0, &attempt, stream).await
-        }
-    }));
-    let order = async {
-        wait_until("all streams run", async || {
-            platform.runs.arrivals().await.len() >= 6
-        })
-        .await;
-        platform.store.put(ORDER, &json!({})).await;
-        tokio::time::sleep(Duration::from_millis(800)).await;
-        let before = platform.runs.arrivals().await.len();
-        // Streams that stop are silent for longer than their engines may be.
-        for engine in &platform.engines[1..] {
-            engine.set_mode(EngineMode::Hanging);
-        }
-        platform.put_entry(0, "model", "draining").await;
-        before
+async fn backup_unused() {
+    let scene = Scene::start().await;
+    let (_, asked) = scene.play(|index| 1 - index, |_, _| {}, Cut::Closed).await;
+    assert_eq!(asked, Vec::<String>::new());
+}
+
+/// A stream that its engine has stopped does not go on there if the engine is in the zone.
+#[tokio::test]
+async fn source_unused() {
+    let scene = Scene::start().await;
+    let disturb = |scene: &Scene, index: usize| {
+        scene.platform.engines[index].set_room(Room::Full);
+        scene.platform.engines[1 - index].set_mode(EngineMode::Declining);
     };
-    let (_, before) = tokio::join!(sent, order);
-    let later = platform.runs.arrivals().await.split_off(before);
-    let late: Vec<&str> = later
-        .iter()
-        .map(|arrival| arrival.engine.as_str())
-        .collect();
-    assert!(late.iter().all(|engine| *engine == "engine-0"), "{late:?}");
+    let (first, asked) = scene.play(|index| index, disturb, Cut::Stalled).await;
+    assert!(!asked.is_empty(), "the backup engine is asked");
+    assert!(!asked.contains(&first), "{first} is asked: {asked:?}");
 }
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -38,7 +38,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Age of the knowledge above which this gateway reads the store itself, as a share of the time in
-/// which a configuration must be in force. The rest is for the read.
+/// which a change must be in force. The rest is for the read.
 const MAX_AGE_SHARE: f64 = 0.75;
 
 /// State of the pool actor.
@@ -132,7 +132,7 @@
         metrics,
         members: Members::new(&settings.name, Entry::from(settings)),
         standing,
-        knowledge: Knowledge::new(settings.bounds.max_config_delay.mul_f64(MAX_AGE_SHARE)),
+        knowledge: Knowledge::new(settings.bounds.max_store_delay().mul_f64(MAX_AGE_SHARE)),
         runs: HashMap::new(),
         next_run: 0,
         backlog: Backlog::default(),
--- a/crates/daisyyard_gateway/src/settings.rs
+++ b/crates/daisyyard_gateway/src/settings.rs
@@ -49,8 +49,18 @@
     pub max_recovery_time: Duration,
     /// Maximum time from the confirmation of a configuration until it is in force.
     pub max_config_delay: Duration,
+    /// Maximum time from the confirmation of an order to evacuate an availability zone until it is in
+    /// force; unlimited where there are no evacuations.
+    pub max_evacuation_delay: Duration,
     /// Time between the stop signal and the end of the process.
     pub grace: Duration,
     /// Maximum time for which callers may cache gateway addresses.
     pub max_addresses_lifetime: Duration,
 }
+
+impl Bounds {
+    /// Returns the maximum time from the confirmation of a change in the store until it is in force.
+    pub(crate) fn max_store_delay(&self) -> Duration {
+        self.max_config_delay.min(self.max_evacuation_delay)
+    }
+}
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -28,7 +28,7 @@
 /// Maximum delay between retries while the store is unavailable. A gateway that has just started
 /// serves no requests until the store has answered once.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Time for which a watch waits, as a share of the time in which a configuration must be in force.
+/// Time for which a watch waits, as a share of the time in which a change must be in force.
 /// The knowledge of the readers is then young enough for the gateways that rely on them.
 const WATCH_SHARE: f64 = 0.5;
 /// Pause after changes before the next watch of a gateway that hears from no other one, for each
@@ -106,7 +106,7 @@
         let watcher = Self {
             address,
             codec,
-            watch_timeout: bounds.max_config_delay.mul_f64(WATCH_SHARE),
+            watch_timeout: bounds.max_store_delay().mul_f64(WATCH_SHARE),
             max_pause: bounds.max_recovery_time.mul_f64(MAX_PAUSE_SHARE),
             refresh,
             pool,
--- a/crates/daisyyard_standin/src/platform_fixture.rs
+++ b/crates/daisyyard_standin/src/platform_fixture.rs
@@ -68,7 +68,10 @@
     let [requests, ready, directory, digests, metrics] = listen.map(|one| one.to_string());
     json!({
         "name": format!("gateway-{number}"), "zone": "zone-a", "region": "region-a",
-        "zones": [{ "zone": "zone-a", "region": "region-a" }],
+        "zones": [
+            { "zone": "zone-a", "region": "region-a" },
+            { "zone": "zone-b", "region": "region-a" },
+        ],
         "store": store.to_string(),
         "listen": {
             "requests": requests, "ready": ready, "directory": directory, "digests": digests,
