--- a/crates/daisyyard/src/gateway_settings.rs
+++ b/crates/daisyyard/src/gateway_settings.rs
@@ -82,7 +82,7 @@
         return None;
     }
     let overage = Expectation {
-        expected: "a number from 1 to 100, together with cold_slack; remove both to set no bound",
+        expected: "a number from 0 to 100, together with cold_slack; remove both to set no bound",
         example: "1.5",
     };
     let slack = Expectation {
@@ -90,7 +90,7 @@
         example: "5",
     };
     Some(Allowance {
-        overage: s.expected_number(r, KEYS[0], 1.0..=MAX_OVERAGE, overage),
+        overage: s.expected_number(r, KEYS[0], 0.0..=MAX_OVERAGE, overage),
         slack: s.expected_number(r, KEYS[1], 0.0..=MAX_COLD_SLACK, slack),
     })
 }
--- a/crates/daisyyard_core/src/warmup.rs
+++ b/crates/daisyyard_core/src/warmup.rs
@@ -31,6 +31,8 @@
 const LISTS: u32 = 2;
 /// Maximum number of lists that are kept to find the share of an endpoint that is new.
 const MAX_LISTS: usize = 16;
+/// Least extension of a cold time that is news for other nodes; smaller ones are delays on the way.
+const MIN_EXTENSION: Duration = Duration::from_millis(100);
 /// Requests per second are stated in this fraction of one.
 const MILLI: f64 = 1_000.0;
 
@@ -272,7 +274,7 @@
         let changes = if remaining.is_zero() {
             until > now
         } else {
-            until < now + remaining
+            until + MIN_EXTENSION < now + remaining
         };
         self.rule.is_some() && newer && changes
     }
--- a/crates/daisyyard_gateway/src/cold.rs
+++ b/crates/daisyyard_gateway/src/cold.rs
@@ -167,9 +167,12 @@
     async fn handle(&mut self, message: LearnCold, _: &mut Context<Self>) {
         let LearnCold(id, incarnation, time) = message;
         let now = Instant::now();
+        let before = self.endpoints.cold_count(now);
         self.endpoints.learn_cold(id, incarnation, time, now);
-        self.update_cold(now);
-        self.changed.notify_one();
+        if self.endpoints.cold_count(now) > before {
+            self.update_cold(now);
+            self.changed.notify_one();
+        }
     }
 }
 
