Continue a run elsewhere only from a copy that is shown to be there

Cause: a run had one field for its second engine. It held a backup, the order for one, or the target of a move, and whoever read it took it for a backup. A run that broke off during a copy was sent to the target with Kv-From although no copy was there, and a faulty engine ran it a second time. The same happened when the backup engine had been started anew, and before the first event of a run.

Change: the run records what is known of its copy, with the engine and its start (Standby). What may follow a break, a stop or a failed continuation is one decision in daisyyard_core::continuation, which failover and restart ask. A continuation that may have run counts toward max_attempts. A run that was stopped at a leaving engine whose copy was refused is moved to another target. A broken-off run without a copy is moved if its engine still answers.

--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod catalog;
 pub mod choice;
 pub mod config;
+pub mod continuation;
 pub mod contract;
 pub mod crash;
 pub mod drain;
--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -3,6 +3,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use daisyyard_core::continuation::{
+    Cause, Holder, Obstacle, Place, Proof, Situation, Standby, Step, Stop,
+};
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::pool::Signal;
 use daisyyard_core::shared_retry_budget;
@@ -12,7 +15,7 @@
 use crate::codec::Replica;
 use crate::event::Event;
 use crate::halt::{Halt, halt};
-use crate::message::{Failover, Retry, Rollback, Takeover};
+use crate::message::{Confirm, Failover, Retry, Rollback, Takeover};
 use crate::migration::State;
 use crate::relay::{LEAVING, Relay, SILENT};
 
@@ -20,201 +23,231 @@
 const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum time for which an engine may execute a run beside one that is asked to resume it.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
-/// Why an engine did not resume a run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Obstacle {
-    /// The retry budget allows no further send.
-    NotAllowed,
-    /// The request did not reach the engine.
-    Unsent,
-    /// The engine did not run the request.
-    Declined,
-    /// The engine may have run the request, but its answer is missing or unusable.
-    Unanswered,
-}
-
-impl Obstacle {
-    /// Returns the name of the obstacle for the log.
-    fn name(self) -> &'static str {
-        match self {
-            Self::NotAllowed => "not_allowed",
-            Self::Unsent => "unsent",
-            Self::Declined => "declined",
-            Self::Unanswered => "unanswered",
-        }
-    }
-}
+/// Maximum number of engines to which one stopped run is moved until one continues it.
+const MAX_TARGETS: usize = 3;
 
-/// Result of stopping a run and asking other engines to resume it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Outcome {
-    /// An engine has resumed the run.
-    Resumed,
-    /// Engines were asked and have not resumed the run.
-    Refused,
-    /// No engine was asked.
-    Unchanged,
+/// A run that another engine is to continue.
+#[derive(Debug)]
+struct Departure {
+    /// Engine of the run, as it was when it took the run.
+    source: Arc<Endpoint>,
+    /// Reason for the log.
+    reason: &'static str,
+    /// When the failover began.
+    started: Instant,
 }
 
-/// An engine at which a run can resume, and the copy of its KV cache that is used there.
-#[derive(Debug)]
-struct Place {
-    /// Engine that resumes the run.
-    engine: Arc<Endpoint>,
-    /// Engine that receives the next backup.
-    backup: Option<Arc<Endpoint>>,
-    /// Copy of the KV cache.
-    replica: Replica,
-    /// Name of the kind of copy for logs and metrics.
-    means: &'static str,
+/// Returns the cause of a failover for the decision about it.
+fn cause(reason: &'static str) -> Cause {
+    match reason {
+        LEAVING => Cause::Leaving,
+        SILENT => Cause::Silent,
+        _ => Cause::Broken,
+    }
 }
 
 impl Relay {
-    /// Stops the run at its engine and resumes it at its backup engine; returns whether the stream
-    /// continues at either engine.
+    /// Stops the run at its engine and resumes it at the one that holds a copy of it or receives one;
+    /// returns whether the stream continues at either engine.
     pub(crate) async fn fail_over(&mut self, reason: &'static str) -> bool {
-        let started = Instant::now();
-        let source = Arc::clone(&self.grant.endpoint);
-        // The stream of an engine that is leaving or silent stays open until another one resumes it.
-        let stays_open = reason == LEAVING || reason == SILENT;
-        let failover = Failover(self.grant.run, self.grant.signal);
-        let Ok(Some(takeover)) = self.proxy.pool.send(failover).await else {
-            return stays_open;
+        let departure = Departure {
+            source: Arc::clone(&self.grant.endpoint),
+            reason,
+            started: Instant::now(),
         };
-        if !stays_open {
-            self.upstream = None;
-        }
-        let target = Arc::clone(&takeover.engine);
-        let outcome = self.resume_elsewhere(takeover, reason, started).await;
-        if outcome == Outcome::Resumed {
-            return true;
-        }
-        if self.upstream.is_none() {
-            return false;
+        let cause = cause(reason);
+        let migrating = !matches!(self.migration, State::Idle);
+        let step = self.leave(&departure, cause).await;
+        if step == Step::Stay && !migrating && cause == Cause::Silent {
+            // A silent engine does not leave, so that its run is not moved further.
+            self.migration = State::Idle;
         }
-        self.roll_back(&source, &target).await;
-        if outcome == Outcome::Refused || reason == LEAVING {
-            self.abandon_target().await;
+        // The stream of an engine that is leaving or silent stays open until another one resumes it.
+        match step {
+            Step::Resume(_) => true,
+            Step::Stay => self.upstream.is_some(),
+            Step::Retarget | Step::Restart | Step::End => false,
         }
-        if reason == SILENT {
-            self.migration = State::Idle;
+    }
+
+    /// Moves the run to one target after the other; returns what follows, which is `Resume` if an engine
+    /// has resumed the run.
+    async fn leave(&mut self, departure: &Departure, cause: Cause) -> Step {
+        let mut step = Step::Retarget;
+        for number in 0..MAX_TARGETS {
+            let takeover = self.take_over(departure, cause, number).await;
+            let Some(takeover) = takeover else {
+                return match cause {
+                    Cause::Broken => Step::Restart,
+                    Cause::Leaving | Cause::Silent => Step::Stay,
+                };
+            };
+            // A run is not stopped if nothing may be sent that resumes it.
+            if !self.may_send_again().await {
+                let (source, target) = (&departure.source, &takeover.engine);
+                let log = (Place::Target.name(), departure.reason);
+                let refused = Err(Obstacle::NotAllowed);
+                self.record_move(source, target, departure.started, log, refused);
+                self.roll_back(departure, takeover.standby).await;
+                return match cause {
+                    Cause::Broken => Step::End,
+                    Cause::Leaving | Cause::Silent => Step::Stay,
+                };
+            }
+            step = self.move_to(departure, cause, takeover).await;
+            if step != Step::Retarget {
+                return step;
+            }
         }
-        true
+        step
     }
 
-    /// Stops the run at its engine, and asks one engine after the other to resume it.
-    async fn resume_elsewhere(
+    /// Asks the pool for the engine that continues the run, and closes a stream that has ended.
+    async fn take_over(
         &mut self,
-        takeover: Takeover,
-        reason: &'static str,
-        started: Instant,
-    ) -> Outcome {
-        let source = Arc::clone(&self.grant.endpoint);
-        let target = Arc::clone(&takeover.engine);
-        // A run is not stopped if nothing may be sent that resumes it.
-        if !self.may_send_again().await {
-            let log = ("backup", reason);
-            let refused = Err(Obstacle::NotAllowed);
-            self.record_move(&source, &target, started, log, refused);
-            return Outcome::Unchanged;
+        departure: &Departure,
+        cause: Cause,
+        number: usize,
+    ) -> Option<Takeover> {
+        let once = self.runs_left == 0;
+        let failover = Failover {
+            run: self.grant.run,
+            // The health of the previous endpoint is updated once.
+            signal: if number == 0 {
+                self.grant.signal
+            } else {
+                Signal::Neutral
+            },
+            source: Holder::of(&departure.source),
+            // A run that may start anew is moved by `restart`, if its engine still executes it.
+            moves: self.supports_moves() && (number > 0 || (once && cause == Cause::Broken)),
+        };
+        let takeover = self.proxy.pool.send(failover).await.ok().flatten();
+        if cause == Cause::Broken {
+            self.upstream = None;
         }
-        let halt = self.halt(&source, &target, reason).await;
-        let mut outcome = Outcome::Unchanged;
-        for place in self.places(halt, reason, &source, takeover) {
-            let resumed = if outcome == Outcome::Unchanged || self.may_send_again().await {
-                let (engine, backup) = (&place.engine, place.backup.as_deref());
-                self.resume(engine, backup, Some(place.replica), RESUME_TIMEOUT)
-                    .await
+        takeover
+    }
+
+    /// Stops the run at its engine, and asks for its continuation at one place after the other; returns
+    /// what follows, which is `Resume` if an engine has resumed the run.
+    async fn move_to(&mut self, departure: &Departure, cause: Cause, takeover: Takeover) -> Step {
+        let (source, target) = (&departure.source, Arc::clone(&takeover.engine));
+        let proof = takeover.standby.proof(&target);
+        let repeatable = self.runs_left > 0;
+        let patient = cause == Cause::Leaving || (proof == Proof::None && !repeatable);
+        let halt = self.halt(source, &target, patient).await;
+        let situation = Situation {
+            cause,
+            proof,
+            stop: halt.stop(),
+            source_open: takeover.source_open,
+            repeatable,
+        };
+        let mut asked = false;
+        let mut step = situation.begin();
+        while let Step::Resume(place) = step {
+            let resumed = self
+                .resume_at(place, &halt, departure, &takeover, asked)
+                .await;
+            let engine = if place == Place::Source {
+                source
             } else {
-                Err(Obstacle::NotAllowed)
+                &target
             };
-            let log = (place.means, reason);
-            self.record_move(&source, &place.engine, started, log, resumed);
-            outcome = Outcome::Refused;
+            let log = (place.name(), departure.reason);
+            self.record_move(source, engine, departure.started, log, resumed);
             match resumed {
                 Ok(()) => {
-                    if place.engine.id == source.id {
-                        self.roll_back(&source, &target).await;
+                    if place == Place::Source {
+                        let backup = self.keeps_backup().then(|| Holder::of(&target));
+                        let standby = backup.map_or(Standby::None, Standby::Ordered);
+                        self.roll_back(departure, standby).await;
+                    }
+                    self.switch_to(Arc::clone(engine));
+                    return step;
+                }
+                Err(obstacle) => {
+                    asked = true;
+                    if obstacle == Obstacle::Unanswered {
+                        self.runs_left = self.runs_left.saturating_sub(1);
                     }
-                    self.switch_to(place.engine);
-                    return Outcome::Resumed;
+                    step = situation.fail(place, obstacle);
                 }
-                // Only a request that has not run may be sent to the next engine.
-                Err(Obstacle::Unsent | Obstacle::Declined) => {}
-                Err(Obstacle::NotAllowed | Obstacle::Unanswered) => return outcome,
             }
         }
-        outcome
+        self.roll_back(departure, takeover.standby).await;
+        let useless = asked || halt.stop() == Stop::Kept;
+        if useless || cause == Cause::Leaving {
+            self.abandon_target().await;
+        }
+        step
+    }
+
+    /// Asks for the continuation of the run at a place, unless the engine there has been started anew.
+    async fn resume_at(
+        &mut self,
+        place: Place,
+        halt: &Halt,
+        departure: &Departure,
+        takeover: &Takeover,
+        asked: bool,
+    ) -> Result<(), Obstacle> {
+        let (source, target) = (&departure.source, &takeover.engine);
+        let from_source = |handle: &str| Replica {
+            holder: source.address,
+            handle: handle.to_owned(),
+        };
+        let replica = match (place, halt) {
+            (Place::Target | Place::Source, Halt::Moved(handle) | Halt::Kept(handle)) => {
+                from_source(handle)
+            }
+            (Place::Copied, _) => from_source(takeover.standby.handle().unwrap_or_default()),
+            (Place::Backup, _) => Replica {
+                holder: target.address,
+                handle: self.job.attempt.clone(),
+            },
+            _ => return Err(Obstacle::Unsent),
+        };
+        let (engine, backup) = match place {
+            Place::Source => (source, self.keeps_backup().then_some(target)),
+            _ => (target, takeover.backup.as_ref()),
+        };
+        // A copy is lost when its engine starts anew, which may happen while the run is stopped.
+        let confirm = Confirm(Holder::of(engine));
+        if !self.proxy.pool.send(confirm).await.unwrap_or(false) {
+            return Err(Obstacle::Unsent);
+        }
+        if asked && !self.may_send_again().await {
+            return Err(Obstacle::NotAllowed);
+        }
+        let backup = backup.map(AsRef::as_ref);
+        self.resume(engine, backup, Some(replica), RESUME_TIMEOUT)
+            .await
     }
 
-    /// Stops the run at its engine if the engines of the service can do so.
+    /// Returns whether the run has backups.
+    fn keeps_backup(&self) -> bool {
+        self.job.need().backup
+    }
+
+    /// Stops the run at its engine if the engines of the service can do so. An engine that may be down
+    /// has less time to answer unless the caller is patient.
     pub(crate) async fn halt(
         &self,
         source: &Arc<Endpoint>,
         target: &Arc<Endpoint>,
-        reason: &'static str,
+        patient: bool,
     ) -> Halt {
         if !self.supports_moves() {
             return Halt::Unanswered;
         }
-        halt(&self.proxy, &self.job, source, target, reason != LEAVING).await
-    }
-
-    /// Returns the engines at which the run can resume, in the order in which they are asked; none
-    /// if its own engine may still execute it.
-    fn places(
-        &self,
-        halt: Halt,
-        reason: &'static str,
-        source: &Arc<Endpoint>,
-        takeover: Takeover,
-    ) -> Vec<Place> {
-        let target = takeover.engine;
-        let at_target = |replica, means| Place {
-            engine: Arc::clone(&target),
-            backup: takeover.backup.clone(),
-            replica,
-            means,
-        };
-        let backup = || Replica {
-            holder: target.address,
-            handle: self.job.attempt.clone(),
-        };
-        let at_source = |handle| {
-            // An engine that is leaving accepts no requests.
-            takeover.source_live.then(|| Place {
-                engine: Arc::clone(source),
-                backup: Some(Arc::clone(&target)),
-                replica: Replica {
-                    holder: source.address,
-                    handle,
-                },
-                means: "kept",
-            })
-        };
-        match halt {
-            Halt::Moved(handle) => {
-                let replica = Replica {
-                    holder: source.address,
-                    handle: handle.clone(),
-                };
-                let moved = std::iter::once(at_target(replica, "move"));
-                moved.chain(at_source(handle)).collect()
-            }
-            Halt::Kept(handle) => {
-                let backed_up = std::iter::once(at_target(backup(), "backup"));
-                backed_up.chain(at_source(handle)).collect()
-            }
-            Halt::Ended | Halt::Unanswered if reason != LEAVING => {
-                vec![at_target(backup(), "backup")]
-            }
-            Halt::Ended | Halt::Unanswered | Halt::Running => Vec::new(),
-        }
+        halt(&self.proxy, &self.job, source, target, !patient).await
     }
 
-    /// Makes `source` the engine of the run again, and `target` its backup engine.
-    async fn roll_back(&self, source: &Endpoint, target: &Endpoint) {
-        let rollback = Rollback(self.grant.run, source.id, target.id);
+    /// Makes the source the engine of the run again, with what is known of its copy.
+    async fn roll_back(&self, departure: &Departure, standby: Standby) {
+        let rollback = Rollback(self.grant.run, departure.source.id, standby);
         // The pool ends only with the process.
         let _ = self.proxy.pool.send(rollback).await;
     }
@@ -300,6 +333,7 @@
         self.grant.endpoint = engine;
         self.grant.signal = Signal::Neutral;
         self.migration = State::Idle;
+        self.taken = false;
         self.gaps.reset();
         self.first_data_at = Some(Instant::now());
         // Notices from before the failover are about the previous engine.
--- a/crates/daisyyard_gateway/src/halt.rs
+++ b/crates/daisyyard_gateway/src/halt.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use daisyyard_core::continuation::Stop;
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_http::connection::Failure;
 use tokio::time::Instant;
@@ -42,6 +43,17 @@
 }
 
 impl Halt {
+    /// Returns the answer without its handle.
+    pub(crate) fn stop(&self) -> Stop {
+        match self {
+            Self::Moved(_) => Stop::Moved,
+            Self::Kept(_) => Stop::Kept,
+            Self::Ended => Stop::Ended,
+            Self::Unanswered => Stop::Unanswered,
+            Self::Running => Stop::Running,
+        }
+    }
+
     /// Returns the name of the result for the log.
     pub(crate) fn name(&self) -> &'static str {
         match self {
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_core::backlog::Schedule;
+use daisyyard_core::continuation::{Holder, Standby};
 use daisyyard_core::crash;
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, RequestId, Revision, ServiceId};
@@ -98,22 +99,49 @@
 #[derive(Debug)]
 pub(crate) struct ObserveGaps(pub(crate) RequestId, pub(crate) Vec<Duration>);
 
-/// Makes the backup engine of a run its endpoint, and asks for an engine for a new backup. The
-/// signal is that of the previous endpoint.
+/// Makes another engine the endpoint of a run: the one that holds a copy of its memory or is to receive
+/// it. Asks for an engine for a new backup.
 #[derive(Debug)]
-pub(crate) struct Failover(pub(crate) RequestId, pub(crate) Signal);
+pub(crate) struct Failover {
+    /// The run.
+    pub(crate) run: RequestId,
+    /// What its end indicates about the previous endpoint.
+    pub(crate) signal: Signal,
+    /// The previous endpoint, as it was when it took the run.
+    pub(crate) source: Holder,
+    /// Whether an engine without a copy may be chosen, to which the run is moved.
+    pub(crate) moves: bool,
+}
 
 /// Engines of a run that another engine takes over.
 #[derive(Debug)]
 pub(crate) struct Takeover {
-    /// Backup engine, which resumes the run.
+    /// Engine that continues the run.
     pub(crate) engine: Arc<Endpoint>,
+    /// What was known of the copy of the run's memory.
+    pub(crate) standby: Standby,
     /// Engine for a new backup of the run's KV cache.
     pub(crate) backup: Option<Arc<Endpoint>>,
     /// Whether the previous engine accepts requests, as far as is known.
-    pub(crate) source_live: bool,
+    pub(crate) source_open: bool,
 }
 
+/// Asks whether an engine is in service and has not been started anew.
+#[derive(Debug)]
+pub(crate) struct Confirm(pub(crate) Holder);
+
+/// Reports that an event shows that the endpoint of a run has taken it.
+#[derive(Debug)]
+pub(crate) struct Taken(pub(crate) RequestId);
+
+/// Reports that a copy of a run to an engine has ended, and its handle.
+#[derive(Debug)]
+pub(crate) struct Copied(
+    pub(crate) RequestId,
+    pub(crate) EndpointId,
+    pub(crate) String,
+);
+
 /// Asks for another engine at which a run starts anew. The signal is that of the previous endpoint.
 #[derive(Debug)]
 pub(crate) struct Restart(pub(crate) RequestId, pub(crate) Signal);
@@ -129,15 +157,15 @@
     Missing,
 }
 
-/// Reverts a failover: the run stays at the first engine, and the second one remains its backup.
+/// Reverts a failover: the run stays at the first engine, and this is known of its copy.
 #[derive(Debug)]
 pub(crate) struct Rollback(
     pub(crate) RequestId,
     pub(crate) EndpointId,
-    pub(crate) EndpointId,
+    pub(crate) Standby,
 );
 
-/// Removes the backup engine of a run and excludes it from further choices for this run.
+/// Gives up the copy of a run, and excludes its engine from further choices for this run.
 #[derive(Debug)]
 pub(crate) struct Abandon(pub(crate) RequestId);
 
--- a/crates/daisyyard_gateway/src/migration.rs
+++ b/crates/daisyyard_gateway/src/migration.rs
@@ -10,7 +10,7 @@
 use crate::codec::Transfer;
 use crate::event::Event;
 use crate::job::Job;
-use crate::message::{Abandon, Migrate, Plan};
+use crate::message::{Abandon, Copied, Migrate, Plan};
 use crate::proxy::Proxy;
 use crate::relay::{LEAVING, Relay};
 use crate::store;
@@ -109,6 +109,11 @@
         else {
             return true;
         };
+        if let Ok(Transfer::Copied(handle)) = &result {
+            let copied = Copied(self.grant.run, target.id, handle.clone());
+            // The pool ends only with the process.
+            let _ = self.proxy.pool.send(copied).await;
+        }
         match result {
             Ok(Transfer::Copied(_))
                 if started.elapsed() > SHORT_COPY_TIME && rounds < MAX_LIVE_COPIES =>
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -17,7 +17,7 @@
 use crate::event::Event;
 use crate::gaps::Gaps;
 use crate::job::Job;
-use crate::message::{FirstToken, Grant, Notice, ObserveGaps};
+use crate::message::{FirstToken, Grant, Notice, ObserveGaps, Taken};
 use crate::migration::{State, join_copy};
 use crate::proxy::Proxy;
 use crate::sse::Splitter;
@@ -52,6 +52,8 @@
     pub(crate) splitter: Splitter,
     /// When the first data arrived from the current engine, or when the run resumed there.
     pub(crate) first_data_at: Option<Instant>,
+    /// Whether an event shows that the current engine has taken the run.
+    pub(crate) taken: bool,
     /// Whether the run has gone well at an engine for some time.
     pub(crate) proven: bool,
     /// Gaps between the events.
@@ -111,6 +113,7 @@
             sender,
             splitter,
             first_data_at: None,
+            taken: false,
             proven: false,
             gaps: Gaps::default(),
             migration: State::Idle,
@@ -235,6 +238,11 @@
             return Delivery::Malformed;
         };
         let event_count = self.splitter.event_count() - count_before;
+        if event_count > 0 && !self.taken {
+            self.taken = true;
+            // The pool ends only with the process.
+            let _ = self.proxy.pool.send(Taken(self.grant.run)).await;
+        }
         let blocked = self.sender.capacity() == 0;
         self.gaps.observe(event_count, blocked, Instant::now());
         if let Some(gaps) = self.gaps.take_batch() {
--- a/crates/daisyyard_gateway/src/restart.rs
+++ b/crates/daisyyard_gateway/src/restart.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use daisyyard_core::continuation::{Holder, Obstacle, Step, start_anew};
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::pool::Signal;
 
 use crate::codec::Replica;
-use crate::failover::Obstacle;
 use crate::halt::Halt;
-use crate::message::{Place, Restart};
-use crate::relay::Relay;
+use crate::message::{Confirm, Place, Restart};
+use crate::relay::{LEAVING, Relay};
 
 /// Delay before another attempt to find an engine with capacity.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -34,14 +34,19 @@
             };
             let resumed = if self.may_send_again().await {
                 // The previous engine must not execute the run beside the next one.
-                let replica = match self.halt(&source, &engine, reason).await {
-                    Halt::Moved(handle) => Some(Replica {
+                let halt = self.halt(&source, &engine, reason == LEAVING).await;
+                let replica = match (start_anew(halt.stop()), halt) {
+                    (Step::Resume(_), Halt::Moved(handle)) => Some(Replica {
                         holder: source.address,
                         handle,
                     }),
-                    Halt::Running => return false,
-                    Halt::Kept(_) | Halt::Ended | Halt::Unanswered => None,
+                    (Step::Restart, _) => None,
+                    _ => return false,
                 };
+                // A copy is lost when its engine starts anew.
+                let confirm = Confirm(Holder::of(&engine));
+                let holds = self.proxy.pool.send(confirm).await.unwrap_or(false);
+                let replica = replica.filter(|_| holds);
                 let timeout = self.job.remaining();
                 self.resume(&engine, backup.as_deref(), replica, timeout)
                     .await
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -6,6 +6,7 @@
 
 use daisyyard_core::access::{Access, Reason};
 use daisyyard_core::choice::{Choice, Purpose};
+use daisyyard_core::continuation::{Holder, Standby};
 use daisyyard_core::crash::Verdict;
 use daisyyard_core::endpoint::{Endpoint, Kind};
 use daisyyard_core::id::{EndpointId, Fingerprint, RequestId, ServiceId};
@@ -16,8 +17,8 @@
 
 use crate::digest::early_interval;
 use crate::message::{
-    Abandon, Claim, Failover, FirstToken, Grant, Migrate, Notice, ObserveGaps, Place, Placement,
-    Plan, Release, Restart, Rollback, Takeover,
+    Abandon, Claim, Confirm, Copied, Failover, FirstToken, Grant, Migrate, Notice, ObserveGaps,
+    Place, Placement, Plan, Release, Restart, Rollback, Taken, Takeover,
 };
 use crate::pool::Pool;
 
@@ -34,8 +35,8 @@
 pub(crate) struct Run {
     /// Endpoint that runs the request.
     pub(crate) endpoint: EndpointId,
-    /// Engine with a backup of the run's KV cache.
-    backup: Option<EndpointId>,
+    /// Copy of the run's KV cache at another engine.
+    standby: Standby,
     /// Engines that failed to take over the run.
     rejected: Vec<EndpointId>,
     /// Resources that the request needs.
@@ -77,7 +78,7 @@
         let (notices, receiver) = mpsc::channel(1);
         let record = Run {
             endpoint: endpoint.id,
-            backup: backup.as_ref().map(|backup| backup.id),
+            standby: order_backup(backup.as_ref()),
             rejected: Vec::new(),
             need: claim.need,
             contents: claim.contents,
@@ -132,9 +133,9 @@
         };
         self.endpoints
             .update_load(run.endpoint, |load| adjust(load, run_load, add));
-        if let Some(backup) = run.backup {
+        if let Some(holder) = run.standby.holder() {
             self.endpoints
-                .update_load(backup, |load| adjust(load, backup_load, add));
+                .update_load(holder.engine, |load| adjust(load, backup_load, add));
         }
     }
 
@@ -174,6 +175,12 @@
         }
     }
 
+    /// Returns whether an engine takes part in the service and has not been started anew.
+    fn is_same(&self, holder: Holder) -> bool {
+        self.live(holder.engine)
+            .is_some_and(|endpoint| Holder::of(&endpoint) == holder)
+    }
+
     /// Returns an endpoint that takes part in the service. One that is ejected counts, because it may
     /// still hold a run or a copy that no other endpoint has.
     fn live(&self, id: EndpointId) -> Option<Arc<Endpoint>> {
@@ -186,6 +193,11 @@
     }
 }
 
+/// Returns what is known of a backup when the run is sent with the order for it.
+fn order_backup(backup: Option<&Arc<Endpoint>>) -> Standby {
+    backup.map_or(Standby::None, |backup| Standby::Ordered(Holder::of(backup)))
+}
+
 /// Adds a load to another one, or subtracts it.
 fn adjust(load: &mut Load, change: Load, add: bool) {
     if add {
@@ -271,15 +283,25 @@
     type Return = Option<Takeover>;
 
     async fn handle(&mut self, message: Failover, _: &mut Context<Self>) -> Self::Return {
-        let Failover(id, signal) = message;
+        let (id, signal) = (message.run, message.signal);
         let fail_over = |pool: &mut Self, run: &mut Run| {
             pool.observe(run.endpoint, signal);
             let now = Instant::now();
             if pool.evidence.verdict(&run.contents, now) != Verdict::Allow {
                 return None;
             }
-            let engine = run.backup.take().and_then(|id| pool.live(id))?;
-            let source_live = pool.live(run.endpoint).is_some();
+            let standby = std::mem::take(&mut run.standby);
+            let known = standby.holder().and_then(|holder| pool.live(holder.engine));
+            let (engine, standby) = match known {
+                Some(engine) => (engine, standby),
+                None if message.moves => {
+                    let engine = pool.choose_backup(run, Purpose::Run)?;
+                    let standby = Standby::Moving(Holder::of(&engine));
+                    (engine, standby)
+                }
+                None => return None,
+            };
+            let source_open = pool.is_same(message.source);
             run.endpoint = engine.id;
             run.sent_at = now;
             run.awaits_first_token = false;
@@ -288,11 +310,12 @@
             } else {
                 None
             };
-            run.backup = backup.as_ref().map(|backup| backup.id);
+            run.standby = order_backup(backup.as_ref());
             Some(Takeover {
                 engine,
+                standby,
                 backup,
-                source_live,
+                source_open,
             })
         };
         self.update_run(id, fail_over)?
@@ -305,7 +328,7 @@
     async fn handle(&mut self, Restart(id, signal): Restart, _: &mut Context<Self>) -> Place {
         let restart = |pool: &mut Self, run: &mut Run| {
             pool.observe(run.endpoint, signal);
-            run.backup = None;
+            run.standby = Standby::None;
             if !run.rejected.contains(&run.endpoint) {
                 run.rejected.push(run.endpoint);
             }
@@ -318,7 +341,7 @@
                     endpoint, backup, ..
                 } => {
                     run.endpoint = endpoint.id;
-                    run.backup = backup.as_ref().map(|backup| backup.id);
+                    run.standby = order_backup(backup.as_ref());
                     run.sent_at = now;
                     run.awaits_first_token = true;
                     Place::Engine(endpoint, backup)
@@ -336,10 +359,11 @@
 impl Handler<Rollback> for Pool {
     type Return = ();
 
-    async fn handle(&mut self, Rollback(id, engine, backup): Rollback, _: &mut Context<Self>) {
+    async fn handle(&mut self, message: Rollback, _: &mut Context<Self>) {
+        let Rollback(id, engine, standby) = message;
         self.update_run(id, |_, run| {
             run.endpoint = engine;
-            run.backup = Some(backup);
+            run.standby = standby;
         });
     }
 }
@@ -348,7 +372,35 @@
     type Return = ();
 
     async fn handle(&mut self, Abandon(id): Abandon, _: &mut Context<Self>) {
-        self.update_run(id, |_, run| run.rejected.extend(run.backup.take()));
+        self.update_run(id, |_, run| {
+            let standby = std::mem::take(&mut run.standby);
+            run.rejected
+                .extend(standby.holder().map(|holder| holder.engine));
+        });
+    }
+}
+
+impl Handler<Confirm> for Pool {
+    type Return = bool;
+
+    async fn handle(&mut self, Confirm(holder): Confirm, _: &mut Context<Self>) -> bool {
+        self.is_same(holder)
+    }
+}
+
+impl Handler<Taken> for Pool {
+    type Return = ();
+
+    async fn handle(&mut self, Taken(id): Taken, _: &mut Context<Self>) {
+        self.update_run(id, |_, run| run.standby.take_run());
+    }
+}
+
+impl Handler<Copied> for Pool {
+    type Return = ();
+
+    async fn handle(&mut self, Copied(id, engine, handle): Copied, _: &mut Context<Self>) {
+        self.update_run(id, |_, run| run.standby.complete(engine, handle));
     }
 }
 
@@ -357,12 +409,16 @@
 
     async fn handle(&mut self, Migrate(id): Migrate, _: &mut Context<Self>) -> Plan {
         let migrate = |pool: &mut Self, run: &mut Run| {
-            if run.backup.and_then(|id| pool.live(id)).is_some() {
+            if let Standby::Ordered(holder) | Standby::Backup(holder) = run.standby
+                && pool.is_same(holder)
+            {
                 return Plan::Backup;
             }
-            let backup = pool.choose_backup(run, Purpose::Run);
-            run.backup = backup.as_ref().map(|backup| backup.id);
-            backup.map_or(Plan::Unavailable, Plan::Move)
+            let target = pool.choose_backup(run, Purpose::Run);
+            run.standby = target
+                .as_ref()
+                .map_or(Standby::None, |target| Standby::Moving(Holder::of(target)));
+            target.map_or(Plan::Unavailable, Plan::Move)
         };
         self.update_run(id, migrate).unwrap_or(Plan::Unavailable)
     }
--- a/crates/daisyyard_standin/src/platform_engine.rs
+++ b/crates/daisyyard_standin/src/platform_engine.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Uri};
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -25,6 +25,9 @@
 /// Number of tokens that an event stands for.
 const TOKENS_PER_EVENT: u64 = 4;
 
+/// Path under which an engine frees a copy of the memory of a run.
+const HANDLE_PATH: &str = "/-/kv-handle/";
+
 /// Word in the body of a request that makes each engine break off the connection when it runs the
 /// request.
 pub const CRASH_WORD: &str = "crash=1";
@@ -46,6 +49,9 @@
     Hanging,
     /// Requests are run, but the response is one to another request.
     Mismatching,
+    /// Requests are run. A continuation of which the engine has no copy is run as a new request, with
+    /// status 500.
+    Careless,
 }
 
 /// A request as an engine received it.
@@ -83,6 +89,10 @@
     Full,
     /// Copies are refused, and no run is stopped.
     Unavailable,
+    /// Copies do not end, and no run is stopped.
+    Stalled,
+    /// The first copy of a run succeeds, and further ones do not end.
+    Once,
 }
 
 /// Message to the task that tracks the runs.
@@ -102,6 +112,8 @@
     LastWork(String, SocketAddr, oneshot::Sender<Option<Instant>>),
     /// Note that an engine has a copy of the memory of an attempt.
     Copy(String, SocketAddr),
+    /// Note that an engine has lost its copy of the memory of an attempt.
+    Forget(String, SocketAddr),
     /// Return what is known of an attempt at an engine.
     Find(String, SocketAddr, oneshot::Sender<Found>),
 }
@@ -179,6 +191,13 @@
         answer.await.unwrap_or_default()
     }
 
+    /// Makes an engine lose its copy of the memory of an attempt, as if it had been started anew.
+    pub fn forget(&self, attempt: &str, engine: SocketAddr) {
+        let _ = self
+            .commands
+            .send(Command::Forget(attempt.to_owned(), engine));
+    }
+
     /// Returns when an engine last worked on an attempt.
     pub async fn last_work(&self, attempt: &str, engine: SocketAddr) -> Option<Instant> {
         let (reply, answer) = oneshot::channel();
@@ -310,6 +329,9 @@
             Command::Copy(attempt, engine) => {
                 copies.insert((attempt, engine));
             }
+            Command::Forget(attempt, engine) => {
+                copies.remove(&(attempt, engine));
+            }
             Command::Find(attempt, engine, reply) => {
                 let is_current = running.get(&attempt) == Some(&engine);
                 let key = (attempt, engine);
@@ -330,30 +352,27 @@
         let (parts, body) = request.into_parts();
         let body = http::read_body(body).await.unwrap_or_default();
         if parts.uri.path() == "/-/kv-move" {
-            return self.copy(&body);
+            return self.copy(&body).await;
         }
         let headers = parts.headers;
+        if parts.uri.path().starts_with(HANDLE_PATH) {
+            self.record(&parts.uri, &headers, body, false);
+            return http::json(StatusCode::OK, &json!({}));
+        }
         let attempt = header_text(&headers, "x-daisyyard-attempt-id");
         let mode = *self.mode.borrow();
         let expected = header_text(&headers, "x-daisyyard-expected-instance");
         let resumed = headers.contains_key("kv-from");
         let available = !resumed || self.find(&attempt).await.is_some_and(|it| it.has_memory);
-        let ran = expected == self.name && mode != Mode::Declining && available;
+        let accepts = available || mode == Mode::Careless;
+        let ran = expected == self.name && mode != Mode::Declining && accepts;
         let crashes = body
             .windows(CRASH_WORD.len())
             .any(|word| word == CRASH_WORD.as_bytes())
             || header_text(&headers, "x-daisyyard-prompt-prefix")
                 .split(',')
                 .any(|part| part.split(':').next() == Some(CRASH_PART));
-        let arrival = Arrival {
-            engine: self.name.clone(),
-            path: parts.uri.to_string(),
-            headers: headers.clone(),
-            body,
-            ran,
-            at: Instant::now(),
-        };
-        let _ = self.runs.send(Command::Record(Box::new(arrival)));
+        self.record(&parts.uri, &headers, body, ran);
         if expected != self.name {
             return response(StatusCode::MISDIRECTED_REQUEST, &attempt, http::full(""));
         }
@@ -373,6 +392,11 @@
             return cut;
         }
         match mode {
+            Mode::Careless if !available => response(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                &attempt,
+                http::full("no copy"),
+            ),
             Mode::Failing => response(
                 StatusCode::INTERNAL_SERVER_ERROR,
                 &attempt,
@@ -380,10 +404,23 @@
             ),
             Mode::Hanging => std::future::pending().await,
             Mode::Mismatching => response(StatusCode::OK, "another", http::full("of another")),
-            Mode::Serving | Mode::Declining => self.serve(&headers, &attempt),
+            Mode::Serving | Mode::Declining | Mode::Careless => self.serve(&headers, &attempt),
         }
     }
 
+    /// Records a received request.
+    fn record(&self, uri: &Uri, headers: &HeaderMap, body: Bytes, ran: bool) {
+        let arrival = Arrival {
+            engine: self.name.clone(),
+            path: uri.to_string(),
+            headers: headers.clone(),
+            body,
+            ran,
+            at: Instant::now(),
+        };
+        let _ = self.runs.send(Command::Record(Box::new(arrival)));
+    }
+
     /// Runs a request: streams events to an engine request, and answers any other at once.
     fn serve(self, headers: &HeaderMap, attempt: &str) -> Response<Body> {
         let usage = header_text(headers, "x-daisyyard-token-usage");
@@ -431,7 +468,7 @@
     }
 
     /// Copies the memory of a run to another engine, and moves the run if `last` is set.
-    fn copy(&self, body: &[u8]) -> Response<Body> {
+    async fn copy(&self, body: &[u8]) -> Response<Body> {
         let body: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
         let attempt = body["id"].as_str().unwrap_or_default().to_owned();
         let target = body["target"]
@@ -441,12 +478,17 @@
             return http::json(StatusCode::BAD_REQUEST, &json!({}));
         };
         let room = *self.room.borrow();
+        let copied = self.find_at(&attempt, target).await;
+        let copied = copied.is_some_and(|found| found.has_memory);
+        if room == Room::Stalled || (room == Room::Once && copied) {
+            return std::future::pending().await;
+        }
         let stops = body["last"] == true && room != Room::Unavailable;
         if stops {
             let _ = self.runs.send(Command::Stop(attempt.clone(), self.address));
         }
         match room {
-            Room::Free => {
+            Room::Free | Room::Once | Room::Stalled => {
                 let _ = self.runs.send(Command::Copy(attempt, target));
                 http::json(StatusCode::OK, &json!({ "handle": "copy-1", "created": 0 }))
             }
@@ -463,8 +505,13 @@
     /// Returns what is known of an attempt at this engine; `None` if the task that tracks the runs
     /// has ended.
     async fn find(&self, attempt: &str) -> Option<Found> {
+        self.find_at(attempt, self.address).await
+    }
+
+    /// Returns what is known of an attempt at any engine.
+    async fn find_at(&self, attempt: &str, engine: SocketAddr) -> Option<Found> {
         let (reply, answer) = oneshot::channel();
-        let command = Command::Find(attempt.to_owned(), self.address, reply);
+        let command = Command::Find(attempt.to_owned(), engine, reply);
         let _ = self.runs.send(command);
         answer.await.ok()
     }
