Learn how long leaving engines stay, and plan the moves of their runs

Cause: the moves of runs at leaving engines knew neither how long an engine has nor which engines leave next.

--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -50,6 +50,8 @@
     pub(crate) endpoint: Arc<Endpoint>,
     /// Load of this node.
     pub(crate) local_load: Load,
+    /// When this start of the endpoint was first listed.
+    pub(crate) since: Instant,
     /// Loads of other nodes, with the arrival times of their digests.
     pub(crate) node_loads: HashMap<InstanceId, (Load, Instant)>,
     /// End of the time in which the endpoint is slow after its start.
@@ -76,10 +78,11 @@
 
 impl Candidate {
     /// Creates a candidate without load.
-    pub(crate) fn new(endpoint: Arc<Endpoint>, cold_until: Instant) -> Self {
+    pub(crate) fn new(endpoint: Arc<Endpoint>, cold_until: Instant, now: Instant) -> Self {
         Self {
             endpoint,
             local_load: Load::default(),
+            since: now,
             node_loads: HashMap::new(),
             cold_until,
             grace_until: None,
--- a/crates/daisyyard_core/src/catalog.rs
+++ b/crates/daisyyard_core/src/catalog.rs
@@ -72,6 +72,8 @@
     pub backups: bool,
     /// Whether an engine can migrate a run to another engine.
     pub moves: bool,
+    /// Time that the link of an engine needs for the memory of one token.
+    pub token_time: Duration,
 }
 
 /// A client account and its priority, to which a credential maps.
--- a/crates/daisyyard_core/src/choice.rs
+++ b/crates/daisyyard_core/src/choice.rs
@@ -30,6 +30,11 @@
 /// Largest random weight of an engine for a copy. An engine transfers copies one after another
 /// over its links, so they are spread more widely than runs.
 const COPY_JITTER: f64 = 0.8;
+/// Weight of an engine that was there when a wave of leaving engines began, which it may join next. A
+/// further move costs less than a copy between zones.
+const OLD_ENGINE_WEIGHT: f64 = 0.7;
+/// Weight of an engine in a zone whose engines leave. It outweighs a copy between zones.
+const LEAVING_ZONE_WEIGHT: f64 = 2.0;
 /// Minimum number of engines to compare, so that a failing or slow one is still avoided.
 const MIN_SAMPLE: usize = 4;
 
@@ -139,6 +144,7 @@
                 && candidate.grace_until.is_none()
         });
         let (random, stretches) = (&mut self.random, &self.stretches);
+        let (began, wave_zone) = (self.wave.began(now), self.wave.zone(now));
         let weighed = candidates.filter_map(|(_, candidate)| {
             let share = candidate.memory_share(need, now);
             // A copy within a zone takes half the time.
@@ -148,8 +154,20 @@
                 COPY_ZONE_WEIGHT
             };
             let pauses = candidate.pause_weight(need, candidate.load(now).runs, stretches);
-            let weight = share + distance + pauses + random.random_range(0.0..COPY_JITTER);
-            (share <= max_share).then_some((weight, candidate))
+            let in_wave = began.is_some_and(|began| candidate.since <= began);
+            let next_to_leave = if in_wave { OLD_ENGINE_WEIGHT } else { 0.0 };
+            let zone_leaves = if wave_zone == Some(candidate.endpoint.zone.id) {
+                LEAVING_ZONE_WEIGHT
+            } else {
+                0.0
+            };
+            let spread = random.random_range(0.0..COPY_JITTER);
+            let weight = share + distance + pauses + next_to_leave + zone_leaves + spread;
+            let has_slot = match purpose {
+                Purpose::Run => candidate.load(now).runs < candidate.endpoint.slots,
+                Purpose::Copy => true,
+            };
+            (has_slot && share <= max_share).then_some((weight, candidate))
         });
         let least = weighed.min_by(|one, two| one.0.total_cmp(&two.0));
         least.map(|(_, candidate)| Arc::clone(&candidate.endpoint))
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -15,10 +15,11 @@
 use crate::access::Access;
 use crate::candidate::Candidate;
 use crate::ejection::Ejections;
-use crate::endpoint::{Endpoint, State};
+use crate::endpoint::{Endpoint, Kind, State};
 use crate::id::{EndpointId, InstanceId, Revision};
 use crate::load::Load;
 use crate::pace::{Pace, Stretches};
+use crate::wave::Wave;
 use crate::zone::Zone;
 
 /// Time for which the loads of an endpoint are kept after it is no longer listed. Its entry may be
@@ -55,6 +56,8 @@
     pub(crate) ejections: Ejections,
     /// Revision of the store up to which its entries have been read.
     revision: Revision,
+    /// Engines that leave one after another.
+    pub(crate) wave: Wave,
     /// Factors by which pauses in streams are stretched.
     pub(crate) stretches: Stretches,
     /// Number of runs that other nodes are likely to have started since their last digests.
@@ -71,6 +74,7 @@
             candidates: BTreeMap::new(),
             ejections: Ejections::default(),
             revision: 0,
+            wave: Wave::default(),
             stretches: Stretches::default(),
             unseen_runs: 0,
             random: Pcg64Mcg::seed_from_u64(seed),
@@ -97,10 +101,19 @@
         let candidate = self
             .candidates
             .entry(endpoint.id)
-            .or_insert_with(|| Candidate::new(Arc::clone(&endpoint), now));
-        if candidate.endpoint.incarnation != endpoint.incarnation {
+            .or_insert_with(|| Candidate::new(Arc::clone(&endpoint), now, now));
+        let anew = candidate.endpoint.incarnation != endpoint.incarnation;
+        if anew {
             candidate.pace = Pace::default();
         }
+        if !leaving && (anew || left || candidate.unlisted_at.is_some()) {
+            candidate.since = now;
+        }
+        if !leaving {
+            self.wave.stay(endpoint.id);
+        } else if endpoint.kind == Kind::Engine {
+            self.wave.notice(endpoint.id, endpoint.zone.id, now);
+        }
         candidate.endpoint = endpoint;
         candidate.cold_until = now + cold;
         candidate.grace_until = None;
@@ -129,6 +142,12 @@
         let candidate = self.candidates.get_mut(&id);
         let candidate = candidate.filter(|candidate| candidate.unlisted_at.is_none());
         candidate.is_some_and(|candidate| {
+            if self.wave.contains(id) {
+                self.wave.end(id, now);
+            } else if candidate.endpoint.kind == Kind::Engine {
+                // Some engines delete their entry as the notice.
+                self.wave.notice(id, candidate.endpoint.zone.id, now);
+            }
             candidate.grace_until = None;
             candidate.unlisted_at = Some(now);
             candidate.departed.get_or_insert((now, self.revision));
@@ -182,7 +201,7 @@
 
     /// Marks an endpoint as leaving on the report of another node; returns whether this is new. A
     /// report is ignored if this node has read a later entry of the endpoint.
-    pub fn mark_leaving(&mut self, id: EndpointId, revision: Revision) -> bool {
+    pub fn mark_leaving(&mut self, id: EndpointId, revision: Revision, now: Instant) -> bool {
         let candidate = self.candidates.get_mut(&id);
         let candidate = candidate.filter(|candidate| {
             let listed = candidate.unlisted_at.is_none() && candidate.endpoint.state == State::Live;
@@ -190,6 +209,9 @@
         });
         candidate.is_some_and(|candidate| {
             Arc::make_mut(&mut candidate.endpoint).state = State::Leaving;
+            if candidate.endpoint.kind == Kind::Engine {
+                self.wave.notice(id, candidate.endpoint.zone.id, now);
+            }
             true
         })
     }
@@ -236,6 +258,16 @@
         Some(self.candidates.get(&id)?.access(now))
     }
 
+    /// Returns when a leaving engine is expected to end; none if it was not seen to leave.
+    pub fn expected_end(&self, id: EndpointId) -> Option<Instant> {
+        self.wave.expected_end(id)
+    }
+
+    /// Returns the time between two events at an engine, if it is known.
+    pub fn pace(&self, id: EndpointId) -> Option<Duration> {
+        self.candidates.get(&id)?.pace.estimate()
+    }
+
     /// Changes the load of this node at an endpoint.
     pub fn update_load(&mut self, id: EndpointId, change: impl FnOnce(&mut Load)) {
         if let Some(candidate) = self.candidates.get_mut(&id) {
@@ -247,6 +279,10 @@
     pub fn observe(&mut self, id: EndpointId, signal: Signal, now: Instant) {
         if let Some(candidate) = self.candidates.get_mut(&id) {
             candidate.observe(signal, now);
+            let broke = !matches!(signal, Signal::Neutral | Signal::Answered);
+            if broke && candidate.endpoint.state != State::Live {
+                self.wave.end(id, now);
+            }
         }
     }
 
--- a/crates/daisyyard_core/tests/pool_choice.rs
+++ b/crates/daisyyard_core/tests/pool_choice.rs
@@ -149,12 +149,12 @@
     first.put(leaving, Duration::ZERO, now);
     let departures: Vec<_> = first.departures(now).collect();
     assert_eq!(departures, vec![(one, 5)]);
-    assert!(second.mark_leaving(one, 5));
-    assert!(!second.mark_leaving(one, 5), "reported again");
+    assert!(second.mark_leaving(one, 5, now));
+    assert!(!second.mark_leaving(one, 5, now), "reported again");
     assert_matches!(second.choose(&need(1, false), &[], now), Choice::Missing);
     second.advance(6);
     second.put(engine("one", "a"), Duration::ZERO, now);
-    assert!(!second.mark_leaving(one, 5), "older than the entry");
+    assert!(!second.mark_leaving(one, 5, now), "older than the entry");
     assert!(chosen(&mut second, &need(1, false), &[], now).is_some());
     let later = now + Duration::from_secs(3);
     assert_eq!(first.departures(later).count(), 0, "old report");
--- a/crates/daisyyard_gateway/src/codec.rs
+++ b/crates/daisyyard_gateway/src/codec.rs
@@ -228,6 +228,8 @@
 pub struct Engine {
     /// Copies the KV cache of a run to another engine; the last copy ends the run at the source.
     pub copy_cache: fn(attempt: &str, target: SocketAddr, last: bool) -> Call,
+    /// Frees a copy that is not used, at the engine that made it and at the one that holds it.
+    pub free_copy: fn(handle: &str) -> Call,
     /// Decodes the response to `copy_cache`.
     pub read_transfer: fn(StatusCode, &[u8]) -> anyhow::Result<Transfer>,
 }
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -61,6 +61,10 @@
     RefusalUnstored = 140,
     /// An engine was asked to stop a run so that another one can continue it.
     RunHalted = 141,
+    /// A copy of the KV cache of a run that is not used was freed.
+    CopyFreed = 180,
+    /// The target of a move or the backup engine of a run is given up.
+    TargetChanged = 181,
 }
 
 /// Log level of each event.
@@ -93,6 +97,8 @@
     (Event::ContentRefused, Level::Warn),
     (Event::RefusalUnstored, Level::Warn),
     (Event::RunHalted, Level::Info),
+    (Event::CopyFreed, Level::Info),
+    (Event::TargetChanged, Level::Info),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -16,7 +16,7 @@
 use crate::event::Event;
 use crate::halt::{Halt, halt};
 use crate::message::{Confirm, Failover, Retry, Rollback, Takeover};
-use crate::migration::State;
+use crate::migration::{RETRY_INTERVAL, State};
 use crate::relay::{LEAVING, Relay, SILENT};
 
 /// Timeout for an engine to resume a run.
@@ -58,6 +58,9 @@
         let cause = cause(reason);
         let migrating = !matches!(self.migration, State::Idle);
         let step = self.leave(&departure, cause).await;
+        if step == Step::Stay && cause == Cause::Leaving && matches!(self.migration, State::Idle) {
+            self.migration = State::Due(Instant::now() + RETRY_INTERVAL);
+        }
         if step == Step::Stay && !migrating && cause == Cause::Silent {
             // A silent engine does not leave, so that its run is not moved further.
             self.migration = State::Idle;
@@ -144,6 +147,10 @@
             source_open: takeover.source_open,
             repeatable,
         };
+        if matches!(halt.stop(), Stop::Moved | Stop::Kept) {
+            // Freeing an earlier copy could free the memory of the stopped run.
+            self.unused_copy = None;
+        }
         let mut asked = false;
         let mut step = situation.begin();
         while let Step::Resume(place) = step {
@@ -159,12 +166,16 @@
             self.record_move(source, engine, departure.started, log, resumed);
             match resumed {
                 Ok(()) => {
+                    if place == Place::Backup {
+                        self.free_copies();
+                    }
+                    self.unused_copy = None;
                     if place == Place::Source {
                         let backup = self.keeps_backup().then(|| Holder::of(&target));
                         let standby = backup.map_or(Standby::None, Standby::Ordered);
                         self.roll_back(departure, standby).await;
                     }
-                    self.switch_to(Arc::clone(engine));
+                    self.switch_to(Arc::clone(engine)).await;
                     return step;
                 }
                 Err(obstacle) => {
@@ -177,8 +188,8 @@
             }
         }
         self.roll_back(departure, takeover.standby).await;
-        let useless = asked || halt.stop() == Stop::Kept;
-        if useless || cause == Cause::Leaving {
+        // An engine that did not answer may end. A copy that was made before is used then.
+        if asked || matches!(halt.stop(), Stop::Kept | Stop::Running) {
             self.abandon_target().await;
         }
         step
@@ -329,7 +340,7 @@
     }
 
     /// Makes the engine that resumed the run the current one.
-    pub(crate) fn switch_to(&mut self, engine: Arc<Endpoint>) {
+    pub(crate) async fn switch_to(&mut self, engine: Arc<Endpoint>) {
         self.grant.endpoint = engine;
         self.grant.signal = Signal::Neutral;
         self.migration = State::Idle;
@@ -338,5 +349,10 @@
         self.first_data_at = Some(Instant::now());
         // Notices from before the failover are about the previous engine.
         while self.grant.notices.try_recv().is_ok() {}
+        // Among them may be that the new engine has begun to leave.
+        let confirm = Confirm(Holder::of(&self.grant.endpoint));
+        if !self.proxy.pool.send(confirm).await.unwrap_or(true) {
+            self.migration = State::Due(Instant::now());
+        }
     }
 }
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -37,6 +37,7 @@
 pub(crate) mod server;
 pub mod settings;
 pub mod sse;
+pub(crate) mod standby;
 pub(crate) mod store;
 pub mod timer;
 pub(crate) mod watcher;
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -10,6 +10,7 @@
 use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, RequestId, Revision, ServiceId};
 use daisyyard_core::knowledge;
 use daisyyard_core::load::{Load, Need};
+use daisyyard_core::migration::Freight;
 use daisyyard_core::pool::Signal;
 use daisyyard_core::roster::Role;
 use daisyyard_core::shared_retry_budget::{self, Limits};
@@ -134,13 +135,25 @@
 #[derive(Debug)]
 pub(crate) struct Taken(pub(crate) RequestId);
 
-/// Reports that a copy of a run to an engine has ended, and its handle.
+/// Reports that a copy of a run to an engine has ended.
 #[derive(Debug)]
-pub(crate) struct Copied(
-    pub(crate) RequestId,
-    pub(crate) EndpointId,
-    pub(crate) String,
-);
+pub(crate) struct Copied {
+    /// The run.
+    pub(crate) run: RequestId,
+    /// Engine that holds the copy.
+    pub(crate) target: EndpointId,
+    /// Handle of the copy.
+    pub(crate) handle: String,
+}
+
+/// How a run that is being moved goes on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Outlook {
+    /// Time that its engine is expected to have left.
+    pub(crate) left: Duration,
+    /// Whether the target is still in service.
+    pub(crate) target_open: bool,
+}
 
 /// Asks for another engine at which a run starts anew. The signal is that of the previous endpoint.
 #[derive(Debug)]
@@ -171,17 +184,16 @@
 
 /// Asks how a run can migrate away from a leaving engine, and reserves capacity for it.
 #[derive(Debug)]
-pub(crate) struct Migrate(pub(crate) RequestId);
+pub(crate) struct Migrate(pub(crate) RequestId, pub(crate) Freight);
 
 /// How a run can migrate away from its engine.
 #[derive(Debug, Clone)]
 pub(crate) enum Plan {
-    /// The run has a backup, from which it continues once its engine ends.
-    Backup,
+    /// The run stays: it ends in time, has a backup from which it continues once its engine ends, waits
+    /// for others that are moved first, or no engine has capacity at the moment.
+    Stay,
     /// The KV cache moves to this engine, which has capacity.
     Move(Arc<Endpoint>),
-    /// No engine has capacity at the moment.
-    Unavailable,
 }
 
 /// Asks whether the retry budget of a service allows another send.
--- a/crates/daisyyard_gateway/src/migration.rs
+++ b/crates/daisyyard_gateway/src/migration.rs
@@ -1,10 +1,12 @@
 //! Live migration of a stream away from an engine that is leaving: the KV cache is copied to
 //! another engine in rounds while the run continues, and the run stops only for the last copy.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use daisyyard_core::endpoint::Endpoint;
+use daisyyard_core::migration::{Freight, Round, next_round};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::codec::Transfer;
@@ -16,13 +18,11 @@
 use crate::store;
 
 /// Delay before another attempt to find an engine with capacity for the run.
-const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+pub(crate) const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of one copy of a run's KV cache.
 pub(crate) const COPY_TIMEOUT: Duration = Duration::from_secs(3);
-/// After a copy this short, the last one is small enough that callers notice no pause.
-const SHORT_COPY_TIME: Duration = Duration::from_millis(50);
-/// Maximum number of repeated copies before the last one, which stops the run.
-const MAX_LIVE_COPIES: u32 = 8;
+/// Timeout of the call that frees a copy; an engine frees it by itself later.
+const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Progress of a migration.
 #[derive(Debug)]
@@ -57,19 +57,23 @@
 
     /// Takes the next step of the migration; returns whether the stream continues.
     pub(crate) async fn advance_migration(&mut self) -> bool {
-        let plan = self.proxy.pool.send(Migrate(self.grant.run)).await;
-        match plan.unwrap_or(Plan::Unavailable) {
-            Plan::Move(target) if self.supports_moves() => {
-                self.begin_copies(target);
-                true
-            }
-            // A run with a backup goes on until the engine ends, which leaves the engine's link to the
-            // runs without one. The backup engine then continues it.
-            Plan::Backup | Plan::Move(_) | Plan::Unavailable => {
+        let job = &self.job;
+        let freight = Freight::new(
+            &job.need(),
+            job.parameters.max_output_tokens,
+            self.splitter.last_number().unwrap_or(0),
+            job.priority(),
+            job.engine
+                .map_or(Duration::ZERO, |engine| engine.token_time),
+        );
+        let plan = self.proxy.pool.send(Migrate(self.grant.run, freight)).await;
+        match plan.unwrap_or(Plan::Stay) {
+            Plan::Move(target) if self.supports_moves() => self.begin_copies(target),
+            Plan::Move(_) | Plan::Stay => {
                 self.migration = State::Due(Instant::now() + RETRY_INTERVAL);
-                true
             }
         }
+        true
     }
 
     /// Starts the first copy.
@@ -109,46 +113,122 @@
         else {
             return true;
         };
-        if let Ok(Transfer::Copied(handle)) = &result {
-            let copied = Copied(self.grant.run, target.id, handle.clone());
-            // The pool ends only with the process.
-            let _ = self.proxy.pool.send(copied).await;
-        }
+        let took = started.elapsed();
         match result {
-            Ok(Transfer::Copied(_))
-                if started.elapsed() > SHORT_COPY_TIME && rounds < MAX_LIVE_COPIES =>
-            {
-                self.start_copy(target, rounds + 1);
+            Ok(Transfer::Copied(handle)) => self.continue_move(target, handle, took, rounds).await,
+            failed => {
+                self.log_failed_copy(&target, took, rounds, &failed);
+                if matches!(failed, Ok(Transfer::Refused(_))) {
+                    self.abandon_target().await;
+                } else {
+                    // The engine of the run ends, or has another call for it under way. What was copied
+                    // before stays of use.
+                    self.migration = State::Due(Instant::now() + RETRY_INTERVAL);
+                }
                 true
             }
-            Ok(Transfer::Copied(_)) => self.fail_over(LEAVING).await,
-            failed => {
-                let reason = match failed {
-                    Ok(answer) => format!("{answer:?}"),
-                    Err(error) => error.to_string(),
-                };
-                let details = format!(
-                    "request={} endpoint={} target={} ms={} rounds={rounds} reason={reason:?}",
-                    self.job.attempt,
-                    self.grant.endpoint.name,
-                    target.name,
-                    started.elapsed().as_millis(),
-                );
-                self.proxy.log.emit(Event::CopyFailed, &details);
-                self.abandon_target().await;
+        }
+    }
+
+    /// Makes the next copy after one that has ended; returns whether the stream continues.
+    async fn continue_move(
+        &mut self,
+        target: Arc<Endpoint>,
+        handle: String,
+        took: Duration,
+        rounds: u32,
+    ) -> bool {
+        self.unused_copy = Some((self.grant.endpoint.address, handle.clone()));
+        let copied = Copied {
+            run: self.grant.run,
+            target: target.id,
+            handle,
+        };
+        // The pool ends only with the process.
+        let Ok(outlook) = self.proxy.pool.send(copied).await else {
+            return false;
+        };
+        if !outlook.target_open {
+            self.abandon_target().await;
+            return true;
+        }
+        match next_round(took, outlook.left, rounds + 1) {
+            Round::Again => {
+                self.start_copy(target, rounds + 1);
                 true
             }
+            Round::Last => self.fail_over(LEAVING).await,
         }
     }
 
-    /// Gives up the target engine and schedules the search for another one.
+    /// Logs a copy that failed.
+    fn log_failed_copy(
+        &self,
+        target: &Endpoint,
+        took: Duration,
+        rounds: u32,
+        failed: &Result<Transfer, store::Error>,
+    ) {
+        let reason = match failed {
+            Ok(answer) => format!("{answer:?}"),
+            Err(error) => error.to_string(),
+        };
+        let details = format!(
+            "request={} endpoint={} target={} ms={} rounds={rounds} reason={reason:?}",
+            self.job.attempt,
+            self.grant.endpoint.name,
+            target.name,
+            took.as_millis(),
+        );
+        self.proxy.log.emit(Event::CopyFailed, &details);
+    }
+
+    /// Gives up the target engine, and looks for another one at once.
     pub(crate) async fn abandon_target(&mut self) {
+        self.free_copies();
+        let details = format!(
+            "request={} endpoint={}",
+            self.job.attempt, self.grant.endpoint.name
+        );
+        self.proxy.log.emit(Event::TargetChanged, &details);
         // The pool ends only with the process.
         let _ = self.proxy.pool.send(Abandon(self.grant.run)).await;
-        self.migration = State::Due(Instant::now() + RETRY_INTERVAL);
+        self.migration = State::Due(Instant::now());
+    }
+
+    /// Frees copies that no engine will use: the one that is known, and the one under way once it has
+    /// ended. They would hold memory and a slot at their engine for seconds.
+    pub(crate) fn free_copies(&mut self) {
+        if let Some((source, handle)) = self.unused_copy.take() {
+            tokio::spawn(free_copy(
+                self.proxy.clone(),
+                Arc::clone(&self.job),
+                source,
+                handle,
+            ));
+        }
+        if let State::Copying(copying) = std::mem::replace(&mut self.migration, State::Idle) {
+            let (proxy, job) = (self.proxy.clone(), Arc::clone(&self.job));
+            let source = self.grant.endpoint.address;
+            let task = copying.task.detach();
+            tokio::spawn(async move {
+                if let Ok(Ok(Transfer::Copied(handle))) = task.await {
+                    free_copy(proxy, job, source, handle).await;
+                }
+            });
+        }
     }
 }
 
+/// Frees a copy at the engine that made it.
+async fn free_copy(proxy: Proxy, job: Arc<Job>, source: SocketAddr, handle: String) {
+    let call = (proxy.codec.engine.free_copy)(&handle);
+    let answer = store::exchange(source, call, FREE_TIMEOUT, store::MAX_RESULT_BYTES).await;
+    let status = answer.map_or(0, |(status, _)| status.as_u16());
+    let details = format!("request={} handle={handle} status={status}", job.attempt);
+    proxy.log.emit(Event::CopyFreed, &details);
+}
+
 /// Asks the engine `source` of a run to copy the KV cache to another engine; the last copy stops the
 /// run at the source.
 pub(crate) fn request_copy(
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -231,7 +231,7 @@
 
     /// Marks an endpoint as leaving because another gateway has read so.
     pub(crate) fn mark_leaving(&mut self, id: EndpointId, revision: Revision) {
-        if !self.endpoints.mark_leaving(id, revision) {
+        if !self.endpoints.mark_leaving(id, revision, Instant::now()) {
             return;
         }
         if let Some(endpoint) = self.endpoints.endpoint(id) {
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -1,6 +1,7 @@
 //! Task that forwards a stream and resumes its run at another engine if its own is leaving or
 //! fails.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -58,6 +59,8 @@
     pub(crate) proven: bool,
     /// Gaps between the events.
     pub(crate) gaps: Gaps,
+    /// Copy of the run at another engine that is not used yet: the engine that made it, and the handle.
+    pub(crate) unused_copy: Option<(SocketAddr, String)>,
     /// Progress of the migration to another engine.
     pub(crate) migration: State,
     /// Number of further engines at which the run may start anew.
@@ -116,6 +119,7 @@
             taken: false,
             proven: false,
             gaps: Gaps::default(),
+            unused_copy: None,
             migration: State::Idle,
             runs_left,
         }
@@ -167,6 +171,7 @@
                 Action::Expire => break "expired",
             }
         };
+        self.free_copies();
         if reason == "interrupted" {
             let details = format!(
                 "request={} endpoint={} events={}",
--- a/crates/daisyyard_gateway/src/restart.rs
+++ b/crates/daisyyard_gateway/src/restart.rs
@@ -54,7 +54,7 @@
                 Err(Obstacle::NotAllowed)
             };
             self.record_move(&source, &engine, started, ("restart", reason), resumed);
-            self.switch_to(engine);
+            self.switch_to(engine).await;
             match resumed {
                 Ok(()) => {
                     self.runs_left -= 1;
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -11,15 +11,13 @@
 use daisyyard_core::endpoint::{Endpoint, Kind};
 use daisyyard_core::id::{EndpointId, Fingerprint, RequestId, ServiceId};
 use daisyyard_core::load::{Load, Need};
+use daisyyard_core::migration::Freight;
 use daisyyard_core::pool::Signal;
 use tokio::sync::mpsc;
 use xtra::{Context, Handler};
 
 use crate::digest::early_interval;
-use crate::message::{
-    Abandon, Claim, Confirm, Copied, Failover, FirstToken, Grant, Migrate, Notice, ObserveGaps,
-    Place, Placement, Plan, Release, Restart, Rollback, Taken, Takeover,
-};
+use crate::message::{Claim, FirstToken, Grant, Notice, ObserveGaps, Placement, Release};
 use crate::pool::Pool;
 
 /// Maximum number of waiting requests; a request beyond it is refused and may be retried later.
@@ -36,17 +34,19 @@
     /// Endpoint that runs the request.
     pub(crate) endpoint: EndpointId,
     /// Copy of the run's KV cache at another engine.
-    standby: Standby,
+    pub(crate) standby: Standby,
     /// Engines that failed to take over the run.
-    rejected: Vec<EndpointId>,
+    pub(crate) rejected: Vec<EndpointId>,
     /// Resources that the request needs.
-    need: Need,
+    pub(crate) need: Need,
+    /// Memory that is to be moved, once the engine leaves.
+    pub(crate) freight: Option<Freight>,
     /// Fingerprints of what the caller asks for.
     pub(crate) contents: Arc<[Fingerprint]>,
     /// When the run was sent to its endpoint.
     pub(crate) sent_at: Instant,
     /// Whether the first token has not arrived yet.
-    awaits_first_token: bool,
+    pub(crate) awaits_first_token: bool,
     /// Notifies the task of the request of changes of the endpoint.
     pub(crate) notices: mpsc::Sender<Notice>,
 }
@@ -81,6 +81,7 @@
             standby: order_backup(backup.as_ref()),
             rejected: Vec::new(),
             need: claim.need,
+            freight: None,
             contents: claim.contents,
             sent_at: now,
             awaits_first_token: true,
@@ -126,8 +127,10 @@
                 0
             },
         };
+        // A copy of a move has a slot, in which the run continues; a backup has only memory.
+        let has_slot = matches!(run.standby, Standby::Moving(_) | Standby::Moved(..));
         let backup_load = Load {
-            runs: 0,
+            runs: u32::from(has_slot),
             prefill: 0,
             ..run_load
         };
@@ -140,7 +143,7 @@
     }
 
     /// Changes a run and the loads that it causes; returns `None` if the run has ended.
-    fn update_run<T>(
+    pub(crate) fn update_run<T>(
         &mut self,
         id: RequestId,
         change: impl FnOnce(&mut Self, &mut Run) -> T,
@@ -155,7 +158,7 @@
 
     /// Chooses an engine for a copy of a run, other than its own and those that failed to take
     /// over.
-    fn choose_backup(&mut self, run: &Run, purpose: Purpose) -> Option<Arc<Endpoint>> {
+    pub(crate) fn choose_backup(&mut self, run: &Run, purpose: Purpose) -> Option<Arc<Endpoint>> {
         let now = Instant::now();
         let mut excluded = run.rejected.clone();
         excluded.push(run.endpoint);
@@ -168,22 +171,16 @@
     }
 
     /// Updates the health of an endpoint, and reports a failure that concerns all gateways at once.
-    fn observe(&mut self, endpoint: EndpointId, signal: Signal) {
+    pub(crate) fn observe(&mut self, endpoint: EndpointId, signal: Signal) {
         self.endpoints.observe(endpoint, signal, Instant::now());
         if matches!(signal, Signal::Lost | Signal::Refused) {
             self.changed.notify_one();
         }
     }
 
-    /// Returns whether an engine takes part in the service and has not been started anew.
-    fn is_same(&self, holder: Holder) -> bool {
-        self.live(holder.engine)
-            .is_some_and(|endpoint| Holder::of(&endpoint) == holder)
-    }
-
     /// Returns an endpoint that takes part in the service. One that is ejected counts, because it may
     /// still hold a run or a copy that no other endpoint has.
-    fn live(&self, id: EndpointId) -> Option<Arc<Endpoint>> {
+    pub(crate) fn live(&self, id: EndpointId) -> Option<Arc<Endpoint>> {
         match self.endpoints.access(id, Instant::now())? {
             Access::Open | Access::Closed(Reason::Ejected, _) => {
                 self.endpoints.endpoint(id).map(Arc::clone)
@@ -194,7 +191,7 @@
 }
 
 /// Returns what is known of a backup when the run is sent with the order for it.
-fn order_backup(backup: Option<&Arc<Endpoint>>) -> Standby {
+pub(crate) fn order_backup(backup: Option<&Arc<Endpoint>>) -> Standby {
     backup.map_or(Standby::None, |backup| Standby::Ordered(Holder::of(backup)))
 }
 
@@ -278,148 +275,3 @@
         }
     }
 }
-
-impl Handler<Failover> for Pool {
-    type Return = Option<Takeover>;
-
-    async fn handle(&mut self, message: Failover, _: &mut Context<Self>) -> Self::Return {
-        let (id, signal) = (message.run, message.signal);
-        let fail_over = |pool: &mut Self, run: &mut Run| {
-            pool.observe(run.endpoint, signal);
-            let now = Instant::now();
-            if pool.evidence.verdict(&run.contents, now) != Verdict::Allow {
-                return None;
-            }
-            let standby = std::mem::take(&mut run.standby);
-            let known = standby.holder().and_then(|holder| pool.live(holder.engine));
-            let (engine, standby) = match known {
-                Some(engine) => (engine, standby),
-                None if message.moves => {
-                    let engine = pool.choose_backup(run, Purpose::Run)?;
-                    let standby = Standby::Moving(Holder::of(&engine));
-                    (engine, standby)
-                }
-                None => return None,
-            };
-            let source_open = pool.is_same(message.source);
-            run.endpoint = engine.id;
-            run.sent_at = now;
-            run.awaits_first_token = false;
-            let backup = if run.need.backup {
-                pool.choose_backup(run, Purpose::Copy)
-            } else {
-                None
-            };
-            run.standby = order_backup(backup.as_ref());
-            Some(Takeover {
-                engine,
-                standby,
-                backup,
-                source_open,
-            })
-        };
-        self.update_run(id, fail_over)?
-    }
-}
-
-impl Handler<Restart> for Pool {
-    type Return = Place;
-
-    async fn handle(&mut self, Restart(id, signal): Restart, _: &mut Context<Self>) -> Place {
-        let restart = |pool: &mut Self, run: &mut Run| {
-            pool.observe(run.endpoint, signal);
-            run.standby = Standby::None;
-            if !run.rejected.contains(&run.endpoint) {
-                run.rejected.push(run.endpoint);
-            }
-            let now = Instant::now();
-            if pool.evidence.verdict(&run.contents, now) != Verdict::Allow {
-                return Place::Missing;
-            }
-            match pool.endpoints.choose(&run.need, &run.rejected, now) {
-                Choice::Send {
-                    endpoint, backup, ..
-                } => {
-                    run.endpoint = endpoint.id;
-                    run.standby = order_backup(backup.as_ref());
-                    run.sent_at = now;
-                    run.awaits_first_token = true;
-                    Place::Engine(endpoint, backup)
-                }
-                Choice::Wait => Place::Full,
-                Choice::Missing => Place::Missing,
-            }
-        };
-        let place = self.update_run(id, restart).unwrap_or(Place::Missing);
-        self.changed.notify_one();
-        place
-    }
-}
-
-impl Handler<Rollback> for Pool {
-    type Return = ();
-
-    async fn handle(&mut self, message: Rollback, _: &mut Context<Self>) {
-        let Rollback(id, engine, standby) = message;
-        self.update_run(id, |_, run| {
-            run.endpoint = engine;
-            run.standby = standby;
-        });
-    }
-}
-
-impl Handler<Abandon> for Pool {
-    type Return = ();
-
-    async fn handle(&mut self, Abandon(id): Abandon, _: &mut Context<Self>) {
-        self.update_run(id, |_, run| {
-            let standby = std::mem::take(&mut run.standby);
-            run.rejected
-                .extend(standby.holder().map(|holder| holder.engine));
-        });
-    }
-}
-
-impl Handler<Confirm> for Pool {
-    type Return = bool;
-
-    async fn handle(&mut self, Confirm(holder): Confirm, _: &mut Context<Self>) -> bool {
-        self.is_same(holder)
-    }
-}
-
-impl Handler<Taken> for Pool {
-    type Return = ();
-
-    async fn handle(&mut self, Taken(id): Taken, _: &mut Context<Self>) {
-        self.update_run(id, |_, run| run.standby.take_run());
-    }
-}
-
-impl Handler<Copied> for Pool {
-    type Return = ();
-
-    async fn handle(&mut self, Copied(id, engine, handle): Copied, _: &mut Context<Self>) {
-        self.update_run(id, |_, run| run.standby.complete(engine, handle));
-    }
-}
-
-impl Handler<Migrate> for Pool {
-    type Return = Plan;
-
-    async fn handle(&mut self, Migrate(id): Migrate, _: &mut Context<Self>) -> Plan {
-        let migrate = |pool: &mut Self, run: &mut Run| {
-            if let Standby::Ordered(holder) | Standby::Backup(holder) = run.standby
-                && pool.is_same(holder)
-            {
-                return Plan::Backup;
-            }
-            let target = pool.choose_backup(run, Purpose::Run);
-            run.standby = target
-                .as_ref()
-                .map_or(Standby::None, |target| Standby::Moving(Holder::of(target)));
-            target.map_or(Plan::Unavailable, Plan::Move)
-        };
-        self.update_run(id, migrate).unwrap_or(Plan::Unavailable)
-    }
-}
--- a/crates/daisyyard_standin/src/lib.rs
+++ b/crates/daisyyard_standin/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod platform_engine;
 pub mod platform_fixture;
 pub(crate) mod platform_keys;
+pub mod platform_runs;
 pub mod platform_store;
 pub mod ports;
 pub mod proxy;
--- a/crates/daisyyard_standin/src/platform_engine.rs
+++ b/crates/daisyyard_standin/src/platform_engine.rs
@@ -3,7 +3,6 @@
 //! All engines of a test share one task that tracks the runs, so that a run can continue on another
 //! engine. The task also records the requests that each engine received.
 
-use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -18,10 +17,14 @@
 
 use daisyyard_http::{self as http, Body};
 
+pub use crate::platform_runs::{Arrival, Close, Room, Runs};
+use crate::platform_runs::{Command, Found};
 use crate::proxy::Proxy;
 
 /// Capacity of the channel to a reader.
 const READER_BUFFER_EVENTS: usize = 4;
+/// Time of a slow copy.
+const SLOW_COPY_TIME: Duration = Duration::from_millis(200);
 /// Number of tokens that an event stands for.
 const TOKENS_PER_EVENT: u64 = 4;
 
@@ -54,90 +57,6 @@
     Careless,
 }
 
-/// A request as an engine received it.
-#[derive(Debug, Clone)]
-pub struct Arrival {
-    /// Name of the engine.
-    pub engine: String,
-    /// Path and query of the request.
-    pub path: String,
-    /// Headers of the request.
-    pub headers: HeaderMap,
-    /// Body of the request.
-    pub body: Bytes,
-    /// Whether the engine ran the request.
-    pub ran: bool,
-    /// When the engine received the request.
-    pub at: Instant,
-}
-
-/// What an engine does with a run whose connection is closed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Close {
-    /// The run ends.
-    Stops,
-    /// The run goes on to its end unless the engine is told to stop it.
-    Ignored,
-}
-
-/// Room that an engine finds for copies of its runs at other engines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Room {
-    /// Copies succeed.
-    Free,
-    /// Copies are refused; the last one stops the run all the same.
-    Full,
-    /// Copies are refused, and no run is stopped.
-    Unavailable,
-    /// Copies do not end, and no run is stopped.
-    Stalled,
-    /// The first copy of a run succeeds, and further ones do not end.
-    Once,
-}
-
-/// Message to the task that tracks the runs.
-#[derive(Debug)]
-enum Command {
-    /// Record a received request.
-    Record(Box<Arrival>),
-    /// Return all received requests.
-    Arrivals(oneshot::Sender<Vec<Arrival>>),
-    /// Set the engine that runs an attempt.
-    Run(String, SocketAddr),
-    /// Note that an engine was told to stop its run of an attempt.
-    Stop(String, SocketAddr),
-    /// Note that an engine works on an attempt at the moment.
-    Work(String, SocketAddr),
-    /// Return when an engine last worked on an attempt.
-    LastWork(String, SocketAddr, oneshot::Sender<Option<Instant>>),
-    /// Note that an engine has a copy of the memory of an attempt.
-    Copy(String, SocketAddr),
-    /// Note that an engine has lost its copy of the memory of an attempt.
-    Forget(String, SocketAddr),
-    /// Return what is known of an attempt at an engine.
-    Find(String, SocketAddr, oneshot::Sender<Found>),
-}
-
-/// What is known of an attempt at an engine.
-#[derive(Debug, Clone, Copy)]
-struct Found {
-    /// Whether this engine, and no other, runs the attempt since the last start of it.
-    is_current: bool,
-    /// Whether the engine was told to stop its run of the attempt.
-    is_stopped: bool,
-    /// Whether the engine has a copy of the memory of the attempt, or keeps that of a stopped run.
-    has_memory: bool,
-}
-
-/// Handle to the task that tracks the runs of all engines; dropping it stops the task.
-#[derive(Debug)]
-pub struct Runs {
-    /// Channel to the task.
-    commands: mpsc::UnboundedSender<Command>,
-    /// Task that tracks the runs.
-    owner: JoinHandle<()>,
-}
-
 /// A running engine; dropping it stops the engine and closes its connections.
 #[derive(Debug)]
 pub struct PlatformEngine {
@@ -174,45 +93,6 @@
     runs: mpsc::UnboundedSender<Command>,
 }
 
-impl Runs {
-    /// Starts the task that tracks the runs.
-    pub fn start() -> Self {
-        let (commands, receiver) = mpsc::unbounded_channel();
-        Self {
-            commands,
-            owner: tokio::spawn(run(receiver)),
-        }
-    }
-
-    /// Returns all requests that the engines received, in order of arrival.
-    pub async fn arrivals(&self) -> Vec<Arrival> {
-        let (reply, answer) = oneshot::channel();
-        let _ = self.commands.send(Command::Arrivals(reply));
-        answer.await.unwrap_or_default()
-    }
-
-    /// Makes an engine lose its copy of the memory of an attempt, as if it had been started anew.
-    pub fn forget(&self, attempt: &str, engine: SocketAddr) {
-        let _ = self
-            .commands
-            .send(Command::Forget(attempt.to_owned(), engine));
-    }
-
-    /// Returns when an engine last worked on an attempt.
-    pub async fn last_work(&self, attempt: &str, engine: SocketAddr) -> Option<Instant> {
-        let (reply, answer) = oneshot::channel();
-        let command = Command::LastWork(attempt.to_owned(), engine, reply);
-        let _ = self.commands.send(command);
-        answer.await.ok()?
-    }
-}
-
-impl Drop for Runs {
-    fn drop(&mut self) {
-        self.owner.abort();
-    }
-}
-
 impl PlatformEngine {
     /// Starts an engine on a free loopback port.
     ///
@@ -300,52 +180,6 @@
     }
 }
 
-/// Tracks the runs until all senders of commands are dropped.
-async fn run(mut commands: mpsc::UnboundedReceiver<Command>) {
-    let mut arrivals = Vec::new();
-    let mut running: HashMap<String, SocketAddr> = HashMap::new();
-    let mut copies: HashSet<(String, SocketAddr)> = HashSet::new();
-    let mut stopped: HashSet<(String, SocketAddr)> = HashSet::new();
-    let mut worked: HashMap<(String, SocketAddr), Instant> = HashMap::new();
-    while let Some(command) = commands.recv().await {
-        match command {
-            Command::Record(request) => arrivals.push(*request),
-            Command::Arrivals(reply) => {
-                let _ = reply.send(arrivals.clone());
-            }
-            Command::Run(attempt, engine) => {
-                stopped.remove(&(attempt.clone(), engine));
-                running.insert(attempt, engine);
-            }
-            Command::Stop(attempt, engine) => {
-                stopped.insert((attempt, engine));
-            }
-            Command::Work(attempt, engine) => {
-                worked.insert((attempt, engine), Instant::now());
-            }
-            Command::LastWork(attempt, engine, reply) => {
-                let _ = reply.send(worked.get(&(attempt, engine)).copied());
-            }
-            Command::Copy(attempt, engine) => {
-                copies.insert((attempt, engine));
-            }
-            Command::Forget(attempt, engine) => {
-                copies.remove(&(attempt, engine));
-            }
-            Command::Find(attempt, engine, reply) => {
-                let is_current = running.get(&attempt) == Some(&engine);
-                let key = (attempt, engine);
-                let is_stopped = stopped.contains(&key);
-                let _ = reply.send(Found {
-                    is_current,
-                    is_stopped,
-                    has_memory: is_stopped || copies.contains(&key),
-                });
-            }
-        }
-    }
-}
-
 impl Handler {
     /// Handles one request.
     async fn handle(self, request: Request<Incoming>) -> Response<Body> {
@@ -480,15 +314,21 @@
         let room = *self.room.borrow();
         let copied = self.find_at(&attempt, target).await;
         let copied = copied.is_some_and(|found| found.has_memory);
+        if room == Room::Slow {
+            tokio::time::sleep(SLOW_COPY_TIME).await;
+        }
         if room == Room::Stalled || (room == Room::Once && copied) {
             return std::future::pending().await;
         }
+        if self.is_full(target).await {
+            return http::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+        }
         let stops = body["last"] == true && room != Room::Unavailable;
         if stops {
             let _ = self.runs.send(Command::Stop(attempt.clone(), self.address));
         }
         match room {
-            Room::Free | Room::Once | Room::Stalled => {
+            Room::Free | Room::Once | Room::Slow | Room::Stalled => {
                 let _ = self.runs.send(Command::Copy(attempt, target));
                 http::json(StatusCode::OK, &json!({ "handle": "copy-1", "created": 0 }))
             }
@@ -508,6 +348,13 @@
         self.find_at(attempt, self.address).await
     }
 
+    /// Returns whether an engine refuses copies.
+    async fn is_full(&self, engine: SocketAddr) -> bool {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.runs.send(Command::IsFull(engine, reply));
+        answer.await.unwrap_or(false)
+    }
+
     /// Returns what is known of an attempt at any engine.
     async fn find_at(&self, attempt: &str, engine: SocketAddr) -> Option<Found> {
         let (reply, answer) = oneshot::channel();
