--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -138,7 +138,9 @@
         let (source, target) = (&departure.source, Arc::clone(&takeover.engine));
         let proof = takeover.standby.proof(&target);
         let repeatable = self.runs_left > 0;
-        let patient = cause == Cause::Leaving || (proof == Proof::None && !repeatable);
+        // A broken-off run without a copy has nothing to lose by waiting for its engine.
+        let hopeless = cause == Cause::Broken && proof == Proof::None && !repeatable;
+        let patient = cause == Cause::Leaving || hopeless;
         let halt = self.halt(source, &target, patient).await;
         let situation = Situation {
             cause,
@@ -189,7 +191,12 @@
         }
         self.roll_back(departure, takeover.standby).await;
         // An engine that did not answer may end. A copy that was made before is used then.
-        if asked || matches!(halt.stop(), Stop::Kept | Stop::Running) {
+        let refused = match halt.stop() {
+            Stop::Kept => true,
+            Stop::Running => cause == Cause::Leaving,
+            _ => false,
+        };
+        if asked || refused {
             self.abandon_target().await;
         }
         step
