Reclaim engines in waves in a soak

Each 3.3 s an engine is listed as draining, ends after 1.5 to 2.1 s and is started anew without the copies that it held. The waves have a generator of their own, so that the other faults of a seed stay as they were.

--- a/crates/daisyyard/src/soak.rs
+++ b/crates/daisyyard/src/soak.rs
@@ -18,6 +18,8 @@
 use crate::soak_caller::{self, End, Kind, Record};
 use crate::soak_schedule::{self, ENGINES, Fault, GATEWAYS, PLAIN_ENDPOINTS};
 
+/// Time between the end of a reclaimed engine and its next start.
+const RESTART_TIME: Duration = Duration::from_millis(500);
 /// Number of callers, each of which sends one request at a time.
 const CALLERS: usize = 12;
 /// Time between two events of a stream from an engine.
@@ -174,8 +176,14 @@
 
     /// Writes the entry of an endpoint to the store, with its state.
     async fn write_entry(&self, number: usize, state: &str) {
+        self.write_start(number, state, 0).await;
+    }
+
+    /// Writes the entry of an endpoint to the store, with its state and the number of its start.
+    async fn write_start(&self, number: usize, state: &str, start: u64) {
         let endpoint = &self.endpoints[number];
-        let entry = platform_fixture::entry(service_name(number), endpoint.address, state);
+        let mut entry = platform_fixture::entry(service_name(number), endpoint.address, state);
+        entry["born"] = start.into();
         let key = format!("servers/{}", endpoint.name);
         self.store.put(&key, &entry).await;
     }
@@ -206,6 +214,13 @@
                 tokio::time::sleep(duration).await;
                 self.write_entry(endpoint, "ready").await;
             }
+            Fault::Reclaim(endpoint) => {
+                self.write_entry(endpoint, "draining").await;
+                tokio::time::sleep(duration).await;
+                disturb(&self.endpoint_links[endpoint], Link::Broken, RESTART_TIME).await;
+                self.runs.restart(self.endpoints[endpoint].address);
+                self.write_start(endpoint, "ready", number + 1).await;
+            }
             Fault::Kill(gateway) => self.gateways[gateway].send(Control::Kill).await,
             Fault::Pause(gateway) => {
                 self.gateways[gateway].send(Control::Pause).await;
--- a/crates/daisyyard/src/soak_schedule.rs
+++ b/crates/daisyyard/src/soak_schedule.rs
@@ -21,6 +21,10 @@
 const START_INTERVAL_MS: std::ops::Range<u64> = 100..700;
 /// Range of the durations of faults, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 200..2_000;
+/// Time between two waves of leaving engines.
+const WAVE_INTERVAL: Duration = Duration::from_millis(3_300);
+/// Range of the notices of leaving engines, in milliseconds.
+const NOTICE_MS: std::ops::Range<u64> = 1_500..2_100;
 /// Upper bound of the delay on a slow link, in milliseconds.
 const MAX_LINK_DELAY_MS: u64 = 300;
 
@@ -39,6 +43,8 @@
     Endpoint(usize, EngineMode),
     /// An endpoint is listed as draining, then as ready again.
     Leave(usize),
+    /// An endpoint is listed as draining, ends after the notice, and is started anew.
+    Reclaim(usize),
     /// A gateway is killed.
     Kill(usize),
     /// A gateway is suspended, then resumed.
@@ -70,6 +76,8 @@
     loop {
         at += Duration::from_millis(random.random_range(START_INTERVAL_MS));
         if at >= period {
+            events.extend(draw_waves(seed, period));
+            events.sort_by_key(|event| event.at);
             return events;
         }
         events.push(Event {
@@ -80,6 +88,20 @@
     }
 }
 
+/// Draws the waves in which engines are reclaimed one after another. They have a generator of their own, so
+/// that the other faults of a seed do not depend on them.
+fn draw_waves(seed: u64, period: Duration) -> Vec<Event> {
+    let mut random = Pcg64Mcg::seed_from_u64(!seed);
+    let count = period.as_millis() / WAVE_INTERVAL.as_millis();
+    let first = random.random_range(0..ENGINES);
+    let waves = (1..=count as u32).map(|wave| Event {
+        at: WAVE_INTERVAL * wave,
+        duration: Duration::from_millis(random.random_range(NOTICE_MS)),
+        fault: Fault::Reclaim((first + wave as usize) % ENGINES),
+    });
+    waves.filter(|event| event.at < period).collect()
+}
+
 /// Draws the kind and target of a fault.
 fn draw_fault(random: &mut Pcg64Mcg) -> Fault {
     let gateway = random.random_range(0..GATEWAYS);
--- a/crates/daisyyard_standin/src/platform_runs.rs
+++ b/crates/daisyyard_standin/src/platform_runs.rs
@@ -71,6 +71,8 @@
     Copy(String, SocketAddr),
     /// Note that an engine has lost its copy of the memory of an attempt.
     Forget(String, SocketAddr),
+    /// Note that an engine has lost all copies and kept memory.
+    Restart(SocketAddr),
     /// Make an engine refuse copies.
     Fill(SocketAddr),
     /// Return whether an engine refuses copies.
@@ -116,6 +118,11 @@
         answer.await.unwrap_or_default()
     }
 
+    /// Makes an engine lose all copies and kept memory, as when it is started anew.
+    pub fn restart(&self, engine: SocketAddr) {
+        let _ = self.commands.send(Command::Restart(engine));
+    }
+
     /// Makes an engine refuse copies of runs at other engines.
     pub fn fill(&self, engine: SocketAddr) {
         let _ = self.commands.send(Command::Fill(engine));
@@ -173,6 +180,10 @@
             Command::Copy(attempt, engine) => {
                 copies.insert((attempt, engine));
             }
+            Command::Restart(engine) => {
+                copies.retain(|(_, holder)| *holder != engine);
+                stopped.retain(|(_, holder)| *holder != engine);
+            }
             Command::Fill(engine) => {
                 full.insert(engine);
             }
