Use a copy of a move only while engines keep its handle

Cause: engines free copies that are not used some time after handle_s, and a copy that may be freed must not be used for a continuation of a run that may run once.

Change: a completed copy counts for handle_s after it was asked for. A test for targets that leave during a move.

--- a/crates/daisyyard/tests/live_migration.rs
+++ b/crates/daisyyard/tests/live_migration.rs
@@ -100,6 +100,26 @@
     assert_eq!(ran[1].engine, "engine-4");
 }
 
+/// A target that leaves while the run is being moved there is replaced, and the copy there is freed.
+#[tokio::test]
+async fn target_leaves() {
+    let mut scene = Scene::start(Room::Slow, 1).await;
+    scene.platform.put_entry(0, "model", "draining").await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    scene.platform.put_entry(1, "model", "draining").await;
+    scene.platform.add_engine("engine-2", "model").await;
+    platform::wait_until("the run continues", async || {
+        scene.platform.ran("/draft/1").await.len() == 2
+    })
+    .await;
+    let (answer, platform) = scene.end().await;
+    assert_eq!(answer, whole());
+    assert_eq!(platform.ran("/draft/1").await[1].engine, "engine-2");
+    let arrivals = platform.runs.arrivals().await;
+    let mut freed = arrivals.iter().map(|it| it.path.as_str());
+    assert!(freed.any(|path| path.starts_with(HANDLE_PATH)));
+}
+
 /// A run whose engine is gone after a first copy continues from this copy.
 #[tokio::test]
 async fn source_gone() {
--- a/crates/daisyyard_core/src/catalog.rs
+++ b/crates/daisyyard_core/src/catalog.rs
@@ -72,6 +72,8 @@
     pub backups: bool,
     /// Whether an engine can migrate a run to another engine.
     pub moves: bool,
+    /// Time for which engines keep a copy that is not used.
+    pub handle_time: Duration,
     /// Time that the link of an engine needs for the memory of one token.
     pub token_time: Duration,
 }
--- a/crates/daisyyard_core/src/continuation.rs
+++ b/crates/daisyyard_core/src/continuation.rs
@@ -6,6 +6,8 @@
 //! the answer to a move, or by the first event of a run that was sent with the order to back it up, and
 //! only as long as the engine is not started anew.
 
+use std::time::Instant;
+
 use daisyyard_derive::{key, value};
 
 use crate::endpoint::Endpoint;
@@ -33,8 +35,8 @@
     Backup(Holder),
     /// The first copy of a move has not ended.
     Moving(Holder),
-    /// A copy of a move has ended; the engine of the run has stated this handle.
-    Moved(Holder, String),
+    /// A copy of a move has ended; the engine of the run has stated this handle, which is kept until this time.
+    Moved(Holder, String, Instant),
 }
 
 /// What a copy shows.
@@ -158,15 +160,17 @@
             Self::Ordered(holder)
             | Self::Backup(holder)
             | Self::Moving(holder)
-            | Self::Moved(holder, _) => Some(*holder),
+            | Self::Moved(holder, ..) => Some(*holder),
         }
     }
 
     /// Returns what the copy shows, given the engine as it is known now.
-    pub fn proof(&self, engine: &Endpoint) -> Proof {
+    pub fn proof(&self, engine: &Endpoint, now: Instant) -> Proof {
         match self {
             Self::Backup(holder) if *holder == Holder::of(engine) => Proof::Backup,
-            Self::Moved(holder, _) if *holder == Holder::of(engine) => Proof::Handle,
+            Self::Moved(holder, _, until) if *holder == Holder::of(engine) && now < *until => {
+                Proof::Handle
+            }
             _ => Proof::None,
         }
     }
@@ -174,7 +178,7 @@
     /// Returns the handle of the copy.
     pub fn handle(&self) -> Option<&str> {
         match self {
-            Self::Moved(_, handle) => Some(handle),
+            Self::Moved(_, handle, _) => Some(handle),
             _ => None,
         }
     }
@@ -186,12 +190,12 @@
         }
     }
 
-    /// Notes that a copy of the move to an engine has ended. An answer that belongs to a move to another
-    /// engine is ignored.
-    pub fn complete(&mut self, engine: EndpointId, handle: String) {
+    /// Notes that a copy of the move to an engine has ended, which is kept until a time. An answer that
+    /// belongs to a move to another engine is ignored.
+    pub fn complete(&mut self, engine: EndpointId, handle: String, until: Instant) {
         match *self {
-            Self::Moving(holder) | Self::Moved(holder, _) if holder.engine == engine => {
-                *self = Self::Moved(holder, handle);
+            Self::Moving(holder) | Self::Moved(holder, ..) if holder.engine == engine => {
+                *self = Self::Moved(holder, handle, until);
             }
             _ => {}
         }
--- a/crates/daisyyard_core/tests/run_continuation.rs
+++ b/crates/daisyyard_core/tests/run_continuation.rs
@@ -2,6 +2,7 @@
 //! copy of the run, and against runs that are given up although a copy is shown.
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use daisyyard_core::continuation::{
     Cause, Holder, Obstacle, Place, Proof, Situation, Standby, Step, Stop, start_anew,
@@ -195,29 +196,37 @@
 /// A backup counts from the first event of the run on, and only at the same start of its engine.
 #[test]
 fn backup_proof() {
+    let now = Instant::now();
     let first = engine("one", 1);
     let mut standby = Standby::Ordered(Holder::of(&first));
-    assert_eq!(standby.proof(&first), Proof::None);
+    assert_eq!(standby.proof(&first, now), Proof::None);
     standby.take_run();
-    assert_eq!(standby.proof(&first), Proof::Backup);
-    assert_eq!(standby.proof(&engine("one", 2)), Proof::None);
-    assert_eq!(standby.proof(&engine("two", 1)), Proof::None);
+    assert_eq!(standby.proof(&first, now), Proof::Backup);
+    assert_eq!(standby.proof(&engine("one", 2), now), Proof::None);
+    assert_eq!(standby.proof(&engine("two", 1), now), Proof::None);
 }
 
 /// A move counts once a copy has ended, at the engine that it was made to, and not because the run sends
 /// events.
 #[test]
 fn move_proof() {
+    let now = Instant::now();
+    let until = now + Duration::from_secs(5);
     let target = engine("one", 1);
     let mut standby = Standby::Moving(Holder::of(&target));
     standby.take_run();
-    assert_eq!(standby.proof(&target), Proof::None);
-    standby.complete(engine("two", 1).id, "other".to_owned());
-    assert_eq!(standby.proof(&target), Proof::None);
-    standby.complete(target.id, "first".to_owned());
-    standby.complete(target.id, "second".to_owned());
-    assert_eq!(standby.proof(&target), Proof::Handle);
+    assert_eq!(standby.proof(&target, now), Proof::None);
+    standby.complete(engine("two", 1).id, "other".to_owned(), until);
+    assert_eq!(standby.proof(&target, now), Proof::None);
+    standby.complete(target.id, "first".to_owned(), until);
+    standby.complete(target.id, "second".to_owned(), until);
+    assert_eq!(standby.proof(&target, now), Proof::Handle);
     assert_eq!(standby.handle(), Some("second"));
-    assert_eq!(standby.proof(&engine("one", 2)), Proof::None);
-    assert_eq!(Standby::None.proof(&target), Proof::None);
+    assert_eq!(
+        standby.proof(&target, until),
+        Proof::None,
+        "it may be freed"
+    );
+    assert_eq!(standby.proof(&engine("one", 2), now), Proof::None);
+    assert_eq!(Standby::None.proof(&target, now), Proof::None);
 }
--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -136,8 +136,8 @@
     /// what follows, which is `Resume` if an engine has resumed the run.
     async fn move_to(&mut self, departure: &Departure, cause: Cause, takeover: Takeover) -> Step {
         let (source, target) = (&departure.source, Arc::clone(&takeover.engine));
-        let proof = takeover.standby.proof(&target);
         let repeatable = self.runs_left > 0;
+        let proof = takeover.standby.proof(&target, Instant::now());
         // A broken-off run without a copy has nothing to lose by waiting for its engine.
         let hopeless = cause == Cause::Broken && proof == Proof::None && !repeatable;
         let patient = cause == Cause::Leaving || hopeless;
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -144,6 +144,8 @@
     pub(crate) target: EndpointId,
     /// Handle of the copy.
     pub(crate) handle: String,
+    /// Until when the engines keep the copy if it is not used.
+    pub(crate) until: Instant,
 }
 
 /// How a run that is being moved goes on.
--- a/crates/daisyyard_gateway/src/migration.rs
+++ b/crates/daisyyard_gateway/src/migration.rs
@@ -139,10 +139,16 @@
         rounds: u32,
     ) -> bool {
         self.unused_copy = Some((self.grant.endpoint.address, handle.clone()));
+        // Without a stated time, a copy counts only after the last one, whose answer shows it.
+        let lifetime = self
+            .job
+            .engine
+            .map_or(Duration::ZERO, |engine| engine.handle_time);
         let copied = Copied {
             run: self.grant.run,
             target: target.id,
             handle,
+            until: Instant::now() + lifetime.saturating_sub(took),
         };
         // The pool ends only with the process.
         let Ok(outlook) = self.proxy.pool.send(copied).await else {
--- a/crates/daisyyard_gateway/src/standby.rs
+++ b/crates/daisyyard_gateway/src/standby.rs
@@ -184,7 +184,8 @@
 
     async fn handle(&mut self, message: Copied, _: &mut Context<Self>) -> Outlook {
         let complete = |pool: &mut Self, run: &mut Run| {
-            run.standby.complete(message.target, message.handle);
+            run.standby
+                .complete(message.target, message.handle, message.until);
             let holder = run.standby.holder();
             Outlook {
                 left: pool.time_left(run.endpoint, Instant::now()),
@@ -211,7 +212,7 @@
                 return Plan::Stay;
             }
             let known = match &run.standby {
-                Standby::Moving(holder) | Standby::Moved(holder, _) => Some(*holder),
+                Standby::Moving(holder) | Standby::Moved(holder, ..) => Some(*holder),
                 _ => None,
             };
             let known = known.filter(|holder| pool.is_same(*holder));
