--- a/crates/daisyyard/src/soak.rs
+++ b/crates/daisyyard/src/soak.rs
@@ -19,6 +19,8 @@
 use crate::soak_caller::{self, End, Kind, Record};
 use crate::soak_schedule::{self, ENGINES, Fault, GATEWAYS, PLAIN_ENDPOINTS};
 
+/// Time between the end of a reclaimed engine and its next start.
+const RESTART_TIME: Duration = Duration::from_millis(500);
 /// Number of callers, each of which sends one request at a time.
 const CALLERS: usize = 12;
 /// Time between two events of a stream from an engine.
@@ -62,8 +64,8 @@
     endpoints: Vec<PlatformEngine>,
     /// Proxy in front of each endpoint.
     endpoint_links: Vec<Proxy>,
-    /// Number of starts of the endpoints.
-    starts: AtomicU64,
+    /// Number of starts of each endpoint.
+    starts: Vec<AtomicU64>,
     /// Record of the requests received by all endpoints.
     runs: Runs,
     /// Gateway processes.
@@ -158,7 +160,9 @@
             store_links: Vec::new(),
             endpoints: Vec::new(),
             endpoint_links: Vec::new(),
-            starts: AtomicU64::new(0),
+            starts: (0..ENGINES + PLAIN_ENDPOINTS)
+                .map(|_| AtomicU64::new(0))
+                .collect(),
             runs: Runs::start(),
             gateways: Vec::new(),
         };
@@ -203,7 +207,7 @@
     async fn write_entry(&self, number: usize, state: &str, cold_ms: u64) {
         let endpoint = &self.endpoints[number];
         let mut entry = platform_fixture::entry(service_name(number), endpoint.address, state);
-        entry["born"] = self.starts.load(Ordering::Relaxed).into();
+        entry["born"] = self.starts[number].load(Ordering::Relaxed).into();
         entry["cold_remaining_ms"] = cold_ms.into();
         entry["zone"] = zone_name(number).into();
         let key = format!("servers/{}", endpoint.name);
@@ -236,6 +240,14 @@
                 tokio::time::sleep(duration).await;
                 self.write_entry(endpoint, "ready", 0).await;
             }
+            Fault::Reclaim(endpoint) => {
+                self.write_entry(endpoint, "draining", 0).await;
+                tokio::time::sleep(duration).await;
+                disturb(&self.endpoint_links[endpoint], Link::Broken, RESTART_TIME).await;
+                self.runs.restart(self.endpoints[endpoint].address);
+                self.starts[endpoint].fetch_add(1, Ordering::Relaxed);
+                self.write_entry(endpoint, "ready", 0).await;
+            }
             Fault::Kill(gateway) => self.gateways[gateway].send(Control::Kill).await,
             Fault::Pause(gateway) => {
                 self.gateways[gateway].send(Control::Pause).await;
@@ -246,8 +258,8 @@
             Fault::Reload(gateway) => self.gateways[gateway].send(Control::Reload).await,
             Fault::Configure => self.configure(number + 2).await,
             Fault::Cold => {
-                self.starts.fetch_add(1, Ordering::Relaxed);
                 for number in 0..self.endpoints.len() {
+                    self.starts[number].fetch_add(1, Ordering::Relaxed);
                     self.write_entry(number, "ready", duration.as_millis() as u64)
                         .await;
                 }
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -1,6 +1,7 @@
 //! Task that forwards a stream and resumes its run at another engine if its own is leaving or
 //! fails.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -17,7 +18,7 @@
 use crate::event::Event;
 use crate::gaps::Gaps;
 use crate::job::Job;
-use crate::message::{FirstToken, Grant, Notice, ObserveGaps};
+use crate::message::{FirstToken, Grant, Notice, ObserveGaps, Taken};
 use crate::migration::{State, join_copy};
 use crate::proxy::Proxy;
 use crate::sse::Splitter;
@@ -52,10 +53,14 @@
     pub(crate) splitter: Splitter,
     /// When the first data arrived from the current engine, or when the run resumed there.
     pub(crate) first_data_at: Option<Instant>,
+    /// Whether an event shows that the current engine has taken the run.
+    pub(crate) taken: bool,
     /// Whether the run has gone well at an engine for some time.
     pub(crate) proven: bool,
     /// Gaps between the events.
     pub(crate) gaps: Gaps,
+    /// Copy of the run at another engine that is not used yet: the engine that made it, and the handle.
+    pub(crate) unused_copy: Option<(SocketAddr, String)>,
     /// Progress of the migration to another engine.
     pub(crate) migration: State,
     /// Number of further engines at which the run may start anew.
@@ -111,8 +116,10 @@
             sender,
             splitter,
             first_data_at: None,
+            taken: false,
             proven: false,
             gaps: Gaps::default(),
+            unused_copy: None,
             migration: State::Idle,
             runs_left,
         }
@@ -164,6 +171,7 @@
                 Action::Expire => break "expired",
             }
         };
+        self.free_copies();
         if reason == "interrupted" {
             let details = format!(
                 "request={} endpoint={} events={}",
@@ -235,6 +243,11 @@
             return Delivery::Malformed;
         };
         let event_count = self.splitter.event_count() - count_before;
+        if event_count > 0 && !self.taken {
+            self.taken = true;
+            // The pool ends only with the process.
+            let _ = self.proxy.pool.send(Taken(self.grant.run)).await;
+        }
         let blocked = self.sender.capacity() == 0;
         self.gaps.observe(event_count, blocked, Instant::now());
         if let Some(gaps) = self.gaps.take_batch() {
