--- a/crates/daisyyard/tests/cold_endpoints.rs
+++ b/crates/daisyyard/tests/cold_endpoints.rs
@@ -6,10 +6,12 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_core::warmup::OWNER_WAIT;
+use daisyyard_standin::platform_engine::Arrival;
 use daisyyard_standin::platform_fixture;
 use hyper::{Method, StatusCode};
 use platform::{
-    Platform, config, plain_request, spawn_gateway_with, text, wait_until, wait_until_listed,
+    Platform, config, plain_request, send, spawn_gateway_with, stream_request, text, wait_until,
+    wait_until_listed,
 };
 use serde_json::json;
 
@@ -24,10 +26,17 @@
 
 /// Starts gateways and plain endpoints of a service whose cold endpoints tolerate few requests.
 async fn start(gateways: usize, endpoints: usize) -> Platform {
-    let mut platform = Platform::start(0, endpoints).await;
+    start_with_engines(gateways, 0, endpoints).await
+}
+
+/// Starts gateways, engines and plain endpoints that tolerate few requests while they are cold.
+async fn start_with_engines(gateways: usize, engines: usize, endpoints: usize) -> Platform {
+    let mut platform = Platform::start(engines, endpoints).await;
     let mut limited = config(2);
-    limited["services"][1]["cold_start_s"] = COLD_S.into();
-    limited["services"][1]["cold_per_s"] = 6.into();
+    for service in 0..2 {
+        limited["services"][service]["cold_start_s"] = COLD_S.into();
+        limited["services"][service]["cold_per_s"] = 6.into();
+    }
     platform.store.put("op/config", &limited).await;
     for number in 0..gateways {
         add_gateway(&mut platform, number).await;
@@ -51,7 +60,13 @@
 /// gateways know it.
 async fn restart_endpoint(platform: &Platform, index: usize, cold_ms: u64) {
     let engine = &platform.engines[index];
-    let mut entry = platform_fixture::entry("desk", engine.address, "ready");
+    let service = if engine.name.starts_with("plain") {
+        "desk"
+    } else {
+        "model"
+    };
+    let mut entry = platform_fixture::entry(service, engine.address, "ready");
+    entry["slots"] = 64.into();
     (entry["born"], entry["cold_remaining_ms"]) = (7.into(), cold_ms.into());
     let key = format!("servers/{}", engine.name);
     platform.store.put(&key, &entry).await;
@@ -87,6 +102,11 @@
 async fn peak(platform: &Platform, endpoint: &str) -> usize {
     let mut arrivals = platform.runs.arrivals().await;
     arrivals.retain(|arrival| arrival.engine == endpoint);
+    peak_of(&arrivals)
+}
+
+/// Returns the largest number of arrivals in any second.
+fn peak_of(arrivals: &[Arrival]) -> usize {
     let mut times: Vec<Instant> = arrivals.iter().map(|arrival| arrival.at).collect();
     times.sort();
     let second = |first: &Instant| {
@@ -156,6 +176,53 @@
     assert!(peak <= BOUND, "{peak} requests in a second");
 }
 
+/// Streams whose engine ends and whose copies are at a cold engine resume there no faster than it
+/// tolerates.
+#[tokio::test]
+async fn resumed_streams() {
+    const STREAMS: usize = 40;
+    let mut platform = start_with_engines(1, 2, 0).await;
+    for index in 0..2 {
+        let entry = {
+            let address = platform.engines[index].address;
+            let mut entry = platform_fixture::entry("model", address, "ready");
+            entry["slots"] = 64.into();
+            entry
+        };
+        platform
+            .store
+            .put(&format!("servers/engine-{index}"), &entry)
+            .await;
+    }
+    let address = platform.gateways[0].requests;
+    let mut callers = tokio::task::JoinSet::new();
+    for number in 0..STREAMS {
+        callers.spawn(async move {
+            let attempt = format!("stream-{number}");
+            let credential = format!("Bearer {}", platform_fixture::CREDENTIAL);
+            let request = stream_request("/draft/1", "100,1600");
+            let mut headers = request.headers.clone();
+            headers.extend([
+                ("x-daisyyard-attempt-id", attempt.as_str()),
+                ("x-daisyyard-deadline-ms", "6000"),
+                ("authorization", credential.as_str()),
+            ]);
+            send(address, &request, &headers).await
+        });
+    }
+    wait_until("the streams run", async || {
+        platform.ran("/draft/1").await.len() >= STREAMS
+    })
+    .await;
+    restart_endpoint(&platform, 1, 20_000).await;
+    drop(platform.engines.remove(0));
+    while callers.join_next().await.is_some() {}
+    let mut resumed = platform.ran("/draft/1").await;
+    resumed.retain(|arrival| arrival.headers.contains_key("kv-from"));
+    let peak = peak_of(&resumed);
+    assert!(peak > 0 && peak <= BOUND, "{peak} requests in a second");
+}
+
 /// Without the two settings, a cold endpoint is served as before.
 #[tokio::test]
 async fn no_bound() {
