--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod drain;
 pub(crate) mod ejection;
 pub mod endpoint;
+pub mod footprint;
 pub mod forward;
 pub mod gossip;
 mod grant;
