Charge what a gateway holds for callers to one account

Callers with unfinished bodies, small chunks or unread answers made a gateway exceed its memory: bodies were collected without a common limit, one-byte chunks each held a part of a network buffer, the permits for answers were given back before the caller had read them, and a head could trickle for 30 s.

Bodies are now copied frame by frame into one buffer and charged before it grows; answers stay charged until the last reference to them is dropped; parts of streams are charged while they wait behind others; connections are counted against the memory and the descriptors. Without room a request is refused with 503 and Retry-After, an incomplete body with 408, and the connection is closed once the caller has the response. Heads end by header_timeout_ms, writes to a caller that reads nothing by idle_timeout_ms. A request that cannot be sent again drops its body when its answer begins. The settings have an optional section limits; without it the smallest machine is assumed.

--- a/crates/daisyyard/src/gateway_settings.rs
+++ b/crates/daisyyard/src/gateway_settings.rs
@@ -3,8 +3,9 @@
 use std::path::Path;
 use std::time::Duration;
 
+use daisyyard_core::footprint::Machine;
 use daisyyard_core::shared_retry_budget::Limits;
-use daisyyard_gateway::settings::{Bounds, Listen, Settings};
+use daisyyard_gateway::settings::{Bounds, Listen, SMALLEST_MACHINE, Settings};
 
 use crate::settings_parser::{self, Faults, Parser, Section};
 
@@ -13,6 +14,18 @@
 /// Largest number of retries that a setting accepts.
 const MAX_RETRIES: f64 = 1e9;
 
+/// Smallest memory of a machine that a setting accepts, in MB. With less, no configuration fits beside
+/// the process.
+const MIN_MEMORY_MB: f64 = 32.0;
+/// Largest memory of a machine that a setting accepts, in MB.
+const MAX_MEMORY_MB: f64 = 1e6;
+/// Smallest number of descriptors that a setting accepts: those of the gateway itself and some callers.
+const MIN_DESCRIPTORS: f64 = 512.0;
+/// Largest number of descriptors that a setting accepts.
+const MAX_DESCRIPTORS: f64 = 1e7;
+/// Bytes of a megabyte, as the platform counts them.
+const BYTES_PER_MB: f64 = 1e6;
+
 /// Reads and parses a settings file.
 pub(crate) fn load(path: &Path) -> anyhow::Result<Settings> {
     Ok(parse(path, &settings_parser::read_file(path)?)?)
@@ -41,6 +54,9 @@
         listen: s.required_object(r, "listen", listen),
         bounds: s.required_object(r, "bounds", bounds),
         retry_budget: s.required_object(r, "repeats", retry_limits),
+        machine: s
+            .optional_object(r, "limits", machine)
+            .unwrap_or(SMALLEST_MACHINE),
     };
     parser.reject_unknown_keys(root);
     parser.finish(settings)
@@ -76,6 +92,16 @@
     }
 }
 
+/// Parses the memory and the descriptors of the machine.
+fn machine<'a>(s: &mut Parser<'a>, r: &mut Section<'a>) -> Machine {
+    let memory_mb = s.number(r, "memory_mb", MIN_MEMORY_MB..=MAX_MEMORY_MB, "88");
+    let descriptors = MIN_DESCRIPTORS..=MAX_DESCRIPTORS;
+    Machine {
+        memory: (memory_mb * BYTES_PER_MB) as usize,
+        descriptors: s.number(r, "file_descriptors", descriptors, "3075") as usize,
+    }
+}
+
 /// Parses a time in seconds, which may have a fraction.
 fn seconds<'a>(s: &mut Parser<'a>, r: &mut Section<'a>, key: &'static str) -> Duration {
     Duration::from_secs_f64(s.number(r, key, 0.0..=MAX_TIME_S, "8"))
--- a/crates/daisyyard_core/src/catalog.rs
+++ b/crates/daisyyard_core/src/catalog.rs
@@ -90,6 +90,8 @@
     pub max_header_bytes: usize,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: usize,
+    /// Time within which a head must be complete, if the configuration sets it.
+    pub header_timeout: Option<Duration>,
     /// Time after which an idle connection is closed.
     pub idle_timeout: Duration,
 }
--- a/crates/daisyyard_core/src/footprint.rs
+++ b/crates/daisyyard_core/src/footprint.rs
@@ -36,9 +36,12 @@
 pub const LARGE_BYTES: usize = 64 << 10;
 /// Memory of a connection, in bytes: the first read buffer and the task.
 const CONNECTION_BYTES: usize = 8 << 10;
-/// Descriptors of a gateway for its listeners, the store, other gateways and logs, and 200 that
-/// machines keep for files.
-const OWN_DESCRIPTORS: usize = 264;
+/// Descriptors of a gateway for its listeners, the store, other gateways, logs and the connections that
+/// it refuses, and 200 that machines keep for files.
+const OWN_DESCRIPTORS: usize = 300;
+/// Smallest memory that is divided, in bytes. With less, a body or an answer of 4 MiB would never fit
+/// into its share.
+const MIN_MEMORY_BYTES: usize = 48_000_000;
 /// Descriptors that a caller's connection needs, in parts: its own, one to an endpoint, and in a
 /// part of the cases one more to another endpoint.
 const CONNECTION_DESCRIPTOR_PARTS: usize = 225;
@@ -178,7 +181,7 @@
 
     /// Adopts the limits of a machine. What is held stays charged.
     pub fn resize(&mut self, machine: Machine) {
-        let account = parts(machine.memory, ACCOUNT_PARTS);
+        let account = parts(machine.memory.max(MIN_MEMORY_BYTES), ACCOUNT_PARTS);
         let descriptors = machine.descriptors.saturating_sub(OWN_DESCRIPTORS);
         let by_descriptors = descriptors * PARTS / (CONNECTION_DESCRIPTOR_PARTS + CONTROL_PARTS);
         let by_memory = parts(account, CONNECTION_PARTS) / CONNECTION_BYTES;
--- a/crates/daisyyard_core/src/id.rs
+++ b/crates/daisyyard_core/src/id.rs
@@ -60,6 +60,15 @@
     XxHash3_64::oneshot_with_seed(NAME_SEED, name.as_bytes())
 }
 
+/// Returns the fingerprint of content in several parts, as if they were one, without a copy of them.
+pub fn fingerprint_parts(seed: u64, parts: &[&[u8]]) -> Fingerprint {
+    let mut hasher = XxHash3_128::with_seed(seed);
+    for part in parts {
+        hasher.write(part);
+    }
+    hasher.finish_128()
+}
+
 /// Returns the fingerprint of the content of a request, hashed with a seed.
 pub fn fingerprint(seed: u64, content: &[u8]) -> Fingerprint {
     XxHash3_128::oneshot_with_seed(seed, content)
--- a/crates/daisyyard_core/tests/catalog_lookup.rs
+++ b/crates/daisyyard_core/tests/catalog_lookup.rs
@@ -29,6 +29,7 @@
     let limits = Limits {
         max_header_bytes: 1,
         max_body_bytes: 1,
+        header_timeout: None,
         idle_timeout: Duration::ZERO,
     };
     let routes = vec![
--- a/crates/daisyyard_core/tests/memory_account.rs
+++ b/crates/daisyyard_core/tests/memory_account.rs
@@ -76,7 +76,7 @@
 }
 
 /// Applies a charge and checks the verdict: granted if and only if the result fits.
-fn charge(footprint: &mut Footprint, holders: &mut Vec<Holder>, place: usize, amount: usize) {
+fn charge(footprint: &mut Footprint, holders: &mut [Holder], place: usize, amount: usize) {
     let before = holders[place].clone();
     let mut grown = before.clone();
     grown.amount += amount;
--- a/crates/daisyyard_gateway/src/body.rs
+++ b/crates/daisyyard_gateway/src/body.rs
@@ -9,6 +9,8 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use tokio::sync::mpsc;
 
+use crate::memory::Hold;
+
 /// Number of chunks that are queued for a slow caller before backpressure stops reading from its
 /// engine.
 const CHANNEL_CAPACITY: usize = 16;
@@ -23,9 +25,9 @@
 
 /// A part of a streamed response.
 #[derive(Debug)]
-pub enum Chunk {
-    /// Bytes of the body.
-    Data(Bytes),
+pub(crate) enum Chunk {
+    /// Bytes of the body, and what is charged while they wait.
+    Data(Bytes, Option<Hold>),
     /// The end of a complete response.
     End,
 }
@@ -46,12 +48,13 @@
 
 /// Returns a body that streams the chunks of a channel. It fails if the sender is dropped without
 /// [`Chunk::End`], so that an interrupted response never looks complete.
-pub fn channel() -> (mpsc::Sender<Chunk>, Body) {
+pub(crate) fn channel() -> (mpsc::Sender<Chunk>, Body) {
     let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
     let stream = futures_util::stream::unfold(Some(receiver), |receiver| async {
         let mut receiver: mpsc::Receiver<Chunk> = receiver?;
         match receiver.recv().await {
-            Some(Chunk::Data(bytes)) => Some((Ok(Frame::data(bytes)), Some(receiver))),
+            // From here on the connection's write buffer holds the bytes, which is bounded.
+            Some(Chunk::Data(bytes, _hold)) => Some((Ok(Frame::data(bytes)), Some(receiver))),
             Some(Chunk::End) => None,
             None => Some((Err(Incomplete), None)),
         }
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -61,6 +61,10 @@
     RefusalUnstored = 140,
     /// An engine was asked to stop a run so that another one can continue it.
     RunHalted = 141,
+    /// A caller was refused for lack of memory or connections.
+    MemoryShort = 170,
+    /// There is room for callers again.
+    MemoryFree = 171,
 }
 
 /// Log level of each event.
@@ -93,6 +97,8 @@
     (Event::ContentRefused, Level::Warn),
     (Event::RefusalUnstored, Level::Warn),
     (Event::RunHalted, Level::Info),
+    (Event::MemoryShort, Level::Warn),
+    (Event::MemoryFree, Level::Info),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -221,6 +221,9 @@
 
     /// Asks the pool whether the retry budget allows another send.
     pub(crate) async fn may_send_again(&self) -> bool {
+        if !self.job.is_sendable() {
+            return false;
+        }
         let allowed = self.proxy.pool.send(Retry(self.job.service)).await;
         allowed.is_ok_and(|decision| decision == shared_retry_budget::Decision::Retry)
     }
--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use daisyyard_core::footprint::Use;
 use hyper::{Request, Response, StatusCode};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
@@ -12,11 +13,11 @@
 use xtra::Address;
 
 use crate::body::{self, Body};
-use crate::buffer::Buffer;
 use crate::codec::Codec;
 use crate::event::Event;
 use crate::log::Log;
 use crate::member::Entry;
+use crate::memory::Memory;
 use crate::message::{Leave, Offer, SetRetryLimits};
 use crate::metrics::Metrics;
 use crate::pool::{self, Pool};
@@ -60,6 +61,8 @@
     ending: ending::Sender,
     /// Tracks the connections on which requests arrive.
     requests: TaskTracker,
+    /// Account of what the gateway holds for callers.
+    memory: Memory,
     /// Log of the gateway.
     log: Log,
 }
@@ -134,11 +137,15 @@
         tokio::spawn(watcher.run());
         let registration = registration(settings, codec, phase_view.clone(), log.clone())?;
         tokio::spawn(registration.run());
+        let memory = Memory::new(settings.machine, log.clone());
         let tasks = TaskTracker::new();
         let server = Server {
             configuration: configuration.clone(),
             phase: phase_view.clone(),
             tasks: tasks.clone(),
+            memory: memory.clone(),
+            usage: Use::Connection,
+            refusals: server::refusals(),
         };
         let proxy = Proxy {
             codec,
@@ -146,7 +153,7 @@
             configuration: configuration.clone(),
             phase: phase_view.clone(),
             ending: ending_view,
-            buffer: Buffer::new(),
+            memory: memory.clone(),
             metrics: metrics.clone(),
             log: log.clone(),
         };
@@ -156,6 +163,7 @@
         // The graceful shutdown does not wait for requests to the other listeners.
         let auxiliary = Server {
             tasks: TaskTracker::new(),
+            usage: Use::Control,
             ..server
         };
         auxiliary.clone().spawn(ready, move |request| {
@@ -167,7 +175,9 @@
         auxiliary.clone().spawn(directory, move |request| {
             addresses(codec, offer_pool.clone(), lifetime, request)
         });
+        let account = memory.clone();
         auxiliary.spawn(scrapes, move |request| {
+            metrics.set_memory(&account.figures());
             let response = scrape(&request, &metrics);
             async move { response }
         });
@@ -176,6 +186,7 @@
             phase,
             ending,
             requests: tasks,
+            memory,
             log,
         })
     }
@@ -190,6 +201,7 @@
                     .pool
                     .send(SetRetryLimits(new.retry_budget.clone()))
                     .await;
+                self.memory.resize(new.machine);
                 let details = format!(
                     "name={} grace_ms={}",
                     new.name,
--- a/crates/daisyyard_gateway/src/ingress.rs
+++ b/crates/daisyyard_gateway/src/ingress.rs
@@ -1,17 +1,20 @@
 //! Reads an incoming request: resolves its route and client and receives its body.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use daisyyard_core::catalog::{Access, Catalog, Kind, Limits, Route};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use daisyyard_core::footprint::Use;
+use daisyyard_core::id::AccountId;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST};
 use hyper::{Request, Uri};
 
 use crate::codec::Position;
 use crate::job::{self, Job};
+use crate::memory::{Buffer, Full};
 use crate::proxy::Proxy;
 use crate::refusal::Refusal;
 use crate::server::Phase;
@@ -20,6 +23,9 @@
 const MAX_CATALOG_WAIT: Duration = Duration::from_secs(1);
 /// Maximum share of a request's timeout that it waits for the first configuration.
 const MAX_CATALOG_WAIT_SHARE: f64 = 0.125;
+/// Maximum time that a body may take while too many others are incomplete. An ordinary one comes with
+/// its head or one round trip later.
+const MAX_UNCOUNTED_TIME: Duration = Duration::from_millis(250);
 
 impl Proxy {
     /// Reads a request and resolves its route; on failure, returns the refusal and the attempt.
@@ -53,18 +59,19 @@
             .service(service)
             .ok_or_else(|| failed(Refusal::Missing))?;
         let (connections, engine) = (traits.max_connections, traits.engine);
+        let timeout = parameters
+            .timeout
+            .unwrap_or(route.timeout)
+            .min(route.timeout);
+        let deadline = arrived + timeout;
         let (mut head, body) = request.into_parts();
+        let account = client.as_ref().map(|client| client.account.id);
         let body = tokio::select! {
-            body = receive_body(body, catalog.limits) => body.map_err(failed)?,
+            body = self.receive_body(body, catalog.limits, account, deadline) => body.map_err(failed)?,
             () = self.ending.reached() => return Err(failed(Refusal::Leaving)),
         };
         daisyyard_http::remove_hop_by_hop(&mut head.headers);
         head.headers.remove(CONTENT_LENGTH);
-        let timeout = parameters
-            .timeout
-            .unwrap_or(route.timeout)
-            .min(route.timeout);
-        let deadline = arrived + timeout;
         if self.ending.precedes(deadline) {
             return Err(failed(Refusal::Leaving));
         }
@@ -87,7 +94,7 @@
             method: head.method,
             uri,
             headers: head.headers,
-            body,
+            body: Mutex::new(Some(body)),
             resume_after,
             arrived,
             deadline,
@@ -110,6 +117,40 @@
         catalog.ok_or(Refusal::Unconfigured)
     }
 
+    /// Receives the body of a request within the configured limits and the room that the gateway has.
+    /// A body that is incomplete at the deadline of its request could not be answered any more.
+    async fn receive_body(
+        &self,
+        body: Incoming,
+        limits: Limits,
+        account: Option<AccountId>,
+        deadline: Instant,
+    ) -> Result<Bytes, Refusal> {
+        if body.is_end_stream() {
+            return Ok(Bytes::new());
+        }
+        let declared = body.size_hint().exact().map(|size| size as usize);
+        if declared.is_some_and(|size| size > limits.max_body_bytes) {
+            return Err(Refusal::TooLong);
+        }
+        let mut hold = self.memory.empty(Use::Body, account);
+        // A body that cannot be held now is not read at all.
+        hold.check(declared.unwrap_or(1))?;
+        let pending = self.memory.hold(Use::Pending, 1);
+        let time = match pending {
+            Ok(_) => limits.idle_timeout,
+            Err(Full) => MAX_UNCOUNTED_TIME,
+        };
+        let until = deadline.min(Instant::now() + time);
+        let buffer = Buffer::new(hold, declared, limits.max_body_bytes);
+        let collect = collect(body, buffer, limits.max_body_bytes);
+        let collected = tokio::time::timeout_at(until.into(), collect).await;
+        collected.unwrap_or(match pending {
+            Ok(_) => Err(Refusal::Unread),
+            Err(Full) => Err(Refusal::Exhausted),
+        })
+    }
+
     /// Returns whether a graceful shutdown has begun.
     fn is_leaving(&self) -> bool {
         *self.phase.borrow() != Phase::Serving
@@ -138,19 +179,36 @@
     }
 }
 
-/// Receives the body of a request within the configured limits.
-async fn receive_body(body: Incoming, limits: Limits) -> Result<Bytes, Refusal> {
-    let collect = Limited::new(body, limits.max_body_bytes).collect();
-    let collected = tokio::time::timeout(limits.idle_timeout, collect).await;
-    let collected = collected.map_err(|_elapsed| Refusal::Unread)?;
-    let collected = collected.map_err(|error| {
-        if error.is::<LengthLimitError>() {
-            Refusal::TooLong
-        } else {
-            Refusal::Unread
+/// Collects a body in one piece, frame by frame, and charges it as it arrives.
+async fn collect(
+    mut body: Incoming,
+    mut buffer: Buffer,
+    max_bytes: usize,
+) -> Result<Bytes, Refusal> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_broken| Refusal::Unread)?;
+        // Trailers contain nothing that endpoints need.
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if buffer.len() + data.len() > max_bytes {
+            return Err(Refusal::TooLong);
         }
-    })?;
-    Ok(collected.to_bytes())
+        let missing = buffer
+            .capacity_for(data.len())
+            .saturating_sub(buffer.charged());
+        if missing > 0 {
+            buffer.hold().grow(missing)?;
+        }
+        buffer.push(&data);
+    }
+    Ok(buffer.freeze())
+}
+
+impl From<Full> for Refusal {
+    fn from(_: Full) -> Self {
+        Self::Exhausted
+    }
 }
 
 /// Returns the path and query of a request URI.
--- a/crates/daisyyard_gateway/src/job.rs
+++ b/crates/daisyyard_gateway/src/job.rs
@@ -1,7 +1,7 @@
 //! A request in progress, and how it is rewritten for an endpoint.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -46,8 +46,8 @@
     pub(crate) uri: Uri,
     /// Headers of the caller, without those that apply only to its connection.
     pub(crate) headers: HeaderMap,
-    /// Complete body.
-    pub(crate) body: Bytes,
+    /// Complete body, until no further send can need it.
+    pub(crate) body: Mutex<Option<Bytes>>,
     /// Number of the event after which the caller resumes the stream.
     pub(crate) resume_after: Option<u64>,
     /// When the request arrived.
@@ -76,7 +76,7 @@
 fn content(client: Option<&Client>, method: &Method, uri: &Uri, body: &[u8]) -> Fingerprint {
     let account = client.map_or(0, |client| client.account.id);
     let head = format!("{method} {uri}\n");
-    id::fingerprint(account, &[head.as_bytes(), body].concat())
+    id::fingerprint_parts(account, &[head.as_bytes(), body])
 }
 
 impl Job {
@@ -85,6 +85,28 @@
         self.contents.first().copied().unwrap_or_default()
     }
 
+    /// Returns the body, if it is still held.
+    fn body(&self) -> MutexGuard<'_, Option<Bytes>> {
+        // The lock is held for single reads and writes only.
+        self.body.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether the request can be sent, or whether its body was dropped.
+    pub(crate) fn is_sendable(&self) -> bool {
+        self.body().is_some()
+    }
+
+    /// Drops the body of a request that an endpoint is answering, unless a later send may need it: at
+    /// a further endpoint, or at an engine that continues the run.
+    pub(crate) fn drop_body(&self, runs_left: u32) {
+        let continues = |engine: Engine| engine.moves || engine.backups;
+        let is_streaming = self.route.kind == Kind::Streaming;
+        let may_continue = is_streaming && self.engine.is_some_and(continues);
+        if runs_left == 0 && !may_continue {
+            *self.body() = None;
+        }
+    }
+
     /// Returns the time until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -160,7 +182,8 @@
         replica: Option<Replica>,
         last_event: Option<u64>,
     ) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let body = self.body().clone().unwrap_or_default();
+        let mut request = Request::new(Full::new(body));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         let headers = request.headers_mut();
--- a/crates/daisyyard_gateway/src/metrics.rs
+++ b/crates/daisyyard_gateway/src/metrics.rs
@@ -4,11 +4,14 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use daisyyard_core::footprint::Use;
 use metrics::{Key, KeyName, Level, Metadata, Recorder};
 use metrics_exporter_prometheus::{
     Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
 };
 
+use crate::memory::Figures;
+
 /// Histogram buckets of the response latency, in seconds.
 const LATENCY_BUCKETS_SECONDS: [f64; 12] = [
     0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 1.5, 2.0, 4.0, 8.0, 16.0, 40.0,
@@ -23,9 +26,27 @@
 const MOVES: &str = "daisyyard_gateway_moves_total";
 /// Counter of runs that endpoints broke off early, by kind.
 const BROKEN: &str = "daisyyard_gateway_broken_runs_total";
+/// Gauge of the memory and connections that are charged, by use.
+const HELD: &str = "daisyyard_gateway_held";
+/// Gauge of the limits on them, by use.
+const HELD_LIMIT: &str = "daisyyard_gateway_held_limit";
+/// Counter of the charges that were refused, by use.
+const HELD_REFUSED: &str = "daisyyard_gateway_held_refused_total";
 /// Module and level under which the metrics are registered.
 const ORIGIN: Metadata<'static> = Metadata::new(module_path!(), Level::INFO, Some(module_path!()));
 
+/// Returns the name of a use for metrics.
+fn name(usage: Use) -> &'static str {
+    match usage {
+        Use::Body => "body_bytes",
+        Use::Answer => "answer_bytes",
+        Use::Relay => "relay_bytes",
+        Use::Connection => "connections",
+        Use::Pending => "pending_bodies",
+        Use::Control => "control_connections",
+    }
+}
+
 /// Metrics of one gateway.
 #[derive(Debug, Clone)]
 pub(crate) struct Metrics {
@@ -79,6 +100,21 @@
         self.count(BROKEN, &[("kind", kind)]);
     }
 
+    /// Sets the gauges of the account of memory and connections.
+    pub(crate) fn set_memory(&self, figures: &[Figures]) {
+        for one in figures {
+            let labels = [("use", name(one.usage))];
+            let key = |name| Key::from_parts(KeyName::from_const_str(name), &labels);
+            let gauge = |name, value: f64| {
+                self.recorder.register_gauge(&key(name), &ORIGIN).set(value);
+            };
+            gauge(HELD, one.used as f64);
+            gauge(HELD_LIMIT, one.limit as f64);
+            let refused = self.recorder.register_counter(&key(HELD_REFUSED), &ORIGIN);
+            refused.absolute(one.refused);
+        }
+    }
+
     /// Increments a counter.
     fn count(&self, name: &'static str, labels: &[(&'static str, &'static str)]) {
         let key = Key::from_parts(KeyName::from_const_str(name), labels);
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -17,12 +17,13 @@
 use xtra::Address;
 
 use crate::body::{self, Body};
-use crate::buffer::{self, Buffer};
+use crate::buffer;
 use crate::codec::Codec;
 use crate::ending::Ending;
 use crate::event::Event;
 use crate::job::Job;
 use crate::log::Log;
+use crate::memory::Memory;
 use crate::message::{Claim, Count, Grant, Placement, Retry};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
@@ -52,8 +53,8 @@
     pub(crate) phase: watch::Receiver<Phase>,
     /// When the process ends.
     pub(crate) ending: Ending,
-    /// Memory for answers that are read whole.
-    pub(crate) buffer: Buffer,
+    /// Memory for what the gateway holds for callers.
+    pub(crate) memory: Memory,
     /// Metrics of the gateway.
     pub(crate) metrics: Metrics,
     /// Log of the gateway.
@@ -231,6 +232,7 @@
                 response: None,
             };
         }
+        job.drop_body(runs_left);
         if status.is_success() && !receipt.signed {
             grant.signal = Signal::Failed;
             return answer_unusable("unsigned_answer");
@@ -272,7 +274,7 @@
         deadline: Instant,
     ) -> Sent {
         let (parts, incoming) = answer.response.into_parts();
-        let read = self.buffer.read(incoming);
+        let read = buffer::read(&self.memory, incoming);
         let bytes = match tokio::time::timeout_at(deadline.into(), read).await {
             Ok(Ok(bytes)) => bytes,
             Ok(Err(buffer::Error::Broken)) => {
--- a/crates/daisyyard_gateway/src/refusal.rs
+++ b/crates/daisyyard_gateway/src/refusal.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use daisyyard_core::attempt::Outcome;
-use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use serde_json::json;
 
@@ -17,6 +17,10 @@
 /// time, and a caller may retry only once.
 const RETRY_UNCONFIGURED_DELAY: Duration = Duration::from_secs(3);
 
+/// Delay before a retry when the gateway has no memory left. Other gateways may have some, and this one
+/// has it again when the bodies in progress have arrived.
+const RETRY_EXHAUSTED_DELAY: Duration = Duration::from_millis(250);
+
 /// Reason why the gateway answers a request itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum Refusal {
@@ -47,6 +51,9 @@
     /// No endpoint had capacity in time.
     #[error("no endpoint had room in time; ask again later")]
     Full,
+    /// The gateway has no memory or no connection left for the request.
+    #[error("the gateway has no memory left for the request; ask again soon")]
+    Exhausted,
     /// The request is likely to crash the endpoint that runs it; it is refused for this time.
     #[error("endpoints crashed when they ran this request; change it before you send it again")]
     Suspected(Duration),
@@ -83,6 +90,7 @@
             | Self::Leaving
             | Self::Full
             | Self::Declined
+            | Self::Exhausted
             | Self::Suspected(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
@@ -95,16 +103,26 @@
             Self::Leaving | Self::Declined => Some(RETRY_ELSEWHERE_DELAY),
             Self::Unconfigured => Some(RETRY_UNCONFIGURED_DELAY),
             Self::Full => Some(RETRY_FULL_DELAY),
+            Self::Exhausted => Some(RETRY_EXHAUSTED_DELAY),
             Self::Suspected(time) => Some(time),
             _ => None,
         }
     }
 
+    /// Returns whether the connection is closed, because the rest of the body is not worth reading.
+    fn closes_connection(self) -> bool {
+        matches!(self, Self::Unread | Self::TooLong | Self::Exhausted)
+    }
+
     /// Builds the response with its JSON error body.
     pub(crate) fn response(self) -> Response<Body> {
         let text = json!({ "error": self.to_string() }).to_string();
         let mut response = body::json(text);
         *response.status_mut() = self.status();
+        if self.closes_connection() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
         if let Some(time) = self.retry_after() {
             let seconds = format!("{:.3}", time.as_secs_f64());
             let seconds = HeaderValue::from_str(&seconds).expect("a number is a valid header");
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use daisyyard_core::footprint::Use;
 use daisyyard_core::pool::Signal;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
@@ -17,6 +18,7 @@
 use crate::event::Event;
 use crate::gaps::Gaps;
 use crate::job::Job;
+use crate::memory::Hold;
 use crate::message::{FirstToken, Grant, Notice, ObserveGaps};
 use crate::migration::{State, join_copy};
 use crate::proxy::Proxy;
@@ -222,6 +224,27 @@
         self.fail_over(reason).await || self.restart(reason).await
     }
 
+    /// Charges events that wait behind others for a slow caller; returns none if the caller leaves
+    /// before there is room. A caller that keeps up is not charged and never waits.
+    async fn hold(&self, size: usize) -> Option<Option<Hold>> {
+        if self.sender.capacity() == self.sender.max_capacity() {
+            return Some(None);
+        }
+        let mut hold = self.proxy.memory.empty(Use::Relay, None);
+        let room = async {
+            tokio::select! {
+                () = hold.grow_when_free(size) => true,
+                // Once the caller has read all that waits, it keeps up again.
+                _ = self.sender.reserve_many(self.sender.max_capacity()) => false,
+            }
+        };
+        let granted = room.await;
+        if self.sender.is_closed() {
+            return None;
+        }
+        Some(granted.then_some(hold))
+    }
+
     /// Forwards the new events among the bytes.
     async fn deliver(&mut self, bytes: &Bytes) -> Delivery {
         if self.first_data_at.is_none() {
@@ -245,9 +268,15 @@
                 .send(ObserveGaps(self.grant.run, gaps))
                 .await;
         }
-        if !events.is_empty() && self.sender.send(Chunk::Data(events)).await.is_err() {
+        if events.is_empty() {
+            return Delivery::Sent;
+        }
+        let Some(hold) = self.hold(events.len()).await else {
             return Delivery::CallerLeft;
+        };
+        match self.sender.send(Chunk::Data(events, hold)).await {
+            Ok(()) => Delivery::Sent,
+            Err(_) => Delivery::CallerLeft,
         }
-        Delivery::Sent
     }
 }
--- a/crates/daisyyard_gateway/src/settings.rs
+++ b/crates/daisyyard_gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use daisyyard_core::footprint::Machine;
 use daisyyard_core::shared_retry_budget::Limits;
 use daisyyard_derive::record;
 
@@ -25,8 +26,17 @@
     pub bounds: Bounds,
     /// Limits of the retry budget, which all gateways share.
     pub retry_budget: Limits,
+    /// Memory and descriptors of the machine.
+    pub machine: Machine,
 }
 
+/// The smallest machine on which gateways run. It is assumed if the settings state none: a gateway
+/// that was sized for it holds less for its callers than the account of this machine allows.
+pub const SMALLEST_MACHINE: Machine = Machine {
+    memory: 88_000_000,
+    descriptors: 3_075,
+};
+
 /// Addresses on which a gateway listens.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listen {
