Bound latency samples, and send stalled bodies in the soak

The exporter keeps each latency until the metrics are read; they are now added to the buckets at the latest after 1,024. The soak sends crowds of bodies without their end, drawn by a generator of their own, so that the other faults of a seed stay the same. The check before a body is read no longer charges.

--- a/crates/daisyyard/src/soak.rs
+++ b/crates/daisyyard/src/soak.rs
@@ -99,7 +99,10 @@
         ));
     }
     let mut faults = JoinSet::new();
-    for event in soak_schedule::draw(options.seed, options.duration) {
+    let mut events = soak_schedule::draw(options.seed, options.duration);
+    events.extend(soak_schedule::draw_crowds(options.seed, options.duration));
+    events.sort_by_key(|event| event.at);
+    for event in events {
         tokio::time::sleep_until((started + event.at).into()).await;
         faults.spawn(Arc::clone(&environment).inject(
             event.fault,
@@ -215,6 +218,10 @@
             Fault::Stop(gateway) => self.gateways[gateway].send(Control::Stop).await,
             Fault::Reload(gateway) => self.gateways[gateway].send(Control::Reload).await,
             Fault::Configure => self.configure(number + 2).await,
+            Fault::Crowd(gateway) => {
+                let address = self.gateways[gateway].request_address;
+                soak_caller::stall_bodies(address, duration).await;
+            }
         }
     }
 
--- a/crates/daisyyard/src/soak_caller.rs
+++ b/crates/daisyyard/src/soak_caller.rs
@@ -10,6 +10,8 @@
 use hyper::{Method, Request, StatusCode, header};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// Deadline that a caller states in its requests.
 const DEADLINE: Duration = Duration::from_secs(6);
@@ -23,6 +25,13 @@
 /// Number of tokens in an event of a stream.
 const TOKENS_PER_EVENT: u64 = 4;
 
+/// Number of connections of a crowd with stalled bodies.
+const CROWD: usize = 50;
+/// Size of the largest chunk of a stalled body: nearly the limit on bodies of the soak's configuration.
+const CROWD_CHUNK_BYTES: usize = 60_000;
+/// Limit on sending one of these bodies, for a gateway that is suspended.
+const MAX_CROWD_WRITE: Duration = Duration::from_millis(100);
+
 /// Kind of request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Kind {
@@ -93,6 +102,28 @@
     records
 }
 
+/// Sends bodies without their end to a gateway and keeps the connections open for a time. The gateway
+/// may refuse them or close the connections.
+pub(crate) async fn stall_bodies(gateway: SocketAddr, duration: Duration) {
+    let head = format!(
+        "POST /book/1 HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {CREDENTIAL}\r\n\
+         x-daisyyard-attempt-id: stalled\r\nx-daisyyard-deadline-ms: 60000\r\n\
+         transfer-encoding: chunked\r\n\r\n"
+    );
+    let chunk = format!("1\r\nx\r\n{CROWD_CHUNK_BYTES:x}\r\n");
+    let text = head + &chunk + &"x".repeat(CROWD_CHUNK_BYTES);
+    let mut sockets = Vec::new();
+    for _ in 0..CROWD {
+        // A gateway may be down at this time.
+        if let Ok(mut socket) = TcpStream::connect(gateway).await {
+            let write = socket.write_all(text.as_bytes());
+            let _ = tokio::time::timeout(MAX_CROWD_WRITE, write).await;
+            sockets.push(socket);
+        }
+    }
+    tokio::time::sleep(duration).await;
+}
+
 /// Sends a request to a gateway and records its result.
 pub(crate) async fn send_request(gateway: SocketAddr, attempt: String, kind: Kind) -> Record {
     let mut text = Vec::new();
--- a/crates/daisyyard/src/soak_schedule.rs
+++ b/crates/daisyyard/src/soak_schedule.rs
@@ -21,6 +21,8 @@
 const START_INTERVAL_MS: std::ops::Range<u64> = 100..700;
 /// Range of the durations of faults, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 200..2_000;
+/// Range of the times between the starts of two crowds, in milliseconds.
+const CROWD_INTERVAL_MS: std::ops::Range<u64> = 1_000..4_000;
 /// Upper bound of the delay on a slow link, in milliseconds.
 const MAX_LINK_DELAY_MS: u64 = 300;
 
@@ -49,6 +51,8 @@
     Reload(usize),
     /// A new version of the configuration is written.
     Configure,
+    /// A crowd of callers sends bodies to a gateway without their end.
+    Crowd(usize),
 }
 
 /// Fault with its start and duration.
@@ -80,6 +84,25 @@
     }
 }
 
+/// Draws the crowds of a soak. They have a generator of their own, so that the other faults of a seed
+/// stay the same.
+pub(crate) fn draw_crowds(seed: u64, period: Duration) -> Vec<Event> {
+    let mut random = Pcg64Mcg::seed_from_u64(!seed);
+    let mut events = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += Duration::from_millis(random.random_range(CROWD_INTERVAL_MS));
+        if at >= period {
+            return events;
+        }
+        events.push(Event {
+            at,
+            duration: Duration::from_millis(random.random_range(DURATION_MS)),
+            fault: Fault::Crowd(random.random_range(0..GATEWAYS)),
+        });
+    }
+}
+
 /// Draws the kind and target of a fault.
 fn draw_fault(random: &mut Pcg64Mcg) -> Fault {
     let gateway = random.random_range(0..GATEWAYS);
--- a/crates/daisyyard/tests/caller_limits.rs
+++ b/crates/daisyyard/tests/caller_limits.rs
@@ -8,12 +8,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use daisyyard_standin::platform_fixture::{CREDENTIAL, HOST};
+use daisyyard_http::Body;
+use daisyyard_standin::platform_fixture::{self, CREDENTIAL, HOST};
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{Method, StatusCode};
 use platform::{Gateway, Platform, Request, plain_request, spawn_gateway_with, stream_request};
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Mutex;
 
 /// Held by the test that runs.
@@ -24,6 +27,10 @@
 const SMALL_MEMORY_MB: u64 = 32;
 /// Descriptors of a gateway with a low limit.
 const FEW_DESCRIPTORS: usize = 512;
+/// Number of events of a long stream.
+const LONG_EVENTS: usize = 500;
+/// Size of an event of a long stream.
+const LONG_EVENT_BYTES: usize = 10_000;
 /// Descriptors of a machine that are kept for files.
 const FILE_DESCRIPTORS: usize = 200;
 
@@ -270,3 +277,53 @@
         assert!((held - expected).abs() < 1.0, "{held} with moves={moves}");
     }
 }
+
+/// What waits for a caller that does not read is charged while it waits, and the stream is complete
+/// once the caller reads.
+#[tokio::test]
+async fn slow_reader() {
+    let _alone = ALONE.lock().await;
+    let mut platform = Platform::start(0, 0).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let engine = daisyyard_http::serve(listener, |request| async move { long_stream(&request) });
+    let entry = platform_fixture::entry("model", address, "ready");
+    platform.store.put("servers/long", &entry).await;
+    platform.start_gateway().await;
+    let lines = "content-length: 0\r\nx-daisyyard-model: m\r\nx-daisyyard-token-usage: 100,2000\r\n\
+                 connection: close\r\n";
+    let request = head("slow", "POST /draft/1", lines);
+    let mut socket = open(platform.gateways[0].requests, &request).await;
+    let held = "daisyyard_gateway_held{use=\"relay_bytes\"}";
+    platform::wait_until("parts of the stream wait", async || {
+        metric(&platform, held).await > 0.0
+    })
+    .await;
+    let text = read_to_end(&mut socket).await;
+    assert_eq!(text.matches("data: x").count(), LONG_EVENTS);
+    assert!(text.ends_with("0\r\n\r\n"), "the answer is complete");
+    assert!(metric(&platform, held).await < 1.0);
+    engine.abort();
+}
+
+/// Returns a stream of long events, which exceeds the buffers of the sockets.
+fn long_stream(request: &hyper::Request<Incoming>) -> hyper::Response<Body> {
+    let (sender, receiver) = tokio::sync::mpsc::channel(1);
+    tokio::spawn(async move {
+        for number in 1..=LONG_EVENTS {
+            let event = format!("id: {number}\ndata: {}\n\n", "x".repeat(LONG_EVENT_BYTES));
+            if sender.send(event.into()).await.is_err() {
+                return;
+            }
+        }
+    });
+    let mut response = hyper::Response::new(daisyyard_http::channel(receiver));
+    let attempt = request.headers().get("x-daisyyard-attempt-id").cloned();
+    let headers = response.headers_mut();
+    let signature = HeaderValue::from_static("signed");
+    headers.insert("x-daisyyard-server-signature", signature);
+    if let Some(attempt) = attempt {
+        headers.insert("x-daisyyard-attempt-id", attempt);
+    }
+    response
+}
--- a/crates/daisyyard/tests/gateway_faults.rs
+++ b/crates/daisyyard/tests/gateway_faults.rs
@@ -8,6 +8,7 @@
 use std::process::Command;
 
 use daisyyard::gateway_settings::parse;
+use daisyyard_gateway::settings::SMALLEST_MACHINE;
 
 /// Returns valid settings of a gateway.
 fn valid_settings() -> serde_json::Value {
@@ -62,3 +63,24 @@
     assert!(text.contains("listen.requests"), "{text}");
     assert!(text.contains("repeats.slack"), "{text}");
 }
+
+/// The limits are optional, and those that are given are checked.
+#[test]
+fn checks_limits() {
+    let mut settings = valid_settings();
+    let parse = |settings: &serde_json::Value| parse(Path::new("s.json"), &settings.to_string());
+    let unset = parse(&settings).expect("the limits are optional");
+    assert_eq!(unset.machine, SMALLEST_MACHINE);
+    settings["limits"] = serde_json::json!({ "memory_mb": 512, "file_descriptors": 8192 });
+    let set = parse(&settings).expect("the limits are valid").machine;
+    assert_eq!((set.memory, set.descriptors), (512_000_000, 8_192));
+    settings["limits"] = serde_json::json!({ "memory_mb": 8, "files": 1 });
+    let faults = parse(&settings).expect_err("faults").0;
+    let keys: Vec<&str> = faults.iter().map(|fault| fault.key.as_str()).collect();
+    let expected = [
+        "limits.memory_mb",
+        "limits.file_descriptors",
+        "limits.files",
+    ];
+    assert_eq!(keys, expected);
+}
--- a/crates/daisyyard_core/src/footprint.rs
+++ b/crates/daisyyard_core/src/footprint.rs
@@ -196,9 +196,18 @@
         });
     }
 
+    /// Returns whether a further amount would be granted to a holder.
+    pub fn check(&self, holder: &Holder, amount: usize) -> Verdict {
+        if amount > self.free(holder, amount) {
+            Verdict::Full
+        } else {
+            Verdict::Granted
+        }
+    }
+
     /// Charges a further amount for a holder, or nothing.
     pub fn charge(&mut self, holder: &mut Holder, amount: usize) -> Verdict {
-        if amount > self.free(holder, amount) {
+        if self.check(holder, amount) == Verdict::Full {
             return Verdict::Full;
         }
         self.remove(holder);
--- a/crates/daisyyard_core/tests/memory_account.rs
+++ b/crates/daisyyard_core/tests/memory_account.rs
@@ -83,7 +83,9 @@
     holders[place] = grown.clone();
     let fits = amount == 0 || fits(footprint, holders, &grown);
     holders[place] = before;
+    let checked = footprint.check(&holders[place], amount);
     let verdict = footprint.charge(&mut holders[place], amount);
+    assert_eq!(verdict, checked);
     assert_eq!(verdict == Verdict::Granted, fits, "{grown:?}");
     if verdict == Verdict::Granted {
         assert_eq!(holders[place].amount, grown.amount);
--- a/crates/daisyyard_gateway/src/ingress.rs
+++ b/crates/daisyyard_gateway/src/ingress.rs
@@ -133,7 +133,7 @@
         if declared.is_some_and(|size| size > limits.max_body_bytes) {
             return Err(Refusal::TooLong);
         }
-        let mut hold = self.memory.empty(Use::Body, account);
+        let hold = self.memory.empty(Use::Body, account);
         // A body that cannot be held now is not read at all.
         hold.check(declared.unwrap_or(1))?;
         let pending = self.memory.hold(Use::Pending, 1);
--- a/crates/daisyyard_gateway/src/memory.rs
+++ b/crates/daisyyard_gateway/src/memory.rs
@@ -168,20 +168,28 @@
         if self.try_grow(amount) {
             return Ok(());
         }
+        Err(self.refuse())
+    }
+
+    /// Counts a refusal, and logs it if it closes the account.
+    fn refuse(&self) -> Full {
         let usage = self.holder.usage;
         self.memory.shared.refused[usage as usize].fetch_add(1, Ordering::Relaxed);
         let refusal = |footprint: &mut Footprint| footprint.record_refusal(usage, Instant::now());
         if let Some(change) = self.memory.decide(refusal) {
             self.memory.report(change);
         }
-        Err(Full)
+        Full
     }
 
     /// Checks that there is room for a further amount, without charging it.
-    pub(crate) fn check(&mut self, amount: usize) -> Result<(), Full> {
-        self.grow(amount)?;
-        self.give_back(amount);
-        Ok(())
+    pub(crate) fn check(&self, amount: usize) -> Result<(), Full> {
+        let holder = &self.holder;
+        let check = |footprint: &mut Footprint| footprint.check(holder, amount);
+        match self.memory.decide(check) {
+            Verdict::Granted => Ok(()),
+            Verdict::Full => Err(self.refuse()),
+        }
     }
 
     /// Charges a further amount once there is room for it.
--- a/crates/daisyyard_gateway/src/metrics.rs
+++ b/crates/daisyyard_gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a gateway in the Prometheus text format.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use anyhow::Context;
@@ -16,6 +17,9 @@
 const LATENCY_BUCKETS_SECONDS: [f64; 12] = [
     0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 1.5, 2.0, 4.0, 8.0, 16.0, 40.0,
 ];
+/// Number of latencies after which they are added to the buckets. Until then each takes 8 B, and nobody
+/// may read the metrics.
+const MAX_SAMPLES: u32 = 1_024;
 /// Counter of requests by kind and outcome.
 const REQUESTS: &str = "daisyyard_gateway_requests_total";
 /// Histogram of the time until the end of a request.
@@ -54,6 +58,8 @@
     recorder: Arc<PrometheusRecorder>,
     /// Renders the metrics as text.
     handle: PrometheusHandle,
+    /// Number of latencies that were recorded.
+    samples: Arc<AtomicU32>,
 }
 
 impl Metrics {
@@ -68,6 +74,7 @@
         Ok(Self {
             recorder: Arc::new(recorder),
             handle,
+            samples: Arc::new(AtomicU32::new(0)),
         })
     }
 
@@ -83,6 +90,10 @@
         let key = Key::from_parts(KeyName::from_const_str(LATENCY), &[("kind", kind)]);
         let histogram = self.recorder.register_histogram(&key, &ORIGIN);
         histogram.record(latency.as_secs_f64());
+        let samples = self.samples.fetch_add(1, Ordering::Relaxed);
+        if samples % MAX_SAMPLES == MAX_SAMPLES - 1 {
+            self.handle.run_upkeep();
+        }
     }
 
     /// Counts a retry.
