--- a/crates/daisyyard/src/soak.rs
+++ b/crates/daisyyard/src/soak.rs
@@ -118,6 +118,7 @@
         options.seed,
         options.duration,
     ));
+    events.extend(soak_schedule::draw_crowds(options.seed, options.duration));
     events.sort_by_key(|event| event.at);
     for event in events {
         tokio::time::sleep_until((started + event.at).into()).await;
@@ -269,6 +270,10 @@
                 tokio::time::sleep(duration).await;
                 self.store.remove(EVACUATION).await;
             }
+            Fault::Crowd(gateway) => {
+                let address = self.gateways[gateway].request_address;
+                soak_caller::stall_bodies(address, duration).await;
+            }
         }
     }
 
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -26,6 +26,7 @@
 pub(crate) mod ejection;
 pub mod endpoint;
 pub mod evacuation;
+pub mod footprint;
 pub mod forward;
 pub mod gossip;
 mod grant;
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -76,6 +76,10 @@
     CopyFreed = 180,
     /// The target of a move or the backup engine of a run is given up.
     TargetChanged = 181,
+    /// A caller was refused for lack of memory or connections.
+    MemoryShort = 170,
+    /// There is room for callers again.
+    MemoryFree = 171,
 }
 
 /// Log level of each event.
@@ -115,6 +119,8 @@
     (Event::EndpointWarm, Level::Info),
     (Event::CopyFreed, Level::Info),
     (Event::TargetChanged, Level::Info),
+    (Event::MemoryShort, Level::Warn),
+    (Event::MemoryFree, Level::Info),
 ];
 
 impl Event {
