Admit requests under overload by what waiting and refusals cost callers

Cause: a request for which there was no room waited until its target and was then refused, urgent requests waited behind prompts that engines had still to read, and gateways did not know how much each account used.

Change: daisyyard_core decides to start, to wait or to refuse at once, with a Retry-After (gate, outlook), from the turn of a request (turn), the demand and the pace at which memory becomes free (forecast), the room at the endpoints (room), the work of the accounts in the fleet (burden) and the refusals of the last seconds (recall). The pool actor uses it where the settings' section admission names the contract pressure; elsewhere the backlog and its decisions stay as they are. Digests carry waiting and refused requests, and two datagrams of their own, bounded in bytes per second, carry the work of the accounts and the requests by kind (tags 24 to 27).

--- a/crates/daisyyard/src/gateway_settings.rs
+++ b/crates/daisyyard/src/gateway_settings.rs
@@ -13,6 +13,10 @@
 /// Largest number of retries that a setting accepts.
 const MAX_RETRIES: f64 = 1e9;
 
+/// Contract of a deployment whose callers compete for too little capacity, in which the admission by
+/// costs is in effect.
+const PRESSURE: &str = "pressure";
+
 /// Reads and parses a settings file.
 pub(crate) fn load(path: &Path) -> anyhow::Result<Settings> {
     Ok(parse(path, &settings_parser::read_file(path)?)?)
@@ -41,6 +45,11 @@
         listen: s.required_object(r, "listen", listen),
         bounds: s.required_object(r, "bounds", bounds),
         retry_budget: s.required_object(r, "repeats", retry_limits),
+        admission: s
+            .optional_object(r, "admission", |s, r| {
+                s.strings(r, "contracts", "[\"pressure\"]")
+            })
+            .is_some_and(|contracts| contracts.iter().any(|name| name == PRESSURE)),
     };
     parser.reject_unknown_keys(root);
     parser.finish(settings)
--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -72,6 +72,10 @@
     failure_rate: f64,
     /// Pace of the engine.
     pub(crate) pace: Pace,
+    /// Share of the memory that new long runs may reserve.
+    pub(crate) max_long_share: f64,
+    /// Prompt tokens that may wait at the engine when a request is sent to it.
+    pub(crate) max_prefill: Tokens,
 }
 
 impl Candidate {
@@ -91,6 +95,8 @@
             losses: 0,
             failure_rate: 0.0,
             pace: Pace::default(),
+            max_long_share: MAX_LONG_RUN_MEMORY_SHARE,
+            max_prefill: Tokens::MAX,
         }
     }
 
@@ -162,7 +168,7 @@
             return 0;
         }
         let load = self.load(now);
-        let memory = (need.memory as f64 * max_share(need)) as Tokens;
+        let memory = (need.memory as f64 * self.max_share(need)) as Tokens;
         let by_memory = memory.saturating_sub(load.tokens) / need.tokens().max(1);
         let by_slots = u64::from(self.endpoint.slots.saturating_sub(load.runs));
         by_memory.min(by_slots).max(1) as usize
@@ -170,22 +176,32 @@
 
     /// Returns whether the endpoint has room for a request.
     pub(crate) fn fits(&self, need: &Need, now: Instant) -> bool {
-        let runs = self.load(now).runs;
+        let load = self.load(now);
+        let runs = load.runs;
         match self.endpoint.kind {
             Kind::Engine => {
                 let idle = runs == 0;
-                let max_share = max_share(need);
+                let max_share = self.max_share(need);
                 let has_memory = idle || self.memory_share(need, now) <= max_share;
-                runs < self.endpoint.slots.min(need.connections) && has_memory
-            }
-            Kind::Plain => {
-                let max_runs = self
-                    .endpoint
-                    .slots
-                    .max(1)
-                    .saturating_mul(PLAIN_REQUESTS_PER_SLOT);
-                runs < max_runs.min(need.connections)
+                let reads_soon = load.prefill <= self.max_prefill;
+                runs < self.endpoint.slots.min(need.connections) && has_memory && reads_soon
             }
+            Kind::Plain => runs < self.max_plain_runs().min(need.connections),
+        }
+    }
+
+    /// Returns how many requests are sent to a plain endpoint before further ones wait at the node.
+    pub(crate) fn max_plain_runs(&self) -> u32 {
+        let slots = self.endpoint.slots.max(1);
+        slots.saturating_mul(PLAIN_REQUESTS_PER_SLOT)
+    }
+
+    /// Returns the share of the memory of an engine that may be reserved when a request starts.
+    fn max_share(&self, need: &Need) -> f64 {
+        if need.is_short() {
+            MAX_MEMORY_SHARE
+        } else {
+            self.max_long_share
         }
     }
 
@@ -235,12 +251,3 @@
         }
     }
 }
-
-/// Returns the share of the memory of an engine that may be reserved when a request starts.
-fn max_share(need: &Need) -> f64 {
-    if need.is_short() {
-        MAX_MEMORY_SHARE
-    } else {
-        MAX_LONG_RUN_MEMORY_SHARE
-    }
-}
--- a/crates/daisyyard_core/src/share.rs
+++ b/crates/daisyyard_core/src/share.rs
@@ -8,11 +8,11 @@
 /// Half-life, in seconds, of the weight of a request.
 const HALF_LIFE_SECS: f64 = 30.0;
 /// Time after its last request during which an account counts as active.
-const ACTIVE_PERIOD: Duration = Duration::from_mins(1);
+pub(crate) const ACTIVE_PERIOD: Duration = Duration::from_mins(1);
 /// Interval between two removals of inactive accounts.
 const PRUNE_PERIOD: Duration = Duration::from_secs(1);
 /// Maximum number of active accounts tracked; further ones count as below their share.
-const MAX_ACCOUNTS: usize = 2048;
+pub(crate) const MAX_ACCOUNTS: usize = 2048;
 /// Multiple of an equal share above which an account may not use the reserve. With one or two
 /// active accounts none can exceed it, so nothing is kept free.
 const EXCESS_FACTOR: f64 = 2.0;
@@ -20,9 +20,9 @@
 /// twice as large lowers goodput and urgent targets met under overload without a benefit.
 const RESERVED_SHARE: f64 = 0.05;
 
-/// Demand of one account.
-#[derive(Debug)]
-struct Demand {
+/// Demand of one account, decayed with a half-life of [`HALF_LIFE_SECS`].
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Demand {
     /// Requested tokens, decayed up to the last request.
     tokens: f64,
     /// Time of the last request.
@@ -42,7 +42,7 @@
 
 impl Demand {
     /// Creates the demand of an account without requests.
-    fn new(now: Instant) -> Self {
+    pub(crate) fn new(now: Instant) -> Self {
         Self {
             tokens: 0.0,
             last_request: now,
@@ -50,16 +50,24 @@
     }
 
     /// Returns the requested tokens, decayed up to `now`.
-    fn decayed(&self, now: Instant) -> f64 {
-        let age = now
-            .saturating_duration_since(self.last_request)
-            .as_secs_f64();
-        self.tokens * (-age / HALF_LIFE_SECS).exp2()
+    pub(crate) fn decayed(&self, now: Instant) -> f64 {
+        self.tokens * Self::decay(self.last_request, now)
+    }
+
+    /// Returns the factor by which a weight decays between two times.
+    pub(crate) fn decay(from: Instant, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(from).as_secs_f64();
+        (-age / HALF_LIFE_SECS).exp2()
+    }
+
+    /// Returns whether the account had a request within [`ACTIVE_PERIOD`].
+    pub(crate) fn is_active(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last_request) < ACTIVE_PERIOD
     }
 
     /// Adds the tokens of a request.
-    fn add(&mut self, tokens: Tokens, now: Instant) {
-        self.tokens = self.decayed(now) + tokens as f64;
+    pub(crate) fn add(&mut self, tokens: f64, now: Instant) {
+        self.tokens = self.decayed(now) + tokens;
         self.last_request = now;
     }
 }
@@ -77,15 +85,14 @@
     /// Records a request of an account.
     pub(crate) fn record(&mut self, account: AccountId, tokens: Tokens, now: Instant) {
         if now.saturating_duration_since(self.pruned) >= PRUNE_PERIOD {
-            self.accounts.retain(|_, demand| {
-                now.saturating_duration_since(demand.last_request) < ACTIVE_PERIOD
-            });
+            self.accounts.retain(|_, demand| demand.is_active(now));
             self.pruned = now;
         }
-        self.total.add(tokens, now);
+        self.total.add(tokens as f64, now);
         if self.accounts.len() < MAX_ACCOUNTS || self.accounts.contains_key(&account) {
             let demand = self.accounts.entry(account);
-            demand.or_insert_with(|| Demand::new(now)).add(tokens, now);
+            let demand = demand.or_insert_with(|| Demand::new(now));
+            demand.add(tokens as f64, now);
         }
     }
 
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -13,7 +13,7 @@
 use xtra::{Address, WeakAddress};
 
 use crate::frame::{Frame, MAX_DATAGRAM_BYTES, News};
-use crate::message::{Digest, Report, ShareEvidence, ShareNews};
+use crate::message::{Demand, Digest, Report, ShareDemand, ShareEvidence, ShareNews};
 use crate::pool::Pool;
 
 /// Least time between two digests if no change is reported earlier.
@@ -37,6 +37,13 @@
 /// Maximum number of datagrams of news that wait. Gateways read larger changes themselves.
 const MAX_WAITING_NEWS: usize = 8;
 
+/// Least time between two reports of the work of accounts, or of the requests by kind.
+const DEMAND_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum rate at which the work of accounts is sent, to all recipients together.
+const MAX_ACCOUNT_BYTES_PER_S: f64 = 1_000.0;
+/// The same for the requests by kind, from which bursts are seen.
+const MAX_STREAM_BYTES_PER_S: f64 = 4_000.0;
+
 /// Task that sends and receives datagrams.
 #[derive(Debug)]
 struct Exchange {
@@ -62,6 +69,10 @@
     last_evidence: Instant,
     /// Revision of these.
     evidence_revision: u64,
+    /// When the work of accounts may be sent next.
+    next_accounts: Instant,
+    /// When the requests by kind may be sent next.
+    next_streams: Instant,
 }
 
 /// Returns the least time between a digest to a number of recipients and one that reports a change
@@ -70,6 +81,12 @@
     EARLY_INTERVAL.max(EARLY_INTERVAL_PER_TARGET * targets)
 }
 
+/// Returns the time until a frame that was sent to some gateways may be sent again at a rate.
+fn demand_interval(frame: &Frame, targets: &[SocketAddr], bytes_per_s: f64) -> Duration {
+    let bytes = frame.encoded_len() * targets.len();
+    DEMAND_INTERVAL.max(Duration::from_secs_f64(bytes as f64 / bytes_per_s))
+}
+
 /// Binds the socket and starts the task that sends and receives digests.
 pub(crate) async fn spawn(
     address: SocketAddr,
@@ -89,6 +106,8 @@
         next_news: Instant::now(),
         last_evidence: Instant::now(),
         evidence_revision: 0,
+        next_accounts: Instant::now(),
+        next_streams: Instant::now(),
     };
     Ok(tokio::spawn(exchange.run(changed, news)))
 }
@@ -168,6 +187,46 @@
             self.send(&[frame], &targets.reserve).await;
         }
         self.targets = targets.serving.len() as u32;
+        self.send_demand(&targets.serving).await
+    }
+
+    /// Sends the work of accounts and the requests by kind when they are due, each at a bounded
+    /// rate; returns whether the pool runs.
+    async fn send_demand(&mut self, targets: &[SocketAddr]) -> bool {
+        let now = Instant::now();
+        if now < self.next_accounts.min(self.next_streams) {
+            return true;
+        }
+        let Ok(shared) = self.pool.send(ShareDemand).await else {
+            return false;
+        };
+        let Some((from, demand)) = shared else {
+            // Only a restart changes whether the gateway has any.
+            self.next_accounts = now + DEMAND_INTERVAL;
+            self.next_streams = now + DEMAND_INTERVAL;
+            return true;
+        };
+        let Demand {
+            accounts, streams, ..
+        } = demand;
+        if now >= self.next_accounts {
+            let accounts = Demand {
+                accounts,
+                ..Demand::default()
+            };
+            let frame = Frame::from_demand(from, &accounts);
+            self.next_accounts = now + demand_interval(&frame, targets, MAX_ACCOUNT_BYTES_PER_S);
+            self.send(&[frame], targets).await;
+        }
+        if now >= self.next_streams {
+            let streams = Demand {
+                streams,
+                ..Demand::default()
+            };
+            let frame = Frame::from_demand(from, &streams);
+            self.next_streams = now + demand_interval(&frame, targets, MAX_STREAM_BYTES_PER_S);
+            self.send(&[frame], targets).await;
+        }
         true
     }
 
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -61,6 +61,10 @@
     RefusalUnstored = 140,
     /// An engine was asked to stop a run so that another one can continue it.
     RunHalted = 141,
+    /// Requests are refused because no capacity is expected for them in time, or no longer.
+    SheddingChanged = 190,
+    /// Requests of the heaviest accounts that were served, late or refused while requests were shed.
+    AccountBurden = 191,
 }
 
 /// Log level of each event.
@@ -93,6 +97,8 @@
     (Event::ContentRefused, Level::Warn),
     (Event::RefusalUnstored, Level::Warn),
     (Event::RunHalted, Level::Info),
+    (Event::SheddingChanged, Level::Warn),
+    (Event::AccountBurden, Level::Info),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -176,6 +176,11 @@
             relist_time: Duration::ZERO,
             counts: self.retry_budget.counts(now),
             evidence: Vec::new(),
+            demand: self
+                .admission
+                .as_mut()
+                .map(|admission| admission.report(now))
+                .unwrap_or_default(),
         };
         // A gateway in reserve that has no part in the load has nothing to tell.
         let idle = report.loads.is_empty() && report.counts.is_empty();
@@ -208,7 +213,7 @@
 impl Handler<Report> for Pool {
     type Return = ();
 
-    async fn handle(&mut self, message: Report, _: &mut Context<Self>) {
+    async fn handle(&mut self, mut message: Report, _: &mut Context<Self>) {
         let now = Instant::now();
         if !self
             .members
@@ -223,6 +228,11 @@
             let reaches_store = !message.store_lost;
             self.members.record_reach(message.from, reaches_store);
         }
+        if let Some(admission) = &mut self.admission {
+            let demand = std::mem::take(&mut message.demand);
+            let digest = !message.continuation;
+            admission.learn(message.from, demand, digest, now);
+        }
         self.learn_evidence(&message.evidence, now);
         if !message.news.is_empty() {
             self.apply_news(message, now);
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -8,8 +8,9 @@
 use prost::Message;
 
 use crate::codec::Item;
-use crate::message::Report;
+use crate::message::{Demand, Report};
 use crate::wire::{Change, ContentRecord, Counts, Departure, EndpointLoad, Knowledge};
+use crate::wire_demand::{AccountPart, KindStream, RefusedPart, WaitingPart};
 
 /// Maximum size of a datagram; it fits into one packet on any path.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -25,6 +26,8 @@
 const MAX_EJECTIONS: usize = 12;
 /// Maximum number of records of contents in one datagram.
 const MAX_CONTENTS: usize = 8;
+/// Maximum number of kinds of requests in one datagram, or of waiting ones in a digest.
+const MAX_KINDS: usize = 8;
 /// Maximum number of services in one datagram.
 const MAX_SERVICES: usize = 8;
 
@@ -83,6 +86,18 @@
     /// Crashes and proofs of contents.
     #[prost(message, repeated, tag = "15")]
     evidence: Vec<ContentRecord>,
+    /// Work of the heaviest accounts and of the rest.
+    #[prost(message, repeated, tag = "24")]
+    accounts: Vec<AccountPart>,
+    /// Requests that arrive and start, by kind.
+    #[prost(message, repeated, tag = "25")]
+    streams: Vec<KindStream>,
+    /// Requests that were refused lately.
+    #[prost(message, repeated, tag = "26")]
+    refused: Vec<RefusedPart>,
+    /// Requests that wait, by kind.
+    #[prost(message, repeated, tag = "27")]
+    waiting: Vec<WaitingPart>,
 }
 
 /// What a frame is for.
@@ -132,6 +147,22 @@
         records.chunks(MAX_CONTENTS).map(frame).collect()
     }
 
+    /// Returns the frame that tells the work of accounts and the requests by kind.
+    pub(crate) fn from_demand(from: InstanceId, demand: &Demand) -> Self {
+        Self {
+            instance: from,
+            purpose: Purpose::Continuation.into(),
+            accounts: demand.accounts.iter().map(Into::into).collect(),
+            streams: demand
+                .streams
+                .iter()
+                .take(MAX_KINDS)
+                .map(Into::into)
+                .collect(),
+            ..Self::default()
+        }
+    }
+
     /// Splits changes of the store into frames. A change that is too large for a datagram is left
     /// out; the gateways find it in their next complete read.
     pub(crate) fn from_news(news: News) -> Vec<Self> {
@@ -194,7 +225,21 @@
 
     /// Returns the first frame of a report without the loads.
     pub(crate) fn without_loads(report: &Report) -> Self {
+        let (now, demand) = (Instant::now(), &report.demand);
         Self {
+            accounts: Vec::new(),
+            streams: Vec::new(),
+            refused: demand
+                .refused
+                .iter()
+                .map(|refused| RefusedPart::new(refused, now))
+                .collect(),
+            waiting: demand
+                .waiting
+                .iter()
+                .take(MAX_KINDS)
+                .map(Into::into)
+                .collect(),
             purpose: Purpose::Digest.into(),
             news: Vec::new(),
             relist_ms: 0,
@@ -256,6 +301,16 @@
                 .iter()
                 .map(|record| record.record(now))
                 .collect(),
+            demand: Demand {
+                waiting: frame.waiting.into_iter().map(Into::into).collect(),
+                refused: frame
+                    .refused
+                    .iter()
+                    .filter_map(|refused| refused.refused(now))
+                    .collect(),
+                accounts: frame.accounts.into_iter().map(Into::into).collect(),
+                streams: frame.streams.into_iter().map(Into::into).collect(),
+            },
         }
     }
 }
--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -109,17 +109,18 @@
         let scrapes = bind(listen.metrics)?;
         let changed = Arc::new(Notify::new());
         let refresh = Arc::new(Notify::new());
+        let metrics = Metrics::new()?;
         let (news, news_receiver) = mpsc::unbounded_channel();
         let (pool, standing) = pool::spawn(
             settings,
             codec,
             Arc::clone(&changed),
             Arc::clone(&refresh),
+            metrics.clone(),
             log.clone(),
         );
         let digests = digest::spawn(listen.digests, &pool, changed, news_receiver).await;
         digests.with_context(|| format!("cannot bind {}; is it in use?", listen.digests))?;
-        let metrics = Metrics::new()?;
         let (phase, phase_view) = watch::channel(Phase::Serving);
         let (ending, ending_view) = ending::channel();
         let (watcher, configuration) = Watcher::new(
--- a/crates/daisyyard_gateway/src/job.rs
+++ b/crates/daisyyard_gateway/src/job.rs
@@ -10,6 +10,7 @@
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::id::{self, Fingerprint, ServiceId, Tokens};
 use daisyyard_core::load::{Need, SHORT_OUTPUT_TOKENS};
+use daisyyard_core::turn::{self, Ask, patience};
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Uri};
 
@@ -150,6 +151,34 @@
         }
     }
 
+    /// Returns what the request asks for, by which it is admitted under overload.
+    pub(crate) fn ask(&self) -> Ask {
+        let size = if self.engine.is_some() {
+            self.need().tokens()
+        } else {
+            1
+        };
+        // The caller of a plain service waits for the whole answer.
+        let leaves = if self.route.kind == Kind::Streaming {
+            self.arrived + patience(self.route.target_latency, self.route.target_gap)
+        } else {
+            self.deadline
+        };
+        Ask {
+            kind: turn::Kind {
+                service: self.service,
+                priority: self.priority(),
+                short: self.is_short() || self.engine.is_none(),
+            },
+            account: self.client.as_ref().map_or(0, |client| client.account.id),
+            size,
+            place: self.arrived,
+            target: self.arrived + self.route.target_latency,
+            leaves,
+            deadline: self.deadline,
+        }
+    }
+
     /// Builds the request that is sent to an endpoint; a stream starts after the event
     /// `last_event`.
     pub(crate) fn request(
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! An adapter describes the platform's messages with a [`codec::Codec`]; this crate and
 //! `daisyyard_core` decide on routing, limits, retries, membership and recovery.
 
+pub(crate) mod admission;
 pub(crate) mod archive;
 pub mod body;
 pub(crate) mod buffer;
@@ -41,3 +42,4 @@
 pub mod timer;
 pub(crate) mod watcher;
 pub(crate) mod wire;
+pub(crate) mod wire_demand;
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -4,14 +4,20 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_core::backlog::Schedule;
+use daisyyard_core::burden::Part;
+use daisyyard_core::catalog::Client;
 use daisyyard_core::crash;
 use daisyyard_core::endpoint::Endpoint;
+use daisyyard_core::forecast::Stream;
+use daisyyard_core::gate::Waiting;
 use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, RequestId, Revision, ServiceId};
 use daisyyard_core::knowledge;
 use daisyyard_core::load::{Load, Need};
 use daisyyard_core::pool::Signal;
+use daisyyard_core::recall::Refused;
 use daisyyard_core::roster::Role;
 use daisyyard_core::shared_retry_budget::{self, Limits};
+use daisyyard_core::turn::Ask;
 use tokio::sync::{mpsc, oneshot};
 use xtra::WeakAddress;
 
@@ -32,6 +38,10 @@
     pub(crate) need: Need,
     /// Priority and times of the request.
     pub(crate) schedule: Schedule,
+    /// What the request asks for if the gateway admits by costs.
+    pub(crate) ask: Ask,
+    /// Client account of the request.
+    pub(crate) client: Option<Arc<Client>>,
     /// Endpoints that must not be chosen again.
     pub(crate) excluded: Vec<EndpointId>,
     /// Fingerprints of what the caller asks for.
@@ -47,6 +57,8 @@
     Granted(Grant),
     /// It crashes endpoints and is refused for this time.
     Refused(Duration),
+    /// No capacity is expected for it in time; it should return after this time.
+    Shed(Duration),
 }
 
 /// A reservation of an endpoint for a request; dropping it releases the capacity.
@@ -289,4 +301,24 @@
     pub(crate) counts: Vec<(ServiceId, shared_retry_budget::Count)>,
     /// Crashes and proofs of contents that the sender reports.
     pub(crate) evidence: Vec<crash::Record>,
+    /// Demand of the sender and of its waiting and refused requests.
+    pub(crate) demand: Demand,
 }
+
+/// Demand of one gateway, empty unless it admits by costs.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Demand {
+    /// Requests that wait, by kind.
+    pub(crate) waiting: Vec<Waiting>,
+    /// Requests that were refused lately.
+    pub(crate) refused: Vec<Refused>,
+    /// Work of the heaviest accounts and of the rest.
+    pub(crate) accounts: Vec<Part>,
+    /// Requests that arrive and start, by kind.
+    pub(crate) streams: Vec<Stream>,
+}
+
+/// Asks for the identifier of this gateway and its work by account and kind; none unless it admits by
+/// costs.
+#[derive(Debug)]
+pub(crate) struct ShareDemand;
--- a/crates/daisyyard_gateway/src/metrics.rs
+++ b/crates/daisyyard_gateway/src/metrics.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use metrics::{Key, KeyName, Level, Metadata, Recorder};
+use metrics::{Key, KeyName, Label, Level, Metadata, Recorder};
 use metrics_exporter_prometheus::{
     Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
 };
@@ -23,6 +23,8 @@
 const MOVES: &str = "daisyyard_gateway_moves_total";
 /// Counter of runs that endpoints broke off early, by kind.
 const BROKEN: &str = "daisyyard_gateway_broken_runs_total";
+/// Counter of admitted and refused requests by account and outcome.
+const ADMISSIONS: &str = "daisyyard_gateway_admissions_total";
 /// Module and level under which the metrics are registered.
 const ORIGIN: Metadata<'static> = Metadata::new(module_path!(), Level::INFO, Some(module_path!()));
 
@@ -79,6 +81,16 @@
         self.count(BROKEN, &[("kind", kind)]);
     }
 
+    /// Counts a request of an account that was started or refused.
+    pub(crate) fn record_admission(&self, account: &str, outcome: &'static str) {
+        let labels = vec![
+            Label::new("account", account.to_owned()),
+            Label::new("outcome", outcome),
+        ];
+        let key = Key::from_parts(KeyName::from_const_str(ADMISSIONS), labels);
+        self.recorder.register_counter(&key, &ORIGIN).increment(1);
+    }
+
     /// Increments a counter.
     fn count(&self, name: &'static str, labels: &[(&'static str, &'static str)]) {
         let key = Key::from_parts(KeyName::from_const_str(name), labels);
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -19,12 +19,14 @@
 use tokio::sync::{Notify, mpsc, watch};
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
 
+use crate::admission::Admission;
 use crate::archive;
 use crate::codec::{Codec, Item, Record};
 use crate::event::Event;
 use crate::log::Log;
 use crate::member::{Entry, Members};
 use crate::message::{Claim, Count, Leave, Notice, Offer, Retry, SetRetryLimits, Standing, Update};
+use crate::metrics::Metrics;
 use crate::run::Run;
 use crate::settings::Settings;
 use crate::timer::{self, Tick};
@@ -64,6 +66,8 @@
     pub(crate) next_run: RequestId,
     /// Requests that wait for capacity.
     pub(crate) backlog: Backlog<Claim>,
+    /// Admission by costs, which replaces the backlog where it is in effect.
+    pub(crate) admission: Option<Admission>,
     /// Expected time from the start of a run to its first token, by service.
     pub(crate) leads: HashMap<ServiceId, Duration>,
     /// Whether the start of a waiting request is already scheduled.
@@ -104,6 +108,7 @@
     codec: Codec,
     changed: Arc<Notify>,
     refresh: Arc<Notify>,
+    metrics: Metrics,
     log: Log,
 ) -> (Address<Pool>, watch::Receiver<Standing>) {
     let (address, mailbox) = Mailbox::unbounded();
@@ -125,6 +130,9 @@
         runs: HashMap::new(),
         next_run: 0,
         backlog: Backlog::default(),
+        admission: settings
+            .admission
+            .then(|| Admission::new(rand::random(), metrics)),
         leads: HashMap::new(),
         scheduled: false,
         changed,
@@ -152,12 +160,13 @@
     /// start their requests one by one at random times, so that each sees what the others have
     /// reserved.
     pub(crate) fn schedule(&mut self) {
-        if self.scheduled || self.backlog.is_empty() {
+        if self.scheduled || !self.has_waiting() {
             return;
         }
         self.scheduled = true;
         let mean = MEAN_START_INTERVAL.saturating_mul(self.members.serving_count() as u32);
-        let delay = mean.mul_f64(rand::random_range(0.0..2.0));
+        let delay = self.start_delay(MEAN_START_INTERVAL);
+        let delay = delay.unwrap_or_else(|| mean.mul_f64(rand::random_range(0.0..2.0)));
         let pool = self.address.clone();
         tokio::spawn(async move {
             tokio::time::sleep(delay).await;
@@ -365,6 +374,9 @@
     async fn handle(&mut self, _: Start, _: &mut Context<Self>) {
         self.scheduled = false;
         let now = Instant::now();
+        if self.start_admitted(now) {
+            return;
+        }
         let mut backlog = std::mem::take(&mut self.backlog);
         let leads = self.leads.clone();
         let lead = |claim: &Claim| leads.get(&claim.need.service).copied().unwrap_or_default();
@@ -387,6 +399,7 @@
         }
         // Dropping a claim refuses the request.
         drop(self.backlog.expire(now));
+        self.review_admission(now);
         self.store_refusals(now);
         self.update_roster(now);
         self.schedule();
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -170,6 +170,8 @@
         let claim = Claim {
             need: job.need(),
             schedule: job.schedule(),
+            ask: job.ask(),
+            client: job.client.clone(),
             excluded: tried.to_vec(),
             contents: Arc::clone(&job.contents),
             reply,
@@ -184,6 +186,7 @@
         match granted {
             Ok(Placement::Granted(grant)) => Ok(grant),
             Ok(Placement::Refused(time)) => Err(Refusal::Suspected(time)),
+            Ok(Placement::Shed(time)) => Err(Refusal::Shed(time)),
             Err(_) => Err(Refusal::Full),
         }
     }
@@ -318,6 +321,7 @@
             Refusal::Declined => "declined",
             Refusal::Late => "late",
             Refusal::Suspected(_) => "suspected",
+            Refusal::Shed(_) => "shed",
             _ => "lost",
         };
         self.record_end(job, refusal.status(), reason);
--- a/crates/daisyyard_gateway/src/refusal.rs
+++ b/crates/daisyyard_gateway/src/refusal.rs
@@ -47,6 +47,9 @@
     /// No endpoint had capacity in time.
     #[error("no endpoint had room in time; ask again later")]
     Full,
+    /// No capacity is expected for the request in time; it should return after this time.
+    #[error("no endpoint is expected to have room in time; ask again after the stated delay")]
+    Shed(Duration),
     /// The request is likely to crash the endpoint that runs it; it is refused for this time.
     #[error("endpoints crashed when they ran this request; change it before you send it again")]
     Suspected(Duration),
@@ -83,6 +86,7 @@
             | Self::Leaving
             | Self::Full
             | Self::Declined
+            | Self::Shed(_)
             | Self::Suspected(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
@@ -95,7 +99,7 @@
             Self::Leaving | Self::Declined => Some(RETRY_ELSEWHERE_DELAY),
             Self::Unconfigured => Some(RETRY_UNCONFIGURED_DELAY),
             Self::Full => Some(RETRY_FULL_DELAY),
-            Self::Suspected(time) => Some(time),
+            Self::Suspected(time) | Self::Shed(time) => Some(time),
             _ => None,
         }
     }
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -11,6 +11,7 @@
 use daisyyard_core::id::{EndpointId, Fingerprint, RequestId, ServiceId};
 use daisyyard_core::load::{Load, Need};
 use daisyyard_core::pool::Signal;
+use daisyyard_core::turn;
 use tokio::sync::mpsc;
 use xtra::{Context, Handler};
 
@@ -40,6 +41,8 @@
     rejected: Vec<EndpointId>,
     /// Resources that the request needs.
     need: Need,
+    /// Kind of the request.
+    kind: turn::Kind,
     /// Fingerprints of what the caller asks for.
     pub(crate) contents: Arc<[Fingerprint]>,
     /// When the run was sent to its endpoint.
@@ -80,6 +83,7 @@
             backup: backup.as_ref().map(|backup| backup.id),
             rejected: Vec::new(),
             need: claim.need,
+            kind: claim.ask.kind,
             contents: claim.contents,
             sent_at: now,
             awaits_first_token: true,
@@ -205,6 +209,10 @@
 
     async fn handle(&mut self, message: Claim, _: &mut Context<Self>) {
         let now = Instant::now();
+        if self.admission.is_some() {
+            self.admit(message, now);
+            return;
+        }
         let schedule = message.schedule;
         let service = message.need.service;
         // A request must not overtake those that already wait for the same service, unless it comes
@@ -234,6 +242,9 @@
     async fn handle(&mut self, Release(id, signal): Release, _: &mut Context<Self>) {
         if let Some(run) = self.runs.remove(&id) {
             self.apply_load(&run, false);
+            if let Some(admission) = &mut self.admission {
+                admission.observe_hold(run.kind, run.sent_at.elapsed());
+            }
             self.observe(run.endpoint, signal);
             if signal == Signal::Answered {
                 self.record_proof(&run.contents);
@@ -249,6 +260,9 @@
     async fn handle(&mut self, FirstToken(id): FirstToken, _: &mut Context<Self>) {
         let observe = |pool: &mut Self, run: &mut Run| {
             run.awaits_first_token = false;
+            if let Some(admission) = &mut pool.admission {
+                admission.observe_lead(run.kind, run.sent_at.elapsed());
+            }
             let lead = pool.leads.entry(run.need.service).or_default();
             *lead =
                 lead.mul_f64(1.0 - LEAD_SMOOTHING) + run.sent_at.elapsed().mul_f64(LEAD_SMOOTHING);
--- a/crates/daisyyard_gateway/src/settings.rs
+++ b/crates/daisyyard_gateway/src/settings.rs
@@ -25,6 +25,9 @@
     pub bounds: Bounds,
     /// Limits of the retry budget, which all gateways share.
     pub retry_budget: Limits,
+    /// Whether requests are admitted by what waiting costs callers, instead of in the order of the
+    /// backlog.
+    pub admission: bool,
 }
 
 /// Addresses on which a gateway listens.
