--- a/crates/daisyyard/src/gateway_settings.rs
+++ b/crates/daisyyard/src/gateway_settings.rs
@@ -33,6 +33,9 @@
 const MAX_DESCRIPTORS: f64 = 1e7;
 /// Bytes of a megabyte, as the platform counts them.
 const BYTES_PER_MB: f64 = 1e6;
+/// Contract of a deployment whose callers compete for too little capacity, in which the admission by
+/// costs is in effect.
+const PRESSURE: &str = "pressure";
 
 /// Reads and parses a settings file.
 pub(crate) fn load(path: &Path) -> anyhow::Result<Settings> {
@@ -65,6 +68,11 @@
         machine: s
             .optional_object(r, "limits", machine)
             .unwrap_or(SMALLEST_MACHINE),
+        admission: s
+            .optional_object(r, "admission", |s, r| {
+                s.strings(r, "contracts", "[\"pressure\"]")
+            })
+            .is_some_and(|contracts| contracts.iter().any(|name| name == PRESSURE)),
     };
     parser.reject_unknown_keys(root);
     parser.finish(settings)
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -80,6 +80,10 @@
     MemoryShort = 170,
     /// There is room for callers again.
     MemoryFree = 171,
+    /// Requests are refused because no capacity is expected for them in time, or no longer.
+    SheddingChanged = 190,
+    /// Requests of the heaviest accounts that were served, late or refused while requests were shed.
+    AccountBurden = 191,
 }
 
 /// Log level of each event.
@@ -121,6 +125,8 @@
     (Event::TargetChanged, Level::Info),
     (Event::MemoryShort, Level::Warn),
     (Event::MemoryFree, Level::Info),
+    (Event::SheddingChanged, Level::Warn),
+    (Event::AccountBurden, Level::Info),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -5,17 +5,23 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_core::backlog::Schedule;
+use daisyyard_core::burden::Part;
+use daisyyard_core::catalog::Client;
 use daisyyard_core::continuation::{Holder, Standby};
 use daisyyard_core::crash;
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::evacuation::Order;
+use daisyyard_core::forecast::Stream;
+use daisyyard_core::gate::Waiting;
 use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, RequestId, Revision, ServiceId};
 use daisyyard_core::knowledge;
 use daisyyard_core::load::{Load, Need};
 use daisyyard_core::migration::Freight;
 use daisyyard_core::pool::Signal;
+use daisyyard_core::recall::Refused;
 use daisyyard_core::roster::Role;
 use daisyyard_core::shared_retry_budget::{self, Limits};
+use daisyyard_core::turn::Ask;
 use daisyyard_core::warmup::{self, Allowance, ColdStart};
 use tokio::sync::{mpsc, oneshot};
 use xtra::WeakAddress;
@@ -37,6 +43,10 @@
     pub(crate) need: Need,
     /// Priority and times of the request.
     pub(crate) schedule: Schedule,
+    /// What the request asks for if the gateway admits by costs.
+    pub(crate) ask: Ask,
+    /// Client account of the request.
+    pub(crate) client: Option<Arc<Client>>,
     /// Endpoints that must not be chosen again.
     pub(crate) excluded: Vec<EndpointId>,
     /// Fingerprints of what the caller asks for.
@@ -56,6 +66,8 @@
     Refused(Duration),
     /// All endpoints that might run it are in evacuated availability zones.
     Evacuated,
+    /// No capacity is expected for it in time; it should return after this time.
+    Shed(Duration),
 }
 
 /// A reservation of an endpoint for a request; dropping it releases the capacity.
@@ -370,4 +382,24 @@
     pub(crate) counts: Vec<(ServiceId, shared_retry_budget::Count)>,
     /// Crashes and proofs of contents that the sender reports.
     pub(crate) evidence: Vec<crash::Record>,
+    /// Demand of the sender and of its waiting and refused requests.
+    pub(crate) demand: Demand,
 }
+
+/// Demand of one gateway, empty unless it admits by costs.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Demand {
+    /// Requests that wait, by kind.
+    pub(crate) waiting: Vec<Waiting>,
+    /// Requests that were refused lately.
+    pub(crate) refused: Vec<Refused>,
+    /// Work of the heaviest accounts and of the rest.
+    pub(crate) accounts: Vec<Part>,
+    /// Requests that arrive and start, by kind.
+    pub(crate) streams: Vec<Stream>,
+}
+
+/// Asks for the identifier of this gateway and its work by account and kind; none unless it admits by
+/// costs.
+#[derive(Debug)]
+pub(crate) struct ShareDemand;
--- a/crates/daisyyard_gateway/src/metrics.rs
+++ b/crates/daisyyard_gateway/src/metrics.rs
@@ -6,7 +6,7 @@
 
 use anyhow::Context;
 use daisyyard_core::footprint::Use;
-use metrics::{Key, KeyName, Level, Metadata, Recorder};
+use metrics::{Key, KeyName, Label, Level, Metadata, Recorder};
 use metrics_exporter_prometheus::{
     Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
 };
@@ -44,6 +44,8 @@
 const HELD_LIMIT: &str = "daisyyard_gateway_held_limit";
 /// Counter of the charges that were refused, by use.
 const HELD_REFUSED: &str = "daisyyard_gateway_held_refused_total";
+/// Counter of admitted and refused requests by account and outcome.
+const ADMISSIONS: &str = "daisyyard_gateway_admissions_total";
 /// Module and level under which the metrics are registered.
 const ORIGIN: Metadata<'static> = Metadata::new(module_path!(), Level::INFO, Some(module_path!()));
 
@@ -157,6 +159,16 @@
         }
     }
 
+    /// Counts a request of an account that was started or refused.
+    pub(crate) fn record_admission(&self, account: &str, outcome: &'static str) {
+        let labels = vec![
+            Label::new("account", account.to_owned()),
+            Label::new("outcome", outcome),
+        ];
+        let key = Key::from_parts(KeyName::from_const_str(ADMISSIONS), labels);
+        self.recorder.register_counter(&key, &ORIGIN).increment(1);
+    }
+
     /// Increments a counter.
     fn count(&self, name: &'static str, labels: &[(&'static str, &'static str)]) {
         let key = Key::from_parts(KeyName::from_const_str(name), labels);
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -180,6 +180,8 @@
         let claim = Claim {
             need: job.need(),
             schedule: job.schedule(),
+            ask: job.ask(),
+            client: job.client.clone(),
             excluded: tried.to_vec(),
             contents: Arc::clone(&job.contents),
             waited_for_cold: false,
@@ -196,6 +198,7 @@
             Ok(Placement::Granted(grant)) => Ok(grant),
             Ok(Placement::Refused(time)) => Err(Refusal::Suspected(time)),
             Ok(Placement::Evacuated) => Err(Refusal::Evacuated),
+            Ok(Placement::Shed(time)) => Err(Refusal::Shed(time)),
             Err(_) => Err(Refusal::Full),
         }
     }
@@ -345,6 +348,7 @@
             Refusal::Declined => "declined",
             Refusal::Late => "late",
             Refusal::Suspected(_) => "suspected",
+            Refusal::Shed(_) => "shed",
             _ => "lost",
         };
         self.record_end(job, refusal.status(), reason);
--- a/crates/daisyyard_gateway/src/refusal.rs
+++ b/crates/daisyyard_gateway/src/refusal.rs
@@ -60,6 +60,9 @@
     /// The gateway has no memory or no connection left for the request.
     #[error("the gateway has no memory left for the request; ask again soon")]
     Exhausted,
+    /// No capacity is expected for the request in time; it should return after this time.
+    #[error("no endpoint is expected to have room in time; ask again after the stated delay")]
+    Shed(Duration),
     /// The request is likely to crash the endpoint that runs it; it is refused for this time.
     #[error("endpoints crashed when they ran this request; change it before you send it again")]
     Suspected(Duration),
@@ -98,6 +101,7 @@
             | Self::Evacuated
             | Self::Declined
             | Self::Exhausted
+            | Self::Shed(_)
             | Self::Suspected(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
@@ -112,7 +116,7 @@
             Self::Full => Some(RETRY_FULL_DELAY),
             Self::Evacuated => Some(RETRY_EVACUATED_DELAY),
             Self::Exhausted => Some(RETRY_EXHAUSTED_DELAY),
-            Self::Suspected(time) => Some(time),
+            Self::Suspected(time) | Self::Shed(time) => Some(time),
             _ => None,
         }
     }
--- a/crates/daisyyard_gateway/src/settings.rs
+++ b/crates/daisyyard_gateway/src/settings.rs
@@ -29,6 +29,9 @@
     pub retry_budget: Limits,
     /// Memory and descriptors of the machine.
     pub machine: Machine,
+    /// Whether requests are admitted by what waiting costs callers, instead of in the order of the
+    /// backlog.
+    pub admission: bool,
 }
 
 /// The smallest machine on which gateways run. It is assumed if the settings state none: a gateway
