--- a/crates/daisyyard/src/soak.rs
+++ b/crates/daisyyard/src/soak.rs
@@ -28,10 +28,10 @@
 /// Time between two checks for an expected state.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Availability zone that is evacuated.
-const EVACUATED_ZONE: &str = "zone-b";
+/// Availability zone that is evacuated. It is that of the gateways, which prefer its endpoints.
+const EVACUATED_ZONE: &str = "zone-a";
 /// Key of the order to evacuate it.
-const EVACUATION: &str = "op/evacuate/zone-b";
+const EVACUATION: &str = "op/evacuate/zone-a";
 /// Time from the order until no request may reach the zone.
 const EVACUATION_TIME: Duration = Duration::from_secs(5);
 /// Requests of each kind that are sent through each gateway after that.
@@ -322,9 +322,9 @@
 /// Returns the availability zone of the endpoint with this number.
 fn zone_name(number: usize) -> &'static str {
     if number.is_multiple_of(2) {
-        "zone-a"
-    } else {
         EVACUATED_ZONE
+    } else {
+        "zone-b"
     }
 }
 
--- a/crates/daisyyard_gateway/src/evacuation.rs
+++ b/crates/daisyyard_gateway/src/evacuation.rs
@@ -30,11 +30,11 @@
 
 /// The evacuated zones, for tasks that have been granted an endpoint.
 #[derive(Debug, Clone)]
-pub(crate) struct Zones(watch::Receiver<Vec<ZoneId>>);
+pub struct Zones(watch::Receiver<Vec<ZoneId>>);
 
 /// Reason why a request to an endpoint got no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Unsent {
+pub enum Unsent {
     /// It was not sent, because its endpoint or its backup engine is in an evacuated zone.
     Evacuated,
     /// The connection failed.
@@ -43,19 +43,19 @@
 
 impl Zones {
     /// Returns a channel for the evacuated zones, of which there are none.
-    pub(crate) fn channel() -> (watch::Sender<Vec<ZoneId>>, Self) {
+    pub fn channel() -> (watch::Sender<Vec<ZoneId>>, Self) {
         let (sender, receiver) = watch::channel(Vec::new());
         (sender, Self(receiver))
     }
 
     /// Returns whether an endpoint is in one of the zones.
-    pub(crate) fn contain(&self, endpoint: &Endpoint) -> bool {
+    pub fn contain(&self, endpoint: &Endpoint) -> bool {
         self.0.borrow().contains(&endpoint.zone.id)
     }
 
     /// Sends a request to an endpoint unless an evacuation has started since the endpoint or the
     /// backup engine was chosen. Connecting may take a second, so this is checked after it.
-    pub(crate) async fn send(
+    pub async fn send(
         &self,
         endpoint: &Endpoint,
         backup: Option<&Endpoint>,
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -11,7 +11,7 @@
 pub(crate) mod content;
 pub(crate) mod digest;
 pub(crate) mod ending;
-pub(crate) mod evacuation;
+pub mod evacuation;
 pub(crate) mod event;
 pub(crate) mod failover;
 pub(crate) mod fleet;
