--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -14,7 +14,7 @@
 pub(crate) mod content;
 pub(crate) mod digest;
 pub(crate) mod ending;
-pub(crate) mod evacuation;
+pub mod evacuation;
 pub(crate) mod event;
 pub(crate) mod failover;
 pub(crate) mod fleet;
