--- a/crates/daisyyard_core/src/gate.rs
+++ b/crates/daisyyard_core/src/gate.rs
@@ -174,19 +174,25 @@
         ask.turn(self.standing(ask), mean_size, late)
     }
 
-    /// Returns whether a request that arrives has its turn before those that wait.
-    pub fn is_first(&self, ask: &Ask, now: Instant) -> bool {
+    /// Returns whether a request that arrives may start at once: its turn comes before those that wait
+    /// here, it leaves the room that is kept for short ones, and there is also room for those that wait
+    /// at other nodes and go first.
+    pub fn may_start(&self, ask: &Ask, room: &Room, now: Instant) -> bool {
         let turn = self.turn(ask, now);
         let mut same = self
             .entries
             .iter()
             .filter(|entry| entry.ask.kind.service == ask.kind.service);
+        let others = self.waiting_before(ask, false, now);
+        let free = room.memory.saturating_sub(room.held) as f64;
         same.all(|entry| turn < self.turn(&entry.ask, now))
+            && self.leaves_reserve(ask, room)
+            && (others <= 0.0 || others + ask.size as f64 <= free)
     }
 
     /// Returns whether a request leaves the room that is kept for short ones. An idle endpoint takes
     /// any request, as no more room can become free for it.
-    pub fn leaves_reserve(&self, ask: &Ask, room: &Room) -> bool {
+    fn leaves_reserve(&self, ask: &Ask, room: &Room) -> bool {
         let reserve = self.forecast.reserve(ask.kind.service, room.held);
         if ask.kind.short || reserve.places == 0 || room.idle {
             return true;
--- a/crates/daisyyard_core/src/outlook.rs
+++ b/crates/daisyyard_core/src/outlook.rs
@@ -177,7 +177,7 @@
 
     /// Returns the memory that requests need that wait at other nodes and go before this one. Those of
     /// its own kind are taken to have arrived evenly since the oldest one.
-    fn waiting_before(&self, ask: &Ask, late: bool, now: Instant) -> f64 {
+    pub(crate) fn waiting_before(&self, ask: &Ask, late: bool, now: Instant) -> f64 {
         let age = now.saturating_duration_since(ask.place).as_secs_f64();
         let reports = self.fresh(now).flat_map(|report| &report.waiting);
         let same = reports.filter(|waiting| waiting.kind.service == ask.kind.service);
--- a/crates/daisyyard_core/tests/play/mod.rs
+++ b/crates/daisyyard_core/tests/play/mod.rs
@@ -274,8 +274,7 @@
             Policy::Gate => {
                 self.gate.arrive(&ask, self.now);
                 let room = self.room();
-                let may_start =
-                    self.gate.is_first(&ask, self.now) && self.gate.leaves_reserve(&ask, &room);
+                let may_start = self.gate.may_start(&ask, &room, self.now);
                 let kept = self.gate.kept_endpoints(ask.kind, self.now);
                 if may_start && self.place(&ask, &request, &kept) {
                     self.gate.count_start(&ask, self.now);
--- a/crates/daisyyard_gateway/src/admission.rs
+++ b/crates/daisyyard_gateway/src/admission.rs
@@ -246,8 +246,7 @@
             return;
         };
         let gate = &admission.gate;
-        let may_start = gate.is_first(&ask, now) && gate.leaves_reserve(&ask, &room);
-        let claim = if may_start {
+        let claim = if gate.may_start(&ask, &room, now) {
             let kept = gate.kept_endpoints(ask.kind, now);
             self.grant_beside(claim, &kept, now)
         } else {
@@ -375,7 +374,8 @@
 }
 
 impl Handler<ShareDemand> for Pool {
-    type Return = Option<(InstanceId, Demand)>;
+    /// This gateway, whether it is leaving, and its demand.
+    type Return = Option<(InstanceId, bool, Demand)>;
 
     async fn handle(&mut self, _: ShareDemand, _: &mut Context<Self>) -> Self::Return {
         let now = Instant::now();
@@ -385,6 +385,6 @@
             streams: admission.gate.forecast.report(now),
             ..Demand::default()
         };
-        Some((self.own_id, demand))
+        Some((self.own_id, self.leaving, demand))
     }
 }
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -200,7 +200,7 @@
         let Ok(shared) = self.pool.send(ShareDemand).await else {
             return false;
         };
-        let Some((from, demand)) = shared else {
+        let Some((from, leaving, demand)) = shared else {
             // Only a restart changes whether the gateway has any.
             self.next_accounts = now + DEMAND_INTERVAL;
             self.next_streams = now + DEMAND_INTERVAL;
@@ -214,7 +214,7 @@
                 accounts,
                 ..Demand::default()
             };
-            let frame = Frame::from_demand(from, &accounts);
+            let frame = Frame::from_demand(from, leaving, &accounts);
             self.next_accounts = now + demand_interval(&frame, targets, MAX_ACCOUNT_BYTES_PER_S);
             self.send(&[frame], targets).await;
         }
@@ -223,7 +223,7 @@
                 streams,
                 ..Demand::default()
             };
-            let frame = Frame::from_demand(from, &streams);
+            let frame = Frame::from_demand(from, leaving, &streams);
             self.next_streams = now + demand_interval(&frame, targets, MAX_STREAM_BYTES_PER_S);
             self.send(&[frame], targets).await;
         }
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -230,7 +230,8 @@
         }
         if let Some(admission) = &mut self.admission {
             let demand = std::mem::take(&mut message.demand);
-            let digest = !message.continuation;
+            // Waiting requests that exceed the room of a digest follow in a frame of their own.
+            let digest = !message.continuation || !demand.waiting.is_empty();
             admission.learn(message.from, demand, digest, now);
         }
         self.learn_evidence(&message.evidence, now);
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -125,11 +125,25 @@
             purpose: Purpose::Continuation.into(),
             ..Self::default()
         });
-        let first = Self {
+        let mut first = Self {
             loads: first.iter().map(load).collect(),
             ..Self::without_loads(report)
         };
-        std::iter::once(first).chain(rest).collect()
+        let demand = first.split_demand();
+        std::iter::once(first).chain(rest).chain(demand).collect()
+    }
+
+    /// Moves the waiting and refused requests to a frame of their own if both together are too long for
+    /// a datagram.
+    fn split_demand(&mut self) -> Option<Self> {
+        (self.encoded_len() > MAX_DATAGRAM_BYTES).then(|| Self {
+            instance: self.instance,
+            leaving: self.leaving,
+            purpose: Purpose::Continuation.into(),
+            refused: std::mem::take(&mut self.refused),
+            waiting: std::mem::take(&mut self.waiting),
+            ..Self::default()
+        })
     }
 
     /// Splits records of contents into frames.
@@ -148,9 +162,10 @@
     }
 
     /// Returns the frame that tells the work of accounts and the requests by kind.
-    pub(crate) fn from_demand(from: InstanceId, demand: &Demand) -> Self {
+    pub(crate) fn from_demand(from: InstanceId, leaving: bool, demand: &Demand) -> Self {
         Self {
             instance: from,
+            leaving,
             purpose: Purpose::Continuation.into(),
             accounts: demand.accounts.iter().map(Into::into).collect(),
             streams: demand
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -318,7 +318,6 @@
     pub(crate) streams: Vec<Stream>,
 }
 
-/// Asks for the identifier of this gateway and its work by account and kind; none unless it admits by
-/// costs.
+/// Asks for this gateway's work by account and kind; none unless it admits by costs.
 #[derive(Debug)]
 pub(crate) struct ShareDemand;
