--- a/crates/daisyyard_gateway/tests/late_send.rs
+++ b/crates/daisyyard_gateway/tests/late_send.rs
@@ -27,7 +27,7 @@
     let (endpoint, backup) = (engine("endpoint", "a"), engine("backup", "b"));
     let (sender, zones) = Zones::channel();
     let request = Request::new(Full::new("body".into()));
-    let sent = zones.send(&endpoint, Some(&backup), request, TIMEOUT);
+    let sent = zones.send(&endpoint, Some(&backup), request, TIMEOUT, None);
     let mut sent = std::pin::pin!(sent);
     assert!(poll!(sent.as_mut()).is_pending(), "the connection opens");
     sender.send_replace(vec![id::of(evacuated)]);
@@ -52,6 +52,6 @@
     let address = "127.0.0.1:1".parse().expect("an address");
     let endpoint = Endpoint::new("e", "model", Kind::Plain, Zone::new("a", ""), address);
     let request = Request::new(Full::default());
-    let sent = zones.send(&endpoint, None, request, TIMEOUT).await;
+    let sent = zones.send(&endpoint, None, request, TIMEOUT, None).await;
     assert_matches!(sent, Err(Unsent::Evacuated));
 }
