Accept a deployment without contracts, and test the admission's settings

Cause: the template passes the deployment's contracts on; where there are none it may write null, which was a fault, so that the gateway would not start.

Change: null counts as an empty list for this key only; other lists of texts are read as before.

Run: gateway_faults, settings_faults, load_refusals; clippy of daisyyard.

--- a/crates/daisyyard/src/gateway_settings.rs
+++ b/crates/daisyyard/src/gateway_settings.rs
@@ -47,7 +47,7 @@
         retry_budget: s.required_object(r, "repeats", retry_limits),
         admission: s
             .optional_object(r, "admission", |s, r| {
-                s.strings(r, "contracts", "[\"pressure\"]")
+                s.passed_strings(r, "contracts", "[\"pressure\"]")
             })
             .is_some_and(|contracts| contracts.iter().any(|name| name == PRESSURE)),
     };
--- a/crates/daisyyard/src/settings_parser.rs
+++ b/crates/daisyyard/src/settings_parser.rs
@@ -324,6 +324,23 @@
             .unwrap_or_default()
     }
 
+    /// Reads a list of texts that a template passes on; a missing key or null gives an empty list.
+    pub(crate) fn passed_strings(
+        &mut self,
+        section: &mut Section<'a>,
+        key: &'static str,
+        example: &'static str,
+    ) -> Vec<String> {
+        let is_null = |property: &ObjectProp<'a>| {
+            property.name.as_str() == key && matches!(property.value, Value::NullKeyword(_))
+        };
+        if section.unread.iter().any(is_null) {
+            section.take(key);
+            return Vec::new();
+        }
+        self.strings(section, key, example)
+    }
+
     /// Reads an object with `read`; returns `None` if the key is missing.
     pub(crate) fn optional_object<T>(
         &mut self,
--- a/crates/daisyyard/tests/gateway_faults.rs
+++ b/crates/daisyyard/tests/gateway_faults.rs
@@ -34,6 +34,36 @@
     assert_eq!(keys, expected);
 }
 
+/// The admission is in effect only where the section names pressure; a section that is no list of
+/// texts is a fault.
+#[test]
+fn reads_admission() {
+    let read = |section: serde_json::Value| {
+        let mut settings = valid_settings();
+        settings["admission"] = section;
+        parse(Path::new("s.json"), &settings.to_string())
+    };
+    let effect = |section| read(section).map(|settings| settings.admission).ok();
+    let absent = parse(Path::new("s.json"), &valid_settings().to_string());
+    assert_eq!(absent.map(|settings| settings.admission).ok(), Some(false));
+    let contracts = |names: &[&str]| serde_json::json!({ "contracts": names });
+    assert_eq!(effect(contracts(&["streaming", "pressure"])), Some(true));
+    assert_eq!(effect(contracts(&["streaming"])), Some(false));
+    assert_eq!(effect(serde_json::json!({})), Some(false));
+    // The template passes null on where a deployment has no contracts.
+    assert_eq!(
+        effect(serde_json::json!({ "contracts": null })),
+        Some(false)
+    );
+    for section in [
+        serde_json::json!({ "contracts": "pressure" }),
+        serde_json::json!({ "contracts": [], "rank": 1 }),
+        serde_json::json!(["pressure"]),
+    ] {
+        assert!(read(section.clone()).is_err(), "{section}");
+    }
+}
+
 /// A missing section is reported as one fault per key.
 #[test]
 fn lists_missing_section() {
