Let only one account of a test be the newest

Cause: account_size::bounded_accounts failed once in each of two runs of the core's tests. Slots never go back, so the accounts that the test added for slot 0 after the one for slot 1 counted for slot 1 too; which of equally new accounts is evicted follows the random order of a hash map, and in 100 of 8,192 cases it was the one that had to stay.

Change: the test adds the older accounts first. Usage is unchanged.

Ruled out: load of the machine, as neither time nor threads are involved.

--- a/crates/daisyyard_core/tests/account_size.rs
+++ b/crates/daisyyard_core/tests/account_size.rs
@@ -43,10 +43,14 @@
 #[test]
 fn bounded_accounts() {
     let mut usage = Usage::new();
-    usage.add(u64::MAX, 10, slot_start(1));
-    for account in 0..MAX_ACCOUNTS as u64 + 100 {
+    let most = MAX_ACCOUNTS as u64;
+    for account in 0..most {
         usage.add(account, 10, slot_start(0));
     }
+    usage.add(u64::MAX, 10, slot_start(1));
+    for account in most..most + 100 {
+        usage.add(account, 10, slot_start(1));
+    }
     assert_eq!(usage.accounts(), MAX_ACCOUNTS);
     assert_eq!(usage.add(u64::MAX, 0, slot_start(1)), Class::Medium);
     assert_eq!(usage.accounts(), MAX_ACCOUNTS);
