--- a/crates/daisyyard/src/soak.rs
+++ b/crates/daisyyard/src/soak.rs
@@ -3,6 +3,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
@@ -18,6 +19,8 @@
 use crate::soak_caller::{self, End, Kind, Record};
 use crate::soak_schedule::{self, ENGINES, Fault, GATEWAYS, PLAIN_ENDPOINTS};
 
+/// Time between the end of a reclaimed engine and its next start.
+const RESTART_TIME: Duration = Duration::from_millis(500);
 /// Number of callers, each of which sends one request at a time.
 const CALLERS: usize = 12;
 /// Time between two events of a stream from an engine.
@@ -28,6 +31,15 @@
 /// Time between two checks for an expected state.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Availability zone that is evacuated. It is that of the gateways, which prefer its endpoints.
+const EVACUATED_ZONE: &str = "zone-a";
+/// Key of the order to evacuate it.
+const EVACUATION: &str = "op/evacuate/zone-a";
+/// Time from the order until no request may reach the zone.
+const EVACUATION_TIME: Duration = Duration::from_secs(5);
+/// Requests of each kind that are sent through each gateway after that.
+const EVACUATION_CHECKS: usize = 4;
+
 /// Options of the command.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -52,6 +64,8 @@
     endpoints: Vec<PlatformEngine>,
     /// Proxy in front of each endpoint.
     endpoint_links: Vec<Proxy>,
+    /// Number of starts of each endpoint.
+    starts: Vec<AtomicU64>,
     /// Record of the requests received by all endpoints.
     runs: Runs,
     /// Gateway processes.
@@ -99,7 +113,14 @@
         ));
     }
     let mut faults = JoinSet::new();
-    for event in soak_schedule::draw(options.seed, options.duration) {
+    let mut events = soak_schedule::draw(options.seed, options.duration);
+    events.extend(soak_schedule::draw_evacuations(
+        options.seed,
+        options.duration,
+    ));
+    events.extend(soak_schedule::draw_crowds(options.seed, options.duration));
+    events.sort_by_key(|event| event.at);
+    for event in events {
         tokio::time::sleep_until((started + event.at).into()).await;
         faults.spawn(Arc::clone(&environment).inject(
             event.fault,
@@ -117,6 +138,11 @@
     if let Err(error) = environment.check_recovery(options.seed, &mut records).await {
         violations.push(format!("recovery: {error:#}"));
     }
+    violations.extend(
+        environment
+            .check_evacuation(options.seed, &mut records)
+            .await,
+    );
     violations.extend(soak_audit::violations(
         &records,
         &environment.runs.arrivals().await,
@@ -135,6 +161,9 @@
             store_links: Vec::new(),
             endpoints: Vec::new(),
             endpoint_links: Vec::new(),
+            starts: (0..ENGINES + PLAIN_ENDPOINTS)
+                .map(|_| AtomicU64::new(0))
+                .collect(),
             runs: Runs::start(),
             gateways: Vec::new(),
         };
@@ -147,7 +176,7 @@
                     .await?;
             environment.endpoints.push(endpoint);
             environment.endpoint_links.push(proxy);
-            environment.write_entry(number, "ready").await;
+            environment.write_entry(number, "ready", 0).await;
         }
         for number in 0..GATEWAYS {
             let proxy = Proxy::start().await?;
@@ -168,14 +197,20 @@
 
     /// Writes a configuration version to the store.
     async fn configure(&self, version: u64) {
-        let config = platform_fixture::config(version);
+        let mut config = platform_fixture::config(version);
+        for service in config["services"].as_array_mut().into_iter().flatten() {
+            (service["cold_start_s"], service["cold_per_s"]) = (1.0.into(), 26.0.into());
+        }
         self.store.put("op/config", &config).await;
     }
 
-    /// Writes the entry of an endpoint to the store, with its state.
-    async fn write_entry(&self, number: usize, state: &str) {
+    /// Writes the entry of an endpoint to the store, with its state and the time for which it is cold.
+    async fn write_entry(&self, number: usize, state: &str, cold_ms: u64) {
         let endpoint = &self.endpoints[number];
-        let entry = platform_fixture::entry(service_name(number), endpoint.address, state);
+        let mut entry = platform_fixture::entry(service_name(number), endpoint.address, state);
+        entry["born"] = self.starts[number].load(Ordering::Relaxed).into();
+        entry["cold_remaining_ms"] = cold_ms.into();
+        entry["zone"] = zone_name(number).into();
         let key = format!("servers/{}", endpoint.name);
         self.store.put(&key, &entry).await;
     }
@@ -202,9 +237,17 @@
                 self.endpoints[endpoint].set_mode(EngineMode::Serving);
             }
             Fault::Leave(endpoint) => {
-                self.write_entry(endpoint, "draining").await;
+                self.write_entry(endpoint, "draining", 0).await;
+                tokio::time::sleep(duration).await;
+                self.write_entry(endpoint, "ready", 0).await;
+            }
+            Fault::Reclaim(endpoint) => {
+                self.write_entry(endpoint, "draining", 0).await;
                 tokio::time::sleep(duration).await;
-                self.write_entry(endpoint, "ready").await;
+                disturb(&self.endpoint_links[endpoint], Link::Broken, RESTART_TIME).await;
+                self.runs.restart(self.endpoints[endpoint].address);
+                self.starts[endpoint].fetch_add(1, Ordering::Relaxed);
+                self.write_entry(endpoint, "ready", 0).await;
             }
             Fault::Kill(gateway) => self.gateways[gateway].send(Control::Kill).await,
             Fault::Pause(gateway) => {
@@ -215,6 +258,22 @@
             Fault::Stop(gateway) => self.gateways[gateway].send(Control::Stop).await,
             Fault::Reload(gateway) => self.gateways[gateway].send(Control::Reload).await,
             Fault::Configure => self.configure(number + 2).await,
+            Fault::Cold => {
+                for number in 0..self.endpoints.len() {
+                    self.starts[number].fetch_add(1, Ordering::Relaxed);
+                    self.write_entry(number, "ready", duration.as_millis() as u64)
+                        .await;
+                }
+            }
+            Fault::Evacuate => {
+                self.store.put(EVACUATION, &serde_json::json!({})).await;
+                tokio::time::sleep(duration).await;
+                self.store.remove(EVACUATION).await;
+            }
+            Fault::Crowd(gateway) => {
+                let address = self.gateways[gateway].request_address;
+                soak_caller::stall_bodies(address, duration).await;
+            }
         }
     }
 
@@ -242,6 +301,30 @@
         Ok(())
     }
 
+    /// Evacuates a zone while nothing else is wrong, and returns the requests that reach it although they
+    /// may not.
+    async fn check_evacuation(&self, seed: u64, records: &mut Vec<Record>) -> Vec<String> {
+        self.store.put(EVACUATION, &serde_json::json!({})).await;
+        tokio::time::sleep(EVACUATION_TIME).await;
+        let from = Instant::now();
+        for (number, gateway) in self.gateways.iter().enumerate() {
+            for kind in [Kind::Draft(4), Kind::Book, Kind::Stock].repeat(EVACUATION_CHECKS) {
+                let attempt = format!("s{seed}-evacuation-{number}-{}", records.len());
+                records
+                    .push(soak_caller::send_request(gateway.request_address, attempt, kind).await);
+            }
+        }
+        self.store.remove(EVACUATION).await;
+        let zones = self.endpoints.iter().enumerate();
+        let evacuated = zones.filter(|(number, _)| zone_name(*number) == EVACUATED_ZONE);
+        let evacuated: Vec<&str> = evacuated.map(|(_, one)| one.name.as_str()).collect();
+        let mut arrivals = self.runs.arrivals().await;
+        arrivals.retain(|one| one.at > from && evacuated.contains(&one.engine.as_str()));
+        let late = arrivals.iter();
+        late.map(|one| format!("{} reached {} in an evacuated zone", one.path, one.engine))
+            .collect()
+    }
+
     /// Sends requests until every gateway has served each kind, and appends the records.
     async fn check_recovery(&self, seed: u64, records: &mut Vec<Record>) -> anyhow::Result<()> {
         self.wait_until_ready().await?;
@@ -269,6 +352,15 @@
     }
 }
 
+/// Returns the availability zone of the endpoint with this number.
+fn zone_name(number: usize) -> &'static str {
+    if number.is_multiple_of(2) {
+        EVACUATED_ZONE
+    } else {
+        "zone-b"
+    }
+}
+
 /// Changes how a proxy treats connections for a time.
 async fn disturb(proxy: &Proxy, link: Link, duration: Duration) {
     proxy.set_link(link);
--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -10,6 +10,7 @@
 use crate::load::{Load, Need};
 use crate::pace::{Pace, Stretches};
 use crate::pool::Signal;
+use crate::warmup::Warmup;
 use crate::zone::{Distance, Zone};
 
 /// Share of the memory of an engine that new long runs may reserve. The rest is for short runs, for
@@ -50,6 +51,8 @@
     pub(crate) endpoint: Arc<Endpoint>,
     /// Load of this node.
     pub(crate) local_load: Load,
+    /// When this start of the endpoint was first listed.
+    pub(crate) since: Instant,
     /// Loads of other nodes, with the arrival times of their digests.
     pub(crate) node_loads: HashMap<InstanceId, (Load, Instant)>,
     /// End of the time in which the endpoint is slow after its start.
@@ -74,14 +77,21 @@
     failure_rate: f64,
     /// Pace of the engine.
     pub(crate) pace: Pace,
+    /// Cold time of the endpoint, and the places that this node takes meanwhile.
+    pub(crate) warmup: Warmup,
+    /// Share of the memory that new long runs may reserve.
+    pub(crate) max_long_share: f64,
+    /// Prompt tokens that may wait at the engine when a request is sent to it.
+    pub(crate) max_prefill: Tokens,
 }
 
 impl Candidate {
     /// Creates a candidate without load.
-    pub(crate) fn new(endpoint: Arc<Endpoint>, cold_until: Instant) -> Self {
+    pub(crate) fn new(endpoint: Arc<Endpoint>, cold_until: Instant, now: Instant) -> Self {
         Self {
             endpoint,
             local_load: Load::default(),
+            since: now,
             node_loads: HashMap::new(),
             cold_until,
             grace_until: None,
@@ -94,6 +104,9 @@
             losses: 0,
             failure_rate: 0.0,
             pace: Pace::default(),
+            warmup: Warmup::default(),
+            max_long_share: MAX_LONG_RUN_MEMORY_SHARE,
+            max_prefill: Tokens::MAX,
         }
     }
 
@@ -131,11 +144,11 @@
     }
 
     /// Returns whether the endpoint is part of a service and could serve it: it is open, or it is
-    /// ejected and may be asked again later.
+    /// ejected or cold and may be asked later.
     pub(crate) fn serves(&self, service: ServiceId, now: Instant) -> bool {
         let may_serve = matches!(
             self.access(now),
-            Access::Open | Access::Closed(Reason::Ejected, _)
+            Access::Open | Access::Closed(Reason::Ejected | Reason::Cold, _)
         );
         self.endpoint.service == service && may_serve
     }
@@ -171,7 +184,7 @@
             return 0;
         }
         let load = self.load(now);
-        let memory = (need.memory as f64 * max_share(need)) as Tokens;
+        let memory = (need.memory as f64 * self.max_share(need)) as Tokens;
         let by_memory = memory.saturating_sub(load.tokens) / need.tokens().max(1);
         let by_slots = u64::from(self.endpoint.slots.saturating_sub(load.runs));
         by_memory.min(by_slots).max(1) as usize
@@ -179,22 +192,32 @@
 
     /// Returns whether the endpoint has room for a request.
     pub(crate) fn fits(&self, need: &Need, now: Instant) -> bool {
-        let runs = self.load(now).runs;
+        let load = self.load(now);
+        let runs = load.runs;
         match self.endpoint.kind {
             Kind::Engine => {
                 let idle = runs == 0;
-                let max_share = max_share(need);
+                let max_share = self.max_share(need);
                 let has_memory = idle || self.memory_share(need, now) <= max_share;
-                runs < self.endpoint.slots.min(need.connections) && has_memory
-            }
-            Kind::Plain => {
-                let max_runs = self
-                    .endpoint
-                    .slots
-                    .max(1)
-                    .saturating_mul(PLAIN_REQUESTS_PER_SLOT);
-                runs < max_runs.min(need.connections)
+                let reads_soon = load.prefill <= self.max_prefill;
+                runs < self.endpoint.slots.min(need.connections) && has_memory && reads_soon
             }
+            Kind::Plain => runs < self.max_plain_runs().min(need.connections),
+        }
+    }
+
+    /// Returns how many requests are sent to a plain endpoint before further ones wait at the node.
+    pub(crate) fn max_plain_runs(&self) -> u32 {
+        let slots = self.endpoint.slots.max(1);
+        slots.saturating_mul(PLAIN_REQUESTS_PER_SLOT)
+    }
+
+    /// Returns the share of the memory of an engine that may be reserved when a request starts.
+    fn max_share(&self, need: &Need) -> f64 {
+        if need.is_short() {
+            MAX_MEMORY_SHARE
+        } else {
+            self.max_long_share
         }
     }
 
@@ -244,12 +267,3 @@
         }
     }
 }
-
-/// Returns the share of the memory of an engine that may be reserved when a request starts.
-fn max_share(need: &Need) -> f64 {
-    if need.is_short() {
-        MAX_MEMORY_SHARE
-    } else {
-        MAX_LONG_RUN_MEMORY_SHARE
-    }
-}
--- a/crates/daisyyard_core/src/choice.rs
+++ b/crates/daisyyard_core/src/choice.rs
@@ -15,6 +15,7 @@
 use rand::seq::SliceRandom;
 
 use crate::candidate::{Candidate, MAX_MEMORY_SHARE};
+use crate::coldness;
 use crate::endpoint::{Endpoint, Kind};
 use crate::id::{EndpointId, ZoneId};
 use crate::load::Need;
@@ -25,11 +26,18 @@
 const MAX_COPY_MEMORY_SHARE: f64 = 0.6;
 /// Weight of an engine in another availability zone for a copy, which then takes twice as long.
 const COPY_ZONE_WEIGHT: f64 = 1.0;
+/// Weight of a cold engine to which requests are limited for a copy; it exceeds all others together.
+const COPY_COLD_WEIGHT: f64 = 8.0;
 /// Largest random weight, which prevents nodes with the same view from choosing the same endpoint.
 const JITTER: f64 = 0.05;
 /// Largest random weight of an engine for a copy. An engine transfers copies one after another
 /// over its links, so they are spread more widely than runs.
 const COPY_JITTER: f64 = 0.8;
+/// Weight of an engine that was there when a wave of leaving engines began, which it may join next. A
+/// further move costs less than a copy between zones.
+const OLD_ENGINE_WEIGHT: f64 = 0.7;
+/// Weight of an engine in a zone whose engines leave. It outweighs a copy between zones.
+const LEAVING_ZONE_WEIGHT: f64 = 2.0;
 /// Minimum number of engines to compare, so that a failing or slow one is still avoided.
 const MIN_SAMPLE: usize = 4;
 
@@ -82,6 +90,7 @@
             };
         }
         live.retain(|(id, candidate)| !failing.contains(id) && candidate.access(now).is_open());
+        coldness::prefer_warm(&mut live, need, now);
         let unseen_runs = if serves_engines(&live) {
             self.unseen_runs
         } else {
@@ -145,6 +154,7 @@
                 && candidate.grace_until.is_none()
         });
         let (random, stretches) = (&mut self.random, &self.stretches);
+        let (began, wave_zone) = (self.wave.began(now), self.wave.zone(now));
         let weighed = candidates.filter_map(|(_, candidate)| {
             let share = candidate.memory_share(need, now);
             // A copy within a zone takes half the time.
@@ -154,8 +164,25 @@
                 COPY_ZONE_WEIGHT
             };
             let pauses = candidate.pause_weight(need, candidate.load(now).runs, stretches);
-            let weight = share + distance + pauses + random.random_range(0.0..COPY_JITTER);
-            (share <= max_share).then_some((weight, candidate))
+            let in_wave = began.is_some_and(|began| candidate.since <= began);
+            let next_to_leave = if in_wave { OLD_ENGINE_WEIGHT } else { 0.0 };
+            let zone_leaves = if wave_zone == Some(candidate.endpoint.zone.id) {
+                LEAVING_ZONE_WEIGHT
+            } else {
+                0.0
+            };
+            let cold = if candidate.warmup.is_cold(now) {
+                COPY_COLD_WEIGHT
+            } else {
+                0.0
+            };
+            let spread = random.random_range(0.0..COPY_JITTER);
+            let weight = share + distance + cold + pauses + next_to_leave + zone_leaves + spread;
+            let has_slot = match purpose {
+                Purpose::Run => candidate.load(now).runs < candidate.endpoint.slots,
+                Purpose::Copy => true,
+            };
+            (has_slot && share <= max_share).then_some((weight, candidate))
         });
         let least = weighed.min_by(|one, two| one.0.total_cmp(&two.0));
         least.map(|(_, candidate)| Arc::clone(&candidate.endpoint))
--- a/crates/daisyyard_core/src/evacuation.rs
+++ b/crates/daisyyard_core/src/evacuation.rs
@@ -178,7 +178,7 @@
     /// Records an order to evacuate a zone, and returns its effect.
     pub fn learn_evacuation(&mut self, order: Order, now: Instant) -> Option<Change> {
         let change = self.evacuations.learn(order, now);
-        self.mark_evacuated();
+        self.apply_changes(change.as_slice(), now);
         change
     }
 
@@ -190,7 +190,7 @@
         now: Instant,
     ) -> Vec<Change> {
         let changes = self.evacuations.complete(revision, orders, now);
-        self.mark_evacuated();
+        self.apply_changes(&changes, now);
         changes
     }
 
@@ -227,8 +227,13 @@
             && !candidates().any(|(_, candidate)| serves(candidate))
     }
 
-    /// Marks the endpoints in evacuated zones.
-    fn mark_evacuated(&mut self) {
+    /// Marks the endpoints in evacuated zones, and those whose evacuation has ended as cold.
+    fn apply_changes(&mut self, changes: &[Change], now: Instant) {
+        for change in changes {
+            if let Change::Ended(zone, _) = change {
+                self.end_evacuation(*zone, now);
+            }
+        }
         for candidate in self.candidates.values_mut() {
             candidate.evacuated = self.evacuations.is_evacuated(candidate.endpoint.zone.id);
         }
--- a/crates/daisyyard_gateway/src/evacuation.rs
+++ b/crates/daisyyard_gateway/src/evacuation.rs
@@ -16,6 +16,7 @@
 use crate::event::Event;
 use crate::message::Placement;
 use crate::pool::Pool;
+use crate::sent::is_unsent;
 
 /// Where a gateway learned an order to evacuate a zone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,37 +31,49 @@
 
 /// The evacuated zones, for tasks that have been granted an endpoint.
 #[derive(Debug, Clone)]
-pub(crate) struct Zones(watch::Receiver<Vec<ZoneId>>);
+pub struct Zones(watch::Receiver<Vec<ZoneId>>);
 
 /// Reason why a request to an endpoint got no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Unsent {
+pub enum Unsent {
     /// It was not sent, because its endpoint or its backup engine is in an evacuated zone.
     Evacuated,
     /// The connection failed.
     Failed(Failure),
 }
 
+impl Unsent {
+    /// Returns whether nothing of the request has certainly reached the endpoint.
+    pub(crate) fn is_certain(self) -> bool {
+        match self {
+            Self::Evacuated => true,
+            Self::Failed(failure) => is_unsent(failure),
+        }
+    }
+}
+
 impl Zones {
     /// Returns a channel for the evacuated zones, of which there are none.
-    pub(crate) fn channel() -> (watch::Sender<Vec<ZoneId>>, Self) {
+    pub fn channel() -> (watch::Sender<Vec<ZoneId>>, Self) {
         let (sender, receiver) = watch::channel(Vec::new());
         (sender, Self(receiver))
     }
 
     /// Returns whether an endpoint is in one of the zones.
-    pub(crate) fn contain(&self, endpoint: &Endpoint) -> bool {
+    pub fn contain(&self, endpoint: &Endpoint) -> bool {
         self.0.borrow().contains(&endpoint.zone.id)
     }
 
     /// Sends a request to an endpoint unless an evacuation has started since the endpoint or the
-    /// backup engine was chosen. Connecting may take a second, so this is checked after it.
-    pub(crate) async fn send(
+    /// backup engine was chosen. Connecting may take a second, so this is checked after it. If a time
+    /// is given, the request leaves by then or not at all.
+    pub async fn send(
         &self,
         endpoint: &Endpoint,
         backup: Option<&Endpoint>,
         request: Request<Full<Bytes>>,
         timeout: Duration,
+        leave_by: Option<Instant>,
     ) -> Result<Answer, Unsent> {
         let is_closed = || {
             let mut concerned = std::iter::once(endpoint).chain(backup);
@@ -69,7 +82,7 @@
         if is_closed() {
             return Err(Unsent::Evacuated);
         }
-        let connection = connection::open(endpoint.address).await;
+        let connection = connection::open(endpoint.address, leave_by).await;
         let connection = connection.map_err(Unsent::Failed)?;
         if is_closed() {
             return Err(Unsent::Evacuated);
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -68,6 +68,22 @@
     /// The evacuation of an availability zone has no effect: the zone has no endpoint that is known,
     /// or too many zones are evacuated.
     EvacuationVoid = 152,
+    /// Requests to an endpoint are limited, because it is cold.
+    EndpointCold = 160,
+    /// Requests to an endpoint are no longer limited.
+    EndpointWarm = 161,
+    /// A copy of the KV cache of a run that is not used was freed.
+    CopyFreed = 180,
+    /// The target of a move or the backup engine of a run is given up.
+    TargetChanged = 181,
+    /// A caller was refused for lack of memory or connections.
+    MemoryShort = 170,
+    /// There is room for callers again.
+    MemoryFree = 171,
+    /// Requests are refused because no capacity is expected for them in time, or no longer.
+    SheddingChanged = 190,
+    /// Requests of the heaviest accounts that were served, late or refused while requests were shed.
+    AccountBurden = 191,
 }
 
 /// Log level of each event.
@@ -103,6 +119,14 @@
     (Event::EvacuationStarted, Level::Warn),
     (Event::EvacuationEnded, Level::Warn),
     (Event::EvacuationVoid, Level::Warn),
+    (Event::EndpointCold, Level::Info),
+    (Event::EndpointWarm, Level::Info),
+    (Event::CopyFreed, Level::Info),
+    (Event::TargetChanged, Level::Info),
+    (Event::MemoryShort, Level::Warn),
+    (Event::MemoryFree, Level::Info),
+    (Event::SheddingChanged, Level::Warn),
+    (Event::AccountBurden, Level::Info),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -8,8 +8,11 @@
 use prost::Message;
 
 use crate::codec::Item;
-use crate::message::Report;
-use crate::wire::{Change, ContentRecord, Counts, Departure, EndpointLoad, Evacuation, Knowledge};
+use crate::message::{Demand, Report};
+use crate::wire::{
+    Change, ColdEndpoint, ContentRecord, Counts, Departure, EndpointLoad, Evacuation, Knowledge,
+};
+use crate::wire_demand::{AccountPart, KindStream, RefusedPart, WaitingPart};
 
 /// Maximum size of a datagram; it fits into one packet on any path.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -23,8 +26,12 @@
 const MAX_DEPARTURES: usize = 16;
 /// Maximum number of ejected endpoints in one datagram.
 const MAX_EJECTIONS: usize = 12;
+/// Maximum number of cold endpoints that a sender reports; they fill a datagram of their own.
+const MAX_COLD: usize = 32;
 /// Maximum number of records of contents in one datagram.
 const MAX_CONTENTS: usize = 8;
+/// Maximum number of kinds of requests in one datagram, or of waiting ones in a digest.
+const MAX_KINDS: usize = 8;
 /// Maximum number of services in one datagram.
 const MAX_SERVICES: usize = 8;
 
@@ -89,6 +96,21 @@
     /// Revision of the store up to which other zones are not evacuated.
     #[prost(uint64, tag = "17")]
     evacuations_at: Revision,
+    /// Cold endpoints that the sender knows by itself.
+    #[prost(message, repeated, tag = "20")]
+    cold: Vec<ColdEndpoint>,
+    /// Work of the heaviest accounts and of the rest.
+    #[prost(message, repeated, tag = "24")]
+    accounts: Vec<AccountPart>,
+    /// Requests that arrive and start, by kind.
+    #[prost(message, repeated, tag = "25")]
+    streams: Vec<KindStream>,
+    /// Requests that were refused lately.
+    #[prost(message, repeated, tag = "26")]
+    refused: Vec<RefusedPart>,
+    /// Requests that wait, by kind.
+    #[prost(message, repeated, tag = "27")]
+    waiting: Vec<WaitingPart>,
 }
 
 /// What a frame is for.
@@ -118,11 +140,41 @@
             purpose: Purpose::Continuation.into(),
             ..Self::default()
         });
-        let first = Self {
+        let mut first = Self {
             loads: first.iter().map(load).collect(),
             ..Self::without_loads(report)
         };
-        std::iter::once(first).chain(rest).collect()
+        let demand = first.split_demand();
+        let frames = std::iter::once(first).chain(rest).chain(demand);
+        frames.chain(Self::from_cold(report)).collect()
+    }
+
+    /// Moves the waiting and refused requests to a frame of their own if both together are too long for
+    /// a datagram.
+    fn split_demand(&mut self) -> Option<Self> {
+        (self.encoded_len() > MAX_DATAGRAM_BYTES).then(|| Self {
+            instance: self.instance,
+            leaving: self.leaving,
+            purpose: Purpose::Continuation.into(),
+            refused: std::mem::take(&mut self.refused),
+            waiting: std::mem::take(&mut self.waiting),
+            ..Self::default()
+        })
+    }
+
+    /// Returns the frame of the cold endpoints in a report; none if there are none. If there are too
+    /// many, those that are cold for the longest time are reported.
+    pub(crate) fn from_cold(report: &Report) -> Option<Self> {
+        let mut cold = report.cold.clone();
+        cold.sort_unstable_by_key(|cold| (std::cmp::Reverse(cold.remaining), cold.endpoint));
+        cold.truncate(MAX_COLD);
+        (!cold.is_empty()).then(|| Self {
+            instance: report.from,
+            leaving: report.leaving,
+            purpose: Purpose::Continuation.into(),
+            cold: cold.into_iter().map(ColdEndpoint::from).collect(),
+            ..Self::default()
+        })
     }
 
     /// Splits records of contents into frames.
@@ -140,6 +192,23 @@
         records.chunks(MAX_CONTENTS).map(frame).collect()
     }
 
+    /// Returns the frame that tells the work of accounts and the requests by kind.
+    pub(crate) fn from_demand(from: InstanceId, leaving: bool, demand: &Demand) -> Self {
+        Self {
+            instance: from,
+            leaving,
+            purpose: Purpose::Continuation.into(),
+            accounts: demand.accounts.iter().map(Into::into).collect(),
+            streams: demand
+                .streams
+                .iter()
+                .take(MAX_KINDS)
+                .map(Into::into)
+                .collect(),
+            ..Self::default()
+        }
+    }
+
     /// Splits changes of the store into frames. A change that is too large for a datagram is left
     /// out; the gateways find it in their next complete read.
     pub(crate) fn from_news(news: News) -> Vec<Self> {
@@ -166,18 +235,21 @@
         frames
     }
 
-    /// Returns whether the frame tells more than the one before. Knowledge that has only aged tells
-    /// nothing, as the recipients know how long ago it was reported.
+    /// Returns whether the frame tells more than the one before. Knowledge and cold times that have only
+    /// aged tell nothing, as the recipients know how long ago they were reported.
     pub(crate) fn tells_more_than(&self, last: &Self) -> bool {
         let renewed = match (self.knowledge, last.knowledge) {
             (Some(new), Some(old)) => new.first_hand != old.first_hand || new.age_ms < old.age_ms,
             (new, old) => new.is_some() != old.is_some(),
         };
-        let knowledge = last.knowledge;
+        let (knowledge, cold) = (last.knowledge, last.cold.clone());
+        let told = |cold: &ColdEndpoint| last.cold.iter().any(|last| last.covers(cold));
         renewed
+            || !self.cold.iter().all(told)
             || *last
                 != Self {
                     knowledge,
+                    cold,
                     ..self.clone()
                 }
     }
@@ -202,7 +274,21 @@
 
     /// Returns the first frame of a report without the loads.
     pub(crate) fn without_loads(report: &Report) -> Self {
+        let (now, demand) = (Instant::now(), &report.demand);
         Self {
+            accounts: Vec::new(),
+            streams: Vec::new(),
+            refused: demand
+                .refused
+                .iter()
+                .map(|refused| RefusedPart::new(refused, now))
+                .collect(),
+            waiting: demand
+                .waiting
+                .iter()
+                .take(MAX_KINDS)
+                .map(Into::into)
+                .collect(),
             purpose: Purpose::Digest.into(),
             news: Vec::new(),
             relist_ms: 0,
@@ -211,6 +297,7 @@
             evidence: Vec::new(),
             evacuations: report.evacuations.iter().map(Evacuation::from).collect(),
             evacuations_at: report.evacuations_at,
+            cold: Vec::new(),
             instance: report.from,
             leaving: report.leaving,
             loads: Vec::new(),
@@ -258,6 +345,7 @@
             evacuations: frame.evacuations.into_iter().map(Into::into).collect(),
             evacuations_at: frame.evacuations_at,
             ejections: frame.ejections,
+            cold: frame.cold.into_iter().map(Into::into).collect(),
             departures: frame.departures.into_iter().map(Into::into).collect(),
             loads: frame.loads.into_iter().map(Into::into).collect(),
             news: frame.news.into_iter().map(Into::into).collect(),
@@ -268,6 +356,16 @@
                 .iter()
                 .map(|record| record.record(now))
                 .collect(),
+            demand: Demand {
+                waiting: frame.waiting.into_iter().map(Into::into).collect(),
+                refused: frame
+                    .refused
+                    .iter()
+                    .filter_map(|refused| refused.refused(now))
+                    .collect(),
+                accounts: frame.accounts.into_iter().map(Into::into).collect(),
+                streams: frame.streams.into_iter().map(Into::into).collect(),
+            },
         }
     }
 }
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -4,14 +4,17 @@
 //! An adapter describes the platform's messages with a [`codec::Codec`]; this crate and
 //! `daisyyard_core` decide on routing, limits, retries, membership and recovery.
 
+pub(crate) mod admission;
 pub(crate) mod archive;
 pub mod body;
 pub(crate) mod buffer;
 pub mod codec;
+pub(crate) mod cold;
+pub(crate) mod colleague;
 pub(crate) mod content;
 pub(crate) mod digest;
 pub(crate) mod ending;
-pub(crate) mod evacuation;
+pub mod evacuation;
 pub(crate) mod event;
 pub(crate) mod failover;
 pub(crate) mod fleet;
@@ -23,9 +26,11 @@
 pub(crate) mod job;
 pub(crate) mod log;
 pub mod member;
+pub(crate) mod memory;
 pub(crate) mod message;
 pub(crate) mod metrics;
 pub(crate) mod migration;
+pub(crate) mod owners;
 pub(crate) mod pool;
 pub(crate) mod proof;
 pub(crate) mod proxy;
@@ -37,8 +42,11 @@
 pub(crate) mod sent;
 pub(crate) mod server;
 pub mod settings;
+pub(crate) mod socket;
 pub mod sse;
+pub(crate) mod standby;
 pub(crate) mod store;
 pub mod timer;
 pub(crate) mod watcher;
 pub(crate) mod wire;
+pub(crate) mod wire_demand;
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -1,18 +1,28 @@
 //! Messages to the pool actor, which owns the gateway's state of endpoints and other gateways.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use daisyyard_core::backlog::Schedule;
+use daisyyard_core::burden::Part;
+use daisyyard_core::catalog::Client;
+use daisyyard_core::continuation::{Holder, Standby};
 use daisyyard_core::crash;
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::evacuation::Order;
+use daisyyard_core::forecast::Stream;
+use daisyyard_core::gate::Waiting;
 use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, RequestId, Revision, ServiceId};
 use daisyyard_core::knowledge;
 use daisyyard_core::load::{Load, Need};
+use daisyyard_core::migration::Freight;
 use daisyyard_core::pool::Signal;
+use daisyyard_core::recall::Refused;
 use daisyyard_core::roster::Role;
 use daisyyard_core::shared_retry_budget::{self, Limits};
+use daisyyard_core::turn::Ask;
+use daisyyard_core::warmup::{self, Allowance, ColdStart};
 use tokio::sync::{mpsc, oneshot};
 use xtra::WeakAddress;
 
@@ -33,10 +43,16 @@
     pub(crate) need: Need,
     /// Priority and times of the request.
     pub(crate) schedule: Schedule,
+    /// What the request asks for if the gateway admits by costs.
+    pub(crate) ask: Ask,
+    /// Client account of the request.
+    pub(crate) client: Option<Arc<Client>>,
     /// Endpoints that must not be chosen again.
     pub(crate) excluded: Vec<EndpointId>,
     /// Fingerprints of what the caller asks for.
     pub(crate) contents: Arc<[Fingerprint]>,
+    /// Whether the request has waited because endpoints were cold.
+    pub(crate) waited_for_cold: bool,
     /// Receives the placement; dropped if no endpoint has capacity in time.
     pub(crate) reply: oneshot::Sender<Placement>,
 }
@@ -50,6 +66,8 @@
     Refused(Duration),
     /// All endpoints that might run it are in evacuated availability zones.
     Evacuated,
+    /// No capacity is expected for it in time; it should return after this time.
+    Shed(Duration),
 }
 
 /// A reservation of an endpoint for a request; dropping it releases the capacity.
@@ -63,6 +81,8 @@
     pub(crate) backup: Option<Arc<Endpoint>>,
     /// Share of the endpoint's KV cache that was reserved after the request was added.
     pub(crate) memory_share: f64,
+    /// Place in the rate of a cold endpoint; none once the request may have left.
+    pub(crate) place: Option<warmup::Place>,
     /// Receives changes of the endpoint.
     pub(crate) notices: mpsc::Receiver<Notice>,
     /// What the end of the run indicates about the endpoint.
@@ -74,8 +94,12 @@
 impl Drop for Grant {
     fn drop(&mut self) {
         let (pool, done) = (self.pool.clone(), Release(self.run, self.signal));
+        let place = self.place.map(|place| GiveBack(self.endpoint.id, place));
         // The pool outlives all requests unless the process ends.
         tokio::spawn(async move {
+            if let Some(place) = place {
+                let _ = pool.send(place).await;
+            }
             let _ = pool.send(done).await;
         });
     }
@@ -85,6 +109,26 @@
 #[derive(Debug)]
 pub(crate) struct Release(pub(crate) RequestId, pub(crate) Signal);
 
+/// Gives back a place in the rate of a cold endpoint, because the request has certainly not left.
+#[derive(Debug)]
+pub(crate) struct GiveBack(pub(crate) EndpointId, pub(crate) warmup::Place);
+
+/// Asks for a place in the rate of an endpoint at which a run is to resume.
+#[derive(Debug)]
+pub(crate) struct Enter(pub(crate) EndpointId);
+
+/// Reports that an incarnation of an endpoint has stated for how long it is still cold.
+#[derive(Debug)]
+pub(crate) struct LearnCold(pub(crate) EndpointId, pub(crate) u64, pub(crate) Duration);
+
+/// Replaces what cold endpoints tolerate, by service.
+#[derive(Debug)]
+pub(crate) struct SetColdStarts(pub(crate) HashMap<ServiceId, ColdStart>);
+
+/// Replaces how far requests to cold endpoints may exceed that.
+#[derive(Debug)]
+pub(crate) struct SetColdAllowance(pub(crate) Option<Allowance>);
+
 /// Reports that the first token of a run has arrived.
 #[derive(Debug)]
 pub(crate) struct FirstToken(pub(crate) RequestId);
@@ -101,20 +145,61 @@
 #[derive(Debug)]
 pub(crate) struct ObserveGaps(pub(crate) RequestId, pub(crate) Vec<Duration>);
 
-/// Makes the backup engine of a run its endpoint, and asks for an engine for a new backup. The
-/// signal is that of the previous endpoint.
+/// Makes another engine the endpoint of a run: the one that holds a copy of its memory or is to receive
+/// it. Asks for an engine for a new backup.
 #[derive(Debug)]
-pub(crate) struct Failover(pub(crate) RequestId, pub(crate) Signal);
+pub(crate) struct Failover {
+    /// The run.
+    pub(crate) run: RequestId,
+    /// What its end indicates about the previous endpoint.
+    pub(crate) signal: Signal,
+    /// The previous endpoint, as it was when it took the run.
+    pub(crate) source: Holder,
+    /// Whether an engine without a copy may be chosen, to which the run is moved.
+    pub(crate) moves: bool,
+}
 
 /// Engines of a run that another engine takes over.
 #[derive(Debug)]
 pub(crate) struct Takeover {
-    /// Backup engine, which resumes the run.
+    /// Engine that continues the run.
     pub(crate) engine: Arc<Endpoint>,
+    /// What was known of the copy of the run's memory.
+    pub(crate) standby: Standby,
     /// Engine for a new backup of the run's KV cache.
     pub(crate) backup: Option<Arc<Endpoint>>,
     /// Whether the previous engine accepts requests, as far as is known.
-    pub(crate) source_live: bool,
+    pub(crate) source_open: bool,
+}
+
+/// Asks whether an engine is in service and has not been started anew.
+#[derive(Debug)]
+pub(crate) struct Confirm(pub(crate) Holder);
+
+/// Reports that an event shows that the endpoint of a run has taken it.
+#[derive(Debug)]
+pub(crate) struct Taken(pub(crate) RequestId);
+
+/// Reports that a copy of a run to an engine has ended.
+#[derive(Debug)]
+pub(crate) struct Copied {
+    /// The run.
+    pub(crate) run: RequestId,
+    /// Engine that holds the copy.
+    pub(crate) target: EndpointId,
+    /// Handle of the copy.
+    pub(crate) handle: String,
+    /// Until when the engines keep the copy if it is not used.
+    pub(crate) until: Instant,
+}
+
+/// How a run that is being moved goes on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Outlook {
+    /// Time that its engine is expected to have left.
+    pub(crate) left: Duration,
+    /// Whether the target is still in service.
+    pub(crate) target_open: bool,
 }
 
 /// Asks for another engine at which a run starts anew. The signal is that of the previous endpoint.
@@ -132,31 +217,30 @@
     Missing,
 }
 
-/// Reverts a failover: the run stays at the first engine, and the second one remains its backup.
+/// Reverts a failover: the run stays at the first engine, and this is known of its copy.
 #[derive(Debug)]
 pub(crate) struct Rollback(
     pub(crate) RequestId,
     pub(crate) EndpointId,
-    pub(crate) EndpointId,
+    pub(crate) Standby,
 );
 
-/// Removes the backup engine of a run and excludes it from further choices for this run.
+/// Gives up the copy of a run, and excludes its engine from further choices for this run.
 #[derive(Debug)]
 pub(crate) struct Abandon(pub(crate) RequestId);
 
 /// Asks how a run can migrate away from a leaving engine, and reserves capacity for it.
 #[derive(Debug)]
-pub(crate) struct Migrate(pub(crate) RequestId);
+pub(crate) struct Migrate(pub(crate) RequestId, pub(crate) Freight);
 
 /// How a run can migrate away from its engine.
 #[derive(Debug, Clone)]
 pub(crate) enum Plan {
-    /// The run has a backup, from which it continues once its engine ends.
-    Backup,
+    /// The run stays: it ends in time, has a backup from which it continues once its engine ends, waits
+    /// for others that are moved first, or no engine has capacity at the moment.
+    Stay,
     /// The KV cache moves to this engine, which has capacity.
     Move(Arc<Endpoint>),
-    /// No engine has capacity at the moment.
-    Unavailable,
 }
 
 /// Asks whether the retry budget of a service allows another send.
@@ -276,6 +360,8 @@
     pub(crate) departures: Vec<(EndpointId, Revision)>,
     /// Endpoints that the sender has ejected because its requests to them failed.
     pub(crate) ejections: Vec<EndpointId>,
+    /// Cold endpoints that the sender knows by itself.
+    pub(crate) cold: Vec<warmup::Report>,
     /// Identifies the set of endpoints that the readers of the store know; zero if it is unknown.
     pub(crate) listing: u64,
     /// Newest orders to evacuate availability zones that the sender knows.
@@ -296,4 +382,23 @@
     pub(crate) counts: Vec<(ServiceId, shared_retry_budget::Count)>,
     /// Crashes and proofs of contents that the sender reports.
     pub(crate) evidence: Vec<crash::Record>,
+    /// Demand of the sender and of its waiting and refused requests.
+    pub(crate) demand: Demand,
 }
+
+/// Demand of one gateway, empty unless it admits by costs.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Demand {
+    /// Requests that wait, by kind.
+    pub(crate) waiting: Vec<Waiting>,
+    /// Requests that were refused lately.
+    pub(crate) refused: Vec<Refused>,
+    /// Work of the heaviest accounts and of the rest.
+    pub(crate) accounts: Vec<Part>,
+    /// Requests that arrive and start, by kind.
+    pub(crate) streams: Vec<Stream>,
+}
+
+/// Asks for this gateway's work by account and kind; none unless it admits by costs.
+#[derive(Debug)]
+pub(crate) struct ShareDemand;
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -19,8 +19,10 @@
 use tokio::sync::{Notify, mpsc, watch};
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
 
+use crate::admission::Admission;
 use crate::archive;
 use crate::codec::{Codec, Item, Record};
+use crate::cold::Cold;
 use crate::evacuation::Zones;
 use crate::event::Event;
 use crate::log::Log;
@@ -38,7 +40,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Age of the knowledge above which this gateway reads the store itself, as a share of the time in
-/// which a configuration must be in force. The rest is for the read.
+/// which a change must be in force. The rest is for the read.
 const MAX_AGE_SHARE: f64 = 0.75;
 
 /// State of the pool actor.
@@ -70,6 +72,8 @@
     pub(crate) next_run: RequestId,
     /// Requests that wait for capacity.
     pub(crate) backlog: Backlog<Claim>,
+    /// Admission by costs, which replaces the backlog where it is in effect.
+    pub(crate) admission: Option<Admission>,
     /// Expected time from the start of a run to its first token, by service.
     pub(crate) leads: HashMap<ServiceId, Duration>,
     /// Whether the start of a waiting request is already scheduled.
@@ -94,6 +98,8 @@
     pub(crate) observations: u64,
     /// Task that keeps refusals of contents in the store.
     pub(crate) archive: mpsc::UnboundedSender<archive::Change>,
+    /// Bound on the requests to cold endpoints.
+    pub(crate) cold: Cold,
     /// Whether this gateway is leaving.
     pub(crate) leaving: bool,
     /// Log of the gateway.
@@ -110,8 +116,7 @@
     codec: Codec,
     changed: Arc<Notify>,
     refresh: Arc<Notify>,
-    metrics: Metrics,
-    log: Log,
+    (log, metrics): (Log, Metrics),
 ) -> (Address<Pool>, watch::Receiver<Standing>, Zones) {
     let (address, mailbox) = Mailbox::unbounded();
     let (standing, standing_view) = watch::channel(Standing::default());
@@ -129,13 +134,16 @@
             .map(|(zone, region)| (zone.clone(), Zone::new(zone, region)))
             .collect(),
         evacuated,
-        metrics,
+        metrics: metrics.clone(),
         members: Members::new(&settings.name, Entry::from(settings)),
         standing,
-        knowledge: Knowledge::new(settings.bounds.max_config_delay.mul_f64(MAX_AGE_SHARE)),
+        knowledge: Knowledge::new(settings.bounds.max_store_delay().mul_f64(MAX_AGE_SHARE)),
         runs: HashMap::new(),
         next_run: 0,
         backlog: Backlog::default(),
+        admission: settings
+            .admission
+            .then(|| Admission::new(rand::random(), metrics.clone())),
         leads: HashMap::new(),
         scheduled: false,
         changed,
@@ -148,6 +156,7 @@
         observed_at: HashMap::new(),
         observations: 0,
         archive: archive::spawn(settings.store, codec, log.clone()),
+        cold: Cold::new(settings.bounds.cold.clone(), metrics),
         leaving: false,
         log,
     };
@@ -163,12 +172,13 @@
     /// start their requests one by one at random times, so that each sees what the others have
     /// reserved.
     pub(crate) fn schedule(&mut self) {
-        if self.scheduled || self.backlog.is_empty() {
+        if self.scheduled || !self.has_waiting() {
             return;
         }
         self.scheduled = true;
         let mean = MEAN_START_INTERVAL.saturating_mul(self.members.serving_count() as u32);
-        let delay = mean.mul_f64(rand::random_range(0.0..2.0));
+        let delay = self.start_delay(MEAN_START_INTERVAL);
+        let delay = delay.unwrap_or_else(|| mean.mul_f64(rand::random_range(0.0..2.0)));
         let pool = self.address.clone();
         tokio::spawn(async move {
             tokio::time::sleep(delay).await;
@@ -242,7 +252,7 @@
 
     /// Marks an endpoint as leaving because another gateway has read so.
     pub(crate) fn mark_leaving(&mut self, id: EndpointId, revision: Revision) {
-        if !self.endpoints.mark_leaving(id, revision) {
+        if !self.endpoints.mark_leaving(id, revision, Instant::now()) {
             return;
         }
         if let Some(endpoint) = self.endpoints.endpoint(id) {
@@ -377,6 +387,9 @@
     async fn handle(&mut self, _: Start, _: &mut Context<Self>) {
         self.scheduled = false;
         let now = Instant::now();
+        if self.start_admitted(now) {
+            return;
+        }
         let mut backlog = std::mem::take(&mut self.backlog);
         let leads = self.leads.clone();
         let lead = |claim: &Claim| leads.get(&claim.need.service).copied().unwrap_or_default();
@@ -400,6 +413,7 @@
         // Dropping a claim refuses the request.
         drop(self.backlog.expire(now));
         self.enforce_evacuations(now);
+        self.review_admission(now);
         self.store_refusals(now);
         self.update_roster(now);
         self.schedule();
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -17,13 +17,14 @@
 use xtra::Address;
 
 use crate::body::{self, Body};
-use crate::buffer::{self, Buffer};
+use crate::buffer;
 use crate::codec::Codec;
 use crate::ending::Ending;
 use crate::evacuation::{Unsent, Zones};
 use crate::event::Event;
 use crate::job::Job;
 use crate::log::Log;
+use crate::memory::Memory;
 use crate::message::{Claim, Count, Grant, Placement, Retry};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
@@ -55,8 +56,8 @@
     pub(crate) ending: Ending,
     /// Evacuated availability zones.
     pub(crate) zones: Zones,
-    /// Memory for answers that are read whole.
-    pub(crate) buffer: Buffer,
+    /// Memory for what the gateway holds for callers.
+    pub(crate) memory: Memory,
     /// Metrics of the gateway.
     pub(crate) metrics: Metrics,
     /// Log of the gateway.
@@ -179,8 +180,11 @@
         let claim = Claim {
             need: job.need(),
             schedule: job.schedule(),
+            ask: job.ask(),
+            client: job.client.clone(),
             excluded: tried.to_vec(),
             contents: Arc::clone(&job.contents),
+            waited_for_cold: false,
             reply,
         };
         // The pool ends only with the process.
@@ -194,6 +198,7 @@
             Ok(Placement::Granted(grant)) => Ok(grant),
             Ok(Placement::Refused(time)) => Err(Refusal::Suspected(time)),
             Ok(Placement::Evacuated) => Err(Refusal::Evacuated),
+            Ok(Placement::Shed(time)) => Err(Refusal::Shed(time)),
             Err(_) => Err(Refusal::Full),
         }
     }
@@ -215,11 +220,21 @@
             job.remaining()
         };
         let deadline = Instant::now() + timeout;
+        // From here on, the request may reach the endpoint.
+        let place = grant.place.take();
+        let leave_by = place.and_then(|place| place.leave_by);
         let (endpoint, backup) = (&grant.endpoint, grant.backup.as_deref());
-        let answer = match self.zones.send(endpoint, backup, request, timeout).await {
+        let sent = self
+            .zones
+            .send(endpoint, backup, request, timeout, leave_by);
+        let answer = match sent.await {
             Ok(answer) => answer,
-            Err(Unsent::Evacuated) => return sent::withheld(),
+            Err(Unsent::Evacuated) => {
+                grant.place = place;
+                return sent::withheld();
+            }
             Err(Unsent::Failed(failure)) => {
+                grant.place = place.filter(|_| sent::is_unsent(failure));
                 if matches!(failure, Failure::Partial | Failure::Broken) {
                     self.report_broken(job, &grant, 0).await;
                 }
@@ -229,6 +244,7 @@
         };
         let status = answer.response.status();
         let receipt = (self.codec.read_response)(status, answer.response.headers());
+        self.report_cold(&grant.endpoint, &receipt).await;
         if !receipt.answers(&job.attempt) {
             // The response belongs to another request. This request may have run, but its response
             // cannot be identified.
@@ -243,6 +259,7 @@
                 response: None,
             };
         }
+        job.drop_body(runs_left);
         if status.is_success() && !receipt.signed {
             grant.signal = Signal::Failed;
             return answer_unusable("unsigned_answer");
@@ -284,7 +301,7 @@
         deadline: Instant,
     ) -> Sent {
         let (parts, incoming) = answer.response.into_parts();
-        let read = self.buffer.read(incoming);
+        let read = buffer::read(&self.memory, incoming);
         let bytes = match tokio::time::timeout_at(deadline.into(), read).await {
             Ok(Ok(bytes)) => bytes,
             Ok(Err(buffer::Error::Broken)) => {
@@ -331,6 +348,7 @@
             Refusal::Declined => "declined",
             Refusal::Late => "late",
             Refusal::Suspected(_) => "suspected",
+            Refusal::Shed(_) => "shed",
             _ => "lost",
         };
         self.record_end(job, refusal.status(), reason);
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -1,10 +1,12 @@
 //! Task that forwards a stream and resumes its run at another engine if its own is leaving or
 //! fails.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use daisyyard_core::footprint::Use;
 use daisyyard_core::pool::Signal;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
@@ -17,7 +19,8 @@
 use crate::event::Event;
 use crate::gaps::Gaps;
 use crate::job::Job;
-use crate::message::{FirstToken, Grant, Notice, ObserveGaps};
+use crate::memory::Hold;
+use crate::message::{FirstToken, Grant, Notice, ObserveGaps, Taken};
 use crate::migration::{State, join_copy};
 use crate::proxy::Proxy;
 use crate::sse::Splitter;
@@ -52,10 +55,14 @@
     pub(crate) splitter: Splitter,
     /// When the first data arrived from the current engine, or when the run resumed there.
     pub(crate) first_data_at: Option<Instant>,
+    /// Whether an event shows that the current engine has taken the run.
+    pub(crate) taken: bool,
     /// Whether the run has gone well at an engine for some time.
     pub(crate) proven: bool,
     /// Gaps between the events.
     pub(crate) gaps: Gaps,
+    /// Copy of the run at another engine that is not used yet: the engine that made it, and the handle.
+    pub(crate) unused_copy: Option<(SocketAddr, String)>,
     /// Progress of the migration to another engine.
     pub(crate) migration: State,
     /// Number of further engines at which the run may start anew.
@@ -111,8 +118,10 @@
             sender,
             splitter,
             first_data_at: None,
+            taken: false,
             proven: false,
             gaps: Gaps::default(),
+            unused_copy: None,
             migration: State::Idle,
             runs_left,
         }
@@ -164,6 +173,7 @@
                 Action::Expire => break "expired",
             }
         };
+        self.free_copies();
         if reason == "interrupted" {
             let details = format!(
                 "request={} endpoint={} events={}",
@@ -222,6 +232,27 @@
         self.fail_over(reason).await || self.restart(reason).await
     }
 
+    /// Charges events that wait behind others for a slow caller; returns none if the caller leaves
+    /// before there is room. A caller that keeps up is not charged and never waits.
+    async fn hold(&self, size: usize) -> Option<Option<Hold>> {
+        if self.sender.capacity() == self.sender.max_capacity() {
+            return Some(None);
+        }
+        let mut hold = self.proxy.memory.empty(Use::Relay, None);
+        let room = async {
+            tokio::select! {
+                () = hold.grow_when_free(size) => true,
+                // Once the caller has read all that waits, it keeps up again.
+                _ = self.sender.reserve_many(self.sender.max_capacity()) => false,
+            }
+        };
+        let granted = room.await;
+        if self.sender.is_closed() {
+            return None;
+        }
+        Some(granted.then_some(hold))
+    }
+
     /// Forwards the new events among the bytes.
     async fn deliver(&mut self, bytes: &Bytes) -> Delivery {
         if self.first_data_at.is_none() {
@@ -235,6 +266,11 @@
             return Delivery::Malformed;
         };
         let event_count = self.splitter.event_count() - count_before;
+        if event_count > 0 && !self.taken {
+            self.taken = true;
+            // The pool ends only with the process.
+            let _ = self.proxy.pool.send(Taken(self.grant.run)).await;
+        }
         let blocked = self.sender.capacity() == 0;
         self.gaps.observe(event_count, blocked, Instant::now());
         if let Some(gaps) = self.gaps.take_batch() {
@@ -245,9 +281,15 @@
                 .send(ObserveGaps(self.grant.run, gaps))
                 .await;
         }
-        if !events.is_empty() && self.sender.send(Chunk::Data(events)).await.is_err() {
+        if events.is_empty() {
+            return Delivery::Sent;
+        }
+        let Some(hold) = self.hold(events.len()).await else {
             return Delivery::CallerLeft;
+        };
+        match self.sender.send(Chunk::Data(events, hold)).await {
+            Ok(()) => Delivery::Sent,
+            Err(_) => Delivery::CallerLeft,
         }
-        Delivery::Sent
     }
 }
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -18,7 +18,7 @@
 use crate::event::Event;
 use crate::frame::News;
 use crate::log::Log;
-use crate::message::{Standing, StoreReach, Update};
+use crate::message::{SetColdStarts, Standing, StoreReach, Update};
 use crate::pool::Pool;
 use crate::settings::Bounds;
 use crate::store::{self, Backoff, Error, MAX_PAGE_BYTES};
@@ -28,7 +28,7 @@
 /// Maximum delay between retries while the store is unavailable. A gateway that has just started
 /// serves no requests until the store has answered once.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Time for which a watch waits, as a share of the time in which a configuration must be in force.
+/// Time for which a watch waits, as a share of the time in which a change must be in force.
 /// The knowledge of the readers is then young enough for the gateways that rely on them.
 const WATCH_SHARE: f64 = 0.5;
 /// Pause after changes before the next watch of a gateway that hears from no other one, for each
@@ -96,7 +96,7 @@
     pub(crate) fn new(
         address: SocketAddr,
         codec: Codec,
-        bounds: Bounds,
+        bounds: &Bounds,
         pool: Address<Pool>,
         (refresh, standing): (Arc<Notify>, watch::Receiver<Standing>),
         news: mpsc::UnboundedSender<News>,
@@ -106,7 +106,7 @@
         let watcher = Self {
             address,
             codec,
-            watch_timeout: bounds.max_config_delay.mul_f64(WATCH_SHARE),
+            watch_timeout: bounds.max_store_delay().mul_f64(WATCH_SHARE),
             max_pause: bounds.max_recovery_time.mul_f64(MAX_PAUSE_SHARE),
             refresh,
             pool,
@@ -307,7 +307,7 @@
         let mut others = Vec::with_capacity(batch.records.len());
         for record in batch.records {
             match record {
-                Record::Catalog(catalog) => self.apply_catalog(*catalog, read),
+                Record::Catalog(catalog) => self.apply_catalog(*catalog, read).await,
                 record => others.push(record),
             }
         }
@@ -338,8 +338,9 @@
     }
 
     /// Applies a version of the configuration unless a newer one is already current.
-    fn apply_catalog(&self, catalog: Catalog, read: Read) {
+    async fn apply_catalog(&self, catalog: Catalog, read: Read) {
         let version = catalog.version;
+        let cold_starts = catalog.cold_starts();
         let routes = catalog.route_count();
         let newer = self.catalog.send_if_modified(|configuration| {
             let newer = configuration
@@ -353,6 +354,8 @@
         if newer {
             let details = format!("version={version} routes={routes} read={read:?}");
             self.log.emit(Event::CatalogAdopted, &details);
+            // The pool ends only with the process.
+            let _ = self.pool.send(SetColdStarts(cold_starts)).await;
         }
     }
 
--- a/crates/daisyyard_http/src/connection.rs
+++ b/crates/daisyyard_http/src/connection.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -52,6 +52,8 @@
     Unreachable,
     /// The connection failed before any byte of the request was written.
     Unwritten,
+    /// The request could not leave by the given time, so nothing of it was written.
+    Late,
     /// The connection failed after a part of the request was written.
     Partial,
     /// The connection failed after the whole request may have been written.
@@ -70,17 +72,22 @@
     request: Request<Full<Bytes>>,
     timeout: Duration,
 ) -> Result<Answer, Failure> {
-    open(address).await?.send(request, timeout).await
+    open(address, None).await?.send(request, timeout).await
 }
 
-/// Opens a connection.
-pub async fn open(address: SocketAddr) -> Result<Connection, Failure> {
-    let socket = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+/// Opens a connection. If a time is given, it is open by then.
+pub async fn open(address: SocketAddr, leave_by: Option<Instant>) -> Result<Connection, Failure> {
+    let is_late = || leave_by.is_some_and(|time| time <= Instant::now());
+    let time_left = leave_by.map(|time| time.saturating_duration_since(Instant::now()));
+    let connect_timeout = time_left.unwrap_or(CONNECT_TIMEOUT).min(CONNECT_TIMEOUT);
+    let socket = tokio::time::timeout(connect_timeout, TcpStream::connect(address)).await;
     let socket = match socket {
+        Ok(Ok(_)) if is_late() => return Err(Failure::Late),
         Ok(Ok(socket)) => socket,
         Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
             return Err(Failure::Refused);
         }
+        _ if time_left == Some(Duration::ZERO) => return Err(Failure::Late),
         _ => return Err(Failure::Unreachable),
     };
     if set_options(&socket).is_err() {
--- a/crates/daisyyard_standin/src/platform_engine.rs
+++ b/crates/daisyyard_standin/src/platform_engine.rs
@@ -3,14 +3,13 @@
 //! All engines of a test share one task that tracks the runs, so that a run can continue on another
 //! engine. The task also records the requests that each engine received.
 
-use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Uri};
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -18,13 +17,20 @@
 
 use daisyyard_http::{self as http, Body};
 
+pub use crate::platform_runs::{Arrival, Close, Room, Runs};
+use crate::platform_runs::{Command, Found};
 use crate::proxy::Proxy;
 
 /// Capacity of the channel to a reader.
 const READER_BUFFER_EVENTS: usize = 4;
+/// Time of a slow copy.
+const SLOW_COPY_TIME: Duration = Duration::from_millis(200);
 /// Number of tokens that an event stands for.
 const TOKENS_PER_EVENT: u64 = 4;
 
+/// Path under which an engine frees a copy of the memory of a run.
+const HANDLE_PATH: &str = "/-/kv-handle/";
+
 /// Word in the body of a request that makes each engine break off the connection when it runs the
 /// request.
 pub const CRASH_WORD: &str = "crash=1";
@@ -46,84 +52,9 @@
     Hanging,
     /// Requests are run, but the response is one to another request.
     Mismatching,
-}
-
-/// A request as an engine received it.
-#[derive(Debug, Clone)]
-pub struct Arrival {
-    /// Name of the engine.
-    pub engine: String,
-    /// Path and query of the request.
-    pub path: String,
-    /// Headers of the request.
-    pub headers: HeaderMap,
-    /// Body of the request.
-    pub body: Bytes,
-    /// Whether the engine ran the request.
-    pub ran: bool,
-    /// When the engine received the request.
-    pub at: Instant,
-}
-
-/// What an engine does with a run whose connection is closed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Close {
-    /// The run ends.
-    Stops,
-    /// The run goes on to its end unless the engine is told to stop it.
-    Ignored,
-}
-
-/// Room that an engine finds for copies of its runs at other engines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Room {
-    /// Copies succeed.
-    Free,
-    /// Copies are refused; the last one stops the run all the same.
-    Full,
-    /// Copies are refused, and no run is stopped.
-    Unavailable,
-}
-
-/// Message to the task that tracks the runs.
-#[derive(Debug)]
-enum Command {
-    /// Record a received request.
-    Record(Box<Arrival>),
-    /// Return all received requests.
-    Arrivals(oneshot::Sender<Vec<Arrival>>),
-    /// Set the engine that runs an attempt.
-    Run(String, SocketAddr),
-    /// Note that an engine was told to stop its run of an attempt.
-    Stop(String, SocketAddr),
-    /// Note that an engine works on an attempt at the moment.
-    Work(String, SocketAddr),
-    /// Return when an engine last worked on an attempt.
-    LastWork(String, SocketAddr, oneshot::Sender<Option<Instant>>),
-    /// Note that an engine has a copy of the memory of an attempt.
-    Copy(String, SocketAddr),
-    /// Return what is known of an attempt at an engine.
-    Find(String, SocketAddr, oneshot::Sender<Found>),
-}
-
-/// What is known of an attempt at an engine.
-#[derive(Debug, Clone, Copy)]
-struct Found {
-    /// Whether this engine, and no other, runs the attempt since the last start of it.
-    is_current: bool,
-    /// Whether the engine was told to stop its run of the attempt.
-    is_stopped: bool,
-    /// Whether the engine has a copy of the memory of the attempt, or keeps that of a stopped run.
-    has_memory: bool,
-}
-
-/// Handle to the task that tracks the runs of all engines; dropping it stops the task.
-#[derive(Debug)]
-pub struct Runs {
-    /// Channel to the task.
-    commands: mpsc::UnboundedSender<Command>,
-    /// Task that tracks the runs.
-    owner: JoinHandle<()>,
+    /// Requests are run. A continuation of which the engine has no copy is run as a new request, with
+    /// status 500.
+    Careless,
 }
 
 /// A running engine; dropping it stops the engine and closes its connections.
@@ -139,6 +70,8 @@
     close: watch::Sender<Close>,
     /// Room for copies at other engines.
     room: watch::Sender<Room>,
+    /// Time in milliseconds for which responses state that the engine is cold.
+    cold: watch::Sender<Option<u64>>,
     /// Server task.
     server: JoinHandle<()>,
 }
@@ -162,38 +95,6 @@
     runs: mpsc::UnboundedSender<Command>,
 }
 
-impl Runs {
-    /// Starts the task that tracks the runs.
-    pub fn start() -> Self {
-        let (commands, receiver) = mpsc::unbounded_channel();
-        Self {
-            commands,
-            owner: tokio::spawn(run(receiver)),
-        }
-    }
-
-    /// Returns all requests that the engines received, in order of arrival.
-    pub async fn arrivals(&self) -> Vec<Arrival> {
-        let (reply, answer) = oneshot::channel();
-        let _ = self.commands.send(Command::Arrivals(reply));
-        answer.await.unwrap_or_default()
-    }
-
-    /// Returns when an engine last worked on an attempt.
-    pub async fn last_work(&self, attempt: &str, engine: SocketAddr) -> Option<Instant> {
-        let (reply, answer) = oneshot::channel();
-        let command = Command::LastWork(attempt.to_owned(), engine, reply);
-        let _ = self.commands.send(command);
-        answer.await.ok()?
-    }
-}
-
-impl Drop for Runs {
-    fn drop(&mut self) {
-        self.owner.abort();
-    }
-}
-
 impl PlatformEngine {
     /// Starts an engine on a free loopback port.
     ///
@@ -239,6 +140,7 @@
         let (mode, current_mode) = watch::channel(Mode::Serving);
         let (close, current_close) = watch::channel(Close::Stops);
         let (room, current_room) = watch::channel(Room::Free);
+        let (cold, current_cold) = watch::channel(None);
         let handler = Handler {
             name: name.to_owned(),
             address,
@@ -248,13 +150,17 @@
             event_interval,
             runs: runs.commands.clone(),
         };
-        let server = http::serve(listener, move |request| handler.clone().handle(request));
+        let server = http::serve(listener, move |request| {
+            let (handler, cold) = (handler.clone(), *current_cold.borrow());
+            async move { state_cold(handler.handle(request).await, cold) }
+        });
         Self {
             name: name.to_owned(),
             address,
             mode,
             close,
             room,
+            cold,
             server,
         }
     }
@@ -269,6 +175,11 @@
         self.close.send_replace(close);
     }
 
+    /// Sets the time in milliseconds for which responses state that the engine is cold.
+    pub fn set_cold(&self, cold: Option<u64>) {
+        self.cold.send_replace(cold);
+    }
+
     /// Sets the room for copies at other engines.
     pub fn set_room(&self, room: Room) {
         self.room.send_replace(room);
@@ -281,79 +192,33 @@
     }
 }
 
-/// Tracks the runs until all senders of commands are dropped.
-async fn run(mut commands: mpsc::UnboundedReceiver<Command>) {
-    let mut arrivals = Vec::new();
-    let mut running: HashMap<String, SocketAddr> = HashMap::new();
-    let mut copies: HashSet<(String, SocketAddr)> = HashSet::new();
-    let mut stopped: HashSet<(String, SocketAddr)> = HashSet::new();
-    let mut worked: HashMap<(String, SocketAddr), Instant> = HashMap::new();
-    while let Some(command) = commands.recv().await {
-        match command {
-            Command::Record(request) => arrivals.push(*request),
-            Command::Arrivals(reply) => {
-                let _ = reply.send(arrivals.clone());
-            }
-            Command::Run(attempt, engine) => {
-                stopped.remove(&(attempt.clone(), engine));
-                running.insert(attempt, engine);
-            }
-            Command::Stop(attempt, engine) => {
-                stopped.insert((attempt, engine));
-            }
-            Command::Work(attempt, engine) => {
-                worked.insert((attempt, engine), Instant::now());
-            }
-            Command::LastWork(attempt, engine, reply) => {
-                let _ = reply.send(worked.get(&(attempt, engine)).copied());
-            }
-            Command::Copy(attempt, engine) => {
-                copies.insert((attempt, engine));
-            }
-            Command::Find(attempt, engine, reply) => {
-                let is_current = running.get(&attempt) == Some(&engine);
-                let key = (attempt, engine);
-                let is_stopped = stopped.contains(&key);
-                let _ = reply.send(Found {
-                    is_current,
-                    is_stopped,
-                    has_memory: is_stopped || copies.contains(&key),
-                });
-            }
-        }
-    }
-}
-
 impl Handler {
     /// Handles one request.
     async fn handle(self, request: Request<Incoming>) -> Response<Body> {
         let (parts, body) = request.into_parts();
         let body = http::read_body(body).await.unwrap_or_default();
         if parts.uri.path() == "/-/kv-move" {
-            return self.copy(&body);
+            return self.copy(&body).await;
         }
         let headers = parts.headers;
+        if parts.uri.path().starts_with(HANDLE_PATH) {
+            self.record(&parts.uri, &headers, body, false);
+            return http::json(StatusCode::OK, &json!({}));
+        }
         let attempt = header_text(&headers, "x-daisyyard-attempt-id");
         let mode = *self.mode.borrow();
         let expected = header_text(&headers, "x-daisyyard-expected-instance");
         let resumed = headers.contains_key("kv-from");
         let available = !resumed || self.find(&attempt).await.is_some_and(|it| it.has_memory);
-        let ran = expected == self.name && mode != Mode::Declining && available;
+        let accepts = available || mode == Mode::Careless;
+        let ran = expected == self.name && mode != Mode::Declining && accepts;
         let crashes = body
             .windows(CRASH_WORD.len())
             .any(|word| word == CRASH_WORD.as_bytes())
             || header_text(&headers, "x-daisyyard-prompt-prefix")
                 .split(',')
                 .any(|part| part.split(':').next() == Some(CRASH_PART));
-        let arrival = Arrival {
-            engine: self.name.clone(),
-            path: parts.uri.to_string(),
-            headers: headers.clone(),
-            body,
-            ran,
-            at: Instant::now(),
-        };
-        let _ = self.runs.send(Command::Record(Box::new(arrival)));
+        self.record(&parts.uri, &headers, body, ran);
         if expected != self.name {
             return response(StatusCode::MISDIRECTED_REQUEST, &attempt, http::full(""));
         }
@@ -373,6 +238,11 @@
             return cut;
         }
         match mode {
+            Mode::Careless if !available => response(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                &attempt,
+                http::full("no copy"),
+            ),
             Mode::Failing => response(
                 StatusCode::INTERNAL_SERVER_ERROR,
                 &attempt,
@@ -380,10 +250,23 @@
             ),
             Mode::Hanging => std::future::pending().await,
             Mode::Mismatching => response(StatusCode::OK, "another", http::full("of another")),
-            Mode::Serving | Mode::Declining => self.serve(&headers, &attempt),
+            Mode::Serving | Mode::Declining | Mode::Careless => self.serve(&headers, &attempt),
         }
     }
 
+    /// Records a received request.
+    fn record(&self, uri: &Uri, headers: &HeaderMap, body: Bytes, ran: bool) {
+        let arrival = Arrival {
+            engine: self.name.clone(),
+            path: uri.to_string(),
+            headers: headers.clone(),
+            body,
+            ran,
+            at: Instant::now(),
+        };
+        let _ = self.runs.send(Command::Record(Box::new(arrival)));
+    }
+
     /// Runs a request: streams events to an engine request, and answers any other at once.
     fn serve(self, headers: &HeaderMap, attempt: &str) -> Response<Body> {
         let usage = header_text(headers, "x-daisyyard-token-usage");
@@ -431,7 +314,7 @@
     }
 
     /// Copies the memory of a run to another engine, and moves the run if `last` is set.
-    fn copy(&self, body: &[u8]) -> Response<Body> {
+    async fn copy(&self, body: &[u8]) -> Response<Body> {
         let body: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
         let attempt = body["id"].as_str().unwrap_or_default().to_owned();
         let target = body["target"]
@@ -441,12 +324,23 @@
             return http::json(StatusCode::BAD_REQUEST, &json!({}));
         };
         let room = *self.room.borrow();
+        let copied = self.find_at(&attempt, target).await;
+        let copied = copied.is_some_and(|found| found.has_memory);
+        if room == Room::Slow {
+            tokio::time::sleep(SLOW_COPY_TIME).await;
+        }
+        if room == Room::Stalled || (room == Room::Once && copied) {
+            return std::future::pending().await;
+        }
+        if self.is_full(target).await {
+            return http::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+        }
         let stops = body["last"] == true && room != Room::Unavailable;
         if stops {
             let _ = self.runs.send(Command::Stop(attempt.clone(), self.address));
         }
         match room {
-            Room::Free => {
+            Room::Free | Room::Once | Room::Slow | Room::Stalled => {
                 let _ = self.runs.send(Command::Copy(attempt, target));
                 http::json(StatusCode::OK, &json!({ "handle": "copy-1", "created": 0 }))
             }
@@ -463,13 +357,34 @@
     /// Returns what is known of an attempt at this engine; `None` if the task that tracks the runs
     /// has ended.
     async fn find(&self, attempt: &str) -> Option<Found> {
+        self.find_at(attempt, self.address).await
+    }
+
+    /// Returns whether an engine refuses copies.
+    async fn is_full(&self, engine: SocketAddr) -> bool {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.runs.send(Command::IsFull(engine, reply));
+        answer.await.unwrap_or(false)
+    }
+
+    /// Returns what is known of an attempt at any engine.
+    async fn find_at(&self, attempt: &str, engine: SocketAddr) -> Option<Found> {
         let (reply, answer) = oneshot::channel();
-        let command = Command::Find(attempt.to_owned(), self.address, reply);
+        let command = Command::Find(attempt.to_owned(), engine, reply);
         let _ = self.runs.send(command);
         answer.await.ok()
     }
 }
 
+/// States in a response for how many milliseconds the engine is cold.
+fn state_cold(mut response: Response<Body>, cold: Option<u64>) -> Response<Body> {
+    if let Some(cold) = cold {
+        let value = HeaderValue::from(cold);
+        response.headers_mut().insert("x-daisyyard-cold-ms", value);
+    }
+    response
+}
+
 /// Returns the value of a header, or an empty string.
 fn header_text(headers: &HeaderMap, name: &str) -> String {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
