Give back sends of the retry budget that reach no engine

Cause: a run at a silent or leaving engine asks the budget each time before it is stopped there, and the allowance stayed counted when nothing was sent.

Change: an allowance that no engine has seen is given back. Test unused_retries.

Run: shared_retries; clippy of the core and the gateway.

--- a/crates/daisyyard_core/src/shared_retry_budget.rs
+++ b/crates/daisyyard_core/src/shared_retry_budget.rs
@@ -126,6 +126,19 @@
         Decision::Retry
     }
 
+    /// Gives back a retry that was allowed but reached no endpoint.
+    pub fn give_back(&mut self, service: ServiceId, now: Instant) {
+        let slots = self.slots.get_mut(&service);
+        let window = self.limits.window;
+        let mut counted = slots.into_iter().flatten().rev().filter(|slot| {
+            let age = now.saturating_duration_since(slot.start);
+            age <= window && slot.count.retries > 0
+        });
+        if let Some(slot) = counted.next() {
+            slot.count.retries -= 1;
+        }
+    }
+
     /// Returns the requests per second of all nodes to a service over the window, or over the time
     /// for which this node has had requests if that is shorter.
     pub fn service_rate(&self, service: ServiceId, now: Instant) -> f64 {
--- a/crates/daisyyard_core/tests/shared_retries.rs
+++ b/crates/daisyyard_core/tests/shared_retries.rs
@@ -61,3 +61,20 @@
     idle.learn(1, busy.counts(now), now);
     assert_eq!(allowed(&mut idle, 2, now), 0);
 }
+
+/// Retries that reach no endpoint do not count: a run that is often asked to move, and is never sent
+/// elsewhere, must not use up the bound. Nothing is given back that was not allowed before.
+#[test]
+fn unused_retries() {
+    let now = Instant::now();
+    let mut budget = Budget::new(bound());
+    for _ in 0..100 {
+        assert_eq!(budget.try_retry(SERVICE, 1, now), Decision::Retry);
+        budget.give_back(SERVICE, now);
+    }
+    budget.give_back(SERVICE, now);
+    assert_eq!(allowed(&mut budget, 1, now), 8);
+    let later = now + Duration::from_secs(30);
+    budget.give_back(SERVICE, later);
+    assert_eq!(allowed(&mut budget, 1, later), 8);
+}
--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -14,7 +14,7 @@
 use crate::codec::Replica;
 use crate::event::Event;
 use crate::halt::{Halt, halt};
-use crate::message::{Confirm, Failover, GiveBack, Retry, Rollback, Takeover};
+use crate::message::{Confirm, Failover, GiveBack, Retry, ReturnRetry, Rollback, Takeover};
 use crate::migration::{RETRY_INTERVAL, State};
 use crate::relay::{LEAVING, Relay, SILENT};
 
@@ -181,6 +181,9 @@
                 }
                 Err(obstacle) => {
                     asked = true;
+                    if matches!(obstacle, Obstacle::Unsent | Obstacle::Cold) {
+                        self.return_send().await;
+                    }
                     if obstacle == Obstacle::Unanswered {
                         self.runs_left = self.runs_left.saturating_sub(1);
                     }
@@ -188,6 +191,9 @@
                 }
             }
         }
+        if !asked {
+            self.return_send().await;
+        }
         self.roll_back(departure, takeover.standby).await;
         // An engine that did not answer may end. A copy that was made before is used then.
         let refused = match halt.stop() {
@@ -278,6 +284,13 @@
         allowed.is_ok_and(|decision| decision == shared_retry_budget::Decision::Retry)
     }
 
+    /// Gives back a send that the retry budget allowed and that has reached no engine. A run at a silent
+    /// or leaving engine is asked for again and again, and must not use up the budget of the others.
+    async fn return_send(&self) {
+        // The pool ends only with the process.
+        let _ = self.proxy.pool.send(ReturnRetry(self.job.service)).await;
+    }
+
     /// Logs and counts a move of the run, given its means and the reason for it.
     pub(crate) fn record_move(
         &self,
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -247,6 +247,10 @@
 #[derive(Debug)]
 pub(crate) struct Retry(pub(crate) ServiceId);
 
+/// Gives back a send that the retry budget allowed and that reached no endpoint.
+#[derive(Debug)]
+pub(crate) struct ReturnRetry(pub(crate) ServiceId);
+
 /// Counts a request to a service toward its retry budget.
 #[derive(Debug)]
 pub(crate) struct Count(pub(crate) ServiceId);
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -27,7 +27,9 @@
 use crate::event::Event;
 use crate::log::Log;
 use crate::member::{Entry, Members};
-use crate::message::{Claim, Count, Leave, Notice, Offer, Retry, SetRetryLimits, Standing, Update};
+use crate::message::{
+    Claim, Count, Leave, Notice, Offer, Retry, ReturnRetry, SetRetryLimits, Standing, Update,
+};
 use crate::metrics::Metrics;
 use crate::run::Run;
 use crate::settings::Settings;
@@ -313,6 +315,14 @@
     }
 }
 
+impl Handler<ReturnRetry> for Pool {
+    type Return = ();
+
+    async fn handle(&mut self, ReturnRetry(service): ReturnRetry, _: &mut Context<Self>) {
+        self.retry_budget.give_back(service, Instant::now());
+    }
+}
+
 impl Handler<Count> for Pool {
     type Return = ();
 
