--- a/crates/daisyyard_core/src/footprint.rs
+++ b/crates/daisyyard_core/src/footprint.rs
@@ -205,6 +205,12 @@
         }
     }
 
+    /// Returns the largest amount that would be granted to a holder for which nothing is charged.
+    pub fn room(&self, holder: &Holder) -> usize {
+        let ordinary = self.free(holder, 0).min(LARGE_BYTES);
+        ordinary.max(self.free(holder, LARGE_BYTES + 1))
+    }
+
     /// Charges a further amount for a holder, or nothing.
     pub fn charge(&mut self, holder: &mut Holder, amount: usize) -> Verdict {
         if self.check(holder, amount) == Verdict::Full {
