--- a/crates/daisyyard_core/src/difference.rs
+++ b/crates/daisyyard_core/src/difference.rs
@@ -207,6 +207,11 @@
     format!("{time:?}")
 }
 
+/// Returns a text in quotes, on one line whatever it contains.
+fn quoted(text: &str) -> String {
+    format!("{text:?}")
+}
+
 /// Returns `yes` or `no`.
 fn flag(flag: bool) -> String {
     if flag { "yes" } else { "no" }.to_owned()
@@ -266,12 +271,12 @@
     };
     let shares = route.shares.iter();
     let shares: Vec<String> = shares
-        .map(|(name, weight)| format!("{name} {weight}"))
+        .map(|(name, weight)| format!("{name:?} {weight}"))
         .collect();
     let shares = (!shares.is_empty()).then(|| shares.join(" + "));
     vec![
-        (Field::Host, route.host.clone()),
-        (Field::PathPrefix, route.path_prefix.clone()),
+        (Field::Host, quoted(&route.host)),
+        (Field::PathPrefix, quoted(&route.path_prefix)),
         (Field::Kind, kind.to_owned()),
         (Field::Timeout, time(route.timeout)),
         (Field::TargetLatency, optional(route.target_latency, time)),
@@ -280,7 +285,10 @@
         (Field::MaxAttempts, route.max_attempts.to_string()),
         (Field::Priority, route.priority.to_string()),
         (Field::Public, flag(route.public)),
-        (Field::Service, optional(route.service.clone(), |name| name)),
+        (
+            Field::Service,
+            optional(route.service.as_ref(), |name| quoted(name)),
+        ),
         (Field::Shares, optional(shares, |text| text)),
     ]
 }
