--- a/crates/daisyyard/src/command.rs
+++ b/crates/daisyyard/src/command.rs
@@ -11,8 +11,8 @@
 
 use crate::settings::{Level, Log, Settings};
 use crate::{
-    embedded, event, experiment, fault_injection, gateway_settings, node, operator, report,
-    settings, soak,
+    config_check, embedded, event, experiment, fault_injection, gateway_settings, node, operator,
+    report, settings, soak,
 };
 
 /// Exit code for a usage error or invalid settings.
@@ -29,6 +29,7 @@
   serve --config FILE   run a node
   gateway --config FILE run a gateway on the users' platform
   check FILE            check a settings file and list every fault
+  check --config FILE   check a configuration of the users' platform before it is sent
   try [--keep]          run a small fleet on loopback and check the guarantees
   try --faults          run callers while parts of the fleet fail; `--seed N` repeats a run
   soak --seed N --for S run gateways while they, the store and engines fail, and check guarantees
@@ -53,6 +54,7 @@
         }
         "serve" => serve(rest),
         "gateway" => run_gateway(rest),
+        "check" if config_check::is_meant(rest) => Ok(config_check::run(rest)),
         "check" => check(rest),
         "try" => run_try(rest),
         "soak" => run_soak(rest),
@@ -92,10 +94,17 @@
              Exit codes: 0 after a planned stop, 2 if the settings are at fault.\n"
         }
         "check" => {
-            "Usage: daisyyard check [--gateway] FILE\n\n\
+            "Usage: daisyyard check [--gateway] FILE\n\
+             \x20      daisyyard check --config FILE [--against FILE] [--gateway SETTINGS]\n\n\
              Lists every fault of a settings file with its line, key, what was found, what was\n\
              expected and an example. --gateway checks the settings of a gateway.\n\n\
-             Exit codes: 0 if there is none, 2 otherwise.\n"
+             Exit codes: 0 if there is none, 2 otherwise.\n\n\
+             --config lists errors, entries without effect and limits that contradict each other in\n\
+             a configuration of the platform, and --against what differs from the version in force.\n\
+             Bodies must fit into the memory of the gateway with these SETTINGS, or else of the\n\
+             smallest machine.\n\n\
+             Exit codes: 0 if nothing was found, 1 for warnings only, 2 for errors, 64 if nothing was\n\
+             checked, because of wrong usage or a file that cannot be read. Differences do not count.\n"
         }
         "try" => {
             "Usage: daisyyard try [--deployment association|pit-works] [--keep] [--tokens]\n\
--- a/crates/daisyyard/src/lib.rs
+++ b/crates/daisyyard/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod caller;
 pub mod command;
 pub(crate) mod completion;
+pub(crate) mod config_check;
 pub(crate) mod config_watch;
 pub(crate) mod convert;
 pub(crate) mod delivery;
--- a/crates/daisyyard_core/src/finding.rs
+++ b/crates/daisyyard_core/src/finding.rs
@@ -272,7 +272,7 @@
     if attempts > 1 && !route.is_repeatable() {
         warn(
             Field::MaxAttempts,
-            format!("allows {attempts} attempts, but a request of this route may run once"),
+            format!("allows {attempts} attempts, but a request of this route may run only once"),
             "set it to 1, or let the route repeat requests if that is safe",
         );
     }
