Let only digests say whether a gateway is leaving

Datagrams that add to a digest (news, records of contents) carry leaving = false, and the recipients took that for a change: a gateway that is leaving was offered to callers again, and divided among the serving ones, until its next digest. Recipients now take the fact from digests and probes only. That also holds for datagrams that overtake each other, and for senders of the version before, which a field in each continuation would not cover.

--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -229,10 +229,13 @@
 
     async fn handle(&mut self, mut message: Report, _: &mut Context<Self>) {
         let now = Instant::now();
-        if !self
-            .members
-            .record_digest(message.from, message.leaving, now)
-        {
+        let known = if message.continuation {
+            self.members.record_heard(message.from, now)
+        } else {
+            self.members
+                .record_digest(message.from, message.leaving, now)
+        };
+        if !known {
             if self.members.record_unlisted(message.from, now) {
                 self.refresh.notify_one();
             }
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -50,7 +50,7 @@
     /// Identifier of the sender.
     #[prost(fixed64, tag = "1")]
     instance: InstanceId,
-    /// Whether the sender is leaving.
+    /// Whether the sender is leaving; a continuation does not tell it.
     #[prost(bool, tag = "2")]
     leaving: bool,
     /// Load of the sender at each endpoint.
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -179,12 +179,23 @@
         let Some(member) = self.others.get_mut(&id) else {
             return false;
         };
-        let was_lost = member.lost_since.take().is_some();
-        if was_lost || member.leaving != leaving {
+        if member.leaving != leaving {
+            member.leaving = leaving;
             self.divided_at = None;
         }
+        self.record_heard(id, now)
+    }
+
+    /// Records a datagram that adds to a digest, which does not change whether its sender is leaving;
+    /// returns whether the sender is known.
+    pub fn record_heard(&mut self, id: InstanceId, now: Instant) -> bool {
+        let Some(member) = self.others.get_mut(&id) else {
+            return false;
+        };
         member.last_heard = now;
-        member.leaving = leaving;
+        if member.lost_since.take().is_some() {
+            self.divided_at = None;
+        }
         true
     }
 
