Publish a configuration after the pool has what came with it

If a first read had no configuration and the next watch brought it together with an order to evacuate a zone, requests were admitted between the publication and the pool's update, and could be granted an endpoint of that zone. The same held for endpoints that the batch removes, and for the bounds on cold endpoints. The pool now gets the bounds and the records first, then the configuration becomes visible. The pool learns the version a moment before requests see it; it only reports it in digests and offers the gateway to callers, whose requests wait for the configuration anyway.

The gap is a few polls of one thread wide and no test forces it. Of several versions in one batch only the newest is adopted and logged.

--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -300,17 +300,29 @@
     }
 
     /// Publishes records to the pool and to the receivers of the configuration. They were complete at
-    /// a time, unless they may be old.
+    /// a time, unless they may be old. A configuration becomes visible after the pool has all records,
+    /// because requests that it admits must follow the orders that came with it.
     async fn publish(&mut self, batch: Batch, read: Read, complete_at: Option<Instant>) {
         // What was announced during the read is part of it, or is announced again.
         let _ = self.refresh.notified().now_or_never();
         let mut others = Vec::with_capacity(batch.records.len());
+        let mut newest: Option<Box<Catalog>> = None;
+        let mut version = self.version();
         for record in batch.records {
             match record {
-                Record::Catalog(catalog) => self.apply_catalog(*catalog, read).await,
+                Record::Catalog(catalog) => {
+                    if version.is_none_or(|version| version < catalog.version) {
+                        version = Some(catalog.version);
+                        newest = Some(catalog);
+                    }
+                }
                 record => others.push(record),
             }
         }
+        if let Some(catalog) = &newest {
+            // The pool ends only with the process.
+            let _ = self.pool.send(SetColdStarts(catalog.cold_starts())).await;
+        }
         let message = Update {
             records: others,
             items: batch.items,
@@ -318,10 +330,13 @@
             complete: read == Read::All,
             complete_at,
             revision: batch.revision,
-            version: self.version(),
+            version,
         };
         // The pool ends only with the process.
         let items = self.pool.send(message).await.unwrap_or_default();
+        if let Some(catalog) = newest {
+            self.apply_catalog(*catalog, read);
+        }
         if !items.is_empty() && self.standing.borrow().role == Role::Reader {
             let now = Instant::now();
             let deadline = self.outage.relist_deadline(now);
@@ -337,26 +352,12 @@
         configuration.as_ref().map(|catalog| catalog.version)
     }
 
-    /// Applies a version of the configuration unless a newer one is already current.
-    async fn apply_catalog(&self, catalog: Catalog, read: Read) {
-        let version = catalog.version;
-        let cold_starts = catalog.cold_starts();
-        let routes = catalog.route_count();
-        let newer = self.catalog.send_if_modified(|configuration| {
-            let newer = configuration
-                .as_ref()
-                .is_none_or(|configuration| configuration.version < version);
-            if newer {
-                *configuration = Some(Arc::new(catalog));
-            }
-            newer
-        });
-        if newer {
-            let details = format!("version={version} routes={routes} read={read:?}");
-            self.log.emit(Event::CatalogAdopted, &details);
-            // The pool ends only with the process.
-            let _ = self.pool.send(SetColdStarts(cold_starts)).await;
-        }
+    /// Makes a version of the configuration the current one.
+    fn apply_catalog(&self, catalog: Catalog, read: Read) {
+        let (version, routes) = (catalog.version, catalog.route_count());
+        self.catalog.send_replace(Some(Arc::new(catalog)));
+        let details = format!("version={version} routes={routes} read={read:?}");
+        self.log.emit(Event::CatalogAdopted, &details);
     }
 
     /// Records that the store has answered.
