Let the soak flood gateways from one account

Floods are a series of faults with a generator of its own, whose seed differs from that of the other series, so that the faults of older seeds stay the same. Another account sends one gateway requests from 24 callers for up to 2 s; their results are checked like those of all requests. The help text names all faults.

--- a/crates/daisyyard/src/command.rs
+++ b/crates/daisyyard/src/command.rs
@@ -111,8 +111,9 @@
              Runs three gateways as processes of their own, with stand-ins for the platform behind\n\
              a proxy, and callers. Faults drawn from the seed overlap: connections are delayed,\n\
              silenced, blocked in one direction or reset; gateways are killed, suspended, stopped\n\
-             and reloaded; engines and the store fail; crowds send bodies that do not end. Prints\n\
-             every broken guarantee.\n\n\
+             and reloaded; engines and the store fail; a zone is evacuated; all endpoints start\n\
+             anew and are cold; engines leave in waves; crowds send bodies that stall before their\n\
+             end; one account floods a gateway with requests. Prints every broken guarantee.\n\n\
              Exit codes: 0 if every guarantee held, 1 if not, 2 for wrong usage.\n"
         }
         _ => {
--- a/crates/daisyyard/src/soak.rs
+++ b/crates/daisyyard/src/soak.rs
@@ -8,7 +8,7 @@
 
 use anyhow::Context;
 use daisyyard_standin::platform_engine::{Mode as EngineMode, PlatformEngine, Runs};
-use daisyyard_standin::platform_fixture;
+use daisyyard_standin::platform_fixture::{self, CREDENTIAL};
 use daisyyard_standin::platform_store::{Mode as StoreMode, PlatformStore};
 use daisyyard_standin::proxy::{Link, Proxy};
 use hyper::{Method, StatusCode};
@@ -107,19 +107,14 @@
     for number in 0..CALLERS {
         let name = format!("s{}-c{number}", options.seed);
         callers.spawn(soak_caller::run_caller(
+            CREDENTIAL,
             addresses.clone(),
             name,
             started + options.duration,
         ));
     }
     let mut faults = JoinSet::new();
-    let mut events = soak_schedule::draw(options.seed, options.duration);
-    events.extend(soak_schedule::draw_evacuations(
-        options.seed,
-        options.duration,
-    ));
-    events.extend(soak_schedule::draw_crowds(options.seed, options.duration));
-    events.sort_by_key(|event| event.at);
+    let events = soak_schedule::draw(options.seed, options.duration);
     for event in events {
         tokio::time::sleep_until((started + event.at).into()).await;
         faults.spawn(Arc::clone(&environment).inject(
@@ -128,8 +123,10 @@
             faults.len() as u64,
         ));
     }
-    while faults.join_next().await.is_some() {}
     let mut records = Vec::new();
+    while let Some(done) = faults.join_next().await {
+        records.extend(done.context("a fault panicked")?);
+    }
     while let Some(done) = callers.join_next().await {
         records.extend(done.context("a caller panicked")?);
     }
@@ -201,6 +198,10 @@
         for service in config["services"].as_array_mut().into_iter().flatten() {
             (service["cold_start_s"], service["cold_per_s"]) = (1.0.into(), 26.0.into());
         }
+        if let Some(accounts) = config["tenants"].as_array_mut() {
+            let keys = [soak_caller::FLOOD_CREDENTIAL];
+            accounts.push(serde_json::json!({ "name": "flood", "api_keys": keys, "priority": 1 }));
+        }
         self.store.put("op/config", &config).await;
     }
 
@@ -216,8 +217,8 @@
     }
 
     /// Injects a fault and ends it after a time; `number` is the number of the fault, from which
-    /// configuration versions are derived.
-    async fn inject(self: Arc<Self>, fault: Fault, duration: Duration, number: u64) {
+    /// configuration versions are derived. Returns the records of the requests of a flood.
+    async fn inject(self: Arc<Self>, fault: Fault, duration: Duration, number: u64) -> Vec<Record> {
         match fault {
             Fault::Store(mode) => {
                 self.store.set_mode(mode);
@@ -274,7 +275,12 @@
                 let address = self.gateways[gateway].request_address;
                 soak_caller::stall_bodies(address, duration).await;
             }
+            Fault::Flood(gateway) => {
+                let address = self.gateways[gateway].request_address;
+                return soak_caller::flood(address, &format!("flood-{number}"), duration).await;
+            }
         }
+        Vec::new()
     }
 
     /// Waits until all gateways report that they are ready.
--- a/crates/daisyyard/src/soak_caller.rs
+++ b/crates/daisyyard/src/soak_caller.rs
@@ -32,6 +32,11 @@
 /// Limit on sending one of these bodies, for a gateway that is suspended.
 const MAX_CROWD_WRITE: Duration = Duration::from_millis(100);
 
+/// API key of the account that floods gateways.
+pub(crate) const FLOOD_CREDENTIAL: &str = "secret-of-flood";
+/// Number of callers of a flood, twice that of all other callers.
+const FLOOD_CALLERS: usize = 24;
+
 /// Kind of request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Kind {
@@ -81,6 +86,7 @@
 
 /// Sends one request after another to random gateways until a time, and returns their records.
 pub(crate) async fn run_caller(
+    credential: &str,
     gateways: Vec<SocketAddr>,
     name: String,
     until: Instant,
@@ -95,13 +101,23 @@
         };
         let gateway = gateways[random.random_range(0..gateways.len())];
         let attempt = format!("{name}-{}", records.len());
-        records.push(send_request(gateway, attempt, kind).await);
+        records.push(send_as(credential, gateway, attempt, kind).await);
         let pause = random.random_range(0..MAX_PAUSE_MS);
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
     records
 }
 
+/// Sends requests of one account to a gateway from many callers for a time, and returns their records.
+pub(crate) async fn flood(gateway: SocketAddr, name: &str, duration: Duration) -> Vec<Record> {
+    let until = Instant::now() + duration;
+    let callers = (0..FLOOD_CALLERS).map(|number| {
+        let name = format!("{name}-c{number}");
+        run_caller(FLOOD_CREDENTIAL, vec![gateway], name, until)
+    });
+    futures_util::future::join_all(callers).await.concat()
+}
+
 /// Sends bodies without their end to a gateway and keeps the connections open for a time. The gateway
 /// may refuse them or close the connections.
 pub(crate) async fn stall_bodies(gateway: SocketAddr, duration: Duration) {
@@ -124,10 +140,15 @@
     tokio::time::sleep(duration).await;
 }
 
-/// Sends a request to a gateway and records its result.
+/// Sends a request of the usual account to a gateway and records its result.
 pub(crate) async fn send_request(gateway: SocketAddr, attempt: String, kind: Kind) -> Record {
+    send_as(CREDENTIAL, gateway, attempt, kind).await
+}
+
+/// Sends a request of an account to a gateway and records its result.
+async fn send_as(credential: &str, gateway: SocketAddr, attempt: String, kind: Kind) -> Record {
     let mut text = Vec::new();
-    let exchange = exchange(gateway, &attempt, kind, &mut text);
+    let exchange = exchange(credential, gateway, &attempt, kind, &mut text);
     let exchange = tokio::time::timeout(REQUEST_TIMEOUT, exchange).await;
     let end = match exchange {
         Ok(Some((head, complete))) => answer(&head, &text, complete),
@@ -151,6 +172,7 @@
 /// Sends a request and reads the body of its answer into `text`. Returns the head and whether the
 /// end of the body arrived, or none if there is no answer.
 async fn exchange(
+    credential: &str,
     gateway: SocketAddr,
     attempt: &str,
     kind: Kind,
@@ -165,7 +187,7 @@
         .method(method)
         .uri(path)
         .header(header::HOST, HOST)
-        .header(header::AUTHORIZATION, format!("Bearer {CREDENTIAL}"))
+        .header(header::AUTHORIZATION, format!("Bearer {credential}"))
         .header("x-daisyyard-attempt-id", attempt)
         .header("x-daisyyard-deadline-ms", DEADLINE.as_millis().to_string());
     if let Kind::Draft(events) = kind {
--- a/crates/daisyyard/src/soak_schedule.rs
+++ b/crates/daisyyard/src/soak_schedule.rs
@@ -31,6 +31,10 @@
 const NOTICE_MS: std::ops::Range<u64> = 1_500..2_100;
 /// Range of the times between the starts of two crowds, in milliseconds.
 const CROWD_INTERVAL_MS: std::ops::Range<u64> = 1_000..4_000;
+/// Range of the times between the starts of two floods, in milliseconds.
+const FLOOD_INTERVAL_MS: std::ops::Range<u64> = 1_500..5_000;
+/// Seed of these times, so that they differ from those of other series.
+const FLOOD_SEED: u64 = 0x666c_6f6f_6473;
 /// Upper bound of the delay on a slow link, in milliseconds.
 const MAX_LINK_DELAY_MS: u64 = 300;
 
@@ -70,6 +74,8 @@
     Evacuate,
     /// A crowd of callers sends bodies to a gateway without their end.
     Crowd(usize),
+    /// One account sends a gateway many requests at once.
+    Flood(usize),
 }
 
 /// Fault with its start and duration.
@@ -96,6 +102,9 @@
         });
         at += Duration::from_millis(random.random_range(COLD_INTERVAL_MS));
     }
+    events.extend(draw_evacuations(seed, period));
+    events.extend(draw_crowds(seed, period));
+    events.extend(draw_floods(seed, period));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -121,16 +130,22 @@
 }
 
 /// Draws the evacuations of a soak.
-pub(crate) fn draw_evacuations(seed: u64, period: Duration) -> Vec<Event> {
+fn draw_evacuations(seed: u64, period: Duration) -> Vec<Event> {
     draw_series(seed, period, EVACUATION_INTERVAL_MS, |_| Fault::Evacuate)
 }
 
 /// Draws the crowds of a soak.
-pub(crate) fn draw_crowds(seed: u64, period: Duration) -> Vec<Event> {
+fn draw_crowds(seed: u64, period: Duration) -> Vec<Event> {
     let crowd = |random: &mut Pcg64Mcg| Fault::Crowd(random.random_range(0..GATEWAYS));
     draw_series(seed, period, CROWD_INTERVAL_MS, crowd)
 }
 
+/// Draws the floods of a soak.
+fn draw_floods(seed: u64, period: Duration) -> Vec<Event> {
+    let flood = |random: &mut Pcg64Mcg| Fault::Flood(random.random_range(0..GATEWAYS));
+    draw_series(seed ^ FLOOD_SEED, period, FLOOD_INTERVAL_MS, flood)
+}
+
 /// Draws a series of faults of one kind. It has a generator of its own, so that the other faults of a seed
 /// stay the same.
 fn draw_series(
