Refuse at once what only evacuations hold up under admission

Where the admission is in effect, waiting requests are in its gate, not in the backlog from which the start of an evacuation removes them, and an arrival with endpoints in evacuated zones only counted as started: it was "served" in daisyyard_gateway_admissions_total, and its work was charged to its account, which could put the account above its share. A long request that had to leave room for short ones waited until its target. Both are now refused at once, as without the admission, and count as refused.

The wait of long requests has no test of its own. cold_endpoints: resumed_streams fails with and without this change.

--- a/crates/daisyyard/tests/load_refusals.rs
+++ b/crates/daisyyard/tests/load_refusals.rs
@@ -74,3 +74,29 @@
     assert!(!metrics.contains("outcome=\"refused\""), "{metrics}");
     assert!(metrics.contains("outcome=\"served\""), "{metrics}");
 }
+
+/// Guards against requests that are refused because all zones are evacuated and count as served, also
+/// for the shares of their accounts.
+#[tokio::test]
+async fn all_evacuated() {
+    let mut platform = Platform::start(1, 1).await;
+    platform.store.put("op/evacuate/zone-a", &json!({})).await;
+    let adapt = |settings: &mut serde_json::Value| {
+        settings["admission"] = json!({ "contracts": ["pressure"] });
+    };
+    let gateway = spawn_gateway_with(platform.store.address, 0, adapt).await;
+    let (ready, metrics) = (gateway.ready, gateway.metrics);
+    platform.gateways.push(gateway);
+    wait_until("the gateway is ready", async || {
+        status(ready, "/-/readiness").await == Some(StatusCode::OK)
+    })
+    .await;
+    for usage in ["10,20", "3000,800"] {
+        let answer = platform.request(stream_request("/draft/1", usage)).await;
+        assert_eq!(answer.0, StatusCode::SERVICE_UNAVAILABLE, "{}", answer.1);
+        assert!(answer.1.contains("evacuated zones"), "{}", answer.1);
+    }
+    let metrics = text(metrics, "/metrics").await;
+    assert!(!metrics.contains("outcome=\"served\""), "{metrics}");
+    assert!(metrics.contains("outcome=\"refused\""), "{metrics}");
+}
--- a/crates/daisyyard_gateway/src/admission.rs
+++ b/crates/daisyyard_gateway/src/admission.rs
@@ -31,7 +31,7 @@
 
 /// What became of a request, as far as the admission decides.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Fate {
+pub(crate) enum Fate {
     /// It started in time.
     Served,
     /// It started after the time by which its first token would be in time.
@@ -55,7 +55,7 @@
 #[derive(Debug)]
 pub(crate) struct Admission {
     /// Waiting requests, and what is known of capacity and demand.
-    gate: Gate<Claim>,
+    pub(crate) gate: Gate<Claim>,
     /// Requests that were refused lately.
     recall: Recall,
     /// Names of the accounts that the metrics show.
@@ -120,7 +120,7 @@
     }
 
     /// Counts the fate of a request for the log and the metrics.
-    fn count(&mut self, client: Option<&Arc<Client>>, fate: Fate) {
+    pub(crate) fn count(&mut self, client: Option<&Arc<Client>>, fate: Fate) {
         let account = client.map(|client| &client.account);
         let (id, name) = account.map_or((0, "-"), |account| (account.id, &account.name));
         let heavy = self.gate.burden.heaviest(NAMED_ACCOUNTS).contains(&id);
@@ -234,7 +234,10 @@
     }
 
     /// Starts a request that arrives, lets it wait, or refuses it.
-    pub(crate) fn admit(&mut self, mut claim: Claim, now: Instant) {
+    pub(crate) fn admit(&mut self, claim: Claim, now: Instant) {
+        let Some(mut claim) = self.refuse_if_evacuated(claim, now) else {
+            return;
+        };
         let Some(mut admission) = self.admission.take() else {
             return;
         };
--- a/crates/daisyyard_gateway/src/evacuation.rs
+++ b/crates/daisyyard_gateway/src/evacuation.rs
@@ -12,9 +12,10 @@
 use hyper::Request;
 use tokio::sync::watch;
 
+use crate::admission::Fate;
 use crate::codec::Record;
 use crate::event::Event;
-use crate::message::Placement;
+use crate::message::{Claim, Placement};
 use crate::pool::Pool;
 use crate::sent::is_unsent;
 
@@ -192,13 +193,35 @@
         let runs = self.runs.values();
         let runs = runs.filter(|run| endpoints.is_evacuated(run.endpoint));
         self.metrics.set_evacuated(zones, runs.count());
-        let claims = self
-            .backlog
-            .remove(|claim| endpoints.only_evacuated(claim.need.service, &claim.excluded, now));
+        let refused =
+            |claim: &Claim| endpoints.only_evacuated(claim.need.service, &claim.excluded, now);
+        let mut claims = self.backlog.remove(refused);
+        if let Some(admission) = &mut self.admission {
+            claims.extend(admission.gate.remove(refused));
+        }
         for claim in claims {
-            // If the caller has disconnected, nobody needs the refusal.
-            let _ = claim.reply.send(Placement::Evacuated);
+            self.refuse_evacuated(claim);
+        }
+    }
+
+    /// Refuses a request that only evacuations keep from being served.
+    fn refuse_evacuated(&mut self, claim: Claim) {
+        if let Some(admission) = &mut self.admission {
+            admission.count(claim.client.as_ref(), Fate::Refused);
+        }
+        // If the caller has disconnected, nobody needs the refusal.
+        let _ = claim.reply.send(Placement::Evacuated);
+    }
+
+    /// Refuses a request if only evacuations keep it from being served, and returns it otherwise.
+    pub(crate) fn refuse_if_evacuated(&mut self, claim: Claim, now: Instant) -> Option<Claim> {
+        let evacuated = self.endpoints.evacuations().standing().next().is_some();
+        let (service, excluded) = (claim.need.service, &claim.excluded);
+        if evacuated && self.endpoints.only_evacuated(service, excluded, now) {
+            self.refuse_evacuated(claim);
+            return None;
         }
+        Some(claim)
     }
 
     /// Returns the number of runs at endpoints that satisfy the predicate.
