Continue a stopped run at no third engine

When a leaving engine had stopped a run for its last copy, and the engine that was asked to continue it answered at once, but with status 500 or another answer that does not say that nothing ran, the stream stayed open and the run was planned anew: a third engine got the request, although the second may work on it. A slow answer, after MAX_OVERLAP, already ended the stream. A fast one ends it now too, unless the route lets the run start anew.

--- a/crates/daisyyard/tests/run_overlap.rs
+++ b/crates/daisyyard/tests/run_overlap.rs
@@ -275,3 +275,25 @@
     assert_eq!(ran[0].engine, ran[1].engine);
     scene.check_pause().await;
 }
+
+/// Guards against a run that continues at a third engine although the second one, which received it, may
+/// work on it: its answer with status 500 does not say that it has not run the request.
+#[tokio::test]
+async fn third_engine() {
+    let mut scene = Scene::start_one().await;
+    let (status, body) = scene
+        .play(async |scene, index| {
+            for name in ["engine-1", "engine-2"] {
+                scene.add_engine(name).await;
+            }
+            for engine in &scene.platform.engines[1..] {
+                engine.set_mode(Mode::Failing);
+            }
+            tokio::time::sleep(STAY_TIME).await;
+            drain(&scene.platform, index).await;
+        })
+        .await;
+    assert_eq!((status, body), (StatusCode::OK, None));
+    let ran = scene.platform.ran("/draft/1").await;
+    assert_eq!(ran.len(), 2, "the run continues once");
+}
--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -183,6 +183,11 @@
                     asked = true;
                     if obstacle == Obstacle::Unanswered {
                         self.runs_left = self.runs_left.saturating_sub(1);
+                        if matches!(halt.stop(), Stop::Moved | Stop::Kept) {
+                            // The source has stopped the run, and the engine that was asked may go on
+                            // with it, so that no other one may.
+                            self.upstream = None;
+                        }
                     }
                     step = situation.fail(place, obstacle);
                 }
