Keep what endpoints state in answers above news of the store

Cause: an endpoint that leaves or is overloaded says so in its answers before the store does, and nothing in the pool could hold that.

Change: daisyyard_core::statement keeps, for each incarnation, whether the endpoint leaves and until when it turns requests away. Access has Reason::TurnedAway, and choose returns Choice::TurnedAway if no endpoint is left but such. One trial is allowed after half of the time. Three existing tests name the new variant of Choice in their exhaustive matches; what they check is unchanged.

--- a/crates/daisyyard_core/src/access.rs
+++ b/crates/daisyyard_core/src/access.rs
@@ -19,6 +19,8 @@
     Leaving,
     /// The availability zone of the endpoint is evacuated.
     Evacuated,
+    /// The endpoint turns requests of this node away, which it has stated in an answer.
+    TurnedAway,
     /// Requests to the endpoint failed, so that it is avoided for some time.
     Ejected,
     /// The endpoint is cold, and this node has no place left in the rate that it tolerates.
@@ -48,12 +50,15 @@
         if self.unlisted_at.is_some() {
             return Access::Closed(Reason::Unlisted, None);
         }
-        if self.endpoint.state != State::Live {
+        if self.endpoint.state != State::Live || self.statements.current().is_leaving() {
             return Access::Closed(Reason::Leaving, None);
         }
         if self.evacuated {
             return Access::Closed(Reason::Evacuated, None);
         }
+        if let Some(until) = self.statements.current().closed_until(now) {
+            return Access::Closed(Reason::TurnedAway, Some(until));
+        }
         match self.ejected_until() {
             Some(until) if until > now => Access::Closed(Reason::Ejected, Some(until)),
             _ => match self.warmup.closed_until(now) {
--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -10,6 +10,7 @@
 use crate::load::{Load, Need};
 use crate::pace::{Pace, Stretches};
 use crate::pool::Signal;
+use crate::statement::Statements;
 use crate::warmup::Warmup;
 use crate::zone::{Distance, Zone};
 
@@ -67,6 +68,8 @@
     pub(crate) unlisted_at: Option<Instant>,
     /// Whether the availability zone of the endpoint is evacuated.
     pub(crate) evacuated: bool,
+    /// What the endpoint has stated in its answers.
+    pub(crate) statements: Statements,
     /// End and duration of the latest ejection.
     ejected: Option<(Instant, Duration)>,
     /// Whether the endpoint was ejected for a failure that affects all nodes.
@@ -99,6 +102,7 @@
             departed: None,
             unlisted_at: None,
             evacuated: false,
+            statements: Statements::default(),
             ejected: None,
             fails_everywhere: false,
             losses: 0,
@@ -144,11 +148,11 @@
     }
 
     /// Returns whether the endpoint is part of a service and could serve it: it is open, or it is
-    /// ejected or cold and may be asked later.
+    /// ejected, cold or turns requests away, and may be asked later.
     pub(crate) fn serves(&self, service: ServiceId, now: Instant) -> bool {
         let may_serve = matches!(
             self.access(now),
-            Access::Open | Access::Closed(Reason::Ejected | Reason::Cold, _)
+            Access::Open | Access::Closed(Reason::TurnedAway | Reason::Ejected | Reason::Cold, _)
         );
         self.endpoint.service == service && may_serve
     }
--- a/crates/daisyyard_core/src/choice.rs
+++ b/crates/daisyyard_core/src/choice.rs
@@ -53,6 +53,8 @@
         /// Share of the memory of the endpoint that is reserved, including the request.
         memory_share: f64,
     },
+    /// All endpoints turn requests away, the first of them until this time.
+    TurnedAway(Instant),
     /// Wait, because no endpoint can take the request now.
     Wait,
     /// The service has no live endpoint, apart from excluded ones.
@@ -73,6 +75,16 @@
 impl Pool {
     /// Chooses an endpoint for a request among those that are not excluded.
     pub fn choose(&mut self, need: &Need, excluded: &[EndpointId], now: Instant) -> Choice {
+        if let Some(opens) = self.first_opening(need.service, excluded, now) {
+            return match self.try_closed(need, excluded, now) {
+                Some((endpoint, memory_share)) => Choice::Send {
+                    endpoint,
+                    backup: None,
+                    memory_share,
+                },
+                None => Choice::TurnedAway(opens),
+            };
+        }
         let serving = self.candidates.iter();
         let serving = serving.filter(|(_, candidate)| candidate.serves(need.service, now));
         let failing = self
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod route;
 mod share;
 pub mod shared_retry_budget;
+pub mod statement;
 pub mod store_budget;
 pub mod stream;
 pub mod suspect;
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -101,10 +101,15 @@
     }
 
     /// Adds or updates an endpoint; returns whether it has started to leave.
-    pub fn put(&mut self, endpoint: Endpoint, cold: Duration, now: Instant) -> bool {
+    pub fn put(&mut self, mut endpoint: Endpoint, cold: Duration, now: Instant) -> bool {
+        let id = endpoint.id;
+        let entry_leaves = endpoint.state != State::Live;
+        if self.keep_statement(&endpoint) && !entry_leaves {
+            // The entry is older than the answer, or the endpoint has not changed it.
+            endpoint.state = State::Leaving;
+        }
         let leaving = endpoint.state != State::Live;
         let endpoint = Arc::new(endpoint);
-        let id = endpoint.id;
         let known = self.endpoint(endpoint.id);
         let left = known.is_some_and(|endpoint| endpoint.state != State::Live);
         let candidate = self
@@ -129,7 +134,8 @@
         candidate.grace_until = None;
         candidate.unlisted_at = None;
         candidate.listed_at = self.revision;
-        candidate.departed = leaving.then(|| candidate.departed.unwrap_or((now, self.revision)));
+        candidate.departed =
+            entry_leaves.then(|| candidate.departed.unwrap_or((now, self.revision)));
         self.read_cold_entry(id, cold, now);
         leaving && !left
     }
@@ -183,8 +189,8 @@
             in_doubt
                 || (known.address, known.service, known.zone.id)
                     != (entry.address, entry.service, entry.zone.id)
-                || (known.state, known.slots, known.incarnation)
-                    != (entry.state, entry.slots, entry.incarnation)
+                || (known.slots, known.incarnation) != (entry.slots, entry.incarnation)
+                || (known.state != entry.state && !candidate.statements.current().is_leaving())
         })
     }
 
@@ -240,9 +246,12 @@
         for id in &gone {
             self.unlist(*id, now);
         }
-        let kept = |since: Instant| now.saturating_duration_since(since) < LOAD_RETENTION;
+        let kept = |since: Instant, candidate: &Candidate| {
+            let recent = now.saturating_duration_since(since) < LOAD_RETENTION;
+            recent || candidate.statements.are_kept(since, now)
+        };
         self.candidates
-            .retain(|_, candidate| candidate.unlisted_at.is_none_or(kept));
+            .retain(|_, candidate| candidate.unlisted_at.is_none_or(|at| kept(at, candidate)));
         gone
     }
 
--- a/crates/daisyyard_core/tests/cold_rate.rs
+++ b/crates/daisyyard_core/tests/cold_rate.rs
@@ -103,7 +103,7 @@
             let place = pool.take_place(endpoint.id, now).expect("a place");
             Some((endpoint.name.clone(), place))
         }
-        Choice::Wait | Choice::Missing | Choice::Evacuated => None,
+        Choice::Wait | Choice::Missing | Choice::Evacuated | Choice::TurnedAway(_) => None,
     }
 }
 
--- a/crates/daisyyard_core/tests/cold_state.rs
+++ b/crates/daisyyard_core/tests/cold_state.rs
@@ -76,7 +76,7 @@
 fn chosen(pool: &mut Pool, excluded: &[EndpointId], now: Instant) -> Option<EndpointId> {
     match pool.choose(&need(), excluded, now) {
         Choice::Send { endpoint, .. } => Some(endpoint.id),
-        Choice::Wait | Choice::Missing | Choice::Evacuated => None,
+        Choice::Wait | Choice::Missing | Choice::Evacuated | Choice::TurnedAway(_) => None,
     }
 }
 
--- a/crates/daisyyard_core/tests/pool_choice.rs
+++ b/crates/daisyyard_core/tests/pool_choice.rs
@@ -57,7 +57,7 @@
 fn chosen(pool: &mut Pool, need: &Need, excluded: &[EndpointId], now: Instant) -> Option<String> {
     match pool.choose(need, excluded, now) {
         Choice::Send { endpoint, .. } => Some(endpoint.name.clone()),
-        Choice::Wait | Choice::Missing | Choice::Evacuated => None,
+        Choice::Wait | Choice::Missing | Choice::Evacuated | Choice::TurnedAway(_) => None,
     }
 }
 
--- a/crates/daisyyard_gateway/src/standby.rs
+++ b/crates/daisyyard_gateway/src/standby.rs
@@ -129,7 +129,7 @@
                     run.awaits_first_token = true;
                     Place::Engine(endpoint, backup)
                 }
-                Choice::Wait => Place::Full,
+                Choice::Wait | Choice::TurnedAway(_) => Place::Full,
                 Choice::Missing | Choice::Evacuated => Place::Missing,
             }
         };
