Act on what endpoints state in their answers

Cause: an endpoint that leaves (Server-Leaving: 1) or is overloaded (503 with Retry-After) went on getting requests until the store said so, or for ever.

Change: the adapter decodes both headers into the Receipt, and the pool actor learns them before the answer is passed on. Leaving incarnations get nothing more, runs there migrate, and digests carry them. Endpoints that turn requests away are closed for the stated time; a request that finds only such is refused at once with the time until the first opens. Requests that were granted before are checked when the connection is open.

--- a/crates/daisyyard_core/src/continuation.rs
+++ b/crates/daisyyard_core/src/continuation.rs
@@ -96,7 +96,8 @@
     NotAllowed,
     /// The request did not reach the engine.
     Unsent,
-    /// No place in the rate of a cold engine became free in time.
+    /// No place in the rate of a cold engine became free in time, or the engine turned requests away for
+    /// longer.
     Cold,
     /// The engine did not run the request.
     Declined,
--- a/crates/daisyyard_gateway/src/admission.rs
+++ b/crates/daisyyard_gateway/src/admission.rs
@@ -119,6 +119,11 @@
         let _ = claim.reply.send(Placement::Shed(delay));
     }
 
+    /// Removes and returns the waiting requests that satisfy the predicate.
+    pub(crate) fn remove(&mut self, predicate: impl Fn(&Claim) -> bool) -> Vec<Claim> {
+        self.gate.remove(predicate)
+    }
+
     /// Counts the fate of a request for the log and the metrics.
     fn count(&mut self, client: Option<&Arc<Client>>, fate: Fate) {
         let account = client.map(|client| &client.account);
--- a/crates/daisyyard_gateway/src/codec.rs
+++ b/crates/daisyyard_gateway/src/codec.rs
@@ -89,6 +89,24 @@
     pub cold: Option<Duration>,
     /// Whether the endpoint states that it did not run the request.
     pub declined: bool,
+    /// Whether the endpoint states that it leaves.
+    pub leaving: bool,
+    /// For how long the endpoint turns requests away.
+    pub retry_after: RetryAfter,
+}
+
+/// The time that an endpoint states when it turns a request away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum RetryAfter {
+    /// It states none.
+    #[default]
+    Absent,
+    /// It turns requests away for this time.
+    After(Duration),
+    /// It states a longer time than is believed, which is this one.
+    Bounded(Duration),
+    /// What it states is not a number of seconds.
+    Unusable,
 }
 
 impl Receipt {
--- a/crates/daisyyard_gateway/src/cold.rs
+++ b/crates/daisyyard_gateway/src/cold.rs
@@ -118,18 +118,19 @@
         }
     }
 
-    /// Waits for a place at an endpoint at which a run is to resume; returns none if it does not open
-    /// within the timeout.
+    /// Waits for a place at an endpoint at which a run is to resume; returns it with the time of the
+    /// question, or none if the endpoint does not open within the timeout.
     pub(crate) async fn enter(
         &self,
         endpoint: &Endpoint,
         timeout: Duration,
-    ) -> Option<Option<Place>> {
+    ) -> Option<(Option<Place>, Instant)> {
         let deadline = Instant::now() + timeout;
         loop {
+            let asked_at = Instant::now();
             // The pool ends only with the process.
             let opens = match self.pool.send(Enter(endpoint.id)).await.unwrap_or(Ok(None)) {
-                Ok(place) => return Some(place),
+                Ok(place) => return Some((place, asked_at)),
                 Err(opens) => opens.max(Instant::now() + MIN_PLACE_WAIT),
             };
             if opens >= deadline {
@@ -147,7 +148,12 @@
     async fn handle(&mut self, Enter(id): Enter, _: &mut Context<Self>) -> Self::Return {
         let now = Instant::now();
         match self.endpoints.access(id, now) {
-            Some(Access::Closed(Reason::Cold, opens)) => Err(opens.unwrap_or(now)),
+            Some(Access::Closed(Reason::TurnedAway, _)) if self.endpoints.try_one(id, now) => {
+                Ok(self.endpoints.take_place(id, now))
+            }
+            Some(Access::Closed(Reason::Cold | Reason::TurnedAway, opens)) => {
+                Err(opens.unwrap_or(now))
+            }
             _ => Ok(self.endpoints.take_place(id, now)),
         }
     }
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -187,6 +187,8 @@
             self.send(&[frame], &targets.reserve).await;
             let cold = Frame::from_cold(&report);
             self.send(cold.as_slice(), &targets.reserve).await;
+            let leavers = Frame::from_leavers(&report);
+            self.send(leavers.as_slice(), &targets.reserve).await;
         }
         self.targets = targets.serving.len() as u32;
         self.send_demand(&targets.serving).await
@@ -271,6 +273,8 @@
             self.send(&[Frame::without_loads(&report)], &[sender]).await;
             let cold = Frame::from_cold(&report);
             self.send(cold.as_slice(), &[sender]).await;
+            let leavers = Frame::from_leavers(&report);
+            self.send(leavers.as_slice(), &[sender]).await;
         }
         self.pool.send(Report::from(frame)).await.is_ok()
     }
--- a/crates/daisyyard_gateway/src/evacuation.rs
+++ b/crates/daisyyard_gateway/src/evacuation.rs
@@ -7,6 +7,7 @@
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::evacuation::{Change, Order};
 use daisyyard_core::id::{Revision, ZoneId};
+use daisyyard_core::statement::Barrier;
 use daisyyard_http::connection::{self, Answer, Failure};
 use http_body_util::Full;
 use hyper::Request;
@@ -29,15 +30,25 @@
     Digest,
 }
 
-/// The evacuated zones, for tasks that have been granted an endpoint.
+/// The evacuated zones and what endpoints have stated, for tasks that have been granted an endpoint.
 #[derive(Debug, Clone)]
-pub struct Zones(watch::Receiver<Vec<ZoneId>>);
+pub struct Zones {
+    /// The evacuated zones.
+    evacuated: watch::Receiver<Vec<ZoneId>>,
+    /// What endpoints have stated in answers.
+    barriers: watch::Receiver<Vec<Barrier>>,
+    /// When the endpoint of a request was chosen; none for any time.
+    placed_at: Option<Instant>,
+}
 
 /// Reason why a request to an endpoint got no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Unsent {
     /// It was not sent, because its endpoint or its backup engine is in an evacuated zone.
     Evacuated,
+    /// It was not sent, because its endpoint has stated that it leaves or turns requests away, or its
+    /// backup engine leaves.
+    Closed,
     /// The connection failed.
     Failed(Failure),
 }
@@ -46,7 +57,7 @@
     /// Returns whether nothing of the request has certainly reached the endpoint.
     pub(crate) fn is_certain(self) -> bool {
         match self {
-            Self::Evacuated => true,
+            Self::Evacuated | Self::Closed => true,
             Self::Failed(failure) => is_unsent(failure),
         }
     }
@@ -56,16 +67,50 @@
     /// Returns a channel for the evacuated zones, of which there are none.
     pub fn channel() -> (watch::Sender<Vec<ZoneId>>, Self) {
         let (sender, receiver) = watch::channel(Vec::new());
-        (sender, Self(receiver))
+        let (_, barriers) = watch::channel(Vec::new());
+        let zones = Self {
+            evacuated: receiver,
+            barriers,
+            placed_at: None,
+        };
+        (sender, zones)
+    }
+
+    /// Follows what endpoints state in answers.
+    pub fn follow(&mut self, barriers: watch::Receiver<Vec<Barrier>>) {
+        self.barriers = barriers;
+    }
+
+    /// Returns these for a request whose endpoint was chosen at a time.
+    #[must_use]
+    pub fn as_of(&self, placed_at: Instant) -> Self {
+        Self {
+            placed_at: Some(placed_at),
+            ..self.clone()
+        }
+    }
+
+    /// Returns why a request must not leave to an endpoint; none if it may.
+    fn obstacle(&self, endpoint: &Endpoint, backup: Option<&Endpoint>) -> Option<Unsent> {
+        let mut concerned = std::iter::once(endpoint).chain(backup);
+        if concerned.any(|endpoint| self.contain(endpoint)) {
+            return Some(Unsent::Evacuated);
+        }
+        let now = Instant::now();
+        let closed = self.barriers.borrow().iter().any(|barrier| {
+            let leaves = |backup| barrier.closed.is_none() && barrier.stops(backup, None, now);
+            barrier.stops(endpoint, self.placed_at, now) || backup.is_some_and(leaves)
+        });
+        closed.then_some(Unsent::Closed)
     }
 
     /// Returns whether an endpoint is in one of the zones.
     pub fn contain(&self, endpoint: &Endpoint) -> bool {
-        self.0.borrow().contains(&endpoint.zone.id)
+        self.evacuated.borrow().contains(&endpoint.zone.id)
     }
 
-    /// Sends a request to an endpoint unless an evacuation has started since the endpoint or the
-    /// backup engine was chosen. Connecting may take a second, so this is checked after it. If a time
+    /// Sends a request to an endpoint unless an evacuation has started, or one of them has stated that it
+    /// is closed, since the endpoint or the backup engine was chosen. Connecting may take a second, so this is checked after it. If a time
     /// is given, the request leaves by then or not at all.
     pub async fn send(
         &self,
@@ -75,17 +120,13 @@
         timeout: Duration,
         leave_by: Option<Instant>,
     ) -> Result<Answer, Unsent> {
-        let is_closed = || {
-            let mut concerned = std::iter::once(endpoint).chain(backup);
-            concerned.any(|endpoint| self.contain(endpoint))
-        };
-        if is_closed() {
-            return Err(Unsent::Evacuated);
+        if let Some(unsent) = self.obstacle(endpoint, backup) {
+            return Err(unsent);
         }
         let connection = connection::open(endpoint.address, leave_by).await;
         let connection = connection.map_err(Unsent::Failed)?;
-        if is_closed() {
-            return Err(Unsent::Evacuated);
+        if let Some(unsent) = self.obstacle(endpoint, backup) {
+            return Err(unsent);
         }
         let answer = connection.send(request, timeout).await;
         answer.map_err(Unsent::Failed)
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -84,6 +84,14 @@
     SheddingChanged = 190,
     /// Requests of the heaviest accounts that were served, late or refused while requests were shed.
     AccountBurden = 191,
+    /// An endpoint turns requests away.
+    EndpointClosed = 200,
+    /// An endpoint no longer turns requests away.
+    EndpointOpened = 201,
+    /// An endpoint has stated in an answer that it leaves.
+    EndpointStatedLeaving = 202,
+    /// An endpoint states a time that is unusable or too long when it turns requests away.
+    RetryAfterUnusable = 203,
 }
 
 /// Log level of each event.
@@ -127,6 +135,10 @@
     (Event::MemoryFree, Level::Info),
     (Event::SheddingChanged, Level::Warn),
     (Event::AccountBurden, Level::Info),
+    (Event::EndpointClosed, Level::Warn),
+    (Event::EndpointOpened, Level::Info),
+    (Event::EndpointStatedLeaving, Level::Info),
+    (Event::RetryAfterUnusable, Level::Warn),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -319,9 +319,9 @@
             .job
             .request(codec, engine, address, replica, last_event);
         let place = self.proxy.enter(engine, timeout).await;
-        let place = place.ok_or(Obstacle::Cold)?;
+        let (place, placed_at) = place.ok_or(Obstacle::Cold)?;
         let leave_by = place.and_then(|place| place.leave_by);
-        let zones = &self.proxy.zones;
+        let zones = self.proxy.zones.as_of(placed_at);
         let open = zones.send(engine, backup, request, timeout, leave_by);
         let mut open = std::pin::pin!(open);
         // Two engines may execute the same run only for a short time.
@@ -345,7 +345,7 @@
         };
         let status = answer.response.status();
         let receipt = (codec.read_response)(status, answer.response.headers());
-        self.proxy.report_cold(engine, &receipt).await;
+        self.proxy.report_statements(engine, &receipt).await;
         if !receipt.answers(&self.job.attempt) {
             return Err(Obstacle::Unanswered);
         }
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -184,6 +184,7 @@
             ejections: self.endpoints.ejections(now).collect(),
             cold: self.endpoints.cold_reports(now).collect(),
             departures: self.endpoints.departures(now).collect(),
+            leavers: self.endpoints.leavers(now).collect(),
             loads: self.endpoints.loads().collect(),
             paces: self.endpoints.paces().collect(),
             news: Vec::new(),
@@ -250,6 +251,7 @@
         }
         self.learn_evidence(&message.evidence, now);
         self.endpoints.hear_cold(&message.cold, now);
+        self.hear_leavers(&message.leavers, now);
         if !message.news.is_empty() {
             self.apply_news(message, now);
         } else if message.continuation {
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -11,6 +11,7 @@
 use crate::message::{Demand, Report};
 use crate::wire::{
     Change, ColdEndpoint, ContentRecord, Counts, Departure, EndpointLoad, Evacuation, Knowledge,
+    LeavingEndpoint,
 };
 use crate::wire_demand::{AccountPart, KindStream, RefusedPart, WaitingPart};
 
@@ -28,6 +29,8 @@
 const MAX_EJECTIONS: usize = 12;
 /// Maximum number of cold endpoints that a sender reports; they fill a datagram of their own.
 const MAX_COLD: usize = 32;
+/// Maximum number of incarnations in one datagram that have stated that they leave.
+const MAX_LEAVERS: usize = 48;
 /// Maximum number of records of contents in one datagram.
 const MAX_CONTENTS: usize = 8;
 /// Maximum number of kinds of requests in one datagram, or of waiting ones in a digest.
@@ -99,6 +102,9 @@
     /// Cold endpoints that the sender knows by itself.
     #[prost(message, repeated, tag = "20")]
     cold: Vec<ColdEndpoint>,
+    /// Incarnations of endpoints that have stated to the sender that they leave.
+    #[prost(message, repeated, tag = "21")]
+    leavers: Vec<LeavingEndpoint>,
     /// Work of the heaviest accounts and of the rest.
     #[prost(message, repeated, tag = "24")]
     accounts: Vec<AccountPart>,
@@ -146,7 +152,10 @@
         };
         let demand = first.split_demand();
         let frames = std::iter::once(first).chain(rest).chain(demand);
-        frames.chain(Self::from_cold(report)).collect()
+        frames
+            .chain(Self::from_cold(report))
+            .chain(Self::from_leavers(report))
+            .collect()
     }
 
     /// Moves the waiting and refused requests to a frame of their own if both together are too long for
@@ -177,6 +186,19 @@
         })
     }
 
+    /// Returns the frame of the incarnations in a report that have stated that they leave; none if there
+    /// are none.
+    pub(crate) fn from_leavers(report: &Report) -> Option<Self> {
+        let leavers = report.leavers.iter().copied().take(MAX_LEAVERS);
+        (!report.leavers.is_empty()).then(|| Self {
+            instance: report.from,
+            leaving: report.leaving,
+            purpose: Purpose::Continuation.into(),
+            leavers: leavers.map(LeavingEndpoint::from).collect(),
+            ..Self::default()
+        })
+    }
+
     /// Splits records of contents into frames.
     pub(crate) fn from_evidence(from: InstanceId, records: &[crash::Record]) -> Vec<Self> {
         let now = Instant::now();
@@ -298,6 +320,7 @@
             evacuations: report.evacuations.iter().map(Evacuation::from).collect(),
             evacuations_at: report.evacuations_at,
             cold: Vec::new(),
+            leavers: Vec::new(),
             instance: report.from,
             leaving: report.leaving,
             loads: Vec::new(),
@@ -347,6 +370,7 @@
             ejections: frame.ejections,
             cold: frame.cold.into_iter().map(Into::into).collect(),
             departures: frame.departures.into_iter().map(Into::into).collect(),
+            leavers: frame.leavers.into_iter().map(Into::into).collect(),
             loads: frame.loads.into_iter().map(Into::into).collect(),
             news: frame.news.into_iter().map(Into::into).collect(),
             relist_time: Duration::from_millis(frame.relist_ms.into()),
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -45,6 +45,7 @@
 pub(crate) mod socket;
 pub mod sse;
 pub(crate) mod standby;
+mod statement;
 pub(crate) mod store;
 pub mod timer;
 pub(crate) mod watcher;
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -21,6 +21,7 @@
 use daisyyard_core::recall::Refused;
 use daisyyard_core::roster::Role;
 use daisyyard_core::shared_retry_budget::{self, Limits};
+use daisyyard_core::statement::Leaver;
 use daisyyard_core::turn::Ask;
 use daisyyard_core::warmup::{self, Allowance, ColdStart};
 use tokio::sync::{mpsc, oneshot};
@@ -68,6 +69,8 @@
     Evacuated,
     /// No capacity is expected for it in time; it should return after this time.
     Shed(Duration),
+    /// All endpoints turn requests away; it should return after this time.
+    TurnedAway(Duration),
 }
 
 /// A reservation of an endpoint for a request; dropping it releases the capacity.
@@ -81,6 +84,8 @@
     pub(crate) backup: Option<Arc<Endpoint>>,
     /// Share of the endpoint's KV cache that was reserved after the request was added.
     pub(crate) memory_share: f64,
+    /// When the endpoint was chosen.
+    pub(crate) placed_at: Instant,
     /// Place in the rate of a cold endpoint; none once the request may have left.
     pub(crate) place: Option<warmup::Place>,
     /// Receives changes of the endpoint.
@@ -362,6 +367,8 @@
     pub(crate) ejections: Vec<EndpointId>,
     /// Cold endpoints that the sender knows by itself.
     pub(crate) cold: Vec<warmup::Report>,
+    /// Incarnations that have stated to the sender that they leave.
+    pub(crate) leavers: Vec<Leaver>,
     /// Identifies the set of endpoints that the readers of the store know; zero if it is unknown.
     pub(crate) listing: u64,
     /// Newest orders to evacuate availability zones that the sender knows.
--- a/crates/daisyyard_gateway/src/metrics.rs
+++ b/crates/daisyyard_gateway/src/metrics.rs
@@ -46,6 +46,8 @@
 const HELD_REFUSED: &str = "daisyyard_gateway_held_refused_total";
 /// Counter of admitted and refused requests by account and outcome.
 const ADMISSIONS: &str = "daisyyard_gateway_admissions_total";
+/// Counter of what endpoints stated in answers, by reason.
+const STATEMENTS: &str = "daisyyard_gateway_endpoint_statements_total";
 /// Module and level under which the metrics are registered.
 const ORIGIN: Metadata<'static> = Metadata::new(module_path!(), Level::INFO, Some(module_path!()));
 
@@ -137,6 +139,11 @@
         self.count(COLD_SENDS, &[("effect", effect)]);
     }
 
+    /// Counts what an endpoint stated in an answer.
+    pub(crate) fn record_statement(&self, reason: &'static str) {
+        self.count(STATEMENTS, &[("reason", reason)]);
+    }
+
     /// Sets a gauge.
     fn set(&self, name: &'static str, value: usize) {
         let key = Key::from_name(KeyName::from_const_str(name));
--- a/crates/daisyyard_gateway/src/migration.rs
+++ b/crates/daisyyard_gateway/src/migration.rs
@@ -230,7 +230,7 @@
 async fn free_copy(proxy: Proxy, job: Arc<Job>, source: SocketAddr, handle: String) {
     let call = (proxy.codec.engine.free_copy)(&handle);
     let answer = store::exchange(source, call, FREE_TIMEOUT, store::MAX_RESULT_BYTES).await;
-    let status = answer.map_or(0, |(status, _)| status.as_u16());
+    let status = answer.map_or(0, |(head, _)| head.status.as_u16());
     let details = format!("request={} handle={handle} status={status}", job.attempt);
     proxy.log.emit(Event::CopyFreed, &details);
 }
@@ -247,9 +247,11 @@
     let engine = proxy.codec.engine;
     let call = (engine.copy_cache)(&job.attempt, target.address, last);
     let exchange = store::exchange(source.address, call, COPY_TIMEOUT, store::MAX_RESULT_BYTES);
+    let (proxy, source) = (proxy.clone(), source.clone());
     async move {
-        let (status, body) = exchange.await?;
-        (engine.read_transfer)(status, &body).map_err(store::Error::Unusable)
+        let (head, body) = exchange.await?;
+        proxy.report_leaving(&source, &head).await;
+        (engine.read_transfer)(head.status, &body).map_err(store::Error::Unusable)
     }
 }
 
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -15,6 +15,7 @@
 use daisyyard_core::knowledge::Knowledge;
 use daisyyard_core::listing::Listing;
 use daisyyard_core::shared_retry_budget::{self, Budget};
+use daisyyard_core::statement::Barrier;
 use daisyyard_core::zone::Zone;
 use tokio::sync::{Notify, mpsc, watch};
 use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
@@ -58,6 +59,8 @@
     pub(crate) zones: HashMap<String, Zone>,
     /// Publishes the evacuated availability zones.
     pub(crate) evacuated: watch::Sender<Vec<ZoneId>>,
+    /// Publishes what endpoints have stated in answers.
+    pub(crate) barriers: watch::Sender<Vec<Barrier>>,
     /// Metrics of the gateway.
     pub(crate) metrics: Metrics,
     /// All known gateways.
@@ -120,7 +123,9 @@
 ) -> (Address<Pool>, watch::Receiver<Standing>, Zones) {
     let (address, mailbox) = Mailbox::unbounded();
     let (standing, standing_view) = watch::channel(Standing::default());
-    let (evacuated, zones) = Zones::channel();
+    let (evacuated, mut zones) = Zones::channel();
+    let (barriers, stated) = watch::channel(Vec::new());
+    zones.follow(stated);
     metrics.set_evacuated(0, 0);
     let zone = Zone::new(&settings.zone, &settings.region);
     let pool = Pool {
@@ -134,6 +139,7 @@
             .map(|(zone, region)| (zone.clone(), Zone::new(zone, region)))
             .collect(),
         evacuated,
+        barriers,
         metrics: metrics.clone(),
         members: Members::new(&settings.name, Entry::from(settings)),
         standing,
@@ -413,6 +419,7 @@
         // Dropping a claim refuses the request.
         drop(self.backlog.expire(now));
         self.enforce_evacuations(now);
+        self.review_statements(now);
         self.review_admission(now);
         self.store_refusals(now);
         self.update_roster(now);
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -105,8 +105,8 @@
                 Err(refusal) if tried.is_empty() => return self.refuse(&job, refusal),
                 Err(refusal) => {
                     let outcome = history.outcome();
-                    let evacuated = refusal == Refusal::Evacuated && outcome == Outcome::NotRun;
-                    let refusal = if evacuated {
+                    let accurate = matches!(refusal, Refusal::Evacuated | Refusal::TurnedAway(_));
+                    let refusal = if accurate && outcome == Outcome::NotRun {
                         refusal
                     } else {
                         Refusal::after_send(outcome, false)
@@ -165,6 +165,7 @@
                 }
                 Decision::Finish(outcome) => {
                     let refusal = Refusal::after_send(outcome, late);
+                    let refusal = self.add_opening(&job, refusal).await;
                     return match response {
                         Some(response) => self.forward(&job, response, reason),
                         None => self.refuse(&job, refusal),
@@ -199,6 +200,7 @@
             Ok(Placement::Refused(time)) => Err(Refusal::Suspected(time)),
             Ok(Placement::Evacuated) => Err(Refusal::Evacuated),
             Ok(Placement::Shed(time)) => Err(Refusal::Shed(time)),
+            Ok(Placement::TurnedAway(time)) => Err(Refusal::TurnedAway(time)),
             Err(_) => Err(Refusal::Full),
         }
     }
@@ -224,14 +226,14 @@
         let place = grant.place.take();
         let leave_by = place.and_then(|place| place.leave_by);
         let (endpoint, backup) = (&grant.endpoint, grant.backup.as_deref());
-        let sent = self
-            .zones
-            .send(endpoint, backup, request, timeout, leave_by);
+        let zones = self.zones.as_of(grant.placed_at);
+        let sent = zones.send(endpoint, backup, request, timeout, leave_by);
         let answer = match sent.await {
             Ok(answer) => answer,
-            Err(Unsent::Evacuated) => {
+            Err(unsent @ (Unsent::Evacuated | Unsent::Closed)) => {
                 grant.place = place;
-                return sent::withheld();
+                let evacuated = unsent == Unsent::Evacuated;
+                return sent::withheld(if evacuated { "evacuated" } else { "closed" });
             }
             Err(Unsent::Failed(failure)) => {
                 grant.place = place.filter(|_| sent::is_unsent(failure));
@@ -244,7 +246,7 @@
         };
         let status = answer.response.status();
         let receipt = (self.codec.read_response)(status, answer.response.headers());
-        self.report_cold(&grant.endpoint, &receipt).await;
+        self.report_statements(&grant.endpoint, &receipt).await;
         if !receipt.answers(&job.attempt) {
             // The response belongs to another request. This request may have run, but its response
             // cannot be identified.
@@ -349,6 +351,7 @@
             Refusal::Late => "late",
             Refusal::Suspected(_) => "suspected",
             Refusal::Shed(_) => "shed",
+            Refusal::TurnedAway(_) => "turned_away",
             _ => "lost",
         };
         self.record_end(job, refusal.status(), reason);
--- a/crates/daisyyard_gateway/src/refusal.rs
+++ b/crates/daisyyard_gateway/src/refusal.rs
@@ -63,6 +63,9 @@
     /// No capacity is expected for the request in time; it should return after this time.
     #[error("no endpoint is expected to have room in time; ask again after the stated delay")]
     Shed(Duration),
+    /// All endpoints turn requests away; the request should return after this time.
+    #[error("all endpoints turn requests away; ask again after the stated delay")]
+    TurnedAway(Duration),
     /// The request is likely to crash the endpoint that runs it; it is refused for this time.
     #[error("endpoints crashed when they ran this request; change it before you send it again")]
     Suspected(Duration),
@@ -102,6 +105,7 @@
             | Self::Declined
             | Self::Exhausted
             | Self::Shed(_)
+            | Self::TurnedAway(_)
             | Self::Suspected(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
@@ -116,7 +120,7 @@
             Self::Full => Some(RETRY_FULL_DELAY),
             Self::Evacuated => Some(RETRY_EVACUATED_DELAY),
             Self::Exhausted => Some(RETRY_EXHAUSTED_DELAY),
-            Self::Suspected(time) | Self::Shed(time) => Some(time),
+            Self::Suspected(time) | Self::Shed(time) | Self::TurnedAway(time) => Some(time),
             _ => None,
         }
     }
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -20,6 +20,7 @@
 use crate::digest::early_interval;
 use crate::message::{Claim, FirstToken, Grant, Notice, ObserveGaps, Placement, Release};
 use crate::pool::Pool;
+use crate::statement::refuse_turned_away;
 
 /// Maximum number of waiting requests; a request beyond it is refused and may be retried later.
 const MAX_WAITING_REQUESTS: usize = 512;
@@ -73,6 +74,10 @@
             let _ = claim.reply.send(Placement::Evacuated);
             return None;
         }
+        if let Choice::TurnedAway(opens) = choice {
+            refuse_turned_away(claim, opens, now);
+            return None;
+        }
         let Choice::Send {
             endpoint,
             backup,
@@ -109,6 +114,7 @@
             endpoint,
             backup,
             memory_share,
+            placed_at: now,
             place,
             notices: receiver,
             signal: Signal::Neutral,
@@ -189,11 +195,12 @@
         }
     }
 
-    /// Returns an endpoint that takes part in the service. One that is ejected or cold counts, because it
-    /// may still hold a run or a copy that no other endpoint has.
+    /// Returns an endpoint that takes part in the service. One that is ejected, cold or turns requests
+    /// away counts, because it may still hold a run or a copy that no other endpoint has.
     pub(crate) fn live(&self, id: EndpointId) -> Option<Arc<Endpoint>> {
         match self.endpoints.access(id, Instant::now())? {
-            Access::Open | Access::Closed(Reason::Ejected | Reason::Cold, _) => {
+            Access::Open
+            | Access::Closed(Reason::TurnedAway | Reason::Ejected | Reason::Cold, _) => {
                 self.endpoints.endpoint(id).map(Arc::clone)
             }
             Access::Closed(..) => None,
@@ -225,6 +232,9 @@
 
     async fn handle(&mut self, message: Claim, _: &mut Context<Self>) {
         let now = Instant::now();
+        let Some(message) = self.place_turned_away(message, now) else {
+            return;
+        };
         if self.admission.is_some() {
             self.admit(message, now);
             return;
--- a/crates/daisyyard_gateway/src/sent.rs
+++ b/crates/daisyyard_gateway/src/sent.rs
@@ -73,12 +73,12 @@
     }
 }
 
-/// Returns the result of a send that was withheld because the zone of the endpoint is evacuated.
-pub(crate) fn withheld() -> Sent {
+/// Returns the result of a send that was withheld because of what became known of the endpoint.
+pub(crate) fn withheld(reason: &'static str) -> Sent {
     Sent::Failed {
         progress: Progress::Unsent,
         late: false,
-        reason: "evacuated",
+        reason,
         response: None,
     }
 }
--- a/crates/daisyyard_gateway/src/standby.rs
+++ b/crates/daisyyard_gateway/src/standby.rs
@@ -189,7 +189,8 @@
             let holder = run.standby.holder();
             Outlook {
                 left: pool.time_left(run.endpoint, Instant::now()),
-                target_open: holder.is_some_and(|holder| pool.is_same(holder)),
+                target_open: holder
+                    .is_some_and(|holder| pool.is_same(holder) && !pool.turns_away(holder.engine)),
             }
         };
         self.update_run(message.run, complete).unwrap_or(Outlook {
--- a/crates/daisyyard_gateway/src/store.rs
+++ b/crates/daisyyard_gateway/src/store.rs
@@ -7,6 +7,7 @@
 use daisyyard_http::connection::{self, Failure};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::http::response;
 use hyper::{Request, StatusCode};
 
 use crate::codec::Call;
@@ -42,19 +43,19 @@
     max_bytes: usize,
 ) -> Result<Bytes, Error> {
     match exchange(address, call, timeout, max_bytes).await? {
-        (StatusCode::OK, body) => Ok(body),
-        (status, _) => Err(Error::Declined(status)),
+        (head, body) if head.status == StatusCode::OK => Ok(body),
+        (head, _) => Err(Error::Declined(head.status)),
     }
 }
 
-/// Sends a call on a new connection and returns the status and the complete body, of at most
-/// `max_bytes`, of the response.
+/// Sends a call on a new connection and returns the head and the complete body, of at most `max_bytes`,
+/// of the response.
 pub(crate) async fn exchange(
     address: SocketAddr,
     call: Call,
     timeout: Duration,
     max_bytes: usize,
-) -> Result<(StatusCode, Bytes), Error> {
+) -> Result<(response::Parts, Bytes), Error> {
     let mut request = Request::builder()
         .method(call.method)
         .uri(call.path)
@@ -67,10 +68,10 @@
     let exchange = async {
         let answer = connection::send(address, request, timeout).await;
         let answer = answer.map_err(Error::Unanswered)?;
-        let status = answer.response.status();
-        let body = Limited::new(answer.response.into_body(), max_bytes);
+        let (head, body) = answer.response.into_parts();
+        let body = Limited::new(body, max_bytes);
         let body = body.collect().await.map_err(|_broken| Error::Broken)?;
-        Ok((status, body.to_bytes()))
+        Ok((head, body.to_bytes()))
     };
     let exchange = tokio::time::timeout(timeout, exchange).await;
     exchange.map_err(|_elapsed| Error::Unanswered(Failure::Silent))?
--- a/crates/daisyyard_gateway/src/wire.rs
+++ b/crates/daisyyard_gateway/src/wire.rs
@@ -9,6 +9,7 @@
 use daisyyard_core::knowledge;
 use daisyyard_core::load::Load;
 use daisyyard_core::shared_retry_budget::Count;
+use daisyyard_core::statement::Leaver;
 use daisyyard_core::warmup;
 use prost::Message;
 
@@ -171,6 +172,35 @@
     }
 }
 
+/// An incarnation of an endpoint that has stated to the sender that it leaves.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct LeavingEndpoint {
+    /// Identifier of the endpoint.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) endpoint: EndpointId,
+    /// Incarnation that leaves.
+    #[prost(uint64, tag = "2")]
+    pub(crate) incarnation: u64,
+}
+
+impl From<Leaver> for LeavingEndpoint {
+    fn from(leaver: Leaver) -> Self {
+        Self {
+            endpoint: leaver.endpoint,
+            incarnation: leaver.incarnation,
+        }
+    }
+}
+
+impl From<LeavingEndpoint> for Leaver {
+    fn from(leaving: LeavingEndpoint) -> Self {
+        Self {
+            endpoint: leaving.endpoint,
+            incarnation: leaving.incarnation,
+        }
+    }
+}
+
 /// A change of a key in the store.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub(crate) struct Change {
--- a/crates/daisyyard_standin/src/platform_engine.rs
+++ b/crates/daisyyard_standin/src/platform_engine.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode, Uri};
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -57,6 +57,17 @@
     Careless,
 }
 
+/// What all responses of an engine state.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Stated {
+    /// Whether the engine leaves.
+    pub leaving: bool,
+    /// Value of `Retry-After` in responses with status 503.
+    pub retry_after: Option<&'static str>,
+    /// Time by which responses are delayed; they state what held when the request arrived.
+    pub delay: Duration,
+}
+
 /// A running engine; dropping it stops the engine and closes its connections.
 #[derive(Debug)]
 pub struct PlatformEngine {
@@ -72,6 +83,8 @@
     room: watch::Sender<Room>,
     /// Time in milliseconds for which responses state that the engine is cold.
     cold: watch::Sender<Option<u64>>,
+    /// What responses state besides.
+    stated: watch::Sender<Stated>,
     /// Server task.
     server: JoinHandle<()>,
 }
@@ -141,6 +154,7 @@
         let (close, current_close) = watch::channel(Close::Stops);
         let (room, current_room) = watch::channel(Room::Free);
         let (cold, current_cold) = watch::channel(None);
+        let (stated, current_stated) = watch::channel(Stated::default());
         let handler = Handler {
             name: name.to_owned(),
             address,
@@ -152,7 +166,12 @@
         };
         let server = http::serve(listener, move |request| {
             let (handler, cold) = (handler.clone(), *current_cold.borrow());
-            async move { state_cold(handler.handle(request).await, cold) }
+            let stated = current_stated.borrow().clone();
+            async move {
+                let response = handler.handle(request).await;
+                tokio::time::sleep(stated.delay).await;
+                state(state_cold(response, cold), &stated)
+            }
         });
         Self {
             name: name.to_owned(),
@@ -161,6 +180,7 @@
             close,
             room,
             cold,
+            stated,
             server,
         }
     }
@@ -180,6 +200,11 @@
         self.cold.send_replace(cold);
     }
 
+    /// Sets what all responses state.
+    pub fn set_stated(&self, stated: Stated) {
+        self.stated.send_replace(stated);
+    }
+
     /// Sets the room for copies at other engines.
     pub fn set_room(&self, room: Room) {
         self.room.send_replace(room);
@@ -385,6 +410,19 @@
     response
 }
 
+/// Adds to a response what the engine states.
+fn state(mut response: Response<Body>, stated: &Stated) -> Response<Body> {
+    let unavailable = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let headers = response.headers_mut();
+    if stated.leaving {
+        headers.insert("server-leaving", HeaderValue::from_static("1"));
+    }
+    if let Some(time) = stated.retry_after.filter(|_| unavailable) {
+        headers.insert(RETRY_AFTER, HeaderValue::from_static(time));
+    }
+    response
+}
+
 /// Returns the value of a header, or an empty string.
 fn header_text(headers: &HeaderMap, name: &str) -> String {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
