--- a/crates/daisyyard_gateway/src/evacuation.rs
+++ b/crates/daisyyard_gateway/src/evacuation.rs
@@ -111,8 +111,8 @@
     }
 
     /// Sends a request to an endpoint unless an evacuation has started, or one of them has stated that it
-    /// is closed, since the endpoint or the backup engine was chosen. Connecting may take a second, so this is checked after it. If a time
-    /// is given, the request leaves by then or not at all.
+    /// is closed, since the endpoint or the backup engine was chosen. Connecting may take a second, so
+    /// this is checked after it. If a time is given, the request leaves by then or not at all.
     pub async fn send(
         &self,
         endpoint: &Endpoint,
