--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -186,6 +186,11 @@
                     }
                     if obstacle == Obstacle::Unanswered {
                         self.runs_left = self.runs_left.saturating_sub(1);
+                        if matches!(halt.stop(), Stop::Moved | Stop::Kept) {
+                            // The source has stopped the run, and the engine that was asked may go on
+                            // with it, so that no other one may.
+                            self.upstream = None;
+                        }
                     }
                     step = situation.fail(place, obstacle);
                 }
@@ -332,9 +337,9 @@
             .job
             .request(codec, engine, address, replica, last_event);
         let place = self.proxy.enter(engine, timeout).await;
-        let place = place.ok_or(Obstacle::Cold)?;
+        let (place, placed_at) = place.ok_or(Obstacle::Cold)?;
         let leave_by = place.and_then(|place| place.leave_by);
-        let zones = &self.proxy.zones;
+        let zones = self.proxy.zones.as_of(placed_at);
         let open = zones.send(engine, backup, request, timeout, leave_by);
         let mut open = std::pin::pin!(open);
         // Two engines may execute the same run only for a short time.
@@ -358,7 +363,7 @@
         };
         let status = answer.response.status();
         let receipt = (codec.read_response)(status, answer.response.headers());
-        self.proxy.report_cold(engine, &receipt).await;
+        self.proxy.report_statements(engine, &receipt).await;
         if !receipt.answers(&self.job.attempt) {
             return Err(Obstacle::Unanswered);
         }
