--- a/crates/daisyyard_core/src/gate.rs
+++ b/crates/daisyyard_core/src/gate.rs
@@ -11,11 +11,11 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use crate::burden::Burden;
 use crate::forecast::Forecast;
 use crate::id::{EndpointId, InstanceId, ServiceId, Tokens};
 use crate::room::Room;
 use crate::turn::{Ask, Kind, Standing, Turn};
+use crate::workload::Workload;
 
 /// Maximum number of waiting requests.
 pub(crate) const MAX_WAITING: usize = 512;
@@ -72,7 +72,7 @@
     /// Requests of the fleet.
     pub forecast: Forecast,
     /// Work of the accounts.
-    pub burden: Burden,
+    pub workload: Workload,
     /// Whether short requests alone exceed the capacity.
     short_exceed: bool,
     /// What waits at other nodes.
@@ -90,7 +90,7 @@
             entries: Vec::new(),
             next: 0,
             forecast: Forecast::default(),
-            burden: Burden::default(),
+            workload: Workload::default(),
             short_exceed: false,
             others: HashMap::new(),
             kept: BTreeMap::new(),
@@ -129,8 +129,8 @@
         let target = ask.target.saturating_duration_since(ask.place);
         self.forecast.arrive(ask.kind, ask.size, target, now);
         let work = self.work(ask);
-        self.burden.ask(ask.account, work, now);
-        self.burden.refresh(now);
+        self.workload.ask(ask.account, work, now);
+        self.workload.refresh(now);
         self.forecast.refresh(now);
     }
 
@@ -138,7 +138,7 @@
     pub fn count_start(&mut self, ask: &Ask, now: Instant) {
         self.forecast.start(ask.kind, now);
         let work = self.work(ask);
-        self.burden.serve(ask.account, work, now);
+        self.workload.serve(ask.account, work, now);
     }
 
     /// Returns the work that a request is expected to cause: its memory times the time for which it
@@ -154,7 +154,7 @@
 
     /// Returns how an account stands to its share.
     pub(crate) fn standing(&self, ask: &Ask) -> Standing {
-        if !self.burden.exceeds_share(ask.account) {
+        if !self.workload.exceeds_share(ask.account) {
             Standing::Within
         } else if self.short_exceed {
             Standing::Last
@@ -289,7 +289,7 @@
     /// Updates what is known of the shares of the accounts, and whether short requests alone exceed the
     /// capacity: although they go first, some of them wait for much of the time until their target.
     pub(crate) fn refresh(&mut self, now: Instant) {
-        self.burden.refresh(now);
+        self.workload.refresh(now);
         self.forecast.refresh(now);
         self.others
             .retain(|_, report| now.saturating_duration_since(report.received) < WAITING_TTL);
--- a/crates/daisyyard_core/src/migration.rs
+++ b/crates/daisyyard_core/src/migration.rs
@@ -32,7 +32,7 @@
 
 /// What is known of the memory of a run at a leaving engine.
 #[record]
-pub struct Freight {
+pub struct RunState {
     /// Tokens in memory.
     pub tokens: Tokens,
     /// Number of events that are still to come, as far as is expected.
@@ -60,18 +60,18 @@
 
 /// A run at a leaving engine.
 #[record]
-pub struct Cargo {
+pub struct LeavingRun {
     /// The run.
     pub run: RequestId,
     /// Its memory.
-    pub freight: Freight,
+    pub run_state: RunState,
     /// How far its memory is secured.
     pub stage: Stage,
 }
 
 /// What is to be done with a run at a leaving engine.
 #[key]
-pub enum Fate {
+pub enum Action {
     /// It ends before the engine does.
     Ends,
     /// It continues from its backup once the engine has ended.
@@ -91,8 +91,8 @@
     Last,
 }
 
-impl Freight {
-    /// Creates the freight of a run with this need and number of events made so far, which makes at most
+impl RunState {
+    /// Creates the state of a run with this need and number of events made so far, which makes at most
     /// this many tokens.
     pub fn new(
         need: &Need,
@@ -130,43 +130,47 @@
 ///
 /// Moved are first the runs that are not expected to end in time, of these the most urgent ones and, among
 /// equals, those whose memory takes the least time: the same time on the link then saves the most.
-pub fn plan(cargo: &[Cargo], left: Duration, pace: Option<Duration>) -> Vec<(RequestId, Fate)> {
-    let mut order: Vec<&Cargo> = cargo.iter().collect();
+pub fn plan(
+    leaving: &[LeavingRun],
+    left: Duration,
+    pace: Option<Duration>,
+) -> Vec<(RequestId, Action)> {
+    let mut order: Vec<&LeavingRun> = leaving.iter().collect();
     order.sort_by_key(|one| {
-        let likely = fits(Some(one.freight.likely_events), pace, left);
+        let likely = fits(Some(one.run_state.likely_events), pace, left);
         (
             likely,
-            one.freight.priority,
-            one.freight.copy_time(),
+            one.run_state.priority,
+            one.run_state.copy_time(),
             one.run,
         )
     });
-    let under_way = cargo.iter().filter(|one| one.stage == Stage::Copying);
+    let under_way = leaving.iter().filter(|one| one.stage == Stage::Copying);
     let mut copies = under_way.clone().count();
-    let mut busy: Duration = under_way.map(|one| one.freight.copy_time()).sum();
-    let mut fates = Vec::new();
+    let mut busy: Duration = under_way.map(|one| one.run_state.copy_time()).sum();
+    let mut actions = Vec::new();
     for one in order {
-        let fate = match one.stage {
-            Stage::BackedUp => Fate::Backup,
-            Stage::Copying | Stage::Copied => Fate::Move,
-            Stage::Unsecured if fits(one.freight.most_events, pace, left) => Fate::Ends,
-            Stage::Unsecured if copies >= MAX_FIRST_COPIES => Fate::Wait,
+        let action = match one.stage {
+            Stage::BackedUp => Action::Backup,
+            Stage::Copying | Stage::Copied => Action::Move,
+            Stage::Unsecured if fits(one.run_state.most_events, pace, left) => Action::Ends,
+            Stage::Unsecured if copies >= MAX_FIRST_COPIES => Action::Wait,
             Stage::Unsecured => {
-                let time = one.freight.copy_time();
+                let time = one.run_state.copy_time();
                 // A run that does not fit is still tried when nothing else uses the link: engines often
                 // have more time than expected, and it is lost otherwise.
                 if busy + time > left && copies > 0 {
-                    Fate::Wait
+                    Action::Wait
                 } else {
                     copies += 1;
                     busy += time;
-                    Fate::Move
+                    Action::Move
                 }
             }
         };
-        fates.push((one.run, fate));
+        actions.push((one.run, action));
     }
-    fates
+    actions
 }
 
 /// Returns what follows the copy number `copies` of a run, which took this time, when its engine has this
--- a/crates/daisyyard_core/src/outlook.rs
+++ b/crates/daisyyard_core/src/outlook.rs
@@ -157,7 +157,7 @@
         };
         match self.standing(ask) {
             Standing::Last => {
-                let within = 1.0 - self.burden.excess_part();
+                let within = 1.0 - self.workload.excess_part();
                 within * self.forecast.demand(service, |_| true)
             }
             Standing::Within | Standing::Above => self.forecast.demand(service, overtakes),
--- a/crates/daisyyard_core/src/recall.rs
+++ b/crates/daisyyard_core/src/refusals.rs
@@ -31,7 +31,7 @@
 
 /// Requests that were refused lately.
 #[derive(Debug, Default)]
-pub struct Recall {
+pub struct Refusals {
     /// First arrivals by content.
     places: HashMap<u64, Instant>,
     /// Contents in the order of their records, with the times of these.
@@ -46,7 +46,7 @@
     fingerprint as u64
 }
 
-impl Recall {
+impl Refusals {
     /// Records a request that this node refuses.
     pub fn refuse(&mut self, refused: Refused, now: Instant) {
         self.learn(refused, now);
--- a/crates/daisyyard_core/src/burden.rs
+++ b/crates/daisyyard_core/src/workload.rs
@@ -47,7 +47,7 @@
 
 /// Work of all accounts in the fleet.
 #[derive(Debug)]
-pub struct Burden {
+pub struct Workload {
     /// Work at this node.
     own: BTreeMap<AccountId, Work>,
     /// Work at other nodes, as they last reported it.
@@ -72,7 +72,7 @@
     }
 }
 
-impl Default for Burden {
+impl Default for Workload {
     fn default() -> Self {
         Self {
             own: BTreeMap::new(),
@@ -85,7 +85,7 @@
     }
 }
 
-impl Burden {
+impl Workload {
     /// Counts work that an account asks for.
     pub fn ask(&mut self, account: AccountId, work: f64, now: Instant) {
         if let Some(known) = self.entry(account, now) {
--- a/crates/daisyyard_core/tests/account_burden.rs
+++ b/crates/daisyyard_core/tests/account_workload.rs
@@ -3,26 +3,26 @@
 
 use std::time::{Duration, Instant};
 
-use daisyyard_core::burden::{Burden, REPORTED_ACCOUNTS};
+use daisyyard_core::workload::{REPORTED_ACCOUNTS, Workload};
 
 /// Time after which the shares are calculated anew.
 const LATER: Duration = Duration::from_millis(100);
 
 /// Asks for work of an account, and serves a part of it.
-fn work(burden: &mut Burden, account: u64, asked: f64, served: f64, now: Instant) {
-    burden.ask(account, asked, now);
-    burden.serve(account, served, now);
+fn work(workload: &mut Workload, account: u64, asked: f64, served: f64, now: Instant) {
+    workload.ask(account, asked, now);
+    workload.serve(account, served, now);
 }
 
 /// While all that is asked for is served, no account exceeds its share, however large it is.
 #[test]
 fn no_share_in_plenty() {
     let now = Instant::now();
-    let mut burden = Burden::default();
-    work(&mut burden, 1, 1_000.0, 1_000.0, now);
-    work(&mut burden, 2, 10.0, 10.0, now);
-    burden.refresh(now + LATER);
-    assert!(!burden.exceeds_share(1));
+    let mut workload = Workload::default();
+    work(&mut workload, 1, 1_000.0, 1_000.0, now);
+    work(&mut workload, 2, 10.0, 10.0, now);
+    workload.refresh(now + LATER);
+    assert!(!workload.exceeds_share(1));
 }
 
 /// Where capacity is short, the account that takes most exceeds its share, and those that ask for
@@ -30,21 +30,21 @@
 #[test]
 fn large_exceeds() {
     let now = Instant::now();
-    let mut burden = Burden::default();
-    work(&mut burden, 1, 1_000.0, 500.0, now);
-    work(&mut burden, 2, 100.0, 100.0, now);
-    work(&mut burden, 3, 100.0, 50.0, now);
-    burden.refresh(now + LATER);
-    assert!(burden.exceeds_share(1));
-    assert!(!burden.exceeds_share(2));
-    assert!(!burden.exceeds_share(3));
+    let mut workload = Workload::default();
+    work(&mut workload, 1, 1_000.0, 500.0, now);
+    work(&mut workload, 2, 100.0, 100.0, now);
+    work(&mut workload, 3, 100.0, 50.0, now);
+    workload.refresh(now + LATER);
+    assert!(workload.exceeds_share(1));
+    assert!(!workload.exceeds_share(2));
+    assert!(!workload.exceeds_share(3));
 }
 
 /// What a node told counts at the others after it is lost, decays, and is bounded in size.
 #[test]
 fn survives_loss() {
     let now = Instant::now();
-    let mut lost = Burden::default();
+    let mut lost = Workload::default();
     work(&mut lost, 1, 1_000.0, 500.0, now);
     for account in 10..40 {
         work(&mut lost, account, 10.0, 5.0, now);
@@ -56,13 +56,13 @@
     let asked: f64 = report.iter().map(|part| part.asked).sum();
     assert!((asked - 1_300.0).abs() < 1e-6, "{asked}");
     drop(lost);
-    let mut burden = Burden::default();
-    work(&mut burden, 2, 100.0, 50.0, now);
-    burden.learn(9, report, now);
-    burden.refresh(now + LATER);
-    assert!(burden.exceeds_share(1));
+    let mut workload = Workload::default();
+    work(&mut workload, 2, 100.0, 50.0, now);
+    workload.learn(9, report, now);
+    workload.refresh(now + LATER);
+    assert!(workload.exceeds_share(1));
     let much_later = now + Duration::from_mins(2);
-    work(&mut burden, 2, 100.0, 50.0, much_later);
-    burden.refresh(much_later);
-    assert!(!burden.exceeds_share(1));
+    work(&mut workload, 2, 100.0, 50.0, much_later);
+    workload.refresh(much_later);
+    assert!(!workload.exceeds_share(1));
 }
--- a/crates/daisyyard_core/tests/gate_order.rs
+++ b/crates/daisyyard_core/tests/gate_order.rs
@@ -6,7 +6,7 @@
 use daisyyard_core::gate::{Gate, Waiting};
 use daisyyard_core::id::{EndpointId, ServiceId};
 use daisyyard_core::outlook::Verdict;
-use daisyyard_core::recall::{Recall, Refused};
+use daisyyard_core::refusals::{Refusals, Refused};
 use daisyyard_core::room::Room;
 use daisyyard_core::turn::{Ask, Kind};
 
@@ -72,12 +72,14 @@
     gate.push(late, 0);
     gate.push(ask(LONG, 1, 3_500, at(500)), 1);
     gate.push(ask(LONG, 2, 3_500, at(400)), 2);
-    let mut recall = Recall::default();
+    let mut refusals = Refusals::default();
     let content = 99;
     let place = at(300);
-    recall.refuse(Refused { content, place }, at(310));
-    let place = recall.take(content, at(900)).expect("the refusal is known");
-    assert_eq!(recall.take(content, at(900)), None, "a place counts once");
+    refusals.refuse(Refused { content, place }, at(310));
+    let place = refusals
+        .take(content, at(900))
+        .expect("the refusal is known");
+    assert_eq!(refusals.take(content, at(900)), None, "a place counts once");
     let returned = ask(LONG, 3, 3_500, place);
     gate.push(returned, 3);
     gate.push(ask(SHORT, 1, 2_550, at(950)), 4);
@@ -88,7 +90,7 @@
 #[test]
 fn place_at_another_node() {
     let now = Instant::now();
-    let (mut one, mut two) = (Recall::default(), Recall::default());
+    let (mut one, mut two) = (Refusals::default(), Refusals::default());
     let refused = Refused {
         content: 5,
         place: now,
--- a/crates/daisyyard_core/tests/migration_plan.rs
+++ b/crates/daisyyard_core/tests/migration_plan.rs
@@ -5,7 +5,7 @@
 
 use daisyyard_core::id::{self, RequestId};
 use daisyyard_core::load::Need;
-use daisyyard_core::migration::{Cargo, Fate, Freight, Round, Stage, next_round, plan};
+use daisyyard_core::migration::{Action, LeavingRun, Round, RunState, Stage, next_round, plan};
 
 /// Time that the link needs for a token: 131,072 bytes over 19 Gbit/s.
 const TOKEN_TIME: Duration = Duration::from_nanos(55_188);
@@ -18,7 +18,7 @@
 }
 
 /// Returns a run with tokens in memory, and events to come.
-fn cargo(run: RequestId, tokens: u64, events: u64, stage: Stage) -> Cargo {
+fn leaving(run: RequestId, tokens: u64, events: u64, stage: Stage) -> LeavingRun {
     let need = Need {
         service: id::of("model"),
         prompt: tokens,
@@ -28,86 +28,89 @@
         target_gap: None,
         backup: false,
     };
-    Cargo {
+    LeavingRun {
         run,
-        freight: Freight::new(&need, Some(events * 4), 0, 2, TOKEN_TIME),
+        run_state: RunState::new(&need, Some(events * 4), 0, 2, TOKEN_TIME),
         stage,
     }
 }
 
-/// Returns the fate of a run.
-fn fate(cargo: &[Cargo], run: RequestId, left: Duration) -> Fate {
-    let fates = plan(cargo, left, PACE);
-    let found = fates.into_iter().find(|(id, _)| *id == run);
-    found.expect("it has a fate").1
+/// Returns the action of a run.
+fn action(leaving: &[LeavingRun], run: RequestId, left: Duration) -> Action {
+    let actions = plan(leaving, left, PACE);
+    let found = actions.into_iter().find(|(id, _)| *id == run);
+    found.expect("it has a action").1
 }
 
 /// A run that ends in time, and one with a backup, leave the link to the others.
 #[test]
 fn leaves_link() {
     let runs = [
-        cargo(1, 3_000, 10, Stage::Unsecured),
-        cargo(2, 3_000, 150, Stage::BackedUp),
-        cargo(3, 3_000, 150, Stage::Unsecured),
+        leaving(1, 3_000, 10, Stage::Unsecured),
+        leaving(2, 3_000, 150, Stage::BackedUp),
+        leaving(3, 3_000, 150, Stage::Unsecured),
     ];
-    assert_eq!(fate(&runs, 1, ms(1_500)), Fate::Ends);
-    assert_eq!(fate(&runs, 2, ms(1_500)), Fate::Backup);
-    assert_eq!(fate(&runs, 3, ms(1_500)), Fate::Move);
-    assert_eq!(fate(&runs, 1, ms(300)), Fate::Move, "it does not end");
+    assert_eq!(action(&runs, 1, ms(1_500)), Action::Ends);
+    assert_eq!(action(&runs, 2, ms(1_500)), Action::Backup);
+    assert_eq!(action(&runs, 3, ms(1_500)), Action::Move);
+    assert_eq!(action(&runs, 1, ms(300)), Action::Move, "it does not end");
 }
 
 /// A run that has no limit is moved, however soon it is expected to end.
 #[test]
 fn unlimited_run() {
-    let mut run = cargo(1, 3_000, 1, Stage::Unsecured);
-    run.freight.most_events = None;
-    assert_eq!(fate(&[run], 1, ms(1_500)), Fate::Move);
+    let mut run = leaving(1, 3_000, 1, Stage::Unsecured);
+    run.run_state.most_events = None;
+    assert_eq!(action(&[run], 1, ms(1_500)), Action::Move);
 }
 
 /// Those that take the least time on the link go first, two at a time, and the rest follow.
 #[test]
 fn smallest_first() {
     let sizes = [4_000, 3_000, 3_500, 3_200];
-    let mut runs: Vec<Cargo> = (0..)
+    let mut runs: Vec<LeavingRun> = (0..)
         .zip(sizes)
-        .map(|(run, tokens)| cargo(run, tokens, 150, Stage::Unsecured))
+        .map(|(run, tokens)| leaving(run, tokens, 150, Stage::Unsecured))
         .collect();
-    let fates = [0, 1, 2, 3].map(|run| fate(&runs, run, ms(1_500)));
-    assert_eq!(fates, [Fate::Wait, Fate::Move, Fate::Wait, Fate::Move]);
+    let actions = [0, 1, 2, 3].map(|run| action(&runs, run, ms(1_500)));
+    assert_eq!(
+        actions,
+        [Action::Wait, Action::Move, Action::Wait, Action::Move]
+    );
     runs[1].stage = Stage::Copied;
     runs[3].stage = Stage::Copying;
-    assert_eq!(fate(&runs, 2, ms(1_500)), Fate::Move);
-    assert_eq!(fate(&runs, 0, ms(1_500)), Fate::Wait);
+    assert_eq!(action(&runs, 2, ms(1_500)), Action::Move);
+    assert_eq!(action(&runs, 0, ms(1_500)), Action::Wait);
 }
 
 /// An urgent run goes before a smaller one.
 #[test]
 fn urgent_first() {
     let mut runs = [
-        cargo(1, 3_000, 150, Stage::Unsecured),
-        cargo(2, 3_000, 150, Stage::Unsecured),
-        cargo(3, 9_000, 150, Stage::Unsecured),
+        leaving(1, 3_000, 150, Stage::Unsecured),
+        leaving(2, 3_000, 150, Stage::Unsecured),
+        leaving(3, 9_000, 150, Stage::Unsecured),
     ];
-    runs[2].freight.priority = 0;
-    assert_eq!(fate(&runs, 3, ms(1_500)), Fate::Move);
-    assert_eq!(fate(&runs, 2, ms(1_500)), Fate::Wait);
+    runs[2].run_state.priority = 0;
+    assert_eq!(action(&runs, 3, ms(1_500)), Action::Move);
+    assert_eq!(action(&runs, 2, ms(1_500)), Action::Wait);
 }
 
 /// A run whose copy cannot end in time does not slow one that is under way, and is tried when the link
 /// is free.
 #[test]
 fn hopeless_waits() {
-    let large = cargo(1, 20_000, 150, Stage::Unsecured);
-    let runs = [large.clone(), cargo(2, 3_000, 150, Stage::Copying)];
-    assert_eq!(fate(&runs, 1, ms(1_000)), Fate::Wait);
-    assert_eq!(fate(&[large], 1, ms(1_000)), Fate::Move);
+    let large = leaving(1, 20_000, 150, Stage::Unsecured);
+    let runs = [large.clone(), leaving(2, 3_000, 150, Stage::Copying)];
+    assert_eq!(action(&runs, 1, ms(1_000)), Action::Wait);
+    assert_eq!(action(&[large], 1, ms(1_000)), Action::Move);
 }
 
 /// The order does not depend on the order in which the runs are known.
 #[test]
 fn same_order() {
-    let mut runs: Vec<Cargo> = (0..6)
-        .map(|run| cargo(run, 3_000, 150, Stage::Unsecured))
+    let mut runs: Vec<LeavingRun> = (0..6)
+        .map(|run| leaving(run, 3_000, 150, Stage::Unsecured))
         .collect();
     let first = plan(&runs, ms(1_500), PACE);
     runs.reverse();
--- a/crates/daisyyard_core/tests/play/mod.rs
+++ b/crates/daisyyard_core/tests/play/mod.rs
@@ -12,7 +12,7 @@
 use daisyyard_core::gate::Gate;
 use daisyyard_core::id::{EndpointId, ServiceId, Tokens};
 use daisyyard_core::outlook::Verdict;
-use daisyyard_core::recall::{Recall, Refused};
+use daisyyard_core::refusals::{Refusals, Refused};
 use daisyyard_core::room::{FORECAST_LONG_RUN_SHARE, MAX_WAITING_PREFILL, Room};
 use daisyyard_core::turn::{Ask, Kind, patience};
 use rand::{Rng, SeedableRng};
@@ -100,7 +100,7 @@
     backlog: Backlog<Request>,
     line: Vec<(Ask, Request)>,
     gate: Gate<(Ask, Request)>,
-    recall: Recall,
+    known_refusals: Refusals,
     returns: Vec<(Instant, Request)>,
     /// Weights of the accounts.
     pub accounts: Vec<f64>,
@@ -140,7 +140,7 @@
             backlog: Backlog::default(),
             line: Vec::new(),
             gate: Gate::new(seed),
-            recall: Recall::default(),
+            known_refusals: Refusals::default(),
             returns: Vec::new(),
             accounts: vec![1.0; accounts],
             by_class: BTreeMap::new(),
@@ -236,7 +236,7 @@
         let class = &self.classes[request.class];
         let target = Duration::from_millis(class.times.0);
         let place = if request.again && self.policy == Policy::Gate {
-            let known = self.recall.take(request.number as u64, self.now);
+            let known = self.known_refusals.take(request.number as u64, self.now);
             known.unwrap_or(request.sent)
         } else {
             request.sent
@@ -502,7 +502,7 @@
             content: request.number as u64,
             place: ask.place,
         };
-        self.recall.refuse(refused, self.now);
+        self.known_refusals.refuse(refused, self.now);
         let left = ask.deadline.saturating_duration_since(self.now);
         if request.again || delay > left / 3 {
             self.tally(&request, |tally| tally.refused += 1);
--- a/crates/daisyyard_core/tests/wave_losses.rs
+++ b/crates/daisyyard_core/tests/wave_losses.rs
@@ -11,7 +11,7 @@
 use daisyyard_core::endpoint::{Endpoint, Kind, State};
 use daisyyard_core::id::{self, EndpointId, RequestId};
 use daisyyard_core::load::Need;
-use daisyyard_core::migration::{Cargo, Fate, Freight, Round, Stage, next_round, plan};
+use daisyyard_core::migration::{Action, LeavingRun, Round, RunState, Stage, next_round, plan};
 use daisyyard_core::pool::Pool;
 use daisyyard_core::zone::Zone;
 use rand::{Rng, SeedableRng};
@@ -283,16 +283,22 @@
         let own = self.runs.iter();
         let own =
             own.filter(|(other, run)| run.engine == engine && *other % GATEWAYS == id % GATEWAYS);
-        let cargo: Vec<Cargo> = own
-            .map(|(id, run)| Cargo {
+        let leaving: Vec<LeavingRun> = own
+            .map(|(id, run)| LeavingRun {
                 run: *id,
-                freight: Freight::new(&run.need, Some(EVENTS * 4), events(run, now), 2, TOKEN_TIME),
+                run_state: RunState::new(
+                    &run.need,
+                    Some(EVENTS * 4),
+                    events(run, now),
+                    2,
+                    TOKEN_TIME,
+                ),
                 stage: Self::stage(run),
             })
             .collect();
         let pace = Some(Duration::from_millis(EVENT_MS));
-        let fates = plan(&cargo, self.time_left(engine, now), pace);
-        fates.contains(&(id, Fate::Move))
+        let actions = plan(&leaving, self.time_left(engine, now), pace);
+        actions.contains(&(id, Action::Move))
     }
 
     fn time_left(&self, engine: u64, now: u64) -> Duration {
--- a/crates/daisyyard_gateway/src/admission.rs
+++ b/crates/daisyyard_gateway/src/admission.rs
@@ -8,7 +8,7 @@
 use daisyyard_core::gate::Gate;
 use daisyyard_core::id::{AccountId, EndpointId, InstanceId, ServiceId, Tokens};
 use daisyyard_core::outlook::Verdict;
-use daisyyard_core::recall::{self, Recall, Refused};
+use daisyyard_core::refusals::{self, Refusals, Refused};
 use daisyyard_core::room::{FORECAST_LONG_RUN_SHARE, MAX_WAITING_PREFILL, Room};
 use daisyyard_core::turn::Kind;
 use xtra::{Context, Handler};
@@ -57,7 +57,7 @@
     /// Waiting requests, and what is known of capacity and demand.
     pub(crate) gate: Gate<Claim>,
     /// Requests that were refused lately.
-    recall: Recall,
+    refusals: Refusals,
     /// Names of the accounts that the metrics show.
     labels: BTreeSet<String>,
     /// Figures by account.
@@ -75,7 +75,7 @@
     pub(crate) fn new(seed: u64, metrics: Metrics) -> Self {
         Self {
             gate: Gate::new(seed),
-            recall: Recall::default(),
+            refusals: Refusals::default(),
             labels: BTreeSet::new(),
             figures: BTreeMap::new(),
             shed_at: None,
@@ -96,9 +96,9 @@
 
     /// Counts a request that arrives; one that returns after a refusal gets its first place.
     fn arrive(&mut self, claim: &mut Claim, now: Instant) {
-        let content = recall::content(claim.contents.first().copied().unwrap_or_default());
+        let content = refusals::content(claim.contents.first().copied().unwrap_or_default());
         if claim.excluded.is_empty()
-            && let Some(place) = self.recall.take(content, now)
+            && let Some(place) = self.refusals.take(content, now)
         {
             let ask = &mut claim.ask;
             let passed = ask.place.saturating_duration_since(place);
@@ -110,9 +110,9 @@
 
     /// Refuses a request.
     fn refuse(&mut self, claim: Claim, delay: Duration, now: Instant) {
-        let content = recall::content(claim.contents.first().copied().unwrap_or_default());
+        let content = refusals::content(claim.contents.first().copied().unwrap_or_default());
         let place = claim.ask.place;
-        self.recall.refuse(Refused { content, place }, now);
+        self.refusals.refuse(Refused { content, place }, now);
         self.shed_at = Some(now);
         self.count(claim.client.as_ref(), Fate::Refused);
         // If the caller has disconnected, nobody needs the refusal.
@@ -128,7 +128,7 @@
     pub(crate) fn count(&mut self, client: Option<&Arc<Client>>, fate: Fate) {
         let account = client.map(|client| &client.account);
         let (id, name) = account.map_or((0, "-"), |account| (account.id, &account.name));
-        let heavy = self.gate.burden.heaviest(NAMED_ACCOUNTS).contains(&id);
+        let heavy = self.gate.workload.heaviest(NAMED_ACCOUNTS).contains(&id);
         let known = self.labels.contains(name);
         let label = if known || heavy && self.labels.len() < MAX_LABELS {
             self.labels.insert(name.to_owned());
@@ -158,10 +158,10 @@
 
     /// Returns the figures of the heaviest accounts as text, and starts new ones.
     fn take_figures(&mut self) -> String {
-        let heaviest = self.gate.burden.heaviest(NAMED_ACCOUNTS);
+        let heaviest = self.gate.workload.heaviest(NAMED_ACCOUNTS);
         let mut figures = std::mem::take(&mut self.figures);
         let lines = heaviest.into_iter().filter_map(|account| {
-            let above = self.gate.burden.exceeds_share(account);
+            let above = self.gate.workload.exceeds_share(account);
             let (name, figures) = figures.remove(&account)?;
             let Figures {
                 served,
@@ -177,7 +177,7 @@
     pub(crate) fn report(&mut self, now: Instant) -> Demand {
         Demand {
             waiting: self.gate.waiting(now),
-            refused: self.recall.report(now),
+            refused: self.refusals.report(now),
             ..Demand::default()
         }
     }
@@ -188,10 +188,10 @@
             self.gate.learn_waiting(from, demand.waiting, now);
         }
         for refused in demand.refused {
-            self.recall.learn(refused, now);
+            self.refusals.learn(refused, now);
         }
         if !demand.accounts.is_empty() {
-            self.gate.burden.learn(from, demand.accounts, now);
+            self.gate.workload.learn(from, demand.accounts, now);
         }
         if !demand.streams.is_empty() {
             self.gate.forecast.learn(from, demand.streams, now);
@@ -362,7 +362,7 @@
             admission.logged_at = now;
             let accounts = admission.take_figures();
             let details = format!("served/late/refused/above_share={accounts}");
-            self.log.emit(Event::AccountBurden, &details);
+            self.log.emit(Event::AccountWorkload, &details);
         }
         if now.saturating_duration_since(shed_at) >= CALM_TIME {
             admission.shed_at = None;
@@ -389,7 +389,7 @@
         let now = Instant::now();
         let admission = self.admission.as_ref()?;
         let demand = Demand {
-            accounts: admission.gate.burden.report(now),
+            accounts: admission.gate.workload.report(now),
             streams: admission.gate.forecast.report(now),
             ..Demand::default()
         };
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -83,7 +83,7 @@
     /// Requests are refused because no capacity is expected for them in time, or no longer.
     SheddingChanged = 190,
     /// Requests of the heaviest accounts that were served, late or refused while requests were shed.
-    AccountBurden = 191,
+    AccountWorkload = 191,
     /// An endpoint turns requests away.
     EndpointClosed = 200,
     /// An endpoint no longer turns requests away.
@@ -134,7 +134,7 @@
     (Event::MemoryShort, Level::Warn),
     (Event::MemoryFree, Level::Info),
     (Event::SheddingChanged, Level::Warn),
-    (Event::AccountBurden, Level::Info),
+    (Event::AccountWorkload, Level::Info),
     (Event::EndpointClosed, Level::Warn),
     (Event::EndpointOpened, Level::Info),
     (Event::EndpointStatedLeaving, Level::Info),
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -8,7 +8,7 @@
 use daisyyard_core::roster::{Node, Role, Roster};
 use serde::{Deserialize, Serialize};
 
-use crate::colleague::Member;
+use crate::peer::Member;
 use crate::settings::Settings;
 
 /// Time without a digest after which a serving member counts as lost. Members send several digests
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_core::backlog::Schedule;
-use daisyyard_core::burden::Part;
 use daisyyard_core::catalog::Client;
 use daisyyard_core::continuation::{Holder, Standby};
 use daisyyard_core::crash;
@@ -16,14 +15,15 @@
 use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, RequestId, Revision, ServiceId};
 use daisyyard_core::knowledge;
 use daisyyard_core::load::{Load, Need};
-use daisyyard_core::migration::Freight;
+use daisyyard_core::migration::RunState;
 use daisyyard_core::pool::Signal;
-use daisyyard_core::recall::Refused;
+use daisyyard_core::refusals::Refused;
 use daisyyard_core::roster::Role;
 use daisyyard_core::shared_retry_budget::{self, Limits};
 use daisyyard_core::statement::Leaver;
 use daisyyard_core::turn::Ask;
 use daisyyard_core::warmup::{self, Allowance, ColdStart};
+use daisyyard_core::workload::Part;
 use tokio::sync::{mpsc, oneshot};
 use xtra::WeakAddress;
 
@@ -236,7 +236,7 @@
 
 /// Asks how a run can migrate away from a leaving engine, and reserves capacity for it.
 #[derive(Debug)]
-pub(crate) struct Migrate(pub(crate) RequestId, pub(crate) Freight);
+pub(crate) struct Migrate(pub(crate) RequestId, pub(crate) RunState);
 
 /// How a run can migrate away from its engine.
 #[derive(Debug, Clone)]
--- a/crates/daisyyard_gateway/src/migration.rs
+++ b/crates/daisyyard_gateway/src/migration.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_core::endpoint::Endpoint;
-use daisyyard_core::migration::{Freight, Round, next_round};
+use daisyyard_core::migration::{Round, RunState, next_round};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::codec::Transfer;
@@ -58,7 +58,7 @@
     /// Takes the next step of the migration; returns whether the stream continues.
     pub(crate) async fn advance_migration(&mut self) -> bool {
         let job = &self.job;
-        let freight = Freight::new(
+        let run_state = RunState::new(
             &job.need(),
             job.parameters.max_output_tokens,
             self.splitter.last_number().unwrap_or(0),
@@ -66,7 +66,11 @@
             job.engine
                 .map_or(Duration::ZERO, |engine| engine.token_time),
         );
-        let plan = self.proxy.pool.send(Migrate(self.grant.run, freight)).await;
+        let plan = self
+            .proxy
+            .pool
+            .send(Migrate(self.grant.run, run_state))
+            .await;
         match plan.unwrap_or(Plan::Stay) {
             Plan::Move(target) if self.supports_moves() => self.begin_copies(target),
             Plan::Move(_) | Plan::Stay => {
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -11,7 +11,7 @@
 use daisyyard_core::endpoint::{Endpoint, Kind};
 use daisyyard_core::id::{EndpointId, Fingerprint, RequestId, ServiceId};
 use daisyyard_core::load::{Load, Need};
-use daisyyard_core::migration::Freight;
+use daisyyard_core::migration::RunState;
 use daisyyard_core::pool::Signal;
 use daisyyard_core::turn;
 use tokio::sync::mpsc;
@@ -44,7 +44,7 @@
     /// Kind of the request.
     kind: turn::Kind,
     /// Memory that is to be moved, once the engine leaves.
-    pub(crate) freight: Option<Freight>,
+    pub(crate) run_state: Option<RunState>,
     /// Fingerprints of what the caller asks for.
     pub(crate) contents: Arc<[Fingerprint]>,
     /// When the run was sent to its endpoint.
@@ -95,7 +95,7 @@
             standby: order_backup(backup.as_ref()),
             rejected: Vec::new(),
             need: claim.need,
-            freight: None,
+            run_state: None,
             kind: claim.ask.kind,
             contents: claim.contents,
             sent_at: now,
--- a/crates/daisyyard_gateway/src/standby.rs
+++ b/crates/daisyyard_gateway/src/standby.rs
@@ -7,7 +7,7 @@
 use daisyyard_core::continuation::{Holder, Standby};
 use daisyyard_core::crash::Verdict;
 use daisyyard_core::id::{EndpointId, RequestId};
-use daisyyard_core::migration::{self, Cargo, Fate, Stage};
+use daisyyard_core::migration::{self, Action, LeavingRun, Stage};
 use xtra::{Context, Handler};
 
 use crate::message::{
@@ -19,23 +19,23 @@
 
 impl Pool {
     /// Returns what is to be done with a run at a leaving engine, among all runs of this gateway there.
-    fn fate(&self, id: RequestId, now: Instant) -> Option<Fate> {
+    fn action(&self, id: RequestId, now: Instant) -> Option<Action> {
         let endpoint = self.runs.get(&id)?.endpoint;
         let there = self.runs.iter();
         let there = there.filter(|(_, run)| run.endpoint == endpoint);
-        let cargo: Vec<Cargo> = there
+        let leaving: Vec<LeavingRun> = there
             .filter_map(|(id, run)| {
-                Some(Cargo {
+                Some(LeavingRun {
                     run: *id,
-                    freight: run.freight.clone()?,
+                    run_state: run.run_state.clone()?,
                     stage: self.stage(&run.standby),
                 })
             })
             .collect();
         let left = self.time_left(endpoint, now);
-        let fates = migration::plan(&cargo, left, self.endpoints.pace(endpoint));
-        let fate = fates.into_iter().find(|(run, _)| *run == id);
-        fate.map(|(_, fate)| fate)
+        let actions = migration::plan(&leaving, left, self.endpoints.pace(endpoint));
+        let action = actions.into_iter().find(|(run, _)| *run == id);
+        action.map(|(_, action)| action)
     }
 
     /// Returns how far the memory of a run with this copy is secured.
@@ -203,13 +203,13 @@
 impl Handler<Migrate> for Pool {
     type Return = Plan;
 
-    async fn handle(&mut self, Migrate(id, freight): Migrate, _: &mut Context<Self>) -> Plan {
+    async fn handle(&mut self, Migrate(id, run_state): Migrate, _: &mut Context<Self>) -> Plan {
         if let Some(run) = self.runs.get_mut(&id) {
-            run.freight = Some(freight);
+            run.run_state = Some(run_state);
         }
-        let fate = self.fate(id, Instant::now());
+        let action = self.action(id, Instant::now());
         let migrate = |pool: &mut Self, run: &mut Run| {
-            if fate != Some(Fate::Move) {
+            if action != Some(Action::Move) {
                 return Plan::Stay;
             }
             let known = match &run.standby {
--- a/crates/daisyyard_gateway/src/wire_demand.rs
+++ b/crates/daisyyard_gateway/src/wire_demand.rs
@@ -2,13 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use daisyyard_core::burden::Part;
 use daisyyard_core::catalog::Priority;
 use daisyyard_core::forecast::Stream;
 use daisyyard_core::gate::Waiting;
 use daisyyard_core::id::{AccountId, EndpointId, ServiceId, Tokens};
-use daisyyard_core::recall::Refused;
+use daisyyard_core::refusals::Refused;
 use daisyyard_core::turn::Kind;
+use daisyyard_core::workload::Part;
 use prost::Message;
 
 /// Number by which rates are multiplied, so that they are whole.
