--- a/crates/daisyyard_gateway/src/admission.rs
+++ b/crates/daisyyard_gateway/src/admission.rs
@@ -27,11 +27,11 @@
 /// Time without refusals after which the gateway no longer counts as shedding load.
 const CALM_TIME: Duration = Duration::from_secs(10);
 /// Time between two log lines on the heaviest accounts while load is shed.
-const BURDEN_LOG_INTERVAL: Duration = Duration::from_secs(10);
+const WORKLOAD_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
 /// What became of a request, as far as the admission decides.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Fate {
+pub(crate) enum Outcome {
     /// It started in time.
     Served,
     /// It started after the time by which its first token would be in time.
@@ -114,7 +114,7 @@
         let place = claim.ask.place;
         self.refusals.refuse(Refused { content, place }, now);
         self.shed_at = Some(now);
-        self.count(claim.client.as_ref(), Fate::Refused);
+        self.count(claim.client.as_ref(), Outcome::Refused);
         // If the caller has disconnected, nobody needs the refusal.
         let _ = claim.reply.send(Placement::Shed(delay));
     }
@@ -125,7 +125,7 @@
     }
 
     /// Counts the fate of a request for the log and the metrics.
-    pub(crate) fn count(&mut self, client: Option<&Arc<Client>>, fate: Fate) {
+    pub(crate) fn count(&mut self, client: Option<&Arc<Client>>, fate: Outcome) {
         let account = client.map(|client| &client.account);
         let (id, name) = account.map_or((0, "-"), |account| (account.id, &account.name));
         let heavy = self.gate.workload.heaviest(NAMED_ACCOUNTS).contains(&id);
@@ -137,9 +137,9 @@
             OTHER_ACCOUNTS
         };
         let outcome = match fate {
-            Fate::Served => "served",
-            Fate::Late => "late",
-            Fate::Refused => "refused",
+            Outcome::Served => "served",
+            Outcome::Late => "late",
+            Outcome::Refused => "refused",
         };
         self.metrics.record_admission(label, outcome);
         if !heavy {
@@ -150,9 +150,9 @@
             .entry(id)
             .or_insert_with(|| (name.to_owned(), Figures::default()));
         match fate {
-            Fate::Served => figures.served += 1,
-            Fate::Late => figures.late += 1,
-            Fate::Refused => figures.refused += 1,
+            Outcome::Served => figures.served += 1,
+            Outcome::Late => figures.late += 1,
+            Outcome::Refused => figures.refused += 1,
         }
     }
 
@@ -358,7 +358,7 @@
         let Some(shed_at) = admission.shed_at else {
             return;
         };
-        if now.saturating_duration_since(admission.logged_at) >= BURDEN_LOG_INTERVAL {
+        if now.saturating_duration_since(admission.logged_at) >= WORKLOAD_LOG_INTERVAL {
             admission.logged_at = now;
             let accounts = admission.take_figures();
             let details = format!("served/late/refused/above_share={accounts}");
@@ -373,11 +373,11 @@
 }
 
 /// Returns the fate of a request that starts now.
-fn fate(target: Instant, now: Instant) -> Fate {
+fn fate(target: Instant, now: Instant) -> Outcome {
     if now <= target {
-        Fate::Served
+        Outcome::Served
     } else {
-        Fate::Late
+        Outcome::Late
     }
 }
 
--- a/crates/daisyyard_gateway/src/evacuation.rs
+++ b/crates/daisyyard_gateway/src/evacuation.rs
@@ -13,7 +13,7 @@
 use hyper::Request;
 use tokio::sync::watch;
 
-use crate::admission::Fate;
+use crate::admission::Outcome;
 use crate::codec::Record;
 use crate::event::Event;
 use crate::message::{Claim, Placement};
@@ -248,7 +248,7 @@
     /// Refuses a request that only evacuations keep from being served.
     fn refuse_evacuated(&mut self, claim: Claim) {
         if let Some(admission) = &mut self.admission {
-            admission.count(claim.client.as_ref(), Fate::Refused);
+            admission.count(claim.client.as_ref(), Outcome::Refused);
         }
         // If the caller has disconnected, nobody needs the refusal.
         let _ = claim.reply.send(Placement::Evacuated);
