--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -44,7 +44,7 @@
     /// Kind of the request.
     kind: turn::Kind,
     /// Memory that is to be moved, once the engine leaves.
-    pub(crate) run_state: Option<RunState>,
+    pub(crate) state: Option<RunState>,
     /// Fingerprints of what the caller asks for.
     pub(crate) contents: Arc<[Fingerprint]>,
     /// When the run was sent to its endpoint.
@@ -95,7 +95,7 @@
             standby: order_backup(backup.as_ref()),
             rejected: Vec::new(),
             need: claim.need,
-            run_state: None,
+            state: None,
             kind: claim.ask.kind,
             contents: claim.contents,
             sent_at: now,
--- a/crates/daisyyard_gateway/src/standby.rs
+++ b/crates/daisyyard_gateway/src/standby.rs
@@ -27,7 +27,7 @@
             .filter_map(|(id, run)| {
                 Some(LeavingRun {
                     run: *id,
-                    run_state: run.run_state.clone()?,
+                    run_state: run.state.clone()?,
                     stage: self.stage(&run.standby),
                 })
             })
@@ -205,7 +205,7 @@
 
     async fn handle(&mut self, Migrate(id, run_state): Migrate, _: &mut Context<Self>) -> Plan {
         if let Some(run) = self.runs.get_mut(&id) {
-            run.run_state = Some(run_state);
+            run.state = Some(run_state);
         }
         let action = self.action(id, Instant::now());
         let migrate = |pool: &mut Self, run: &mut Run| {
