--- a/crates/daisyyard/src/gateway_settings.rs
+++ b/crates/daisyyard/src/gateway_settings.rs
@@ -15,6 +15,9 @@
 const MAX_OVERAGE: f64 = 100.0;
 /// Largest number of requests to a cold endpoint beyond that rate.
 const MAX_COLD_SLACK: f64 = 1e6;
+/// Times that the setting for evacuations accepts, in milliseconds. Gateways cannot learn an order much
+/// faster than they are told of changes.
+const EVACUATION_MS: std::ops::RangeInclusive<u64> = 1_000..=3_600_000;
 /// Largest number of retries that a setting accepts.
 const MAX_RETRIES: f64 = 1e9;
 
@@ -67,6 +70,7 @@
     Bounds {
         max_recovery_time: millis(s, r, "contact_ms"),
         max_config_delay: millis(s, r, "config_ms"),
+        max_evacuation_delay: s.millis(r, "evacuation_ms", EVACUATION_MS, Duration::MAX),
         grace: seconds(s, r, "grace_s"),
         max_addresses_lifetime: seconds(s, r, "directory_s"),
         cold: allowance(s, r),
@@ -82,7 +86,7 @@
         return None;
     }
     let overage = Expectation {
-        expected: "a number from 1 to 100, together with cold_slack; remove both to set no bound",
+        expected: "a number from 0 to 100, together with cold_slack; remove both to set no bound",
         example: "1.5",
     };
     let slack = Expectation {
@@ -90,7 +94,7 @@
         example: "5",
     };
     Some(Allowance {
-        overage: s.expected_number(r, KEYS[0], 1.0..=MAX_OVERAGE, overage),
+        overage: s.expected_number(r, KEYS[0], 0.0..=MAX_OVERAGE, overage),
         slack: s.expected_number(r, KEYS[1], 0.0..=MAX_COLD_SLACK, slack),
     })
 }
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -72,6 +72,10 @@
     EndpointCold = 160,
     /// Requests to an endpoint are no longer limited.
     EndpointWarm = 161,
+    /// A copy of the KV cache of a run that is not used was freed.
+    CopyFreed = 180,
+    /// The target of a move or the backup engine of a run is given up.
+    TargetChanged = 181,
 }
 
 /// Log level of each event.
@@ -109,6 +113,8 @@
     (Event::EvacuationVoid, Level::Warn),
     (Event::EndpointCold, Level::Info),
     (Event::EndpointWarm, Level::Info),
+    (Event::CopyFreed, Level::Info),
+    (Event::TargetChanged, Level::Info),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -6,19 +6,18 @@
 
 use daisyyard_core::access::{Access, Reason};
 use daisyyard_core::choice::{Choice, Purpose};
+use daisyyard_core::continuation::{Holder, Standby};
 use daisyyard_core::crash::Verdict;
 use daisyyard_core::endpoint::{Endpoint, Kind};
 use daisyyard_core::id::{EndpointId, Fingerprint, RequestId, ServiceId};
 use daisyyard_core::load::{Load, Need};
+use daisyyard_core::migration::Freight;
 use daisyyard_core::pool::Signal;
 use tokio::sync::mpsc;
 use xtra::{Context, Handler};
 
 use crate::digest::early_interval;
-use crate::message::{
-    Abandon, Claim, Failover, FirstToken, Grant, Migrate, Notice, ObserveGaps, Place, Placement,
-    Plan, Release, Restart, Rollback, Takeover,
-};
+use crate::message::{Claim, FirstToken, Grant, Notice, ObserveGaps, Placement, Release};
 use crate::pool::Pool;
 
 /// Maximum number of waiting requests; a request beyond it is refused and may be retried later.
@@ -34,18 +33,20 @@
 pub(crate) struct Run {
     /// Endpoint that runs the request.
     pub(crate) endpoint: EndpointId,
-    /// Engine with a backup of the run's KV cache.
-    backup: Option<EndpointId>,
+    /// Copy of the run's KV cache at another engine.
+    pub(crate) standby: Standby,
     /// Engines that failed to take over the run.
-    rejected: Vec<EndpointId>,
+    pub(crate) rejected: Vec<EndpointId>,
     /// Resources that the request needs.
-    need: Need,
+    pub(crate) need: Need,
+    /// Memory that is to be moved, once the engine leaves.
+    pub(crate) freight: Option<Freight>,
     /// Fingerprints of what the caller asks for.
     pub(crate) contents: Arc<[Fingerprint]>,
     /// When the run was sent to its endpoint.
     pub(crate) sent_at: Instant,
     /// Whether the first token has not arrived yet.
-    awaits_first_token: bool,
+    pub(crate) awaits_first_token: bool,
     /// Notifies the task of the request of changes of the endpoint.
     pub(crate) notices: mpsc::Sender<Notice>,
 }
@@ -83,9 +84,10 @@
         let (notices, receiver) = mpsc::channel(1);
         let record = Run {
             endpoint: endpoint.id,
-            backup: backup.as_ref().map(|backup| backup.id),
+            standby: order_backup(backup.as_ref()),
             rejected: Vec::new(),
             need: claim.need,
+            freight: None,
             contents: claim.contents,
             sent_at: now,
             awaits_first_token: true,
@@ -132,21 +134,23 @@
                 0
             },
         };
+        // A copy of a move has a slot, in which the run continues; a backup has only memory.
+        let has_slot = matches!(run.standby, Standby::Moving(_) | Standby::Moved(..));
         let backup_load = Load {
-            runs: 0,
+            runs: u32::from(has_slot),
             prefill: 0,
             ..run_load
         };
         self.endpoints
             .update_load(run.endpoint, |load| adjust(load, run_load, add));
-        if let Some(backup) = run.backup {
+        if let Some(holder) = run.standby.holder() {
             self.endpoints
-                .update_load(backup, |load| adjust(load, backup_load, add));
+                .update_load(holder.engine, |load| adjust(load, backup_load, add));
         }
     }
 
     /// Changes a run and the loads that it causes; returns `None` if the run has ended.
-    fn update_run<T>(
+    pub(crate) fn update_run<T>(
         &mut self,
         id: RequestId,
         change: impl FnOnce(&mut Self, &mut Run) -> T,
@@ -161,7 +165,7 @@
 
     /// Chooses an engine for a copy of a run, other than its own and those that failed to take
     /// over.
-    fn choose_backup(&mut self, run: &Run, purpose: Purpose) -> Option<Arc<Endpoint>> {
+    pub(crate) fn choose_backup(&mut self, run: &Run, purpose: Purpose) -> Option<Arc<Endpoint>> {
         let now = Instant::now();
         let mut excluded = run.rejected.clone();
         excluded.push(run.endpoint);
@@ -174,7 +178,7 @@
     }
 
     /// Updates the health of an endpoint, and reports a failure that concerns all gateways at once.
-    fn observe(&mut self, endpoint: EndpointId, signal: Signal) {
+    pub(crate) fn observe(&mut self, endpoint: EndpointId, signal: Signal) {
         self.endpoints.observe(endpoint, signal, Instant::now());
         if matches!(signal, Signal::Lost | Signal::Refused) {
             self.changed.notify_one();
@@ -183,7 +187,7 @@
 
     /// Returns an endpoint that takes part in the service. One that is ejected or cold counts, because it
     /// may still hold a run or a copy that no other endpoint has.
-    fn live(&self, id: EndpointId) -> Option<Arc<Endpoint>> {
+    pub(crate) fn live(&self, id: EndpointId) -> Option<Arc<Endpoint>> {
         match self.endpoints.access(id, Instant::now())? {
             Access::Open | Access::Closed(Reason::Ejected | Reason::Cold, _) => {
                 self.endpoints.endpoint(id).map(Arc::clone)
@@ -193,6 +197,11 @@
     }
 }
 
+/// Returns what is known of a backup when the run is sent with the order for it.
+pub(crate) fn order_backup(backup: Option<&Arc<Endpoint>>) -> Standby {
+    backup.map_or(Standby::None, |backup| Standby::Ordered(Holder::of(backup)))
+}
+
 /// Adds a load to another one, or subtracts it.
 fn adjust(load: &mut Load, change: Load, add: bool) {
     if add {
@@ -273,104 +282,3 @@
         }
     }
 }
-
-impl Handler<Failover> for Pool {
-    type Return = Option<Takeover>;
-
-    async fn handle(&mut self, message: Failover, _: &mut Context<Self>) -> Self::Return {
-        let Failover(id, signal) = message;
-        let fail_over = |pool: &mut Self, run: &mut Run| {
-            pool.observe(run.endpoint, signal);
-            let now = Instant::now();
-            if pool.evidence.verdict(&run.contents, now) != Verdict::Allow {
-                return None;
-            }
-            let engine = run.backup.take().and_then(|id| pool.live(id))?;
-            let source_live = pool.live(run.endpoint).is_some();
-            run.endpoint = engine.id;
-            run.sent_at = now;
-            run.awaits_first_token = false;
-            let backup = if run.need.backup {
-                pool.choose_backup(run, Purpose::Copy)
-            } else {
-                None
-            };
-            run.backup = backup.as_ref().map(|backup| backup.id);
-            Some(Takeover {
-                engine,
-                backup,
-                source_live,
-            })
-        };
-        self.update_run(id, fail_over)?
-    }
-}
-
-impl Handler<Restart> for Pool {
-    type Return = Place;
-
-    async fn handle(&mut self, Restart(id, signal): Restart, _: &mut Context<Self>) -> Place {
-        let restart = |pool: &mut Self, run: &mut Run| {
-            pool.observe(run.endpoint, signal);
-            run.backup = None;
-            if !run.rejected.contains(&run.endpoint) {
-                run.rejected.push(run.endpoint);
-            }
-            let now = Instant::now();
-            if pool.evidence.verdict(&run.contents, now) != Verdict::Allow {
-                return Place::Missing;
-            }
-            match pool.endpoints.choose(&run.need, &run.rejected, now) {
-                Choice::Send {
-                    endpoint, backup, ..
-                } => {
-                    run.endpoint = endpoint.id;
-                    run.backup = backup.as_ref().map(|backup| backup.id);
-                    run.sent_at = now;
-                    run.awaits_first_token = true;
-                    Place::Engine(endpoint, backup)
-                }
-                Choice::Wait => Place::Full,
-                Choice::Missing | Choice::Evacuated => Place::Missing,
-            }
-        };
-        let place = self.update_run(id, restart).unwrap_or(Place::Missing);
-        self.changed.notify_one();
-        place
-    }
-}
-
-impl Handler<Rollback> for Pool {
-    type Return = ();
-
-    async fn handle(&mut self, Rollback(id, engine, backup): Rollback, _: &mut Context<Self>) {
-        self.update_run(id, |_, run| {
-            run.endpoint = engine;
-            run.backup = Some(backup);
-        });
-    }
-}
-
-impl Handler<Abandon> for Pool {
-    type Return = ();
-
-    async fn handle(&mut self, Abandon(id): Abandon, _: &mut Context<Self>) {
-        self.update_run(id, |_, run| run.rejected.extend(run.backup.take()));
-    }
-}
-
-impl Handler<Migrate> for Pool {
-    type Return = Plan;
-
-    async fn handle(&mut self, Migrate(id): Migrate, _: &mut Context<Self>) -> Plan {
-        let migrate = |pool: &mut Self, run: &mut Run| {
-            if run.backup.and_then(|id| pool.live(id)).is_some() {
-                return Plan::Backup;
-            }
-            let backup = pool.choose_backup(run, Purpose::Run);
-            run.backup = backup.as_ref().map(|backup| backup.id);
-            backup.map_or(Plan::Unavailable, Plan::Move)
-        };
-        self.update_run(id, migrate).unwrap_or(Plan::Unavailable)
-    }
-}
