--- a/crates/daisyyard/src/soak.rs
+++ b/crates/daisyyard/src/soak.rs
@@ -31,10 +31,10 @@
 /// Time between two checks for an expected state.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Availability zone that is evacuated.
-const EVACUATED_ZONE: &str = "zone-b";
+/// Availability zone that is evacuated. It is that of the gateways, which prefer its endpoints.
+const EVACUATED_ZONE: &str = "zone-a";
 /// Key of the order to evacuate it.
-const EVACUATION: &str = "op/evacuate/zone-b";
+const EVACUATION: &str = "op/evacuate/zone-a";
 /// Time from the order until no request may reach the zone.
 const EVACUATION_TIME: Duration = Duration::from_secs(5);
 /// Requests of each kind that are sent through each gateway after that.
@@ -118,6 +118,7 @@
         options.seed,
         options.duration,
     ));
+    events.extend(soak_schedule::draw_crowds(options.seed, options.duration));
     events.sort_by_key(|event| event.at);
     for event in events {
         tokio::time::sleep_until((started + event.at).into()).await;
@@ -269,6 +270,10 @@
                 tokio::time::sleep(duration).await;
                 self.store.remove(EVACUATION).await;
             }
+            Fault::Crowd(gateway) => {
+                let address = self.gateways[gateway].request_address;
+                soak_caller::stall_bodies(address, duration).await;
+            }
         }
     }
 
@@ -350,9 +355,9 @@
 /// Returns the availability zone of the endpoint with this number.
 fn zone_name(number: usize) -> &'static str {
     if number.is_multiple_of(2) {
-        "zone-a"
-    } else {
         EVACUATED_ZONE
+    } else {
+        "zone-b"
     }
 }
 
--- a/crates/daisyyard/src/soak_schedule.rs
+++ b/crates/daisyyard/src/soak_schedule.rs
@@ -29,6 +29,8 @@
 const WAVE_INTERVAL: Duration = Duration::from_millis(3_300);
 /// Range of the notices of leaving engines, in milliseconds.
 const NOTICE_MS: std::ops::Range<u64> = 1_500..2_100;
+/// Range of the times between the starts of two crowds, in milliseconds.
+const CROWD_INTERVAL_MS: std::ops::Range<u64> = 1_000..4_000;
 /// Upper bound of the delay on a slow link, in milliseconds.
 const MAX_LINK_DELAY_MS: u64 = 300;
 
@@ -66,6 +68,8 @@
     Cold,
     /// One of the zones is evacuated.
     Evacuate,
+    /// A crowd of callers sends bodies to a gateway without their end.
+    Crowd(usize),
 }
 
 /// Fault with its start and duration.
@@ -116,21 +120,37 @@
     }
 }
 
-/// Draws the evacuations of a soak. They have a generator of their own, so that the other faults of a seed
-/// stay the same.
+/// Draws the evacuations of a soak.
 pub(crate) fn draw_evacuations(seed: u64, period: Duration) -> Vec<Event> {
+    draw_series(seed, period, EVACUATION_INTERVAL_MS, |_| Fault::Evacuate)
+}
+
+/// Draws the crowds of a soak.
+pub(crate) fn draw_crowds(seed: u64, period: Duration) -> Vec<Event> {
+    let crowd = |random: &mut Pcg64Mcg| Fault::Crowd(random.random_range(0..GATEWAYS));
+    draw_series(seed, period, CROWD_INTERVAL_MS, crowd)
+}
+
+/// Draws a series of faults of one kind. It has a generator of its own, so that the other faults of a seed
+/// stay the same.
+fn draw_series(
+    seed: u64,
+    period: Duration,
+    interval_ms: std::ops::Range<u64>,
+    fault: impl Fn(&mut Pcg64Mcg) -> Fault,
+) -> Vec<Event> {
     let mut random = Pcg64Mcg::seed_from_u64(!seed);
     let mut events = Vec::new();
     let mut at = Duration::ZERO;
     loop {
-        at += Duration::from_millis(random.random_range(EVACUATION_INTERVAL_MS));
+        at += Duration::from_millis(random.random_range(interval_ms.clone()));
         if at >= period {
             return events;
         }
         events.push(Event {
             at,
             duration: Duration::from_millis(random.random_range(DURATION_MS)),
-            fault: Fault::Evacuate,
+            fault: fault(&mut random),
         });
     }
 }
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -76,6 +76,14 @@
     CopyFreed = 180,
     /// The target of a move or the backup engine of a run is given up.
     TargetChanged = 181,
+    /// A caller was refused for lack of memory or connections.
+    MemoryShort = 170,
+    /// There is room for callers again.
+    MemoryFree = 171,
+    /// Requests are refused because no capacity is expected for them in time, or no longer.
+    SheddingChanged = 190,
+    /// Requests of the heaviest accounts that were served, late or refused while requests were shed.
+    AccountBurden = 191,
 }
 
 /// Log level of each event.
@@ -115,6 +123,10 @@
     (Event::EndpointWarm, Level::Info),
     (Event::CopyFreed, Level::Info),
     (Event::TargetChanged, Level::Info),
+    (Event::MemoryShort, Level::Warn),
+    (Event::MemoryFree, Level::Info),
+    (Event::SheddingChanged, Level::Warn),
+    (Event::AccountBurden, Level::Info),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -8,10 +8,11 @@
 use prost::Message;
 
 use crate::codec::Item;
-use crate::message::Report;
+use crate::message::{Demand, Report};
 use crate::wire::{
     Change, ColdEndpoint, ContentRecord, Counts, Departure, EndpointLoad, Evacuation, Knowledge,
 };
+use crate::wire_demand::{AccountPart, KindStream, RefusedPart, WaitingPart};
 
 /// Maximum size of a datagram; it fits into one packet on any path.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -29,6 +30,8 @@
 const MAX_COLD: usize = 32;
 /// Maximum number of records of contents in one datagram.
 const MAX_CONTENTS: usize = 8;
+/// Maximum number of kinds of requests in one datagram, or of waiting ones in a digest.
+const MAX_KINDS: usize = 8;
 /// Maximum number of services in one datagram.
 const MAX_SERVICES: usize = 8;
 
@@ -96,6 +99,18 @@
     /// Cold endpoints that the sender knows by itself.
     #[prost(message, repeated, tag = "20")]
     cold: Vec<ColdEndpoint>,
+    /// Work of the heaviest accounts and of the rest.
+    #[prost(message, repeated, tag = "24")]
+    accounts: Vec<AccountPart>,
+    /// Requests that arrive and start, by kind.
+    #[prost(message, repeated, tag = "25")]
+    streams: Vec<KindStream>,
+    /// Requests that were refused lately.
+    #[prost(message, repeated, tag = "26")]
+    refused: Vec<RefusedPart>,
+    /// Requests that wait, by kind.
+    #[prost(message, repeated, tag = "27")]
+    waiting: Vec<WaitingPart>,
 }
 
 /// What a frame is for.
@@ -125,12 +140,26 @@
             purpose: Purpose::Continuation.into(),
             ..Self::default()
         });
-        let first = Self {
+        let mut first = Self {
             loads: first.iter().map(load).collect(),
             ..Self::without_loads(report)
         };
-        let first = std::iter::once(first).chain(rest);
-        first.chain(Self::from_cold(report)).collect()
+        let demand = first.split_demand();
+        let frames = std::iter::once(first).chain(rest).chain(demand);
+        frames.chain(Self::from_cold(report)).collect()
+    }
+
+    /// Moves the waiting and refused requests to a frame of their own if both together are too long for
+    /// a datagram.
+    fn split_demand(&mut self) -> Option<Self> {
+        (self.encoded_len() > MAX_DATAGRAM_BYTES).then(|| Self {
+            instance: self.instance,
+            leaving: self.leaving,
+            purpose: Purpose::Continuation.into(),
+            refused: std::mem::take(&mut self.refused),
+            waiting: std::mem::take(&mut self.waiting),
+            ..Self::default()
+        })
     }
 
     /// Returns the frame of the cold endpoints in a report; none if there are none. If there are too
@@ -163,6 +192,23 @@
         records.chunks(MAX_CONTENTS).map(frame).collect()
     }
 
+    /// Returns the frame that tells the work of accounts and the requests by kind.
+    pub(crate) fn from_demand(from: InstanceId, leaving: bool, demand: &Demand) -> Self {
+        Self {
+            instance: from,
+            leaving,
+            purpose: Purpose::Continuation.into(),
+            accounts: demand.accounts.iter().map(Into::into).collect(),
+            streams: demand
+                .streams
+                .iter()
+                .take(MAX_KINDS)
+                .map(Into::into)
+                .collect(),
+            ..Self::default()
+        }
+    }
+
     /// Splits changes of the store into frames. A change that is too large for a datagram is left
     /// out; the gateways find it in their next complete read.
     pub(crate) fn from_news(news: News) -> Vec<Self> {
@@ -228,7 +274,21 @@
 
     /// Returns the first frame of a report without the loads.
     pub(crate) fn without_loads(report: &Report) -> Self {
+        let (now, demand) = (Instant::now(), &report.demand);
         Self {
+            accounts: Vec::new(),
+            streams: Vec::new(),
+            refused: demand
+                .refused
+                .iter()
+                .map(|refused| RefusedPart::new(refused, now))
+                .collect(),
+            waiting: demand
+                .waiting
+                .iter()
+                .take(MAX_KINDS)
+                .map(Into::into)
+                .collect(),
             purpose: Purpose::Digest.into(),
             news: Vec::new(),
             relist_ms: 0,
@@ -296,6 +356,16 @@
                 .iter()
                 .map(|record| record.record(now))
                 .collect(),
+            demand: Demand {
+                waiting: frame.waiting.into_iter().map(Into::into).collect(),
+                refused: frame
+                    .refused
+                    .iter()
+                    .filter_map(|refused| refused.refused(now))
+                    .collect(),
+                accounts: frame.accounts.into_iter().map(Into::into).collect(),
+                streams: frame.streams.into_iter().map(Into::into).collect(),
+            },
         }
     }
 }
--- a/crates/daisyyard_gateway/src/metrics.rs
+++ b/crates/daisyyard_gateway/src/metrics.rs
@@ -1,18 +1,25 @@
 //! Metrics of a gateway in the Prometheus text format.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use anyhow::Context;
-use metrics::{Key, KeyName, Level, Metadata, Recorder};
+use daisyyard_core::footprint::Use;
+use metrics::{Key, KeyName, Label, Level, Metadata, Recorder};
 use metrics_exporter_prometheus::{
     Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
 };
 
+use crate::memory::Figures;
+
 /// Histogram buckets of the response latency, in seconds.
 const LATENCY_BUCKETS_SECONDS: [f64; 12] = [
     0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 1.5, 2.0, 4.0, 8.0, 16.0, 40.0,
 ];
+/// Number of latencies after which they are added to the buckets. Until then each takes 8 B, and nobody
+/// may read the metrics.
+const MAX_SAMPLES: u32 = 1_024;
 /// Counter of requests by kind and outcome.
 const REQUESTS: &str = "daisyyard_gateway_requests_total";
 /// Histogram of the time until the end of a request.
@@ -31,9 +38,29 @@
 const COLD_ENDPOINTS: &str = "daisyyard_gateway_cold_endpoints";
 /// Counter of sends that waited or went to a warm endpoint because endpoints were cold, by effect.
 const COLD_SENDS: &str = "daisyyard_gateway_cold_sends_total";
+/// Gauge of the memory and connections that are charged, by use.
+const HELD: &str = "daisyyard_gateway_held";
+/// Gauge of the limits on them, by use.
+const HELD_LIMIT: &str = "daisyyard_gateway_held_limit";
+/// Counter of the charges that were refused, by use.
+const HELD_REFUSED: &str = "daisyyard_gateway_held_refused_total";
+/// Counter of admitted and refused requests by account and outcome.
+const ADMISSIONS: &str = "daisyyard_gateway_admissions_total";
 /// Module and level under which the metrics are registered.
 const ORIGIN: Metadata<'static> = Metadata::new(module_path!(), Level::INFO, Some(module_path!()));
 
+/// Returns the name of a use for metrics.
+fn name(usage: Use) -> &'static str {
+    match usage {
+        Use::Body => "body_bytes",
+        Use::Answer => "answer_bytes",
+        Use::Relay => "relay_bytes",
+        Use::Connection => "connections",
+        Use::Pending => "pending_bodies",
+        Use::Control => "control_connections",
+    }
+}
+
 /// Metrics of one gateway.
 #[derive(Debug, Clone)]
 pub(crate) struct Metrics {
@@ -41,6 +68,8 @@
     recorder: Arc<PrometheusRecorder>,
     /// Renders the metrics as text.
     handle: PrometheusHandle,
+    /// Number of latencies that were recorded.
+    samples: Arc<AtomicU32>,
 }
 
 impl Metrics {
@@ -55,6 +84,7 @@
         Ok(Self {
             recorder: Arc::new(recorder),
             handle,
+            samples: Arc::new(AtomicU32::new(0)),
         })
     }
 
@@ -70,6 +100,10 @@
         let key = Key::from_parts(KeyName::from_const_str(LATENCY), &[("kind", kind)]);
         let histogram = self.recorder.register_histogram(&key, &ORIGIN);
         histogram.record(latency.as_secs_f64());
+        let samples = self.samples.fetch_add(1, Ordering::Relaxed);
+        if samples % MAX_SAMPLES == MAX_SAMPLES - 1 {
+            self.handle.run_upkeep();
+        }
     }
 
     /// Counts a retry.
@@ -110,6 +144,31 @@
         gauge.set(value as f64);
     }
 
+    /// Sets the gauges of the account of memory and connections.
+    pub(crate) fn set_memory(&self, figures: &[Figures]) {
+        for one in figures {
+            let labels = [("use", name(one.usage))];
+            let key = |name| Key::from_parts(KeyName::from_const_str(name), &labels);
+            let gauge = |name, value: f64| {
+                self.recorder.register_gauge(&key(name), &ORIGIN).set(value);
+            };
+            gauge(HELD, one.used as f64);
+            gauge(HELD_LIMIT, one.limit as f64);
+            let refused = self.recorder.register_counter(&key(HELD_REFUSED), &ORIGIN);
+            refused.absolute(one.refused);
+        }
+    }
+
+    /// Counts a request of an account that was started or refused.
+    pub(crate) fn record_admission(&self, account: &str, outcome: &'static str) {
+        let labels = vec![
+            Label::new("account", account.to_owned()),
+            Label::new("outcome", outcome),
+        ];
+        let key = Key::from_parts(KeyName::from_const_str(ADMISSIONS), labels);
+        self.recorder.register_counter(&key, &ORIGIN).increment(1);
+    }
+
     /// Increments a counter.
     fn count(&self, name: &'static str, labels: &[(&'static str, &'static str)]) {
         let key = Key::from_parts(KeyName::from_const_str(name), labels);
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -17,13 +17,14 @@
 use xtra::Address;
 
 use crate::body::{self, Body};
-use crate::buffer::{self, Buffer};
+use crate::buffer;
 use crate::codec::Codec;
 use crate::ending::Ending;
 use crate::evacuation::{Unsent, Zones};
 use crate::event::Event;
 use crate::job::Job;
 use crate::log::Log;
+use crate::memory::Memory;
 use crate::message::{Claim, Count, Grant, Placement, Retry};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
@@ -55,8 +56,8 @@
     pub(crate) ending: Ending,
     /// Evacuated availability zones.
     pub(crate) zones: Zones,
-    /// Memory for answers that are read whole.
-    pub(crate) buffer: Buffer,
+    /// Memory for what the gateway holds for callers.
+    pub(crate) memory: Memory,
     /// Metrics of the gateway.
     pub(crate) metrics: Metrics,
     /// Log of the gateway.
@@ -179,6 +180,8 @@
         let claim = Claim {
             need: job.need(),
             schedule: job.schedule(),
+            ask: job.ask(),
+            client: job.client.clone(),
             excluded: tried.to_vec(),
             contents: Arc::clone(&job.contents),
             waited_for_cold: false,
@@ -195,6 +198,7 @@
             Ok(Placement::Granted(grant)) => Ok(grant),
             Ok(Placement::Refused(time)) => Err(Refusal::Suspected(time)),
             Ok(Placement::Evacuated) => Err(Refusal::Evacuated),
+            Ok(Placement::Shed(time)) => Err(Refusal::Shed(time)),
             Err(_) => Err(Refusal::Full),
         }
     }
@@ -255,6 +259,7 @@
                 response: None,
             };
         }
+        job.drop_body(runs_left);
         if status.is_success() && !receipt.signed {
             grant.signal = Signal::Failed;
             return answer_unusable("unsigned_answer");
@@ -296,7 +301,7 @@
         deadline: Instant,
     ) -> Sent {
         let (parts, incoming) = answer.response.into_parts();
-        let read = self.buffer.read(incoming);
+        let read = buffer::read(&self.memory, incoming);
         let bytes = match tokio::time::timeout_at(deadline.into(), read).await {
             Ok(Ok(bytes)) => bytes,
             Ok(Err(buffer::Error::Broken)) => {
@@ -343,6 +348,7 @@
             Refusal::Declined => "declined",
             Refusal::Late => "late",
             Refusal::Suspected(_) => "suspected",
+            Refusal::Shed(_) => "shed",
             _ => "lost",
         };
         self.record_end(job, refusal.status(), reason);
