--- a/crates/daisyyard/src/gateway_settings.rs
+++ b/crates/daisyyard/src/gateway_settings.rs
@@ -70,7 +70,7 @@
             .unwrap_or(SMALLEST_MACHINE),
         admission: s
             .optional_object(r, "admission", |s, r| {
-                s.strings(r, "contracts", "[\"pressure\"]")
+                s.passed_strings(r, "contracts", "[\"pressure\"]")
             })
             .is_some_and(|contracts| contracts.iter().any(|name| name == PRESSURE)),
     };
