--- a/crates/daisyyard_gateway/src/standby.rs
+++ b/crates/daisyyard_gateway/src/standby.rs
@@ -129,7 +129,7 @@
                     run.awaits_first_token = true;
                     Place::Engine(endpoint, backup)
                 }
-                Choice::Wait => Place::Full,
+                Choice::Wait | Choice::TurnedAway(_) => Place::Full,
                 Choice::Missing | Choice::Evacuated => Place::Missing,
             }
         };
@@ -189,7 +189,8 @@
             let holder = run.standby.holder();
             Outlook {
                 left: pool.time_left(run.endpoint, Instant::now()),
-                target_open: holder.is_some_and(|holder| pool.is_same(holder)),
+                target_open: holder
+                    .is_some_and(|holder| pool.is_same(holder) && !pool.turns_away(holder.engine)),
             }
         };
         self.update_run(message.run, complete).unwrap_or(Outlook {
