Log and count the reads of the store that fail

Change: StoreReadFailed tells what was read, how often in a row, for how long, and how much of the response had arrived; StoreRegained tells the read that was answered. A counter has the reads by outcome. No read is treated differently; a response that is known to be too large from its head is given up before its body instead of within it.

--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -31,6 +31,8 @@
     Registered = 115,
     /// The gateway has another part in reading the store than before.
     StandingChanged = 116,
+    /// A read of the store failed.
+    StoreReadFailed = 117,
     /// The entry of an endpoint was added or changed.
     EndpointListed = 120,
     /// An endpoint accepts no new requests.
@@ -109,6 +111,7 @@
     (Event::CatalogAdopted, Level::Info),
     (Event::Registered, Level::Info),
     (Event::StandingChanged, Level::Info),
+    (Event::StoreReadFailed, Level::Warn),
     (Event::EndpointListed, Level::Info),
     (Event::EndpointLeaving, Level::Info),
     (Event::EndpointGone, Level::Info),
--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -132,7 +132,7 @@
             pool.clone(),
             (refresh, standing),
             news,
-            log.clone(),
+            (log.clone(), metrics.clone()),
         );
         tokio::spawn(watcher.run());
         let registration = registration(settings, codec, phase_view.clone(), log.clone())?;
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub(crate) mod pool;
 pub(crate) mod proof;
 pub(crate) mod proxy;
+pub(crate) mod reach;
 pub(crate) mod refusal;
 pub(crate) mod registration;
 pub(crate) mod relay;
--- a/crates/daisyyard_gateway/src/metrics.rs
+++ b/crates/daisyyard_gateway/src/metrics.rs
@@ -48,6 +48,8 @@
 const ADMISSIONS: &str = "daisyyard_gateway_admissions_total";
 /// Counter of what endpoints stated in answers, by reason.
 const STATEMENTS: &str = "daisyyard_gateway_endpoint_statements_total";
+/// Counter of reads of the store, by what was read and outcome.
+const STORE_READS: &str = "daisyyard_gateway_store_reads_total";
 /// Module and level under which the metrics are registered.
 const ORIGIN: Metadata<'static> = Metadata::new(module_path!(), Level::INFO, Some(module_path!()));
 
@@ -144,6 +146,11 @@
         self.count(STATEMENTS, &[("reason", reason)]);
     }
 
+    /// Counts a read of the store.
+    pub(crate) fn record_store_read(&self, read: &'static str, outcome: &'static str) {
+        self.count(STORE_READS, &[("read", read), ("outcome", outcome)]);
+    }
+
     /// Sets a gauge.
     fn set(&self, name: &'static str, value: usize) {
         let key = Key::from_name(KeyName::from_const_str(name));
--- a/crates/daisyyard_gateway/src/store.rs
+++ b/crates/daisyyard_gateway/src/store.rs
@@ -1,14 +1,17 @@
 //! HTTP client for calls to the platform's store and to the control interface of engines.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use daisyyard_http::connection::{self, Failure};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::http::response;
 use hyper::{Request, StatusCode};
+use tokio::time::Instant;
 
 use crate::codec::Call;
 
@@ -26,6 +29,12 @@
     /// The connection closed before the response was complete.
     #[error("the connection closed before the response was complete; retry the call")]
     Broken,
+    /// The response began to arrive but was not complete in time.
+    #[error("the response was not complete in time ({0}); check the bandwidth of the path")]
+    Incomplete(Progress),
+    /// The response is larger than the call allows.
+    #[error("the response is too large ({0}); read less at once")]
+    TooLarge(Progress),
     /// The server rejected the call.
     #[error("the server rejected the call with status {0}; retry later")]
     Declined(StatusCode),
@@ -34,6 +43,39 @@
     Unusable(anyhow::Error),
 }
 
+impl Error {
+    /// Returns the name of the reason for metrics.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Self::Unanswered(_) => "unanswered",
+            Self::Broken => "broken",
+            Self::Incomplete(_) => "incomplete",
+            Self::TooLarge(_) => "too_large",
+            Self::Declined(_) => "declined",
+            Self::Unusable(_) => "unusable",
+        }
+    }
+}
+
+/// How much of the body of a response has arrived.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Progress {
+    /// Bytes that have arrived.
+    pub(crate) received: usize,
+    /// Size of the body in bytes; none if the response does not state it.
+    pub(crate) expected: Option<u64>,
+}
+
+impl fmt::Display for Progress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} of ", self.received)?;
+        match self.expected {
+            Some(bytes) => write!(f, "{bytes} bytes"),
+            None => f.write_str("an unknown number of bytes"),
+        }
+    }
+}
+
 /// Sends a call on a new connection and returns the complete response of at most `max_bytes` if its
 /// status is 200.
 pub(crate) async fn call(
@@ -65,16 +107,43 @@
     }
     let request = request.body(Full::new(call.body));
     let request = request.map_err(|error| Error::Unusable(error.into()))?;
-    let exchange = async {
-        let answer = connection::send(address, request, timeout).await;
-        let answer = answer.map_err(Error::Unanswered)?;
-        let (head, body) = answer.response.into_parts();
-        let body = Limited::new(body, max_bytes);
-        let body = body.collect().await.map_err(|_broken| Error::Broken)?;
-        Ok((head, body.to_bytes()))
-    };
-    let exchange = tokio::time::timeout(timeout, exchange).await;
-    exchange.map_err(|_elapsed| Error::Unanswered(Failure::Silent))?
+    let deadline = Instant::now() + timeout;
+    let answer = connection::send(address, request, timeout);
+    let answer = tokio::time::timeout_at(deadline, answer).await;
+    let answer = answer.map_err(|_elapsed| Error::Unanswered(Failure::Silent))?;
+    let answer = answer.map_err(Error::Unanswered)?;
+    let (head, body) = answer.response.into_parts();
+    let body = read_body(body, deadline, max_bytes).await?;
+    Ok((head, body))
+}
+
+/// Reads a body of at most `max_bytes` until a deadline.
+async fn read_body(
+    mut body: Incoming,
+    deadline: Instant,
+    max_bytes: usize,
+) -> Result<Bytes, Error> {
+    let expected = body.size_hint().exact();
+    let mut bytes = BytesMut::new();
+    let progress = |received| Progress { received, expected };
+    if expected.is_some_and(|expected| expected > max_bytes as u64) {
+        return Err(Error::TooLarge(progress(0)));
+    }
+    loop {
+        let frame = tokio::time::timeout_at(deadline, body.frame()).await;
+        let frame = frame.map_err(|_elapsed| Error::Incomplete(progress(bytes.len())))?;
+        let Some(frame) = frame else {
+            return Ok(bytes.freeze());
+        };
+        let frame = frame.map_err(|_broken| Error::Broken)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > max_bytes {
+            return Err(Error::TooLarge(progress(bytes.len())));
+        }
+        bytes.extend_from_slice(&data);
+    }
 }
 
 /// Exponential backoff after failed calls.
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -6,9 +6,7 @@
 
 use daisyyard_core::catalog::Catalog;
 use daisyyard_core::id::Revision;
-use daisyyard_core::outage::Outage;
 use daisyyard_core::roster::Role;
-use daisyyard_http::connection::Failure;
 use futures_util::FutureExt;
 use hyper::StatusCode;
 use tokio::sync::{Notify, mpsc, watch};
@@ -18,16 +16,15 @@
 use crate::event::Event;
 use crate::frame::News;
 use crate::log::Log;
-use crate::message::{SetColdStarts, Standing, StoreReach, Update};
+use crate::message::{SetColdStarts, Standing, Update};
+use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::reach::Reach;
 use crate::settings::Bounds;
-use crate::store::{self, Backoff, Error, MAX_PAGE_BYTES};
+use crate::store::{self, Error, MAX_PAGE_BYTES};
 
 /// Timeout of a read. The store usually answers within milliseconds, but it can be slow.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum delay between retries while the store is unavailable. A gateway that has just started
-/// serves no requests until the store has answered once.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Time for which a watch waits, as a share of the time in which a change must be in force.
 /// The knowledge of the readers is then young enough for the gateways that rely on them.
 const WATCH_SHARE: f64 = 0.5;
@@ -51,7 +48,7 @@
 
 /// What a gateway reads next from the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Read {
+pub(crate) enum Read {
     /// The changes since the last read.
     Changes,
     /// The configuration, which may be a few seconds old.
@@ -60,6 +57,17 @@
     All,
 }
 
+impl Read {
+    /// Returns the name of the read for metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Changes => "changes",
+            Self::Catalog => "catalog",
+            Self::All => "all",
+        }
+    }
+}
+
 /// Watches the store.
 #[derive(Debug)]
 pub(crate) struct Watcher {
@@ -77,16 +85,14 @@
     pool: Address<Pool>,
     /// Publishes the current configuration.
     catalog: watch::Sender<Option<Arc<Catalog>>>,
-    /// Delay after failed calls.
-    backoff: Backoff,
     /// Passes changes on to other gateways.
     news: mpsc::UnboundedSender<News>,
     /// Part of this gateway in the fleet.
     standing: watch::Receiver<Standing>,
     /// Whether the last read of the configuration alone brought no newer one.
     catalog_was_old: bool,
-    /// Outages of the store.
-    outage: Outage,
+    /// Outcomes of the reads.
+    reach: Reach,
     /// Log of the gateway.
     log: Log,
 }
@@ -100,7 +106,7 @@
         pool: Address<Pool>,
         (refresh, standing): (Arc<Notify>, watch::Receiver<Standing>),
         news: mpsc::UnboundedSender<News>,
-        log: Log,
+        (log, metrics): (Log, Metrics),
     ) -> (Self, Configuration) {
         let (catalog, configuration) = watch::channel(None);
         let watcher = Self {
@@ -109,13 +115,12 @@
             watch_timeout: bounds.max_store_delay().mul_f64(WATCH_SHARE),
             max_pause: bounds.max_recovery_time.mul_f64(MAX_PAUSE_SHARE),
             refresh,
+            reach: Reach::new(address, pool.clone(), (log.clone(), metrics)),
             pool,
             catalog,
-            backoff: Backoff::new(MAX_RETRY_DELAY),
             news,
             standing,
             catalog_was_old: false,
-            outage: Outage::default(),
             log,
         };
         (watcher, configuration)
@@ -153,7 +158,7 @@
             let standing = *self.standing.borrow_and_update();
             let told = self.version().is_some() && standing.is_told();
             let pause = match standing {
-                _ if told && self.outage.is_on() => PROBE_PAUSE,
+                _ if told && self.reach.is_lost() => PROBE_PAUSE,
                 _ if told => TOLD_PAUSE,
                 _ if !changed => Duration::ZERO,
                 // The readers do not read at the same moments.
@@ -172,7 +177,7 @@
             tokio::select! {
                 () = tokio::time::sleep_until((started + pause).into()) => {
                     return match told {
-                        true if self.outage.is_on() => Read::Catalog,
+                        true if self.reach.is_lost() => Read::Catalog,
                         true => Read::All,
                         false => Read::Changes,
                     };
@@ -211,13 +216,13 @@
             let started = Instant::now();
             match self.read_pages(Freshness::Latest).await {
                 Ok(batch) => {
-                    self.record_success().await;
+                    self.reach.record_success(Read::All).await;
                     let revision = batch.revision;
                     self.catalog_was_old = false;
                     self.publish(batch, Read::All, Some(started)).await;
                     return revision;
                 }
-                Err(error) => self.record_failure(&error, started).await,
+                Err(error) => self.reach.record_failure(Read::All, &error, started).await,
             }
         }
     }
@@ -251,14 +256,18 @@
             .and_then(|response| (self.codec.store.read_batch)(&response).map_err(Error::Unusable));
         match batch {
             Ok(batch) => {
-                self.record_success().await;
+                self.reach.record_success(Read::Catalog).await;
                 let known = self.version();
                 // Other keys are known up to the revision of the last read.
                 self.publish(Batch { revision, ..batch }, Read::Catalog, None)
                     .await;
                 self.catalog_was_old = self.version() == known;
             }
-            Err(error) => self.record_failure(&error, started).await,
+            Err(error) => {
+                self.reach
+                    .record_failure(Read::Catalog, &error, started)
+                    .await;
+            }
         }
     }
 
@@ -266,7 +275,7 @@
     /// the watch history is lost. The store answers at once if it was lost before, so that its return is
     /// noticed; otherwise it waits for changes.
     async fn watch(&mut self, revision: Revision) -> Option<(Revision, bool)> {
-        let wait = if self.outage.is_on() {
+        let wait = if self.reach.is_lost() {
             Duration::ZERO
         } else {
             self.watch_timeout
@@ -279,7 +288,7 @@
             .and_then(|response| (self.codec.store.read_batch)(&response).map_err(Error::Unusable));
         match batch {
             Ok(batch) => {
-                self.record_success().await;
+                self.reach.record_success(Read::Changes).await;
                 let next = batch.revision.max(revision);
                 let changed = !batch.records.is_empty();
                 // A response that was delayed on its way may have left at the end of the wait.
@@ -293,7 +302,9 @@
                 None
             }
             Err(error) => {
-                self.record_failure(&error, started).await;
+                self.reach
+                    .record_failure(Read::Changes, &error, started)
+                    .await;
                 Some((revision, false))
             }
         }
@@ -326,7 +337,7 @@
         let message = Update {
             records: others,
             items: batch.items,
-            relist_deadline: self.outage.relist_deadline(Instant::now()),
+            relist_deadline: self.reach.relist_deadline(Instant::now()),
             complete: read == Read::All,
             complete_at,
             revision: batch.revision,
@@ -339,7 +350,7 @@
         }
         if !items.is_empty() && self.standing.borrow().role == Role::Reader {
             let now = Instant::now();
-            let deadline = self.outage.relist_deadline(now);
+            let deadline = self.reach.relist_deadline(now);
             let relist_time = deadline.map_or(Duration::ZERO, |deadline| deadline - now);
             // The task that sends datagrams ends only with the process.
             let _ = self.news.send(News { items, relist_time });
@@ -359,32 +370,4 @@
         let details = format!("version={version} routes={routes} read={read:?}");
         self.log.emit(Event::CatalogAdopted, &details);
     }
-
-    /// Records that the store has answered.
-    async fn record_success(&mut self) {
-        self.backoff.reset();
-        let Some(lasted) = self.outage.record_success(Instant::now()) else {
-            return;
-        };
-        // The pool ends only with the process.
-        let _ = self.pool.send(StoreReach(true)).await;
-        let details = format!("address={} ms={}", self.address, lasted.as_millis());
-        self.log.emit(Event::StoreRegained, &details);
-    }
-
-    /// Records that a call to the store, started at the given time, failed, and waits before the next
-    /// one.
-    async fn record_failure(&mut self, error: &Error, started: Instant) {
-        let timed_out = matches!(
-            error,
-            Error::Unanswered(Failure::Silent | Failure::Unreachable)
-        );
-        let since = if timed_out { started } else { Instant::now() };
-        if self.outage.record_failure(since) {
-            let _ = self.pool.send(StoreReach(false)).await;
-            let details = format!("address={} reason={:?}", self.address, error.to_string());
-            self.log.emit(Event::StoreLost, &details);
-        }
-        self.backoff.wait().await;
-    }
 }
