Read the state instead of changes that are too large, and let a response arrive as long as it moves

What callers saw: a gateway refused routes and keys with 404 and 401, or used an old service, up to 16 s after the store had confirmed the newer configuration and long after its path had recovered.

Cause: a gateway that is behind asked the store for all changes since its last complete read, which repeat the whole configuration each time, and gave the response 1 s in all. At 10 Mbit/s that is 1.2 MB: four versions of 389 kB did not fit, each retry began at nothing, and only the end of the store's history (20 s) led to a read of the state. The class of fault: a fixed time for a response whose size grows with the configuration and with the time that the reader was away.

Change: catch_up.rs of the core decides. Changes larger than twice the state, or that began to arrive and did not end, are given up and the state is read instead, which does not grow with the time away. A page may arrive for as long as it does not stall for 1 s, at most 10 s (8 MiB at 10 Mbit/s take 7 s). Results of single calls keep their total limits.

--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -16,6 +16,7 @@
 mod candidate;
 mod capacity;
 pub mod catalog;
+pub mod catch_up;
 pub mod choice;
 pub mod coldness;
 pub mod config;
--- a/crates/daisyyard_gateway/src/archive.rs
+++ b/crates/daisyyard_gateway/src/archive.rs
@@ -11,10 +11,10 @@
 use crate::codec::{Call, Codec};
 use crate::event::Event;
 use crate::log::Log;
-use crate::store::{self, Backoff, Error, MAX_RESULT_BYTES};
+use crate::store::{self, Backoff, Error, MAX_RESULT_BYTES, Timeouts};
 
 /// Timeout of a call to the store.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+const CALL_TIMEOUT: Timeouts = Timeouts::of_result(Duration::from_secs(1));
 /// Maximum delay between two tries of a call.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -21,7 +21,7 @@
     StoreLost = 110,
     /// The store answers again.
     StoreRegained = 111,
-    /// The watch history of the store was lost, so all keys are read again.
+    /// The changes of the store cannot be read, so all keys are read again.
     StoreReread = 112,
     /// A value in the store cannot be decoded.
     ValueUnusable = 113,
--- a/crates/daisyyard_gateway/src/migration.rs
+++ b/crates/daisyyard_gateway/src/migration.rs
@@ -15,14 +15,14 @@
 use crate::message::{Abandon, Copied, Migrate, Plan};
 use crate::proxy::Proxy;
 use crate::relay::{LEAVING, Relay};
-use crate::store;
+use crate::store::{self, Timeouts};
 
 /// Delay before another attempt to find an engine with capacity for the run.
 pub(crate) const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of one copy of a run's KV cache.
 pub(crate) const COPY_TIMEOUT: Duration = Duration::from_secs(3);
 /// Timeout of the call that frees a copy; an engine frees it by itself later.
-const FREE_TIMEOUT: Duration = Duration::from_secs(1);
+const FREE_TIMEOUT: Timeouts = Timeouts::of_result(Duration::from_secs(1));
 
 /// Progress of a migration.
 #[derive(Debug)]
@@ -250,7 +250,8 @@
 ) -> impl Future<Output = Result<Transfer, store::Error>> + use<> {
     let engine = proxy.codec.engine;
     let call = (engine.copy_cache)(&job.attempt, target.address, last);
-    let exchange = store::exchange(source.address, call, COPY_TIMEOUT, store::MAX_RESULT_BYTES);
+    let timeouts = Timeouts::of_result(COPY_TIMEOUT);
+    let exchange = store::exchange(source.address, call, timeouts, store::MAX_RESULT_BYTES);
     let (proxy, source) = (proxy.clone(), source.clone());
     async move {
         let (head, body) = exchange.await?;
--- a/crates/daisyyard_gateway/src/reach.rs
+++ b/crates/daisyyard_gateway/src/reach.rs
@@ -84,6 +84,11 @@
         self.log.emit(Event::StoreRegained, &details);
     }
 
+    /// Counts changes that the store offered but this gateway did not read.
+    pub(crate) fn record_unread(&self, read: Read, error: &Error) {
+        self.metrics.record_store_read(read.name(), error.name());
+    }
+
     /// Records that a read, started at the given time, failed, and waits before the next one.
     pub(crate) async fn record_failure(&mut self, read: Read, error: &Error, started: Instant) {
         let timed_out = matches!(
--- a/crates/daisyyard_gateway/src/registration.rs
+++ b/crates/daisyyard_gateway/src/registration.rs
@@ -11,10 +11,10 @@
 use crate::event::Event;
 use crate::log::Log;
 use crate::server::Phase;
-use crate::store::{self, Backoff, Error, MAX_RESULT_BYTES};
+use crate::store::{self, Backoff, Error, MAX_RESULT_BYTES, Timeouts};
 
 /// Timeout of a call to the store.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+const CALL_TIMEOUT: Timeouts = Timeouts::of_result(Duration::from_secs(1));
 /// Lifetime of the lease; the entry of a crashed gateway remains this long. Digests show sooner that
 /// it is lost, unless no other gateway is left that this one hears.
 const LEASE_LIFETIME: Duration = Duration::from_secs(10);
--- a/crates/daisyyard_gateway/src/store.rs
+++ b/crates/daisyyard_gateway/src/store.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use daisyyard_core::catch_up::End;
 use daisyyard_http::connection::{self, Failure};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -17,6 +18,8 @@
 
 /// Maximum size of a response of the store, in bytes; it must fit a page of encoded values.
 pub(crate) const MAX_PAGE_BYTES: usize = 8 << 20;
+/// Maximum time for the body of such a page; the largest one takes 7 s at 10 Mbit/s.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum size of a response that states the result of a single call, in bytes.
 pub(crate) const MAX_RESULT_BYTES: usize = 64 << 10;
 
@@ -55,6 +58,21 @@
             Self::Unusable(_) => "unusable",
         }
     }
+
+    /// Returns whether the server answers, but not with the changes that were asked for.
+    pub(crate) fn proves_reach(&self) -> bool {
+        matches!(self, Self::TooLarge(_) | Self::Declined(StatusCode::GONE))
+    }
+}
+
+impl From<&Error> for End {
+    fn from(error: &Error) -> Self {
+        match error {
+            Error::Declined(StatusCode::GONE) => Self::Discarded,
+            Error::Incomplete(_) | Error::TooLarge(_) | Error::Broken => Self::Abandoned,
+            Error::Unanswered(_) | Error::Declined(_) | Error::Unusable(_) => Self::Unanswered,
+        }
+    }
 }
 
 /// How much of the body of a response has arrived.
@@ -76,15 +94,47 @@
     }
 }
 
+/// Limits on the time of a call.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Timeouts {
+    /// Time until the head of the response.
+    head: Duration,
+    /// Time until the next bytes of the body.
+    stall: Duration,
+    /// Time until the end of the body.
+    total: Duration,
+}
+
+impl Timeouts {
+    /// Returns the limits of a call whose response is small.
+    pub(crate) const fn of_result(total: Duration) -> Self {
+        Self {
+            head: total,
+            stall: total,
+            total,
+        }
+    }
+
+    /// Returns the limits of a call whose response is a page of values. It may take long to arrive, as
+    /// long as its parts do.
+    pub(crate) fn of_page(head: Duration, stall: Duration) -> Self {
+        Self {
+            head,
+            stall,
+            total: head + PAGE_TIMEOUT,
+        }
+    }
+}
+
 /// Sends a call on a new connection and returns the complete response of at most `max_bytes` if its
 /// status is 200.
 pub(crate) async fn call(
     address: SocketAddr,
     call: Call,
-    timeout: Duration,
+    timeouts: Timeouts,
     max_bytes: usize,
 ) -> Result<Bytes, Error> {
-    match exchange(address, call, timeout, max_bytes).await? {
+    match exchange(address, call, timeouts, max_bytes).await? {
         (head, body) if head.status == StatusCode::OK => Ok(body),
         (head, _) => Err(Error::Declined(head.status)),
     }
@@ -95,7 +145,7 @@
 pub(crate) async fn exchange(
     address: SocketAddr,
     call: Call,
-    timeout: Duration,
+    timeouts: Timeouts,
     max_bytes: usize,
 ) -> Result<(response::Parts, Bytes), Error> {
     let mut request = Request::builder()
@@ -107,30 +157,32 @@
     }
     let request = request.body(Full::new(call.body));
     let request = request.map_err(|error| Error::Unusable(error.into()))?;
-    let deadline = Instant::now() + timeout;
-    let answer = connection::send(address, request, timeout);
-    let answer = tokio::time::timeout_at(deadline, answer).await;
+    let deadline = Instant::now() + timeouts.total;
+    let answer = connection::send(address, request, timeouts.head);
+    let answer = tokio::time::timeout(timeouts.head, answer).await;
     let answer = answer.map_err(|_elapsed| Error::Unanswered(Failure::Silent))?;
     let answer = answer.map_err(Error::Unanswered)?;
     let (head, body) = answer.response.into_parts();
-    let body = read_body(body, deadline, max_bytes).await?;
+    let body = read_body(body, deadline, timeouts.stall, max_bytes).await?;
     Ok((head, body))
 }
 
-/// Reads a body of at most `max_bytes` until a deadline.
+/// Reads a body of at most `max_bytes` until a deadline, as long as it does not stall.
 async fn read_body(
     mut body: Incoming,
     deadline: Instant,
+    stall: Duration,
     max_bytes: usize,
 ) -> Result<Bytes, Error> {
     let expected = body.size_hint().exact();
-    let mut bytes = BytesMut::new();
     let progress = |received| Progress { received, expected };
     if expected.is_some_and(|expected| expected > max_bytes as u64) {
         return Err(Error::TooLarge(progress(0)));
     }
+    let mut bytes = BytesMut::new();
     loop {
-        let frame = tokio::time::timeout_at(deadline, body.frame()).await;
+        let stalled_at = Instant::now() + stall;
+        let frame = tokio::time::timeout_at(deadline.min(stalled_at), body.frame()).await;
         let frame = frame.map_err(|_elapsed| Error::Incomplete(progress(bytes.len())))?;
         let Some(frame) = frame else {
             return Ok(bytes.freeze());
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -5,14 +5,14 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_core::catalog::Catalog;
+use daisyyard_core::catch_up::{CatchUp, End, Next};
 use daisyyard_core::id::Revision;
 use daisyyard_core::roster::Role;
 use futures_util::FutureExt;
-use hyper::StatusCode;
 use tokio::sync::{Notify, mpsc, watch};
 use xtra::Address;
 
-use crate::codec::{Batch, Codec, Freshness, Record};
+use crate::codec::{Batch, Call, Codec, Freshness, Record};
 use crate::event::Event;
 use crate::frame::News;
 use crate::log::Log;
@@ -21,9 +21,10 @@
 use crate::pool::Pool;
 use crate::reach::Reach;
 use crate::settings::Bounds;
-use crate::store::{self, Error, MAX_PAGE_BYTES};
+use crate::store::{self, Error, MAX_PAGE_BYTES, Timeouts};
 
-/// Timeout of a read. The store usually answers within milliseconds, but it can be slow.
+/// Time in which the store begins to answer, and sends the next bytes of a response. It usually takes
+/// milliseconds, but it can be slow.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for which a watch waits, as a share of the time in which a change must be in force.
 /// The knowledge of the readers is then young enough for the gateways that rely on them.
@@ -93,6 +94,8 @@
     catalog_was_old: bool,
     /// Outcomes of the reads.
     reach: Reach,
+    /// Chooses between the changes and the whole state.
+    catch_up: CatchUp,
     /// Log of the gateway.
     log: Log,
 }
@@ -121,6 +124,7 @@
             news,
             standing,
             catalog_was_old: false,
+            catch_up: CatchUp::default(),
             log,
         };
         (watcher, configuration)
@@ -200,7 +204,7 @@
     /// configuration yet: a watch then completes them before this gateway serves. With a
     /// configuration, an old read could put one in force that the operator has replaced.
     async fn read_before_config(&mut self) -> Option<Revision> {
-        let batch = self.read_pages(Freshness::Recent).await.ok()?;
+        let (batch, _) = self.read_pages(Freshness::Recent).await.ok()?;
         let configured = |record: &Record| matches!(record, Record::Catalog(_));
         if batch.records.iter().any(configured) {
             return None;
@@ -215,8 +219,9 @@
         loop {
             let started = Instant::now();
             match self.read_pages(Freshness::Latest).await {
-                Ok(batch) => {
+                Ok((batch, bytes)) => {
                     self.reach.record_success(Read::All).await;
+                    self.catch_up.record_state(bytes);
                     let revision = batch.revision;
                     self.catalog_was_old = false;
                     self.publish(batch, Read::All, Some(started)).await;
@@ -227,35 +232,47 @@
         }
     }
 
-    /// Reads all pages of keys. The pages are not one snapshot, so the watch starts at the revision
-    /// of the first page.
-    async fn read_pages(&self, freshness: Freshness) -> Result<Batch, Error> {
+    /// Reads all pages of keys, and returns them with their size in bytes. The pages are not one snapshot,
+    /// so the watch starts at the revision of the first page.
+    async fn read_pages(&self, freshness: Freshness) -> Result<(Batch, usize), Error> {
         let mut all = Batch::default();
+        let mut bytes = 0;
         let mut after: Option<String> = None;
         loop {
             let call = (self.codec.store.list)(after.as_deref(), freshness);
-            let response = store::call(self.address, call, READ_TIMEOUT, MAX_PAGE_BYTES).await?;
-            let page = (self.codec.store.read_batch)(&response).map_err(Error::Unusable)?;
+            let (page, size) = self.read(call, Duration::ZERO, MAX_PAGE_BYTES).await?;
+            bytes += size;
             if after.is_none() {
                 all.revision = page.revision;
             }
             all.records.extend(page.records);
             match page.next_key {
                 Some(next) => after = Some(next),
-                None => return Ok(all),
+                None => return Ok((all, bytes)),
             }
         }
     }
 
+    /// Reads a response of at most `max_bytes` for which the store may wait, and returns it with its size
+    /// in bytes.
+    async fn read(
+        &self,
+        call: Call,
+        wait: Duration,
+        max_bytes: usize,
+    ) -> Result<(Batch, usize), Error> {
+        let timeouts = Timeouts::of_page(wait + READ_TIMEOUT, READ_TIMEOUT);
+        let response = store::call(self.address, call, timeouts, max_bytes).await?;
+        let batch = (self.codec.store.read_batch)(&response).map_err(Error::Unusable)?;
+        Ok((batch, response.len()))
+    }
+
     /// Reads the configuration alone; this costs a tenth of a read of the newest data.
     async fn read_catalog(&mut self, revision: Revision) {
         let call = (self.codec.store.read_catalog)();
         let started = Instant::now();
-        let response = store::call(self.address, call, READ_TIMEOUT, MAX_PAGE_BYTES).await;
-        let batch = response
-            .and_then(|response| (self.codec.store.read_batch)(&response).map_err(Error::Unusable));
-        match batch {
-            Ok(batch) => {
+        match self.read(call, Duration::ZERO, MAX_PAGE_BYTES).await {
+            Ok((batch, _)) => {
                 self.reach.record_success(Read::Catalog).await;
                 let known = self.version();
                 // Other keys are known up to the revision of the last read.
@@ -272,8 +289,8 @@
     }
 
     /// Asks for changes once; returns the next revision and whether anything has changed, or `None` if
-    /// the watch history is lost. The store answers at once if it was lost before, so that its return is
-    /// noticed; otherwise it waits for changes.
+    /// all keys are to be read instead. The store answers at once if it was lost before, so that its
+    /// return is noticed; otherwise it waits for changes.
     async fn watch(&mut self, revision: Revision) -> Option<(Revision, bool)> {
         let wait = if self.reach.is_lost() {
             Duration::ZERO
@@ -281,32 +298,35 @@
             self.watch_timeout
         };
         let call = (self.codec.store.watch)(revision, wait);
-        let timeout = wait + READ_TIMEOUT;
         let started = Instant::now();
-        let response = store::call(self.address, call, timeout, MAX_PAGE_BYTES).await;
-        let batch = response
-            .and_then(|response| (self.codec.store.read_batch)(&response).map_err(Error::Unusable));
-        match batch {
-            Ok(batch) => {
+        let max_bytes = self.catch_up.max_change_bytes().min(MAX_PAGE_BYTES);
+        let error = match self.read(call, wait, max_bytes).await {
+            Ok((batch, _)) => {
                 self.reach.record_success(Read::Changes).await;
                 let next = batch.revision.max(revision);
                 let changed = !batch.records.is_empty();
                 // A response that was delayed on its way may have left at the end of the wait.
                 let complete_at = Instant::now().min(started + wait);
                 self.publish(batch, Read::Changes, Some(complete_at)).await;
-                Some((next, changed))
+                return Some((next, changed));
             }
-            Err(Error::Declined(StatusCode::GONE)) => {
-                self.log
-                    .emit(Event::StoreReread, &format!("revision={revision}"));
+            Err(error) => error,
+        };
+        let end = End::from(&error);
+        if error.proves_reach() {
+            self.reach.record_unread(Read::Changes, &error);
+        } else {
+            self.reach
+                .record_failure(Read::Changes, &error, started)
+                .await;
+        }
+        match end.next() {
+            Next::Changes => Some((revision, false)),
+            Next::State => {
+                let details = format!("revision={revision} reason={:?}", error.to_string());
+                self.log.emit(Event::StoreReread, &details);
                 None
             }
-            Err(error) => {
-                self.reach
-                    .record_failure(Read::Changes, &error, started)
-                    .await;
-                Some((revision, false))
-            }
         }
     }
 
