Refuse with 503 what only a configuration that may be outdated does not allow

What callers saw: 404 and 401 from a gateway that knew for seconds that its configuration might be old. Callers do not return after these, although the next gateway would serve them.

Cause: the pool knows the age of the configuration (Standing::stale), but requests were judged without it. Requests that the known version allows are served as before.

--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -130,7 +130,7 @@
             codec,
             &settings.bounds,
             pool.clone(),
-            (refresh, standing),
+            (refresh, standing.clone()),
             news,
             (log.clone(), metrics.clone()),
         );
@@ -151,6 +151,7 @@
             codec,
             pool: pool.clone(),
             configuration: configuration.clone(),
+            standing,
             phase: phase_view.clone(),
             ending: ending_view,
             zones,
--- a/crates/daisyyard_gateway/src/ingress.rs
+++ b/crates/daisyyard_gateway/src/ingress.rs
@@ -42,11 +42,13 @@
             .wait_for_catalog(parameters.timeout)
             .await
             .map_err(failed)?;
-        let route = route(&catalog, &request).map_err(failed)?;
+        let outdated = self.standing.borrow().stale;
+        let not_allowed = |refusal: Refusal| failed(refusal.by_configuration(outdated));
+        let route = route(&catalog, &request).map_err(not_allowed)?;
         let client = match catalog.access(&route, parameters.credential.as_deref()) {
             Access::Open => None,
             Access::Granted(client) => Some(client),
-            Access::Denied => return Err(failed(Refusal::Denied)),
+            Access::Denied => return Err(not_allowed(Refusal::Denied)),
         };
         if self.is_leaving() && route.kind == Kind::Streaming {
             return Err(failed(Refusal::Leaving));
@@ -54,10 +56,10 @@
         let resume_after = position(&route, parameters.position).map_err(failed)?;
         let service = route
             .service(rand::random())
-            .ok_or_else(|| failed(Refusal::Missing))?;
+            .ok_or_else(|| not_allowed(Refusal::Missing))?;
         let traits = catalog
             .service(service)
-            .ok_or_else(|| failed(Refusal::Missing))?;
+            .ok_or_else(|| not_allowed(Refusal::Missing))?;
         let (connections, engine) = (traits.max_connections, traits.engine);
         let timeout = parameters
             .timeout
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -25,7 +25,7 @@
 use crate::job::Job;
 use crate::log::Log;
 use crate::memory::Memory;
-use crate::message::{Claim, Count, Grant, Placement, Retry};
+use crate::message::{Claim, Count, Grant, Placement, Retry, Standing};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::refusal::Refusal;
@@ -50,6 +50,8 @@
     pub(crate) pool: Address<Pool>,
     /// Current configuration.
     pub(crate) configuration: Configuration,
+    /// Part of this gateway in the fleet, and whether its configuration may be outdated.
+    pub(crate) standing: watch::Receiver<Standing>,
     /// Phase of the graceful shutdown.
     pub(crate) phase: watch::Receiver<Phase>,
     /// When the process ends.
--- a/crates/daisyyard_gateway/src/refusal.rs
+++ b/crates/daisyyard_gateway/src/refusal.rs
@@ -48,6 +48,11 @@
     /// The gateway has not read a configuration yet.
     #[error("the gateway has no configuration yet; ask again soon")]
     Unconfigured,
+    /// The known configuration does not allow the request, but a newer one may.
+    #[error(
+        "the configuration here may be old and does not allow the request; ask another gateway"
+    )]
+    Outdated,
     /// The gateway is leaving.
     #[error("the gateway is leaving; ask another one")]
     Leaving,
@@ -90,6 +95,15 @@
         }
     }
 
+    /// Returns the refusal of a request that a configuration does not allow, which may be outdated. A
+    /// caller does not come back after 401 or 404, although another gateway may serve it.
+    pub(crate) fn by_configuration(self, outdated: bool) -> Self {
+        match self {
+            Self::Missing | Self::Denied if outdated => Self::Outdated,
+            refusal => refusal,
+        }
+    }
+
     /// Returns the status code of the response.
     pub(crate) fn status(self) -> StatusCode {
         match self {
@@ -99,6 +113,7 @@
             Self::Missing => StatusCode::NOT_FOUND,
             Self::Denied => StatusCode::UNAUTHORIZED,
             Self::Unconfigured
+            | Self::Outdated
             | Self::Leaving
             | Self::Full
             | Self::Evacuated
@@ -115,7 +130,7 @@
     /// Returns the delay before the caller should retry, if a retry can help.
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Leaving | Self::Declined => Some(RETRY_ELSEWHERE_DELAY),
+            Self::Outdated | Self::Leaving | Self::Declined => Some(RETRY_ELSEWHERE_DELAY),
             Self::Unconfigured => Some(RETRY_UNCONFIGURED_DELAY),
             Self::Full => Some(RETRY_FULL_DELAY),
             Self::Evacuated => Some(RETRY_EVACUATED_DELAY),
