Read, log and count the limits that endpoints state

Change: the adapter reads Server-Limit; limit.rs of the core keeps the latest statement of an incarnation. An answer that states none ends it, if its request was placed after the statement. Changes are logged and counted. No request is placed differently.

--- a/crates/daisyyard/tests/endpoint_signals.rs
+++ b/crates/daisyyard/tests/endpoint_signals.rs
@@ -18,6 +18,7 @@
 const LEAVING: Stated = Stated {
     leaving: true,
     retry_after: None,
+    limit: None,
     delay: Duration::ZERO,
 };
 
--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -7,6 +7,7 @@
 use crate::access::{Access, Reason};
 use crate::endpoint::{Endpoint, Kind};
 use crate::id::{InstanceId, Revision, ServiceId, Tokens};
+use crate::limit::Throttle;
 use crate::load::{Load, Need};
 use crate::pace::{Pace, Stretches};
 use crate::pool::Signal;
@@ -82,6 +83,8 @@
     pub(crate) pace: Pace,
     /// Cold time of the endpoint, and the places that this node takes meanwhile.
     pub(crate) warmup: Warmup,
+    /// Limit that the endpoint states for all nodes together.
+    pub(crate) throttle: Throttle,
     /// Share of the memory that new long runs may reserve.
     pub(crate) max_long_share: f64,
     /// Prompt tokens that may wait at the engine when a request is sent to it.
@@ -109,6 +112,7 @@
             failure_rate: 0.0,
             pace: Pace::default(),
             warmup: Warmup::default(),
+            throttle: Throttle::default(),
             max_long_share: MAX_LONG_RUN_MEMORY_SHARE,
             max_prefill: Tokens::MAX,
         }
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod knowledge;
 pub mod ledger;
 pub mod length;
+pub mod limit;
 pub mod link;
 pub mod listing;
 pub mod load;
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -19,6 +19,7 @@
 use crate::endpoint::{Endpoint, Kind, State};
 use crate::evacuation::Register;
 use crate::id::{EndpointId, InstanceId, Revision};
+use crate::limit::Throttle;
 use crate::load::Load;
 use crate::pace::{Pace, Stretches};
 use crate::wave::Wave;
@@ -110,6 +111,11 @@
         }
         let leaving = endpoint.state != State::Live;
         let endpoint = Arc::new(endpoint);
+        if let Some(candidate) = self.candidates.get_mut(&id)
+            && candidate.is_restart(&endpoint)
+        {
+            candidate.throttle = Throttle::default();
+        }
         let known = self.endpoint(endpoint.id);
         let left = known.is_some_and(|endpoint| endpoint.state != State::Live);
         let candidate = self
--- a/crates/daisyyard_gateway/src/codec.rs
+++ b/crates/daisyyard_gateway/src/codec.rs
@@ -93,6 +93,20 @@
     pub leaving: bool,
     /// For how long the endpoint turns requests away.
     pub retry_after: RetryAfter,
+    /// To which rate the endpoint limits the requests of all gateways together.
+    pub limit: Limit,
+}
+
+/// The rate of requests that an endpoint states to take from all gateways together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Limit {
+    /// It states none.
+    #[default]
+    Absent,
+    /// Requests in 1,000 seconds.
+    Rate(u32),
+    /// What it states is not a number.
+    Unusable,
 }
 
 /// The time that an endpoint states when it turns a request away.
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -94,6 +94,10 @@
     EndpointStatedLeaving = 202,
     /// An endpoint states a time that is unusable or too long when it turns requests away.
     RetryAfterUnusable = 203,
+    /// An endpoint states a rate to which it limits the requests of all gateways together.
+    EndpointLimited = 204,
+    /// An endpoint no longer states a limit.
+    EndpointUnlimited = 205,
 }
 
 /// Log level of each event.
@@ -142,6 +146,8 @@
     (Event::EndpointOpened, Level::Info),
     (Event::EndpointStatedLeaving, Level::Info),
     (Event::RetryAfterUnusable, Level::Warn),
+    (Event::EndpointLimited, Level::Warn),
+    (Event::EndpointUnlimited, Level::Info),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -367,6 +367,7 @@
         if !receipt.answers(&self.job.attempt) {
             return Err(Obstacle::Unanswered);
         }
+        self.proxy.report_limit(engine, &receipt, placed_at).await;
         if receipt.declined {
             return Err(Obstacle::Declined);
         }
--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -114,7 +114,7 @@
         let refresh = Arc::new(Notify::new());
         let (news, news_receiver) = mpsc::unbounded_channel();
         let metrics = Metrics::new()?;
-        let (pool, standing, zones) = pool::spawn(
+        let (pool, views) = pool::spawn(
             settings,
             codec,
             Arc::clone(&changed),
@@ -130,7 +130,7 @@
             codec,
             &settings.bounds,
             pool.clone(),
-            (refresh, standing.clone()),
+            (refresh, views.standing.clone()),
             news,
             (log.clone(), metrics.clone()),
         );
@@ -151,10 +151,11 @@
             codec,
             pool: pool.clone(),
             configuration: configuration.clone(),
-            standing,
+            standing: views.standing,
             phase: phase_view.clone(),
             ending: ending_view,
-            zones,
+            zones: views.zones,
+            limited: views.limited,
             memory: memory.clone(),
             metrics: metrics.clone(),
             log: log.clone(),
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub(crate) mod halt;
 pub(crate) mod ingress;
 pub(crate) mod job;
+pub(crate) mod limit;
 pub(crate) mod log;
 pub mod member;
 pub(crate) mod memory;
--- /dev/null
+++ b/crates/daisyyard_gateway/src/limit.rs
@@ -0,0 +1,105 @@
+//! Limits that endpoints state in their answers for the requests of all gateways together.
+
+use std::time::Instant;
+
+use daisyyard_core::endpoint::Endpoint;
+use daisyyard_core::id::EndpointId;
+use xtra::{Context, Handler};
+
+use crate::codec::{Limit, Receipt};
+use crate::event::Event;
+use crate::pool::Pool;
+use crate::proxy::Proxy;
+
+/// Reports what an answer states on the limit of an endpoint.
+#[derive(Debug)]
+pub(crate) struct LearnLimit {
+    /// The endpoint.
+    endpoint: EndpointId,
+    /// Incarnation to which the request was sent.
+    incarnation: u64,
+    /// What the answer states.
+    limit: Limit,
+    /// When the request was placed.
+    placed_at: Instant,
+}
+
+impl Proxy {
+    /// Tells the pool what an answer to a request states on the limit of an endpoint, if it matters.
+    pub(crate) async fn report_limit(
+        &self,
+        endpoint: &Endpoint,
+        receipt: &Receipt,
+        placed_at: Instant,
+    ) {
+        let genuine = receipt.signed || receipt.declined;
+        let ends = receipt.limit == Limit::Absent && genuine && self.is_limited(endpoint.id);
+        if ends || receipt.limit != Limit::Absent {
+            let message = LearnLimit {
+                endpoint: endpoint.id,
+                incarnation: endpoint.incarnation,
+                limit: receipt.limit,
+                placed_at,
+            };
+            // The pool ends only with the process.
+            let _ = self.pool.send(message).await;
+        }
+    }
+
+    /// Returns whether an endpoint is limited as far as this gateway knows.
+    fn is_limited(&self, endpoint: EndpointId) -> bool {
+        self.limited.borrow().contains(&endpoint)
+    }
+}
+
+impl Pool {
+    /// Logs and publishes the endpoints whose limits have changed; returns whether any has.
+    pub(crate) fn update_limits(&mut self, now: Instant) -> bool {
+        let changes = self.endpoints.limit_changes(now);
+        if changes.is_empty() {
+            return false;
+        }
+        for change in &changes {
+            let name = &change.endpoint.name;
+            let source = if change.first_hand {
+                "answer"
+            } else {
+                "digest"
+            };
+            let (event, rate) = match change.per_1000_s {
+                Some(rate) => (
+                    Event::EndpointLimited,
+                    format!(" per_s={:.3}", f64::from(rate) / 1_000.0),
+                ),
+                None => (Event::EndpointUnlimited, String::new()),
+            };
+            let details = format!("endpoint={name}{rate} source={source}");
+            self.log.emit(event, &details);
+        }
+        let limited: Vec<EndpointId> = self.endpoints.limited(now).collect();
+        self.metrics.set_limited(limited.len());
+        self.limited.send_replace(limited);
+        true
+    }
+}
+
+impl Handler<LearnLimit> for Pool {
+    type Return = ();
+
+    async fn handle(&mut self, message: LearnLimit, _: &mut Context<Self>) {
+        let now = Instant::now();
+        let per_1000_s = match message.limit {
+            Limit::Rate(per_1000_s) => Some(per_1000_s),
+            Limit::Absent => None,
+            Limit::Unusable => {
+                self.metrics.record_statement("unusable");
+                return;
+            }
+        };
+        let (id, incarnation) = (message.endpoint, message.incarnation);
+        let placed_at = message.placed_at;
+        self.endpoints
+            .learn_limit(id, incarnation, per_1000_s, placed_at, now);
+        self.update_limits(now);
+    }
+}
--- a/crates/daisyyard_gateway/src/metrics.rs
+++ b/crates/daisyyard_gateway/src/metrics.rs
@@ -48,6 +48,8 @@
 const ADMISSIONS: &str = "daisyyard_gateway_admissions_total";
 /// Counter of what endpoints stated in answers, by reason.
 const STATEMENTS: &str = "daisyyard_gateway_endpoint_statements_total";
+/// Gauge of endpoints that state a limit for all gateways together.
+const LIMITED_ENDPOINTS: &str = "daisyyard_gateway_limited_endpoints";
 /// Counter of reads of the store, by what was read and outcome.
 const STORE_READS: &str = "daisyyard_gateway_store_reads_total";
 /// Module and level under which the metrics are registered.
@@ -136,6 +138,11 @@
         self.set(COLD_ENDPOINTS, endpoints);
     }
 
+    /// Sets the number of endpoints that state a limit.
+    pub(crate) fn set_limited(&self, endpoints: usize) {
+        self.set(LIMITED_ENDPOINTS, endpoints);
+    }
+
     /// Counts a send that waited or went elsewhere because endpoints were cold.
     pub(crate) fn record_cold(&self, effect: &'static str) {
         self.count(COLD_SENDS, &[("effect", effect)]);
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -61,6 +61,8 @@
     pub(crate) zones: HashMap<String, Zone>,
     /// Publishes the evacuated availability zones.
     pub(crate) evacuated: watch::Sender<Vec<ZoneId>>,
+    /// Publishes the endpoints that state a limit.
+    pub(crate) limited: watch::Sender<Vec<EndpointId>>,
     /// Publishes what endpoints have stated in answers.
     pub(crate) barriers: watch::Sender<Vec<Barrier>>,
     /// Metrics of the gateway.
@@ -111,6 +113,17 @@
     pub(crate) log: Log,
 }
 
+/// What the actor publishes for the tasks of requests and for the watcher.
+#[derive(Debug)]
+pub(crate) struct Views {
+    /// Part of this gateway in the fleet.
+    pub(crate) standing: watch::Receiver<Standing>,
+    /// Evacuated availability zones.
+    pub(crate) zones: Zones,
+    /// Endpoints that state a limit.
+    pub(crate) limited: watch::Receiver<Vec<EndpointId>>,
+}
+
 /// Instructs the actor to start one of the waiting requests.
 #[derive(Debug)]
 struct Start;
@@ -122,12 +135,13 @@
     changed: Arc<Notify>,
     refresh: Arc<Notify>,
     (log, metrics): (Log, Metrics),
-) -> (Address<Pool>, watch::Receiver<Standing>, Zones) {
+) -> (Address<Pool>, Views) {
     let (address, mailbox) = Mailbox::unbounded();
     let (standing, standing_view) = watch::channel(Standing::default());
     let (evacuated, mut zones) = Zones::channel();
     let (barriers, stated) = watch::channel(Vec::new());
     zones.follow(stated);
+    let (limited, limited_view) = watch::channel(Vec::new());
     metrics.set_evacuated(0, 0);
     let zone = Zone::new(&settings.zone, &settings.region);
     let pool = Pool {
@@ -141,6 +155,7 @@
             .map(|(zone, region)| (zone.clone(), Zone::new(zone, region)))
             .collect(),
         evacuated,
+        limited,
         barriers,
         metrics: metrics.clone(),
         members: Members::new(&settings.name, Entry::from(settings)),
@@ -170,7 +185,12 @@
     };
     tokio::spawn(xtra::run(mailbox, pool));
     timer::spawn(address.downgrade(), CHECK_INTERVAL);
-    (address, standing_view, zones)
+    let views = Views {
+        standing: standing_view,
+        zones,
+        limited: limited_view,
+    };
+    (address, views)
 }
 
 impl Pool {
@@ -430,6 +450,7 @@
         drop(self.backlog.expire(now));
         self.enforce_evacuations(now);
         self.review_statements(now);
+        self.update_limits(now);
         self.review_admission(now);
         self.store_refusals(now);
         self.update_roster(now);
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -58,6 +58,8 @@
     pub(crate) ending: Ending,
     /// Evacuated availability zones.
     pub(crate) zones: Zones,
+    /// Endpoints that state a limit.
+    pub(crate) limited: watch::Receiver<Vec<EndpointId>>,
     /// Memory for what the gateway holds for callers.
     pub(crate) memory: Memory,
     /// Metrics of the gateway.
@@ -255,6 +257,8 @@
             grant.signal = Signal::Failed;
             return answer_unusable("foreign_answer");
         }
+        self.report_limit(&grant.endpoint, &receipt, grant.placed_at)
+            .await;
         if receipt.declined {
             return Sent::Failed {
                 progress: Progress::Declined,
--- a/crates/daisyyard_standin/src/platform_engine.rs
+++ b/crates/daisyyard_standin/src/platform_engine.rs
@@ -64,6 +64,8 @@
     pub leaving: bool,
     /// Value of `Retry-After` in responses with status 503.
     pub retry_after: Option<&'static str>,
+    /// Value of `Server-Limit`.
+    pub limit: Option<&'static str>,
     /// Time by which responses are delayed; they state what held when the request arrived.
     pub delay: Duration,
 }
@@ -417,6 +419,9 @@
     if stated.leaving {
         headers.insert("server-leaving", HeaderValue::from_static("1"));
     }
+    if let Some(limit) = stated.limit {
+        headers.insert("server-limit", HeaderValue::from_static(limit));
+    }
     if let Some(time) = stated.retry_after.filter(|_| unavailable) {
         headers.insert(RETRY_AFTER, HeaderValue::from_static(time));
     }
