Move the shares of a rate to a module of their own

Cause: the requests to cold endpoints are bounded over all gateways by shares that the gateways hold without asking each other. A limit that an endpoint states needs the same bound, and two mechanisms would have two sets of faults. Change: rate.rs has the owners, places and windows that were in warmup.rs, for any rate and window.

--- a/crates/daisyyard/tests/cold_endpoints.rs
+++ b/crates/daisyyard/tests/cold_endpoints.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use daisyyard_core::warmup::OWNER_WAIT;
+use daisyyard_core::rate::OWNER_WAIT;
 use daisyyard_standin::platform_engine::Arrival;
 use daisyyard_standin::platform_fixture;
 use hyper::{Method, StatusCode};
--- a/crates/daisyyard_core/src/coldness.rs
+++ b/crates/daisyyard_core/src/coldness.rs
@@ -7,7 +7,8 @@
 use crate::id::{EndpointId, InstanceId, ServiceId, ZoneId};
 use crate::load::Need;
 use crate::pool::Pool;
-use crate::warmup::{Owners, Place, Report, Rule};
+use crate::rate::{Owners, Place};
+use crate::warmup::{Report, Rule};
 
 /// Bounds on the requests to cold endpoints, and the nodes that share them.
 #[derive(Debug, Default)]
@@ -42,7 +43,8 @@
     pub fn set_cold_owners(&mut self, own: InstanceId, nodes: &[InstanceId], now: Instant) {
         if self.coldness.owners.update(own, nodes, now) {
             for (id, candidate) in &mut self.candidates {
-                candidate.warmup.follow(*id, &self.coldness.owners, now);
+                let owners = &self.coldness.owners;
+                candidate.warmup.share.follow(*id, owners, now);
             }
         }
     }
@@ -143,13 +145,15 @@
     /// Takes a place for a request to an endpoint that may leave now; returns none if requests to the
     /// service are not limited.
     pub fn take_place(&mut self, id: EndpointId, now: Instant) -> Option<Place> {
-        self.candidates.get_mut(&id)?.warmup.take(now)
+        let warmup = &mut self.candidates.get_mut(&id)?.warmup;
+        let is_cold = warmup.is_cold(now);
+        warmup.share.take(is_cold, now)
     }
 
     /// Gives a place back whose request has certainly not left.
     pub fn give_back_place(&mut self, id: EndpointId, place: Place) {
         if let Some(candidate) = self.candidates.get_mut(&id) {
-            candidate.warmup.give_back(place);
+            candidate.warmup.share.give_back(place);
         }
     }
 }
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod presence;
 pub mod preset;
 pub mod queue;
+pub mod rate;
 pub mod refusals;
 pub mod retry_budget;
 pub mod room;
--- a/crates/daisyyard_core/tests/cold_state.rs
+++ b/crates/daisyyard_core/tests/cold_state.rs
@@ -12,7 +12,8 @@
 use daisyyard_core::id::{self, EndpointId};
 use daisyyard_core::load::Need;
 use daisyyard_core::pool::{Pool, Signal};
-use daisyyard_core::warmup::{OWNER_WAIT, Place, Report, Rule, WINDOW};
+use daisyyard_core::rate::{OWNER_WAIT, Place};
+use daisyyard_core::warmup::{Report, Rule, WINDOW};
 use daisyyard_core::zone::Zone;
 
 /// Time after a start for which endpoints are cold.
--- a/crates/daisyyard_gateway/src/cold.rs
+++ b/crates/daisyyard_gateway/src/cold.rs
@@ -8,7 +8,8 @@
 use daisyyard_core::access::{Access, Reason};
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::id::ServiceId;
-use daisyyard_core::warmup::{Allowance, ColdStart, Place, Rule};
+use daisyyard_core::rate::Place;
+use daisyyard_core::warmup::{Allowance, ColdStart, Rule};
 use xtra::{Context, Handler};
 
 use crate::codec::Receipt;
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -17,6 +17,7 @@
 use daisyyard_core::load::{Load, Need};
 use daisyyard_core::migration::RunState;
 use daisyyard_core::pool::Signal;
+use daisyyard_core::rate;
 use daisyyard_core::refusals::Refused;
 use daisyyard_core::roster::Role;
 use daisyyard_core::shared_retry_budget::{self, Limits};
@@ -87,7 +88,7 @@
     /// When the endpoint was chosen.
     pub(crate) placed_at: Instant,
     /// Place in the rate of a cold endpoint; none once the request may have left.
-    pub(crate) place: Option<warmup::Place>,
+    pub(crate) place: Option<rate::Place>,
     /// Receives changes of the endpoint.
     pub(crate) notices: mpsc::Receiver<Notice>,
     /// What the end of the run indicates about the endpoint.
@@ -116,7 +117,7 @@
 
 /// Gives back a place in the rate of a cold endpoint, because the request has certainly not left.
 #[derive(Debug)]
-pub(crate) struct GiveBack(pub(crate) EndpointId, pub(crate) warmup::Place);
+pub(crate) struct GiveBack(pub(crate) EndpointId, pub(crate) rate::Place);
 
 /// Asks for a place in the rate of an endpoint at which a run is to resume.
 #[derive(Debug)]
