Keep endpoints within the limits that they state, over all gateways together

What the platform saw: an endpoint that named a limit of 3 requests a second got 50 in 4 s, of which 23 were allowed; callers got its late and failed answers.

Cause: the statement was not used when a request was placed. The class of fault: load of which only the endpoint knows the bound, while each gateway places requests by what it sees itself.

Change: the limit of an incarnation gives a rate that the gateways divide as they do that of a cold endpoint (rate.rs): owners by rendezvous hash among the listed gateways, places in a sliding window, no message before a request. All ways to an endpoint ask access.rs and take a place: first sends, repeats, resumptions, moves. Digests carry the latest answer that each gateway got, with its age; the later one wins, so that gateways without a place learn of changes and of the end. Requests for which no place opens in time are refused at once with Retry-After. The division now gives the places that are left over to the first owners, for cold endpoints as well: otherwise 11 places of 6 gateways would belong to one of them. A share must have been known for as long as its window.

--- a/crates/daisyyard_core/src/access.rs
+++ b/crates/daisyyard_core/src/access.rs
@@ -9,6 +9,7 @@
 
 use crate::candidate::Candidate;
 use crate::endpoint::State;
+use crate::rate::Opening;
 
 /// Why nothing may be sent to an endpoint now.
 #[key]
@@ -25,6 +26,8 @@
     Ejected,
     /// The endpoint is cold, and this node has no place left in the rate that it tolerates.
     Cold,
+    /// The endpoint states a limit for all nodes together, and this node has no place left in it.
+    Limited,
 }
 
 /// Whether something may be sent to an endpoint now.
@@ -63,7 +66,11 @@
             Some(until) if until > now => Access::Closed(Reason::Ejected, Some(until)),
             _ => match self.warmup.closed_until(now) {
                 Some(until) => Access::Closed(Reason::Cold, Some(until)),
-                None => Access::Open,
+                None => match self.throttle.share.opening(now) {
+                    Opening::Now => Access::Open,
+                    Opening::At(opens) => Access::Closed(Reason::Limited, Some(opens)),
+                    Opening::Unknown => Access::Closed(Reason::Limited, None),
+                },
             },
         }
     }
--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -152,11 +152,15 @@
     }
 
     /// Returns whether the endpoint is part of a service and could serve it: it is open, or it is
-    /// ejected, cold or turns requests away, and may be asked later.
+    /// ejected, cold, limited or turns requests away, and may be asked later.
     pub(crate) fn serves(&self, service: ServiceId, now: Instant) -> bool {
         let may_serve = matches!(
             self.access(now),
-            Access::Open | Access::Closed(Reason::TurnedAway | Reason::Ejected | Reason::Cold, _)
+            Access::Open
+                | Access::Closed(
+                    Reason::TurnedAway | Reason::Ejected | Reason::Cold | Reason::Limited,
+                    _
+                )
         );
         self.endpoint.service == service && may_serve
     }
--- a/crates/daisyyard_core/src/coldness.rs
+++ b/crates/daisyyard_core/src/coldness.rs
@@ -7,16 +7,14 @@
 use crate::id::{EndpointId, InstanceId, ServiceId, ZoneId};
 use crate::load::Need;
 use crate::pool::Pool;
-use crate::rate::{Owners, Place};
+use crate::rate::Place;
 use crate::warmup::{Report, Rule};
 
-/// Bounds on the requests to cold endpoints, and the nodes that share them.
+/// Bounds on the requests to cold endpoints.
 #[derive(Debug, Default)]
 pub(crate) struct Coldness {
     /// Bounds by service.
     rules: HashMap<ServiceId, Rule>,
-    /// Nodes that may own a share.
-    owners: Owners,
 }
 
 /// An endpoint that has become cold or warm.
@@ -32,7 +30,7 @@
     /// Replaces the bounds of all services; requests to cold endpoints of others are not limited.
     pub fn set_cold_rules(&mut self, rules: HashMap<ServiceId, Rule>) {
         self.coldness.rules = rules;
-        let Coldness { rules, owners } = &self.coldness;
+        let (rules, owners) = (&self.coldness.rules, &self.owners);
         for (id, candidate) in &mut self.candidates {
             let rule = rules.get(&candidate.endpoint.service).copied();
             candidate.warmup.set_rule(rule, *id, owners);
@@ -40,11 +38,11 @@
     }
 
     /// Sets the nodes among which the owners of shares are chosen, in the same order at all nodes.
-    pub fn set_cold_owners(&mut self, own: InstanceId, nodes: &[InstanceId], now: Instant) {
-        if self.coldness.owners.update(own, nodes, now) {
+    pub fn set_owners(&mut self, own: InstanceId, nodes: &[InstanceId], now: Instant) {
+        if self.owners.update(own, nodes, now) {
             for (id, candidate) in &mut self.candidates {
-                let owners = &self.coldness.owners;
-                candidate.warmup.share.follow(*id, owners, now);
+                candidate.warmup.share.follow(*id, &self.owners, now);
+                candidate.throttle.share.follow(*id, &self.owners, now);
             }
         }
     }
@@ -54,7 +52,7 @@
         let Some(candidate) = self.candidates.get_mut(&id) else {
             return;
         };
-        let Coldness { rules, owners } = &self.coldness;
+        let (rules, owners) = (&self.coldness.rules, &self.owners);
         let endpoint = &candidate.endpoint;
         let rule = rules.get(&endpoint.service).copied();
         candidate.warmup.set_rule(rule, id, owners);
@@ -142,18 +140,23 @@
         changed.collect()
     }
 
-    /// Takes a place for a request to an endpoint that may leave now; returns none if requests to the
-    /// service are not limited.
+    /// Takes a place for a request to an endpoint that may leave now; returns none if neither requests to
+    /// the service nor those to the endpoint are limited.
     pub fn take_place(&mut self, id: EndpointId, now: Instant) -> Option<Place> {
-        let warmup = &mut self.candidates.get_mut(&id)?.warmup;
+        let Candidate {
+            warmup, throttle, ..
+        } = self.candidates.get_mut(&id)?;
         let is_cold = warmup.is_cold(now);
-        warmup.share.take(is_cold, now)
+        let cold = warmup.share.take(is_cold, now);
+        let limited = throttle.share.take(true, now);
+        limited.or(cold)
     }
 
     /// Gives a place back whose request has certainly not left.
     pub fn give_back_place(&mut self, id: EndpointId, place: Place) {
         if let Some(candidate) = self.candidates.get_mut(&id) {
             candidate.warmup.share.give_back(place);
+            candidate.throttle.share.give_back(place);
         }
     }
 }
--- a/crates/daisyyard_core/src/limit.rs
+++ b/crates/daisyyard_core/src/limit.rs
@@ -2,16 +2,19 @@
 //!
 //! A limit holds for one incarnation of an endpoint, until a later answer does not state it. A node
 //! that has no part of the rate gets no answers, so nodes tell each other what their latest answers
-//! stated, and the later statement wins.
+//! stated, and the later statement wins. The nodes divide the rate among them ([`crate::rate`]), and a
+//! request for which no place opens in time can be refused at once.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use daisyyard_derive::key;
 
+use crate::access::{Access, Reason};
 use crate::endpoint::Endpoint;
-use crate::id::EndpointId;
+use crate::id::{EndpointId, ServiceId};
 use crate::pool::Pool;
+use crate::rate::{LISTS, Owners, Rate, Share};
 
 /// Time after which a limit that no answer has confirmed is given up. A node that lost the reports of its
 /// end would follow it for ever.
@@ -19,6 +22,16 @@
 /// Time for which other nodes are told that a limit has ended.
 const REPORT_TIME: Duration = Duration::from_secs(10);
 
+/// Period over which the requests to a limited endpoint are averaged.
+const PERIOD: Duration = Duration::from_secs(4);
+/// Factor by which the requests in a period may exceed the limit, over all nodes.
+const OVERAGE: f64 = 1.5;
+/// Requests in a period in addition.
+const SLACK: f64 = 5.0;
+/// Longest time between two requests to an endpoint, however low its limit. They show when it ends,
+/// before it is given up.
+const MAX_INTERVAL: Duration = Duration::from_secs(20);
+
 /// What a node tells others of the limit of an endpoint.
 #[key]
 pub struct Report {
@@ -48,6 +61,8 @@
 pub(crate) struct Throttle {
     /// Latest statement of the known incarnation.
     latest: Option<Statement>,
+    /// Share of this node in the rate that follows from the limit.
+    pub(crate) share: Share,
     /// Limit that was reported to the log.
     noted: Option<u32>,
 }
@@ -63,6 +78,20 @@
     pub first_hand: bool,
 }
 
+/// Returns the rate that the nodes on one list share, given a limit in requests in 1,000 seconds. Two
+/// lists stay within the bound, and one within the limit.
+fn rate(per_1000_s: u32) -> Rate {
+    let per_s = f64::from(per_1000_s) / 1_000.0;
+    let limit = per_s * PERIOD.as_secs_f64();
+    let bound = limit * OVERAGE + SLACK;
+    let places = limit.min(bound / f64::from(LISTS)) as u32;
+    if places > 0 {
+        return Rate::new(places, PERIOD);
+    }
+    let interval = (1.0 / per_s).min(MAX_INTERVAL.as_secs_f64());
+    Rate::new(1, Duration::from_secs_f64(interval))
+}
+
 impl Throttle {
     /// Returns the limit in requests in 1,000 seconds.
     pub(crate) fn limit(&self, now: Instant) -> Option<u32> {
@@ -98,6 +127,11 @@
         }
     }
 
+    /// Divides the rate anew if the limit has changed.
+    fn update_share(&mut self, id: EndpointId, owners: &Owners, now: Instant) {
+        self.share.set_rate(self.limit(now).map(rate), id, owners);
+    }
+
     /// Returns what to tell other nodes: the latest answer, if this node got it.
     fn report(&self, endpoint: &Endpoint, now: Instant) -> Option<Report> {
         let latest = self.latest.filter(|latest| latest.first_hand)?;
@@ -129,6 +163,7 @@
             && candidate.endpoint.incarnation == incarnation
         {
             candidate.throttle.learn(per_1000_s, placed_at, now);
+            candidate.throttle.update_share(id, &self.owners, now);
         }
     }
 
@@ -139,6 +174,8 @@
                 && candidate.endpoint.incarnation == report.incarnation
             {
                 candidate.throttle.hear(report, now);
+                let id = report.endpoint;
+                candidate.throttle.update_share(id, &self.owners, now);
             }
         }
     }
@@ -151,8 +188,10 @@
 
     /// Returns the endpoints whose limits have changed since the last call.
     pub fn limit_changes(&mut self, now: Instant) -> Vec<Change> {
-        let changed = self.candidates.values_mut().filter_map(|candidate| {
+        let owners = &self.owners;
+        let changed = self.candidates.iter_mut().filter_map(|(id, candidate)| {
             let throttle = &mut candidate.throttle;
+            throttle.update_share(*id, owners, now);
             let limit = throttle.limit(now);
             let changed = std::mem::replace(&mut throttle.noted, limit) != limit;
             changed.then(|| Change {
@@ -171,4 +210,31 @@
         let limited = listed.filter(move |(_, it)| it.throttle.limit(now).is_some());
         limited.map(|(id, _)| *id)
     }
+
+    /// Returns when the first endpoint of a service opens, if all that are not excluded are limited or turn
+    /// requests away; none if another one may serve the request. Where that depends on other nodes, it is
+    /// the mean time after which any node may send.
+    pub fn limited_opening(
+        &self,
+        service: ServiceId,
+        excluded: &[EndpointId],
+        now: Instant,
+    ) -> Option<Instant> {
+        let mut first: Option<Instant> = None;
+        let mut limited = false;
+        let serving = self.candidates.iter();
+        let serving = serving.filter(|(_, candidate)| candidate.serves(service, now));
+        for (_, candidate) in serving.filter(|(id, _)| !excluded.contains(id)) {
+            let opens = match candidate.access(now) {
+                Access::Closed(Reason::Limited, opens) => {
+                    limited = true;
+                    opens.unwrap_or_else(|| now + candidate.throttle.share.interval())
+                }
+                Access::Closed(Reason::TurnedAway, opens) => opens?,
+                _ => return None,
+            };
+            first = Some(first.map_or(opens, |first| first.min(opens)));
+        }
+        first.filter(|_| limited)
+    }
 }
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -22,6 +22,7 @@
 use crate::limit::Throttle;
 use crate::load::Load;
 use crate::pace::{Pace, Stretches};
+use crate::rate::Owners;
 use crate::wave::Wave;
 use crate::zone::Zone;
 
@@ -69,6 +70,8 @@
     pub(crate) unseen_runs: usize,
     /// Bounds on the requests to cold endpoints.
     pub(crate) coldness: Coldness,
+    /// Nodes that share the rates of cold and of limited endpoints.
+    pub(crate) owners: Owners,
     /// Generator of the random weights.
     pub(crate) random: Pcg64Mcg,
 }
@@ -86,6 +89,7 @@
             stretches: Stretches::default(),
             unseen_runs: 0,
             coldness: Coldness::default(),
+            owners: Owners::default(),
             random: Pcg64Mcg::seed_from_u64(seed),
         }
     }
--- a/crates/daisyyard_core/src/rate.rs
+++ b/crates/daisyyard_core/src/rate.rs
@@ -17,8 +17,8 @@
 /// Longest time from the grant of a place to the moment at which the request leaves the node. A
 /// request that has not left by then must not be sent with that place.
 pub const MAX_LEAVE_DELAY: Duration = Duration::from_millis(250);
-/// Time for which a node must have had a share before it uses it. Other nodes learn of a change of the
-/// list within this time, and requests sent before a restart have left a window of about a second.
+/// Least time for which a node must have had a share before it uses it. Other nodes learn of a change of
+/// the list within this time.
 pub const OWNER_WAIT: Duration = Duration::from_secs(3);
 /// Maximum number of owners of an endpoint. With more, the shares are too small for a burst at one
 /// node; with fewer, the loss of one costs too much of the rate.
@@ -36,6 +36,21 @@
     /// Time for which a place is taken. It exceeds the period of the bound by [`MAX_LEAVE_DELAY`], so
     /// that requests that leave late and early arrive in the same period.
     pub window: Duration,
+    /// Time for which a node must have had a share before it uses it. Requests sent by another owner, or
+    /// before a restart, have then left the window.
+    pub wait: Duration,
+}
+
+impl Rate {
+    /// Returns the rate at which a number of places is taken in a period.
+    pub(crate) fn new(places: u32, period: Duration) -> Self {
+        let window = period.saturating_add(MAX_LEAVE_DELAY);
+        Self {
+            places,
+            window,
+            wait: window.max(OWNER_WAIT),
+        }
+    }
 }
 
 /// A place in the rate of an endpoint, which a request has taken.
@@ -122,17 +137,12 @@
         .unwrap_or(u32::MAX)
         .min(MAX_OWNERS)
         .min(total);
-    // All owners have the same share; the number of owners that leaves the least over is best.
-    let best = (1..=most).max_by_key(|owners| (owners * (total / owners), *owners));
-    let Some(owners) = best else {
-        return 0;
-    };
-    let owning = home::first(endpoint, nodes.iter().copied(), owners as usize);
-    if owning.contains(&own) {
-        total / owners
-    } else {
-        0
-    }
+    let owning = home::first(endpoint, nodes.iter().copied(), most as usize);
+    // The first owners get the places that are left over.
+    let rank = owning.iter().position(|node| *node == own);
+    rank.map_or(0, |rank| {
+        total / most + u32::from((rank as u32) < total % most)
+    })
 }
 
 impl Share {
@@ -153,11 +163,18 @@
             self.places.push_back((since, places));
         }
         // A share counts until the wait after its end.
-        while self.places.len() > 1 && self.places[1].0 + OWNER_WAIT <= now {
+        let wait = self.wait();
+        while self.places.len() > 1 && self.places[1].0 + wait <= now {
             self.places.pop_front();
         }
     }
 
+    /// Returns the mean time between two requests of all nodes.
+    pub(crate) fn interval(&self) -> Duration {
+        let interval = self.rate.map(|rate| rate.window / rate.places.max(1));
+        interval.unwrap_or_default()
+    }
+
     /// Returns when a request may be sent.
     pub(crate) fn opening(&self, now: Instant) -> Opening {
         let Some(rate) = self.rate else {
@@ -171,23 +188,29 @@
         }
         let freed = places.checked_sub(1).map(|_| recent[recent.len() - places]);
         let freed = freed.map(|at| at + rate.window);
-        let changes = self.places.iter().map(|(since, _)| *since + OWNER_WAIT);
+        let changes = self.places.iter().map(|(since, _)| *since + rate.wait);
         let next = changes.filter(|at| *at > now).chain(freed).min();
         next.map_or(Opening::Unknown, Opening::At)
     }
 
+    /// Returns the time for which this node must have had a share before it uses it.
+    fn wait(&self) -> Duration {
+        self.rate.map_or(OWNER_WAIT, |rate| rate.wait)
+    }
+
     /// Returns the places that this node may use: the fewest that any list of the last time gave it.
     fn usable_places(&self, now: Instant) -> u32 {
         let Some((first, _)) = self.places.front() else {
             return 0;
         };
-        if *first + OWNER_WAIT > now {
+        let wait = self.wait();
+        if *first + wait > now {
             return 0;
         }
         let ends = self.places.iter().skip(1).map(|(since, _)| Some(*since));
         let ends = ends.chain(std::iter::once(None));
         let counts = self.places.iter().zip(ends).filter_map(|(share, end)| {
-            let counts = end.is_none_or(|end| end + OWNER_WAIT > now);
+            let counts = end.is_none_or(|end| end + wait > now);
             counts.then_some(share.1)
         });
         counts.min().unwrap_or(0)
--- a/crates/daisyyard_core/src/statement.rs
+++ b/crates/daisyyard_core/src/statement.rs
@@ -15,6 +15,7 @@
 use crate::id::{EndpointId, ServiceId};
 use crate::load::Need;
 use crate::pool::Pool;
+use crate::rate::Opening;
 
 /// Share of the time for which an endpoint turns requests away after which one request may try it. An
 /// earlier trial would rarely find it changed.
@@ -241,6 +242,12 @@
         known.incarnation != entry.incarnation || (unstated && replaced)
     }
 
+    /// Returns whether this node has a place left in the rates of the endpoint.
+    fn has_place(&self, now: Instant) -> bool {
+        let cold = self.warmup.closed_until(now).is_some();
+        !cold && self.throttle.share.opening(now) == Opening::Now
+    }
+
     /// Returns whether the endpoint is open but for requests that it turns away.
     fn is_turned_away(&self, now: Instant) -> bool {
         matches!(self.access(now), Access::Closed(Reason::TurnedAway, _))
@@ -392,7 +399,7 @@
                 && !excluded.contains(id)
                 && candidate.is_turned_away(now)
                 && candidate.statements.current.allows_trial(now)
-                && candidate.warmup.closed_until(now).is_none()
+                && candidate.has_place(now)
                 && candidate.fits(need, now)
         })?;
         candidate.statements.current.take_trial();
@@ -407,7 +414,7 @@
         let candidate = candidate.filter(|candidate| {
             candidate.is_turned_away(now)
                 && candidate.statements.current.allows_trial(now)
-                && candidate.warmup.closed_until(now).is_none()
+                && candidate.has_place(now)
         });
         candidate.is_some_and(|candidate| {
             candidate.statements.current.take_trial();
--- a/crates/daisyyard_core/src/warmup.rs
+++ b/crates/daisyyard_core/src/warmup.rs
@@ -95,10 +95,7 @@
     /// Sets the bound, and finds the share that the lists have given so far.
     pub(crate) fn set_rule(&mut self, rule: Option<Rule>, id: EndpointId, owners: &Owners) {
         self.rule = rule;
-        let rate = rule.map(|rule| Rate {
-            places: rule.bound / LISTS,
-            window: WINDOW,
-        });
+        let rate = rule.map(|rule| Rate::new(rule.bound / LISTS, PERIOD));
         self.share.set_rate(rate, id, owners);
     }
 
--- a/crates/daisyyard_core/tests/cold_rate.rs
+++ b/crates/daisyyard_core/tests/cold_rate.rs
@@ -85,7 +85,7 @@
 fn pool(own: usize, nodes: &[InstanceId], endpoints: usize, now: Instant) -> Pool {
     let mut pool = Pool::new(Zone::new("a", "r"), own as u64);
     pool.set_cold_rules(HashMap::from([(id::of("desk"), rule())]));
-    pool.set_cold_owners(node(own), nodes, now);
+    pool.set_owners(node(own), nodes, now);
     for number in 0..endpoints {
         pool.put(endpoint(&name(number), 1, 1), Duration::ZERO, now);
     }
@@ -162,7 +162,7 @@
         }
         for (_, own, list) in learning.extract_if(.., |(at, ..)| *at <= now) {
             lists[own] = list;
-            pools[own].set_cold_owners(node(own), &lists[own], now);
+            pools[own].set_owners(node(own), &lists[own], now);
         }
         let own = random.random_range(0..count);
         if random.random_bool(0.005) {
--- a/crates/daisyyard_core/tests/cold_state.rs
+++ b/crates/daisyyard_core/tests/cold_state.rs
@@ -56,7 +56,7 @@
         bound: 2 * PLACES as u32,
     };
     pool.set_cold_rules(HashMap::from([(id::of("model"), rule)]));
-    pool.set_cold_owners(1, &[1], start);
+    pool.set_owners(1, &[1], start);
     for name in ["one", "two"] {
         pool.put(engine(name, 1, 1), Duration::ZERO, start);
     }
--- a/crates/daisyyard_gateway/src/cold.rs
+++ b/crates/daisyyard_gateway/src/cold.rs
@@ -22,6 +22,9 @@
 /// Least time between two questions for a place.
 const MIN_PLACE_WAIT: Duration = Duration::from_millis(5);
 
+/// Time between two questions where only a change of the gateways or of a limit brings a place.
+const UNKNOWN_PLACE_WAIT: Duration = Duration::from_secs(1);
+
 /// What limits the requests to cold endpoints.
 #[derive(Debug)]
 pub(crate) struct Cold {
@@ -70,7 +73,7 @@
             && let Some(owners) = self.members.owners()
         {
             self.cold.listing = listing;
-            self.endpoints.set_cold_owners(self.own_id, &owners, now);
+            self.endpoints.set_owners(self.own_id, &owners, now);
         }
         let changes = self.endpoints.cold_changes(now);
         if changes.is_empty() {
@@ -152,8 +155,8 @@
             Some(Access::Closed(Reason::TurnedAway, _)) if self.endpoints.try_one(id, now) => {
                 Ok(self.endpoints.take_place(id, now))
             }
-            Some(Access::Closed(Reason::Cold | Reason::TurnedAway, opens)) => {
-                Err(opens.unwrap_or(now))
+            Some(Access::Closed(Reason::Cold | Reason::Limited | Reason::TurnedAway, opens)) => {
+                Err(opens.unwrap_or(now + UNKNOWN_PLACE_WAIT))
             }
             _ => Ok(self.endpoints.take_place(id, now)),
         }
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -185,10 +185,8 @@
             self.send(&[frame.clone().into_probe()], &targets.probed)
                 .await;
             self.send(&[frame], &targets.reserve).await;
-            let cold = Frame::from_cold(&report);
-            self.send(cold.as_slice(), &targets.reserve).await;
-            let leavers = Frame::from_leavers(&report);
-            self.send(leavers.as_slice(), &targets.reserve).await;
+            let statements = Frame::from_statements(&report);
+            self.send(&statements, &targets.reserve).await;
         }
         self.targets = targets.serving.len() as u32;
         self.send_demand(&targets.serving).await
@@ -271,10 +269,8 @@
                 return false;
             };
             self.send(&[Frame::without_loads(&report)], &[sender]).await;
-            let cold = Frame::from_cold(&report);
-            self.send(cold.as_slice(), &[sender]).await;
-            let leavers = Frame::from_leavers(&report);
-            self.send(leavers.as_slice(), &[sender]).await;
+            let statements = Frame::from_statements(&report);
+            self.send(&statements, &[sender]).await;
         }
         self.pool.send(Report::from(frame)).await.is_ok()
     }
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -185,6 +185,7 @@
             cold: self.endpoints.cold_reports(now).collect(),
             departures: self.endpoints.departures(now).collect(),
             leavers: self.endpoints.leavers(now).collect(),
+            limits: self.endpoints.limit_reports(now).collect(),
             loads: self.endpoints.loads().collect(),
             paces: self.endpoints.paces().collect(),
             news: Vec::new(),
@@ -255,6 +256,7 @@
         self.learn_evidence(&message.evidence, now);
         self.endpoints.hear_cold(&message.cold, now);
         self.hear_leavers(&message.leavers, now);
+        self.hear_limits(&message.limits, now);
         if !message.news.is_empty() {
             self.apply_news(message, now);
         } else if message.continuation {
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -14,6 +14,7 @@
     LeavingEndpoint,
 };
 use crate::wire_demand::{AccountPart, KindStream, RefusedPart, WaitingPart};
+use crate::wire_limit::LimitedEndpoint;
 
 /// Maximum size of a datagram; it fits into one packet on any path.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -31,6 +32,8 @@
 const MAX_COLD: usize = 32;
 /// Maximum number of incarnations in one datagram that have stated that they leave.
 const MAX_LEAVERS: usize = 48;
+/// Maximum number of limits of endpoints in one datagram.
+const MAX_LIMITS: usize = 40;
 /// Maximum number of records of contents in one datagram.
 const MAX_CONTENTS: usize = 8;
 /// Maximum number of kinds of requests in one datagram, or of waiting ones in a digest.
@@ -105,6 +108,9 @@
     /// Incarnations of endpoints that have stated to the sender that they leave.
     #[prost(message, repeated, tag = "21")]
     leavers: Vec<LeavingEndpoint>,
+    /// What endpoints have stated to the sender on their limits.
+    #[prost(message, repeated, tag = "22")]
+    limits: Vec<LimitedEndpoint>,
     /// Work of the heaviest accounts and of the rest.
     #[prost(message, repeated, tag = "24")]
     accounts: Vec<AccountPart>,
@@ -152,12 +158,30 @@
         };
         let demand = first.split_demand();
         let frames = std::iter::once(first).chain(rest).chain(demand);
+        frames.chain(Self::from_statements(report)).collect()
+    }
+
+    /// Returns the frames that tell of single endpoints: which are cold, leave or are limited.
+    pub(crate) fn from_statements(report: &Report) -> Vec<Self> {
+        let frames = Self::from_cold(report).into_iter();
         frames
-            .chain(Self::from_cold(report))
             .chain(Self::from_leavers(report))
+            .chain(Self::from_limits(report))
             .collect()
     }
 
+    /// Splits the limits of endpoints into frames. None is left out, as one gateway that does not know of a
+    /// limit could exceed it alone.
+    fn from_limits(report: &Report) -> impl Iterator<Item = Self> {
+        report.limits.chunks(MAX_LIMITS).map(|limits| Self {
+            instance: report.from,
+            leaving: report.leaving,
+            purpose: Purpose::Continuation.into(),
+            limits: limits.iter().copied().map(Into::into).collect(),
+            ..Self::default()
+        })
+    }
+
     /// Moves the waiting and refused requests to a frame of their own if both together are too long for
     /// a datagram.
     fn split_demand(&mut self) -> Option<Self> {
@@ -173,7 +197,7 @@
 
     /// Returns the frame of the cold endpoints in a report; none if there are none. If there are too
     /// many, those that are cold for the longest time are reported.
-    pub(crate) fn from_cold(report: &Report) -> Option<Self> {
+    fn from_cold(report: &Report) -> Option<Self> {
         let mut cold = report.cold.clone();
         cold.sort_unstable_by_key(|cold| (std::cmp::Reverse(cold.remaining), cold.endpoint));
         cold.truncate(MAX_COLD);
@@ -188,7 +212,7 @@
 
     /// Returns the frame of the incarnations in a report that have stated that they leave; none if there
     /// are none.
-    pub(crate) fn from_leavers(report: &Report) -> Option<Self> {
+    fn from_leavers(report: &Report) -> Option<Self> {
         let leavers = report.leavers.iter().copied().take(MAX_LEAVERS);
         (!report.leavers.is_empty()).then(|| Self {
             instance: report.from,
@@ -266,12 +290,17 @@
         };
         let (knowledge, cold) = (last.knowledge, last.cold.clone());
         let told = |cold: &ColdEndpoint| last.cold.iter().any(|last| last.covers(cold));
+        let mut pairs = self.limits.iter().zip(&last.limits);
+        let same_limits = self.limits.len() == last.limits.len()
+            && pairs.all(|(limit, last)| limit.is_told_by(last));
         renewed
             || !self.cold.iter().all(told)
+            || !same_limits
             || *last
                 != Self {
                     knowledge,
                     cold,
+                    limits: last.limits.clone(),
                     ..self.clone()
                 }
     }
@@ -321,6 +350,7 @@
             evacuations_at: report.evacuations_at,
             cold: Vec::new(),
             leavers: Vec::new(),
+            limits: Vec::new(),
             instance: report.from,
             leaving: report.leaving,
             loads: Vec::new(),
@@ -371,6 +401,7 @@
             cold: frame.cold.into_iter().map(Into::into).collect(),
             departures: frame.departures.into_iter().map(Into::into).collect(),
             leavers: frame.leavers.into_iter().map(Into::into).collect(),
+            limits: frame.limits.into_iter().map(Into::into).collect(),
             loads: frame.loads.into_iter().map(Into::into).collect(),
             news: frame.news.into_iter().map(Into::into).collect(),
             relist_time: Duration::from_millis(frame.relist_ms.into()),
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -53,3 +53,4 @@
 pub(crate) mod watcher;
 pub(crate) mod wire;
 pub(crate) mod wire_demand;
+pub(crate) mod wire_limit;
--- a/crates/daisyyard_gateway/src/limit.rs
+++ b/crates/daisyyard_gateway/src/limit.rs
@@ -4,12 +4,16 @@
 
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::id::EndpointId;
+use daisyyard_core::limit;
+use daisyyard_core::pool::Pool as Endpoints;
 use xtra::{Context, Handler};
 
 use crate::codec::{Limit, Receipt};
 use crate::event::Event;
+use crate::message::Claim;
 use crate::pool::Pool;
 use crate::proxy::Proxy;
+use crate::statement::refuse_turned_away;
 
 /// Reports what an answer states on the limit of an endpoint.
 #[derive(Debug)]
@@ -81,6 +85,41 @@
         self.limited.send_replace(limited);
         true
     }
+
+    /// Applies what another gateway has heard from endpoints.
+    pub(crate) fn hear_limits(&mut self, reports: &[limit::Report], now: Instant) {
+        if !reports.is_empty() {
+            self.endpoints.hear_limits(reports, now);
+            self.update_limits(now);
+        }
+    }
+
+    /// Refuses a request at once if all endpoints are limited and none opens in time for it; returns it
+    /// otherwise.
+    pub(crate) fn refuse_limited(&self, claim: Claim, now: Instant) -> Option<Claim> {
+        match late_opening(&self.endpoints, &claim, now) {
+            Some(opens) => {
+                refuse_turned_away(claim, opens, now);
+                None
+            }
+            None => Some(claim),
+        }
+    }
+
+    /// Follows the limits that have begun, changed or ended.
+    pub(crate) fn review_limits(&mut self, now: Instant) {
+        self.update_limits(now);
+        if !self.limited.borrow().is_empty() {
+            self.refuse_until_opening(late_opening, now);
+        }
+    }
+}
+
+/// Returns when the first endpoint of a request opens, if all are limited and that is too late for it.
+fn late_opening(endpoints: &Endpoints, claim: &Claim, now: Instant) -> Option<Instant> {
+    let service = claim.need.service;
+    let opens = endpoints.limited_opening(service, &claim.excluded, now)?;
+    (opens > claim.schedule.expires).then_some(opens)
 }
 
 impl Handler<LearnLimit> for Pool {
@@ -100,6 +139,9 @@
         let placed_at = message.placed_at;
         self.endpoints
             .learn_limit(id, incarnation, per_1000_s, placed_at, now);
-        self.update_limits(now);
+        if self.update_limits(now) {
+            // The other gateways follow it too.
+            self.changed.notify_one();
+        }
     }
 }
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -14,6 +14,7 @@
 use daisyyard_core::gate::Waiting;
 use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, RequestId, Revision, ServiceId};
 use daisyyard_core::knowledge;
+use daisyyard_core::limit;
 use daisyyard_core::load::{Load, Need};
 use daisyyard_core::migration::RunState;
 use daisyyard_core::pool::Signal;
@@ -374,6 +375,8 @@
     pub(crate) cold: Vec<warmup::Report>,
     /// Incarnations that have stated to the sender that they leave.
     pub(crate) leavers: Vec<Leaver>,
+    /// What endpoints have stated to the sender on their limits.
+    pub(crate) limits: Vec<limit::Report>,
     /// Identifies the set of endpoints that the readers of the store know; zero if it is unknown.
     pub(crate) listing: u64,
     /// Newest orders to evacuate availability zones that the sender knows.
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -450,7 +450,7 @@
         drop(self.backlog.expire(now));
         self.enforce_evacuations(now);
         self.review_statements(now);
-        self.update_limits(now);
+        self.review_limits(now);
         self.review_admission(now);
         self.store_refusals(now);
         self.update_roster(now);
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -195,14 +195,15 @@
         }
     }
 
-    /// Returns an endpoint that takes part in the service. One that is ejected, cold or turns requests
-    /// away counts, because it may still hold a run or a copy that no other endpoint has.
+    /// Returns an endpoint that takes part in the service. One that is ejected, cold, limited or turns
+    /// requests away counts, because it may still hold a run or a copy that no other endpoint has.
     pub(crate) fn live(&self, id: EndpointId) -> Option<Arc<Endpoint>> {
         match self.endpoints.access(id, Instant::now())? {
             Access::Open
-            | Access::Closed(Reason::TurnedAway | Reason::Ejected | Reason::Cold, _) => {
-                self.endpoints.endpoint(id).map(Arc::clone)
-            }
+            | Access::Closed(
+                Reason::TurnedAway | Reason::Ejected | Reason::Cold | Reason::Limited,
+                _,
+            ) => self.endpoints.endpoint(id).map(Arc::clone),
             Access::Closed(..) => None,
         }
     }
@@ -235,6 +236,9 @@
         let Some(message) = self.place_turned_away(message, now) else {
             return;
         };
+        let Some(message) = self.refuse_limited(message, now) else {
+            return;
+        };
         if self.admission.is_some() {
             self.admit(message, now);
             return;
--- a/crates/daisyyard_gateway/src/statement.rs
+++ b/crates/daisyyard_gateway/src/statement.rs
@@ -6,6 +6,7 @@
 use daisyyard_core::access::{Access, Reason};
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::id::{EndpointId, ServiceId};
+use daisyyard_core::pool::Pool as Endpoints;
 use daisyyard_core::statement::Leaver;
 use hyper::http::response;
 use xtra::{Context, Handler};
@@ -195,9 +196,20 @@
 
     /// Refuses the waiting requests whose endpoints all turn requests away.
     fn refuse_closed(&mut self, now: Instant) {
+        let opens = |endpoints: &Endpoints, claim: &Claim, now| {
+            endpoints.first_opening(claim.need.service, &claim.excluded, now)
+        };
+        self.refuse_until_opening(opens, now);
+    }
+
+    /// Refuses the waiting requests for which it is known that their endpoints are closed until a time.
+    pub(crate) fn refuse_until_opening(
+        &mut self,
+        opening: impl Fn(&Endpoints, &Claim, Instant) -> Option<Instant>,
+        now: Instant,
+    ) {
         let endpoints = &self.endpoints;
-        let opens =
-            |claim: &Claim| endpoints.first_opening(claim.need.service, &claim.excluded, now);
+        let opens = |claim: &Claim| opening(endpoints, claim, now);
         let mut claims = self.backlog.remove(|claim| opens(claim).is_some());
         if let Some(admission) = &mut self.admission {
             claims.extend(admission.remove(|claim| opens(claim).is_some()));
