--- a/crates/daisyyard/src/lib.rs
+++ b/crates/daisyyard/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod soak;
 pub(crate) mod soak_audit;
 pub(crate) mod soak_caller;
+pub(crate) mod soak_limit;
 pub(crate) mod soak_schedule;
 pub(crate) mod socket;
 pub mod sse;
--- a/crates/daisyyard/src/soak.rs
+++ b/crates/daisyyard/src/soak.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use daisyyard_standin::platform_engine::{Mode as EngineMode, PlatformEngine, Runs};
+use daisyyard_standin::platform_engine::{Mode as EngineMode, PlatformEngine, Runs, Stated};
 use daisyyard_standin::platform_fixture::{self, CREDENTIAL};
 use daisyyard_standin::platform_store::{Mode as StoreMode, PlatformStore};
 use daisyyard_standin::proxy::{Link, Proxy};
@@ -17,6 +17,7 @@
 use crate::gateway_process::{self, Control, Handle, Spec};
 use crate::soak_audit;
 use crate::soak_caller::{self, End, Kind, Record};
+use crate::soak_limit;
 use crate::soak_schedule::{self, ENGINES, Fault, GATEWAYS, PLAIN_ENDPOINTS};
 
 /// Time between the end of a reclaimed engine and its next start.
@@ -140,6 +141,7 @@
             .check_evacuation(options.seed, &mut records)
             .await,
     );
+    violations.extend(environment.check_limit(options.seed, &mut records).await);
     violations.extend(soak_audit::violations(
         &records,
         &environment.runs.arrivals().await,
@@ -275,6 +277,11 @@
                 let address = self.gateways[gateway].request_address;
                 soak_caller::stall_bodies(address, duration).await;
             }
+            Fault::Limit(endpoint) => {
+                self.endpoints[endpoint].set_stated(soak_limit::stated());
+                tokio::time::sleep(duration).await;
+                self.endpoints[endpoint].set_stated(Stated::default());
+            }
             Fault::Flood(gateway) => {
                 let address = self.gateways[gateway].request_address;
                 return soak_caller::flood(address, &format!("flood-{number}"), duration).await;
@@ -331,6 +338,28 @@
             .collect()
     }
 
+    /// Lets an endpoint state a limit while nothing else is wrong, and returns a violation if the gateways
+    /// together exceed it.
+    async fn check_limit(&self, seed: u64, records: &mut Vec<Record>) -> Option<String> {
+        let endpoint = &self.endpoints[ENGINES];
+        endpoint.set_stated(soak_limit::stated());
+        let from = Instant::now();
+        while from.elapsed() < soak_limit::CHECK_TIME {
+            for gateway in &self.gateways {
+                let attempt = format!("s{seed}-limit-{}", records.len());
+                let address = gateway.request_address;
+                records.push(soak_caller::send_request(address, attempt, Kind::Stock).await);
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        endpoint.set_stated(Stated::default());
+        let arrivals = self.runs.arrivals().await;
+        let arrivals = arrivals.iter().filter(|one| one.engine == endpoint.name);
+        let times = arrivals.map(|one| one.at).collect();
+        let excess = soak_limit::excess(times, from)?;
+        Some(format!("{} {excess}", endpoint.name))
+    }
+
     /// Sends requests until every gateway has served each kind, and appends the records.
     async fn check_recovery(&self, seed: u64, records: &mut Vec<Record>) -> anyhow::Result<()> {
         self.wait_until_ready().await?;
--- a/crates/daisyyard/src/soak_schedule.rs
+++ b/crates/daisyyard/src/soak_schedule.rs
@@ -35,6 +35,10 @@
 const FLOOD_INTERVAL_MS: std::ops::Range<u64> = 1_500..5_000;
 /// Seed of these times, so that they differ from those of other series.
 const FLOOD_SEED: u64 = 0x666c_6f6f_6473;
+/// Range of the times between two limits that an endpoint states, in milliseconds.
+const LIMIT_INTERVAL_MS: std::ops::Range<u64> = 1_500..5_000;
+/// Seed of these times, so that they differ from those of other series.
+const LIMIT_SEED: u64 = 0x006c_696d_6974;
 /// Upper bound of the delay on a slow link, in milliseconds.
 const MAX_LINK_DELAY_MS: u64 = 300;
 
@@ -76,6 +80,8 @@
     Crowd(usize),
     /// One account sends a gateway many requests at once.
     Flood(usize),
+    /// An endpoint states that it takes few requests from all gateways together.
+    Limit(usize),
 }
 
 /// Fault with its start and duration.
@@ -105,6 +111,7 @@
     events.extend(draw_evacuations(seed, period));
     events.extend(draw_crowds(seed, period));
     events.extend(draw_floods(seed, period));
+    events.extend(draw_limits(seed, period));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -146,6 +153,13 @@
     draw_series(seed ^ FLOOD_SEED, period, FLOOD_INTERVAL_MS, flood)
 }
 
+/// Draws the limits that endpoints state in a soak.
+fn draw_limits(seed: u64, period: Duration) -> Vec<Event> {
+    let limit =
+        |random: &mut Pcg64Mcg| Fault::Limit(random.random_range(0..ENGINES + PLAIN_ENDPOINTS));
+    draw_series(seed ^ LIMIT_SEED, period, LIMIT_INTERVAL_MS, limit)
+}
+
 /// Draws a series of faults of one kind. It has a generator of its own, so that the other faults of a seed
 /// stay the same.
 fn draw_series(
