Soak: do not send SIGHUP to a gateway that is suspended before it has its handlers

Cause: the supervisor waits for the handlers of a new process for at most 0.5 s, and handles no other message meanwhile. A process that the soak has suspended while it starts cannot get them in that time, and the message that resumes it waits behind. The fault is the supervisor's, not the gateway's: with the suspension taken out of the 0.5 s, the gateway has its handlers each time. Change: the supervisor goes on handling messages while a reload is due. A process that runs for 0.5 s without handlers still gets the signal and fails the soak, as before.

--- a/crates/daisyyard/src/gateway_process.rs
+++ b/crates/daisyyard/src/gateway_process.rs
@@ -19,8 +19,10 @@
 /// Limit on a planned stop: the grace period of 8 s, the longest pause of 2 s, and 1 s for a busy
 /// host.
 const STOP_TIMEOUT: Duration = Duration::from_secs(11);
-/// Limit on the time that a process takes to install its signal handlers.
+/// Limit on the time that a process takes to install its signal handlers, while it is not suspended.
 const STARTUP_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval between two checks whether a process that is to reload its settings has its signal handlers.
+const HANDLER_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Control message to the supervisor.
 #[derive(Debug)]
@@ -74,6 +76,12 @@
     child: Child,
     /// Time of the first stop message since the process was started.
     stop_requested_at: Option<Instant>,
+    /// Whether the process is suspended.
+    paused: bool,
+    /// When a process that is to reload its settings must have its signal handlers; none if it is not.
+    /// Before that, the default action of SIGHUP terminates it, which no program can prevent while it is
+    /// being loaded.
+    reload_due: Option<Instant>,
     /// Whether the supervisor killed the process.
     killed: bool,
     /// Faults of the process.
@@ -102,6 +110,8 @@
         settings_path,
         child,
         stop_requested_at: None,
+        paused: false,
+        reload_due: None,
         killed: false,
         faults: Vec::new(),
     };
@@ -166,6 +176,9 @@
                         return;
                     }
                 }
+                () = tokio::time::sleep(HANDLER_POLL_INTERVAL), if self.reload_due.is_some() => {
+                    self.reload_if_ready().await;
+                }
                 () = timer::sleep_until(stop_deadline) => {
                     self.record_fault("did not stop within the grace period");
                     self.stop_requested_at = None;
@@ -183,11 +196,20 @@
                 self.stop_requested_at.get_or_insert(Instant::now());
                 self.send_signal("-TERM").await;
             }
-            Control::Pause => self.send_signal("-STOP").await,
-            Control::Resume => self.send_signal("-CONT").await,
+            Control::Pause => {
+                self.paused = true;
+                self.send_signal("-STOP").await;
+            }
+            Control::Resume => {
+                self.paused = false;
+                self.send_signal("-CONT").await;
+                // Its time to start begins anew.
+                let due = self.reload_due.take();
+                self.reload_due = due.map(|_| Instant::now() + STARTUP_TIMEOUT);
+            }
             Control::Reload => {
-                self.wait_for_handlers().await;
-                self.send_signal("-HUP").await;
+                self.reload_due = Some(Instant::now() + STARTUP_TIMEOUT);
+                self.reload_if_ready().await;
             }
             Control::Finish(_) => {}
         }
@@ -200,12 +222,16 @@
         let _ = self.child.start_kill();
     }
 
-    /// Waits until the process has installed its signal handlers. Before that, the default action
-    /// of SIGHUP terminates it, which no program can prevent while it is being loaded.
-    async fn wait_for_handlers(&self) {
-        let deadline = Instant::now() + STARTUP_TIMEOUT;
-        while self.child.id().is_some_and(|id| !catches_hangup(id)) && Instant::now() < deadline {
-            tokio::time::sleep(STARTUP_TIMEOUT / 100).await;
+    /// Makes the process reload its settings if that is due and it has, or must have, its signal handlers.
+    /// It may be suspended before it has them, so that other messages must not wait for this.
+    async fn reload_if_ready(&mut self) {
+        let Some(due) = self.reload_due else {
+            return;
+        };
+        let is_late = !self.paused && due <= Instant::now();
+        if is_late || self.child.id().is_some_and(catches_hangup) {
+            self.reload_due = None;
+            self.send_signal("-HUP").await;
         }
     }
 
@@ -229,6 +255,9 @@
         (self.killed, self.stop_requested_at) = (false, None);
         tokio::time::sleep(RESTART_DELAY).await;
         self.child = start(&self.spec, &self.settings_path)?;
+        self.paused = false;
+        let due = self.reload_due.take();
+        self.reload_due = due.map(|_| Instant::now() + STARTUP_TIMEOUT);
         Ok(())
     }
 
