Separate the statement of a limit from the pool, and what the soak checks of it from the soak

No decision changes. throttle.rs has the limit of one endpoint, limit.rs what the pool knows, places.rs the places that a node takes in any rate; reach.rs owns the kinds of reads that it counts, which removes a circle of imports.

--- a/crates/daisyyard/src/soak.rs
+++ b/crates/daisyyard/src/soak.rs
@@ -16,7 +16,7 @@
 
 use crate::gateway_process::{self, Control, Handle, Spec};
 use crate::soak_audit;
-use crate::soak_caller::{self, End, Kind, Record};
+use crate::soak_caller::{self, Kind, Record};
 use crate::soak_limit;
 use crate::soak_schedule::{self, ENGINES, Fault, GATEWAYS, PLAIN_ENDPOINTS};
 
@@ -131,7 +131,7 @@
     while let Some(done) = callers.join_next().await {
         records.extend(done.context("a caller panicked")?);
     }
-    println!("{}", summary(&records));
+    println!("{}", soak_audit::summary(&records));
     let mut violations = Vec::new();
     if let Err(error) = environment.check_recovery(options.seed, &mut records).await {
         violations.push(format!("recovery: {error:#}"));
@@ -141,7 +141,11 @@
             .check_evacuation(options.seed, &mut records)
             .await,
     );
-    violations.extend(environment.check_limit(options.seed, &mut records).await);
+    let limited = &environment.endpoints[ENGINES];
+    let check = soak_limit::check(options.seed, limited, &addresses, &environment.runs);
+    let (sent, excess) = check.await;
+    records.extend(sent);
+    violations.extend(excess);
     violations.extend(soak_audit::violations(
         &records,
         &environment.runs.arrivals().await,
@@ -338,28 +342,6 @@
             .collect()
     }
 
-    /// Lets an endpoint state a limit while nothing else is wrong, and returns a violation if the gateways
-    /// together exceed it.
-    async fn check_limit(&self, seed: u64, records: &mut Vec<Record>) -> Option<String> {
-        let endpoint = &self.endpoints[ENGINES];
-        endpoint.set_stated(soak_limit::stated());
-        let from = Instant::now();
-        while from.elapsed() < soak_limit::CHECK_TIME {
-            for gateway in &self.gateways {
-                let attempt = format!("s{seed}-limit-{}", records.len());
-                let address = gateway.request_address;
-                records.push(soak_caller::send_request(address, attempt, Kind::Stock).await);
-            }
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-        endpoint.set_stated(Stated::default());
-        let arrivals = self.runs.arrivals().await;
-        let arrivals = arrivals.iter().filter(|one| one.engine == endpoint.name);
-        let times = arrivals.map(|one| one.at).collect();
-        let excess = soak_limit::excess(times, from)?;
-        Some(format!("{} {excess}", endpoint.name))
-    }
-
     /// Sends requests until every gateway has served each kind, and appends the records.
     async fn check_recovery(&self, seed: u64, records: &mut Vec<Record>) -> anyhow::Result<()> {
         self.wait_until_ready().await?;
@@ -407,18 +389,3 @@
 fn service_name(number: usize) -> &'static str {
     if number < ENGINES { "model" } else { "desk" }
 }
-
-/// Summarises the results of all requests in one line.
-fn summary(records: &[Record]) -> String {
-    let served = |record: &&Record| record.end.is_served();
-    let refused =
-        |record: &&Record| matches!(record.end, End::Answer { status, .. } if !status.is_success());
-    let unanswered = |record: &&Record| record.end == End::NoAnswer;
-    format!(
-        "{} requests: {} served, {} refused or failed, {} without an answer",
-        records.len(),
-        records.iter().filter(served).count(),
-        records.iter().filter(refused).count(),
-        records.iter().filter(unanswered).count(),
-    )
-}
--- a/crates/daisyyard/src/soak_audit.rs
+++ b/crates/daisyyard/src/soak_audit.rs
@@ -103,3 +103,18 @@
     let unexpected = status.is_client_error() && !not_run_statuses.contains(&status);
     unexpected.then(|| format!("was rejected with unexpected status {status}"))
 }
+
+/// Summarises the results of all requests in one line.
+pub(crate) fn summary(records: &[Record]) -> String {
+    let served = |record: &&Record| record.end.is_served();
+    let refused =
+        |record: &&Record| matches!(record.end, End::Answer { status, .. } if !status.is_success());
+    let unanswered = |record: &&Record| record.end == End::NoAnswer;
+    format!(
+        "{} requests: {} served, {} refused or failed, {} without an answer",
+        records.len(),
+        records.iter().filter(served).count(),
+        records.iter().filter(refused).count(),
+        records.iter().filter(unanswered).count(),
+    )
+}
--- a/crates/daisyyard/src/soak_limit.rs
+++ b/crates/daisyyard/src/soak_limit.rs
@@ -1,8 +1,11 @@
-//! The limit that endpoints state in a soak, and the check that gateways together follow it.
+//! The limit that endpoints state in a soak, and the check that gateways together keep it.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use daisyyard_standin::platform_engine::Stated;
+use daisyyard_standin::platform_engine::{PlatformEngine, Runs, Stated};
+
+use crate::soak_caller::{self, Kind, Record};
 
 /// Requests per second that an endpoint states to take.
 const LIMIT: &str = "3";
@@ -13,7 +16,9 @@
 /// Time after the first statement from which the bound applies.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Time for which requests are sent to check the limit.
-pub(crate) const CHECK_TIME: Duration = Duration::from_secs(8);
+const CHECK_TIME: Duration = Duration::from_secs(8);
+/// Pause between two requests through each gateway.
+const PAUSE: Duration = Duration::from_millis(50);
 
 /// Returns what a limited endpoint states.
 pub(crate) fn stated() -> Stated {
@@ -23,15 +28,40 @@
     }
 }
 
-/// Returns by how much arrivals exceed a limit that was first stated at a time; none if they do not.
-pub(crate) fn excess(mut times: Vec<Instant>, stated_at: Instant) -> Option<String> {
-    times.retain(|at| *at >= stated_at + CONTACT_TIME);
+/// Lets a plain endpoint state a limit while nothing else is wrong, and returns the records of the requests
+/// that were sent through the gateways, and a violation if these together exceed the limit.
+pub(crate) async fn check(
+    seed: u64,
+    endpoint: &PlatformEngine,
+    gateways: &[SocketAddr],
+    runs: &Runs,
+) -> (Vec<Record>, Option<String>) {
+    endpoint.set_stated(stated());
+    let from = Instant::now();
+    let mut records = Vec::new();
+    while from.elapsed() < CHECK_TIME {
+        for gateway in gateways {
+            let attempt = format!("s{seed}-limit-{}", records.len());
+            records.push(soak_caller::send_request(*gateway, attempt, Kind::Stock).await);
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    endpoint.set_stated(Stated::default());
+    let arrivals = runs.arrivals().await;
+    let arrivals = arrivals.iter().filter(|one| one.engine == endpoint.name);
+    let peak = peak(arrivals.map(|one| one.at), from + CONTACT_TIME);
+    let name = &endpoint.name;
+    let violation = format!("{name} got {peak} requests in 4 s at a limit of {LIMIT} a second");
+    (records, (peak > MAX_ARRIVALS).then_some(violation))
+}
+
+/// Returns the largest number of arrivals in one period after a time.
+fn peak(arrivals: impl Iterator<Item = Instant>, from: Instant) -> usize {
+    let mut times: Vec<Instant> = arrivals.filter(|at| *at >= from).collect();
     times.sort();
     let counts = times.iter().enumerate().map(|(index, first)| {
         let later = times[index..].iter();
         later.take_while(|at| **at < *first + PERIOD).count()
     });
-    let peak = counts.max().unwrap_or(0);
-    (peak > MAX_ARRIVALS)
-        .then(|| format!("got {peak} requests in 4 s at a limit of {LIMIT} a second"))
+    counts.max().unwrap_or(0)
 }
--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -7,11 +7,11 @@
 use crate::access::{Access, Reason};
 use crate::endpoint::{Endpoint, Kind};
 use crate::id::{InstanceId, Revision, ServiceId, Tokens};
-use crate::limit::Throttle;
 use crate::load::{Load, Need};
 use crate::pace::{Pace, Stretches};
 use crate::pool::Signal;
 use crate::statement::Statements;
+use crate::throttle::Throttle;
 use crate::warmup::Warmup;
 use crate::zone::{Distance, Zone};
 
--- a/crates/daisyyard_core/src/coldness.rs
+++ b/crates/daisyyard_core/src/coldness.rs
@@ -1,13 +1,12 @@
-//! Cold endpoints of a pool: what is known of them, and the places that this node takes there.
+//! Cold endpoints of a pool: what is known of them, and the bounds on the requests to them.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use crate::candidate::Candidate;
-use crate::id::{EndpointId, InstanceId, ServiceId, ZoneId};
+use crate::id::{EndpointId, ServiceId, ZoneId};
 use crate::load::Need;
 use crate::pool::Pool;
-use crate::rate::Place;
 use crate::warmup::{Report, Rule};
 
 /// Bounds on the requests to cold endpoints.
@@ -37,16 +36,6 @@
         }
     }
 
-    /// Sets the nodes among which the owners of shares are chosen, in the same order at all nodes.
-    pub fn set_owners(&mut self, own: InstanceId, nodes: &[InstanceId], now: Instant) {
-        if self.owners.update(own, nodes, now) {
-            for (id, candidate) in &mut self.candidates {
-                candidate.warmup.share.follow(*id, &self.owners, now);
-                candidate.throttle.share.follow(*id, &self.owners, now);
-            }
-        }
-    }
-
     /// Applies the entry of an endpoint that was added or updated.
     pub(crate) fn read_cold_entry(&mut self, id: EndpointId, cold: Duration, now: Instant) {
         let Some(candidate) = self.candidates.get_mut(&id) else {
@@ -139,26 +128,6 @@
         });
         changed.collect()
     }
-
-    /// Takes a place for a request to an endpoint that may leave now; returns none if neither requests to
-    /// the service nor those to the endpoint are limited.
-    pub fn take_place(&mut self, id: EndpointId, now: Instant) -> Option<Place> {
-        let Candidate {
-            warmup, throttle, ..
-        } = self.candidates.get_mut(&id)?;
-        let is_cold = warmup.is_cold(now);
-        let cold = warmup.share.take(is_cold, now);
-        let limited = throttle.share.take(true, now);
-        limited.or(cold)
-    }
-
-    /// Gives a place back whose request has certainly not left.
-    pub fn give_back_place(&mut self, id: EndpointId, place: Place) {
-        if let Some(candidate) = self.candidates.get_mut(&id) {
-            candidate.warmup.share.give_back(place);
-            candidate.throttle.share.give_back(place);
-        }
-    }
 }
 
 /// Leaves out cold endpoints to which requests are limited if a warm one has room.
--- /dev/null
+++ b/crates/daisyyard_core/src/places.rs
@@ -0,0 +1,40 @@
+//! Places that this node takes in the rates of cold and of limited endpoints.
+
+use std::time::Instant;
+
+use crate::candidate::Candidate;
+use crate::id::{EndpointId, InstanceId};
+use crate::pool::Pool;
+use crate::rate::Place;
+
+impl Pool {
+    /// Sets the nodes among which the owners of shares are chosen, in the same order at all nodes.
+    pub fn set_owners(&mut self, own: InstanceId, nodes: &[InstanceId], now: Instant) {
+        if self.owners.update(own, nodes, now) {
+            for (id, candidate) in &mut self.candidates {
+                candidate.warmup.share.follow(*id, &self.owners, now);
+                candidate.throttle.share.follow(*id, &self.owners, now);
+            }
+        }
+    }
+
+    /// Takes a place for a request to an endpoint that may leave now; returns none if neither requests to
+    /// the service nor those to the endpoint are limited.
+    pub fn take_place(&mut self, id: EndpointId, now: Instant) -> Option<Place> {
+        let Candidate {
+            warmup, throttle, ..
+        } = self.candidates.get_mut(&id)?;
+        let is_cold = warmup.is_cold(now);
+        let cold = warmup.share.take(is_cold, now);
+        let limited = throttle.share.take(true, now);
+        limited.or(cold)
+    }
+
+    /// Gives a place back whose request has certainly not left.
+    pub fn give_back_place(&mut self, id: EndpointId, place: Place) {
+        if let Some(candidate) = self.candidates.get_mut(&id) {
+            candidate.warmup.share.give_back(place);
+            candidate.throttle.share.give_back(place);
+        }
+    }
+}
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -19,10 +19,10 @@
 use crate::endpoint::{Endpoint, Kind, State};
 use crate::evacuation::Register;
 use crate::id::{EndpointId, InstanceId, Revision};
-use crate::limit::Throttle;
 use crate::load::Load;
 use crate::pace::{Pace, Stretches};
 use crate::rate::Owners;
+use crate::throttle::Throttle;
 use crate::wave::Wave;
 use crate::zone::Zone;
 
--- a/crates/daisyyard_core/src/statement.rs
+++ b/crates/daisyyard_core/src/statement.rs
@@ -46,7 +46,7 @@
     left: Option<Departure>,
     /// The latest time in which the endpoint turns requests away; it may have passed.
     closure: Option<Closure>,
-    /// Whether an unusable time was reported to the log.
+    /// Whether an unusable time or limit was reported to the log.
     noted_unusable: bool,
     /// Whether the closure was reported to the log as ended.
     noted_open: bool,
@@ -307,8 +307,8 @@
         (incarnation == known).then_some((until, was_open))
     }
 
-    /// Records that an incarnation of an endpoint stated an unusable time; returns whether this is its
-    /// first.
+    /// Records that an incarnation of an endpoint stated an unusable time or limit; returns whether this is
+    /// its first.
     pub fn note_unusable(&mut self, id: EndpointId, incarnation: u64) -> bool {
         let candidate = self.candidates.get_mut(&id);
         candidate.is_some_and(|candidate| {
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -98,6 +98,8 @@
     EndpointLimited = 204,
     /// An endpoint no longer states a limit.
     EndpointUnlimited = 205,
+    /// An endpoint states a limit that is no number.
+    LimitUnusable = 206,
 }
 
 /// Log level of each event.
@@ -148,6 +150,7 @@
     (Event::RetryAfterUnusable, Level::Warn),
     (Event::EndpointLimited, Level::Warn),
     (Event::EndpointUnlimited, Level::Info),
+    (Event::LimitUnusable, Level::Warn),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/limit.rs
+++ b/crates/daisyyard_gateway/src/limit.rs
@@ -4,8 +4,8 @@
 
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::id::EndpointId;
-use daisyyard_core::limit;
 use daisyyard_core::pool::Pool as Endpoints;
+use daisyyard_core::throttle;
 use xtra::{Context, Handler};
 
 use crate::codec::{Limit, Receipt};
@@ -86,8 +86,19 @@
         true
     }
 
+    /// Counts a limit that is no number, and logs the first of an incarnation.
+    fn note_unusable_limit(&mut self, id: EndpointId, incarnation: u64) {
+        self.metrics.record_statement("unusable");
+        if self.endpoints.note_unusable(id, incarnation) {
+            let name = self.endpoints.endpoint(id).map(|it| it.name.as_str());
+            let name = name.unwrap_or("-");
+            let details = format!("endpoint={name} incarnation={incarnation}");
+            self.log.emit(Event::LimitUnusable, &details);
+        }
+    }
+
     /// Applies what another gateway has heard from endpoints.
-    pub(crate) fn hear_limits(&mut self, reports: &[limit::Report], now: Instant) {
+    pub(crate) fn hear_limits(&mut self, reports: &[throttle::Report], now: Instant) {
         if !reports.is_empty() {
             self.endpoints.hear_limits(reports, now);
             self.update_limits(now);
@@ -131,7 +142,7 @@
             Limit::Rate(per_1000_s) => Some(per_1000_s),
             Limit::Absent => None,
             Limit::Unusable => {
-                self.metrics.record_statement("unusable");
+                self.note_unusable_limit(message.endpoint, message.incarnation);
                 return;
             }
         };
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -14,7 +14,6 @@
 use daisyyard_core::gate::Waiting;
 use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, RequestId, Revision, ServiceId};
 use daisyyard_core::knowledge;
-use daisyyard_core::limit;
 use daisyyard_core::load::{Load, Need};
 use daisyyard_core::migration::RunState;
 use daisyyard_core::pool::Signal;
@@ -23,6 +22,7 @@
 use daisyyard_core::roster::Role;
 use daisyyard_core::shared_retry_budget::{self, Limits};
 use daisyyard_core::statement::Leaver;
+use daisyyard_core::throttle;
 use daisyyard_core::turn::Ask;
 use daisyyard_core::warmup::{self, Allowance, ColdStart};
 use daisyyard_core::workload::Part;
@@ -88,7 +88,7 @@
     pub(crate) memory_share: f64,
     /// When the endpoint was chosen.
     pub(crate) placed_at: Instant,
-    /// Place in the rate of a cold endpoint; none once the request may have left.
+    /// Place in the rate of a cold or limited endpoint; none once the request may have left.
     pub(crate) place: Option<rate::Place>,
     /// Receives changes of the endpoint.
     pub(crate) notices: mpsc::Receiver<Notice>,
@@ -116,7 +116,7 @@
 #[derive(Debug)]
 pub(crate) struct Release(pub(crate) RequestId, pub(crate) Signal);
 
-/// Gives back a place in the rate of a cold endpoint, because the request has certainly not left.
+/// Gives back a place in the rate of an endpoint, because the request has certainly not left.
 #[derive(Debug)]
 pub(crate) struct GiveBack(pub(crate) EndpointId, pub(crate) rate::Place);
 
@@ -376,7 +376,7 @@
     /// Incarnations that have stated to the sender that they leave.
     pub(crate) leavers: Vec<Leaver>,
     /// What endpoints have stated to the sender on their limits.
-    pub(crate) limits: Vec<limit::Report>,
+    pub(crate) limits: Vec<throttle::Report>,
     /// Identifies the set of endpoints that the readers of the store know; zero if it is unknown.
     pub(crate) listing: u64,
     /// Newest orders to evacuate availability zones that the sender knows.
--- a/crates/daisyyard_gateway/src/reach.rs
+++ b/crates/daisyyard_gateway/src/reach.rs
@@ -13,12 +13,33 @@
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::store::{Backoff, Error};
-use crate::watcher::Read;
 
 /// Maximum delay between retries while the store is unavailable. A gateway that has just started
 /// serves no requests until the store has answered once.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// What a gateway reads from the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Read {
+    /// The changes since the last read.
+    Changes,
+    /// The configuration, which may be a few seconds old.
+    Catalog,
+    /// All keys.
+    All,
+}
+
+impl Read {
+    /// Returns the name of the read for metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Changes => "changes",
+            Self::Catalog => "catalog",
+            Self::All => "all",
+        }
+    }
+}
+
 /// Outcomes of the reads of a gateway.
 #[derive(Debug)]
 pub(crate) struct Reach {
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -19,7 +19,7 @@
 use crate::message::{SetColdStarts, Standing, Update};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
-use crate::reach::Reach;
+use crate::reach::{Reach, Read};
 use crate::settings::Bounds;
 use crate::store::{self, Error, MAX_PAGE_BYTES, Timeouts};
 
@@ -47,28 +47,6 @@
 /// The current configuration; `None` until the first one is read.
 pub(crate) type Configuration = watch::Receiver<Option<Arc<Catalog>>>;
 
-/// What a gateway reads next from the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Read {
-    /// The changes since the last read.
-    Changes,
-    /// The configuration, which may be a few seconds old.
-    Catalog,
-    /// All keys.
-    All,
-}
-
-impl Read {
-    /// Returns the name of the read for metrics.
-    pub(crate) fn name(self) -> &'static str {
-        match self {
-            Self::Changes => "changes",
-            Self::Catalog => "catalog",
-            Self::All => "all",
-        }
-    }
-}
-
 /// Watches the store.
 #[derive(Debug)]
 pub(crate) struct Watcher {
--- a/crates/daisyyard_gateway/src/wire_limit.rs
+++ b/crates/daisyyard_gateway/src/wire_limit.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use daisyyard_core::id::EndpointId;
-use daisyyard_core::limit::Report;
+use daisyyard_core::throttle::Report;
 use prost::Message;
 
 /// What the latest answer of an endpoint to the sender stated on its limit.
