Record the orders to stop a run, and log how a stream without a length ends

Each order is recorded before it is sent and when its answer is known (stream_end::Orders). The end of a stream without a length or chunks is logged (DY0142) with that, and counted by framing. No decision changes: any verdict but cut ends the response as before.

--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -73,6 +73,7 @@
 pub mod statement;
 pub mod store_budget;
 pub mod stream;
+pub mod stream_end;
 pub mod suspect;
 pub mod throttle;
 pub mod turn;
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -63,6 +63,8 @@
     RefusalUnstored = 140,
     /// An engine was asked to stop a run so that another one can continue it.
     RunHalted = 141,
+    /// A response without a length or chunks ended; whether its run came to its end.
+    StreamEnded = 142,
     /// Nothing more is sent to the endpoints of an availability zone.
     EvacuationStarted = 150,
     /// Requests are sent to the endpoints of an availability zone again.
@@ -133,6 +135,7 @@
     (Event::ContentRefused, Level::Warn),
     (Event::RefusalUnstored, Level::Warn),
     (Event::RunHalted, Level::Info),
+    (Event::StreamEnded, Level::Info),
     (Event::EvacuationStarted, Level::Warn),
     (Event::EvacuationEnded, Level::Warn),
     (Event::EvacuationVoid, Level::Warn),
--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -10,13 +10,14 @@
 use daisyyard_core::pool::Signal;
 use daisyyard_core::shared_retry_budget;
 use hyper::StatusCode;
+use tokio::sync::watch;
 
 use crate::codec::Replica;
 use crate::event::Event;
 use crate::halt::{Halt, halt};
 use crate::message::{Confirm, Failover, GiveBack, Retry, ReturnRetry, Rollback, Takeover};
 use crate::migration::{RETRY_INTERVAL, State};
-use crate::relay::{LEAVING, Relay, SILENT};
+use crate::relay::{LEAVING, Relay, SILENT, Upstream};
 
 /// Timeout for an engine to resume a run.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
@@ -270,7 +271,8 @@
         if !self.supports_moves() {
             return Halt::Unanswered;
         }
-        halt(&self.proxy, &self.job, source, target, !patient).await
+        let engines = (source, target);
+        halt(&self.proxy, &self.job, engines, &self.orders, !patient).await
     }
 
     /// Makes the source the engine of the run again, with what is known of its copy.
@@ -375,7 +377,8 @@
             return Err(Obstacle::Unanswered);
         }
         self.splitter.discard_partial();
-        self.upstream = Some((answer.response.into_body(), answer.driver));
+        let (parts, incoming) = answer.response.into_parts();
+        self.upstream = Some(Upstream::new(&parts.headers, incoming, answer.driver));
         Ok(())
     }
 
@@ -384,6 +387,8 @@
         self.grant.endpoint = engine;
         self.grant.signal = Signal::Neutral;
         self.migration = State::Idle;
+        // Orders that are still open concern the engine before.
+        self.orders = watch::Sender::default();
         self.taken = false;
         self.gaps.reset();
         self.first_data_at = Some(Instant::now());
--- a/crates/daisyyard_gateway/src/halt.rs
+++ b/crates/daisyyard_gateway/src/halt.rs
@@ -8,7 +8,9 @@
 
 use daisyyard_core::continuation::Stop;
 use daisyyard_core::endpoint::Endpoint;
+use daisyyard_core::stream_end::{Orders, Reply};
 use daisyyard_http::connection::Failure;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::codec::Transfer;
@@ -16,6 +18,7 @@
 use crate::job::Job;
 use crate::migration::{COPY_TIMEOUT, request_copy};
 use crate::proxy::Proxy;
+use crate::sent::is_unsent;
 use crate::store;
 
 /// Maximum wait for an engine that may be down to stop a run. A run whose backup is at another
@@ -66,13 +69,13 @@
     }
 }
 
-/// Stops a run at `source`, whose KV cache the engine copies to `target`. An engine that may be down
-/// gets less time to answer, but is asked again in the background until it does.
+/// Stops a run at `source`, whose KV cache the engine copies to `target`, and records the orders. An engine
+/// that may be down gets less time to answer, but is asked again in the background until it does.
 pub(crate) async fn halt(
     proxy: &Proxy,
     job: &Arc<Job>,
-    source: &Arc<Endpoint>,
-    target: &Arc<Endpoint>,
+    (source, target): (&Arc<Endpoint>, &Arc<Endpoint>),
+    orders: &watch::Sender<Orders>,
     may_be_down: bool,
 ) -> Halt {
     let started = Instant::now();
@@ -81,6 +84,7 @@
         Arc::clone(job),
         Arc::clone(source),
         Arc::clone(target),
+        orders.clone(),
     );
     let timeout = if may_be_down {
         HALT_TIMEOUT
@@ -106,10 +110,18 @@
 }
 
 /// Asks an engine to stop a run until it answers.
-async fn stop(proxy: Proxy, job: Arc<Job>, source: Arc<Endpoint>, target: Arc<Endpoint>) -> Halt {
+async fn stop(
+    proxy: Proxy,
+    job: Arc<Job>,
+    source: Arc<Endpoint>,
+    target: Arc<Endpoint>,
+    orders: watch::Sender<Orders>,
+) -> Halt {
     let deadline = Instant::now() + RETRY_PERIOD;
     loop {
+        orders.send_modify(Orders::send);
         let answer = request_copy(&proxy, &job, &source, &target, true).await;
+        orders.send_modify(|orders| orders.settle(reply(&answer)));
         let halt = match answer {
             Ok(Transfer::Copied(handle)) => return Halt::Moved(handle),
             Ok(Transfer::Refused(Some(handle))) => return Halt::Kept(handle),
@@ -126,3 +138,12 @@
         tokio::time::sleep(RETRY_INTERVAL).await;
     }
 }
+
+/// Returns what became of an order to stop a run, given its answer.
+fn reply(answer: &Result<Transfer, store::Error>) -> Reply {
+    match answer {
+        Ok(Transfer::Missing | Transfer::Busy) => Reply::Void,
+        Err(store::Error::Unanswered(failure)) if is_unsent(*failure) => Reply::Void,
+        Ok(Transfer::Copied(_) | Transfer::Refused(_)) | Err(_) => Reply::Effective,
+    }
+}
--- a/crates/daisyyard_gateway/src/metrics.rs
+++ b/crates/daisyyard_gateway/src/metrics.rs
@@ -6,6 +6,7 @@
 
 use anyhow::Context;
 use daisyyard_core::footprint::Use;
+use daisyyard_core::stream_end::{Framing, Verdict};
 use metrics::{Key, KeyName, Label, Level, Metadata, Recorder};
 use metrics_exporter_prometheus::{
     Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
@@ -30,6 +31,8 @@
 const MOVES: &str = "daisyyard_gateway_moves_total";
 /// Counter of runs that endpoints broke off early, by kind.
 const BROKEN: &str = "daisyyard_gateway_broken_runs_total";
+/// Counter of the ends of streams, by how they were marked and what they showed.
+const STREAM_ENDS: &str = "daisyyard_gateway_stream_ends_total";
 /// Gauge of evacuated availability zones.
 const EVACUATED_ZONES: &str = "daisyyard_gateway_evacuated_zones";
 /// Gauge of runs of this gateway at endpoints of evacuated zones.
@@ -122,6 +125,16 @@
         self.count(MOVES, &[("means", means)]);
     }
 
+    /// Counts the end of a stream that came without an error.
+    pub(crate) fn record_stream_end(&self, framing: Framing, verdict: Verdict) {
+        let framing = match framing {
+            Framing::Explicit => "explicit",
+            Framing::Connection => "connection",
+        };
+        let labels = [("framing", framing), ("verdict", verdict.name())];
+        self.count(STREAM_ENDS, &labels);
+    }
+
     /// Counts a run that its endpoint broke off before it had gone well.
     pub(crate) fn record_break(&self, kind: &'static str) {
         self.count(BROKEN, &[("kind", kind)]);
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -29,7 +29,7 @@
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::refusal::Refusal;
-use crate::relay::Relay;
+use crate::relay::{Relay, Upstream};
 use crate::sent::{self, Sent, answer_unusable, connection_failed, health_signal};
 use crate::server::Phase;
 use crate::watcher::Configuration;
@@ -288,11 +288,12 @@
     ) -> Response<Body> {
         let (sender, body) = body::channel();
         let (parts, incoming) = answer.response.into_parts();
+        let upstream = Upstream::new(&parts.headers, incoming, answer.driver);
         let relay = Relay::new(
             self.clone(),
             Arc::clone(job),
             grant,
-            (incoming, answer.driver),
+            upstream,
             sender,
             runs_left,
         );
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -8,10 +8,12 @@
 use bytes::Bytes;
 use daisyyard_core::footprint::Use;
 use daisyyard_core::pool::Signal;
+use daisyyard_core::stream_end::{Ending, Framing, Orders, Verdict};
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use tokio::sync::{mpsc, watch};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::body::Chunk;
@@ -36,7 +38,15 @@
 pub(crate) const SILENT: &str = "silent";
 
 /// Open response of an engine; dropping it closes the connection.
-type Upstream = (Incoming, AbortOnDropHandle<()>);
+#[derive(Debug)]
+pub(crate) struct Upstream {
+    /// Unread body.
+    body: Incoming,
+    /// How the end of the body is marked.
+    framing: Framing,
+    /// Task that drives the connection.
+    _driver: AbortOnDropHandle<()>,
+}
 
 /// Forwards one stream.
 #[derive(Debug)]
@@ -67,14 +77,16 @@
     pub(crate) migration: State,
     /// Number of further engines at which the run may start anew.
     pub(crate) runs_left: u32,
+    /// Orders to stop the run at the current engine.
+    pub(crate) orders: watch::Sender<Orders>,
 }
 
 /// What the relay does next.
 enum Action {
     /// Forward these bytes.
     Deliver(Bytes),
-    /// End the complete response.
-    Finish,
+    /// Judge the end of the response.
+    Judge(Framing),
     /// Start the migration, because the engine is leaving.
     Leave,
     /// Take the next step of the migration.
@@ -99,6 +111,31 @@
     Malformed,
 }
 
+impl Upstream {
+    /// Returns the stream of a response whose headers have arrived.
+    pub(crate) fn new(headers: &HeaderMap, body: Incoming, driver: AbortOnDropHandle<()>) -> Self {
+        Self {
+            body,
+            framing: framing(headers),
+            _driver: driver,
+        }
+    }
+}
+
+/// Returns how the end of a response with these headers is marked.
+fn framing(headers: &HeaderMap) -> Framing {
+    let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let chunked = codings.is_some_and(|codings| {
+        let last = codings.as_bytes().rsplit(|byte| *byte == b',').next();
+        last.is_some_and(|last| last.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+    });
+    if chunked || headers.contains_key(CONTENT_LENGTH) {
+        Framing::Explicit
+    } else {
+        Framing::Connection
+    }
+}
+
 impl Relay {
     /// Creates the relay for a response whose headers have arrived.
     pub(crate) fn new(
@@ -124,6 +161,7 @@
             unused_copy: None,
             migration: State::Idle,
             runs_left,
+            orders: watch::Sender::default(),
         }
     }
 
@@ -143,11 +181,19 @@
                         }
                     }
                 },
-                Action::Finish => {
-                    self.grant.signal = Signal::Answered;
-                    // Fails only if the caller has disconnected.
-                    let _ = self.sender.send(Chunk::End).await;
-                    break "answered";
+                Action::Judge(framing) => {
+                    let verdict = self.judge(framing);
+                    if verdict != Verdict::Cut {
+                        self.grant.signal = Signal::Answered;
+                        // Fails only if the caller has disconnected.
+                        let _ = self.sender.send(Chunk::End).await;
+                        break "answered";
+                    }
+                    self.grant.signal = Signal::Failed;
+                    self.report_broken().await;
+                    if !self.recover("cut").await {
+                        break "interrupted";
+                    }
                 }
                 Action::Leave => self.migration = State::Due(Instant::now()),
                 Action::Step => {
@@ -197,23 +243,18 @@
             State::Copying(copying) => Some(&mut copying.task),
             _ => None,
         };
-        // A response that ends before its first event was broken off, whether or not it has a length,
-        // unless the caller has resumed the stream at its end.
-        let has_events = self.splitter.event_count() > 0 || self.job.resume_after.is_some();
-        let is_complete = self.splitter.is_complete() && has_events;
-        let Some((incoming, _)) = &mut self.upstream else {
+        let Some(upstream) = &mut self.upstream else {
             return Action::Fail("closed");
         };
         tokio::select! {
-            frame = incoming.frame() => match frame {
+            frame = upstream.body.frame() => match frame {
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => Action::Deliver(data),
                     // Trailers contain nothing that callers need.
                     Err(_) => Action::Deliver(Bytes::new()),
                 },
                 Some(Err(_)) => Action::Fail("broken"),
-                None if is_complete => Action::Finish,
-                None => Action::Fail("cut"),
+                None => Action::Judge(upstream.framing),
             },
             notice = self.grant.notices.recv(), if idle => match notice {
                 Some(Notice::Leaving) => Action::Leave,
@@ -227,6 +268,32 @@
         }
     }
 
+    /// Judges the end of the response, and logs an end that nothing but the connection marks.
+    fn judge(&self, framing: Framing) -> Verdict {
+        // A response that ends before its first event was broken off, whether or not it has a length,
+        // unless the caller has resumed the stream at its end.
+        let has_events = self.splitter.event_count() > 0 || self.job.resume_after.is_some();
+        let ending = Ending {
+            framing,
+            whole: self.splitter.is_complete() && has_events,
+            effect: self.orders.borrow().effect(),
+        };
+        let verdict = ending.judge();
+        self.proxy.metrics.record_stream_end(framing, verdict);
+        if framing == Framing::Connection {
+            let details = format!(
+                "request={} endpoint={} events={} orders={} verdict={}",
+                self.job.attempt,
+                self.grant.endpoint.name,
+                self.splitter.event_count(),
+                ending.effect.name(),
+                verdict.name(),
+            );
+            self.proxy.log.emit(Event::StreamEnded, &details);
+        }
+        verdict
+    }
+
     /// Continues the run at another engine after a failure; returns whether the stream continues.
     async fn recover(&mut self, reason: &'static str) -> bool {
         self.fail_over(reason).await || self.restart(reason).await
