Reproduce a stopped stream that callers take for complete (KNOWN-RED)

A stand-in engine answers without a length or chunks, closes the stream when it is told to stop the run, and loses its answer to the order, or refuses without a handle.

--- a/crates/daisyyard/tests/platform/mod.rs
+++ b/crates/daisyyard/tests/platform/mod.rs
@@ -114,6 +114,15 @@
             .await;
     }
 
+    /// Starts a model engine that the platform does not own, and writes its entry to the store.
+    pub(crate) async fn join_engine(&self, name: &str) -> PlatformEngine {
+        let engine = PlatformEngine::start(name, EVENT_INTERVAL, &self.runs).await;
+        let engine = engine.expect("the engine starts");
+        let entry = platform_fixture::entry("model", engine.address, "ready");
+        self.store.put(&format!("servers/{name}"), &entry).await;
+        engine
+    }
+
     /// Writes the entry of an engine or plain endpoint to the store.
     pub(crate) async fn put_entry(&self, index: usize, service: &str, state: &str) {
         let engine = &self.engines[index];
--- a/crates/daisyyard_standin/src/platform_engine.rs
+++ b/crates/daisyyard_standin/src/platform_engine.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, RETRY_AFTER};
-use hyper::{Request, Response, StatusCode, Uri};
+use hyper::{Request, Response, StatusCode, Uri, Version};
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -17,7 +17,7 @@
 
 use daisyyard_http::{self as http, Body};
 
-pub use crate::platform_runs::{Arrival, Close, Room, Runs};
+pub use crate::platform_runs::{Arrival, Close, Room, Runs, StopReply, Stopping};
 use crate::platform_runs::{Command, Found};
 use crate::proxy::Proxy;
 
@@ -36,8 +36,8 @@
 pub const CRASH_WORD: &str = "crash=1";
 /// Identifier of a part of a prompt that does the same.
 pub const CRASH_PART: &str = "dead";
-/// Length that the answer to such a request claims to have, in bytes.
-const CRASH_ANSWER_BYTES: usize = 64;
+/// Length that an answer claims to have whose connection breaks, in bytes.
+const BROKEN_ANSWER_BYTES: usize = 64;
 
 /// Treatment of requests by an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -83,6 +83,8 @@
     close: watch::Sender<Close>,
     /// Room for copies at other engines.
     room: watch::Sender<Room>,
+    /// Treatment of orders to stop a run.
+    stopping: watch::Sender<Stopping>,
     /// Time in milliseconds for which responses state that the engine is cold.
     cold: watch::Sender<Option<u64>>,
     /// What responses state besides.
@@ -104,6 +106,8 @@
     close: watch::Receiver<Close>,
     /// Room for copies at other engines.
     room: watch::Receiver<Room>,
+    /// Treatment of orders to stop a run.
+    stopping: watch::Receiver<Stopping>,
     /// Time between two events of a stream.
     event_interval: Duration,
     /// Channel to the task that tracks the runs.
@@ -155,6 +159,7 @@
         let (mode, current_mode) = watch::channel(Mode::Serving);
         let (close, current_close) = watch::channel(Close::Stops);
         let (room, current_room) = watch::channel(Room::Free);
+        let (stopping, current_stopping) = watch::channel(Stopping::default());
         let (cold, current_cold) = watch::channel(None);
         let (stated, current_stated) = watch::channel(Stated::default());
         let handler = Handler {
@@ -163,6 +168,7 @@
             mode: current_mode,
             close: current_close,
             room: current_room,
+            stopping: current_stopping,
             event_interval,
             runs: runs.commands.clone(),
         };
@@ -181,6 +187,7 @@
             mode,
             close,
             room,
+            stopping,
             cold,
             stated,
             server,
@@ -207,6 +214,11 @@
         self.stated.send_replace(stated);
     }
 
+    /// Sets the treatment of orders to stop a run.
+    pub fn set_stopping(&self, stopping: Stopping) {
+        self.stopping.send_replace(stopping);
+    }
+
     /// Sets the room for copies at other engines.
     pub fn set_room(&self, room: Room) {
         self.room.send_replace(room);
@@ -258,11 +270,7 @@
             return declined;
         }
         if crashes {
-            let (_, receiver) = mpsc::channel(READER_BUFFER_EVENTS);
-            let mut cut = response(StatusCode::OK, &attempt, http::channel(receiver));
-            let length = HeaderValue::from(CRASH_ANSWER_BYTES);
-            cut.headers_mut().insert(CONTENT_LENGTH, length);
-            return cut;
+            return broken(&attempt);
         }
         match mode {
             Mode::Careless if !available => response(
@@ -317,6 +325,7 @@
             let _ = self.runs.send(Command::Copy(attempt.to_owned(), backup));
         }
         let run = attempt.to_owned();
+        let unframed = self.stopping.borrow().unframed;
         tokio::spawn(async move {
             let mut is_open = true;
             for number in first_event..=events {
@@ -324,6 +333,9 @@
                 let Some(found) = self.find(&run).await else {
                     return;
                 };
+                if found.is_stopped && unframed {
+                    return;
+                }
                 let close = *self.close.borrow();
                 if found.is_stopped || (!found.is_current && close == Close::Stops) {
                     // The run has moved to another engine: stop sending, but keep the stream open.
@@ -337,7 +349,12 @@
                 }
             }
         });
-        response(StatusCode::OK, attempt, http::channel(receiver))
+        let mut stream = response(StatusCode::OK, attempt, http::channel(receiver));
+        if unframed {
+            // A response of this version has no chunks.
+            *stream.version_mut() = Version::HTTP_10;
+        }
+        stream
     }
 
     /// Copies the memory of a run to another engine, and moves the run if `last` is set.
@@ -350,6 +367,12 @@
         let Some(target) = target else {
             return http::json(StatusCode::BAD_REQUEST, &json!({}));
         };
+        let stopping = *self.stopping.borrow();
+        let stopped = self.find(&attempt).await.is_some_and(|it| it.is_stopped);
+        let missing = body["last"] == true && stopping.reply == StopReply::Missing;
+        if missing || (stopping.unframed && stopped) {
+            return http::json(StatusCode::NOT_FOUND, &json!({}));
+        }
         let room = *self.room.borrow();
         let copied = self.find_at(&attempt, target).await;
         let copied = copied.is_some_and(|found| found.has_memory);
@@ -366,6 +389,13 @@
         if stops {
             let _ = self.runs.send(Command::Stop(attempt.clone(), self.address));
         }
+        match stopping.reply {
+            StopReply::Lost if stops => return broken(&attempt),
+            StopReply::Blank if stops => {
+                return http::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+            }
+            _ => {}
+        }
         match room {
             Room::Free | Room::Once | Room::Slow | Room::Stalled => {
                 let _ = self.runs.send(Command::Copy(attempt, target));
@@ -428,6 +458,15 @@
     response
 }
 
+/// Returns a response that breaks off before its body.
+fn broken(attempt: &str) -> Response<Body> {
+    let (_, receiver) = mpsc::channel(READER_BUFFER_EVENTS);
+    let mut cut = response(StatusCode::OK, attempt, http::channel(receiver));
+    let length = HeaderValue::from(BROKEN_ANSWER_BYTES);
+    cut.headers_mut().insert(CONTENT_LENGTH, length);
+    cut
+}
+
 /// Returns the value of a header, or an empty string.
 fn header_text(headers: &HeaderMap, name: &str) -> String {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
--- a/crates/daisyyard_standin/src/platform_runs.rs
+++ b/crates/daisyyard_standin/src/platform_runs.rs
@@ -52,6 +52,30 @@
     Slow,
 }
 
+/// What an engine does when it is told to stop a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Stopping {
+    /// Whether streams have neither a length nor chunks, and end when their run is stopped. The engine
+    /// then has no such run any more.
+    pub unframed: bool,
+    /// Answer to the order.
+    pub reply: StopReply,
+}
+
+/// Answer of an engine to the order to stop a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum StopReply {
+    /// The answer states what the engine has done.
+    #[default]
+    Accurate,
+    /// The run is stopped, and the connection breaks before the answer is complete.
+    Lost,
+    /// The run is stopped, and the answer is a refusal without a handle.
+    Blank,
+    /// The run has come to its end, so that there is nothing to stop. What it sent is still under way.
+    Missing,
+}
+
 /// Message to the task that tracks the runs.
 #[derive(Debug)]
 pub(crate) enum Command {
@@ -135,6 +159,14 @@
             .send(Command::Forget(attempt.to_owned(), engine));
     }
 
+    /// Returns whether an engine was told to stop its run of an attempt.
+    pub async fn is_stopped(&self, attempt: &str, engine: SocketAddr) -> bool {
+        let (reply, answer) = oneshot::channel();
+        let command = Command::Find(attempt.to_owned(), engine, reply);
+        let _ = self.commands.send(command);
+        answer.await.is_ok_and(|found| found.is_stopped)
+    }
+
     /// Returns when an engine last worked on an attempt.
     pub async fn last_work(&self, attempt: &str, engine: SocketAddr) -> Option<Instant> {
         let (reply, answer) = oneshot::channel();
