Do not take the end of a stream that may have been stopped for the end of its run

Cause: an end of the body without an error counted as the end of the run, whatever had been ordered. An engine that stops a run closes such a stream in the same way. The answer to the order was taken for what it had done: a lost answer for 'not stopped', a 404 to the repeated order for 'came to its end', a refusal without a handle for 'goes on'. Change: stream_end::Ending judges the end from one state: how the end is marked, what was received, and what the orders may have done, whichever path sent them. An order counts from before it is sent until its answer shows that it was void; a void answer does not undo an earlier order. If an order is open, its answer is waited for. A run that may have been stopped goes on from a copy, or the response breaks off. An order under way is waited for instead of repeated, and its late answer is used; it is withdrawn when the run goes on at the same engine. A target whose copy may be all that is left is not given up. Ruled out: framing alone (a response without a length that nobody stopped is complete at its end).

--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -9,12 +9,12 @@
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::pool::Signal;
 use daisyyard_core::shared_retry_budget;
+use daisyyard_core::stream_end::Effect;
 use hyper::StatusCode;
-use tokio::sync::watch;
 
 use crate::codec::Replica;
 use crate::event::Event;
-use crate::halt::{Halt, halt};
+use crate::halt::Halt;
 use crate::message::{Confirm, Failover, GiveBack, Retry, ReturnRetry, Rollback, Takeover};
 use crate::migration::{RETRY_INTERVAL, State};
 use crate::relay::{LEAVING, Relay, SILENT, Upstream};
@@ -204,7 +204,8 @@
         // An engine that did not answer may end. A copy that was made before is used then.
         let refused = match halt.stop() {
             Stop::Kept => true,
-            Stop::Running => cause == Cause::Leaving,
+            // The copy at the target may be all that is left of a run that was stopped.
+            Stop::Running => cause == Cause::Leaving && self.effect() != Effect::Possible,
             _ => false,
         };
         if asked || refused {
@@ -263,7 +264,7 @@
     /// Stops the run at its engine if the engines of the service can do so. An engine that may be down
     /// has less time to answer unless the caller is patient.
     pub(crate) async fn halt(
-        &self,
+        &mut self,
         source: &Arc<Endpoint>,
         target: &Arc<Endpoint>,
         patient: bool,
@@ -271,8 +272,9 @@
         if !self.supports_moves() {
             return Halt::Unanswered;
         }
-        let engines = (source, target);
-        halt(&self.proxy, &self.job, engines, &self.orders, !patient).await
+        let orders = self.orders.entry(source.id).or_default();
+        let (proxy, job) = (&self.proxy, &self.job);
+        orders.halt(proxy, job, source, target, !patient).await
     }
 
     /// Makes the source the engine of the run again, with what is known of its copy.
@@ -384,11 +386,10 @@
 
     /// Makes the engine that resumed the run the current one.
     pub(crate) async fn switch_to(&mut self, engine: Arc<Endpoint>) {
+        self.orders.entry(engine.id).or_default().reset();
         self.grant.endpoint = engine;
         self.grant.signal = Signal::Neutral;
         self.migration = State::Idle;
-        // Orders that are still open concern the engine before.
-        self.orders = watch::Sender::default();
         self.taken = false;
         self.gaps.reset();
         self.first_data_at = Some(Instant::now());
--- a/crates/daisyyard_gateway/src/halt.rs
+++ b/crates/daisyyard_gateway/src/halt.rs
@@ -8,9 +8,11 @@
 
 use daisyyard_core::continuation::Stop;
 use daisyyard_core::endpoint::Endpoint;
-use daisyyard_core::stream_end::{Orders, Reply};
+use daisyyard_core::id::EndpointId;
+use daisyyard_core::stream_end::{self, Effect, Reply};
 use daisyyard_http::connection::Failure;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::codec::Transfer;
@@ -69,57 +71,135 @@
     }
 }
 
-/// Stops a run at `source`, whose KV cache the engine copies to `target`, and records the orders. An engine
-/// that may be down gets less time to answer, but is asked again in the background until it does.
-pub(crate) async fn halt(
-    proxy: &Proxy,
-    job: &Arc<Job>,
-    (source, target): (&Arc<Endpoint>, &Arc<Endpoint>),
-    orders: &watch::Sender<Orders>,
-    may_be_down: bool,
-) -> Halt {
-    let started = Instant::now();
-    let stop = stop(
-        proxy.clone(),
-        Arc::clone(job),
-        Arc::clone(source),
-        Arc::clone(target),
-        orders.clone(),
-    );
-    let timeout = if may_be_down {
-        HALT_TIMEOUT
-    } else {
-        COPY_TIMEOUT
-    };
-    // A task that has not finished in time is detached, not aborted.
-    let stopped = tokio::time::timeout(timeout, tokio::spawn(stop)).await;
-    let halt = match stopped {
-        Ok(Ok(halt)) => halt,
-        Ok(Err(_)) | Err(_) => Halt::Unanswered,
-    };
-    let details = format!(
-        "request={} endpoint={} target={} ms={} outcome={}",
-        job.attempt,
-        source.name,
-        target.name,
-        started.elapsed().as_millis(),
-        halt.name(),
-    );
-    proxy.log.emit(Event::RunHalted, &details);
-    halt
+/// Orders to stop a run at its engine, of which one at a time is under way.
+#[derive(Debug, Default)]
+pub(crate) struct Orders {
+    /// What the orders may have done.
+    record: watch::Sender<stream_end::Orders>,
+    /// Order that nobody waits for. It goes on until the engine answers.
+    open: Option<Order>,
+}
+
+/// An order to stop a run.
+#[derive(Debug)]
+struct Order {
+    /// Engine to which the KV cache is to be copied.
+    target: EndpointId,
+    /// Task that asks the engine.
+    task: JoinHandle<Halt>,
 }
 
+impl Orders {
+    /// Returns what the orders may have done.
+    pub(crate) fn effect(&self) -> Effect {
+        self.record.borrow().effect()
+    }
+
+    /// Waits until no order is open, or until one may have stopped the run.
+    pub(crate) async fn settle(&self) {
+        let mut record = self.record.subscribe();
+        // The sender is held here.
+        let _ = record
+            .wait_for(|orders| orders.effect() != Effect::Open)
+            .await;
+    }
+
+    /// Forgets the orders, because the run goes on at the engine that was to stop it. One that is under way
+    /// is withdrawn, but may still reach the engine.
+    pub(crate) fn reset(&mut self) {
+        self.record = watch::Sender::default();
+        let open = self.open.take();
+        if let Some(order) = open.filter(|order| !order.task.is_finished()) {
+            order.task.abort();
+            self.record.send_modify(|orders| {
+                orders.send();
+                orders.settle(Reply::Effective);
+            });
+        }
+    }
+
+    /// Stops a run at `source`, whose KV cache the engine copies to `target`. An engine that may be down
+    /// gets less time to answer, but is asked again in the background until it does.
+    pub(crate) async fn halt(
+        &mut self,
+        proxy: &Proxy,
+        job: &Arc<Job>,
+        source: &Arc<Endpoint>,
+        target: &Arc<Endpoint>,
+        may_be_down: bool,
+    ) -> Halt {
+        let started = Instant::now();
+        let timeout = if may_be_down {
+            HALT_TIMEOUT
+        } else {
+            COPY_TIMEOUT
+        };
+        let earlier = self.open.take();
+        let mut halt = match earlier {
+            Some(order) => self.wait(order, target, timeout).await,
+            None => Halt::Unanswered,
+        };
+        if self.open.is_none() && !matches!(halt, Halt::Moved(_) | Halt::Kept(_)) {
+            let order = self.send(proxy, job, source, target);
+            halt = self.wait(order, target, timeout).await;
+        }
+        let details = format!(
+            "request={} endpoint={} target={} ms={} outcome={}",
+            job.attempt,
+            source.name,
+            target.name,
+            started.elapsed().as_millis(),
+            halt.name(),
+        );
+        proxy.log.emit(Event::RunHalted, &details);
+        halt
+    }
+
+    /// Waits for the result of an order, which goes on if the time ends before.
+    async fn wait(&mut self, mut order: Order, target: &Endpoint, timeout: Duration) -> Halt {
+        match tokio::time::timeout(timeout, &mut order.task).await {
+            Ok(Ok(Halt::Moved(handle))) if order.target != target.id => Halt::Kept(handle),
+            Ok(Ok(halt)) => halt,
+            Ok(Err(_)) => Halt::Unanswered,
+            Err(_) => {
+                self.open = Some(order);
+                Halt::Unanswered
+            }
+        }
+    }
+
+    /// Starts the task that asks the engine.
+    fn send(
+        &self,
+        proxy: &Proxy,
+        job: &Arc<Job>,
+        source: &Arc<Endpoint>,
+        target: &Arc<Endpoint>,
+    ) -> Order {
+        let stop = stop(
+            proxy.clone(),
+            Arc::clone(job),
+            Arc::clone(source),
+            Arc::clone(target),
+            self.record.clone(),
+        );
+        Order {
+            target: target.id,
+            task: tokio::spawn(stop),
+        }
+    }
+}
 /// Asks an engine to stop a run until it answers.
 async fn stop(
     proxy: Proxy,
     job: Arc<Job>,
     source: Arc<Endpoint>,
     target: Arc<Endpoint>,
-    orders: watch::Sender<Orders>,
+    orders: watch::Sender<stream_end::Orders>,
 ) -> Halt {
     let deadline = Instant::now() + RETRY_PERIOD;
     loop {
-        orders.send_modify(Orders::send);
+        orders.send_modify(stream_end::Orders::send);
         let answer = request_copy(&proxy, &job, &source, &target, true).await;
         orders.send_modify(|orders| orders.settle(reply(&answer)));
         let halt = match answer {
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -1,29 +1,32 @@
 //! Task that forwards a stream and resumes its run at another engine if its own is leaving or
 //! fails.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use daisyyard_core::footprint::Use;
+use daisyyard_core::id::EndpointId;
 use daisyyard_core::pool::Signal;
-use daisyyard_core::stream_end::{Ending, Framing, Orders, Verdict};
+use daisyyard_core::stream_end::{Effect, Ending, Framing, Verdict};
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::body::Chunk;
 use crate::codec::Transfer;
 use crate::event::Event;
 use crate::gaps::Gaps;
+use crate::halt::Orders;
 use crate::job::Job;
 use crate::memory::Hold;
 use crate::message::{FirstToken, Grant, Notice, ObserveGaps, Taken};
-use crate::migration::{State, join_copy};
+use crate::migration::{COPY_TIMEOUT, State, join_copy};
 use crate::proxy::Proxy;
 use crate::sse::Splitter;
 use crate::store;
@@ -77,8 +80,8 @@
     pub(crate) migration: State,
     /// Number of further engines at which the run may start anew.
     pub(crate) runs_left: u32,
-    /// Orders to stop the run at the current engine.
-    pub(crate) orders: watch::Sender<Orders>,
+    /// Orders to stop the run, by the engine that got them.
+    pub(crate) orders: HashMap<EndpointId, Orders>,
 }
 
 /// What the relay does next.
@@ -161,7 +164,7 @@
             unused_copy: None,
             migration: State::Idle,
             runs_left,
-            orders: watch::Sender::default(),
+            orders: HashMap::new(),
         }
     }
 
@@ -182,16 +185,22 @@
                     }
                 },
                 Action::Judge(framing) => {
-                    let verdict = self.judge(framing);
-                    if verdict != Verdict::Cut {
-                        self.grant.signal = Signal::Answered;
-                        // Fails only if the caller has disconnected.
-                        let _ = self.sender.send(Chunk::End).await;
-                        break "answered";
+                    let verdict = self.judge(framing).await;
+                    match verdict {
+                        Verdict::Complete => {
+                            self.grant.signal = Signal::Answered;
+                            // Fails only if the caller has disconnected.
+                            let _ = self.sender.send(Chunk::End).await;
+                            break "answered";
+                        }
+                        Verdict::Cut => {
+                            self.grant.signal = Signal::Failed;
+                            self.report_broken().await;
+                        }
+                        // The engine has done what it was told to.
+                        Verdict::Await | Verdict::Stopped => {}
                     }
-                    self.grant.signal = Signal::Failed;
-                    self.report_broken().await;
-                    if !self.recover("cut").await {
+                    if !self.recover(verdict.name()).await {
                         break "interrupted";
                     }
                 }
@@ -268,15 +277,40 @@
         }
     }
 
-    /// Judges the end of the response, and logs an end that nothing but the connection marks.
-    fn judge(&self, framing: Framing) -> Verdict {
+    /// Judges the end of the response, once it is known what the orders to stop the run have done.
+    async fn judge(&self, framing: Framing) -> Verdict {
+        let verdict = self.judge_now(framing);
+        if let (Verdict::Await, Some(orders)) = (verdict, self.orders()) {
+            tokio::select! {
+                () = orders.settle() => {}
+                () = self.sender.closed() => {}
+                () = tokio::time::sleep(COPY_TIMEOUT) => {}
+            }
+            return self.judge_now(framing);
+        }
+        verdict
+    }
+
+    /// Returns the orders to stop the run at its engine.
+    fn orders(&self) -> Option<&Orders> {
+        self.orders.get(&self.grant.endpoint.id)
+    }
+
+    /// Returns what these orders may have done.
+    pub(crate) fn effect(&self) -> Effect {
+        self.orders().map_or(Effect::None, Orders::effect)
+    }
+
+    /// Judges the end of the response by what is known now, and logs an end that nothing but the connection
+    /// marks.
+    fn judge_now(&self, framing: Framing) -> Verdict {
         // A response that ends before its first event was broken off, whether or not it has a length,
         // unless the caller has resumed the stream at its end.
         let has_events = self.splitter.event_count() > 0 || self.job.resume_after.is_some();
         let ending = Ending {
             framing,
             whole: self.splitter.is_complete() && has_events,
-            effect: self.orders.borrow().effect(),
+            effect: self.effect(),
         };
         let verdict = ending.judge();
         self.proxy.metrics.record_stream_end(framing, verdict);
