Answer callers in the gateway's own version of the protocol

What callers saw: a stream that the gateway broke off looked complete, if the engine had answered in HTTP/1.0. Cause: the version of the engine's response was passed on. A response of that version has no chunks, so that only the end of the connection marks its end, and the gateway's break looks the same. Evidence: stopped_stream::lost_copy failed with 29 of 150 events as a complete answer although the log says 'interrupted'. The version concerns one connection, so it is removed with the headers that do (strip_connection).

--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use tokio::sync::{oneshot, watch};
 use xtra::Address;
 
@@ -298,7 +298,7 @@
             runs_left,
         );
         tokio::spawn(relay.run());
-        Response::from_parts(strip_connection_headers(parts), body)
+        Response::from_parts(strip_connection(parts), body)
     }
 
     /// Buffers a response before it is forwarded, so that a retry can replace an interrupted one.
@@ -328,7 +328,7 @@
             }
         };
         let status = parts.status;
-        let response = Response::from_parts(strip_connection_headers(parts), body::full(bytes));
+        let response = Response::from_parts(strip_connection(parts), body::full(bytes));
         if status.is_server_error() {
             grant.signal = Signal::Failed;
             return Sent::Failed {
@@ -380,8 +380,10 @@
     }
 }
 
-/// Removes the headers that apply only to one connection.
-fn strip_connection_headers(mut parts: response::Parts) -> response::Parts {
+/// Removes what applies only to one connection: its headers, and the version of the protocol, without
+/// which the response to the caller could have no chunks to mark its end.
+fn strip_connection(mut parts: response::Parts) -> response::Parts {
+    parts.version = Version::HTTP_11;
     daisyyard_http::remove_hop_by_hop(&mut parts.headers);
     parts.headers.remove(CONTENT_LENGTH);
     parts
