Let engines answer without a length and lose answers to orders in the soak

The proxy now resets the connections that it breaks, and passes resets on: a regular close would be the end of such a response.

--- a/crates/daisyyard/src/soak.rs
+++ b/crates/daisyyard/src/soak.rs
@@ -7,7 +7,9 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use daisyyard_standin::platform_engine::{Mode as EngineMode, PlatformEngine, Runs, Stated};
+use daisyyard_standin::platform_engine::{
+    Mode as EngineMode, PlatformEngine, Runs, Stated, Stopping,
+};
 use daisyyard_standin::platform_fixture::{self, CREDENTIAL};
 use daisyyard_standin::platform_store::{Mode as StoreMode, PlatformStore};
 use daisyyard_standin::proxy::{Link, Proxy};
@@ -286,6 +288,11 @@
                 tokio::time::sleep(duration).await;
                 self.endpoints[endpoint].set_stated(Stated::default());
             }
+            Fault::Stopping(engine, stopping) => {
+                self.endpoints[engine].set_stopping(stopping);
+                tokio::time::sleep(duration).await;
+                self.endpoints[engine].set_stopping(Stopping::default());
+            }
             Fault::Flood(gateway) => {
                 let address = self.gateways[gateway].request_address;
                 return soak_caller::flood(address, &format!("flood-{number}"), duration).await;
--- a/crates/daisyyard/src/soak_schedule.rs
+++ b/crates/daisyyard/src/soak_schedule.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use daisyyard_standin::platform_engine::Mode as EngineMode;
+use daisyyard_standin::platform_engine::{Mode as EngineMode, StopReply, Stopping};
 use daisyyard_standin::platform_store::Mode as StoreMode;
 use daisyyard_standin::proxy::Link;
 use rand::seq::IndexedRandom;
@@ -39,6 +39,10 @@
 const LIMIT_INTERVAL_MS: std::ops::Range<u64> = 1_500..5_000;
 /// Seed of these times, so that they differ from those of other series.
 const LIMIT_SEED: u64 = 0x006c_696d_6974;
+/// Range of the times between two series of responses without a length or chunks, in milliseconds.
+const UNFRAMED_INTERVAL_MS: std::ops::Range<u64> = 500..2_500;
+/// Seed of these times, so that they differ from those of other series.
+const UNFRAMED_SEED: u64 = 0x0066_7261_6d65;
 /// Upper bound of the delay on a slow link, in milliseconds.
 const MAX_LINK_DELAY_MS: u64 = 300;
 
@@ -82,6 +86,8 @@
     Flood(usize),
     /// An endpoint states that it takes few requests from all gateways together.
     Limit(usize),
+    /// An engine treats the orders to stop a run in this way.
+    Stopping(usize, Stopping),
 }
 
 /// Fault with its start and duration.
@@ -112,6 +118,7 @@
     events.extend(draw_crowds(seed, period));
     events.extend(draw_floods(seed, period));
     events.extend(draw_limits(seed, period));
+    events.extend(draw_unframed(seed, period));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -160,6 +167,19 @@
     draw_series(seed ^ LIMIT_SEED, period, LIMIT_INTERVAL_MS, limit)
 }
 
+/// Draws the times in which engines send responses without a length or chunks, and lose answers to orders.
+fn draw_unframed(seed: u64, period: Duration) -> Vec<Event> {
+    let unframed = |random: &mut Pcg64Mcg| {
+        let replies = [StopReply::Accurate, StopReply::Lost, StopReply::Blank];
+        let stopping = Stopping {
+            unframed: true,
+            reply: *replies.choose(random).unwrap_or(&StopReply::Lost),
+        };
+        Fault::Stopping(random.random_range(0..ENGINES), stopping)
+    };
+    draw_series(seed ^ UNFRAMED_SEED, period, UNFRAMED_INTERVAL_MS, unframed)
+}
+
 /// Draws a series of faults of one kind. It has a generator of its own, so that the other faults of a seed
 /// stay the same.
 fn draw_series(
--- a/crates/daisyyard_standin/src/proxy.rs
+++ b/crates/daisyyard_standin/src/proxy.rs
@@ -2,10 +2,11 @@
 //! open connections can also be stalled or closed for good while new ones work.
 
 use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf, split};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
@@ -24,14 +25,14 @@
     Silent,
     /// Bytes of responses are held back; those of requests are forwarded.
     OneWay,
-    /// Open connections are closed, and new ones as soon as they are accepted.
+    /// Open connections are reset, and new ones closed as soon as they are accepted.
     Broken,
 }
 
 /// What happens to the connections that are open at one moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cut {
-    /// They are closed at both ends.
+    /// They are reset at both ends.
     Closed,
     /// They forward nothing any more and stay open.
     Stalled,
@@ -132,14 +133,21 @@
     };
     // Small writes must be sent at once, as on a direct connection between the two ends.
     let _ = (client.set_nodelay(true), server.set_nodelay(true));
-    let ((client_read, client_write), (server_read, server_write)) =
-        (client.into_split(), server.into_split());
+    let (Ok(client_handle), Ok(server_handle)) = (handle(&client), handle(&server)) else {
+        return;
+    };
+    let ((client_read, client_write), (server_read, server_write)) = (split(client), split(server));
     let requests = copy(client_read, server_write, link.clone(), false);
     let responses = copy(server_read, client_write, link.clone(), true);
     let both = async { tokio::join!(requests, responses) };
     let mut both = std::pin::pin!(both);
     let is_cut = tokio::select! {
-        _ = both.as_mut() => false,
+        (requests, responses) = both.as_mut() => {
+            if (requests, responses) == (End::Closed, End::Closed) {
+                return;
+            }
+            false
+        }
         // The sender lives as long as the proxy, so this also ends when the proxy is dropped.
         _ = link.wait_for(|link| *link == Link::Broken) => false,
         cut = cuts.changed() => cut.is_ok(),
@@ -149,27 +157,55 @@
         // The directions are not polled any more.
         std::future::pending::<()>().await;
     }
+    // Without a reset, the end of a response that nothing else marks would look regular.
+    for handle in [client_handle, server_handle] {
+        // The connection may be closed already.
+        let _ = SockRef::from(&handle).set_linger(Some(Duration::ZERO));
+    }
+}
+
+/// How one direction of a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// The sender has closed it, or the recipient takes nothing any more.
+    Closed,
+    /// The sender has reset it.
+    Reset,
+}
+
+/// Returns another handle of a socket, with which it can be reset.
+fn handle(socket: &TcpStream) -> std::io::Result<OwnedFd> {
+    socket.as_fd().try_clone_to_owned()
 }
 
 /// Copies bytes in one direction as the condition of the link allows.
 async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<TcpStream>,
+    mut to: WriteHalf<TcpStream>,
     mut link: watch::Receiver<Link>,
     is_response: bool,
-) {
+) -> End {
     let mut chunk = vec![0; CHUNK_BYTES];
     // The copy ends when either end closes its connection.
-    while let Ok(count @ 1..) = from.read(&mut chunk).await {
+    loop {
+        let count = match from.read(&mut chunk).await {
+            Ok(0) => {
+                // The peer may have gone.
+                let _ = to.shutdown().await;
+                return End::Closed;
+            }
+            Ok(count) => count,
+            Err(_) => return End::Reset,
+        };
         let stalled = |link: &Link| *link == Link::Silent || (is_response && *link == Link::OneWay);
         let link = link.wait_for(|link| !stalled(link)).await.map(|link| *link);
         match link {
             Ok(Link::Slow(delay)) => tokio::time::sleep(delay).await,
             Ok(_) => {}
-            Err(_) => return,
+            Err(_) => return End::Closed,
         }
         if to.write_all(&chunk[..count]).await.is_err() {
-            return;
+            return End::Closed;
         }
     }
 }
