--- a/crates/daisyyard/src/soak_schedule.rs
+++ b/crates/daisyyard/src/soak_schedule.rs
@@ -41,6 +41,8 @@
 const LIMIT_SEED: u64 = 0x006c_696d_6974;
 /// Range of the times between two series of responses without a length or chunks, in milliseconds.
 const UNFRAMED_INTERVAL_MS: std::ops::Range<u64> = 500..2_500;
+/// Factor on the durations of these, so that streams begin and are stopped within one.
+const UNFRAMED_DURATION_FACTOR: u32 = 3;
 /// Seed of these times, so that they differ from those of other series.
 const UNFRAMED_SEED: u64 = 0x0066_7261_6d65;
 /// Upper bound of the delay on a slow link, in milliseconds.
@@ -177,7 +179,11 @@
         };
         Fault::Stopping(random.random_range(0..ENGINES), stopping)
     };
-    draw_series(seed ^ UNFRAMED_SEED, period, UNFRAMED_INTERVAL_MS, unframed)
+    let mut events = draw_series(seed ^ UNFRAMED_SEED, period, UNFRAMED_INTERVAL_MS, unframed);
+    for event in &mut events {
+        event.duration *= UNFRAMED_DURATION_FACTOR;
+    }
+    events
 }
 
 /// Draws a series of faults of one kind. It has a generator of its own, so that the other faults of a seed
