--- a/crates/daisyyard_standin/src/faulty_endpoint.rs
+++ b/crates/daisyyard_standin/src/faulty_endpoint.rs
@@ -42,13 +42,36 @@
     CutHead,
     /// The request is run, and a refusal of another one comes in place of its answer.
     OtherRefusal,
+    /// The answer has this status line, and is sound otherwise.
+    Status(&'static [u8]),
+    /// The answer consists of these bytes alone.
+    Bytes(&'static [u8]),
+    /// The answer has no signature, and is sound otherwise.
+    Unsigned,
+    /// Calls to the control interface get this status line and the result of a copy that succeeded;
+    /// streams are sound.
+    Control(&'static [u8]),
+    /// A stream of HTTP/1.0, which ends with the connection, ends inside the event after this number of
+    /// events.
+    OldCut(u64),
 }
 
+/// Interval between two events of a stream that goes on while calls come.
+const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Number of events of a sound answer.
+pub const SOUND_EVENTS: u64 = 5;
+/// Number of events of a stream that goes on while calls come.
+pub const LONG_EVENTS: u64 = 100;
+/// Result of a copy that succeeded.
+const COPIED: &str = r#"{"handle":"copy-1","created":0}"#;
+
 /// What a faulty endpoint has seen.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Counts {
     /// Requests of callers whose head was read.
     pub requests: u64,
+    /// Calls to the control interface.
+    pub calls: u64,
     /// Connections that the caller closed while the endpoint sent bytes.
     pub closed: u64,
     /// Bytes that were sent in all.
@@ -144,21 +167,27 @@
             .nth(1)
             .is_some_and(|path| path.starts_with(CONTROL_PREFIX))
         {
+            self.counts.send_modify(|counts| counts.calls += 1);
+            if let Fault::Control(line) = self.fault {
+                // Fails only if the caller has closed the connection.
+                let _ = socket.write_all(&whole(line, "", COPIED)).await;
+                return;
+            }
             // The endpoint has broken its runs off, so that there is nothing to stop or move.
             let missing = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
             // Fails only if the caller has closed the connection.
             let _ = socket.write_all(missing).await;
             return;
         }
-        let attempt = attempt(&head);
         self.counts.send_modify(|counts| counts.requests += 1);
-        if self.answer(&mut socket, &attempt).await.is_err() {
+        if self.answer(&mut socket, &head).await.is_err() {
             self.counts.send_modify(|counts| counts.closed += 1);
         }
     }
 
     /// Sends the answer up to the fault, and the fault.
-    async fn answer(&mut self, socket: &mut TcpStream, attempt: &str) -> std::io::Result<()> {
+    async fn answer(&mut self, socket: &mut TcpStream, head: &str) -> std::io::Result<()> {
+        let attempt = header(head, "x-daisyyard-attempt-id:");
         let start = format!(
             "HTTP/1.1 200 OK\r\nx-daisyyard-attempt-id: {attempt}\r\n\
              x-daisyyard-server-signature: stand-in\r\n"
@@ -193,16 +222,12 @@
             Fault::Unframed(events) | Fault::UnframedCut(events) => {
                 self.send(socket, format!("{start}\r\n").as_bytes()).await?;
                 for number in 1..=events {
-                    let event = format!("id: {number}\ndata: piece {number}\n\n");
-                    self.send(socket, event.as_bytes()).await?;
+                    self.send(socket, event(number).as_bytes()).await?;
                 }
                 if matches!(self.fault, Fault::UnframedCut(_)) {
                     self.send(socket, b"id: 9\nda").await?;
                 }
-                // A socket that is closed with unread bytes is reset.
-                socket.shutdown().await?;
-                while socket.read_buf(&mut Vec::new()).await? > 0 {}
-                Ok(())
+                close(socket).await
             }
             Fault::CutHead => self.send(socket, start.as_bytes()).await,
             Fault::OtherRefusal => {
@@ -211,13 +236,43 @@
                                x-daisyyard-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
                 self.send(socket, refusal.as_bytes()).await
             }
+            Fault::Status(line) => {
+                let signed = format!(
+                    "x-daisyyard-attempt-id: {attempt}\r\nx-daisyyard-server-signature: stand-in\r\n"
+                );
+                let body = events_after(head, SOUND_EVENTS);
+                self.send(socket, &whole(line, &signed, &body)).await
+            }
+            Fault::Unsigned => {
+                let unsigned = format!("x-daisyyard-attempt-id: {attempt}\r\n");
+                let body = events_after(head, SOUND_EVENTS);
+                let answer = whole(b"HTTP/1.1 200 OK", &unsigned, &body);
+                self.send(socket, &answer).await
+            }
+            Fault::Bytes(bytes) => self.send(socket, bytes).await,
+            Fault::Control(_) => {
+                let head = format!("{start}transfer-encoding: chunked\r\n\r\n");
+                self.send(socket, head.as_bytes()).await?;
+                for number in 1..=LONG_EVENTS {
+                    self.send(socket, &event_chunk(number)).await?;
+                    tokio::time::sleep(EVENT_INTERVAL).await;
+                }
+                self.send(socket, b"0\r\n\r\n").await
+            }
+            Fault::OldCut(events) => {
+                let start = start.replace("HTTP/1.1", "HTTP/1.0");
+                self.send(socket, format!("{start}\r\n").as_bytes()).await?;
+                for number in 1..=events {
+                    self.send(socket, event(number).as_bytes()).await?;
+                }
+                self.send(socket, b"id: 9\nda").await?;
+                close(socket).await
+            }
             Fault::CutEvent(events) => {
                 let head = format!("{start}transfer-encoding: chunked\r\n\r\n");
                 self.send(socket, head.as_bytes()).await?;
                 for number in 1..=events {
-                    let event = format!("id: {number}\ndata: piece {number}\n\n");
-                    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-                    self.send(socket, chunk.as_bytes()).await?;
+                    self.send(socket, &event_chunk(number)).await?;
                 }
                 // Fails only if the endpoint was dropped.
                 let _ = self.released.wait_for(|released| *released).await;
@@ -257,9 +312,39 @@
     Ok(String::from_utf8_lossy(&head).to_ascii_lowercase())
 }
 
-/// Returns the identifier of a request's attempt.
-fn attempt(head: &str) -> String {
-    let mut lines = head.lines();
-    let attempt = lines.find_map(|line| line.strip_prefix("x-daisyyard-attempt-id:"));
-    attempt.unwrap_or_default().trim().to_owned()
+/// Closes a connection; a socket that is closed with unread bytes would be reset.
+async fn close(socket: &mut TcpStream) -> std::io::Result<()> {
+    socket.shutdown().await?;
+    while socket.read_buf(&mut Vec::new()).await? > 0 {}
+    Ok(())
+}
+
+/// Returns the value of a header of a request, or an empty text; `name` ends with a colon.
+fn header<'a>(head: &'a str, name: &str) -> &'a str {
+    let value = head.lines().find_map(|line| line.strip_prefix(name));
+    value.unwrap_or_default().trim()
+}
+
+/// Returns an event of a stream.
+fn event(number: u64) -> String {
+    format!("id: {number}\ndata: piece {number}\n\n")
+}
+
+/// Returns the chunk of an event of a stream.
+fn event_chunk(number: u64) -> Vec<u8> {
+    let event = event(number);
+    format!("{:x}\r\n{event}\r\n", event.len()).into_bytes()
+}
+
+/// Returns a number of events after the last one that a request names.
+fn events_after(head: &str, count: u64) -> String {
+    let last: u64 = header(head, "last-event-id:").parse().unwrap_or(0);
+    (last + 1..=last + count).map(event).collect()
+}
+
+/// Returns an answer with a length.
+fn whole(line: &[u8], headers: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    let rest = format!("\r\n{headers}content-length: {length}\r\n\r\n{body}");
+    [line, rest.as_bytes()].concat()
 }
