Take a status outside 200 to 599 for no answer

Callers got answers whose status was 101, 600, 700 or 999, of calls that may be repeated too. Users of other systems saw the same with 000, which the parser of hyper rejects.

Cause: what made a response final was left to hyper, which hands out 101 although no request asked for an upgrade, and any status up to 999. The gateway then judged only "success" and "server error".

Statuses from 600 up have three digits but no class. RFC 9110, section 15, calls them invalid, and has a client process them as a 5xx. So 600 and 000 are treated alike.

The connection now reports such a response as a failure of its own, so that streams, continuations, the control interface, the store and plain calls of `daisyyard serve` all refuse it: the call may have run, so it gets 502 and is repeated only where it may be. In the log it is "malformed_answer".

Before: odd_status::no_answer, no_answer_repeated and no_stream failed for these four statuses, and plain_service::odd_status failed.

--- a/crates/daisyyard/src/service_call.rs
+++ b/crates/daisyyard/src/service_call.rs
@@ -261,7 +261,7 @@
                 Ok(_) => (Signal::Served, false),
                 Err(Failure::Refused | Failure::Unreachable) => (Signal::Dead, false),
                 Err(Failure::Broken | Failure::Partial) => (Signal::Broken, true),
-                Err(Failure::Unwritten | Failure::Late | Failure::Silent) => {
+                Err(Failure::Unwritten | Failure::Late | Failure::Silent | Failure::Malformed) => {
                     (Signal::Broken, false)
                 }
             };
@@ -274,7 +274,7 @@
                 ) => {
                     attempts.reach(Progress::Unsent);
                 }
-                Err(Failure::Partial | Failure::Broken | Failure::Silent) => {
+                Err(Failure::Partial | Failure::Broken | Failure::Silent | Failure::Malformed) => {
                     attempts.reach(Progress::Written);
                 }
             }
--- a/crates/daisyyard/src/upstream.rs
+++ b/crates/daisyyard/src/upstream.rs
@@ -77,7 +77,7 @@
             Failure::Unreachable => Self::Unconnected { refused: false },
             // An engine cannot run a request whose JSON body is incomplete.
             Failure::Unwritten | Failure::Partial | Failure::Late => Self::Unsent,
-            Failure::Broken | Failure::Silent => Self::Lost,
+            Failure::Broken | Failure::Silent | Failure::Malformed => Self::Lost,
         }
     }
 }
@@ -124,7 +124,9 @@
         };
         match connection::send(address, request, PROBE_TIMEOUT).await {
             Ok(answer) if answer.response.status() == StatusCode::OK => return Probe::Answers,
-            Ok(_) | Err(Failure::Silent | Failure::Unreachable) => return Probe::Silent,
+            Ok(_) | Err(Failure::Silent | Failure::Unreachable | Failure::Malformed) => {
+                return Probe::Silent;
+            }
             Err(Failure::Refused) => return Probe::Refused,
             // While a process exits, the kernel accepts connections until its socket is closed.
             Err(Failure::Unwritten | Failure::Late | Failure::Partial | Failure::Broken) => {
--- a/crates/daisyyard/tests/plain_service.rs
+++ b/crates/daisyyard/tests/plain_service.rs
@@ -152,6 +152,23 @@
     }
 }
 
+/// An answer whose status is no final one does not reach the caller, and the call is not sent again.
+#[tokio::test]
+async fn odd_status() {
+    for answer in [
+        "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+        "HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n",
+    ] {
+        let (address, mut requests) = start_endpoint(answer).await;
+        let fleet = start_fleet(&[address]).await;
+        let (status, refusal) = call(&fleet, Method::POST, &[]).await;
+        assert!(status.is_server_error(), "{answer}");
+        assert_eq!(outcome(&refusal), "unknown", "{answer}");
+        assert!(requests.recv().await.is_some(), "{answer}");
+        assert!(requests.try_recv().is_err(), "{answer}");
+    }
+}
+
 /// A call is retried when an endpoint accepts no connection or proves that it did not run the call;
 /// without any other endpoint it is refused as not run.
 #[tokio::test]
--- a/crates/daisyyard_gateway/src/sent.rs
+++ b/crates/daisyyard_gateway/src/sent.rs
@@ -31,7 +31,7 @@
         Failure::Refused => Signal::Refused,
         Failure::Unreachable => Signal::Unreachable,
         Failure::Unwritten | Failure::Partial | Failure::Broken => Signal::Lost,
-        Failure::Silent => Signal::Failed,
+        Failure::Silent | Failure::Malformed => Signal::Failed,
         Failure::Late => Signal::Neutral,
     }
 }
@@ -40,7 +40,7 @@
 pub(crate) fn is_unsent(failure: Failure) -> bool {
     match failure {
         Failure::Refused | Failure::Unreachable | Failure::Unwritten | Failure::Late => true,
-        Failure::Partial | Failure::Broken | Failure::Silent => false,
+        Failure::Partial | Failure::Broken | Failure::Silent | Failure::Malformed => false,
     }
 }
 
@@ -54,6 +54,7 @@
         // An endpoint may start to run a request before it has received all of it.
         Failure::Partial | Failure::Broken => (Progress::Written, "broken"),
         Failure::Silent => (Progress::Written, "silent"),
+        Failure::Malformed => (Progress::Written, "malformed_answer"),
     };
     Sent::Failed {
         progress,
--- a/crates/daisyyard_http/src/connection.rs
+++ b/crates/daisyyard_http/src/connection.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -29,6 +30,9 @@
 /// Maximum number of bytes that are read before the head of the response is complete. It bounds interim
 /// responses (1xx), each of which has a head of its own, and leaves room for the start of the body.
 const MAX_UNANSWERED_BYTES: usize = 2 * MAX_BUFFER_BYTES;
+/// Status codes of final responses. Those above are invalid (RFC 9110, section 15); of the interim ones,
+/// hyper returns 101, for which no request here asks.
+const FINAL_STATUS: RangeInclusive<u16> = 200..=599;
 /// Number of unanswered keepalive probes after which the kernel closes the connection.
 const KEEPALIVE_PROBES: u32 = 3;
 /// Value of `TCP_USER_TIMEOUT`: how long sent bytes may stay unacknowledged.
@@ -60,6 +64,8 @@
     Broken,
     /// The response timed out after the whole request may have been written.
     Silent,
+    /// The peer answered with something other than a final response of HTTP.
+    Malformed,
 }
 
 /// A connection on which nothing has been sent.
@@ -124,6 +130,9 @@
             let _ = connection.await;
         }));
         match tokio::time::timeout(timeout, sender.send_request(request)).await {
+            Ok(Ok(response)) if !FINAL_STATUS.contains(&response.status().as_u16()) => {
+                Err(Failure::Malformed)
+            }
             Ok(Ok(response)) => {
                 answered.store(true, Ordering::Release);
                 Ok(Answer { response, driver })
