Answer callers in HTTP/1.1 whatever the version of the endpoint

A stream of an endpoint that answers in HTTP/1.0, without a length, and that broke off inside an event reached the caller as a complete answer.

Cause: the gateway passed the version of the endpoint's response on as part of its head. hyper writes a body of unknown length in HTTP/1.0 without chunks, up to the end of the connection, so that the error with which the relay ends a broken stream has nothing to show on the wire. Whoever reads cannot tell the loss from the end. The same held for a stream whose run was lost for any other reason.

The version describes one hop, as the connection headers do, and is removed with them; the head that reaches the caller is that of the gateway's own version, and its streams are chunked.

Before: odd_status::old_version_cut failed with 200 and three events as a complete body. It passes now, as do valid_answers (which has HTTP/1.0), odd_answers and gateway_path.

--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use tokio::sync::{oneshot, watch};
 use xtra::Address;
 
@@ -379,8 +379,10 @@
     }
 }
 
-/// Removes the headers that apply only to one connection.
+/// Removes what applies only to one connection from the head of a response. With the version of an
+/// endpoint that speaks HTTP/1.0, a stream would have no chunks, and its loss would look like its end.
 fn strip_connection_headers(mut parts: response::Parts) -> response::Parts {
+    parts.version = Version::HTTP_11;
     daisyyard_http::remove_hop_by_hop(&mut parts.headers);
     parts.headers.remove(CONTENT_LENGTH);
     parts
