Tell answers that are no HTTP from connections that broke off

An answer that cannot be parsed, such as one of status 000, was logged and counted as "broken", with a RunBroken line that says that the endpoint closed the connection. It also counted as a crash: three in a row could have a sound content refused at all gateways (DY0139). An operator could not see that the endpoint speaks, but not HTTP; for a request that is not repeated, no line named the failure at all.

Cause: the connection reported every error of hyper alike. It now tells a response that does not parse from a connection that broke off; the former is no crash. RequestEnded has the failure of the last send as `cause`; the names of refusals move to them.

Before: odd_status::reason_counted failed (repeats of reason "broken", one broken run). It passes now, as do odd_answers, endless_bytes, crashing_content, crashing_part, poison_request, poison_spread, plain_service and gateway_retries. The log of a gateway in odd_status, read once: DY0132 RequestRepeated request=attempt-5 reason=malformed_answer DY0133 RequestEnded request=attempt-1 route=book status=502 ms=12 reason=lost cause=malformed_answer

--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -103,10 +103,11 @@
         let mut history = History::new(repeatable);
         let mut tried: Vec<EndpointId> = Vec::new();
         let mut possible_runs = 0;
+        let mut cause = "-";
         loop {
             let grant = match self.claim(&job, &tried).await {
                 Ok(grant) => grant,
-                Err(refusal) if tried.is_empty() => return self.refuse(&job, refusal),
+                Err(refusal) if tried.is_empty() => return self.refuse(&job, refusal, "-"),
                 Err(refusal) => {
                     let outcome = history.outcome();
                     let accurate = matches!(refusal, Refusal::Evacuated | Refusal::TurnedAway(_));
@@ -115,7 +116,7 @@
                     } else {
                         Refusal::after_send(outcome, false)
                     };
-                    return self.refuse(&job, refusal);
+                    return self.refuse(&job, refusal, cause);
                 }
             };
             let endpoint = grant.endpoint.id;
@@ -153,6 +154,7 @@
                     response,
                 } => (progress, late, reason, response),
             };
+            cause = reason;
             tried.push(endpoint);
             history.advance(progress);
             let not_run = matches!(progress, Progress::Unsent | Progress::Declined);
@@ -172,7 +174,7 @@
                     let refusal = self.add_opening(&job, refusal).await;
                     return match response {
                         Some(response) => self.forward(&job, response, reason),
-                        None => self.refuse(&job, refusal),
+                        None => self.refuse(&job, refusal, cause),
                     };
                 }
             }
@@ -347,27 +349,27 @@
         response
     }
 
-    /// Answers a request that no endpoint has answered.
-    fn refuse(&self, job: &Job, refusal: Refusal) -> Response<Body> {
-        let reason = match refusal {
-            Refusal::Full => "full",
-            Refusal::Evacuated => "evacuated",
-            Refusal::Leaving => "leaving",
-            Refusal::Declined => "declined",
-            Refusal::Late => "late",
-            Refusal::Suspected(_) => "suspected",
-            Refusal::Shed(_) => "shed",
-            Refusal::TurnedAway(_) => "turned_away",
-            _ => "lost",
-        };
-        self.record_end(job, refusal.status(), reason);
+    /// Answers a request that no endpoint has answered; `cause` names the failure of the last send.
+    fn refuse(&self, job: &Job, refusal: Refusal, cause: &'static str) -> Response<Body> {
+        self.record_refusal(job, refusal.status(), refusal.name(), cause);
         refusal.response()
     }
 
-    /// Logs and counts the end of a request.
+    /// Logs and counts the end of a request that was answered.
     pub(crate) fn record_end(&self, job: &Job, status: StatusCode, reason: &'static str) {
+        self.record_refusal(job, status, reason, "-");
+    }
+
+    /// Logs and counts the end of a request, with the failure of its last send.
+    fn record_refusal(
+        &self,
+        job: &Job,
+        status: StatusCode,
+        reason: &'static str,
+        cause: &'static str,
+    ) {
         let details = format!(
-            "request={} route={} status={} ms={} reason={reason}",
+            "request={} route={} status={} ms={} reason={reason} cause={cause}",
             job.attempt,
             job.route.name,
             status.as_u16(),
--- a/crates/daisyyard_gateway/src/refusal.rs
+++ b/crates/daisyyard_gateway/src/refusal.rs
@@ -104,6 +104,21 @@
         }
     }
 
+    /// Returns the name of the reason for logs and metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Full => "full",
+            Self::Evacuated => "evacuated",
+            Self::Leaving => "leaving",
+            Self::Declined => "declined",
+            Self::Late => "late",
+            Self::Suspected(_) => "suspected",
+            Self::Shed(_) => "shed",
+            Self::TurnedAway(_) => "turned_away",
+            _ => "lost",
+        }
+    }
+
     /// Returns the status code of the response.
     pub(crate) fn status(self) -> StatusCode {
         match self {
--- a/crates/daisyyard_gateway/src/sent.rs
+++ b/crates/daisyyard_gateway/src/sent.rs
@@ -30,8 +30,10 @@
     match failure {
         Failure::Refused => Signal::Refused,
         Failure::Unreachable => Signal::Unreachable,
-        Failure::Unwritten | Failure::Partial | Failure::Broken => Signal::Lost,
-        Failure::Silent | Failure::Malformed => Signal::Failed,
+        Failure::Unwritten | Failure::Partial | Failure::Broken | Failure::Malformed => {
+            Signal::Lost
+        }
+        Failure::Silent => Signal::Failed,
         Failure::Late => Signal::Neutral,
     }
 }
--- a/crates/daisyyard_http/src/connection.rs
+++ b/crates/daisyyard_http/src/connection.rs
@@ -141,11 +141,11 @@
                 // The byte count is final only once the driver has stopped writing.
                 driver.abort();
                 let _ = driver.await;
-                Err(classify(
-                    written.load(Ordering::Acquire),
-                    body_bytes,
-                    result.is_err(),
-                ))
+                let written = written.load(Ordering::Acquire);
+                match result {
+                    Ok(Err(error)) if error.is_parse() && written > 0 => Err(Failure::Malformed),
+                    result => Err(classify(written, body_bytes, result.is_err())),
+                }
             }
         }
     }
