Take a continuation without a signature for no answer

An engine in trouble that was asked to continue a run and answered 200 without its signature had its events forwarded, although the first answer to a request needs one.

Cause: the two places that judge the head of an answer, the first send and the continuation, each had a check of their own, and the one of the continuation looked at the status alone. The obstacle is the one of any unusable answer: the engine may have run the request, so no other one is asked.

Before: odd_status::unsigned_continuation failed (the events of the engine in trouble were in a body that looked complete). It passes now, as do the other tests of odd_status, run_overlap, gateway_moves, unproven_copy, resumed_streams, resume_anywhere and live_migration.

--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -371,7 +371,7 @@
         if receipt.declined {
             return Err(Obstacle::Declined);
         }
-        if status != StatusCode::OK {
+        if status != StatusCode::OK || !receipt.signed {
             return Err(Obstacle::Unanswered);
         }
         self.splitter.discard_partial();
