--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -29,7 +29,7 @@
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::refusal::Refusal;
-use crate::relay::Relay;
+use crate::relay::{Relay, Upstream};
 use crate::sent::{self, Sent, answer_unusable, connection_failed, health_signal};
 use crate::server::Phase;
 use crate::watcher::Configuration;
@@ -290,16 +290,17 @@
     ) -> Response<Body> {
         let (sender, body) = body::channel();
         let (parts, incoming) = answer.response.into_parts();
+        let upstream = Upstream::new(&parts.headers, incoming, answer.driver);
         let relay = Relay::new(
             self.clone(),
             Arc::clone(job),
             grant,
-            (incoming, answer.driver),
+            upstream,
             sender,
             runs_left,
         );
         tokio::spawn(relay.run());
-        Response::from_parts(strip_connection_headers(parts), body)
+        Response::from_parts(strip_connection(parts), body)
     }
 
     /// Buffers a response before it is forwarded, so that a retry can replace an interrupted one.
@@ -329,7 +330,7 @@
             }
         };
         let status = parts.status;
-        let response = Response::from_parts(strip_connection_headers(parts), body::full(bytes));
+        let response = Response::from_parts(strip_connection(parts), body::full(bytes));
         if status.is_server_error() {
             grant.signal = Signal::Failed;
             return Sent::Failed {
@@ -381,9 +382,9 @@
     }
 }
 
-/// Removes what applies only to one connection from the head of a response. With the version of an
-/// endpoint that speaks HTTP/1.0, a stream would have no chunks, and its loss would look like its end.
-fn strip_connection_headers(mut parts: response::Parts) -> response::Parts {
+/// Removes what applies only to one connection: its headers, and the version of the protocol, without
+/// which the response to the caller could have no chunks to mark its end.
+fn strip_connection(mut parts: response::Parts) -> response::Parts {
     parts.version = Version::HTTP_11;
     daisyyard_http::remove_hop_by_hop(&mut parts.headers);
     parts.headers.remove(CONTENT_LENGTH);
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -1,16 +1,20 @@
 //! Task that forwards a stream and resumes its run at another engine if its own is leaving or
 //! fails.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use daisyyard_core::footprint::Use;
+use daisyyard_core::id::EndpointId;
 use daisyyard_core::pool::Signal;
+use daisyyard_core::stream_end::{Effect, Ending, Framing, Verdict};
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use tokio::sync::mpsc;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -18,10 +22,11 @@
 use crate::codec::Transfer;
 use crate::event::Event;
 use crate::gaps::Gaps;
+use crate::halt::Orders;
 use crate::job::Job;
 use crate::memory::Hold;
 use crate::message::{FirstToken, Grant, Notice, ObserveGaps, Taken};
-use crate::migration::{State, join_copy};
+use crate::migration::{COPY_TIMEOUT, State, join_copy};
 use crate::proxy::Proxy;
 use crate::sse::Splitter;
 use crate::store;
@@ -36,7 +41,15 @@
 pub(crate) const SILENT: &str = "silent";
 
 /// Open response of an engine; dropping it closes the connection.
-type Upstream = (Incoming, AbortOnDropHandle<()>);
+#[derive(Debug)]
+pub(crate) struct Upstream {
+    /// Unread body.
+    body: Incoming,
+    /// How the end of the body is marked.
+    framing: Framing,
+    /// Task that drives the connection.
+    _driver: AbortOnDropHandle<()>,
+}
 
 /// Forwards one stream.
 #[derive(Debug)]
@@ -67,14 +80,16 @@
     pub(crate) migration: State,
     /// Number of further engines at which the run may start anew.
     pub(crate) runs_left: u32,
+    /// Orders to stop the run, by the engine that got them.
+    pub(crate) orders: HashMap<EndpointId, Orders>,
 }
 
 /// What the relay does next.
 enum Action {
     /// Forward these bytes.
     Deliver(Bytes),
-    /// End the complete response.
-    Finish,
+    /// Judge the end of the response.
+    Judge(Framing),
     /// Start the migration, because the engine is leaving.
     Leave,
     /// Take the next step of the migration.
@@ -99,6 +114,31 @@
     Malformed,
 }
 
+impl Upstream {
+    /// Returns the stream of a response whose headers have arrived.
+    pub(crate) fn new(headers: &HeaderMap, body: Incoming, driver: AbortOnDropHandle<()>) -> Self {
+        Self {
+            body,
+            framing: framing(headers),
+            _driver: driver,
+        }
+    }
+}
+
+/// Returns how the end of a response with these headers is marked.
+fn framing(headers: &HeaderMap) -> Framing {
+    let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let chunked = codings.is_some_and(|codings| {
+        let last = codings.as_bytes().rsplit(|byte| *byte == b',').next();
+        last.is_some_and(|last| last.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+    });
+    if chunked || headers.contains_key(CONTENT_LENGTH) {
+        Framing::Explicit
+    } else {
+        Framing::Connection
+    }
+}
+
 impl Relay {
     /// Creates the relay for a response whose headers have arrived.
     pub(crate) fn new(
@@ -124,6 +164,7 @@
             unused_copy: None,
             migration: State::Idle,
             runs_left,
+            orders: HashMap::new(),
         }
     }
 
@@ -143,11 +184,25 @@
                         }
                     }
                 },
-                Action::Finish => {
-                    self.grant.signal = Signal::Answered;
-                    // Fails only if the caller has disconnected.
-                    let _ = self.sender.send(Chunk::End).await;
-                    break "answered";
+                Action::Judge(framing) => {
+                    let verdict = self.judge(framing).await;
+                    match verdict {
+                        Verdict::Complete => {
+                            self.grant.signal = Signal::Answered;
+                            // Fails only if the caller has disconnected.
+                            let _ = self.sender.send(Chunk::End).await;
+                            break "answered";
+                        }
+                        Verdict::Cut => {
+                            self.grant.signal = Signal::Failed;
+                            self.report_broken().await;
+                        }
+                        // The engine has done what it was told to.
+                        Verdict::Await | Verdict::Stopped => {}
+                    }
+                    if !self.recover(verdict.name()).await {
+                        break "interrupted";
+                    }
                 }
                 Action::Leave => self.migration = State::Due(Instant::now()),
                 Action::Step => {
@@ -197,23 +252,18 @@
             State::Copying(copying) => Some(&mut copying.task),
             _ => None,
         };
-        // A response that ends before its first event was broken off, whether or not it has a length,
-        // unless the caller has resumed the stream at its end.
-        let has_events = self.splitter.event_count() > 0 || self.job.resume_after.is_some();
-        let is_complete = self.splitter.is_complete() && has_events;
-        let Some((incoming, _)) = &mut self.upstream else {
+        let Some(upstream) = &mut self.upstream else {
             return Action::Fail("closed");
         };
         tokio::select! {
-            frame = incoming.frame() => match frame {
+            frame = upstream.body.frame() => match frame {
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => Action::Deliver(data),
                     // Trailers contain nothing that callers need.
                     Err(_) => Action::Deliver(Bytes::new()),
                 },
                 Some(Err(_)) => Action::Fail("broken"),
-                None if is_complete => Action::Finish,
-                None => Action::Fail("cut"),
+                None => Action::Judge(upstream.framing),
             },
             notice = self.grant.notices.recv(), if idle => match notice {
                 Some(Notice::Leaving) => Action::Leave,
@@ -227,6 +277,57 @@
         }
     }
 
+    /// Judges the end of the response, once it is known what the orders to stop the run have done.
+    async fn judge(&self, framing: Framing) -> Verdict {
+        let verdict = self.judge_now(framing);
+        if let (Verdict::Await, Some(orders)) = (verdict, self.orders()) {
+            tokio::select! {
+                () = orders.settle() => {}
+                () = self.sender.closed() => {}
+                () = tokio::time::sleep(COPY_TIMEOUT) => {}
+            }
+            return self.judge_now(framing);
+        }
+        verdict
+    }
+
+    /// Returns the orders to stop the run at its engine.
+    fn orders(&self) -> Option<&Orders> {
+        self.orders.get(&self.grant.endpoint.id)
+    }
+
+    /// Returns what these orders may have done.
+    pub(crate) fn effect(&self) -> Effect {
+        self.orders().map_or(Effect::None, Orders::effect)
+    }
+
+    /// Judges the end of the response by what is known now, and logs an end that nothing but the connection
+    /// marks.
+    fn judge_now(&self, framing: Framing) -> Verdict {
+        // A response that ends before its first event was broken off, whether or not it has a length,
+        // unless the caller has resumed the stream at its end.
+        let has_events = self.splitter.event_count() > 0 || self.job.resume_after.is_some();
+        let ending = Ending {
+            framing,
+            whole: self.splitter.is_complete() && has_events,
+            effect: self.effect(),
+        };
+        let verdict = ending.judge();
+        self.proxy.metrics.record_stream_end(framing, verdict);
+        if framing == Framing::Connection {
+            let details = format!(
+                "request={} endpoint={} events={} orders={} verdict={}",
+                self.job.attempt,
+                self.grant.endpoint.name,
+                self.splitter.event_count(),
+                ending.effect.name(),
+                verdict.name(),
+            );
+            self.proxy.log.emit(Event::StreamEnded, &details);
+        }
+        verdict
+    }
+
     /// Continues the run at another engine after a failure; returns whether the stream continues.
     async fn recover(&mut self, reason: &'static str) -> bool {
         self.fail_over(reason).await || self.restart(reason).await
