Reproduce an empty continuation that callers take for the end (KNOWN-RED)

The relay refuses such an end of a first response, but counts the events of the engine before it for a continuation.

--- a/crates/daisyyard/tests/odd_status.rs
+++ b/crates/daisyyard/tests/odd_status.rs
@@ -58,6 +58,8 @@
     b"HTTP/1.1 503 Service Unavailable\r\n\r\n",
 ];
 
+/// Number of status lines that are played at once, each with a gateway process.
+const LINES_AT_ONCE: usize = 3;
 /// Number of requests of which some reach the faulty endpoint.
 const REQUESTS: usize = 20;
 /// Time within which a gateway learns of a new or changed endpoint and acts on it.
@@ -156,10 +158,13 @@
     result: impl AsyncFn(&'static [u8]) -> T,
 ) -> Vec<String> {
     let mut exceptions = Vec::new();
-    for line in lines {
-        let result = result(line).await;
-        if result != expected {
-            exceptions.push(format!("{}: {result:?}", line.escape_ascii()));
+    for lines in lines.chunks(LINES_AT_ONCE) {
+        let results = lines.iter().map(|line| result(line));
+        let results = futures_util::future::join_all(results).await;
+        for (line, result) in lines.iter().zip(results) {
+            if result != expected {
+                exceptions.push(format!("{}: {result:?}", line.escape_ascii()));
+            }
         }
     }
     exceptions
@@ -219,14 +224,21 @@
     assert!(sound.is_some(), "a signed continuation is forwarded");
 }
 
+/// A continuation that ends before its first event has broken off, as a stream that does.
+#[tokio::test]
+async fn empty_continuation() {
+    assert_eq!(continued_stream(Fault::Unframed(0)).await, None);
+}
+
 /// A copy without an answer does not count as made: the run stays at its engine.
 #[tokio::test]
 async fn no_copy() {
     let result = async |line| {
         let (mut platform, faulty) = start("model", Fault::Control(line)).await;
-        platform.add_engine("engine-0", "model").await;
         let answer = tokio::spawn(send_stream(platform.gateways[0].requests));
         platform::wait_until("the stream runs", async || faulty.counts().requests > 0).await;
+        platform.add_engine("engine-0", "model").await;
+        tokio::time::sleep(LISTING_TIME).await;
         let entry = platform_fixture::entry("model", faulty.address, "draining");
         platform.store.put("servers/faulty", &entry).await;
         let answer = answer.await.expect("no panic");
