--- a/crates/daisyyard_standin/src/faulty_endpoint.rs
+++ b/crates/daisyyard_standin/src/faulty_endpoint.rs
@@ -19,6 +19,15 @@
 /// Prefix of the paths of calls to the control interface.
 const CONTROL_PREFIX: &str = "/-/";
 
+/// Interval between two events of a stream that goes on while calls come.
+const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Number of events of a sound answer.
+pub const SOUND_EVENTS: u64 = 5;
+/// Number of events of a stream that goes on while calls come.
+pub const LONG_EVENTS: u64 = 100;
+/// Result of a copy that succeeded.
+const COPIED: &str = r#"{"handle":"copy-1","created":0}"#;
+
 /// How the endpoint breaks the protocol.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
@@ -56,15 +65,6 @@
     OldCut(u64),
 }
 
-/// Interval between two events of a stream that goes on while calls come.
-const EVENT_INTERVAL: Duration = Duration::from_millis(20);
-/// Number of events of a sound answer.
-pub const SOUND_EVENTS: u64 = 5;
-/// Number of events of a stream that goes on while calls come.
-pub const LONG_EVENTS: u64 = 100;
-/// Result of a copy that succeeded.
-const COPIED: &str = r#"{"handle":"copy-1","created":0}"#;
-
 /// What a faulty endpoint has seen.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Counts {
