Count the events of each response by itself when its end is judged

Cause: whether a response has events was asked of the whole stream, so that the events of the engine before stood for it. Now only the end of a response with a length or chunks may come without an event of its own; where nothing but the connection marks the end, an event of this engine is needed, also if the caller has resumed the stream. Before: odd_status::empty_continuation fails.

--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -304,9 +304,10 @@
     /// Judges the end of the response by what is known now, and logs an end that nothing but the connection
     /// marks.
     fn judge_now(&self, framing: Framing) -> Verdict {
-        // A response that ends before its first event was broken off, whether or not it has a length,
-        // unless the caller has resumed the stream at its end.
-        let has_events = self.splitter.event_count() > 0 || self.job.resume_after.is_some();
+        // A response that ends before its first event was broken off, unless its end is marked and the
+        // caller has all events before it.
+        let resumes = self.splitter.event_count() > 0 || self.job.resume_after.is_some();
+        let has_events = self.taken || (resumes && framing == Framing::Explicit);
         let ending = Ending {
             framing,
             whole: self.splitter.is_complete() && has_events,
