Follow up on the review of the orders to stop a run

- An order whose answer was lost may still stop a run that goes on at the same engine: it counts after the resumption, where an answered one does not (stream_end::resumed_run; histories now have lost answers too).
- An order remembers the start of its target, not the engine alone, so that a late answer does not name a copy that a restart has lost.
- Waiting for an earlier order and a new one together takes no longer than one did.
- The wait for an open order at the end of a stream ends with the deadline of the request, and one line is logged.

--- a/crates/daisyyard_core/src/stream_end.rs
+++ b/crates/daisyyard_core/src/stream_end.rs
@@ -20,8 +20,10 @@
 pub enum Reply {
     /// It has no effect: it was not sent, or the engine did not execute the run or rejected the order.
     Void,
-    /// The engine has stopped the run, or may have: its answer does not say, or was lost.
+    /// The engine has stopped the run, or may have, as its answer does not say.
     Effective,
+    /// The answer was lost. The engine may have got the order, or may get it later.
+    Lost,
 }
 
 /// What the orders to stop a run may have done.
@@ -40,8 +42,10 @@
 pub struct Orders {
     /// Number of orders that are not answered yet.
     open: u32,
-    /// Whether one of the others may have stopped the run.
+    /// Whether an answered one may have stopped the run.
     may_have_stopped: bool,
+    /// Whether the answer to one was lost.
+    lost: bool,
 }
 
 /// What follows the end of a stream.
@@ -78,12 +82,21 @@
     pub fn settle(&mut self, reply: Reply) {
         self.open = self.open.saturating_sub(1);
         self.may_have_stopped |= reply == Reply::Effective;
+        self.lost |= reply == Reply::Lost;
+    }
+
+    /// Records that the run goes on at the engine that was to stop it. Orders without an answer may still
+    /// reach the engine.
+    pub fn resume(&mut self) {
+        self.may_have_stopped = false;
+        self.lost |= self.open > 0;
+        self.open = 0;
     }
 
     /// Returns what the orders may have done. An order without effect does not undo an earlier one: an
     /// engine no longer executes a run that it was told to stop before.
     pub fn effect(&self) -> Effect {
-        match (self.may_have_stopped, self.open) {
+        match (self.may_have_stopped || self.lost, self.open) {
             (true, _) => Effect::Possible,
             (false, 0) => Effect::None,
             (false, _) => Effect::Open,
--- a/crates/daisyyard_core/tests/stream_end.rs
+++ b/crates/daisyyard_core/tests/stream_end.rs
@@ -56,20 +56,17 @@
 /// answer to a later one does not undo it.
 #[test]
 fn every_history() {
-    for history in 0..1 << HISTORY {
+    for history in 0..3_usize.pow(HISTORY) {
         let mut orders = Orders::default();
         let mut effective = false;
         for number in 0..HISTORY {
             assert_eq!(orders.effect() == Effect::Possible, effective);
             orders.send();
             assert_ne!(orders.effect(), Effect::None);
-            let reply = if history >> number & 1 == 1 {
-                Reply::Effective
-            } else {
-                Reply::Void
-            };
+            let reply =
+                [Reply::Void, Reply::Effective, Reply::Lost][history / 3_usize.pow(number) % 3];
             orders.settle(reply);
-            effective |= reply == Reply::Effective;
+            effective |= reply != Reply::Void;
         }
         let expected = if effective {
             Effect::Possible
@@ -91,3 +88,23 @@
     orders.settle(Reply::Effective);
     assert_eq!(orders.effect(), Effect::Possible);
 }
+
+/// An order whose answer was lost or is missing may still stop a run that goes on at the same engine, but an
+/// answered one may not.
+#[test]
+fn resumed_run() {
+    for (reply, expected) in [
+        (Some(Reply::Void), Effect::None),
+        (Some(Reply::Effective), Effect::None),
+        (Some(Reply::Lost), Effect::Possible),
+        (None, Effect::Possible),
+    ] {
+        let mut orders = Orders::default();
+        orders.send();
+        if let Some(reply) = reply {
+            orders.settle(reply);
+        }
+        orders.resume();
+        assert_eq!(orders.effect(), expected, "{reply:?}");
+    }
+}
--- a/crates/daisyyard_gateway/src/halt.rs
+++ b/crates/daisyyard_gateway/src/halt.rs
@@ -6,9 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use daisyyard_core::continuation::Stop;
+use daisyyard_core::continuation::{Holder, Stop};
 use daisyyard_core::endpoint::Endpoint;
-use daisyyard_core::id::EndpointId;
 use daisyyard_core::stream_end::{self, Effect, Reply};
 use daisyyard_http::connection::Failure;
 use tokio::sync::watch;
@@ -84,7 +83,7 @@
 #[derive(Debug)]
 struct Order {
     /// Engine to which the KV cache is to be copied.
-    target: EndpointId,
+    target: Holder,
     /// Task that asks the engine.
     task: JoinHandle<Halt>,
 }
@@ -107,15 +106,13 @@
     /// Forgets the orders, because the run goes on at the engine that was to stop it. One that is under way
     /// is withdrawn, but may still reach the engine.
     pub(crate) fn reset(&mut self) {
-        self.record = watch::Sender::default();
-        let open = self.open.take();
-        if let Some(order) = open.filter(|order| !order.task.is_finished()) {
+        if let Some(order) = self.open.take() {
             order.task.abort();
-            self.record.send_modify(|orders| {
-                orders.send();
-                orders.settle(Reply::Effective);
-            });
         }
+        // The task may record one more answer, which must not count for the run that goes on.
+        let mut orders = *self.record.borrow();
+        orders.resume();
+        self.record = watch::Sender::new(orders);
     }
 
     /// Stops a run at `source`, whose KV cache the engine copies to `target`. An engine that may be down
@@ -136,12 +133,12 @@
         };
         let earlier = self.open.take();
         let mut halt = match earlier {
-            Some(order) => self.wait(order, target, timeout).await,
+            Some(order) => self.wait(order, target, started + timeout).await,
             None => Halt::Unanswered,
         };
         if self.open.is_none() && !matches!(halt, Halt::Moved(_) | Halt::Kept(_)) {
             let order = self.send(proxy, job, source, target);
-            halt = self.wait(order, target, timeout).await;
+            halt = self.wait(order, target, started + timeout).await;
         }
         let details = format!(
             "request={} endpoint={} target={} ms={} outcome={}",
@@ -155,10 +152,10 @@
         halt
     }
 
-    /// Waits for the result of an order, which goes on if the time ends before.
-    async fn wait(&mut self, mut order: Order, target: &Endpoint, timeout: Duration) -> Halt {
-        match tokio::time::timeout(timeout, &mut order.task).await {
-            Ok(Ok(Halt::Moved(handle))) if order.target != target.id => Halt::Kept(handle),
+    /// Waits until a time for the result of an order, which goes on after it.
+    async fn wait(&mut self, mut order: Order, target: &Endpoint, until: Instant) -> Halt {
+        match tokio::time::timeout_at(until, &mut order.task).await {
+            Ok(Ok(Halt::Moved(handle))) if order.target != Holder::of(target) => Halt::Kept(handle),
             Ok(Ok(halt)) => halt,
             Ok(Err(_)) => Halt::Unanswered,
             Err(_) => {
@@ -184,7 +181,7 @@
             self.record.clone(),
         );
         Order {
-            target: target.id,
+            target: Holder::of(target),
             task: tokio::spawn(stop),
         }
     }
@@ -224,6 +221,7 @@
     match answer {
         Ok(Transfer::Missing | Transfer::Busy) => Reply::Void,
         Err(store::Error::Unanswered(failure)) if is_unsent(*failure) => Reply::Void,
-        Ok(Transfer::Copied(_) | Transfer::Refused(_)) | Err(_) => Reply::Effective,
+        Ok(Transfer::Copied(_) | Transfer::Refused(_)) => Reply::Effective,
+        Err(_) => Reply::Lost,
     }
 }
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -279,16 +279,18 @@
 
     /// Judges the end of the response, once it is known what the orders to stop the run have done.
     async fn judge(&self, framing: Framing) -> Verdict {
-        let verdict = self.judge_now(framing);
-        if let (Verdict::Await, Some(orders)) = (verdict, self.orders()) {
+        let mut ending = self.ending(framing);
+        if let (Verdict::Await, Some(orders)) = (ending.judge(), self.orders()) {
+            let wait = COPY_TIMEOUT.min(self.job.remaining());
             tokio::select! {
                 () = orders.settle() => {}
                 () = self.sender.closed() => {}
-                () = tokio::time::sleep(COPY_TIMEOUT) => {}
+                () = tokio::time::sleep(wait) => {}
             }
-            return self.judge_now(framing);
+            ending = self.ending(framing);
         }
-        verdict
+        self.record_end(ending);
+        ending.judge()
     }
 
     /// Returns the orders to stop the run at its engine.
@@ -301,21 +303,26 @@
         self.orders().map_or(Effect::None, Orders::effect)
     }
 
-    /// Judges the end of the response by what is known now, and logs an end that nothing but the connection
-    /// marks.
-    fn judge_now(&self, framing: Framing) -> Verdict {
+    /// Returns what is known now of the end of the response.
+    fn ending(&self, framing: Framing) -> Ending {
         // A response that ends before its first event was broken off, unless its end is marked and the
         // caller has all events before it.
         let resumes = self.splitter.event_count() > 0 || self.job.resume_after.is_some();
         let has_events = self.taken || (resumes && framing == Framing::Explicit);
-        let ending = Ending {
+        Ending {
             framing,
             whole: self.splitter.is_complete() && has_events,
             effect: self.effect(),
-        };
+        }
+    }
+
+    /// Counts the end of a response, and logs one that nothing but the connection marks.
+    fn record_end(&self, ending: Ending) {
         let verdict = ending.judge();
-        self.proxy.metrics.record_stream_end(framing, verdict);
-        if framing == Framing::Connection {
+        self.proxy
+            .metrics
+            .record_stream_end(ending.framing, verdict);
+        if ending.framing == Framing::Connection {
             let details = format!(
                 "request={} endpoint={} events={} orders={} verdict={}",
                 self.job.attempt,
@@ -326,7 +333,6 @@
             );
             self.proxy.log.emit(Event::StreamEnded, &details);
         }
-        verdict
     }
 
     /// Continues the run at another engine after a failure; returns whether the stream continues.
