Detect that a gateway is cut off from the endpoints, and choose a gateway to relay to

A gateway that is partitioned from all engines while callers reach it serves nobody. It now compares the attempts to connect by the times at which they started: it is cut off if attempts at two endpoints failed that started after the last one that succeeded. It tells the others in its digests, and FindPeer chooses one of those that are not cut off. Nothing is relayed yet.

reported_ejection in pool_choice.rs is stricter: an ejection is reported only once its node has connected to an endpoint since.

--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -71,7 +71,7 @@
     pub(crate) evacuated: bool,
     /// What the endpoint has stated in its answers.
     pub(crate) statements: Statements,
-    /// End and duration of the latest ejection.
+    /// Start and duration of the latest ejection.
     ejected: Option<(Instant, Duration)>,
     /// Whether the endpoint was ejected for a failure that affects all nodes.
     pub(crate) fails_everywhere: bool,
@@ -148,7 +148,7 @@
             .ejected
             .map_or(FIRST_EJECTION / 2, |(_, duration)| duration);
         let duration = (last * 2).min(MAX_EJECTION);
-        self.ejected = Some((now + duration, duration));
+        self.ejected = Some((now, duration));
     }
 
     /// Returns whether the endpoint is part of a service and could serve it: it is open, or it is
@@ -173,7 +173,21 @@
 
     /// Returns the end of the latest ejection, which may have passed.
     pub(crate) fn ejected_until(&self) -> Option<Instant> {
-        self.ejected.map(|(until, _)| until)
+        self.ejected.map(|(at, duration)| at + duration)
+    }
+
+    /// Returns when the endpoint was ejected last.
+    pub(crate) fn ejected_at(&self) -> Option<Instant> {
+        self.ejected.map(|(at, _)| at)
+    }
+
+    /// Ends an ejection that is not older than a time, if one is given, because this node was cut off.
+    pub(crate) fn lift_ejection(&mut self, since: Option<Instant>) {
+        if self.ejected_at().is_some_and(|at| Some(at) >= since) {
+            self.ejected = None;
+            self.losses = 0;
+            self.failure_rate = 0.0;
+        }
     }
 
     /// Returns the sum of the loads of all nodes.
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod home;
 pub mod id;
 pub mod instance;
+pub mod isolation;
 pub mod knowledge;
 pub mod ledger;
 pub mod length;
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -19,6 +19,7 @@
 use crate::endpoint::{Endpoint, Kind, State};
 use crate::evacuation::Register;
 use crate::id::{EndpointId, InstanceId, Revision};
+use crate::isolation::Detector;
 use crate::load::Load;
 use crate::pace::{Pace, Stretches};
 use crate::rate::Owners;
@@ -58,6 +59,8 @@
     pub(crate) candidates: BTreeMap<EndpointId, Candidate>,
     /// Endpoints that other nodes have ejected.
     pub(crate) ejections: Ejections,
+    /// Attempts of this node to connect, which show whether it is cut off.
+    pub(crate) isolation: Detector,
     /// Evacuated availability zones.
     pub(crate) evacuations: Register,
     /// Revision of the store up to which its entries have been read.
@@ -83,6 +86,7 @@
             zone,
             candidates: BTreeMap::new(),
             ejections: Ejections::default(),
+            isolation: Detector::default(),
             evacuations: Register::default(),
             revision: 0,
             wave: Wave::default(),
@@ -309,6 +313,9 @@
     pub fn observe(&mut self, id: EndpointId, signal: Signal, now: Instant) {
         if let Some(candidate) = self.candidates.get_mut(&id) {
             candidate.observe(signal, now);
+            if candidate.ejected_at() == Some(now) {
+                self.isolation.doubt(now);
+            }
             let broke = !matches!(signal, Signal::Neutral | Signal::Answered);
             if broke && candidate.endpoint.state != State::Live {
                 self.wave.end(id, now);
@@ -347,11 +354,14 @@
     }
 
     /// Returns the endpoints that this node has ejected because they fail for all nodes. Those with
-    /// a broken path from this node only are left out.
+    /// a broken path from this node only are left out, and all for which this node has not shown since
+    /// that it is not cut off itself.
     pub fn ejections(&self, now: Instant) -> impl Iterator<Item = EndpointId> {
         let failing = move |candidate: &Candidate| {
             let ejected = candidate.ejected_until().is_some_and(|until| until > now);
-            candidate.fails_everywhere && ejected
+            let connects = |at| self.isolation.has_reached_since(at);
+            let shown = !self.is_isolated() && candidate.ejected_at().is_some_and(connects);
+            candidate.fails_everywhere && ejected && shown
         };
         let candidates = self
             .candidates
--- a/crates/daisyyard_core/tests/pool_choice.rs
+++ b/crates/daisyyard_core/tests/pool_choice.rs
@@ -8,6 +8,7 @@
 use daisyyard_core::choice::{Choice, Purpose};
 use daisyyard_core::endpoint::{Endpoint, Kind, State};
 use daisyyard_core::id::{self, EndpointId};
+use daisyyard_core::isolation::{Attempt, Outcome};
 use daisyyard_core::load::{Load, Need};
 use daisyyard_core::pool::{Pool, Signal};
 use daisyyard_core::zone::Zone;
@@ -223,6 +224,13 @@
     pool.learn_ejections(8, &[one], now);
     assert_eq!(chosen(&mut pool, &small, &[], now).as_deref(), Some("one"));
     pool.observe(one, Signal::Refused, now);
+    // The refusal may have its cause at this node until it has connected to an endpoint again.
+    assert_eq!(pool.ejections(now).count(), 0);
+    pool.record_attempt(Attempt {
+        endpoint: two,
+        started: now,
+        outcome: Outcome::Made,
+    });
     assert_eq!(pool.ejections(now).collect::<Vec<_>>(), vec![one]);
     // An endpoint that only this node cannot reach is not reported to other nodes.
     pool.observe(two, Signal::Unreachable, now);
--- a/crates/daisyyard_gateway/src/evacuation.rs
+++ b/crates/daisyyard_gateway/src/evacuation.rs
@@ -12,10 +12,12 @@
 use http_body_util::Full;
 use hyper::Request;
 use tokio::sync::watch;
+use xtra::WeakAddress;
 
 use crate::admission::Outcome;
 use crate::codec::Record;
 use crate::event::Event;
+use crate::isolation;
 use crate::message::{Claim, Placement};
 use crate::pool::Pool;
 use crate::sent::is_unsent;
@@ -40,6 +42,8 @@
     barriers: watch::Receiver<Vec<Barrier>>,
     /// When the endpoint of a request was chosen; none for any time.
     placed_at: Option<Instant>,
+    /// Actor that is told which endpoints are reached.
+    pool: Option<WeakAddress<Pool>>,
 }
 
 /// Reason why a request to an endpoint got no response.
@@ -73,6 +77,7 @@
             evacuated: receiver,
             barriers,
             placed_at: None,
+            pool: None,
         };
         (sender, zones)
     }
@@ -82,6 +87,11 @@
         self.barriers = barriers;
     }
 
+    /// Reports to the pool which endpoints are reached.
+    pub(crate) fn report_to(&mut self, pool: WeakAddress<Pool>) {
+        self.pool = Some(pool);
+    }
+
     /// Returns these for a request whose endpoint was chosen at a time.
     #[must_use]
     pub fn as_of(&self, placed_at: Instant) -> Self {
@@ -124,7 +134,10 @@
         if let Some(unsent) = self.obstacle(endpoint, backup) {
             return Err(unsent);
         }
-        let connection = connection::open(endpoint.address, leave_by).await;
+        let connection = match &self.pool {
+            Some(pool) => isolation::open(endpoint, leave_by, pool).await,
+            None => connection::open(endpoint.address, leave_by).await,
+        };
         let connection = connection.map_err(Unsent::Failed)?;
         if let Some(unsent) = self.obstacle(endpoint, backup) {
             return Err(unsent);
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -100,6 +100,10 @@
     EndpointUnlimited = 205,
     /// An endpoint states a limit that is no number.
     LimitUnusable = 206,
+    /// The gateway is cut off from the endpoints and relays its requests to other gateways.
+    EndpointsUnreachable = 210,
+    /// The gateway reaches the endpoints again.
+    EndpointsReached = 211,
 }
 
 /// Log level of each event.
@@ -151,6 +155,8 @@
     (Event::EndpointLimited, Level::Warn),
     (Event::EndpointUnlimited, Level::Info),
     (Event::LimitUnusable, Level::Warn),
+    (Event::EndpointsUnreachable, Level::Warn),
+    (Event::EndpointsReached, Level::Info),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -13,7 +13,7 @@
 use crate::evacuation::Source;
 use crate::event::Event;
 use crate::member::Targets;
-use crate::message::{Digest, Report, ShareNews, Standing, StoreReach};
+use crate::message::{Digest, Lost, Report, ShareNews, Standing, StoreReach};
 use crate::pool::Pool;
 
 /// Time after which an unchanged entry of an endpoint is told to the other gateways again.
@@ -174,7 +174,10 @@
         let report = Report {
             from: self.own_id,
             leaving: self.leaving,
-            store_lost: !self.members.reaches_store(),
+            lost: Lost {
+                store: !self.members.reaches_store(),
+                endpoints: self.endpoints.is_isolated(),
+            },
             version: self.version.unwrap_or(0),
             knowledge: self.report_knowledge(now),
             listing: self.readers_listing(),
@@ -198,8 +201,9 @@
                 .map(|admission| admission.report(now))
                 .unwrap_or_default(),
         };
-        // A gateway in reserve that has no part in the load has nothing to tell.
-        let idle = report.loads.is_empty() && report.counts.is_empty();
+        // A gateway in reserve that has no part in the load has nothing to tell, unless it looks for one
+        // to relay requests to.
+        let idle = report.loads.is_empty() && report.counts.is_empty() && !report.lost.endpoints;
         let mut targets = self.members.digest_targets(now);
         if idle && self.members.role() == Role::Reserve {
             targets.serving.clear();
@@ -244,8 +248,10 @@
             return;
         }
         if !message.continuation {
-            let reaches_store = !message.store_lost;
+            let reaches_store = !message.lost.store;
             self.members.record_reach(message.from, reaches_store);
+            self.members
+                .record_service(message.from, message.version, message.lost.endpoints);
         }
         if let Some(admission) = &mut self.admission {
             let demand = std::mem::take(&mut message.demand);
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -8,7 +8,7 @@
 use prost::Message;
 
 use crate::codec::Item;
-use crate::message::{Demand, Report};
+use crate::message::{Demand, Lost, Report};
 use crate::wire::{
     Change, ColdEndpoint, ContentRecord, Counts, Departure, EndpointLoad, Evacuation, Knowledge,
     LeavingEndpoint,
@@ -123,6 +123,9 @@
     /// Requests that wait, by kind.
     #[prost(message, repeated, tag = "27")]
     waiting: Vec<WaitingPart>,
+    /// Whether the sender is cut off from the endpoints.
+    #[prost(bool, tag = "28")]
+    isolated: bool,
 }
 
 /// What a frame is for.
@@ -343,7 +346,8 @@
             purpose: Purpose::Digest.into(),
             news: Vec::new(),
             relist_ms: 0,
-            store_lost: report.store_lost,
+            store_lost: report.lost.store,
+            isolated: report.lost.endpoints,
             knowledge: report.knowledge.map(Knowledge::from),
             evidence: Vec::new(),
             evacuations: report.evacuations.iter().map(Evacuation::from).collect(),
@@ -389,7 +393,10 @@
         Self {
             paces: known.map(pace).collect(),
             from: frame.instance,
-            store_lost: frame.store_lost,
+            lost: Lost {
+                store: frame.store_lost,
+                endpoints: frame.isolated,
+            },
             leaving: frame.leaving,
             version: frame.version,
             knowledge: frame.knowledge.map(knowledge::Report::from),
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod gateway;
 pub(crate) mod halt;
 pub(crate) mod ingress;
+pub(crate) mod isolation;
 pub(crate) mod job;
 pub(crate) mod limit;
 pub(crate) mod log;
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -72,6 +72,8 @@
     offered: bool,
     /// Whether this gateway reaches the store.
     reaches_store: bool,
+    /// Whether this gateway is cut off from the endpoints.
+    pub(crate) isolated: bool,
     /// The other gateways.
     pub(crate) others: BTreeMap<InstanceId, Member>,
     /// When gateways that are not listed first sent a digest.
@@ -97,6 +99,7 @@
             own_id: id::of(name),
             offered: false,
             reaches_store: true,
+            isolated: false,
             others: BTreeMap::new(),
             unlisted: BTreeMap::new(),
             own_listed: None,
@@ -125,6 +128,8 @@
             last_heard: now,
             leaving: false,
             reaches_store: true,
+            version: 0,
+            isolated: false,
             expected_since: Some(now),
             lost_since: None,
             relist_deadline: None,
@@ -250,6 +255,11 @@
         self.roster.role(id)
     }
 
+    /// Returns whether another gateway serves callers.
+    pub(crate) fn is_serving(&self, id: InstanceId) -> bool {
+        self.roster.is_serving(id)
+    }
+
     /// Returns whether a digest of another gateway has arrived recently.
     pub fn is_connected(&self, now: Instant) -> bool {
         let timeout = self.silence_timeout();
@@ -327,7 +337,7 @@
     }
 
     /// Returns the time without a digest after which a serving gateway counts as lost.
-    fn silence_timeout(&self) -> Duration {
+    pub(crate) fn silence_timeout(&self) -> Duration {
         if self.role() == Role::Reserve {
             RESERVE_SILENCE_TIMEOUT
         } else {
@@ -364,10 +374,15 @@
         let others = self.others.iter();
         let others =
             others.filter(|(id, member)| !member.leaving && (partitioned || serves(id, member)));
-        let others = others.map(|(_, member)| &member.entry);
+        let others = others.map(|(_, member)| (&member.entry, member.isolated));
         let offers_itself = self.offered && self.roster.is_serving(self.own_id);
-        let own_entry = offers_itself.then_some(&self.own_entry);
-        let all: Vec<&Entry> = own_entry.into_iter().chain(others).collect();
+        let own_entry = offers_itself.then_some((&self.own_entry, self.isolated));
+        let all: Vec<(&Entry, bool)> = own_entry.into_iter().chain(others).collect();
+        // If all are cut off, it is the endpoints that are down.
+        let none_reaches = all.iter().all(|(_, isolated)| *isolated);
+        let all = all.into_iter();
+        let all = all.filter(|(_, isolated)| none_reaches || !isolated);
+        let all: Vec<&Entry> = all.map(|(entry, _)| entry).collect();
         let local: Vec<&Entry> = all
             .iter()
             .copied()
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -354,6 +354,15 @@
 #[derive(Debug)]
 pub(crate) struct ShareNews;
 
+/// What a gateway cannot reach.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Lost {
+    /// Whether the store does not answer it.
+    pub(crate) store: bool,
+    /// Whether it is cut off from the endpoints.
+    pub(crate) endpoints: bool,
+}
+
 /// The digest of one gateway.
 #[derive(Debug)]
 pub(crate) struct Report {
@@ -361,8 +370,8 @@
     pub(crate) from: InstanceId,
     /// Whether the sender is leaving.
     pub(crate) leaving: bool,
-    /// Whether the sender does not reach the store.
-    pub(crate) store_lost: bool,
+    /// What the sender cannot reach.
+    pub(crate) lost: Lost,
     /// Version of the sender's current configuration; zero until it has read the first one.
     pub(crate) version: Revision,
     /// Age of what the sender knows of the configuration; none if it is stale.
--- a/crates/daisyyard_gateway/src/peer.rs
+++ b/crates/daisyyard_gateway/src/peer.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use daisyyard_core::id::Revision;
+
 use crate::member::Entry;
 
 /// Time between two probes of a lost member, which answers with a digest. After a partition, neither
@@ -21,6 +23,10 @@
     pub(crate) leaving: bool,
     /// Whether the gateway reports that it reaches the store.
     pub(crate) reaches_store: bool,
+    /// Version of the gateway's configuration; zero until it has one.
+    pub(crate) version: Revision,
+    /// Whether the gateway reports that it is cut off from the endpoints.
+    pub(crate) isolated: bool,
     /// Since when the gateway is expected to send digests to this one; none while it need not.
     pub(crate) expected_since: Option<Instant>,
     /// Since when the gateway counts as lost; it does until it is heard again.
@@ -36,6 +42,14 @@
         now.saturating_duration_since(since) >= timeout
     }
 
+    /// Returns whether the gateway takes requests from others and reaches the endpoints, as far as it has
+    /// said so within the timeout.
+    pub(crate) fn takes_requests(&self, timeout: Duration, now: Instant) -> bool {
+        let heard = now.saturating_duration_since(self.last_heard) < timeout;
+        let expired = self.relist_deadline.is_some_and(|deadline| deadline <= now);
+        heard && !expired && !self.leaving && !self.isolated && self.version > 0
+    }
+
     /// Returns whether the gateway is lost and a probe of it is due.
     pub(crate) fn is_probed(&self, now: Instant) -> bool {
         self.lost_since.is_some_and(|since| {
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -26,6 +26,7 @@
 use crate::cold::Cold;
 use crate::evacuation::Zones;
 use crate::event::Event;
+use crate::isolation::Isolation;
 use crate::log::Log;
 use crate::member::{Entry, Members};
 use crate::message::{
@@ -65,6 +66,8 @@
     pub(crate) limited: watch::Sender<Vec<EndpointId>>,
     /// Publishes what endpoints have stated in answers.
     pub(crate) barriers: watch::Sender<Vec<Barrier>>,
+    /// Requests that are relayed while this gateway is cut off.
+    pub(crate) isolation: Isolation,
     /// Metrics of the gateway.
     pub(crate) metrics: Metrics,
     /// All known gateways.
@@ -122,6 +125,9 @@
     pub(crate) zones: Zones,
     /// Endpoints that state a limit.
     pub(crate) limited: watch::Receiver<Vec<EndpointId>>,
+    /// Whether this gateway is cut off from the endpoints.
+    #[expect(dead_code, reason = "requests are not relayed yet")]
+    pub(crate) isolated: watch::Receiver<bool>,
 }
 
 /// Instructs the actor to start one of the waiting requests.
@@ -142,7 +148,10 @@
     let (barriers, stated) = watch::channel(Vec::new());
     zones.follow(stated);
     let (limited, limited_view) = watch::channel(Vec::new());
+    let (isolation, isolated) = Isolation::channel();
+    zones.report_to(address.downgrade());
     metrics.set_evacuated(0, 0);
+    metrics.set_isolated(false);
     let zone = Zone::new(&settings.zone, &settings.region);
     let pool = Pool {
         own_id: id::of(&settings.name),
@@ -157,6 +166,7 @@
         evacuated,
         limited,
         barriers,
+        isolation,
         metrics: metrics.clone(),
         members: Members::new(&settings.name, Entry::from(settings)),
         standing,
@@ -189,6 +199,7 @@
         standing: standing_view,
         zones,
         limited: limited_view,
+        isolated,
     };
     (address, views)
 }
@@ -452,6 +463,8 @@
         self.review_statements(now);
         self.review_limits(now);
         self.review_admission(now);
+        self.review_isolation(now);
+        self.probe_endpoints(now);
         self.store_refusals(now);
         self.update_roster(now);
         self.schedule();
