--- a/crates/daisyyard_core/src/isolation.rs
+++ b/crates/daisyyard_core/src/isolation.rs
@@ -93,8 +93,8 @@
     cut: Option<Cut>,
     /// When the last probe started.
     probed_at: Option<Instant>,
-    /// Endpoint of the last probe.
-    last_probed: EndpointId,
+    /// Endpoint after which the next probe is made.
+    probe_after: EndpointId,
 }
 
 impl Detector {
@@ -117,16 +117,24 @@
                 record.made_at = record.made_at.max(started);
                 self.made_at = self.made_at.max(started);
             }
-            Outcome::Slow => self.doubt(attempt.started),
+            Outcome::Slow => self.doubt_at(attempt),
             Outcome::Failed => {
                 record.failed_at = record.failed_at.max(started);
-                self.doubt(attempt.started);
+                self.doubt_at(attempt);
             }
         }
     }
 
+    /// Records an attempt that indicates that the node might be cut off. Another endpoint is probed next.
+    fn doubt_at(&mut self, attempt: Attempt) {
+        self.doubt(attempt.started);
+        if !self.is_isolated() {
+            self.probe_after = attempt.endpoint;
+        }
+    }
+
     /// Records an indication that the node might be cut off, which a later connection refutes.
-    pub fn doubt(&mut self, time: Instant) {
+    pub(crate) fn doubt(&mut self, time: Instant) {
         self.doubted_at = self.doubted_at.max(Some(time));
     }
 
@@ -163,10 +171,10 @@
         if !self.is_probing(now) {
             return None;
         }
-        let after = live.iter().find(|id| **id > self.last_probed);
+        let after = live.iter().find(|id| **id > self.probe_after);
         let next = *after.or(live.first())?;
         self.probed_at = Some(now);
-        self.last_probed = next;
+        self.probe_after = next;
         Some(next)
     }
 
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod outage;
 pub mod outlook;
 mod pace;
+pub mod peer_choice;
 pub mod peers;
 pub mod placement;
 mod places;
--- a/crates/daisyyard_gateway/src/isolation.rs
+++ b/crates/daisyyard_gateway/src/isolation.rs
@@ -8,6 +8,7 @@
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::id::InstanceId;
 use daisyyard_core::isolation::{Attempt, Change, Outcome};
+use daisyyard_core::peer_choice;
 use daisyyard_http::connection::{self, Connection, Failure};
 use tokio::sync::watch;
 use xtra::{Context, Handler, WeakAddress};
@@ -19,10 +20,6 @@
 
 /// Time within which connections are usually made. Endpoints of the same region are about 1 ms away.
 const SLOW_CONNECT: Duration = Duration::from_millis(200);
-/// Number of gateways that are compared before a request is relayed. With more, all that are cut off
-/// would choose the same ones.
-const COMPARED_PEERS: usize = 2;
-
 /// Another gateway that a request is relayed to; dropping it ends the relayed request.
 #[derive(Debug)]
 pub(crate) struct Peer {
@@ -107,22 +104,6 @@
     opened
 }
 
-/// Returns one of the gateways by the number of requests that are relayed to each. Of those with the
-/// same number, one of the own zone comes first.
-fn choose<'a>(
-    peers: &[(InstanceId, &'a Member)],
-    relayed: &HashMap<InstanceId, usize>,
-    zone: &str,
-) -> Option<(InstanceId, &'a Member)> {
-    let count = peers.len().min(COMPARED_PEERS);
-    let sample = rand::seq::index::sample(&mut rand::rng(), peers.len(), count);
-    let compared = sample.into_iter().map(|index| peers[index]);
-    compared.min_by_key(|(id, member)| {
-        let in_progress = relayed.get(id).copied().unwrap_or(0);
-        (in_progress, member.entry.zone != zone)
-    })
-}
-
 impl Members {
     /// Sets whether this gateway is cut off from the endpoints.
     pub fn set_isolated(&mut self, isolated: bool) {
@@ -222,11 +203,16 @@
         let now = Instant::now();
         self.update_roster(now);
         let usable = self.members.usable(&excluded, now);
-        let zone = &self.members.own_entry.zone;
-        let (id, member) = choose(&usable, &self.isolation.relayed, zone)?;
+        let candidate = |(id, member): &(InstanceId, &Member)| peer_choice::Peer {
+            id: *id,
+            relayed: self.isolation.relayed.get(id).copied().unwrap_or(0),
+            local: member.entry.zone == self.members.own_entry.zone,
+        };
+        let candidates: Vec<peer_choice::Peer> = usable.iter().map(candidate).collect();
+        let id = peer_choice::choose(&candidates, &mut rand::rng())?;
         let peer = Peer {
             id,
-            address: member.entry.digests,
+            address: self.members.others.get(&id)?.entry.digests,
             pool: self.address.clone(),
         };
         *self.isolation.relayed.entry(id).or_default() += 1;
