Doubt the way to the endpoints when another gateway is cut off, and ask for gateways to relay to

A gateway without requests has no evidence of its own: others would relay to it although it is behind the same cut. It now tries one endpoint when it hears of a new cut.

What pools tell and hear of ejections moves to ejection.rs.

--- a/crates/daisyyard_core/src/ejection.rs
+++ b/crates/daisyyard_core/src/ejection.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use crate::candidate::Candidate;
 use crate::id::{EndpointId, InstanceId};
+use crate::pool::Pool;
 
 /// Nodes that must report an endpoint as ejected before this node ejects it as well; a single node
 /// may have a broken path to the endpoint.
@@ -57,3 +59,27 @@
         }
     }
 }
+
+impl Pool {
+    /// Returns the endpoints that this node has ejected because they fail for all nodes. Those with
+    /// a broken path from this node only are left out, and all for which this node has not shown since
+    /// that it is not cut off itself.
+    pub fn ejections(&self, now: Instant) -> impl Iterator<Item = EndpointId> {
+        let failing = move |candidate: &Candidate| {
+            let ejected = candidate.ejected_until().is_some_and(|until| until > now);
+            let connects = |at| self.isolation.has_reached_since(at);
+            let shown = !self.is_isolated() && candidate.ejected_at().is_some_and(connects);
+            candidate.fails_everywhere && ejected && shown
+        };
+        let candidates = self
+            .candidates
+            .iter()
+            .filter(move |(_, candidate)| failing(candidate));
+        candidates.map(|(id, _)| *id)
+    }
+
+    /// Replaces the ejected endpoints that another node reported.
+    pub fn learn_ejections(&mut self, from: InstanceId, endpoints: &[EndpointId], now: Instant) {
+        self.ejections.record(from, endpoints, now);
+    }
+}
--- a/crates/daisyyard_core/src/isolation.rs
+++ b/crates/daisyyard_core/src/isolation.rs
@@ -208,6 +208,12 @@
         self.isolation.record(attempt);
     }
 
+    /// Records that another node is cut off. What cuts it off may concern this one too, which may have no
+    /// requests that would show it.
+    pub fn doubt_reach(&mut self, now: Instant) {
+        self.isolation.doubt(now);
+    }
+
     /// Decides anew whether this node is cut off. Failures of a node that is cut off say nothing about
     /// the endpoints, so the ejections that they caused end.
     pub fn review_isolation(&mut self, now: Instant) -> Option<Change> {
--- a/crates/daisyyard_core/tests/cut_detection.rs
+++ b/crates/daisyyard_core/tests/cut_detection.rs
@@ -1,11 +1,15 @@
 //! Guards against a node that does not notice that it is cut off from all endpoints, or takes endpoints
 //! that are down for that.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
+use daisyyard_core::endpoint::{Endpoint, Kind};
 use daisyyard_core::id::EndpointId;
 use daisyyard_core::isolation::{Attempt, Change, Detector, Outcome};
+use daisyyard_core::pool::Pool;
+use daisyyard_core::zone::Zone;
 use proptest::prelude::*;
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
@@ -177,6 +181,27 @@
         }
     }
 
+    /// A link that drops 35% of the packets in each direction hardly ever cuts a node off.
+    #[test]
+    fn lossy_link(interval_ms in 10..2_000_u64, seed: u64) {
+        let path = |endpoint: EndpointId, at: Duration| {
+            let seed = seed ^ (endpoint << 32) ^ at.as_millis() as u64;
+            let passes = Pcg64Mcg::seed_from_u64(seed).random_bool(0.65 * 0.65);
+            if passes { Path::Open } else { Path::Silent }
+        };
+        let time = CUT_AT * 6;
+        let changes = Node::new(12, seed).play(time, Duration::from_millis(interval_ms), path);
+        let (mut since, mut isolated) = (None, Duration::ZERO);
+        for (at, change) in changes {
+            match change {
+                Change::Isolated { .. } => since = Some(at),
+                Change::Reached { .. } => isolated += at.saturating_sub(since.take().unwrap()),
+            }
+        }
+        isolated += since.map_or(Duration::ZERO, |since| time.saturating_sub(since));
+        prop_assert!(isolated <= time / 10, "{isolated:?}");
+    }
+
     /// The order in which attempts become known does not matter.
     #[test]
     fn any_order(kinds in prop::collection::vec((1..5_u64, 0..3_000_u64, 0..3_u8), 1..20), seed: u64) {
@@ -238,6 +263,25 @@
     assert_eq!(node.probes, 1);
 }
 
+/// A node that hears that another one is cut off tries an endpoint once.
+#[test]
+fn heard_cut() {
+    let now = Instant::now();
+    let mut pool = Pool::new(Zone::new("a", "r"), 1);
+    for name in ["one", "two"] {
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        let endpoint = Endpoint::new(name, "m", Kind::Plain, Zone::new("a", "r"), address);
+        pool.put(endpoint, Duration::ZERO, now);
+    }
+    assert!(pool.next_probe(now + SLOW).is_none());
+    pool.doubt_reach(now);
+    assert!(pool.next_probe(now).is_none());
+    let probed = pool.next_probe(now + SLOW).unwrap();
+    let made = attempt(probed.id, now + SLOW, 0, Outcome::Made);
+    pool.record_attempt(made);
+    assert!(pool.next_probe(now + TIMEOUT).is_none());
+}
+
 /// The return does not wait for the endpoints that are still out of reach, and they do not undo it.
 #[test]
 fn partial_return() {
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -201,13 +201,15 @@
                 .map(|admission| admission.report(now))
                 .unwrap_or_default(),
         };
-        // A gateway in reserve that has no part in the load has nothing to tell, unless it looks for one
-        // to relay requests to.
-        let idle = report.loads.is_empty() && report.counts.is_empty() && !report.lost.endpoints;
+        // A gateway in reserve that has no part in the load has nothing to tell.
+        let idle = report.loads.is_empty() && report.counts.is_empty();
         let mut targets = self.members.digest_targets(now);
         if idle && self.members.role() == Role::Reserve {
             targets.serving.clear();
             targets.reserve.clear();
+            if report.lost.endpoints {
+                targets.probed.extend(self.members.peers_to_ask());
+            }
         }
         (report, targets)
     }
@@ -250,8 +252,10 @@
         if !message.continuation {
             let reaches_store = !message.lost.store;
             self.members.record_reach(message.from, reaches_store);
-            self.members
-                .record_service(message.from, message.version, message.lost.endpoints);
+            let (version, isolated) = (message.version, message.lost.endpoints);
+            if self.members.record_service(message.from, version, isolated) {
+                self.endpoints.doubt_reach(now);
+            }
         }
         if let Some(admission) = &mut self.admission {
             let demand = std::mem::take(&mut message.demand);
--- a/crates/daisyyard_gateway/src/isolation.rs
+++ b/crates/daisyyard_gateway/src/isolation.rs
@@ -6,20 +6,25 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_core::endpoint::Endpoint;
-use daisyyard_core::id::InstanceId;
+use daisyyard_core::id::{InstanceId, Revision};
 use daisyyard_core::isolation::{Attempt, Change, Outcome};
 use daisyyard_core::peer_choice;
 use daisyyard_http::connection::{self, Connection, Failure};
+use rand::seq::IteratorRandom;
 use tokio::sync::watch;
 use xtra::{Context, Handler, WeakAddress};
 
 use crate::event::Event;
-use crate::member::Members;
+use crate::member::{Entry, Members};
 use crate::peer::Member;
 use crate::pool::Pool;
 
 /// Time within which connections are usually made. Endpoints of the same region are about 1 ms away.
 const SLOW_CONNECT: Duration = Duration::from_millis(200);
+/// Number of gateways that one in reserve asks for a digest at a time. It gets none unasked from other
+/// availability zones, and its own may be cut off as a whole.
+const ASKED_PEERS: usize = 3;
+
 /// Another gateway that a request is relayed to; dropping it ends the relayed request.
 #[derive(Debug)]
 pub(crate) struct Peer {
@@ -104,6 +109,15 @@
     opened
 }
 
+/// Leaves out the gateways that are cut off from the endpoints. If all are, it is the endpoints that are
+/// down, and none is left out.
+pub(crate) fn leave_out(gateways: Vec<(&Entry, bool)>) -> Vec<&Entry> {
+    let none_reaches = gateways.iter().all(|(_, isolated)| *isolated);
+    let offered = gateways.into_iter();
+    let offered = offered.filter(|(_, isolated)| none_reaches || !isolated);
+    offered.map(|(entry, _)| entry).collect()
+}
+
 impl Members {
     /// Sets whether this gateway is cut off from the endpoints.
     pub fn set_isolated(&mut self, isolated: bool) {
@@ -111,12 +125,14 @@
     }
 
     /// Records the version of the configuration of another gateway, and whether it is cut off from the
-    /// endpoints.
-    pub fn record_service(&mut self, id: InstanceId, version: u64, isolated: bool) {
-        if let Some(member) = self.others.get_mut(&id) {
-            member.version = version;
-            member.isolated = isolated;
-        }
+    /// endpoints; returns whether it has been cut off since its last digest.
+    pub fn record_service(&mut self, id: InstanceId, version: Revision, isolated: bool) -> bool {
+        let Some(member) = self.others.get_mut(&id) else {
+            return false;
+        };
+        member.version = version;
+        let was_isolated = std::mem::replace(&mut member.isolated, isolated);
+        isolated && !was_isolated
     }
 
     /// Returns the identifiers of the gateways that take requests from this one.
@@ -126,6 +142,15 @@
         usable.into_iter().map(|(id, _)| id).collect()
     }
 
+    /// Returns the digest addresses of some serving gateways that a gateway in reserve asks whether they
+    /// take requests.
+    pub fn peers_to_ask(&self) -> Vec<SocketAddr> {
+        let others = self.others.iter();
+        let serving = others.filter(|(id, member)| self.is_serving(**id) && !member.isolated);
+        let serving = serving.map(|(_, member)| member.entry.digests);
+        serving.choose_multiple(&mut rand::rng(), ASKED_PEERS)
+    }
+
     /// Returns the gateways, other than the excluded ones, that serve requests and reach the endpoints
     /// by their own word; those in reserve only if no serving one is left.
     fn usable(&self, excluded: &[InstanceId], now: Instant) -> Vec<(InstanceId, &Member)> {
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -8,6 +8,7 @@
 use daisyyard_core::roster::{Node, Role, Roster};
 use serde::{Deserialize, Serialize};
 
+use crate::isolation;
 use crate::peer::Member;
 use crate::settings::Settings;
 
@@ -377,12 +378,7 @@
         let others = others.map(|(_, member)| (&member.entry, member.isolated));
         let offers_itself = self.offered && self.roster.is_serving(self.own_id);
         let own_entry = offers_itself.then_some((&self.own_entry, self.isolated));
-        let all: Vec<(&Entry, bool)> = own_entry.into_iter().chain(others).collect();
-        // If all are cut off, it is the endpoints that are down.
-        let none_reaches = all.iter().all(|(_, isolated)| *isolated);
-        let all = all.into_iter();
-        let all = all.filter(|(_, isolated)| none_reaches || !isolated);
-        let all: Vec<&Entry> = all.map(|(entry, _)| entry).collect();
+        let all = isolation::leave_out(own_entry.into_iter().chain(others).collect());
         let local: Vec<&Entry> = all
             .iter()
             .copied()
--- a/crates/daisyyard_gateway/tests/cut_off_members.rs
+++ b/crates/daisyyard_gateway/tests/cut_off_members.rs
@@ -92,6 +92,17 @@
     assert!(members.peers(later).is_empty());
 }
 
+/// A gateway learns once that another one is cut off, from the first digest that says so.
+#[test]
+fn new_cut() {
+    let mut members = fleet(Instant::now());
+    assert!(members.record_service(id::of("two"), 1, true));
+    assert!(!members.record_service(id::of("two"), 1, true));
+    assert!(!members.record_service(id::of("two"), 1, false));
+    assert!(members.record_service(id::of("two"), 1, true));
+    assert!(!members.record_service(id::of("unknown"), 1, true));
+}
+
 /// Gateways in reserve take requests only if no serving one is left.
 #[test]
 fn reserve() {
@@ -103,10 +114,12 @@
         members.record_service(id::of(&name), 1, false);
     }
     let serving = members.peers(now);
+    assert_eq!(members.peers_to_ask().len(), 3);
     assert!((24..=26).contains(&serving.len()), "{}", serving.len());
     for id in &serving {
         members.record_service(*id, 1, true);
     }
+    assert!(members.peers_to_ask().is_empty());
     let reserve = members.peers(now);
     assert_eq!(reserve.len(), 100 - serving.len());
     assert!(reserve.iter().all(|id| !serving.contains(id)));
