Forget that another gateway is cut off once it is silent

A gateway in reserve hears serving ones of other zones only while it asks them. It would have left out for good those that had told it of a cut last.

--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -208,7 +208,7 @@
             targets.serving.clear();
             targets.reserve.clear();
             if report.lost.endpoints {
-                targets.probed.extend(self.members.peers_to_ask());
+                targets.probed.extend(self.members.peers_to_ask(now));
             }
         }
         (report, targets)
--- a/crates/daisyyard_gateway/src/isolation.rs
+++ b/crates/daisyyard_gateway/src/isolation.rs
@@ -144,9 +144,11 @@
 
     /// Returns the digest addresses of some serving gateways that a gateway in reserve asks whether they
     /// take requests.
-    pub fn peers_to_ask(&self) -> Vec<SocketAddr> {
-        let others = self.others.iter();
-        let serving = others.filter(|(id, member)| self.is_serving(**id) && !member.isolated);
+    pub fn peers_to_ask(&self, now: Instant) -> Vec<SocketAddr> {
+        let timeout = self.silence_timeout();
+        let asked = |id, member: &Member| self.is_serving(id) && !member.is_isolated(timeout, now);
+        let serving = self.others.iter();
+        let serving = serving.filter(|(id, member)| asked(**id, member));
         let serving = serving.map(|(_, member)| member.entry.digests);
         serving.choose_multiple(&mut rand::rng(), ASKED_PEERS)
     }
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -375,7 +375,7 @@
         let others = self.others.iter();
         let others =
             others.filter(|(id, member)| !member.leaving && (partitioned || serves(id, member)));
-        let others = others.map(|(_, member)| (&member.entry, member.isolated));
+        let others = others.map(|(_, member)| (&member.entry, member.is_isolated(timeout, now)));
         let offers_itself = self.offered && self.roster.is_serving(self.own_id);
         let own_entry = offers_itself.then_some((&self.own_entry, self.isolated));
         let all = isolation::leave_out(own_entry.into_iter().chain(others).collect());
--- a/crates/daisyyard_gateway/src/peer.rs
+++ b/crates/daisyyard_gateway/src/peer.rs
@@ -42,12 +42,26 @@
         now.saturating_duration_since(since) >= timeout
     }
 
+    /// Returns whether the gateway has said within the timeout that it is cut off from the endpoints. One
+    /// that sends this one no digests may have come back unnoticed.
+    pub(crate) fn is_isolated(&self, timeout: Duration, now: Instant) -> bool {
+        self.isolated && self.was_heard(timeout, now)
+    }
+
+    /// Returns whether the gateway has sent a digest within the timeout.
+    fn was_heard(&self, timeout: Duration, now: Instant) -> bool {
+        now.saturating_duration_since(self.last_heard) < timeout
+    }
+
     /// Returns whether the gateway takes requests from others and reaches the endpoints, as far as it has
     /// said so within the timeout.
     pub(crate) fn takes_requests(&self, timeout: Duration, now: Instant) -> bool {
-        let heard = now.saturating_duration_since(self.last_heard) < timeout;
         let expired = self.relist_deadline.is_some_and(|deadline| deadline <= now);
-        heard && !expired && !self.leaving && !self.isolated && self.version > 0
+        self.was_heard(timeout, now)
+            && !expired
+            && !self.leaving
+            && !self.isolated
+            && self.version > 0
     }
 
     /// Returns whether the gateway is lost and a probe of it is due.
--- a/crates/daisyyard_gateway/tests/cut_off_members.rs
+++ b/crates/daisyyard_gateway/tests/cut_off_members.rs
@@ -114,12 +114,15 @@
         members.record_service(id::of(&name), 1, false);
     }
     let serving = members.peers(now);
-    assert_eq!(members.peers_to_ask().len(), 3);
+    assert_eq!(members.peers_to_ask(now).len(), 3);
     assert!((24..=26).contains(&serving.len()), "{}", serving.len());
     for id in &serving {
         members.record_service(*id, 1, true);
     }
-    assert!(members.peers_to_ask().is_empty());
+    assert!(members.peers_to_ask(now).is_empty());
+    // Those that have been silent since may have come back.
+    let later = now + Duration::from_secs(3);
+    assert_eq!(members.peers_to_ask(later).len(), 3);
     let reserve = members.peers(now);
     assert_eq!(reserve.len(), 100 - serving.len());
     assert!(reserve.iter().all(|id| !serving.contains(id)));
