--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -13,7 +13,7 @@
 use crate::evacuation::Source;
 use crate::event::Event;
 use crate::member::Targets;
-use crate::message::{Digest, Report, ShareNews, Standing, StoreReach};
+use crate::message::{Digest, Lost, Report, ShareNews, Standing, StoreReach};
 use crate::pool::Pool;
 
 /// Time after which an unchanged entry of an endpoint is told to the other gateways again.
@@ -174,7 +174,10 @@
         let report = Report {
             from: self.own_id,
             leaving: self.leaving,
-            store_lost: !self.members.reaches_store(),
+            lost: Lost {
+                store: !self.members.reaches_store(),
+                endpoints: self.endpoints.is_isolated(),
+            },
             version: self.version.unwrap_or(0),
             knowledge: self.report_knowledge(now),
             listing: self.readers_listing(),
@@ -204,6 +207,9 @@
         if idle && self.members.role() == Role::Reserve {
             targets.serving.clear();
             targets.reserve.clear();
+            if report.lost.endpoints {
+                targets.probed.extend(self.members.peers_to_ask(now));
+            }
         }
         (report, targets)
     }
@@ -244,8 +250,12 @@
             return;
         }
         if !message.continuation {
-            let reaches_store = !message.store_lost;
+            let reaches_store = !message.lost.store;
             self.members.record_reach(message.from, reaches_store);
+            let (version, isolated) = (message.version, message.lost.endpoints);
+            if self.members.record_service(message.from, version, isolated) {
+                self.endpoints.doubt_reach(now);
+            }
         }
         if let Some(admission) = &mut self.admission {
             let demand = std::mem::take(&mut message.demand);
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -8,6 +8,7 @@
 use daisyyard_core::roster::{Node, Role, Roster};
 use serde::{Deserialize, Serialize};
 
+use crate::isolation;
 use crate::peer::Member;
 use crate::settings::Settings;
 
@@ -72,6 +73,8 @@
     offered: bool,
     /// Whether this gateway reaches the store.
     reaches_store: bool,
+    /// Whether this gateway is cut off from the endpoints.
+    pub(crate) isolated: bool,
     /// The other gateways.
     pub(crate) others: BTreeMap<InstanceId, Member>,
     /// When gateways that are not listed first sent a digest.
@@ -97,6 +100,7 @@
             own_id: id::of(name),
             offered: false,
             reaches_store: true,
+            isolated: false,
             others: BTreeMap::new(),
             unlisted: BTreeMap::new(),
             own_listed: None,
@@ -125,6 +129,8 @@
             last_heard: now,
             leaving: false,
             reaches_store: true,
+            version: 0,
+            isolated: false,
             expected_since: Some(now),
             lost_since: None,
             relist_deadline: None,
@@ -250,6 +256,11 @@
         self.roster.role(id)
     }
 
+    /// Returns whether another gateway serves callers.
+    pub(crate) fn is_serving(&self, id: InstanceId) -> bool {
+        self.roster.is_serving(id)
+    }
+
     /// Returns whether a digest of another gateway has arrived recently.
     pub fn is_connected(&self, now: Instant) -> bool {
         let timeout = self.silence_timeout();
@@ -327,7 +338,7 @@
     }
 
     /// Returns the time without a digest after which a serving gateway counts as lost.
-    fn silence_timeout(&self) -> Duration {
+    pub(crate) fn silence_timeout(&self) -> Duration {
         if self.role() == Role::Reserve {
             RESERVE_SILENCE_TIMEOUT
         } else {
@@ -364,10 +375,10 @@
         let others = self.others.iter();
         let others =
             others.filter(|(id, member)| !member.leaving && (partitioned || serves(id, member)));
-        let others = others.map(|(_, member)| &member.entry);
+        let others = others.map(|(_, member)| (&member.entry, member.is_isolated(timeout, now)));
         let offers_itself = self.offered && self.roster.is_serving(self.own_id);
-        let own_entry = offers_itself.then_some(&self.own_entry);
-        let all: Vec<&Entry> = own_entry.into_iter().chain(others).collect();
+        let own_entry = offers_itself.then_some((&self.own_entry, self.isolated));
+        let all = isolation::leave_out(own_entry.into_iter().chain(others).collect());
         let local: Vec<&Entry> = all
             .iter()
             .copied()
