--- a/crates/daisyyard_standin/src/lib.rs
+++ b/crates/daisyyard_standin/src/lib.rs
@@ -16,6 +16,7 @@
 pub(crate) mod platform_keys;
 pub mod platform_runs;
 pub mod platform_store;
+pub mod platform_view;
 pub mod ports;
 pub mod proxy;
 pub mod store;
