Relay requests to another gateway while this one reaches no endpoint

Cause: a gateway that is cut off from the engines answered 503 until the cut ended, although other gateways reach the engines.

Change: gateways take requests from each other on the TCP port of the address for digests, as those of their own callers. A cut-off gateway sends the caller's request there with its remaining time, passes the answer on, and tries up to three gateways that did not take it. The listener for gateways never relays, so nothing circles. An answer that is lost counts as run; idempotent requests are repeated within the number of endpoints of their route, of which the first gateway gets half. A request counts toward the retry budget at the gateway that handles it, once.

--- a/crates/daisyyard/tests/relayed_requests.rs
+++ b/crates/daisyyard/tests/relayed_requests.rs
@@ -160,7 +160,8 @@
     let answer = daisyyard_http::connection::send(address, request, TIMEOUT).await;
     let mut answer = answer.expect("an answer");
     assert_eq!(answer.response.status(), StatusCode::OK);
-    answer.response.body_mut().frame().await.expect("an event");
+    let frame = answer.response.body_mut().frame().await;
+    assert!(matches!(frame, Some(Ok(_))), "an event");
     drop(answer);
     tokio::time::sleep(NOTICE_TIME).await;
     let left = Instant::now();
@@ -213,6 +214,8 @@
         lost.process.wait().expect("the gateway has ended");
     };
     let (statuses, ()) = tokio::join!(futures_util::future::join_all(calls), act);
+    // The other half waits at the gateway that is left.
+    assert!(statuses.contains(&StatusCode::BAD_GATEWAY), "{statuses:?}");
     for status in statuses {
         let uncertain = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT];
         assert!(uncertain.contains(&status), "{status}");
@@ -220,6 +223,44 @@
     assert_eq!(platform.ran("/book/1").await.len(), 8);
 }
 
+/// An idempotent call whose answer is lost with a gateway runs once more through another one.
+#[tokio::test]
+async fn repeated_call() {
+    let (mut platform, outlier) = start(2).await;
+    platform.engines[1].set_mode(Mode::Hanging);
+    let request = plain_request(Method::GET, "/stock/1");
+    let mut first: Vec<_> = platform.gateways.drain(..2).collect();
+    let platform = &platform;
+    let answer = platform.send_through(outlier.gateway - 2, "call", &request);
+    let act = async {
+        platform::wait_until("the call runs", async || {
+            !platform.ran("/stock/1").await.is_empty()
+        })
+        .await;
+        platform.engines[1].set_mode(Mode::Serving);
+        let sender = sender(&first).await;
+        let lost = &mut first[sender].process;
+        lost.kill().expect("the gateway is killed");
+        lost.wait().expect("the gateway has ended");
+    };
+    let ((status, body), ()) = tokio::join!(answer, act);
+    assert_eq!(status, StatusCode::OK, "{body:?}");
+    assert_eq!(platform.ran("/stock/1").await.len(), 2);
+}
+
+/// Returns the index of the gateway to which a call is relayed, which has a connection for it.
+async fn sender(gateways: &[platform::Gateway]) -> usize {
+    for (index, gateway) in gateways.iter().enumerate() {
+        let text = platform::text(gateway.metrics, "/metrics").await;
+        let held = "daisyyard_gateway_held{use=\"connections\"} ";
+        let line = text.lines().find_map(|line| line.strip_prefix(held));
+        if line.is_some_and(|count| count.trim() != "0") {
+            return index;
+        }
+    }
+    panic!("a gateway has the call");
+}
+
 /// A stream breaks off when the gateway that passes it on is lost; it never looks complete.
 #[tokio::test]
 async fn broken_stream() {
--- a/crates/daisyyard_gateway/src/body.rs
+++ b/crates/daisyyard_gateway/src/body.rs
@@ -1,6 +1,7 @@
 //! Response bodies, either buffered or streamed.
 
 use bytes::Bytes;
+use daisyyard_core::footprint::Use;
 use futures_util::StreamExt;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -9,7 +10,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use tokio::sync::mpsc;
 
-use crate::memory::Hold;
+use crate::memory::{Hold, Memory};
 
 /// Number of chunks that are queued for a slow caller before backpressure stops reading from its
 /// engine.
@@ -32,6 +33,10 @@
     End,
 }
 
+/// The caller has disconnected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct CallerLeft;
+
 /// Returns a body that is already complete.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
     let body = Full::new(bytes.into());
@@ -64,3 +69,36 @@
         BodyExt::boxed_unsync(StreamBody::new(stream.boxed())),
     )
 }
+
+/// Passes bytes on to the caller.
+pub(crate) async fn pass(
+    sender: &mpsc::Sender<Chunk>,
+    memory: &Memory,
+    bytes: Bytes,
+) -> Result<(), CallerLeft> {
+    let hold = hold(sender, memory, bytes.len()).await?;
+    let sent = sender.send(Chunk::Data(bytes, hold)).await;
+    sent.map_err(|_closed| CallerLeft)
+}
+
+/// Charges bytes that wait behind others for a slow caller; fails if the caller leaves before there is
+/// room. A caller that keeps up is not charged and never waits.
+async fn hold(
+    sender: &mpsc::Sender<Chunk>,
+    memory: &Memory,
+    size: usize,
+) -> Result<Option<Hold>, CallerLeft> {
+    if sender.capacity() == sender.max_capacity() {
+        return Ok(None);
+    }
+    let mut hold = memory.empty(Use::Relay, None);
+    let granted = tokio::select! {
+        () = hold.grow_when_free(size) => true,
+        // Once the caller has read all that waits, it keeps up again.
+        _ = sender.reserve_many(sender.max_capacity()) => false,
+    };
+    if sender.is_closed() {
+        return Err(CallerLeft);
+    }
+    Ok(granted.then_some(hold))
+}
--- a/crates/daisyyard_gateway/src/codec.rs
+++ b/crates/daisyyard_gateway/src/codec.rs
@@ -69,6 +69,15 @@
     pub last_event: Option<u64>,
 }
 
+/// What a gateway adds to a caller's request that it relays to another gateway.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Relayed {
+    /// Whether the request counts toward the retry budget at the gateway that relays it.
+    pub counted: bool,
+    /// Maximum number of endpoints that may run the request; `None` for that of its route.
+    pub runs: Option<u32>,
+}
+
 /// A copy of a run's KV cache from which the run can resume.
 #[value]
 pub struct Replica {
@@ -272,6 +281,19 @@
     pub read_transfer: fn(StatusCode, &[u8]) -> anyhow::Result<Transfer>,
 }
 
+/// Headers between gateways, of which one relays requests of its callers to the other.
+#[derive(Debug, Clone, Copy)]
+pub struct Relay {
+    /// Adds to a caller's request its remaining time and what else the other gateway has to know.
+    pub write_request: fn(&mut HeaderMap, timeout: Duration, &Relayed),
+    /// Reads what the gateway that relays a request states.
+    pub read_request: fn(&HeaderMap) -> Relayed,
+    /// Marks a response, or removes the mark: this gateway does not serve the request, another may.
+    pub set_elsewhere: fn(&mut HeaderMap, elsewhere: bool),
+    /// Returns whether a response has this mark.
+    pub is_elsewhere: fn(&HeaderMap) -> bool,
+}
+
 /// All functions that an adapter provides.
 #[derive(Debug, Clone, Copy)]
 pub struct Codec {
@@ -293,4 +315,6 @@
     pub store: Store,
     /// Calls to the control interface of the engines.
     pub engine: Engine,
+    /// Headers between gateways.
+    pub relay: Relay,
 }
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -106,6 +106,10 @@
     EndpointsUnreachable = 210,
     /// The gateway reaches the endpoints again.
     EndpointsReached = 211,
+    /// A request was sent to another gateway, because this one is cut off from the endpoints.
+    RequestRelayed = 212,
+    /// Another gateway did not take or answer a request that was relayed to it.
+    RelayFailed = 213,
 }
 
 /// Log level of each event.
@@ -160,6 +164,8 @@
     (Event::LimitUnusable, Level::Warn),
     (Event::EndpointsUnreachable, Level::Warn),
     (Event::EndpointsReached, Level::Info),
+    (Event::RequestRelayed, Level::Info),
+    (Event::RelayFailed, Level::Warn),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/gateway.rs
+++ b/crates/daisyyard_gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! Starts the tasks of a gateway and shuts them down gracefully.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use anyhow::Context;
 use daisyyard_core::footprint::Use;
 use hyper::{Request, Response, StatusCode};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio_util::task::TaskTracker;
@@ -14,6 +16,7 @@
 
 use crate::body::{self, Body};
 use crate::codec::Codec;
+use crate::detour::Origin;
 use crate::event::Event;
 use crate::log::Log;
 use crate::member::Entry;
@@ -102,14 +105,11 @@
     /// Starts the tasks of a gateway.
     async fn start(settings: &Settings, codec: Codec, log: Log) -> anyhow::Result<Self> {
         let listen = &settings.listen;
-        let bind = |address| {
-            server::listen(address)
-                .with_context(|| format!("cannot listen on {address}; is it in use?"))
-        };
         let requests = bind(listen.requests)?;
         let ready = bind(listen.ready)?;
         let directory = bind(listen.directory)?;
         let scrapes = bind(listen.metrics)?;
+        let relayed = bind(listen.digests)?;
         let changed = Arc::new(Notify::new());
         let refresh = Arc::new(Notify::new());
         let (news, news_receiver) = mpsc::unbounded_channel();
@@ -152,6 +152,8 @@
             pool: pool.clone(),
             configuration: configuration.clone(),
             standing: views.standing,
+            origin: Origin::Caller,
+            isolated: views.isolated,
             phase: phase_view.clone(),
             ending: ending_view,
             zones: views.zones,
@@ -160,6 +162,13 @@
             metrics: metrics.clone(),
             log: log.clone(),
         };
+        let relay = Proxy {
+            origin: Origin::Gateway,
+            ..proxy.clone()
+        };
+        server.clone().spawn(relayed, move |request| {
+            relay.clone().handle_relayed(request)
+        });
         server
             .clone()
             .spawn(requests, move |request| proxy.clone().handle(request));
@@ -246,6 +255,11 @@
     }
 }
 
+/// Opens a listening socket.
+fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    server::listen(address).with_context(|| format!("cannot listen on {address}; is it in use?"))
+}
+
 /// Creates the task that keeps the gateway registered.
 fn registration(
     settings: &Settings,
--- a/crates/daisyyard_gateway/src/ingress.rs
+++ b/crates/daisyyard_gateway/src/ingress.rs
@@ -9,10 +9,13 @@
 use daisyyard_core::id::AccountId;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONTENT_LENGTH, HOST};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue};
+use hyper::http::request;
+use hyper::http::uri::Authority;
 use hyper::{Request, Uri};
 
-use crate::codec::Position;
+use crate::codec::{Position, Relayed};
+use crate::detour::Origin;
 use crate::job::{self, Job};
 use crate::memory::{Buffer, Full};
 use crate::proxy::Proxy;
@@ -74,9 +77,15 @@
         };
         daisyyard_http::remove_hop_by_hop(&mut head.headers);
         head.headers.remove(CONTENT_LENGTH);
+        adopt_authority(&mut head);
         if self.ending.precedes(deadline) {
             return Err(failed(Refusal::Leaving));
         }
+        // Callers cannot state anything in place of a gateway.
+        let relayed = match self.origin {
+            Origin::Caller => Relayed::default(),
+            Origin::Gateway => (self.codec.relay.read_request)(&head.headers),
+        };
         let uri = origin_form(&head.uri);
         let contents = job::contents(
             client.as_deref(),
@@ -88,6 +97,7 @@
         Ok(Job {
             parameters,
             attempt,
+            relayed,
             contents,
             client,
             service,
@@ -213,6 +223,14 @@
     }
 }
 
+/// Makes the host of an absolute request URI, which takes precedence, that of the headers.
+fn adopt_authority(head: &mut request::Parts) {
+    let authority = head.uri.authority().map(Authority::as_str);
+    if let Some(host) = authority.and_then(|text| HeaderValue::from_str(text).ok()) {
+        head.headers.insert(HOST, host);
+    }
+}
+
 /// Returns the path and query of a request URI.
 fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned();
--- a/crates/daisyyard_gateway/src/isolation.rs
+++ b/crates/daisyyard_gateway/src/isolation.rs
@@ -29,7 +29,6 @@
     /// Identifier of the gateway.
     pub(crate) id: InstanceId,
     /// Address at which the gateway takes requests from others.
-    #[expect(dead_code, reason = "requests are not relayed yet")]
     pub(crate) address: SocketAddr,
     /// Address of the pool actor.
     pool: WeakAddress<Pool>,
--- a/crates/daisyyard_gateway/src/job.rs
+++ b/crates/daisyyard_gateway/src/job.rs
@@ -14,7 +14,7 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Uri};
 
-use crate::codec::{Codec, Directive, Parameters, Replica};
+use crate::codec::{Codec, Directive, Parameters, Relayed, Replica};
 
 /// Expected output if the caller gives no hint.
 const DEFAULT_OUTPUT_TOKENS: Tokens = 256;
@@ -28,6 +28,8 @@
     pub(crate) parameters: Parameters,
     /// Identifier of the caller's attempt, for the log and the engines.
     pub(crate) attempt: String,
+    /// What another gateway states that relays the request for its caller.
+    pub(crate) relayed: Relayed,
     /// Fingerprints of what the caller asks for: its account, method, path and body as a whole, and the
     /// parts of its prompt that other requests may share.
     pub(crate) contents: Arc<[Fingerprint]>,
@@ -108,6 +110,12 @@
         }
     }
 
+    /// Returns the maximum number of endpoints that may run the request.
+    pub(crate) fn max_runs(&self) -> u32 {
+        let stated = self.relayed.runs.unwrap_or(u32::MAX);
+        self.route.max_attempts.min(stated)
+    }
+
     /// Returns the time until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -201,6 +209,23 @@
         }
     }
 
+    /// Builds the request that another gateway handles in place of this one.
+    pub(crate) fn relayed_request(&self, codec: &Codec, relayed: &Relayed) -> Request<Full<Bytes>> {
+        let mut request = self.copy();
+        (codec.relay.write_request)(request.headers_mut(), self.remaining(), relayed);
+        request
+    }
+
+    /// Returns the request as it came from the caller, without what applies only to its connection.
+    fn copy(&self) -> Request<Full<Bytes>> {
+        let body = self.body().clone().unwrap_or_default();
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        request.headers_mut().clone_from(&self.headers);
+        request
+    }
+
     /// Builds the request that is sent to an endpoint; a stream starts after the event
     /// `last_event`.
     pub(crate) fn request(
@@ -211,12 +236,8 @@
         replica: Option<Replica>,
         last_event: Option<u64>,
     ) -> Request<Full<Bytes>> {
-        let body = self.body().clone().unwrap_or_default();
-        let mut request = Request::new(Full::new(body));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
+        let mut request = self.copy();
         let headers = request.headers_mut();
-        headers.clone_from(&self.headers);
         let account = self
             .client
             .as_ref()
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -5,12 +5,14 @@
 //! `daisyyard_core` decide on routing, limits, retries, membership and recovery.
 
 pub(crate) mod admission;
+pub(crate) mod answer;
 pub(crate) mod archive;
 pub mod body;
 pub(crate) mod buffer;
 pub mod codec;
 pub(crate) mod cold;
 pub(crate) mod content;
+pub(crate) mod detour;
 pub(crate) mod digest;
 pub(crate) mod ending;
 pub mod evacuation;
@@ -32,6 +34,7 @@
 pub(crate) mod metrics;
 pub(crate) mod migration;
 pub(crate) mod owners;
+pub(crate) mod passage;
 pub(crate) mod peer;
 pub(crate) mod pool;
 pub(crate) mod proof;
--- a/crates/daisyyard_gateway/src/metrics.rs
+++ b/crates/daisyyard_gateway/src/metrics.rs
@@ -57,6 +57,8 @@
 const ISOLATED: &str = "daisyyard_gateway_isolated";
 /// Counter of reads of the store, by what was read and outcome.
 const STORE_READS: &str = "daisyyard_gateway_store_reads_total";
+/// Counter of requests that were relayed to other gateways or taken from them, by outcome.
+const RELAYS: &str = "daisyyard_gateway_relayed_requests_total";
 /// Module and level under which the metrics are registered.
 const ORIGIN: Metadata<'static> = Metadata::new(module_path!(), Level::INFO, Some(module_path!()));
 
@@ -137,6 +139,11 @@
         self.count(STREAM_ENDS, &labels);
     }
 
+    /// Counts a request that was relayed to another gateway or taken from it.
+    pub(crate) fn record_relay(&self, side: &'static str, outcome: &'static str) {
+        self.count(RELAYS, &[("side", side), ("outcome", outcome)]);
+    }
+
     /// Counts a run that its endpoint broke off before it had gone well.
     pub(crate) fn record_break(&self, kind: &'static str) {
         self.count(BROKEN, &[("kind", kind)]);
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -126,7 +126,6 @@
     /// Endpoints that state a limit.
     pub(crate) limited: watch::Receiver<Vec<EndpointId>>,
     /// Whether this gateway is cut off from the endpoints.
-    #[expect(dead_code, reason = "requests are not relayed yet")]
     pub(crate) isolated: watch::Receiver<bool>,
 }
 
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -10,15 +10,15 @@
 use daisyyard_core::shared_retry_budget;
 use daisyyard_http::connection::{Answer, Failure};
 use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
-use hyper::http::response;
-use hyper::{Request, Response, StatusCode, Version};
+use hyper::{Request, Response, StatusCode};
 use tokio::sync::{oneshot, watch};
 use xtra::Address;
 
+use crate::answer::strip_connection;
 use crate::body::{self, Body};
 use crate::buffer;
 use crate::codec::Codec;
+use crate::detour::{Detour, Origin};
 use crate::ending::Ending;
 use crate::evacuation::{Unsent, Zones};
 use crate::event::Event;
@@ -37,9 +37,9 @@
 /// Maximum number of times that a request is sent, including sends that endpoints declined.
 const MAX_SENDS: usize = 4;
 /// Minimum remaining time for a retry.
-const MIN_REMAINING: Duration = Duration::from_millis(50);
+pub(crate) const MIN_REMAINING: Duration = Duration::from_millis(50);
 /// Share of the remaining time for a send that another endpoint can repeat if it fails.
-const FIRST_SEND_SHARE: f64 = 0.5;
+pub(crate) const FIRST_SEND_SHARE: f64 = 0.5;
 
 /// Shared handles that every request needs.
 #[derive(Debug, Clone)]
@@ -52,6 +52,10 @@
     pub(crate) configuration: Configuration,
     /// Part of this gateway in the fleet, and whether its configuration may be outdated.
     pub(crate) standing: watch::Receiver<Standing>,
+    /// Who sends the requests.
+    pub(crate) origin: Origin,
+    /// Whether this gateway is cut off from the endpoints.
+    pub(crate) isolated: watch::Receiver<bool>,
     /// Phase of the graceful shutdown.
     pub(crate) phase: watch::Receiver<Phase>,
     /// When the process ends.
@@ -97,14 +101,26 @@
     /// Sends a request, with retries, until it is answered or cannot be retried.
     async fn serve(self, job: Job) -> Response<Body> {
         let job = Arc::new(job);
-        // The pool ends only with the process.
-        let _ = self.pool.send(Count(job.service)).await;
+        if self.origin == Origin::Gateway && self.is_isolated() {
+            return self.refuse(&job, Refusal::Isolated);
+        }
+        let mut detour = Detour::new(job.relayed.counted);
         let repeatable = job.route.is_repeatable();
         let mut history = History::new(repeatable);
         let mut tried: Vec<EndpointId> = Vec::new();
         let mut possible_runs = 0;
         loop {
-            let grant = match self.claim(&job, &tried).await {
+            if self.is_open(&detour, &history)
+                && let Some(response) = self.relay_request(&job, &mut detour).await
+            {
+                return response;
+            }
+            self.count(&job, &mut detour).await;
+            let claimed = tokio::select! {
+                claimed = self.claim(&job, &tried) => claimed,
+                () = self.opened(&detour, &history) => continue,
+            };
+            let grant = match claimed {
                 Ok(grant) => grant,
                 Err(refusal) if tried.is_empty() => return self.refuse(&job, refusal),
                 Err(refusal) => {
@@ -135,7 +151,7 @@
             );
             self.log.emit(Event::RequestSent, &details);
             let runs_left = if repeatable {
-                job.route.max_attempts.saturating_sub(possible_runs + 1)
+                job.max_runs().saturating_sub(possible_runs + 1)
             } else {
                 0
             };
@@ -160,7 +176,10 @@
             let worth_retrying = tried.len() < MAX_SENDS
                 && job.remaining() > MIN_REMAINING
                 && !self.ending.precedes(job.deadline);
-            let retry = worth_retrying && (not_run || may_repeat) && self.retry_allowed(&job).await;
+            // Another gateway sends the request for the first time.
+            let retry = worth_retrying
+                && (not_run && self.is_open(&detour, &history)
+                    || (not_run || may_repeat) && self.retry_allowed(&job).await);
             match history.fail(retry) {
                 Decision::Retry => {
                     let details = format!("request={} reason={reason}", job.attempt);
@@ -209,8 +228,17 @@
         }
     }
 
+    /// Counts a request toward the retry budget, unless it is counted already.
+    async fn count(&self, job: &Job, detour: &mut Detour) {
+        if !detour.counted {
+            detour.counted = true;
+            // The pool ends only with the process.
+            let _ = self.pool.send(Count(job.service)).await;
+        }
+    }
+
     /// Asks the pool whether the retry budget allows another send.
-    async fn retry_allowed(&self, job: &Job) -> bool {
+    pub(crate) async fn retry_allowed(&self, job: &Job) -> bool {
         let decision = self.pool.send(Retry(job.service)).await;
         decision.is_ok_and(|decision| decision == shared_retry_budget::Decision::Retry)
     }
@@ -341,50 +369,4 @@
         grant.signal = Signal::Answered;
         Sent::Answered(self.forward(job, response, "answered"))
     }
-
-    /// Forwards an endpoint's response to the caller.
-    fn forward(&self, job: &Job, response: Response<Body>, reason: &'static str) -> Response<Body> {
-        self.record_end(job, response.status(), reason);
-        response
-    }
-
-    /// Answers a request that no endpoint has answered.
-    fn refuse(&self, job: &Job, refusal: Refusal) -> Response<Body> {
-        let reason = match refusal {
-            Refusal::Full => "full",
-            Refusal::Evacuated => "evacuated",
-            Refusal::Leaving => "leaving",
-            Refusal::Declined => "declined",
-            Refusal::Late => "late",
-            Refusal::Suspected(_) => "suspected",
-            Refusal::Shed(_) => "shed",
-            Refusal::TurnedAway(_) => "turned_away",
-            _ => "lost",
-        };
-        self.record_end(job, refusal.status(), reason);
-        refusal.response()
-    }
-
-    /// Logs and counts the end of a request.
-    pub(crate) fn record_end(&self, job: &Job, status: StatusCode, reason: &'static str) {
-        let details = format!(
-            "request={} route={} status={} ms={} reason={reason}",
-            job.attempt,
-            job.route.name,
-            status.as_u16(),
-            job.arrived.elapsed().as_millis(),
-        );
-        self.log.emit(Event::RequestEnded, &details);
-        self.metrics
-            .record_end(job.kind(), reason, job.arrived.elapsed());
-    }
-}
-
-/// Removes what applies only to one connection: its headers, and the version of the protocol, without
-/// which the response to the caller could have no chunks to mark its end.
-fn strip_connection(mut parts: response::Parts) -> response::Parts {
-    parts.version = Version::HTTP_11;
-    daisyyard_http::remove_hop_by_hop(&mut parts.headers);
-    parts.headers.remove(CONTENT_LENGTH);
-    parts
 }
--- a/crates/daisyyard_gateway/src/refusal.rs
+++ b/crates/daisyyard_gateway/src/refusal.rs
@@ -56,6 +56,9 @@
     /// The gateway is leaving.
     #[error("the gateway is leaving; ask another one")]
     Leaving,
+    /// Another gateway has relayed the request, but this one does not reach the endpoints either.
+    #[error("the gateway reaches no endpoint; ask another one")]
+    Isolated,
     /// No endpoint had capacity in time.
     #[error("no endpoint had room in time; ask again later")]
     Full,
@@ -115,6 +118,7 @@
             Self::Unconfigured
             | Self::Outdated
             | Self::Leaving
+            | Self::Isolated
             | Self::Full
             | Self::Evacuated
             | Self::Declined
@@ -130,7 +134,9 @@
     /// Returns the delay before the caller should retry, if a retry can help.
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Outdated | Self::Leaving | Self::Declined => Some(RETRY_ELSEWHERE_DELAY),
+            Self::Outdated | Self::Leaving | Self::Isolated | Self::Declined => {
+                Some(RETRY_ELSEWHERE_DELAY)
+            }
             Self::Unconfigured => Some(RETRY_UNCONFIGURED_DELAY),
             Self::Full => Some(RETRY_FULL_DELAY),
             Self::Evacuated => Some(RETRY_EVACUATED_DELAY),
@@ -140,6 +146,14 @@
         }
     }
 
+    /// Returns whether another gateway may serve the request at once.
+    pub(crate) fn is_local(self) -> bool {
+        matches!(
+            self,
+            Self::Unconfigured | Self::Outdated | Self::Leaving | Self::Isolated | Self::Exhausted
+        )
+    }
+
     /// Returns whether the connection is closed, because the rest of the body is not worth reading.
     fn closes_connection(self) -> bool {
         matches!(self, Self::Unread | Self::TooLong | Self::Exhausted)
@@ -150,6 +164,7 @@
         let text = json!({ "error": self.to_string() }).to_string();
         let mut response = body::json(text);
         *response.status_mut() = self.status();
+        response.extensions_mut().insert(self);
         if self.closes_connection() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use daisyyard_core::footprint::Use;
 use daisyyard_core::id::EndpointId;
 use daisyyard_core::pool::Signal;
 use daisyyard_core::stream_end::{Effect, Ending, Framing, Verdict};
@@ -18,13 +17,12 @@
 use tokio::sync::mpsc;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::body::Chunk;
+use crate::body::{self, Chunk};
 use crate::codec::Transfer;
 use crate::event::Event;
 use crate::gaps::Gaps;
 use crate::halt::Orders;
 use crate::job::Job;
-use crate::memory::Hold;
 use crate::message::{FirstToken, Grant, Notice, ObserveGaps, Taken};
 use crate::migration::{COPY_TIMEOUT, State, join_copy};
 use crate::proxy::Proxy;
@@ -126,7 +124,7 @@
 }
 
 /// Returns how the end of a response with these headers is marked.
-fn framing(headers: &HeaderMap) -> Framing {
+pub(crate) fn framing(headers: &HeaderMap) -> Framing {
     let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
     let chunked = codings.is_some_and(|codings| {
         let last = codings.as_bytes().rsplit(|byte| *byte == b',').next();
@@ -333,27 +331,6 @@
         self.fail_over(reason).await || self.restart(reason).await
     }
 
-    /// Charges events that wait behind others for a slow caller; returns none if the caller leaves
-    /// before there is room. A caller that keeps up is not charged and never waits.
-    async fn hold(&self, size: usize) -> Option<Option<Hold>> {
-        if self.sender.capacity() == self.sender.max_capacity() {
-            return Some(None);
-        }
-        let mut hold = self.proxy.memory.empty(Use::Relay, None);
-        let room = async {
-            tokio::select! {
-                () = hold.grow_when_free(size) => true,
-                // Once the caller has read all that waits, it keeps up again.
-                _ = self.sender.reserve_many(self.sender.max_capacity()) => false,
-            }
-        };
-        let granted = room.await;
-        if self.sender.is_closed() {
-            return None;
-        }
-        Some(granted.then_some(hold))
-    }
-
     /// Forwards the new events among the bytes.
     async fn deliver(&mut self, bytes: &Bytes) -> Delivery {
         if self.first_data_at.is_none() {
@@ -385,12 +362,9 @@
         if events.is_empty() {
             return Delivery::Sent;
         }
-        let Some(hold) = self.hold(events.len()).await else {
-            return Delivery::CallerLeft;
-        };
-        match self.sender.send(Chunk::Data(events, hold)).await {
+        match body::pass(&self.sender, &self.proxy.memory, events).await {
             Ok(()) => Delivery::Sent,
-            Err(_) => Delivery::CallerLeft,
+            Err(body::CallerLeft) => Delivery::CallerLeft,
         }
     }
 }
--- a/crates/daisyyard_gateway/src/settings.rs
+++ b/crates/daisyyard_gateway/src/settings.rs
@@ -50,7 +50,7 @@
     pub ready: SocketAddr,
     /// Address on which callers ask for gateway addresses.
     pub directory: SocketAddr,
-    /// UDP address for the digests of other gateways.
+    /// Address for other gateways: UDP for their digests, TCP for requests that they relay.
     pub digests: SocketAddr,
     /// Address for metrics.
     pub metrics: SocketAddr,
