--- a/crates/daisyyard/tests/platform/mod.rs
+++ b/crates/daisyyard/tests/platform/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the platform")]
 
+pub(crate) mod outlier;
+
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
--- a/crates/daisyyard/tests/relayed_requests.rs
+++ b/crates/daisyyard/tests/relayed_requests.rs
@@ -7,10 +7,9 @@
 
 use daisyyard_standin::platform_engine::Mode;
 use daisyyard_standin::platform_fixture::{CREDENTIAL, HOST};
-use daisyyard_standin::platform_view::{Addresses, PlatformView};
-use daisyyard_standin::proxy::Proxy;
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, StatusCode};
+use platform::outlier::Outlier;
 use platform::{Platform, TIMEOUT, events, plain_request, stream_request};
 
 /// Number of events of a stream, which takes one second.
@@ -22,64 +21,6 @@
 /// Time within which a request that no gateway can serve is refused.
 const REFUSAL_TIME: Duration = Duration::from_secs(4);
 
-/// A gateway that reaches the endpoints over links of its own.
-struct Outlier {
-    /// Number of the gateway in the platform.
-    gateway: usize,
-    /// Links to the endpoints; dropping them cuts the gateway off.
-    links: Vec<Proxy>,
-    /// Store that lists the links in place of the endpoints.
-    _view: PlatformView,
-}
-
-impl Outlier {
-    /// Starts a gateway that reaches the endpoints of a platform over links of its own.
-    async fn start(platform: &mut Platform) -> Self {
-        let mut links = Vec::new();
-        let mut addresses = Addresses::new();
-        for engine in &platform.engines {
-            let link = Proxy::start().await.expect("a free port");
-            link.set_target(engine.address);
-            addresses.insert(engine.address, link.address);
-            links.push(link);
-        }
-        let view = PlatformView::start(platform.store.address, addresses).await;
-        let view = view.expect("a free port");
-        let gateway = platform.gateways.len();
-        let process = platform::spawn_gateway(view.address, gateway).await;
-        let ready = process.ready;
-        platform.gateways.push(process);
-        platform::wait_until("the gateway is ready", async || {
-            platform::status(ready, "/-/readiness").await == Some(StatusCode::OK)
-        })
-        .await;
-        Self {
-            gateway,
-            links,
-            _view: view,
-        }
-    }
-
-    /// Cuts the gateway off from all endpoints, and waits until it serves callers nevertheless.
-    async fn cut(&mut self, platform: &Platform) {
-        self.links.clear();
-        let deadline = Instant::now() + TIMEOUT;
-        for number in 0.. {
-            let attempt = format!("probe-{number}");
-            let request = plain_request(Method::GET, "/stock/probe");
-            let (status, _) = platform
-                .send_through(self.gateway, &attempt, &request)
-                .await;
-            if status == StatusCode::OK {
-                break;
-            }
-            let waited = Instant::now() < deadline;
-            assert!(waited, "in time: the gateway serves callers");
-            tokio::time::sleep(Duration::from_millis(100)).await;
-        }
-    }
-}
-
 /// Starts a platform with an engine and a plain endpoint, gateways that reach them, and one that is cut off.
 async fn start(reaching: usize) -> (Platform, Outlier) {
     let mut platform = Platform::start(1, 1).await;
--- a/crates/daisyyard_standin/src/platform_runs.rs
+++ b/crates/daisyyard_standin/src/platform_runs.rs
@@ -91,6 +91,8 @@
     Work(String, SocketAddr),
     /// Return when an engine last worked on an attempt.
     LastWork(String, SocketAddr, oneshot::Sender<Option<Instant>>),
+    /// Note that an engine has a second address.
+    Alias(SocketAddr, SocketAddr),
     /// Note that an engine has a copy of the memory of an attempt.
     Copy(String, SocketAddr),
     /// Note that an engine has lost its copy of the memory of an attempt.
@@ -142,6 +144,11 @@
         answer.await.unwrap_or_default()
     }
 
+    /// Gives an engine a second address, under which it receives copies as well.
+    pub fn alias(&self, address: SocketAddr, engine: SocketAddr) {
+        let _ = self.commands.send(Command::Alias(address, engine));
+    }
+
     /// Makes an engine lose all copies and kept memory, as when it is started anew.
     pub fn restart(&self, engine: SocketAddr) {
         let _ = self.commands.send(Command::Restart(engine));
@@ -190,6 +197,7 @@
     let mut full: HashSet<SocketAddr> = HashSet::new();
     let mut stopped: HashSet<(String, SocketAddr)> = HashSet::new();
     let mut worked: HashMap<(String, SocketAddr), Instant> = HashMap::new();
+    let mut aliases: HashMap<SocketAddr, SocketAddr> = HashMap::new();
     while let Some(command) = commands.recv().await {
         match command {
             Command::Record(request) => arrivals.push(*request),
@@ -209,7 +217,11 @@
             Command::LastWork(attempt, engine, reply) => {
                 let _ = reply.send(worked.get(&(attempt, engine)).copied());
             }
+            Command::Alias(address, engine) => {
+                aliases.insert(address, engine);
+            }
             Command::Copy(attempt, engine) => {
+                let engine = aliases.get(&engine).copied().unwrap_or(engine);
                 copies.insert((attempt, engine));
             }
             Command::Restart(engine) => {
