Hand streams in progress over to another gateway once no endpoint is reached

Cause: a stream at a gateway that loses all engines was lost, although the engine still executes its run, another one holds the backup, and other gateways reach both.

Change: such a gateway sends the request once more to another gateway, and states the engine, what is shown of the copy and the last event. That one registers the run, has it stopped and continues it from the copy as one of its own, and the rest is passed on. A refused connection no longer shows that an engine is gone while no endpoint is reached.

--- a/crates/daisyyard_gateway/src/codec.rs
+++ b/crates/daisyyard_gateway/src/codec.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use daisyyard_core::catalog::Catalog;
+use daisyyard_core::continuation::{Holder, Standby};
 use daisyyard_core::crash::Group;
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::evacuation::Order;
@@ -70,12 +71,25 @@
 }
 
 /// What a gateway adds to a caller's request that it relays to another gateway.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Relayed {
     /// Whether the request counts toward the retry budget at the gateway that relays it.
     pub counted: bool,
     /// Maximum number of endpoints that may run the request; `None` for that of its route.
     pub runs: Option<u32>,
+    /// The run to continue, if the request is that of a stream in progress.
+    pub handover: Option<Handover>,
+}
+
+/// A run that a gateway hands over to another one.
+#[value]
+pub struct Handover {
+    /// Engine that executes the run, or did so last.
+    pub source: Holder,
+    /// What is known of the copy of the run's memory.
+    pub standby: Standby,
+    /// Number of the last event that the caller has.
+    pub last_event: Option<u64>,
 }
 
 /// A copy of a run's KV cache from which the run can resume.
--- a/crates/daisyyard_gateway/src/detour.rs
+++ b/crates/daisyyard_gateway/src/detour.rs
@@ -11,7 +11,7 @@
 use daisyyard_core::id::InstanceId;
 use daisyyard_core::stream_end::Framing;
 use daisyyard_derive::key;
-use daisyyard_http::connection::{self, Answer, Failure};
+use daisyyard_http::connection::{self, Answer, Connection, Failure};
 use hyper::body::{Body as _, Incoming};
 use hyper::{Request, Response, StatusCode};
 
@@ -29,7 +29,7 @@
 use crate::sent::{self, Sent, answer_unusable, connection_failed};
 
 /// Maximum number of times that a request is relayed.
-const MAX_RELAYS: usize = 3;
+pub(crate) const MAX_RELAYS: usize = 3;
 /// Timeout of a connection attempt. One that hangs leaves time for another gateway.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -78,6 +78,11 @@
     }
 }
 
+/// Opens a connection to another gateway.
+pub(crate) async fn open(peer: &Peer) -> Result<Connection, Failure> {
+    connection::open(peer.address, Some(Instant::now() + CONNECT_TIMEOUT)).await
+}
+
 impl Proxy {
     /// Handles a request that another gateway relays, and marks the response if that one should ask
     /// elsewhere.
@@ -181,6 +186,7 @@
         let relayed = Relayed {
             counted: detour.counted,
             runs: Some(runs),
+            handover: None,
         };
         let request = job.relayed_request(&self.codec, &relayed);
         let details = format!(
@@ -200,8 +206,7 @@
             job.remaining()
         };
         let deadline = Instant::now() + timeout;
-        let open = connection::open(peer.address, Some(Instant::now() + CONNECT_TIMEOUT));
-        let sent = match open.await {
+        let sent = match open(&peer).await {
             Ok(connection) => connection.send(request, timeout).await,
             Err(failure) => Err(failure),
         };
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -110,6 +110,10 @@
     RequestRelayed = 212,
     /// Another gateway did not take or answer a request that was relayed to it.
     RelayFailed = 213,
+    /// A run in progress was handed over to another gateway, or was to be.
+    RunHandedOver = 214,
+    /// This gateway has continued a run for another one, or failed to.
+    RunAdopted = 215,
 }
 
 /// Log level of each event.
@@ -166,6 +170,8 @@
     (Event::EndpointsReached, Level::Info),
     (Event::RequestRelayed, Level::Info),
     (Event::RelayFailed, Level::Warn),
+    (Event::RunHandedOver, Level::Info),
+    (Event::RunAdopted, Level::Info),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -261,22 +261,6 @@
         self.job.need().backup
     }
 
-    /// Stops the run at its engine if the engines of the service can do so. An engine that may be down
-    /// has less time to answer unless the caller is patient.
-    pub(crate) async fn halt(
-        &mut self,
-        source: &Arc<Endpoint>,
-        target: &Arc<Endpoint>,
-        patient: bool,
-    ) -> Halt {
-        if !self.supports_moves() {
-            return Halt::Unanswered;
-        }
-        let orders = self.orders.entry(source.id).or_default();
-        let (proxy, job) = (&self.proxy, &self.job);
-        orders.halt(proxy, job, source, target, !patient).await
-    }
-
     /// Makes the source the engine of the run again, with what is known of its copy.
     async fn roll_back(&self, departure: &Departure, standby: Standby) {
         let rollback = Rollback(self.grant.run, departure.source.id, standby);
@@ -302,7 +286,7 @@
 
     /// Logs and counts a move of the run, given its means and the reason for it.
     pub(crate) fn record_move(
-        &self,
+        &mut self,
         source: &Endpoint,
         engine: &Endpoint,
         started: Instant,
@@ -319,6 +303,9 @@
             resumed.err().map_or("resumed", Obstacle::name),
         );
         self.proxy.log.emit(Event::RunMoved, &details);
+        let unsent = [Obstacle::NotAllowed, Obstacle::Unsent, Obstacle::Cold];
+        self.reached |=
+            resumed.is_ok() || resumed.is_err_and(|obstacle| !unsent.contains(&obstacle));
         let means = if resumed.is_ok() { means } else { "failed" };
         self.proxy.metrics.record_move(means);
     }
--- a/crates/daisyyard_gateway/src/halt.rs
+++ b/crates/daisyyard_gateway/src/halt.rs
@@ -20,6 +20,7 @@
 use crate::job::Job;
 use crate::migration::{COPY_TIMEOUT, request_copy};
 use crate::proxy::Proxy;
+use crate::relay::Relay;
 use crate::sent::is_unsent;
 use crate::store;
 
@@ -189,6 +190,27 @@
         }
     }
 }
+impl Relay {
+    /// Stops the run at its engine if the engines of the service can do so. An engine that may be down
+    /// has less time to answer unless the caller is patient.
+    pub(crate) async fn halt(
+        &mut self,
+        source: &Arc<Endpoint>,
+        target: &Arc<Endpoint>,
+        patient: bool,
+    ) -> Halt {
+        if !self.supports_moves() {
+            return Halt::Unanswered;
+        }
+        let orders = self.orders.entry(source.id).or_default();
+        let (proxy, job) = (&self.proxy, &self.job);
+        let halt = orders.halt(proxy, job, source, target, !patient).await;
+        let answered = matches!(halt.stop(), Stop::Moved | Stop::Kept | Stop::Running);
+        self.reached |= answered;
+        halt
+    }
+}
+
 /// Asks an engine to stop a run until it answers.
 async fn stop(
     proxy: Proxy,
@@ -205,7 +227,9 @@
         let halt = match answer {
             Ok(Transfer::Copied(handle)) => return Halt::Moved(handle),
             Ok(Transfer::Refused(Some(handle))) => return Halt::Kept(handle),
-            Ok(Transfer::Missing) | Err(store::Error::Unanswered(Failure::Refused)) => {
+            Ok(Transfer::Missing) => return Halt::Ended,
+            // An engine whose process has ended executes nothing, but a cut may look the same.
+            Err(store::Error::Unanswered(Failure::Refused)) if !proxy.is_isolated() => {
                 return Halt::Ended;
             }
             Ok(Transfer::Refused(None)) => return Halt::Running,
--- a/crates/daisyyard_gateway/src/ingress.rs
+++ b/crates/daisyyard_gateway/src/ingress.rs
@@ -86,6 +86,9 @@
             Origin::Caller => Relayed::default(),
             Origin::Gateway => (self.codec.relay.read_request)(&head.headers),
         };
+        // A run that is handed over goes on after the last event that its caller has.
+        let handover = relayed.handover.as_ref();
+        let resume_after = handover.and_then(|it| it.last_event).or(resume_after);
         let uri = origin_form(&head.uri);
         let contents = job::contents(
             client.as_deref(),
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! `daisyyard_core` decide on routing, limits, retries, membership and recovery.
 
 pub(crate) mod admission;
+pub(crate) mod adoption;
 pub(crate) mod answer;
 pub(crate) mod archive;
 pub mod body;
@@ -23,6 +24,7 @@
 pub(crate) mod gaps;
 pub mod gateway;
 pub(crate) mod halt;
+pub(crate) mod handover;
 pub(crate) mod ingress;
 pub(crate) mod isolation;
 pub(crate) mod job;
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -104,6 +104,9 @@
         if self.origin == Origin::Gateway && self.is_isolated() {
             return self.refuse(&job, Refusal::Isolated);
         }
+        if let Some(handover) = &job.relayed.handover {
+            return self.adopt(&job, handover).await;
+        }
         let mut detour = Detour::new(job.relayed.counted);
         let repeatable = job.route.is_repeatable();
         let mut history = History::new(repeatable);
@@ -321,7 +324,7 @@
             self.clone(),
             Arc::clone(job),
             grant,
-            upstream,
+            Some(upstream),
             sender,
             runs_left,
         );
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -25,6 +25,7 @@
 use crate::job::Job;
 use crate::message::{FirstToken, Grant, Notice, ObserveGaps, Taken};
 use crate::migration::{COPY_TIMEOUT, State, join_copy};
+use crate::passage::Passage;
 use crate::proxy::Proxy;
 use crate::sse::Splitter;
 use crate::store;
@@ -80,6 +81,10 @@
     pub(crate) runs_left: u32,
     /// Orders to stop the run, by the engine that got them.
     pub(crate) orders: HashMap<EndpointId, Orders>,
+    /// Whether an engine was reached since the failure from which the run recovers.
+    pub(crate) reached: bool,
+    /// Rest of the stream, once another gateway continues the run.
+    pub(crate) passage: Option<Box<Passage>>,
 }
 
 /// What the relay does next.
@@ -138,12 +143,12 @@
 }
 
 impl Relay {
-    /// Creates the relay for a response whose headers have arrived.
+    /// Creates the relay for a response whose headers have arrived, or that is still to be obtained.
     pub(crate) fn new(
         proxy: Proxy,
         job: Arc<Job>,
         grant: Grant,
-        upstream: Upstream,
+        upstream: Option<Upstream>,
         sender: mpsc::Sender<Chunk>,
         runs_left: u32,
     ) -> Self {
@@ -152,7 +157,7 @@
             proxy,
             job,
             grant,
-            upstream: Some(upstream),
+            upstream,
             sender,
             splitter,
             first_data_at: None,
@@ -163,12 +168,20 @@
             migration: State::Idle,
             runs_left,
             orders: HashMap::new(),
+            reached: false,
+            passage: None,
         }
     }
 
     /// Forwards events until the response is complete or cannot continue.
     pub(crate) async fn run(mut self) {
         let reason = loop {
+            if let Some(passage) = self.passage.take() {
+                // The run no longer belongs to this gateway.
+                self.grant.signal = Signal::Neutral;
+                drop(self);
+                return passage.run().await;
+            }
             match self.next().await {
                 Action::Deliver(bytes) => match self.deliver(&bytes).await {
                     Delivery::Sent => {}
@@ -214,7 +227,8 @@
                     }
                 }
                 Action::Fail(reason) => {
-                    if reason != SILENT {
+                    // At a gateway that is cut off, a broken stream shows nothing of its engine.
+                    if reason != SILENT && !self.proxy.is_isolated() {
                         self.grant.signal = Signal::Failed;
                         self.report_broken().await;
                     }
@@ -326,11 +340,6 @@
         verdict
     }
 
-    /// Continues the run at another engine after a failure; returns whether the stream continues.
-    async fn recover(&mut self, reason: &'static str) -> bool {
-        self.fail_over(reason).await || self.restart(reason).await
-    }
-
     /// Forwards the new events among the bytes.
     async fn deliver(&mut self, bytes: &Bytes) -> Delivery {
         if self.first_data_at.is_none() {
--- a/crates/daisyyard_gateway/src/run.rs
+++ b/crates/daisyyard_gateway/src/run.rs
@@ -42,7 +42,7 @@
     /// Resources that the request needs.
     pub(crate) need: Need,
     /// Kind of the request.
-    kind: turn::Kind,
+    pub(crate) kind: turn::Kind,
     /// Memory that is to be moved, once the engine leaves.
     pub(crate) state: Option<RunState>,
     /// Fingerprints of what the caller asks for.
@@ -87,8 +87,6 @@
             return Some(self.note_cold_wait(claim, now));
         };
         let place = self.take_place(&endpoint, now);
-        let run = self.next_run;
-        self.next_run += 1;
         let (notices, receiver) = mpsc::channel(1);
         let record = Run {
             endpoint: endpoint.id,
@@ -102,8 +100,7 @@
             awaits_first_token: true,
             notices,
         };
-        self.apply_load(&record, true);
-        self.runs.insert(run, record);
+        let run = self.register(record);
         // A call to a plain endpoint ends before other gateways can use its load, and digests at the
         // starts of calls would overstate their number.
         if endpoint.kind == Kind::Engine {
@@ -125,6 +122,15 @@
         None
     }
 
+    /// Adds a run and its load; returns its identifier.
+    pub(crate) fn register(&mut self, record: Run) -> RequestId {
+        let run = self.next_run;
+        self.next_run += 1;
+        self.apply_load(&record, true);
+        self.runs.insert(run, record);
+        run
+    }
+
     /// Returns how many runs of a service other gateways are likely to have started since their last
     /// digests. A number that is too high costs less than one that is too low, and the rate of
     /// requests is that of the last seconds, so the age of digests is taken at its upper end.
