--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -106,6 +106,14 @@
     EndpointsUnreachable = 210,
     /// The gateway reaches the endpoints again.
     EndpointsReached = 211,
+    /// A request was sent to another gateway, because this one is cut off from the endpoints.
+    RequestRelayed = 212,
+    /// Another gateway did not take or answer a request that was relayed to it.
+    RelayFailed = 213,
+    /// A run in progress was handed over to another gateway, or was to be.
+    RunHandedOver = 214,
+    /// This gateway has continued a run for another one, or failed to.
+    RunAdopted = 215,
 }
 
 /// Log level of each event.
@@ -160,6 +168,10 @@
     (Event::LimitUnusable, Level::Warn),
     (Event::EndpointsUnreachable, Level::Warn),
     (Event::EndpointsReached, Level::Info),
+    (Event::RequestRelayed, Level::Info),
+    (Event::RelayFailed, Level::Warn),
+    (Event::RunHandedOver, Level::Info),
+    (Event::RunAdopted, Level::Info),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -5,12 +5,15 @@
 //! `daisyyard_core` decide on routing, limits, retries, membership and recovery.
 
 pub(crate) mod admission;
+pub(crate) mod adoption;
+pub(crate) mod answer;
 pub(crate) mod archive;
 pub mod body;
 pub(crate) mod buffer;
 pub mod codec;
 pub(crate) mod cold;
 pub(crate) mod content;
+pub(crate) mod detour;
 pub(crate) mod digest;
 pub(crate) mod ending;
 pub mod evacuation;
@@ -21,6 +24,7 @@
 pub(crate) mod gaps;
 pub mod gateway;
 pub(crate) mod halt;
+pub(crate) mod handover;
 pub(crate) mod ingress;
 pub(crate) mod isolation;
 pub(crate) mod job;
@@ -32,6 +36,7 @@
 pub(crate) mod metrics;
 pub(crate) mod migration;
 pub(crate) mod owners;
+pub(crate) mod passage;
 pub(crate) mod peer;
 pub(crate) mod pool;
 pub(crate) mod proof;
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use daisyyard_core::footprint::Use;
 use daisyyard_core::id::EndpointId;
 use daisyyard_core::pool::Signal;
 use daisyyard_core::stream_end::{Effect, Ending, Framing, Verdict};
@@ -18,15 +17,15 @@
 use tokio::sync::mpsc;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::body::Chunk;
+use crate::body::{self, Chunk};
 use crate::codec::Transfer;
 use crate::event::Event;
 use crate::gaps::Gaps;
 use crate::halt::Orders;
 use crate::job::Job;
-use crate::memory::Hold;
 use crate::message::{FirstToken, Grant, Notice, ObserveGaps, Taken};
 use crate::migration::{COPY_TIMEOUT, State, join_copy};
+use crate::passage::Passage;
 use crate::proxy::Proxy;
 use crate::sse::Splitter;
 use crate::store;
@@ -82,6 +81,10 @@
     pub(crate) runs_left: u32,
     /// Orders to stop the run, by the engine that got them.
     pub(crate) orders: HashMap<EndpointId, Orders>,
+    /// Whether an engine was reached since the failure from which the run recovers.
+    pub(crate) reached: bool,
+    /// Rest of the stream, once another gateway continues the run.
+    pub(crate) passage: Option<Box<Passage>>,
 }
 
 /// What the relay does next.
@@ -126,7 +129,7 @@
 }
 
 /// Returns how the end of a response with these headers is marked.
-fn framing(headers: &HeaderMap) -> Framing {
+pub(crate) fn framing(headers: &HeaderMap) -> Framing {
     let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
     let chunked = codings.is_some_and(|codings| {
         let last = codings.as_bytes().rsplit(|byte| *byte == b',').next();
@@ -140,12 +143,12 @@
 }
 
 impl Relay {
-    /// Creates the relay for a response whose headers have arrived.
+    /// Creates the relay for a response whose headers have arrived, or that is still to be obtained.
     pub(crate) fn new(
         proxy: Proxy,
         job: Arc<Job>,
         grant: Grant,
-        upstream: Upstream,
+        upstream: Option<Upstream>,
         sender: mpsc::Sender<Chunk>,
         runs_left: u32,
     ) -> Self {
@@ -154,7 +157,7 @@
             proxy,
             job,
             grant,
-            upstream: Some(upstream),
+            upstream,
             sender,
             splitter,
             first_data_at: None,
@@ -165,12 +168,20 @@
             migration: State::Idle,
             runs_left,
             orders: HashMap::new(),
+            reached: false,
+            passage: None,
         }
     }
 
     /// Forwards events until the response is complete or cannot continue.
     pub(crate) async fn run(mut self) {
         let reason = loop {
+            if let Some(passage) = self.passage.take() {
+                // The run no longer belongs to this gateway.
+                self.grant.signal = Signal::Neutral;
+                drop(self);
+                return passage.run().await;
+            }
             match self.next().await {
                 Action::Deliver(bytes) => match self.deliver(&bytes).await {
                     Delivery::Sent => {}
@@ -216,7 +227,8 @@
                     }
                 }
                 Action::Fail(reason) => {
-                    if reason != SILENT {
+                    // At a gateway that is cut off, a broken stream shows nothing of its engine.
+                    if reason != SILENT && !self.proxy.is_isolated() {
                         self.grant.signal = Signal::Failed;
                         self.report_broken().await;
                     }
@@ -335,32 +347,6 @@
         }
     }
 
-    /// Continues the run at another engine after a failure; returns whether the stream continues.
-    async fn recover(&mut self, reason: &'static str) -> bool {
-        self.fail_over(reason).await || self.restart(reason).await
-    }
-
-    /// Charges events that wait behind others for a slow caller; returns none if the caller leaves
-    /// before there is room. A caller that keeps up is not charged and never waits.
-    async fn hold(&self, size: usize) -> Option<Option<Hold>> {
-        if self.sender.capacity() == self.sender.max_capacity() {
-            return Some(None);
-        }
-        let mut hold = self.proxy.memory.empty(Use::Relay, None);
-        let room = async {
-            tokio::select! {
-                () = hold.grow_when_free(size) => true,
-                // Once the caller has read all that waits, it keeps up again.
-                _ = self.sender.reserve_many(self.sender.max_capacity()) => false,
-            }
-        };
-        let granted = room.await;
-        if self.sender.is_closed() {
-            return None;
-        }
-        Some(granted.then_some(hold))
-    }
-
     /// Forwards the new events among the bytes.
     async fn deliver(&mut self, bytes: &Bytes) -> Delivery {
         if self.first_data_at.is_none() {
@@ -392,12 +378,9 @@
         if events.is_empty() {
             return Delivery::Sent;
         }
-        let Some(hold) = self.hold(events.len()).await else {
-            return Delivery::CallerLeft;
-        };
-        match self.sender.send(Chunk::Data(events, hold)).await {
+        match body::pass(&self.sender, &self.proxy.memory, events).await {
             Ok(()) => Delivery::Sent,
-            Err(_) => Delivery::CallerLeft,
+            Err(body::CallerLeft) => Delivery::CallerLeft,
         }
     }
 }
