Read, log and count which endpoints are brittle

Endpoints may state Server-Brittle = N: one that has to turn more than N requests away in a second falls over. Nothing read it. It is now decoded like a limit, kept for the incarnation that stated it, shared in digests, logged (DY0207, DY0208) and counted in a gauge. An endpoint that has not answered since is taken for as brittle as the others of its service, as those fall over and start anew without a statement. No decision uses it yet.

--- a/crates/daisyyard/tests/endpoint_signals.rs
+++ b/crates/daisyyard/tests/endpoint_signals.rs
@@ -19,6 +19,7 @@
     leaving: true,
     retry_after: None,
     limit: None,
+    brittle: None,
     delay: Duration::ZERO,
 };
 
--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -5,13 +5,14 @@
 use std::time::{Duration, Instant};
 
 use crate::access::{Access, Reason};
+use crate::brittleness::Brittleness;
 use crate::endpoint::{Endpoint, Kind};
 use crate::id::{InstanceId, Revision, ServiceId, Tokens};
 use crate::load::{Load, Need};
 use crate::pace::{Pace, Stretches};
 use crate::pool::Signal;
 use crate::statement::Statements;
-use crate::throttle::Throttle;
+use crate::throttle::{self, Throttle};
 use crate::warmup::Warmup;
 use crate::zone::{Distance, Zone};
 
@@ -85,6 +86,8 @@
     pub(crate) warmup: Warmup,
     /// Limit that the endpoint states for all nodes together.
     pub(crate) throttle: Throttle,
+    /// Whether the endpoint falls over if it has to turn many requests away.
+    pub(crate) brittleness: Brittleness,
     /// Share of the memory that new long runs may reserve.
     pub(crate) max_long_share: f64,
     /// Prompt tokens that may wait at the engine when a request is sent to it.
@@ -112,7 +115,8 @@
             failure_rate: 0.0,
             pace: Pace::default(),
             warmup: Warmup::default(),
-            throttle: Throttle::default(),
+            throttle: Throttle::new(throttle::rate),
+            brittleness: Brittleness::default(),
             max_long_share: MAX_LONG_RUN_MEMORY_SHARE,
             max_prefill: Tokens::MAX,
         }
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -10,6 +10,8 @@
 mod admission;
 pub mod attempt;
 pub mod backlog;
+pub mod brittle;
+pub mod brittleness;
 pub mod burn;
 pub mod call;
 pub mod call_record;
--- a/crates/daisyyard_core/src/limit.rs
+++ b/crates/daisyyard_core/src/limit.rs
@@ -8,17 +8,17 @@
 use crate::endpoint::Endpoint;
 use crate::id::{EndpointId, ServiceId};
 use crate::pool::Pool;
-use crate::throttle::Report;
+use crate::throttle::{Report, Source};
 
-/// An endpoint whose limit has changed.
+/// An endpoint that has begun or ceased to state a rate, or states another one.
 #[derive(Debug, Clone)]
 pub struct Change {
     /// The endpoint.
     pub endpoint: Arc<Endpoint>,
-    /// Requests in 1,000 seconds; none if the endpoint is no longer limited.
+    /// Requests in 1,000 seconds; none if it no longer states any.
     pub per_1000_s: Option<u32>,
-    /// Whether this node got the answer that changed it.
-    pub first_hand: bool,
+    /// Where the node has learnt of it.
+    pub source: Source,
 }
 
 impl Pool {
@@ -69,7 +69,7 @@
             changed.then(|| Change {
                 endpoint: Arc::clone(&candidate.endpoint),
                 per_1000_s: limit,
-                first_hand: throttle.latest.is_some_and(|latest| latest.first_hand),
+                source: throttle.source().unwrap_or(Source::Digest),
             })
         });
         changed.collect()
--- a/crates/daisyyard_core/src/places.rs
+++ b/crates/daisyyard_core/src/places.rs
@@ -14,6 +14,7 @@
             for (id, candidate) in &mut self.candidates {
                 candidate.warmup.share.follow(*id, &self.owners, now);
                 candidate.throttle.share.follow(*id, &self.owners, now);
+                candidate.brittleness.follow(*id, &self.owners, now);
             }
         }
     }
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -13,6 +13,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::access::Access;
+use crate::brittleness::Brittleness;
 use crate::candidate::Candidate;
 use crate::coldness::Coldness;
 use crate::ejection::Ejections;
@@ -22,7 +23,7 @@
 use crate::load::Load;
 use crate::pace::{Pace, Stretches};
 use crate::rate::Owners;
-use crate::throttle::Throttle;
+use crate::throttle::{self, Throttle};
 use crate::wave::Wave;
 use crate::zone::Zone;
 
@@ -118,7 +119,8 @@
         if let Some(candidate) = self.candidates.get_mut(&id)
             && candidate.is_restart(&endpoint)
         {
-            candidate.throttle = Throttle::default();
+            candidate.throttle = Throttle::new(throttle::rate);
+            candidate.brittleness = Brittleness::default();
         }
         let known = self.endpoint(endpoint.id);
         let left = known.is_some_and(|endpoint| endpoint.state != State::Live);
--- a/crates/daisyyard_core/src/throttle.rs
+++ b/crates/daisyyard_core/src/throttle.rs
@@ -29,14 +29,14 @@
 /// before it is given up.
 const MAX_INTERVAL: Duration = Duration::from_secs(20);
 
-/// What a node tells others of the limit of an endpoint.
+/// What a node tells others of the limit or the brittleness of an endpoint.
 #[key]
 pub struct Report {
     /// The endpoint.
     pub endpoint: EndpointId,
     /// Incarnation that made the statement.
     pub incarnation: u64,
-    /// Requests in 1,000 seconds; none if the endpoint no longer states a limit.
+    /// Requests in 1,000 seconds; none if the endpoint no longer states any.
     pub per_1000_s: Option<u32>,
     /// Time since the answer.
     pub age: Duration,
@@ -54,8 +54,11 @@
 }
 
 /// Limit of one endpoint.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Throttle {
+    /// Returns the rate that the nodes on one list share, given what the endpoint states in requests in
+    /// 1,000 seconds.
+    divide: fn(u32) -> Rate,
     /// Latest statement of the known incarnation.
     pub(crate) latest: Option<Statement>,
     /// Share of this node in the rate that follows from the limit.
@@ -64,9 +67,32 @@
     pub(crate) noted: Option<u32>,
 }
 
+/// Where a node learns what an endpoint states.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// From an answer to the node itself.
+    Answer,
+    /// From another node.
+    Digest,
+    /// From other endpoints of its service.
+    Service,
+}
+
+impl Source {
+    /// Returns the name of the source in the log.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answer => "answer",
+            Self::Digest => "digest",
+            Self::Service => "service",
+        }
+    }
+}
+
 /// Returns the rate that the nodes on one list share, given a limit in requests in 1,000 seconds. Two
 /// lists stay within the bound, and one within the limit.
-fn rate(per_1000_s: u32) -> Rate {
+pub(crate) fn rate(per_1000_s: u32) -> Rate {
     let per_s = f64::from(per_1000_s) / 1_000.0;
     let limit = per_s * PERIOD.as_secs_f64();
     let bound = limit * OVERAGE + SLACK;
@@ -79,6 +105,16 @@
 }
 
 impl Throttle {
+    /// Creates the state of an endpoint that has stated nothing.
+    pub(crate) fn new(divide: fn(u32) -> Rate) -> Self {
+        Self {
+            divide,
+            latest: None,
+            share: Share::default(),
+            noted: None,
+        }
+    }
+
     /// Returns the limit in requests in 1,000 seconds.
     pub(crate) fn limit(&self, now: Instant) -> Option<u32> {
         let latest = self.latest?;
@@ -115,7 +151,22 @@
 
     /// Divides the rate anew if the limit has changed.
     pub(crate) fn update_share(&mut self, id: EndpointId, owners: &Owners, now: Instant) {
-        self.share.set_rate(self.limit(now).map(rate), id, owners);
+        self.divide(self.limit(now), id, owners);
+    }
+
+    /// Divides the rate that follows from a limit.
+    pub(crate) fn divide(&mut self, limit: Option<u32>, id: EndpointId, owners: &Owners) {
+        self.share.set_rate(limit.map(self.divide), id, owners);
+    }
+
+    /// Returns where the latest statement was learnt.
+    pub(crate) fn source(&self) -> Option<Source> {
+        let latest = self.latest?;
+        Some(if latest.first_hand {
+            Source::Answer
+        } else {
+            Source::Digest
+        })
     }
 
     /// Returns what to tell other nodes: the latest answer, if this node got it.
--- a/crates/daisyyard_gateway/src/codec.rs
+++ b/crates/daisyyard_gateway/src/codec.rs
@@ -95,9 +95,11 @@
     pub retry_after: RetryAfter,
     /// To which rate the endpoint limits the requests of all gateways together.
     pub limit: Limit,
+    /// How many requests the endpoint may have to turn away before it falls over.
+    pub brittle: Limit,
 }
 
-/// The rate of requests that an endpoint states to take from all gateways together.
+/// A rate of requests that an endpoint states for all gateways together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Limit {
     /// It states none.
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -98,8 +98,12 @@
     EndpointLimited = 204,
     /// An endpoint no longer states a limit.
     EndpointUnlimited = 205,
-    /// An endpoint states a limit that is no number.
+    /// An endpoint states a limit that is no number, or that it is brittle without one.
     LimitUnusable = 206,
+    /// An endpoint falls over if it has to turn more requests away in a second than it states.
+    EndpointBrittle = 207,
+    /// An endpoint is no longer brittle.
+    EndpointSound = 208,
 }
 
 /// Log level of each event.
@@ -151,6 +155,8 @@
     (Event::EndpointLimited, Level::Warn),
     (Event::EndpointUnlimited, Level::Info),
     (Event::LimitUnusable, Level::Warn),
+    (Event::EndpointBrittle, Level::Warn),
+    (Event::EndpointSound, Level::Info),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -186,6 +186,7 @@
             departures: self.endpoints.departures(now).collect(),
             leavers: self.endpoints.leavers(now).collect(),
             limits: self.endpoints.limit_reports(now).collect(),
+            brittle: self.endpoints.brittle_reports(now).collect(),
             loads: self.endpoints.loads().collect(),
             paces: self.endpoints.paces().collect(),
             news: Vec::new(),
@@ -256,7 +257,7 @@
         self.learn_evidence(&message.evidence, now);
         self.endpoints.hear_cold(&message.cold, now);
         self.hear_leavers(&message.leavers, now);
-        self.hear_limits(&message.limits, now);
+        self.hear_limits(&message.limits, &message.brittle, now);
         if !message.news.is_empty() {
             self.apply_news(message, now);
         } else if message.continuation {
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -111,6 +111,9 @@
     /// What endpoints have stated to the sender on their limits.
     #[prost(message, repeated, tag = "22")]
     limits: Vec<LimitedEndpoint>,
+    /// What endpoints have stated to the sender on their brittleness.
+    #[prost(message, repeated, tag = "30")]
+    brittle: Vec<LimitedEndpoint>,
     /// Work of the heaviest accounts and of the rest.
     #[prost(message, repeated, tag = "24")]
     accounts: Vec<AccountPart>,
@@ -167,9 +170,21 @@
         frames
             .chain(Self::from_leavers(report))
             .chain(Self::from_limits(report))
+            .chain(Self::from_brittle(report))
             .collect()
     }
 
+    /// Splits what brittle endpoints state into frames; none is left out either.
+    fn from_brittle(report: &Report) -> impl Iterator<Item = Self> {
+        report.brittle.chunks(MAX_LIMITS).map(|brittle| Self {
+            instance: report.from,
+            leaving: report.leaving,
+            purpose: Purpose::Continuation.into(),
+            brittle: brittle.iter().copied().map(Into::into).collect(),
+            ..Self::default()
+        })
+    }
+
     /// Splits the limits of endpoints into frames. None is left out, as one gateway that does not know of a
     /// limit could exceed it alone.
     fn from_limits(report: &Report) -> impl Iterator<Item = Self> {
@@ -290,17 +305,20 @@
         };
         let (knowledge, cold) = (last.knowledge, last.cold.clone());
         let told = |cold: &ColdEndpoint| last.cold.iter().any(|last| last.covers(cold));
-        let mut pairs = self.limits.iter().zip(&last.limits);
-        let same_limits = self.limits.len() == last.limits.len()
-            && pairs.all(|(limit, last)| limit.is_told_by(last));
+        let same = |new: &[LimitedEndpoint], last: &[LimitedEndpoint]| {
+            let mut pairs = new.iter().zip(last);
+            new.len() == last.len() && pairs.all(|(new, last)| new.is_told_by(last))
+        };
         renewed
             || !self.cold.iter().all(told)
-            || !same_limits
+            || !same(&self.limits, &last.limits)
+            || !same(&self.brittle, &last.brittle)
             || *last
                 != Self {
                     knowledge,
                     cold,
                     limits: last.limits.clone(),
+                    brittle: last.brittle.clone(),
                     ..self.clone()
                 }
     }
@@ -351,6 +369,7 @@
             cold: Vec::new(),
             leavers: Vec::new(),
             limits: Vec::new(),
+            brittle: Vec::new(),
             instance: report.from,
             leaving: report.leaving,
             loads: Vec::new(),
@@ -402,6 +421,7 @@
             departures: frame.departures.into_iter().map(Into::into).collect(),
             leavers: frame.leavers.into_iter().map(Into::into).collect(),
             limits: frame.limits.into_iter().map(Into::into).collect(),
+            brittle: frame.brittle.into_iter().map(Into::into).collect(),
             loads: frame.loads.into_iter().map(Into::into).collect(),
             news: frame.news.into_iter().map(Into::into).collect(),
             relist_time: Duration::from_millis(frame.relist_ms.into()),
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -377,6 +377,8 @@
     pub(crate) leavers: Vec<Leaver>,
     /// What endpoints have stated to the sender on their limits.
     pub(crate) limits: Vec<throttle::Report>,
+    /// What endpoints have stated to the sender on their brittleness.
+    pub(crate) brittle: Vec<throttle::Report>,
     /// Identifies the set of endpoints that the readers of the store know; zero if it is unknown.
     pub(crate) listing: u64,
     /// Newest orders to evacuate availability zones that the sender knows.
--- a/crates/daisyyard_gateway/src/metrics.rs
+++ b/crates/daisyyard_gateway/src/metrics.rs
@@ -50,6 +50,8 @@
 const STATEMENTS: &str = "daisyyard_gateway_endpoint_statements_total";
 /// Gauge of endpoints that state a limit for all gateways together.
 const LIMITED_ENDPOINTS: &str = "daisyyard_gateway_limited_endpoints";
+/// Gauge of endpoints that fall over if they have to turn many requests away.
+const BRITTLE_ENDPOINTS: &str = "daisyyard_gateway_brittle_endpoints";
 /// Counter of reads of the store, by what was read and outcome.
 const STORE_READS: &str = "daisyyard_gateway_store_reads_total";
 /// Module and level under which the metrics are registered.
@@ -143,6 +145,11 @@
         self.set(LIMITED_ENDPOINTS, endpoints);
     }
 
+    /// Sets the number of brittle endpoints.
+    pub(crate) fn set_brittle(&self, endpoints: usize) {
+        self.set(BRITTLE_ENDPOINTS, endpoints);
+    }
+
     /// Counts a send that waited or went elsewhere because endpoints were cold.
     pub(crate) fn record_cold(&self, effect: &'static str) {
         self.count(COLD_SENDS, &[("effect", effect)]);
--- a/crates/daisyyard_gateway/src/wire_limit.rs
+++ b/crates/daisyyard_gateway/src/wire_limit.rs
@@ -6,7 +6,7 @@
 use daisyyard_core::throttle::Report;
 use prost::Message;
 
-/// What the latest answer of an endpoint to the sender stated on its limit.
+/// What the latest answer of an endpoint to the sender stated on its limit, or on its brittleness.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub(crate) struct LimitedEndpoint {
     /// Identifier of the endpoint.
@@ -15,7 +15,7 @@
     /// Incarnation that made the statement.
     #[prost(uint64, tag = "2")]
     pub(crate) incarnation: u64,
-    /// Requests in 1,000 seconds; absent if the endpoint no longer states a limit.
+    /// Requests in 1,000 seconds; absent if the endpoint no longer states any.
     #[prost(uint32, optional, tag = "3")]
     pub(crate) per_1000_s: Option<u32>,
     /// Time in milliseconds since the answer.
--- a/crates/daisyyard_standin/src/platform_engine.rs
+++ b/crates/daisyyard_standin/src/platform_engine.rs
@@ -66,6 +66,8 @@
     pub retry_after: Option<&'static str>,
     /// Value of `Server-Limit`.
     pub limit: Option<&'static str>,
+    /// Value of `Server-Brittle`.
+    pub brittle: Option<&'static str>,
     /// Time by which responses are delayed; they state what held when the request arrived.
     pub delay: Duration,
 }
@@ -422,6 +424,9 @@
     if let Some(limit) = stated.limit {
         headers.insert("server-limit", HeaderValue::from_static(limit));
     }
+    if let Some(rejections) = stated.brittle {
+        headers.insert("server-brittle", HeaderValue::from_static(rejections));
+    }
     if let Some(time) = stated.retry_after.filter(|_| unavailable) {
         headers.insert(RETRY_AFTER, HeaderValue::from_static(time));
     }
