--- a/crates/daisyyard/tests/platform/mod.rs
+++ b/crates/daisyyard/tests/platform/mod.rs
@@ -6,6 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use daisyyard_standin::brittle_endpoint::{BrittleEndpoint, Conduct};
 use daisyyard_standin::faulty_endpoint::{Fault, FaultyEndpoint};
 use daisyyard_standin::platform_engine::{Arrival, PlatformEngine, Runs};
 use daisyyard_standin::platform_fixture::{self, HOST};
@@ -137,6 +138,16 @@
         endpoint
     }
 
+    /// Starts an endpoint that may fall over and writes its entry to the store.
+    pub(crate) async fn add_brittle(&self, name: &str, conduct: Conduct) -> BrittleEndpoint {
+        let endpoint = BrittleEndpoint::start(name, conduct).await;
+        let endpoint = endpoint.expect("the endpoint starts");
+        let mut entry = platform_fixture::entry("desk", endpoint.address, "ready");
+        entry["slots"] = conduct.slots.into();
+        self.store.put(&format!("servers/{name}"), &entry).await;
+        endpoint
+    }
+
     /// Starts a gateway and waits until it is ready.
     pub(crate) async fn start_gateway(&mut self) {
         let gateway = spawn_gateway(self.store.address, self.gateways.len()).await;
--- a/crates/daisyyard_standin/src/lib.rs
+++ b/crates/daisyyard_standin/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! They implement the protocols of `docs/protocols.md` on real sockets and support fault injection.
 
+pub mod brittle_endpoint;
 pub(crate) mod decoder;
 pub mod engine;
 pub mod fault;
