--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -5,13 +5,14 @@
 use std::time::{Duration, Instant};
 
 use crate::access::{Access, Reason};
+use crate::brittleness::Brittleness;
 use crate::endpoint::{Endpoint, Kind};
 use crate::id::{InstanceId, Revision, ServiceId, Tokens};
 use crate::load::{Load, Need};
 use crate::pace::{Pace, Stretches};
 use crate::pool::Signal;
 use crate::statement::Statements;
-use crate::throttle::Throttle;
+use crate::throttle::{self, Throttle};
 use crate::warmup::Warmup;
 use crate::zone::{Distance, Zone};
 
@@ -85,6 +86,8 @@
     pub(crate) warmup: Warmup,
     /// Limit that the endpoint states for all nodes together.
     pub(crate) throttle: Throttle,
+    /// Whether the endpoint falls over if it has to turn many requests away.
+    pub(crate) brittleness: Brittleness,
     /// Share of the memory that new long runs may reserve.
     pub(crate) max_long_share: f64,
     /// Prompt tokens that may wait at the engine when a request is sent to it.
@@ -112,7 +115,8 @@
             failure_rate: 0.0,
             pace: Pace::default(),
             warmup: Warmup::default(),
-            throttle: Throttle::default(),
+            throttle: Throttle::new(throttle::rate),
+            brittleness: Brittleness::default(),
             max_long_share: MAX_LONG_RUN_MEMORY_SHARE,
             max_prefill: Tokens::MAX,
         }
@@ -152,13 +156,17 @@
     }
 
     /// Returns whether the endpoint is part of a service and could serve it: it is open, or it is
-    /// ejected, cold, limited or turns requests away, and may be asked later.
+    /// ejected, cold, limited, brittle or turns requests away, and may be asked later.
     pub(crate) fn serves(&self, service: ServiceId, now: Instant) -> bool {
         let may_serve = matches!(
             self.access(now),
             Access::Open
                 | Access::Closed(
-                    Reason::TurnedAway | Reason::Ejected | Reason::Cold | Reason::Limited,
+                    Reason::TurnedAway
+                        | Reason::Ejected
+                        | Reason::Cold
+                        | Reason::Limited
+                        | Reason::Brittle,
                     _
                 )
         );
@@ -228,13 +236,16 @@
                 let reads_soon = load.prefill <= self.max_prefill;
                 runs < self.endpoint.slots.min(need.connections) && has_memory && reads_soon
             }
-            Kind::Plain => runs < self.max_plain_runs().min(need.connections),
+            Kind::Plain => runs < self.max_plain_runs(now).min(need.connections),
         }
     }
 
     /// Returns how many requests are sent to a plain endpoint before further ones wait at the node.
-    pub(crate) fn max_plain_runs(&self) -> u32 {
+    pub(crate) fn max_plain_runs(&self, now: Instant) -> u32 {
         let slots = self.endpoint.slots.max(1);
+        if self.brittleness.bound(now).is_some() {
+            return slots;
+        }
         slots.saturating_mul(PLAIN_REQUESTS_PER_SLOT)
     }
 
--- a/crates/daisyyard_core/src/limit.rs
+++ b/crates/daisyyard_core/src/limit.rs
@@ -8,17 +8,17 @@
 use crate::endpoint::Endpoint;
 use crate::id::{EndpointId, ServiceId};
 use crate::pool::Pool;
-use crate::throttle::Report;
+use crate::throttle::{Report, Source};
 
-/// An endpoint whose limit has changed.
+/// An endpoint that has begun or ceased to state a rate, or states another one.
 #[derive(Debug, Clone)]
 pub struct Change {
     /// The endpoint.
     pub endpoint: Arc<Endpoint>,
-    /// Requests in 1,000 seconds; none if the endpoint is no longer limited.
+    /// Requests in 1,000 seconds; none if it no longer states any.
     pub per_1000_s: Option<u32>,
-    /// Whether this node got the answer that changed it.
-    pub first_hand: bool,
+    /// Where the node has learnt of it.
+    pub source: Source,
 }
 
 impl Pool {
@@ -69,7 +69,7 @@
             changed.then(|| Change {
                 endpoint: Arc::clone(&candidate.endpoint),
                 per_1000_s: limit,
-                first_hand: throttle.latest.is_some_and(|latest| latest.first_hand),
+                source: throttle.source().unwrap_or(Source::Digest),
             })
         });
         changed.collect()
@@ -83,8 +83,8 @@
         limited.map(|(id, _)| *id)
     }
 
-    /// Returns when the first endpoint of a service opens, if all that are not excluded are limited or turn
-    /// requests away; none if another one may serve the request. Where that depends on other nodes, it is
+    /// Returns when the first endpoint of a service opens, if all that are not excluded are limited, have no
+    /// slot for this node while they are brittle, or turn requests away; none if another one may serve the request. Where that depends on other nodes, it is
     /// the mean time after which any node may send.
     pub fn limited_opening(
         &self,
@@ -102,6 +102,14 @@
                     limited = true;
                     opens.unwrap_or_else(|| now + candidate.throttle.share.interval())
                 }
+                Access::Closed(Reason::Brittle, opens) => {
+                    if candidate.brittleness.owns_slot(0, now) {
+                        // Whenever one of the runs there ends.
+                        return None;
+                    }
+                    limited = true;
+                    opens.unwrap_or_else(|| now + candidate.brittleness.stated.share.interval())
+                }
                 Access::Closed(Reason::TurnedAway, opens) => opens?,
                 _ => return None,
             };
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -100,7 +100,7 @@
     EndpointLimited = 204,
     /// An endpoint no longer states a limit.
     EndpointUnlimited = 205,
-    /// An endpoint states a limit that is no number.
+    /// An endpoint states a limit that is no number, or that it is brittle without one.
     LimitUnusable = 206,
     /// The gateway is cut off from the endpoints and relays its requests to other gateways.
     EndpointsUnreachable = 210,
@@ -114,6 +114,10 @@
     RunHandedOver = 214,
     /// This gateway has continued a run for another one, or failed to.
     RunAdopted = 215,
+    /// An endpoint falls over if it has to turn more requests away in a second than it states.
+    EndpointBrittle = 207,
+    /// An endpoint is no longer brittle.
+    EndpointSound = 208,
 }
 
 /// Log level of each event.
@@ -172,6 +176,8 @@
     (Event::RelayFailed, Level::Warn),
     (Event::RunHandedOver, Level::Info),
     (Event::RunAdopted, Level::Info),
+    (Event::EndpointBrittle, Level::Warn),
+    (Event::EndpointSound, Level::Info),
 ];
 
 impl Event {
--- a/crates/daisyyard_gateway/src/metrics.rs
+++ b/crates/daisyyard_gateway/src/metrics.rs
@@ -55,6 +55,8 @@
 const LIMITED_ENDPOINTS: &str = "daisyyard_gateway_limited_endpoints";
 /// Gauge of whether this gateway is cut off from the endpoints.
 const ISOLATED: &str = "daisyyard_gateway_isolated";
+/// Gauge of endpoints that fall over if they have to turn many requests away.
+const BRITTLE_ENDPOINTS: &str = "daisyyard_gateway_brittle_endpoints";
 /// Counter of reads of the store, by what was read and outcome.
 const STORE_READS: &str = "daisyyard_gateway_store_reads_total";
 /// Counter of requests that were relayed to other gateways or taken from them, by outcome.
@@ -170,6 +172,11 @@
         self.set(ISOLATED, usize::from(isolated));
     }
 
+    /// Sets the number of brittle endpoints.
+    pub(crate) fn set_brittle(&self, endpoints: usize) {
+        self.set(BRITTLE_ENDPOINTS, endpoints);
+    }
+
     /// Counts a send that waited or went elsewhere because endpoints were cold.
     pub(crate) fn record_cold(&self, effect: &'static str) {
         self.count(COLD_SENDS, &[("effect", effect)]);
