--- a/crates/daisyyard_core/src/stream_end.rs
+++ b/crates/daisyyard_core/src/stream_end.rs
@@ -85,14 +85,23 @@
         self.lost |= reply == Reply::Lost;
     }
 
-    /// Records that the run goes on at the engine that was to stop it. Orders without an answer may still
-    /// reach the engine.
-    pub fn resume(&mut self) {
-        self.may_have_stopped = false;
+    /// Records that no answers arrive any more. Orders without one may still reach the engine.
+    pub fn withdraw(&mut self) {
         self.lost |= self.open > 0;
         self.open = 0;
     }
 
+    /// Records that the run goes on at the engine that was to stop it.
+    pub fn resume(&mut self) {
+        self.withdraw();
+        self.may_have_stopped = false;
+    }
+
+    /// Records that another node may have sent orders whose answers are lost.
+    pub fn suspect(&mut self) {
+        self.lost = true;
+    }
+
     /// Returns what the orders may have done. An order without effect does not undo an earlier one: an
     /// engine no longer executes a run that it was told to stop before.
     pub fn effect(&self) -> Effect {
--- a/crates/daisyyard_core/tests/stream_end.rs
+++ b/crates/daisyyard_core/tests/stream_end.rs
@@ -89,6 +89,28 @@
     assert_eq!(orders.effect(), Effect::Possible);
 }
 
+/// Orders that are withdrawn keep what they may have done, whether or not the run goes on elsewhere.
+#[test]
+fn withdrawn_orders() {
+    for (reply, expected) in [
+        (Some(Reply::Void), Effect::None),
+        (Some(Reply::Effective), Effect::Possible),
+        (Some(Reply::Lost), Effect::Possible),
+        (None, Effect::Possible),
+    ] {
+        let mut orders = Orders::default();
+        orders.send();
+        if let Some(reply) = reply {
+            orders.settle(reply);
+        }
+        orders.withdraw();
+        assert_eq!(orders.effect(), expected, "{reply:?}");
+    }
+    let mut unknown = Orders::default();
+    unknown.suspect();
+    assert_eq!(unknown.effect(), Effect::Possible);
+}
+
 /// An order whose answer was lost or is missing may still stop a run that goes on at the same engine, but an
 /// answered one may not.
 #[test]
--- a/crates/daisyyard_gateway/src/adoption.rs
+++ b/crates/daisyyard_gateway/src/adoption.rs
@@ -29,7 +29,8 @@
 /// Failover reason: another gateway has handed the run over.
 const HANDED_OVER: &str = "handed_over";
 
-/// Registers a run that another gateway hands over; fails if its engine is not known.
+/// Registers a run that another gateway hands over; fails if its engine is not known, or is one of another
+/// service.
 #[derive(Debug)]
 pub(crate) struct Adopt {
     /// Resources that the run needs.
@@ -54,6 +55,10 @@
             source: handover.source,
             standby: handover.standby.clone(),
         };
+        // A run that cannot be stopped might be executed by two engines.
+        if !job.engine.is_some_and(|engine| engine.moves) {
+            return self.refuse(job, Refusal::Declined, "-");
+        }
         // The pool ends only with the process.
         let Some(grant) = self.pool.send(adopt).await.ok().flatten() else {
             return self.refuse(job, Refusal::Declined, "-");
@@ -73,6 +78,10 @@
             sender,
             runs_left,
         );
+        if handover.stopped {
+            let orders = relay.orders.entry(handover.source.engine).or_default();
+            orders.suspect();
+        }
         let resumed = relay.recover(HANDED_OVER).await;
         let outcome = if resumed { "resumed" } else { "lost" };
         let details = format!(
@@ -84,10 +93,19 @@
         self.log.emit(Event::RunAdopted, &details);
         self.metrics.record_relay("adopted", outcome);
         if !resumed {
-            return self.refuse(job, Refusal::Lost, "-");
+            // If no engine was asked, none has stopped or continued the run.
+            let asked = relay.reached || relay.orders.values().any(|orders| orders.sent);
+            let refusal = if asked {
+                Refusal::Lost
+            } else {
+                Refusal::Declined
+            };
+            return self.refuse(job, refusal, "-");
         }
         tokio::spawn(relay.run());
-        Response::new(body)
+        let mut response = Response::new(body);
+        (self.codec.relay.set_resumed)(response.headers_mut());
+        response
     }
 }
 
@@ -97,7 +115,11 @@
     async fn handle(&mut self, message: Adopt, _: &mut Context<Self>) -> Option<Grant> {
         let now = Instant::now();
         let endpoint = self.endpoints.endpoint(message.source.engine)?;
+        // The route may lead to another service by now, whose engines cannot continue the run.
         let endpoint = Arc::clone(endpoint);
+        if endpoint.service != message.need.service {
+            return None;
+        }
         let (notices, receiver) = mpsc::channel(1);
         let run = self.register(Run {
             endpoint: endpoint.id,
--- a/crates/daisyyard_gateway/src/codec.rs
+++ b/crates/daisyyard_gateway/src/codec.rs
@@ -90,6 +90,8 @@
     pub standby: Standby,
     /// Number of the last event that the caller has.
     pub last_event: Option<u64>,
+    /// Whether an order to stop the run may have reached the engine, or may reach it later.
+    pub stopped: bool,
 }
 
 /// A copy of a run's KV cache from which the run can resume.
@@ -302,12 +304,16 @@
 pub struct Relay {
     /// Adds to a caller's request its remaining time and what else the other gateway has to know.
     pub write_request: fn(&mut HeaderMap, timeout: Duration, &Relayed),
-    /// Reads what the gateway that relays a request states.
-    pub read_request: fn(&HeaderMap) -> Relayed,
+    /// Reads what the gateway that relays a request states; none if the run that it hands over cannot be read.
+    pub read_request: fn(&HeaderMap) -> Option<Relayed>,
     /// Marks a response, or removes the mark: this gateway does not serve the request, another may.
     pub set_elsewhere: fn(&mut HeaderMap, elsewhere: bool),
     /// Returns whether a response has this mark.
     pub is_elsewhere: fn(&HeaderMap) -> bool,
+    /// Marks the response with the rest of a run that was handed over.
+    pub set_resumed: fn(&mut HeaderMap),
+    /// Returns whether a response has this mark.
+    pub is_resumed: fn(&HeaderMap) -> bool,
 }
 
 /// All functions that an adapter provides.
--- a/crates/daisyyard_gateway/src/halt.rs
+++ b/crates/daisyyard_gateway/src/halt.rs
@@ -78,6 +78,8 @@
     record: watch::Sender<stream_end::Orders>,
     /// Order that nobody waits for. It goes on until the engine answers.
     open: Option<Order>,
+    /// Whether any order was sent from here.
+    pub(crate) sent: bool,
 }
 
 /// An order to stop a run.
@@ -104,15 +106,29 @@
             .await;
     }
 
-    /// Forgets the orders, because the run goes on at the engine that was to stop it. One that is under way
-    /// is withdrawn, but may still reach the engine.
+    /// Withdraws the order that is under way, which may still reach the engine.
+    pub(crate) fn withdraw(&mut self) {
+        self.end(stream_end::Orders::withdraw);
+    }
+
+    /// Forgets the answered orders, because the run goes on at the engine that was to stop it.
     pub(crate) fn reset(&mut self) {
+        self.end(stream_end::Orders::resume);
+    }
+
+    /// Notes that another gateway may have sent orders whose answers are lost.
+    pub(crate) fn suspect(&mut self) {
+        self.record.send_modify(stream_end::Orders::suspect);
+    }
+
+    /// Ends the order that is under way, and changes the record of the others.
+    fn end(&mut self, change: fn(&mut stream_end::Orders)) {
         if let Some(order) = self.open.take() {
             order.task.abort();
         }
-        // The task may record one more answer, which must not count for the run that goes on.
+        // The task may record one more answer, which must not count any more.
         let mut orders = *self.record.borrow();
-        orders.resume();
+        change(&mut orders);
         self.record = watch::Sender::new(orders);
     }
 
@@ -168,12 +184,13 @@
 
     /// Starts the task that asks the engine.
     fn send(
-        &self,
+        &mut self,
         proxy: &Proxy,
         job: &Arc<Job>,
         source: &Arc<Endpoint>,
         target: &Arc<Endpoint>,
     ) -> Order {
+        self.sent = true;
         let stop = stop(
             proxy.clone(),
             Arc::clone(job),
--- a/crates/daisyyard_gateway/src/handover.rs
+++ b/crates/daisyyard_gateway/src/handover.rs
@@ -5,7 +5,7 @@
 
 use daisyyard_core::continuation::{Holder, Standby};
 use daisyyard_core::id::{InstanceId, RequestId};
-use daisyyard_core::stream_end::Framing;
+use daisyyard_core::stream_end::{Effect, Framing};
 use daisyyard_http::connection::Answer;
 use hyper::StatusCode;
 use xtra::{Context, Handler};
@@ -105,6 +105,7 @@
             // The pool ends only with the process.
             standby: standby.unwrap_or_default(),
             last_event: self.splitter.last_number(),
+            stopped: false,
         };
         Relayed {
             counted: true,
@@ -126,7 +127,11 @@
             return Outcome::Declined;
         }
         // An order to stop the run that arrives late could stop it where the other gateway continues it.
-        self.orders.values_mut().for_each(Orders::reset);
+        self.orders.values_mut().for_each(Orders::withdraw);
+        let mut relayed = relayed.clone();
+        if let Some(handover) = &mut relayed.handover {
+            handover.stopped = self.effect() != Effect::None;
+        }
         let mut excluded = Vec::new();
         while excluded.len() < MAX_RELAYS && !self.job.remaining().is_zero() {
             let found = self.proxy.pool.send(FindPeer(excluded.clone())).await;
@@ -136,7 +141,7 @@
             let id = peer.id;
             excluded.push(id);
             let outcome = tokio::select! {
-                outcome = self.hand_to(peer, relayed) => outcome,
+                outcome = self.hand_to(peer, &relayed) => outcome,
                 () = self.sender.closed() => Outcome::Lost,
             };
             self.report(id, &outcome);
@@ -165,7 +170,10 @@
     fn take(&self, peer: Peer, answer: Answer) -> Outcome {
         let (parts, body) = answer.response.into_parts();
         match parts.status {
-            StatusCode::OK if framing(&parts.headers) == Framing::Explicit => {
+            StatusCode::OK
+                if framing(&parts.headers) == Framing::Explicit
+                    && (self.proxy.codec.relay.is_resumed)(&parts.headers) =>
+            {
                 Outcome::Taken(Box::new(Passage {
                     proxy: self.proxy.clone(),
                     job: Arc::clone(&self.job),
--- a/crates/daisyyard_gateway/src/ingress.rs
+++ b/crates/daisyyard_gateway/src/ingress.rs
@@ -84,7 +84,8 @@
         // Callers cannot state anything in place of a gateway.
         let relayed = match self.origin {
             Origin::Caller => Relayed::default(),
-            Origin::Gateway => (self.codec.relay.read_request)(&head.headers),
+            Origin::Gateway => (self.codec.relay.read_request)(&head.headers)
+                .ok_or_else(|| failed(Refusal::Declined))?,
         };
         // A run that is handed over goes on after the last event that its caller has.
         let handover = relayed.handover.as_ref();
