Keep the cause of a lost answer when no further gateway takes the request

Cause: a call whose answer was late and that no further gateway took was answered 502 instead of 504.

--- a/crates/daisyyard/tests/handed_over.rs
+++ b/crates/daisyyard/tests/handed_over.rs
@@ -14,6 +14,8 @@
 const EVENT_COUNT: u64 = 150;
 /// Token usage of such a stream: prompt and output tokens.
 const USAGE: &str = "100,600";
+/// Time after which links are closed.
+const CLOSE_TIME: Duration = Duration::from_millis(50);
 /// Time after the cut until the other gateway is lost, which continues the stream then.
 const LOSS_DELAY: Duration = Duration::from_millis(1_200);
 /// Time after which a stream has events and a copy.
@@ -56,7 +58,13 @@
         if other == Other::LostBefore {
             end();
         }
+        // An engine whose link is still open when the stream breaks would get the continuation.
+        let engine = platform.ran(path).await.remove(0).engine;
+        let index = platform.engines.iter().position(|it| it.name == engine);
+        let own = outlier.links.remove(index.expect("an engine"));
         outlier.links.clear();
+        tokio::time::sleep(CLOSE_TIME).await;
+        drop(own);
         if other == Other::LostAfter {
             tokio::time::sleep(LOSS_DELAY).await;
             end();
--- a/crates/daisyyard/tests/relayed_requests.rs
+++ b/crates/daisyyard/tests/relayed_requests.rs
@@ -3,6 +3,7 @@
 
 mod platform;
 
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use daisyyard_standin::platform_engine::Mode;
@@ -130,6 +131,31 @@
     assert_eq!(platform.ran("/book/1").await.len(), 10);
 }
 
+/// A gateway that is told to stop finishes what was relayed to it; later requests go to another one.
+#[tokio::test]
+async fn leaving_peer() {
+    let (platform, outlier) = start(2).await;
+    let request = stream_request("/draft/1", USAGE);
+    let stream = async |number: u32| {
+        let attempt = format!("stream-{number}");
+        let answer = platform.send_through(outlier.gateway, &attempt, &request);
+        assert_eq!(answer.await, (StatusCode::OK, Some(events(EVENT_COUNT))));
+    };
+    let before = futures_util::future::join_all((0..4).map(&stream));
+    let after = async {
+        platform::wait_until("the streams run", async || {
+            platform.ran("/draft/1").await.len() == 4
+        })
+        .await;
+        let pid = platform.gateways[0].process.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &pid]).status();
+        assert!(sent.expect("a signal is sent").success());
+        futures_util::future::join_all((4..8).map(&stream)).await;
+    };
+    tokio::join!(before, after);
+    assert_eq!(platform.ran("/draft/1").await.len(), 8);
+}
+
 /// Calls that may have run are not repeated when the gateway that sent them is lost.
 #[tokio::test]
 async fn lost_answer() {
@@ -189,17 +215,25 @@
     assert_eq!(platform.ran("/stock/1").await.len(), 2);
 }
 
-/// Returns the index of the gateway to which a call is relayed, which has a connection for it.
+/// Returns the index of the gateway to which a call is relayed: once earlier connections are closed, only
+/// that one has a connection.
 async fn sender(gateways: &[platform::Gateway]) -> usize {
-    for (index, gateway) in gateways.iter().enumerate() {
-        let text = platform::text(gateway.metrics, "/metrics").await;
-        let held = "daisyyard_gateway_held{use=\"connections\"} ";
-        let line = text.lines().find_map(|line| line.strip_prefix(held));
-        if line.is_some_and(|count| count.trim() != "0") {
+    let held = "daisyyard_gateway_held{use=\"connections\"} ";
+    let deadline = Instant::now() + TIMEOUT;
+    loop {
+        let mut connected = Vec::new();
+        for (index, gateway) in gateways.iter().enumerate() {
+            let text = platform::text(gateway.metrics, "/metrics").await;
+            let count = text.lines().find_map(|line| line.strip_prefix(held));
+            if count.is_some_and(|count| count.trim() != "0") {
+                connected.push(index);
+            }
+        }
+        if let [index] = connected[..] {
             return index;
         }
+        assert!(Instant::now() < deadline, "in time: {connected:?}");
     }
-    panic!("a gateway has the call");
 }
 
 /// A stream breaks off when the gateway that passes it on is lost; it never looks complete.
--- a/crates/daisyyard_gateway/src/detour.rs
+++ b/crates/daisyyard_gateway/src/detour.rs
@@ -159,7 +159,10 @@
             let runs_left = job.max_runs() > detour.possible_runs;
             let retry =
                 not_run || runs_left && job.route.is_repeatable() && self.retry_allowed(job).await;
-            ended = Some((late, reason, response));
+            // A gateway that did not take the request does not change what is known of the others.
+            if !not_run || ended.is_none() {
+                ended = Some((late, reason, response));
+            }
             if history.fail(retry) != Decision::Retry {
                 break;
             }
