Follow up on the review of relayed requests

- A refusal of another gateway by its configuration (401, 403, 404 without an endpoint's signature) is not passed on: it may know an older version than this one.
A further gateway is asked.
- If an idempotent request may have run through another gateway, a later 503 or 429 is not passed on as 'not run'.
- Only a request that reached no endpoint may be relayed without a place in the retry budget.
- Nothing is relayed that would outlast a planned stop, and the body of a relayed stream is dropped when its answer begins.
- An order to stop a run is waited for no longer than one to an engine that may be down, once the gateway is cut off. handed_over, relayed_requests, stopped_stream, run_overlap and gateway_retries pass.

--- a/crates/daisyyard_gateway/src/detour.rs
+++ b/crates/daisyyard_gateway/src/detour.rs
@@ -83,6 +83,19 @@
     connection::open(peer.address, Some(Instant::now() + CONNECT_TIMEOUT)).await
 }
 
+/// Returns whether the answer of another gateway means that a further one should be asked: it does not know
+/// the route or credential yet, or states that the request was not run, although an earlier one may have.
+fn is_declined(status: StatusCode, signed: bool, ran_before: bool) -> bool {
+    match status {
+        StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN | StatusCode::NOT_FOUND => !signed,
+        StatusCode::REQUEST_TIMEOUT
+        | StatusCode::MISDIRECTED_REQUEST
+        | StatusCode::TOO_MANY_REQUESTS
+        | StatusCode::SERVICE_UNAVAILABLE => ran_before,
+        _ => false,
+    }
+}
+
 impl Proxy {
     /// Handles a request that another gateway relays, and marks the response if that one should ask
     /// elsewhere.
@@ -101,6 +114,16 @@
         *self.isolated.borrow()
     }
 
+    /// Waits until this gateway is cut off from the endpoints. One that continues runs for others does not
+    /// hand them on, so that nothing follows from it there.
+    pub(crate) async fn cut_off(&self) {
+        let mut isolated = self.isolated.clone();
+        let ended = isolated.wait_for(|isolated| *isolated).await.is_err();
+        if ended || self.origin == Origin::Gateway {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Returns whether a request may be relayed to another gateway.
     pub(crate) fn is_open(&self, detour: &Detour, history: &History) -> bool {
         self.is_isolated() && self.may_open(detour, history)
@@ -129,7 +152,10 @@
     ) -> Option<Response<Body>> {
         let mut history = History::new(job.route.is_repeatable());
         let mut ended = None;
-        while detour.relays < MAX_RELAYS && job.remaining() > MIN_REMAINING {
+        while detour.relays < MAX_RELAYS
+            && job.remaining() > MIN_REMAINING
+            && !self.ending.precedes(job.deadline)
+        {
             let Some(peer) = self.find_peer(detour).await else {
                 break;
             };
@@ -229,12 +255,21 @@
                 response: None,
             };
         }
+        let ran_before = detour.possible_runs > 0;
         detour.possible_runs += runs;
-        self.pass_on(job, peer, answer, deadline).await
+        self.pass_on(job, peer, answer, (deadline, ran_before))
+            .await
     }
 
-    /// Passes the answer of another gateway on to the caller.
-    async fn pass_on(&self, job: &Arc<Job>, peer: Peer, answer: Answer, deadline: Instant) -> Sent {
+    /// Passes the answer of another gateway on to the caller. It is whole by the deadline; before, the
+    /// request may have run through another gateway.
+    async fn pass_on(
+        &self,
+        job: &Arc<Job>,
+        peer: Peer,
+        answer: Answer,
+        (deadline, ran_before): (Instant, bool),
+    ) -> Sent {
         let (mut parts, incoming) = answer.response.into_parts();
         let receipt = (self.codec.read_response)(parts.status, &parts.headers);
         if parts.status.is_success() && !(receipt.signed && receipt.answers(&job.attempt)) {
@@ -247,8 +282,16 @@
             return answer_unusable("unframed_answer");
         }
         let status = parts.status;
+        if is_declined(status, receipt.signed, ran_before) {
+            return Sent::Failed {
+                progress: Progress::Declined,
+                late: false,
+                reason: "declined",
+                response: None,
+            };
+        }
         if status == StatusCode::OK && job.route.kind == Kind::Streaming {
-            job.drop_body(0);
+            job.clear_body();
             let (sender, body) = body::channel();
             let passage = Passage {
                 proxy: self.clone(),
--- a/crates/daisyyard_gateway/src/halt.rs
+++ b/crates/daisyyard_gateway/src/halt.rs
@@ -150,12 +150,12 @@
         };
         let earlier = self.open.take();
         let mut halt = match earlier {
-            Some(order) => self.wait(order, target, started + timeout).await,
+            Some(order) => self.wait(proxy, order, target, started + timeout).await,
             None => Halt::Unanswered,
         };
         if self.open.is_none() && !matches!(halt, Halt::Moved(_) | Halt::Kept(_)) {
             let order = self.send(proxy, job, source, target);
-            halt = self.wait(order, target, started + timeout).await;
+            halt = self.wait(proxy, order, target, started + timeout).await;
         }
         let details = format!(
             "request={} endpoint={} target={} ms={} outcome={}",
@@ -169,13 +169,30 @@
         halt
     }
 
-    /// Waits until a time for the result of an order, which goes on after it.
-    async fn wait(&mut self, mut order: Order, target: &Endpoint, until: Instant) -> Halt {
-        match tokio::time::timeout_at(until, &mut order.task).await {
-            Ok(Ok(Halt::Moved(handle))) if order.target != Holder::of(target) => Halt::Kept(handle),
-            Ok(Ok(halt)) => halt,
-            Ok(Err(_)) => Halt::Unanswered,
-            Err(_) => {
+    /// Waits for the result of an order until a time, or for less if this gateway is cut off from the
+    /// endpoints. The order goes on after it.
+    async fn wait(
+        &mut self,
+        proxy: &Proxy,
+        mut order: Order,
+        target: &Endpoint,
+        until: Instant,
+    ) -> Halt {
+        let cut_off = async {
+            proxy.cut_off().await;
+            tokio::time::sleep(HALT_TIMEOUT).await;
+        };
+        let result = tokio::select! {
+            result = tokio::time::timeout_at(until, &mut order.task) => result.ok(),
+            () = cut_off => None,
+        };
+        match result {
+            Some(Ok(Halt::Moved(handle))) if order.target != Holder::of(target) => {
+                Halt::Kept(handle)
+            }
+            Some(Ok(halt)) => halt,
+            Some(Err(_)) => Halt::Unanswered,
+            None => {
                 self.open = Some(order);
                 Halt::Unanswered
             }
--- a/crates/daisyyard_gateway/src/handover.rs
+++ b/crates/daisyyard_gateway/src/handover.rs
@@ -174,6 +174,7 @@
                 if framing(&parts.headers) == Framing::Explicit
                     && (self.proxy.codec.relay.is_resumed)(&parts.headers) =>
             {
+                self.job.clear_body();
                 Outcome::Taken(Box::new(Passage {
                     proxy: self.proxy.clone(),
                     job: Arc::clone(&self.job),
--- a/crates/daisyyard_gateway/src/job.rs
+++ b/crates/daisyyard_gateway/src/job.rs
@@ -106,7 +106,7 @@
         let is_streaming = self.route.kind == Kind::Streaming;
         let may_continue = is_streaming && self.engine.is_some_and(continues);
         if runs_left == 0 && !may_continue {
-            *self.body() = None;
+            self.clear_body();
         }
     }
 
@@ -116,6 +116,11 @@
         self.route.max_attempts.min(stated)
     }
 
+    /// Drops the body of a request that is not sent again.
+    pub(crate) fn clear_body(&self) {
+        *self.body() = None;
+    }
+
     /// Returns the time until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -168,8 +168,9 @@
                 && job.remaining() > MIN_REMAINING
                 && !self.ending.precedes(job.deadline);
             // Another gateway sends the request for the first time.
+            let unsent = progress == Progress::Unsent;
             let retry = worth_retrying
-                && (not_run && self.is_open(&detour, &history)
+                && (unsent && self.is_open(&detour, &history)
                     || (not_run || may_repeat) && self.retry_allowed(&job).await);
             match history.fail(retry) {
                 Decision::Retry => {
