--- a/crates/daisyyard/tests/relayed_requests.rs
+++ b/crates/daisyyard/tests/relayed_requests.rs
@@ -31,6 +31,23 @@
     let mut outlier = Outlier::start(&mut platform).await;
     platform::wait_until_listed(&platform.gateways).await;
     outlier.cut(&platform).await;
+    // A gateway takes requests once the one that is cut off has heard of it.
+    for gateway in &platform.gateways[..reaching] {
+        let mut number = 0;
+        let deadline = Instant::now() + TIMEOUT;
+        while !platform::text(gateway.metrics, "/metrics")
+            .await
+            .contains("side=\"taken\"")
+        {
+            assert!(Instant::now() < deadline, "in time: each gateway is asked");
+            number += 1;
+            let attempt = format!("probe-{}-{number}", gateway.requests);
+            let request = plain_request(Method::GET, "/stock/probe");
+            platform
+                .send_through(outlier.gateway, &attempt, &request)
+                .await;
+        }
+    }
     (platform, outlier)
 }
 
