--- a/crates/daisyyard_core/tests/stream_end.rs
+++ b/crates/daisyyard_core/tests/stream_end.rs
@@ -89,6 +89,17 @@
     assert_eq!(orders.effect(), Effect::Possible);
 }
 
+/// Returns what one order with this answer, or without one, may have done after a change.
+fn effect_after(reply: Option<Reply>, change: fn(&mut Orders)) -> Effect {
+    let mut orders = Orders::default();
+    orders.send();
+    if let Some(reply) = reply {
+        orders.settle(reply);
+    }
+    change(&mut orders);
+    orders.effect()
+}
+
 /// Orders that are withdrawn keep what they may have done, whether or not the run goes on elsewhere.
 #[test]
 fn withdrawn_orders() {
@@ -98,13 +109,8 @@
         (Some(Reply::Lost), Effect::Possible),
         (None, Effect::Possible),
     ] {
-        let mut orders = Orders::default();
-        orders.send();
-        if let Some(reply) = reply {
-            orders.settle(reply);
-        }
-        orders.withdraw();
-        assert_eq!(orders.effect(), expected, "{reply:?}");
+        let effect = effect_after(reply, Orders::withdraw);
+        assert_eq!(effect, expected, "{reply:?}");
     }
     let mut unknown = Orders::default();
     unknown.suspect();
@@ -121,12 +127,7 @@
         (Some(Reply::Lost), Effect::Possible),
         (None, Effect::Possible),
     ] {
-        let mut orders = Orders::default();
-        orders.send();
-        if let Some(reply) = reply {
-            orders.settle(reply);
-        }
-        orders.resume();
-        assert_eq!(orders.effect(), expected, "{reply:?}");
+        let effect = effect_after(reply, Orders::resume);
+        assert_eq!(effect, expected, "{reply:?}");
     }
 }
