--- a/crates/daisyyard_gateway/src/halt.rs
+++ b/crates/daisyyard_gateway/src/halt.rs
@@ -221,6 +221,7 @@
         }
     }
 }
+
 impl Relay {
     /// Stops the run at its engine if the engines of the service can do so. An engine that may be down
     /// has less time to answer unless the caller is patient.
