--- a/review/standin-2/evacuation.rs
+++ b/review/standin-2/evacuation.rs
@@ -82,6 +82,7 @@
                 while !stop.load(Ordering::SeqCst) {
                     number += 1;
                     let attempt = format!("a{client:02}{number:06}");
+                    record.line(&format!("send attempt={attempt} gateway={name}"));
                     let status = post(address, &attempt);
                     record.line(&format!(
                         "answer attempt={attempt} gateway={name} status={status}"
--- a/review/standin-2/poison.rs
+++ b/review/standin-2/poison.rs
@@ -80,6 +80,7 @@
                 while !stop.load(Ordering::SeqCst) {
                     number += 1;
                     let attempt = format!("s{client:02}{number:06}");
+                    record.line(&format!("send attempt={attempt} gateway={address}"));
                     let status =
                         stream(address, &attempt, &format!("declare consignment {attempt}"));
                     record.line(&format!("answer attempt={attempt} status={status}"));
@@ -97,6 +98,7 @@
         let address = gateways[number % gateways.len()].requests;
         number += 1;
         let attempt = format!("f{number:06}");
+        record.line(&format!("send attempt={attempt} gateway={address}"));
         let status = stream(address, &attempt, FATAL);
         record.show(&format!(
             "answer attempt={attempt} status={status} (the request that crashes engines)"
--- a/review/standin-2/slow.rs
+++ b/review/standin-2/slow.rs
@@ -106,11 +106,13 @@
                     let attempt = format!("s{number:02}{call:02}");
                     let mut client = Client { socket, attempt };
                     // The connection has served a request before and is kept.
+                    record.line(&format!("send attempt={} small", client.attempt));
                     let small = client
                         .send("/post/small")
                         .and_then(|()| client.read_after(Duration::ZERO));
                     record.line(&format!("answer attempt={} {small:?}", client.attempt));
                     client.attempt = format!("l{number:02}{call:02}");
+                    record.line(&format!("send attempt={} large", client.attempt));
                     let large = client
                         .send("/post/large")
                         .and_then(|()| client.read_after(pause));
