Count silent gateways as lost once the store shows that this one is connected

Cause: if no digest arrived from any gateway, Members took this gateway for partitioned and offered all listed ones, until the leases of their entries ended after 10 s. Whether it read the store and reached endpoints meanwhile did not count. The same judgement hid the loss of all serving gateways of a zone from the reserves there, which offered every listed gateway.

Ruled out: that the loss goes unnoticed (the gateway reads the store itself without digests), and the length of the leases (with two gateways left, silence removes the lost ones after 1.5 s).

Change: all others that are silent count as lost once the store has answered a read made after the silence began, while this gateway reaches endpoints. Otherwise it may be the one that is cut off, and offers them as before.

--- a/crates/daisyyard/tests/platform/mod.rs
+++ b/crates/daisyyard/tests/platform/mod.rs
@@ -305,7 +305,7 @@
 }
 
 /// Returns the addresses that a gateway offers to callers, in order.
-async fn offered(directory: SocketAddr) -> Vec<String> {
+pub(crate) async fn offered(directory: SocketAddr) -> Vec<String> {
     let text = text(directory, "/-/resolution?zone=zone-a").await;
     let answer: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
     let addresses = answer["addresses"].as_array().into_iter().flatten();
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -73,6 +73,8 @@
     offered: bool,
     /// Whether this gateway reaches the store.
     reaches_store: bool,
+    /// Latest time up to which this gateway has read the store; none before the first read.
+    store_read_at: Option<Instant>,
     /// Whether this gateway is cut off from the endpoints.
     pub(crate) isolated: bool,
     /// The other gateways.
@@ -100,6 +102,7 @@
             own_id: id::of(name),
             offered: false,
             reaches_store: true,
+            store_read_at: None,
             isolated: false,
             others: BTreeMap::new(),
             unlisted: BTreeMap::new(),
@@ -226,6 +229,11 @@
         self.reaches_store
     }
 
+    /// Records that this gateway has read all changes of the store up to a time.
+    pub fn record_store_read(&mut self, at: Instant) {
+        self.store_read_at = self.store_read_at.max(Some(at));
+    }
+
     /// Starts offering this gateway to callers.
     pub fn start_offering(&mut self) {
         self.offered = true;
@@ -305,7 +313,6 @@
         }
         self.divided_at = Some(now);
         let timeout = self.silence_timeout();
-        // If all are silent, this gateway is partitioned and cannot tell which of them are lost.
         let partitioned = self.is_partitioned(now);
         for member in self.others.values_mut() {
             if !partitioned && member.is_silent(timeout, now) {
@@ -346,17 +353,31 @@
         }
     }
 
-    /// Returns whether no digest has arrived recently from any gateway that should send them.
+    /// Returns whether this gateway may be the one that is cut off, so that it cannot tell which of the
+    /// others are lost: all that should send digests are silent, and the store does not show that it
+    /// is connected.
     fn is_partitioned(&self, now: Instant) -> bool {
         let timeout = self.silence_timeout();
-        let mut expected = self.others.values();
-        expected.all(|member| member.expected_since.is_none() || member.is_silent(timeout, now))
+        let present = self.others.values();
+        let mut present = present.filter(|member| member.lost_since.is_none());
+        let silent =
+            |member: &Member| member.expected_since.is_none() || member.is_silent(timeout, now);
+        present.all(silent) && !self.reaches_more_than(timeout)
+    }
+
+    /// Returns whether this gateway reaches endpoints, and has read the store after all others had been
+    /// silent for the timeout.
+    fn reaches_more_than(&self, timeout: Duration) -> bool {
+        let others = self.others.values();
+        let expected =
+            others.filter_map(|member| Some(member.expected_since?.max(member.last_heard)));
+        let last_heard = expected.max();
+        !self.isolated && last_heard.is_some_and(|at| self.store_read_at >= Some(at + timeout))
     }
 
     /// Returns the gateway addresses that a caller in a zone may use.
     ///
-    /// If no digest has arrived recently from any gateway, this one is partitioned and cannot
-    /// determine which of the others are alive, so it offers all of them.
+    /// While this gateway may be the one that is cut off, it offers all that were present before.
     pub fn offer(&mut self, zone: &str, now: Instant) -> Vec<SocketAddr> {
         let expired = |member: &Member| {
             member
@@ -373,8 +394,8 @@
             self.roster.is_serving(*id) && !member.is_silent(timeout, now)
         };
         let others = self.others.iter();
-        let others =
-            others.filter(|(id, member)| !member.leaving && (partitioned || serves(id, member)));
+        let others = others.filter(|(_, member)| !member.leaving && member.lost_since.is_none());
+        let others = others.filter(|(id, member)| partitioned || serves(id, member));
         let others = others.map(|(_, member)| (&member.entry, member.is_isolated(timeout, now)));
         let offers_itself = self.offered && self.roster.is_serving(self.own_id);
         let own_entry = offers_itself.then_some((&self.own_entry, self.isolated));
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -410,6 +410,7 @@
         self.version = message.version;
         if let Some(complete_at) = message.complete_at {
             self.knowledge.read(complete_at);
+            self.members.record_store_read(complete_at);
         }
         self.endpoints.advance(message.revision);
         self.read_evacuations(&message.records, message.revision, message.complete, now);
--- a/crates/daisyyard_gateway/tests/member_offers.rs
+++ b/crates/daisyyard_gateway/tests/member_offers.rs
@@ -211,3 +211,62 @@
     members.record_digest(id::of("three"), true, later);
     assert!(!probed(&members, later + Duration::from_secs(5)));
 }
+
+/// If all others are silent and the store answers calls made since, they are lost and not offered again
+/// until they are heard, even if the store is lost afterwards.
+#[test]
+fn lost_fleet() {
+    let start = Instant::now();
+    let after = |ms| start + Duration::from_millis(ms);
+    let mut members = serving();
+    for port in 2..=6 {
+        members.put(&format!("gateway-{port}"), entry(port, "a"), start);
+    }
+    members.record_store_read(after(1_400));
+    assert_eq!(ports(&mut members, "a", after(2_000)), [1, 2, 3, 4, 5, 6]);
+    members.record_store_read(after(1_500));
+    assert_eq!(ports(&mut members, "a", after(2_000)), [1]);
+    assert_eq!(ports(&mut members, "a", after(3_000)), [1]);
+    members.set_reach(false);
+    members.set_isolated(true);
+    assert_eq!(ports(&mut members, "a", after(4_000)), [1]);
+    members.put("new", entry(7, "a"), after(4_000));
+    assert_eq!(ports(&mut members, "a", after(4_000)), [7]);
+    members.set_isolated(false);
+    assert!(members.record_digest(id::of("gateway-2"), false, after(4_100)));
+    assert_eq!(ports(&mut members, "a", after(4_200)), [1, 2, 7]);
+}
+
+/// A gateway that neither hears others nor reaches the endpoints may be cut off, whatever it reads from
+/// the store, and leaves the callers to the others.
+#[test]
+fn lone_isolated() {
+    let start = Instant::now();
+    let later = start + Duration::from_secs(3);
+    let mut members = serving();
+    members.put("two", entry(2, "a"), start);
+    members.put("three", entry(3, "a"), start);
+    members.set_isolated(true);
+    members.record_store_read(later);
+    assert_eq!(ports(&mut members, "a", later), [2, 3]);
+}
+
+/// A gateway in reserve hears only the serving ones of its zone. If all of these are lost, it offers the
+/// gateways that take their places.
+#[test]
+fn lost_zone() {
+    let start = Instant::now();
+    let mut members = serving();
+    for port in 2..=100 {
+        members.put(&format!("gateway-{port}"), entry(port, "a"), start);
+    }
+    members.update_roster(start);
+    let serving = ports(&mut members, "a", start);
+    assert_eq!(members.role(), Role::Reserve);
+    let later = start + Duration::from_secs(3);
+    members.record_store_read(later);
+    let offered = ports(&mut members, "a", later);
+    assert_eq!(offered.len(), 24);
+    let lost = offered.iter().filter(|port| serving.contains(port));
+    assert_eq!(lost.count(), 0, "of {offered:?}");
+}
