--- a/crates/daisyyard_core/src/candidate.rs
+++ b/crates/daisyyard_core/src/candidate.rs
@@ -7,10 +7,11 @@
 use crate::access::{Access, Reason};
 use crate::brittleness::Brittleness;
 use crate::endpoint::{Endpoint, Kind};
-use crate::id::{InstanceId, Revision, ServiceId, Tokens};
+use crate::id::{InstanceId, ServiceId, Tokens};
 use crate::load::{Load, Need};
 use crate::pace::{Pace, Stretches};
 use crate::pool::Signal;
+use crate::revision::Revision;
 use crate::statement::Statements;
 use crate::throttle::{self, Throttle};
 use crate::warmup::Warmup;
@@ -104,7 +105,7 @@
             node_loads: HashMap::new(),
             cold_until,
             grace_until: None,
-            listed_at: 0,
+            listed_at: Revision::default(),
             departed: None,
             unlisted_at: None,
             evacuated: false,
--- a/crates/daisyyard_core/src/coldness.rs
+++ b/crates/daisyyard_core/src/coldness.rs
@@ -7,6 +7,7 @@
 use crate::id::{EndpointId, ServiceId, ZoneId};
 use crate::load::Need;
 use crate::pool::Pool;
+use crate::revision::Revision;
 use crate::warmup::{Report, Rule};
 
 /// Bounds on the requests to cold endpoints.
@@ -54,7 +55,7 @@
     pub fn is_cold_news(
         &self,
         id: EndpointId,
-        revision: u64,
+        revision: Revision,
         cold: Duration,
         now: Instant,
     ) -> bool {
--- a/crates/daisyyard_core/src/endpoint.rs
+++ b/crates/daisyyard_core/src/endpoint.rs
@@ -5,7 +5,8 @@
 
 use daisyyard_derive::{key, record, value};
 
-use crate::id::{self, EndpointId, Revision, ServiceId, Tokens};
+use crate::id::{self, EndpointId, ServiceId, Tokens};
+use crate::revision::Revision;
 use crate::zone::Zone;
 
 /// An endpoint that requests are sent to.
@@ -86,7 +87,7 @@
             zone,
             address,
             incarnation: 0,
-            revision: 0,
+            revision: Revision::default(),
             kind,
             state: State::Live,
             checks_fencing: false,
--- a/crates/daisyyard_core/src/evacuation.rs
+++ b/crates/daisyyard_core/src/evacuation.rs
@@ -4,7 +4,8 @@
 //! Nodes learn orders from reads of the store, from news and from digests, in any order, late and
 //! repeatedly. Each order has the revision of the store at which it was given or revoked. The highest
 //! revision wins, whatever its source, and a complete read decides only what was known up to its
-//! revision, so that neither old reads nor late datagrams change what is known.
+//! revision, so that neither old reads nor late datagrams change what is known. Revisions of a later era
+//! of the store are higher than all of an earlier one.
 
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -12,8 +13,10 @@
 use daisyyard_derive::key;
 
 use crate::candidate::Candidate;
-use crate::id::{EndpointId, Revision, ServiceId, ZoneId};
+use crate::id::{EndpointId, ServiceId, ZoneId};
+use crate::outage::RELISTING_TIME;
 use crate::pool::Pool;
+use crate::revision::Revision;
 
 /// Maximum number of zones whose orders are known, so that all of them fit into a digest.
 pub const MAX_ZONES: usize = 16;
@@ -47,6 +50,8 @@
     order: Order,
     /// When an evacuation that this node had in force ended; none if there was none.
     ended_at: Option<Instant>,
+    /// When the order is revoked unless it is written again, and the revision at which it is missing.
+    missing: Option<(Instant, Revision)>,
 }
 
 /// The newest known order for each zone.
@@ -54,11 +59,11 @@
 pub struct Register {
     /// Newest orders by zone. A revoked order is kept, so that an older one cannot replace it.
     zones: BTreeMap<ZoneId, Entry>,
-    /// Revision up to which a zone that has no entry is not evacuated; zero if there was no complete
+    /// Revision up to which a zone that has no entry is not evacuated; unknown if there was no complete
     /// read.
     complete_at: Revision,
-    /// Revision of the newest order that was ignored; zero if none was since the last complete read.
-    ignored_at: Revision,
+    /// Revision of the newest order that was ignored; none if none was since the last complete read.
+    ignored_at: Option<Revision>,
 }
 
 impl Register {
@@ -66,6 +71,10 @@
     pub fn learn(&mut self, order: Order, now: Instant) -> Option<Change> {
         let absent = (self.complete_at, false);
         let known = match self.zones.get(&order.zone) {
+            Some(Entry {
+                missing: Some((_, revision)),
+                ..
+            }) => (*revision, false),
             Some(known) if known.order.standing => (known.order.revision, true),
             Some(known) => (known.order.revision, false).max(absent),
             None => absent,
@@ -77,7 +86,7 @@
             if !order.standing {
                 return None;
             }
-            self.ignored_at = self.ignored_at.max(order.revision);
+            self.ignored_at = self.ignored_at.max(Some(order.revision));
             return Some(Change::Ignored(order.zone, order.revision));
         }
         let entry = self.zones.entry(order.zone).or_insert(Entry {
@@ -86,7 +95,9 @@
                 ..order
             },
             ended_at: None,
+            missing: None,
         });
+        entry.missing = None;
         let stood = std::mem::replace(&mut entry.order, order).standing;
         match (stood, order.standing) {
             (false, true) => Some(Change::Started(order.zone, order.revision)),
@@ -99,47 +110,64 @@
     }
 
     /// Records all orders that are known at a revision: zones that are not among them are not
-    /// evacuated at it.
+    /// evacuated at it. If the store has come back from a copy since such an order was given, the
+    /// operator may still write it again, so that it stands a little longer.
     pub fn complete(&mut self, revision: Revision, orders: &[Order], now: Instant) -> Vec<Change> {
         let mut changes: Vec<Change> = orders
             .iter()
             .filter_map(|order| self.learn(*order, now))
             .collect();
-        let names = |zone| orders.iter().any(|one| one.zone == zone && one.standing);
-        let revoked: Vec<ZoneId> = self
-            .standing()
-            .filter(|order| order.revision < revision && !names(order.zone))
-            .map(|order| order.zone)
-            .collect();
-        for zone in revoked {
-            let order = Order {
-                zone,
-                revision,
-                standing: false,
-            };
-            changes.extend(self.learn(order, now));
+        // An order of an earlier era is one that another node holds although the copy lacks it.
+        let confirms = |order: &Order| order.standing && order.revision.era == revision.era;
+        let stands = |zone| orders.iter().any(|one| one.zone == zone && confirms(one));
+        for (zone, entry) in &mut self.zones {
+            let order = entry.order;
+            let precedes = order.revision < revision && !revision.is_unknown();
+            if order.standing && precedes && !stands(*zone) {
+                let lost = order.revision.era < revision.era;
+                let until = if lost { now + RELISTING_TIME } else { now };
+                let (_, missing_at) = entry.missing.get_or_insert((until, revision));
+                *missing_at = revision.max(*missing_at);
+            }
         }
-        self.complete_at = self.complete_at.max(revision);
+        if !revision.is_unknown() {
+            self.complete_at = self.complete_at.max(revision);
+        }
+        changes.extend(self.expire(now));
         let ignored = |change: &Change| matches!(change, Change::Ignored(..));
-        if revision >= self.ignored_at && !changes.iter().any(ignored) {
-            self.ignored_at = 0;
+        if Some(revision) >= self.ignored_at && !changes.iter().any(ignored) {
+            self.ignored_at = None;
         }
         changes
     }
 
+    /// Revokes the orders that are not in the store and were not written again in time.
+    pub fn expire(&mut self, now: Instant) -> Vec<Change> {
+        let revocation = |entry: &mut Entry| {
+            let (_, revision) = entry.missing.take_if(|(until, _)| *until <= now)?;
+            Some(Order {
+                revision,
+                standing: false,
+                ..entry.order
+            })
+        };
+        let revoked: Vec<Order> = self.zones.values_mut().filter_map(revocation).collect();
+        let revoked = revoked.into_iter();
+        revoked.filter_map(|order| self.learn(order, now)).collect()
+    }
+
     /// Returns the newest order for each zone.
     pub fn orders(&self) -> impl Iterator<Item = Order> {
         self.zones.values().map(|entry| entry.order)
     }
 
-    /// Returns the revision up to which zones without an order are not evacuated; zero if that is
-    /// unknown, because there was no complete read or an order was ignored after it.
+    /// Returns the revision up to which zones without an order are not evacuated; an unknown one if
+    /// there was no complete read or an order was ignored after it.
     #[must_use]
     pub fn complete_at(&self) -> Revision {
-        if self.ignored_at == 0 {
-            self.complete_at
-        } else {
-            0
+        match self.ignored_at {
+            None => self.complete_at,
+            Some(_) => Revision::default(),
         }
     }
 
@@ -194,6 +222,13 @@
         changes
     }
 
+    /// Revokes the orders that were not written again in time, and returns the effects.
+    pub fn expire_evacuations(&mut self, now: Instant) -> Vec<Change> {
+        let changes = self.evacuations.expire(now);
+        self.apply_changes(&changes, now);
+        changes
+    }
+
     /// Returns the known orders.
     pub fn evacuations(&self) -> &Register {
         &self.evacuations
--- a/crates/daisyyard_core/src/id.rs
+++ b/crates/daisyyard_core/src/id.rs
@@ -41,6 +41,9 @@
 /// Revision of a value in the configuration service, such as the preset document.
 pub type Revision = u64;
 
+/// Version of the configuration of the gateways.
+pub type Version = u64;
+
 /// Incarnation of an instance; each restart has a higher number.
 pub type Incarnation = u64;
 
--- a/crates/daisyyard_core/src/outage.rs
+++ b/crates/daisyyard_core/src/outage.rs
@@ -4,9 +4,9 @@
 
 /// Shortest outage in which entries may expire, which takes some missed heartbeats.
 const MIN_EXPIRING_TIME: Duration = Duration::from_secs(1);
-/// Time after an outage in which endpoints and gateways may register again if their entries expired
-/// during the outage.
-const RELISTING_TIME: Duration = Duration::from_millis(2_200);
+/// Time after the return of the store in which what it has lost may be written again: entries that
+/// expired during an outage, and whatever is missing in a copy from which the store came back.
+pub(crate) const RELISTING_TIME: Duration = Duration::from_millis(2_200);
 
 /// What a node knows of the outages of the store.
 #[derive(Debug, Default)]
@@ -40,6 +40,12 @@
         Some(lasted)
     }
 
+    /// Records that the store has come back from a copy, which may lack entries however short the outage
+    /// was.
+    pub fn record_restore(&mut self, now: Instant) {
+        self.ended_at = Some(now);
+    }
+
     /// Returns until when a missing entry may be registered again; `None` if it is gone.
     pub fn relist_deadline(&self, now: Instant) -> Option<Instant> {
         let deadline = self.ended_at? + RELISTING_TIME;
--- a/crates/daisyyard_core/src/pool.rs
+++ b/crates/daisyyard_core/src/pool.rs
@@ -19,11 +19,12 @@
 use crate::ejection::Ejections;
 use crate::endpoint::{Endpoint, Kind, State};
 use crate::evacuation::Register;
-use crate::id::{EndpointId, InstanceId, Revision};
+use crate::id::{EndpointId, InstanceId};
 use crate::isolation::Detector;
 use crate::load::Load;
 use crate::pace::{Pace, Stretches};
 use crate::rate::Owners;
+use crate::revision::Revision;
 use crate::throttle::{self, Throttle};
 use crate::wave::Wave;
 use crate::zone::Zone;
@@ -89,7 +90,7 @@
             ejections: Ejections::default(),
             isolation: Detector::default(),
             evacuations: Register::default(),
-            revision: 0,
+            revision: Revision::default(),
             wave: Wave::default(),
             stretches: Stretches::default(),
             unseen_runs: 0,
@@ -105,6 +106,12 @@
         std::mem::replace(&mut self.revision, revision)
     }
 
+    /// Returns the revision of the store up to which its entries have been read.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
     /// Sets how many runs other nodes are likely to have started since their last digests.
     pub fn set_unseen_runs(&mut self, runs: usize) {
         self.unseen_runs = runs;
@@ -212,9 +219,10 @@
 
     /// Returns whether a change of an endpoint at a revision is later than all that is known of it.
     pub fn is_news(&self, id: EndpointId, revision: Revision) -> bool {
-        let known = self.candidates.get(&id).map_or(0, |known| {
-            let departed = known.departed.map_or(0, |(_, revision)| revision);
-            known.listed_at.max(departed)
+        let known = self.candidates.get(&id);
+        let known = known.map_or(Revision::default(), |known| {
+            let departed = known.departed.map(|(_, revision)| revision);
+            known.listed_at.max(departed.unwrap_or_default())
         });
         known.max(self.revision) < revision
     }
--- a/crates/daisyyard_core/src/warmup.rs
+++ b/crates/daisyyard_core/src/warmup.rs
@@ -7,8 +7,9 @@
 
 use daisyyard_derive::{key, record};
 
-use crate::id::{EndpointId, Revision};
+use crate::id::EndpointId;
 use crate::rate::{LISTS, MAX_LEAVE_DELAY, Opening, Owners, Rate, Share};
+use crate::revision::Revision;
 
 /// Period in which the bound limits the requests that arrive.
 const PERIOD: Duration = Duration::from_secs(1);
@@ -111,7 +112,7 @@
     ) {
         let known = self.entry.replace((incarnation, revision));
         let restarted = known.map_or(!node_started, |(known, _)| known != incarnation);
-        let is_same = known.is_some_and(|(_, known)| revision > 0 && known == revision);
+        let is_same = known.is_some_and(|(_, known)| !revision.is_unknown() && known == revision);
         if restarted {
             let least = self.rule.map_or(Duration::ZERO, |rule| rule.duration);
             (self.until, self.own_until) = (None, None);
--- a/crates/daisyyard_core/tests/brittle_room.rs
+++ b/crates/daisyyard_core/tests/brittle_room.rs
@@ -39,7 +39,7 @@
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
     let mut endpoint = Endpoint::new(name, "desk", kind, Zone::new("a", "r"), address);
     endpoint.slots = SLOTS;
-    (endpoint.incarnation, endpoint.revision) = (incarnation, incarnation);
+    (endpoint.incarnation, endpoint.revision) = (incarnation, incarnation.into());
     endpoint
 }
 
--- a/crates/daisyyard_core/tests/cold_rate.rs
+++ b/crates/daisyyard_core/tests/cold_rate.rs
@@ -59,7 +59,7 @@
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
     let mut endpoint = Endpoint::new(name, "desk", Kind::Plain, Zone::new("a", "r"), address);
     endpoint.slots = 10_000;
-    (endpoint.incarnation, endpoint.revision) = (incarnation, revision);
+    (endpoint.incarnation, endpoint.revision) = (incarnation, revision.into());
     endpoint
 }
 
--- a/crates/daisyyard_core/tests/cold_state.rs
+++ b/crates/daisyyard_core/tests/cold_state.rs
@@ -30,7 +30,7 @@
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
     let mut endpoint = Endpoint::new(name, "model", Kind::Engine, Zone::new("a", "r"), address);
     endpoint.slots = 100;
-    (endpoint.incarnation, endpoint.revision) = (incarnation, revision);
+    (endpoint.incarnation, endpoint.revision) = (incarnation, revision.into());
     endpoint
 }
 
@@ -186,10 +186,10 @@
 #[test]
 fn heard_report() {
     let (mut pool, now) = pool();
-    let report = |incarnation, revision| Report {
+    let report = |incarnation, revision: u64| Report {
         endpoint: one(),
         incarnation,
-        revision,
+        revision: revision.into(),
         remaining: COLD,
     };
     pool.hear_cold(&[report(0, 9)], now);
--- a/crates/daisyyard_core/tests/endpoint_statements.rs
+++ b/crates/daisyyard_core/tests/endpoint_statements.rs
@@ -50,7 +50,7 @@
 fn pool(names: &[&str]) -> (Pool, Instant) {
     let now = Instant::now();
     let mut pool = Pool::new(Zone::new("a", "r"), 1);
-    pool.advance(10);
+    pool.advance(10.into());
     for name in names {
         pool.put(engine(name, 1), Duration::ZERO, now);
     }
@@ -89,10 +89,10 @@
     let leaving = Some(Access::Closed(Reason::Leaving, None));
     assert_eq!(pool.access(id, now), leaving);
     assert!(!pool.is_changed(&engine("one", 1)), "it says nothing new");
-    pool.advance(11);
+    pool.advance(11.into());
     assert!(!pool.put(engine("one", 1), Duration::ZERO, now));
     assert_eq!(pool.access(id, now), leaving);
-    assert!(!pool.mark_leaving(id, 5, now));
+    assert!(!pool.mark_leaving(id, 5.into(), now));
     pool.remove(id, None, now);
     let later = now + seconds(30.0);
     pool.expire(later);
@@ -257,7 +257,7 @@
         let index = self.random.random_range(0..NAMES.len());
         let (name, id) = (NAMES[index], id::of(NAMES[index]));
         let known = self.random.random_range(1..=self.incarnations[index]);
-        self.pool.advance(revision);
+        self.pool.advance(revision.into());
         match self.random.random_range(0..400) {
             0 => self.incarnations[index] += 1,
             1..10 => {
@@ -273,7 +273,7 @@
             }
             11 => {
                 let old = self.random.random_range(0..revision);
-                self.pool.mark_leaving(id, old, now);
+                self.pool.mark_leaving(id, old.into(), now);
             }
             12 if self.books.get(&(id, known)).is_some_and(|it| it.leaves) => {
                 let report = Leaver {
--- a/crates/daisyyard_core/tests/limit_rate.rs
+++ b/crates/daisyyard_core/tests/limit_rate.rs
@@ -45,7 +45,7 @@
     let name = format!("endpoint-{number}");
     let mut endpoint = Endpoint::new(&name, "desk", Kind::Plain, Zone::new("a", "r"), address);
     endpoint.slots = 10_000;
-    (endpoint.incarnation, endpoint.revision) = (incarnation, incarnation);
+    (endpoint.incarnation, endpoint.revision) = (incarnation, incarnation.into());
     endpoint
 }
 
--- a/crates/daisyyard_core/tests/pool_choice.rs
+++ b/crates/daisyyard_core/tests/pool_choice.rs
@@ -144,18 +144,21 @@
     let one = id::of("one");
     let mut first = pool(&["one"], now);
     let mut second = pool(&["one"], now);
-    first.advance(5);
+    first.advance(5.into());
     let mut leaving = engine("one", "a");
     leaving.state = State::Leaving;
     first.put(leaving, Duration::ZERO, now);
     let departures: Vec<_> = first.departures(now).collect();
-    assert_eq!(departures, vec![(one, 5)]);
-    assert!(second.mark_leaving(one, 5, now));
-    assert!(!second.mark_leaving(one, 5, now), "reported again");
+    assert_eq!(departures, vec![(one, 5.into())]);
+    assert!(second.mark_leaving(one, 5.into(), now));
+    assert!(!second.mark_leaving(one, 5.into(), now), "reported again");
     assert_matches!(second.choose(&need(1, false), &[], now), Choice::Missing);
-    second.advance(6);
+    second.advance(6.into());
     second.put(engine("one", "a"), Duration::ZERO, now);
-    assert!(!second.mark_leaving(one, 5, now), "older than the entry");
+    assert!(
+        !second.mark_leaving(one, 5.into(), now),
+        "older than the entry"
+    );
     assert!(chosen(&mut second, &need(1, false), &[], now).is_some());
     let later = now + Duration::from_secs(3);
     assert_eq!(first.departures(later).count(), 0, "old report");
--- a/crates/daisyyard_core/tests/zone_evacuation.rs
+++ b/crates/daisyyard_core/tests/zone_evacuation.rs
@@ -9,9 +9,10 @@
 use daisyyard_core::choice::{Choice, Purpose};
 use daisyyard_core::endpoint::{Endpoint, Kind, State};
 use daisyyard_core::evacuation::{Change, MAX_ZONES, Order, Register};
-use daisyyard_core::id::{self, Revision, ZoneId};
+use daisyyard_core::id::{self, ZoneId};
 use daisyyard_core::load::Need;
 use daisyyard_core::pool::{Pool, Signal};
+use daisyyard_core::revision::Revision;
 use daisyyard_core::zone::Zone;
 use proptest::prelude::*;
 
@@ -21,10 +22,10 @@
 const NODES: usize = 3;
 
 /// Returns an order for a zone.
-fn order(zone: ZoneId, revision: Revision, standing: bool) -> Order {
+fn order(zone: ZoneId, revision: impl Into<Revision>, standing: bool) -> Order {
     Order {
         zone,
-        revision,
+        revision: revision.into(),
         standing,
     }
 }
@@ -67,7 +68,7 @@
     pool.observe(id::of("in-a"), Signal::Refused, now);
     let zone = id::of("a");
     let change = pool.learn_evacuation(order(zone, 5, true), now);
-    assert_eq!(change, Some(Change::Started(zone, 5)));
+    assert_eq!(change, Some(Change::Started(zone, 5.into())));
     pool.put(engine("late-a", "a"), Duration::ZERO, now);
     let later = now + Duration::from_mins(1);
     for name in ["in-a", "late-a"] {
@@ -127,7 +128,7 @@
     assert_eq!(pool.evacuations().ended_at(zone), None);
     let later = now + Duration::from_secs(3);
     let change = pool.learn_evacuation(order(zone, 6, false), later);
-    assert_eq!(change, Some(Change::Ended(zone, 6)));
+    assert_eq!(change, Some(Change::Ended(zone, 6.into())));
     assert_eq!(pool.evacuations().ended_at(zone), Some(later));
     assert_eq!(pool.access(id::of("in-a"), later), Some(Access::Open));
     assert_eq!(pool.evacuations().ended_at(id::of("b")), None);
@@ -140,13 +141,13 @@
 fn given_again() {
     let now = Instant::now();
     let mut register = Register::default();
-    for (revision, standing) in [(5, true), (7, true), (6, false), (5, true), (6, false)] {
+    for (revision, standing) in [(5_u64, true), (7, true), (6, false), (5, true), (6, false)] {
         register.learn(order(1, revision, standing), now);
     }
     assert!(register.is_evacuated(1));
-    register.complete(6, &[], now);
+    register.complete(6.into(), &[], now);
     assert!(register.is_evacuated(1), "an old read revokes nothing");
-    register.complete(8, &[], now);
+    register.complete(8.into(), &[], now);
     assert!(!register.is_evacuated(1));
     register.learn(order(1, 7, true), now);
     assert!(!register.is_evacuated(1), "a late message restores nothing");
@@ -157,7 +158,7 @@
 fn late_first_message() {
     let now = Instant::now();
     let mut register = Register::default();
-    register.complete(10, &[], now);
+    register.complete(10.into(), &[], now);
     assert_eq!(register.learn(order(1, 9, true), now), None);
     assert!(!register.is_evacuated(1));
     register.learn(order(1, 11, true), now);
@@ -176,15 +177,15 @@
     }
     assert_eq!(register.orders().count(), MAX_ZONES);
     assert!(register.is_evacuated(1));
-    register.complete(5_000, &[order(1, 1, true)], now);
-    assert_eq!(register.complete_at(), 5_000);
+    register.complete(5_000.into(), &[order(1, 1, true)], now);
+    assert_eq!(register.complete_at(), 5_000.into());
     for zone in 6_000..7_000 {
         register.learn(order(zone, zone, true), now);
     }
     assert_eq!(register.standing().count(), MAX_ZONES);
-    assert_eq!(register.complete_at(), 0, "not all orders are known");
-    register.complete(8_000, &[order(1, 1, true)], now);
-    assert_eq!(register.complete_at(), 8_000);
+    assert_eq!(register.complete_at(), 0.into(), "not all orders are known");
+    register.complete(8_000.into(), &[order(1, 1, true)], now);
+    assert_eq!(register.complete_at(), 8_000.into());
     assert_eq!(register.standing().count(), 1);
 }
 
@@ -230,7 +231,7 @@
     let zones = (0..ZONES).filter_map(|zone| {
         let known = history[..revision].iter().enumerate();
         let (index, (_, stands)) = known.rev().find(|(_, (one, _))| *one == zone)?;
-        stands.then(|| order(zone, index as Revision + 1, true))
+        stands.then(|| order(zone, index as u64 + 1, true))
     });
     zones.collect()
 }
@@ -247,13 +248,13 @@
             match message {
                 Message::News(index) => {
                     let (zone, standing) = history[index];
-                    let revision = index as Revision + 1;
+                    let revision = index as u64 + 1;
                     nodes[to].learn(order(zone, revision, standing), now);
                     let highest = &mut heard[to][zone as usize];
                     *highest = (index + 1).max(*highest);
                 }
                 Message::Read(revision) => {
-                    nodes[to].complete(revision as Revision, &standing(&history, revision), now);
+                    nodes[to].complete((revision as u64).into(), &standing(&history, revision), now);
                     heard[to] = heard[to].map(|highest| highest.max(revision));
                 }
                 Message::Digest(from) => {
@@ -274,7 +275,7 @@
         }
         // One complete read and one digest of its node repair all losses.
         let last = history.len();
-        nodes[0].complete(last as Revision, &standing(&history, last), now);
+        nodes[0].complete((last as u64).into(), &standing(&history, last), now);
         let orders: Vec<Order> = nodes[0].orders().collect();
         let complete_at = nodes[0].complete_at();
         for node in &mut nodes[1..] {
--- a/crates/daisyyard_gateway/src/codec.rs
+++ b/crates/daisyyard_gateway/src/codec.rs
@@ -11,8 +11,10 @@
 use daisyyard_core::continuation::{Holder, Standby};
 use daisyyard_core::crash::Group;
 use daisyyard_core::endpoint::Endpoint;
+use daisyyard_core::era::Statement;
 use daisyyard_core::evacuation::Order;
-use daisyyard_core::id::{EndpointId, Fingerprint, Revision, Tokens};
+use daisyyard_core::id::{EndpointId, Fingerprint, Tokens};
+use daisyyard_core::revision::{Era, Revision};
 use daisyyard_derive::{key, value};
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
@@ -186,7 +188,7 @@
     /// A group of contents that is refused because it crashes endpoints, and whether it still is.
     Refusal(Group, bool),
     /// The name of an availability zone, and the newest order to evacuate it or to revoke that.
-    /// Revision zero stands for that of the read.
+    /// An unknown revision stands for that of the read.
     Evacuation(String, Order),
     /// A value that cannot be decoded: its key and the reason.
     Unusable(String, String),
@@ -250,12 +252,14 @@
 pub struct Store {
     /// Reads one page of all keys, starting after the given key.
     pub list: fn(after: Option<&str>, freshness: Freshness) -> Call,
-    /// Waits for changes after a revision.
-    pub watch: fn(after: Revision, wait: Duration) -> Call,
+    /// Waits for changes after the revision with a number.
+    pub watch: fn(after: u64, wait: Duration) -> Call,
     /// Reads a recent configuration.
     pub read_catalog: fn() -> Call,
-    /// Decodes the response to `list`, `watch` or `read_catalog`.
-    pub read_batch: fn(&[u8]) -> anyhow::Result<Batch>,
+    /// Reads from the headers of a response in which era of the store it was given.
+    pub read_era: fn(&HeaderMap) -> Statement,
+    /// Decodes the response to `list`, `watch` or `read_catalog`, which was given in an era.
+    pub read_batch: fn(&[u8], Era) -> anyhow::Result<Batch>,
     /// Decodes a change that another gateway has passed on.
     pub read_item: fn(&Item) -> Record,
     /// Creates a lease.
--- a/crates/daisyyard_gateway/src/digest.rs
+++ b/crates/daisyyard_gateway/src/digest.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use daisyyard_core::revision::Era;
 use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc};
@@ -13,7 +14,7 @@
 use xtra::{Address, WeakAddress};
 
 use crate::frame::{Frame, MAX_DATAGRAM_BYTES, News};
-use crate::message::{Demand, Digest, Report, ShareDemand, ShareEvidence, ShareNews};
+use crate::message::{Demand, Digest, ShareDemand, ShareEvidence, ShareNews};
 use crate::pool::Pool;
 
 /// Least time between two digests if no change is reported earlier.
@@ -57,6 +58,8 @@
     last_to_serving: Instant,
     /// When a digest was last sent to the gateways that do not serve callers.
     last_to_reserve: Instant,
+    /// Era of the store that this gateway has read; zero if it knows none.
+    era: Era,
     /// Number of recipients of the last digest that serve callers.
     targets: u32,
     /// Frames of news that have not been sent yet.
@@ -100,6 +103,7 @@
         last_frames: Vec::new(),
         last_to_serving: Instant::now(),
         last_to_reserve: Instant::now(),
+        era: 0,
         targets: 0,
         news: VecDeque::new(),
         recipients: Vec::new(),
@@ -156,6 +160,7 @@
         let Ok((report, targets)) = self.pool.send(Digest).await else {
             return false;
         };
+        self.era = report.era;
         let frames = Frame::from_report(&report);
         let old = self.last_to_serving.elapsed() >= RESEND_INTERVAL;
         let mut pairs = frames.iter().zip(&self.last_frames);
@@ -272,7 +277,7 @@
             let statements = Frame::from_statements(&report);
             self.send(&statements, &[sender]).await;
         }
-        self.pool.send(Report::from(frame)).await.is_ok()
+        self.pool.send(frame.into_report(self.era)).await.is_ok()
     }
 
     /// Sends frames to gateways.
--- a/crates/daisyyard_gateway/src/evacuation.rs
+++ b/crates/daisyyard_gateway/src/evacuation.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use daisyyard_core::endpoint::Endpoint;
 use daisyyard_core::evacuation::{Change, Order};
-use daisyyard_core::id::{Revision, ZoneId};
+use daisyyard_core::id::ZoneId;
+use daisyyard_core::revision::Revision;
 use daisyyard_core::statement::Barrier;
 use daisyyard_http::connection::{self, Answer, Failure};
 use http_body_util::Full;
@@ -162,7 +163,7 @@
                 continue;
             };
             let mut order = *order;
-            if order.revision == 0 {
+            if order.revision.is_unknown() {
                 order.revision = revision;
             }
             self.learn_evacuation(name, order, Source::Read, now);
@@ -205,6 +206,18 @@
         self.publish_evacuations(now);
     }
 
+    /// Revokes the orders that the store has lost and that were not written again in time.
+    pub(crate) fn expire_evacuations(&mut self, now: Instant) {
+        let changes = self.endpoints.expire_evacuations(now);
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            self.apply_evacuation(change, None, Source::Read);
+        }
+        self.publish_evacuations(now);
+    }
+
     /// Logs an evacuation that has started or ended.
     fn apply_evacuation(&self, change: Change, name: Option<&str>, source: Source) {
         let (event, zone, revision) = match change {
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -33,6 +33,10 @@
     StandingChanged = 116,
     /// A read of the store failed.
     StoreReadFailed = 117,
+    /// The store has come back from an older copy, and all keys are read again.
+    StoreRestored = 118,
+    /// Responses of the store state no usable era any longer; the known one is assumed.
+    EraUnusable = 119,
     /// The entry of an endpoint was added or changed.
     EndpointListed = 120,
     /// An endpoint accepts no new requests.
@@ -136,6 +140,8 @@
     (Event::Registered, Level::Info),
     (Event::StandingChanged, Level::Info),
     (Event::StoreReadFailed, Level::Warn),
+    (Event::StoreRestored, Level::Warn),
+    (Event::EraUnusable, Level::Warn),
     (Event::EndpointListed, Level::Info),
     (Event::EndpointLeaving, Level::Info),
     (Event::EndpointGone, Level::Info),
--- a/crates/daisyyard_gateway/src/fleet.rs
+++ b/crates/daisyyard_gateway/src/fleet.rs
@@ -54,6 +54,7 @@
             role: self.members.role(),
             connected: self.members.is_connected(now),
             stale: self.knowledge.is_stale(now),
+            era: self.reported_era.max(self.endpoints.revision().era),
         }
     }
 
@@ -70,11 +71,12 @@
         });
         if changed {
             let details = format!(
-                "role={:?} told={} stale={} gateways={}",
+                "role={:?} told={} stale={} gateways={} era={}",
                 new.role,
                 new.is_told(),
                 new.stale,
-                new.gateways
+                new.gateways,
+                new.era
             );
             self.log.emit(Event::StandingChanged, &details);
         }
@@ -102,12 +104,14 @@
         let orders = &report.evacuations;
         self.complete_evacuations(report.evacuations_at, orders, Source::Digest, now);
         let outdated = self.version.unwrap_or(0) < report.version;
+        let own_era = self.endpoints.revision().era;
+        self.reported_era = self.reported_era.max(report.era);
         // A gateway in reserve hears no reader if there is none in its zone.
         let in_reserve = self.members.role() == Role::Reserve;
         let heard = report
             .knowledge
             .filter(|heard| heard.first_hand || in_reserve);
-        if let Some(heard) = heard.filter(|_| !outdated) {
+        if let Some(heard) = heard.filter(|_| !outdated && report.era <= own_era) {
             self.knowledge.hear(heard, now);
         }
         if self.is_incomplete(from, report.listing, now) || outdated {
@@ -171,8 +175,10 @@
 
     async fn handle(&mut self, _: Digest, _: &mut Context<Self>) -> Self::Return {
         let now = Instant::now();
+        let evacuations = self.endpoints.evacuations();
         let report = Report {
             from: self.own_id,
+            era: self.endpoints.revision().era,
             leaving: self.leaving,
             lost: Lost {
                 store: !self.members.reaches_store(),
@@ -181,8 +187,8 @@
             version: self.version.unwrap_or(0),
             knowledge: self.report_knowledge(now),
             listing: self.readers_listing(),
-            evacuations: self.endpoints.evacuations().orders().collect(),
-            evacuations_at: self.endpoints.evacuations().complete_at(),
+            evacuations: evacuations.orders().collect(),
+            evacuations_at: evacuations.complete_at(),
             continuation: false,
             ejections: self.endpoints.ejections(now).collect(),
             cold: self.endpoints.cold_reports(now).collect(),
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -3,15 +3,16 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_core::crash;
-use daisyyard_core::id::{EndpointId, InstanceId, Revision};
+use daisyyard_core::id::{EndpointId, InstanceId, Version};
 use daisyyard_core::knowledge;
+use daisyyard_core::revision::{Era, Revision};
 use prost::Message;
 
 use crate::codec::Item;
 use crate::message::{Demand, Lost, Report};
 use crate::wire::{
-    Change, ColdEndpoint, ContentRecord, Counts, Departure, EndpointLoad, Evacuation, Knowledge,
-    LeavingEndpoint,
+    Change, ColdEndpoint, ContentRecord, Counts, Dated, Departure, EndpointLoad, Evacuation,
+    Knowledge, LeavingEndpoint,
 };
 use crate::wire_demand::{AccountPart, KindStream, RefusedPart, WaitingPart};
 use crate::wire_limit::LimitedEndpoint;
@@ -67,7 +68,7 @@
     counts: Vec<Counts>,
     /// Version of the sender's current configuration.
     #[prost(uint64, tag = "5")]
-    version: Revision,
+    version: Version,
     /// Endpoints that the sender knows to be leaving.
     #[prost(message, repeated, tag = "6")]
     departures: Vec<Departure>,
@@ -99,9 +100,9 @@
     /// Newest orders to evacuate availability zones that the sender knows.
     #[prost(message, repeated, tag = "16")]
     evacuations: Vec<Evacuation>,
-    /// Revision of the store up to which other zones are not evacuated.
+    /// Number of the revision up to which other zones are not evacuated; zero if it is unknown.
     #[prost(uint64, tag = "17")]
-    evacuations_at: Revision,
+    evacuations_at: u64,
     /// Cold endpoints that the sender knows by itself.
     #[prost(message, repeated, tag = "20")]
     cold: Vec<ColdEndpoint>,
@@ -129,6 +130,9 @@
     /// Whether the sender is cut off from the endpoints.
     #[prost(bool, tag = "28")]
     isolated: bool,
+    /// Era of the store to which all revisions in the frame belong; absent if the sender knows none.
+    #[prost(uint64, optional, tag = "31")]
+    era: Option<Era>,
 }
 
 /// What a frame is for.
@@ -217,6 +221,7 @@
     /// many, those that are cold for the longest time are reported.
     fn from_cold(report: &Report) -> Option<Self> {
         let mut cold = report.cold.clone();
+        cold.retain(|cold| cold.revision.era == report.era);
         cold.sort_unstable_by_key(|cold| (std::cmp::Reverse(cold.remaining), cold.endpoint));
         cold.truncate(MAX_COLD);
         (!cold.is_empty()).then(|| Self {
@@ -224,6 +229,7 @@
             leaving: report.leaving,
             purpose: Purpose::Continuation.into(),
             cold: cold.into_iter().map(ColdEndpoint::from).collect(),
+            era: stated(report.era),
             ..Self::default()
         })
     }
@@ -277,6 +283,7 @@
     /// out; the gateways find it in their next complete read.
     pub(crate) fn from_news(news: News) -> Vec<Self> {
         let relist_ms = news.relist_time.as_millis() as u32;
+        let era = news.items.first().map_or(0, |item| item.revision.era);
         let mut frames: Vec<Self> = Vec::new();
         let mut room = 0;
         for change in news.items.into_iter().map(Change::from) {
@@ -289,6 +296,7 @@
                 frames.push(Self {
                     purpose: Purpose::Continuation.into(),
                     relist_ms,
+                    era: stated(era),
                     ..Self::default()
                 });
             }
@@ -368,8 +376,14 @@
             isolated: report.lost.endpoints,
             knowledge: report.knowledge.map(Knowledge::from),
             evidence: Vec::new(),
-            evacuations: report.evacuations.iter().map(Evacuation::from).collect(),
-            evacuations_at: report.evacuations_at,
+            evacuations: report
+                .evacuations
+                .iter()
+                .filter(|order| order.revision.era == report.era)
+                .map(Evacuation::from)
+                .collect(),
+            evacuations_at: report.evacuations_at.number_in(report.era).unwrap_or(0),
+            era: stated(report.era),
             cold: Vec::new(),
             leavers: Vec::new(),
             limits: Vec::new(),
@@ -388,6 +402,7 @@
             departures: report
                 .departures
                 .iter()
+                .filter(|(_, revision)| revision.era == report.era)
                 .take(MAX_DEPARTURES)
                 .map(Departure::from)
                 .collect(),
@@ -401,15 +416,31 @@
     }
 }
 
-impl From<Frame> for Report {
-    fn from(frame: Frame) -> Self {
+/// Decodes parts whose revisions belong to an era.
+fn in_era<P, T: From<Dated<P>>>(parts: Vec<P>, era: Era) -> Vec<T> {
+    let parts = parts.into_iter();
+    parts.map(|part| Dated(part, era).into()).collect()
+}
+
+/// Returns an era in wire format.
+fn stated(era: Era) -> Option<Era> {
+    (era > 0).then_some(era)
+}
+
+impl Frame {
+    /// Returns the report in the frame, which was received by a gateway that knows an era of the store. A
+    /// sender that states no era may not know of eras, but reads the same store.
+    pub(crate) fn into_report(self, known_era: Era) -> Report {
+        let frame = self;
+        let era = frame.era.unwrap_or(known_era);
         let now = Instant::now();
         let known = frame.loads.iter().filter(|load| load.gap_us > 0);
         let pace = |load: &EndpointLoad| {
             let gap = Duration::from_micros(load.gap_us.into());
             (load.endpoint, gap)
         };
-        Self {
+        Report {
+            era,
             paces: known.map(pace).collect(),
             from: frame.instance,
             lost: Lost {
@@ -421,16 +452,16 @@
             knowledge: frame.knowledge.map(knowledge::Report::from),
             listing: frame.listing,
             continuation: frame.purpose() == Purpose::Continuation,
-            evacuations: frame.evacuations.into_iter().map(Into::into).collect(),
-            evacuations_at: frame.evacuations_at,
+            evacuations: in_era(frame.evacuations, era),
+            evacuations_at: Revision::new(era, frame.evacuations_at),
             ejections: frame.ejections,
-            cold: frame.cold.into_iter().map(Into::into).collect(),
-            departures: frame.departures.into_iter().map(Into::into).collect(),
+            cold: in_era(frame.cold, era),
+            departures: in_era(frame.departures, era),
             leavers: frame.leavers.into_iter().map(Into::into).collect(),
             limits: frame.limits.into_iter().map(Into::into).collect(),
             brittle: frame.brittle.into_iter().map(Into::into).collect(),
             loads: frame.loads.into_iter().map(Into::into).collect(),
-            news: frame.news.into_iter().map(Into::into).collect(),
+            news: in_era(frame.news, era),
             relist_time: Duration::from_millis(frame.relist_ms.into()),
             counts: frame.counts.into_iter().map(Into::into).collect(),
             evidence: frame
--- a/crates/daisyyard_gateway/src/isolation.rs
+++ b/crates/daisyyard_gateway/src/isolation.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_core::endpoint::Endpoint;
-use daisyyard_core::id::{InstanceId, Revision};
+use daisyyard_core::id::{InstanceId, Version};
 use daisyyard_core::isolation::{Attempt, Change, Outcome};
 use daisyyard_core::peer_choice;
 use daisyyard_http::connection::{self, Connection, Failure};
@@ -125,7 +125,7 @@
 
     /// Records the version of the configuration of another gateway, and whether it is cut off from the
     /// endpoints; returns whether it has been cut off since its last digest.
-    pub fn record_service(&mut self, id: InstanceId, version: Revision, isolated: bool) -> bool {
+    pub fn record_service(&mut self, id: InstanceId, version: Version, isolated: bool) -> bool {
         let Some(member) = self.others.get_mut(&id) else {
             return false;
         };
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -12,13 +12,14 @@
 use daisyyard_core::evacuation::Order;
 use daisyyard_core::forecast::Stream;
 use daisyyard_core::gate::Waiting;
-use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, RequestId, Revision, ServiceId};
+use daisyyard_core::id::{EndpointId, Fingerprint, InstanceId, RequestId, ServiceId, Version};
 use daisyyard_core::knowledge;
 use daisyyard_core::load::{Load, Need};
 use daisyyard_core::migration::RunState;
 use daisyyard_core::pool::Signal;
 use daisyyard_core::rate;
 use daisyyard_core::refusals::Refused;
+use daisyyard_core::revision::{Era, Revision};
 use daisyyard_core::roster::Role;
 use daisyyard_core::shared_retry_budget::{self, Limits};
 use daisyyard_core::statement::Leaver;
@@ -290,7 +291,7 @@
     /// Revision of the store up to which the records are complete.
     pub(crate) revision: Revision,
     /// Version of the current configuration; `None` until the first one is read.
-    pub(crate) version: Option<Revision>,
+    pub(crate) version: Option<Version>,
 }
 
 /// Reports whether this gateway reaches the store.
@@ -308,6 +309,8 @@
     pub(crate) connected: bool,
     /// Whether the store may have changed for so long that this gateway must read it.
     pub(crate) stale: bool,
+    /// Latest era of the store that this or another gateway has read.
+    pub(crate) era: Era,
 }
 
 impl Default for Standing {
@@ -318,6 +321,7 @@
             role: Role::Reader,
             connected: false,
             stale: true,
+            era: 0,
         }
     }
 }
@@ -373,9 +377,11 @@
     /// What the sender cannot reach.
     pub(crate) lost: Lost,
     /// Version of the sender's current configuration; zero until it has read the first one.
-    pub(crate) version: Revision,
+    pub(crate) version: Version,
     /// Age of what the sender knows of the configuration; none if it is stale.
     pub(crate) knowledge: Option<knowledge::Report>,
+    /// Era of the store that the sender has read; zero if it knows none.
+    pub(crate) era: Era,
     /// Leaving endpoints, with the revisions of the store at which they began to leave.
     pub(crate) departures: Vec<(EndpointId, Revision)>,
     /// Endpoints that the sender has ejected because its requests to them failed.
@@ -392,7 +398,7 @@
     pub(crate) listing: u64,
     /// Newest orders to evacuate availability zones that the sender knows.
     pub(crate) evacuations: Vec<Order>,
-    /// Revision of the store up to which other zones are not evacuated; zero if it is unknown.
+    /// Revision of the store up to which other zones are not evacuated.
     pub(crate) evacuations_at: Revision,
     /// Whether the report only continues the loads of the previous one.
     pub(crate) continuation: bool,
--- a/crates/daisyyard_gateway/src/peer.rs
+++ b/crates/daisyyard_gateway/src/peer.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use daisyyard_core::id::Revision;
+use daisyyard_core::id::Version;
 
 use crate::member::Entry;
 
@@ -24,7 +24,7 @@
     /// Whether the gateway reports that it reaches the store.
     pub(crate) reaches_store: bool,
     /// Version of the gateway's configuration; zero until it has one.
-    pub(crate) version: Revision,
+    pub(crate) version: Version,
     /// Whether the gateway reports that it is cut off from the endpoints.
     pub(crate) isolated: bool,
     /// Since when the gateway is expected to send digests to this one; none while it need not.
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -10,10 +10,11 @@
 use daisyyard_core::crash;
 use daisyyard_core::endpoint::{Endpoint, State};
 use daisyyard_core::id::{
-    self, EndpointId, Fingerprint, InstanceId, RequestId, Revision, ServiceId, ZoneId,
+    self, EndpointId, Fingerprint, InstanceId, RequestId, ServiceId, Version, ZoneId,
 };
 use daisyyard_core::knowledge::Knowledge;
 use daisyyard_core::listing::Listing;
+use daisyyard_core::revision::{Era, Revision};
 use daisyyard_core::shared_retry_budget::{self, Budget};
 use daisyyard_core::statement::Barrier;
 use daisyyard_core::zone::Zone;
@@ -97,7 +98,9 @@
     /// Endpoints that the readers of the store know.
     pub(crate) listing: Listing,
     /// Version of the current configuration.
-    pub(crate) version: Option<Revision>,
+    pub(crate) version: Option<Version>,
+    /// Latest era of the store that another gateway has reported; zero if none has.
+    pub(crate) reported_era: Era,
     /// Retry budget of each service.
     pub(crate) retry_budget: Budget,
     /// Crashes that contents of requests have in common.
@@ -183,6 +186,7 @@
         told_at: HashMap::new(),
         listing: Listing::default(),
         version: None,
+        reported_era: 0,
         retry_budget: Budget::new(settings.retry_budget.clone()),
         evidence: crash::Evidence::new(),
         observed_at: HashMap::new(),
@@ -463,6 +467,7 @@
         }
         // Dropping a claim refuses the request.
         drop(self.backlog.expire(now));
+        self.expire_evacuations(now);
         self.enforce_evacuations(now);
         self.review_statements(now);
         self.review_limits(now);
--- a/crates/daisyyard_gateway/src/reach.rs
+++ b/crates/daisyyard_gateway/src/reach.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use daisyyard_core::era::Statement;
 use daisyyard_core::outage::Outage;
+use daisyyard_core::revision::Era;
 use daisyyard_http::connection::Failure;
 use xtra::Address;
 
@@ -105,6 +107,23 @@
         self.log.emit(Event::StoreRegained, &details);
     }
 
+    /// Records that the store has come back from a copy, which has lost what was written since.
+    pub(crate) fn record_restore(&mut self, from: Era, to: Era) {
+        self.outage.record_restore(Instant::now());
+        let details = format!("address={} era={to} before={from}", self.address);
+        self.log.emit(Event::StoreRestored, &details);
+    }
+
+    /// Records that the store no longer states a usable era.
+    pub(crate) fn record_doubt(&self, statement: Statement, era: Era) {
+        let details = format!(
+            "address={} stated={statement:?} assumed={era} remedy=\"check that nothing between the gateway \
+             and the store changes headers\"",
+            self.address
+        );
+        self.log.emit(Event::EraUnusable, &details);
+    }
+
     /// Counts changes that the store offered but this gateway did not read.
     pub(crate) fn record_unread(&self, read: Read, error: &Error) {
         self.metrics.record_store_read(read.name(), error.name());
--- a/crates/daisyyard_gateway/src/store.rs
+++ b/crates/daisyyard_gateway/src/store.rs
@@ -6,10 +6,11 @@
 
 use bytes::{Bytes, BytesMut};
 use daisyyard_core::catch_up::End;
+use daisyyard_core::revision::Era;
 use daisyyard_http::connection::{self, Failure};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderMap};
 use hyper::http::response;
 use hyper::{Request, StatusCode};
 use tokio::time::Instant;
@@ -41,6 +42,11 @@
     /// The server rejected the call.
     #[error("the server rejected the call with status {0}; retry later")]
     Declined(StatusCode),
+    /// The response belongs to an era of the store that has ended.
+    #[error(
+        "the response is of an era before {0}; if the store was set up anew on purpose, restart the gateways"
+    )]
+    Outdated(Era),
     /// The response cannot be decoded.
     #[error("cannot decode the response ({0}); check that the address is right")]
     Unusable(anyhow::Error),
@@ -55,6 +61,7 @@
             Self::Incomplete(_) => "incomplete",
             Self::TooLarge(_) => "too_large",
             Self::Declined(_) => "declined",
+            Self::Outdated(_) => "outdated",
             Self::Unusable(_) => "unusable",
         }
     }
@@ -70,7 +77,9 @@
         match error {
             Error::Declined(StatusCode::GONE) => Self::Discarded,
             Error::Incomplete(_) | Error::TooLarge(_) | Error::Broken => Self::Abandoned,
-            Error::Unanswered(_) | Error::Declined(_) | Error::Unusable(_) => Self::Unanswered,
+            Error::Unanswered(_) | Error::Declined(_) | Error::Outdated(_) | Error::Unusable(_) => {
+                Self::Unanswered
+            }
         }
     }
 }
@@ -126,16 +135,28 @@
     }
 }
 
-/// Sends a call on a new connection and returns the complete response of at most `max_bytes` if its
-/// status is 200.
+/// Sends a call on a new connection and returns the complete body, of at most `max_bytes`, of the
+/// response if its status is 200.
 pub(crate) async fn call(
     address: SocketAddr,
     call: Call,
     timeouts: Timeouts,
     max_bytes: usize,
 ) -> Result<Bytes, Error> {
+    let (_, body) = read(address, call, timeouts, max_bytes).await?;
+    Ok(body)
+}
+
+/// Sends a call on a new connection and returns the headers and the complete body, of at most
+/// `max_bytes`, of the response if its status is 200.
+pub(crate) async fn read(
+    address: SocketAddr,
+    call: Call,
+    timeouts: Timeouts,
+    max_bytes: usize,
+) -> Result<(HeaderMap, Bytes), Error> {
     match exchange(address, call, timeouts, max_bytes).await? {
-        (head, body) if head.status == StatusCode::OK => Ok(body),
+        (head, body) if head.status == StatusCode::OK => Ok((head.headers, body)),
         (head, _) => Err(Error::Declined(head.status)),
     }
 }
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -6,7 +6,9 @@
 
 use daisyyard_core::catalog::Catalog;
 use daisyyard_core::catch_up::{CatchUp, End, Next};
-use daisyyard_core::id::Revision;
+use daisyyard_core::era::{Tracker, Verdict};
+use daisyyard_core::id::Version;
+use daisyyard_core::revision::{Era, Revision};
 use daisyyard_core::roster::Role;
 use futures_util::FutureExt;
 use tokio::sync::{Notify, mpsc, watch};
@@ -44,6 +46,9 @@
 /// Time between two calls of a gateway that is told of changes by others while it does not reach the
 /// store. If it noticed the return later, entries that vanish then would count as doubtful.
 const PROBE_PAUSE: Duration = Duration::from_secs(1);
+/// Mean time until a gateway reads a store of which another one has read a later era, for each gateway.
+/// It spreads the complete reads of all gateways over the time in which the store can answer them.
+const RESTORE_PAUSE_PER_GATEWAY: Duration = Duration::from_millis(2);
 /// The current configuration; `None` until the first one is read.
 pub(crate) type Configuration = watch::Receiver<Option<Arc<Catalog>>>;
 
@@ -74,6 +79,10 @@
     reach: Reach,
     /// Chooses between the changes and the whole state.
     catch_up: CatchUp,
+    /// Era of the store.
+    eras: Tracker,
+    /// Latest era that other gateways had reported at the last complete read.
+    checked_era: Era,
     /// Log of the gateway.
     log: Log,
 }
@@ -103,6 +112,8 @@
             standing,
             catalog_was_old: false,
             catch_up: CatchUp::default(),
+            eras: Tracker::default(),
+            checked_era: 0,
             log,
         };
         (watcher, configuration)
@@ -117,7 +128,7 @@
         loop {
             let mut changed = true;
             loop {
-                match self.next_read(changed).await {
+                match self.next_read(changed, revision.era).await {
                     Read::Changes => match self.watch(revision).await {
                         Some((next, any)) => (revision, changed) = (next, any),
                         None => break,
@@ -125,6 +136,9 @@
                     Read::Catalog => {
                         self.read_catalog(revision).await;
                         changed = false;
+                        if self.eras.era() != revision.era {
+                            break;
+                        }
                     }
                     Read::All => break,
                 }
@@ -133,11 +147,18 @@
         }
     }
 
-    /// Waits until the next read is due; `changed` says whether the last one brought any changes.
-    async fn next_read(&mut self, changed: bool) -> Read {
+    /// Waits until the next read is due; `changed` says whether the last one brought any changes, and
+    /// `era` is that of the last complete read.
+    async fn next_read(&mut self, changed: bool, era: Era) -> Read {
         let started = Instant::now();
+        let mut restored: Option<Instant> = None;
         loop {
             let standing = *self.standing.borrow_and_update();
+            if standing.era > era.max(self.checked_era) {
+                let now = Instant::now();
+                let mean = RESTORE_PAUSE_PER_GATEWAY.saturating_mul(standing.gateways as u32);
+                restored.get_or_insert_with(|| now + mean.mul_f64(rand::random_range(0.0..2.0)));
+            }
             let told = self.version().is_some() && standing.is_told();
             let pause = match standing {
                 _ if told && self.reach.is_lost() => PROBE_PAUSE,
@@ -157,6 +178,7 @@
                 }
             };
             tokio::select! {
+                () = sleep_until_some(restored) => return Read::All,
                 () = tokio::time::sleep_until((started + pause).into()) => {
                     return match told {
                         true if self.reach.is_lost() => Read::Catalog,
@@ -196,8 +218,10 @@
     async fn read_all(&mut self) -> Revision {
         loop {
             let started = Instant::now();
+            let checked_era = self.standing.borrow().era;
             match self.read_pages(Freshness::Latest).await {
                 Ok((batch, bytes)) => {
+                    self.checked_era = checked_era;
                     self.reach.record_success(Read::All).await;
                     self.catch_up.record_state(bytes);
                     let revision = batch.revision;
@@ -212,7 +236,7 @@
 
     /// Reads all pages of keys, and returns them with their size in bytes. The pages are not one snapshot,
     /// so the watch starts at the revision of the first page.
-    async fn read_pages(&self, freshness: Freshness) -> Result<(Batch, usize), Error> {
+    async fn read_pages(&mut self, freshness: Freshness) -> Result<(Batch, usize), Error> {
         let mut all = Batch::default();
         let mut bytes = 0;
         let mut after: Option<String> = None;
@@ -222,6 +246,9 @@
             bytes += size;
             if after.is_none() {
                 all.revision = page.revision;
+            } else if page.revision.era != all.revision.era {
+                (all, bytes, after) = (Batch::default(), 0, None);
+                continue;
             }
             all.records.extend(page.records);
             match page.next_key {
@@ -234,14 +261,25 @@
     /// Reads a response of at most `max_bytes` for which the store may wait, and returns it with its size
     /// in bytes.
     async fn read(
-        &self,
+        &mut self,
         call: Call,
         wait: Duration,
         max_bytes: usize,
     ) -> Result<(Batch, usize), Error> {
         let timeouts = Timeouts::of_page(wait + READ_TIMEOUT, READ_TIMEOUT);
-        let response = store::call(self.address, call, timeouts, max_bytes).await?;
-        let batch = (self.codec.store.read_batch)(&response).map_err(Error::Unusable)?;
+        let (headers, response) = store::read(self.address, call, timeouts, max_bytes).await?;
+        let statement = (self.codec.store.read_era)(&headers);
+        let verdict = self.eras.record(statement);
+        let era = self.eras.era();
+        if self.eras.is_newly_doubtful(statement) {
+            self.reach.record_doubt(statement, era);
+        }
+        match verdict {
+            Verdict::Current => {}
+            Verdict::Restored(before) => self.reach.record_restore(before, era),
+            Verdict::Outdated => return Err(Error::Outdated(era)),
+        }
+        let batch = (self.codec.store.read_batch)(&response, era).map_err(Error::Unusable)?;
         Ok((batch, response.len()))
     }
 
@@ -275,12 +313,16 @@
         } else {
             self.watch_timeout
         };
-        let call = (self.codec.store.watch)(revision, wait);
+        let call = (self.codec.store.watch)(revision.number, wait);
         let started = Instant::now();
         let max_bytes = self.catch_up.max_change_bytes().min(MAX_PAGE_BYTES);
         let error = match self.read(call, wait, max_bytes).await {
             Ok((batch, _)) => {
                 self.reach.record_success(Read::Changes).await;
+                if batch.revision.era != revision.era {
+                    // The changes up to the number that was asked for are missing.
+                    return None;
+                }
                 let next = batch.revision.max(revision);
                 let changed = !batch.records.is_empty();
                 // A response that was delayed on its way may have left at the end of the wait.
@@ -356,7 +398,7 @@
     }
 
     /// Returns the version of the current configuration.
-    fn version(&self) -> Option<Revision> {
+    fn version(&self) -> Option<Version> {
         let configuration = self.catalog.borrow();
         configuration.as_ref().map(|catalog| catalog.version)
     }
@@ -369,3 +411,11 @@
         self.log.emit(Event::CatalogAdopted, &details);
     }
 }
+
+/// Waits until a time, or forever if there is none.
+async fn sleep_until_some(time: Option<Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time.into()).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/daisyyard_gateway/src/wire.rs
+++ b/crates/daisyyard_gateway/src/wire.rs
@@ -5,9 +5,10 @@
 use bytes::Bytes;
 use daisyyard_core::crash;
 use daisyyard_core::evacuation::Order;
-use daisyyard_core::id::{EndpointId, Fingerprint, Revision, ServiceId, ZoneId};
+use daisyyard_core::id::{EndpointId, Fingerprint, ServiceId, ZoneId};
 use daisyyard_core::knowledge;
 use daisyyard_core::load::Load;
+use daisyyard_core::revision::{Era, Revision};
 use daisyyard_core::shared_retry_budget::Count;
 use daisyyard_core::statement::Leaver;
 use daisyyard_core::warmup;
@@ -15,6 +16,9 @@
 
 use crate::codec::Item;
 
+/// A part of a frame with the era of the store to which its revision belongs.
+pub(crate) struct Dated<P>(pub(crate) P, pub(crate) Era);
+
 /// What the sender knows of the crashes of a content.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub(crate) struct ContentRecord {
@@ -106,9 +110,9 @@
     /// Identifier of the endpoint.
     #[prost(fixed64, tag = "1")]
     pub(crate) endpoint: EndpointId,
-    /// Revision of the store at which the endpoint began to leave.
+    /// Number of the revision at which the endpoint began to leave.
     #[prost(uint64, tag = "2")]
-    pub(crate) revision: Revision,
+    pub(crate) revision: u64,
 }
 
 /// The newest order to evacuate an availability zone that the sender knows.
@@ -117,9 +121,9 @@
     /// Identifier of the zone.
     #[prost(fixed64, tag = "1")]
     pub(crate) zone: ZoneId,
-    /// Revision of the store at which the order was given or revoked.
+    /// Number of the revision at which the order was given or revoked.
     #[prost(uint64, tag = "2")]
-    pub(crate) revision: Revision,
+    pub(crate) revision: u64,
     /// Whether the zone is evacuated.
     #[prost(bool, tag = "3")]
     pub(crate) standing: bool,
@@ -137,9 +141,9 @@
     /// Time in milliseconds for which it is still cold.
     #[prost(uint32, tag = "3")]
     pub(crate) remaining_ms: u32,
-    /// Revision of the latest entry of the endpoint that the sender has read.
+    /// Number of the revision of the latest entry of the endpoint that the sender has read.
     #[prost(uint64, tag = "4")]
-    pub(crate) revision: Revision,
+    pub(crate) revision: u64,
 }
 
 impl ColdEndpoint {
@@ -156,17 +160,17 @@
             endpoint: report.endpoint,
             incarnation: report.incarnation,
             remaining_ms: millis(report.remaining),
-            revision: report.revision,
+            revision: report.revision.number,
         }
     }
 }
 
-impl From<ColdEndpoint> for warmup::Report {
-    fn from(cold: ColdEndpoint) -> Self {
+impl From<Dated<ColdEndpoint>> for warmup::Report {
+    fn from(Dated(cold, era): Dated<ColdEndpoint>) -> Self {
         Self {
             endpoint: cold.endpoint,
             incarnation: cold.incarnation,
-            revision: cold.revision,
+            revision: Revision::new(era, cold.revision),
             remaining: Duration::from_millis(cold.remaining_ms.into()),
         }
     }
@@ -210,9 +214,9 @@
     /// Value of the key; absent if it was deleted.
     #[prost(bytes = "bytes", optional, tag = "2")]
     pub(crate) value: Option<Bytes>,
-    /// Revision of the store at the change.
+    /// Number of the revision of the change.
     #[prost(uint64, tag = "3")]
-    pub(crate) revision: Revision,
+    pub(crate) revision: u64,
 }
 
 /// Request counts of the sender for one service.
@@ -282,14 +286,15 @@
     fn from((endpoint, revision): &(EndpointId, Revision)) -> Self {
         Self {
             endpoint: *endpoint,
-            revision: *revision,
+            revision: revision.number,
         }
     }
 }
 
-impl From<Departure> for (EndpointId, Revision) {
-    fn from(departure: Departure) -> Self {
-        (departure.endpoint, departure.revision)
+impl From<Dated<Departure>> for (EndpointId, Revision) {
+    fn from(Dated(departure, era): Dated<Departure>) -> Self {
+        let revision = Revision::new(era, departure.revision);
+        (departure.endpoint, revision)
     }
 }
 
@@ -297,17 +302,17 @@
     fn from(order: &Order) -> Self {
         Self {
             zone: order.zone,
-            revision: order.revision,
+            revision: order.revision.number,
             standing: order.standing,
         }
     }
 }
 
-impl From<Evacuation> for Order {
-    fn from(evacuation: Evacuation) -> Self {
+impl From<Dated<Evacuation>> for Order {
+    fn from(Dated(evacuation, era): Dated<Evacuation>) -> Self {
         Self {
             zone: evacuation.zone,
-            revision: evacuation.revision,
+            revision: Revision::new(era, evacuation.revision),
             standing: evacuation.standing,
         }
     }
@@ -318,17 +323,17 @@
         Self {
             key: item.key,
             value: item.value,
-            revision: item.revision,
+            revision: item.revision.number,
         }
     }
 }
 
-impl From<Change> for Item {
-    fn from(change: Change) -> Self {
+impl From<Dated<Change>> for Item {
+    fn from(Dated(change, era): Dated<Change>) -> Self {
         Self {
             key: change.key,
             value: change.value,
-            revision: change.revision,
+            revision: Revision::new(era, change.revision),
         }
     }
 }
--- a/crates/daisyyard_standin/src/platform_keys.rs
+++ b/crates/daisyyard_standin/src/platform_keys.rs
@@ -1,6 +1,6 @@
 //! Keys, leases, watches and change history of the platform's store, owned by one task.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -8,6 +8,10 @@
 
 /// Time between two checks for expired leases and watches.
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Time between two copies of the keys.
+const COPY_INTERVAL: Duration = Duration::from_millis(250);
+/// Maximum number of copies.
+const MAX_COPIES: usize = 60;
 
 /// Message to the task that owns the keys.
 #[derive(Debug)]
@@ -33,6 +37,8 @@
     Revoke(u64),
     /// Discard the history of changes and fail the waiting watches.
     Compact,
+    /// Continue from the newest copy that has at least this age, and fail the waiting watches.
+    Restore(Duration),
 }
 
 /// A watch that waits for changes.
@@ -49,7 +55,7 @@
 }
 
 /// A lease that has not ended.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Lease {
     /// Lifetime after the grant and after each renewal.
     lifetime: Duration,
@@ -74,6 +80,21 @@
     last_lease: u64,
     /// Watches that wait for changes.
     watches: Vec<Watch>,
+    /// Copies of the keys with their times, the oldest first.
+    copies: VecDeque<(Instant, Copy)>,
+}
+
+/// What a copy of the store holds.
+#[derive(Debug, Clone)]
+struct Copy {
+    /// Revision of the last write.
+    revision: u64,
+    /// Items by key.
+    items: BTreeMap<String, Value>,
+    /// Leases by identifier.
+    leases: HashMap<u64, Lease>,
+    /// Identifier of the last lease.
+    last_lease: u64,
 }
 
 /// Executes commands and expires leases until all senders of commands are dropped.
@@ -86,7 +107,11 @@
                 Some(command) => keys.execute(command),
                 None => return,
             },
-            _ = interval.tick() => keys.expire_leases(Instant::now()),
+            _ = interval.tick() => {
+                let now = Instant::now();
+                keys.expire_leases(now);
+                keys.copy(now);
+            }
         }
         keys.notify_watches(Instant::now());
     }
@@ -132,6 +157,7 @@
                 let _ = reply.send(renewed.is_some());
             }
             Command::Revoke(lease) => self.revoke(lease),
+            Command::Restore(age) => self.restore(age),
             Command::Compact => {
                 self.compacted_revision = self.revision;
                 self.events.clear();
@@ -142,6 +168,47 @@
         }
     }
 
+    /// Makes a copy if the last one is old enough.
+    fn copy(&mut self, now: Instant) {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < COPY_INTERVAL;
+        if self.copies.back().is_some_and(|(at, _)| is_recent(*at)) {
+            return;
+        }
+        let copy = Copy {
+            revision: self.revision,
+            items: self.items.clone(),
+            leases: self.leases.clone(),
+            last_lease: self.last_lease,
+        };
+        self.copies.push_back((now, copy));
+        if self.copies.len() > MAX_COPIES {
+            self.copies.pop_front();
+        }
+    }
+
+    /// Continues from the newest copy that has at least an age. Its leases last as long as after a
+    /// renewal.
+    fn restore(&mut self, age: Duration) {
+        let now = Instant::now();
+        let copies = self.copies.iter().rev();
+        let old = |(at, _): &&(Instant, Copy)| now.saturating_duration_since(*at) >= age;
+        let found = copies.clone().find(old).or_else(|| self.copies.front());
+        let Some((_, copy)) = found.cloned() else {
+            return;
+        };
+        (self.revision, self.last_lease) = (copy.revision, copy.last_lease);
+        (self.items, self.leases) = (copy.items, copy.leases);
+        let revision = self.revision;
+        self.events.retain(|(at, ..)| *at <= revision);
+        self.compacted_revision = self.compacted_revision.min(revision);
+        for lease in self.leases.values_mut() {
+            lease.expires_at = now + lease.lifetime;
+        }
+        for watch in self.watches.drain(..) {
+            let _ = watch.reply.send(None);
+        }
+    }
+
     /// Writes and deletes keys and returns the new revision; does nothing and returns `None` if one
     /// of the leases does not exist.
     fn write(&mut self, puts: Vec<(String, String, u64)>, removed: Vec<String>) -> Option<u64> {
@@ -195,7 +262,7 @@
     /// Answers the watches that have changes or whose deadline has passed.
     fn notify_watches(&mut self, now: Instant) {
         for watch in std::mem::take(&mut self.watches) {
-            if watch.after < self.compacted_revision {
+            if watch.after < self.compacted_revision || watch.after > self.revision {
                 let _ = watch.reply.send(None);
                 continue;
             }
--- a/crates/daisyyard_standin/src/platform_store.rs
+++ b/crates/daisyyard_standin/src/platform_store.rs
@@ -17,6 +17,8 @@
 
 use crate::platform_keys::{self, Command, Watch};
 
+/// Header with the era of the store.
+const ERA: &str = "store-era";
 /// Path of a watch.
 const WATCH_PATH: &str = "/-/kv-watch";
 
@@ -46,6 +48,8 @@
     commands: mpsc::UnboundedSender<Command>,
     /// Treatment of calls.
     mode: watch::Sender<Mode>,
+    /// Era that responses state; zero if they state none.
+    era: watch::Sender<u64>,
     /// Number of calls received so far, in any mode.
     calls: watch::Receiver<u64>,
     /// Number of watches among them.
@@ -63,6 +67,7 @@
         let address = listener.local_addr()?;
         let (commands, receiver) = mpsc::unbounded_channel();
         let (mode, current_mode) = watch::channel(Mode::Serving);
+        let (era, current_era) = watch::channel(0);
         let (counter, calls) = watch::channel(0);
         let (watch_counter, watches) = watch::channel(0);
         let (meter, price) = watch::channel(0);
@@ -74,12 +79,22 @@
                 watch_counter.send_modify(|watches| *watches += 1);
             }
             meter.send_modify(|total| *total += price_of(&request));
-            handle(request, sender.clone(), *current_mode.borrow())
+            let answer = handle(request, sender.clone(), *current_mode.borrow());
+            let era = current_era.clone();
+            async move {
+                let mut response = answer.await;
+                let era = *era.borrow();
+                if era > 0 {
+                    response.headers_mut().insert(ERA, era.into());
+                }
+                response
+            }
         });
         Ok(Self {
             address,
             commands,
             mode,
+            era,
             calls,
             watches,
             price,
@@ -127,6 +142,22 @@
         let _ = self.commands.send(Command::Compact);
     }
 
+    /// Sets the era that responses state; zero stands for none.
+    pub fn set_era(&self, era: u64) {
+        self.era.send_replace(era);
+    }
+
+    /// Comes back from a copy of at least this age, in the next era, after being away for a time.
+    pub async fn restore(&self, age: Duration, away: Duration) {
+        let mode = self.mode.send_replace(Mode::Declining);
+        tokio::time::sleep(away).await;
+        let _ = self.commands.send(Command::Restore(age + away));
+        // The task that owns the keys executes commands in order.
+        let _ = self.keys("").await;
+        self.era.send_modify(|era| *era += 1);
+        self.mode.send_replace(mode);
+    }
+
     /// Returns the keys that have a prefix.
     pub async fn keys(&self, prefix: &str) -> Vec<String> {
         let (reply, answer) = oneshot::channel();
