Take a run for sound only once it has ended or outlasted by far those that crashed

Cause: 250 ms after its first event a run counted as proof that its contents are sound. A crash after that was not recorded, and the proof cancelled those before. Ruled out: that gateways do not tell each other (with an early crash the same request is refused after the third).

Change: each run that an engine breaks off is recorded, with the time for which it had gone on. A run proves its contents when it ends well, or when it has gone on for twice the lower quartile of those times. As a crash now implicates all that an engine runs, crashes of three endpoints or more within 100 ms, and of endpoints that leave, say nothing about contents; refusals are stored 250 ms after the crash, when that is known.

counts_rack_once expected a rack whose five endpoints are lost within 5 ms to count as one crash. It counts as none now, which the test checks as exactly; a rack that is lost over half a second counts once, as before.

--- a/crates/daisyyard/tests/crashing_content.rs
+++ b/crates/daisyyard/tests/crashing_content.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use daisyyard_standin::platform_engine::CRASH_WORD;
+use daisyyard_standin::platform_engine::{CRASH_WORD, LATE_CRASH_WORD};
 use hyper::{Method, StatusCode};
 use platform::{Platform, Request};
 
@@ -86,6 +86,21 @@
     assert_eq!(status, Some(StatusCode::OK));
 }
 
+/// A stream that crashes engines some time after its first event is refused like one that crashes them at
+/// once; another one to the same route is served.
+#[tokio::test]
+async fn late_crash() {
+    let platform = start(5, 0, 3).await;
+    let deadly = Request {
+        body: LATE_CRASH_WORD,
+        ..platform::stream_request("/draft/1", "100,400")
+    };
+    check_sends(&platform, &deadly).await;
+    let sound = platform::stream_request("/draft/1", "100,20");
+    let status = send_to(&platform, 0, "sound", &sound).await;
+    assert_eq!(status, Some(StatusCode::OK));
+}
+
 /// A call that crashes plain endpoints is refused, also if it may be repeated.
 #[tokio::test]
 async fn call_refused() {
--- a/crates/daisyyard_core/src/crash.rs
+++ b/crates/daisyyard_core/src/crash.rs
@@ -3,7 +3,9 @@
 //! Nodes record which contents were in progress when endpoints broke runs off, and tell each other in
 //! datagrams, which can be lost, repeated and reordered. A content is refused once several crashes in a
 //! row have it in common. A run that goes well proves its contents sound, which cancels all earlier
-//! crashes: contents that are in progress at a crash by chance are soon run elsewhere.
+//! crashes: contents that are in progress at a crash by chance are soon run elsewhere. A run has gone
+//! well when it has ended, or when it has lasted far longer than those that were broken off: a content
+//! may crash its endpoints at any time of the run, but hardly at very different ones.
 //!
 //! A request has several contents: itself as a whole, and the parts of its prompt that others share. A
 //! crash implicates all of them, so contents that crashes do not tell apart are refused as a group: only
@@ -15,6 +17,7 @@
 use daisyyard_derive::{key, value};
 
 use crate::id::{EndpointId, Fingerprint};
+use crate::loss::Losses;
 use crate::suspect::RECORD_TTL;
 
 /// Number of crashes in a row after which a content is refused.
@@ -24,6 +27,10 @@
 const MIN_CRASH_INTERVAL: Duration = Duration::from_millis(500);
 /// Time by which reports of one crash may differ, which is less than an endpoint needs to start again.
 const REPORT_TOLERANCE: Duration = Duration::from_secs(1);
+/// Shortest time for which a run must last to prove its contents sound before it ends.
+const MIN_PROOF_TIME: Duration = Duration::from_millis(250);
+/// The same, as a multiple of the lower quartile of the times for which runs lasted until the crashes.
+const PROOF_FACTOR: u32 = 2;
 /// Largest number of crashes that a record keeps.
 const MAX_KEPT_CRASHES: usize = 8;
 /// Largest number of records; beyond it, the one with the oldest crash is evicted.
@@ -47,6 +54,11 @@
     pub sent_at: Instant,
     /// When the run was broken off.
     pub at: Instant,
+    /// Time for which the endpoint had sent data of the run; zero if it had sent none.
+    pub ran_for: Duration,
+    /// Whether many endpoints crashed at that moment, so that the crash does not count. Each node decides
+    /// this by itself.
+    pub common: bool,
 }
 
 /// What is known of a content, as nodes report it.
@@ -70,6 +82,20 @@
     records: HashMap<Fingerprint, Record>,
     /// Groups that the store has or is being given, with the time at which that was last known.
     stored: HashMap<Group, Instant>,
+    /// The latest crashes of endpoints, whatever they ran.
+    losses: Losses,
+    /// Contents that are no longer refused, as their last crash turned out to be one of many.
+    cleared: Vec<Fingerprint>,
+}
+
+impl Crash {
+    /// Returns whether this is another crash as another node or another run reported it: runs that were in
+    /// progress at one endpoint at the same time were broken off by one crash.
+    pub(crate) fn is_same(&self, other: &Self) -> bool {
+        let overlap = self.sent_at <= other.at + REPORT_TOLERANCE
+            && other.sent_at <= self.at + REPORT_TOLERANCE;
+        self.endpoint == other.endpoint && overlap
+    }
 }
 
 impl Record {
@@ -108,7 +134,7 @@
     /// Returns the number of crashes in a row that another record does not share.
     fn count_without(&self, other: Option<&Self>) -> usize {
         let unproven = self.crashes.iter();
-        let unproven = unproven.filter(|crash| Some(crash.at) > self.proven_at);
+        let unproven = unproven.filter(|crash| !crash.common && Some(crash.at) > self.proven_at);
         let explained = |crash: &Crash| other.is_some_and(|other| other.has(crash));
         let mut last: Option<&Crash> = None;
         let mut count = 0;
@@ -127,12 +153,7 @@
 
     /// Returns whether the record contains a crash, perhaps as another node reported it.
     fn has(&self, crash: &Crash) -> bool {
-        // Runs that were in progress at one endpoint at the same time were broken off by one crash.
-        self.crashes.iter().any(|known| {
-            let overlap = known.sent_at <= crash.at + REPORT_TOLERANCE
-                && crash.sent_at <= known.at + REPORT_TOLERANCE;
-            known.endpoint == crash.endpoint && overlap
-        })
+        self.crashes.iter().any(|known| known.is_same(crash))
     }
 
     /// Returns whether requests with the content are refused.
@@ -141,9 +162,23 @@
         self.count() >= MAX_CRASHES
     }
 
+    /// Returns the time for which a run must last to prove the content sound before it ends.
+    ///
+    /// A content that crashes its endpoints does so at about the same time of each run, so that none
+    /// lasts much longer. Runs that are broken off by chance have lasted for very different times.
+    #[must_use]
+    pub fn proof_time(&self) -> Duration {
+        let mut lasted: Vec<Duration> = self.crashes.iter().map(|crash| crash.ran_for).collect();
+        lasted.sort_unstable();
+        let quartile = lasted.get(lasted.len() / 4).copied().unwrap_or_default();
+        MIN_PROOF_TIME.max(quartile * PROOF_FACTOR)
+    }
+
     /// Adds a crash; returns whether it was not known.
     fn add(&mut self, crash: Crash) -> bool {
-        if self.has(&crash) {
+        if let Some(known) = self.crashes.iter_mut().find(|known| known.is_same(&crash)) {
+            // Of several runs at the endpoint, the oldest one has crashed it if the content does so.
+            known.ran_for = known.ran_for.max(crash.ran_for);
             return false;
         }
         let later = self.crashes.iter().position(|known| known.at > crash.at);
@@ -234,6 +269,7 @@
 
     /// Records a crash at which contents were in progress; returns the records that have changed.
     pub fn record_crash(&mut self, contents: &[Fingerprint], crash: Crash) -> Vec<Record> {
+        let crash = self.record_loss(crash);
         let mut changed = Vec::new();
         for content in contents {
             let record = self.record(*content);
@@ -245,6 +281,12 @@
         changed
     }
 
+    /// Removes and returns the contents that are no longer refused, as their last crash turned out to be one
+    /// of many.
+    pub fn take_cleared(&mut self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.cleared)
+    }
+
     /// Records that a run with these contents went well; returns the records that have changed.
     pub fn record_proof(&mut self, contents: &[Fingerprint], now: Instant) -> Vec<Record> {
         let mut changed = Vec::new();
@@ -259,15 +301,33 @@
         changed
     }
 
+    /// Records that a run with these contents has lasted for a time, which may prove them sound before the
+    /// run ends; returns the records that have changed.
+    pub fn record_progress(
+        &mut self,
+        contents: &[Fingerprint],
+        lasted: Duration,
+        now: Instant,
+    ) -> Vec<Record> {
+        let is_proven = |content: &&Fingerprint| {
+            let record = self.records.get(content);
+            record.is_some_and(|record| lasted >= record.proof_time())
+        };
+        let sound: Vec<Fingerprint> = contents.iter().filter(is_proven).copied().collect();
+        self.record_proof(&sound, now)
+    }
+
     /// Merges a record of another node; returns whether it contained anything new.
     pub fn learn(&mut self, record: &Record, now: Instant) -> bool {
         if record.expires().is_none_or(|expires| expires <= now) {
             return false;
         }
+        let crashes = record.crashes.iter();
+        let crashes: Vec<Crash> = crashes.map(|crash| self.record_loss(*crash)).collect();
         let known = self.record(record.content);
         let mut new = false;
-        for crash in &record.crashes {
-            new |= known.add(*crash);
+        for crash in crashes {
+            new |= known.add(crash);
         }
         if let Some(proven_at) = record.proven_at {
             new |= known.prove(proven_at);
@@ -296,6 +356,25 @@
         record.or_insert_with(|| Record::new(content))
     }
 
+    /// Records that an endpoint has crashed, and returns the crash with whether it was one of many.
+    fn record_loss(&mut self, crash: Crash) -> Crash {
+        if self.losses.add(crash) {
+            for record in self.records.values_mut() {
+                let was_refused = record.is_refused();
+                for known in &mut record.crashes {
+                    known.common |= self.losses.are_many_with(known);
+                }
+                if was_refused && !record.is_refused() {
+                    self.cleared.push(record.content);
+                }
+            }
+        }
+        Crash {
+            common: self.losses.are_many_with(&crash),
+            ..crash
+        }
+    }
+
     /// Removes records if there are too many, first those that have expired.
     fn evict(&mut self, now: Instant) {
         if self.records.len() <= MAX_RECORDS {
--- a/crates/daisyyard_core/src/lib.rs
+++ b/crates/daisyyard_core/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod link;
 pub mod listing;
 pub mod load;
+mod loss;
 mod lru;
 pub mod member;
 mod memory;
--- a/crates/daisyyard_core/tests/crash_evidence.rs
+++ b/crates/daisyyard_core/tests/crash_evidence.rs
@@ -24,6 +24,8 @@
         endpoint,
         sent_at: after(start, millis - 100),
         at: after(start, millis),
+        ran_for: Duration::ZERO,
+        common: false,
     }
 }
 
@@ -61,15 +63,22 @@
     assert!(evidence.verdict(&[DEADLY], start) != Verdict::Allow);
 }
 
-/// A rack that is lost with runs of one content at several endpoints is one crash.
+/// A rack that is lost endpoint by endpoint with runs of one content is one crash; one that is lost as a
+/// whole is none.
 #[test]
 fn counts_rack_once() {
     let start = Instant::now();
-    let mut evidence = Evidence::new();
-    for endpoint in 1..=5 {
-        evidence.record_crash(&[SOUND], crash(start, endpoint, 1_000 + endpoint));
+    for (gap, count) in [(110, 1), (1, 0)] {
+        let mut evidence = Evidence::new();
+        for endpoint in 1..=5 {
+            let lost = Crash {
+                sent_at: after(start, 900),
+                ..crash(start, endpoint, 1_000 + endpoint * gap)
+            };
+            evidence.record_crash(&[SOUND], lost);
+        }
+        assert_eq!(evidence.get(SOUND).map(Record::count), Some(count));
     }
-    assert_eq!(evidence.get(SOUND).map(Record::count), Some(1));
 }
 
 /// Several nodes that report the break of runs at one endpoint report one crash.
@@ -107,6 +116,69 @@
     }
 }
 
+/// Returns a crash of an endpoint after it has sent data of a run for a time.
+fn late_crash(start: Instant, endpoint: u64, millis: u64, ran_for: Duration) -> Crash {
+    Crash {
+        ran_for,
+        ..crash(start, endpoint, millis)
+    }
+}
+
+/// A run that outlasts by far those that were broken off proves its contents sound before its end.
+#[test]
+fn long_run_proves() {
+    let start = Instant::now();
+    let mut evidence = Evidence::new();
+    for number in 1..=2 {
+        let crash = late_crash(start, number, number * 1_000, Duration::from_millis(400));
+        evidence.record_crash(&[SOUND], crash);
+    }
+    let now = after(start, 3_000);
+    let short = Duration::from_millis(500);
+    assert!(evidence.record_progress(&[SOUND], short, now).is_empty());
+    assert_eq!(evidence.get(SOUND).map(Record::count), Some(2));
+    let long = Duration::from_millis(800);
+    assert_eq!(evidence.record_progress(&[SOUND], long, now).len(), 1);
+    assert_eq!(evidence.get(SOUND).map(Record::count), Some(0));
+}
+
+/// Of several runs that one crash broke off, the one that lasted longest says how long others must.
+#[test]
+fn longest_run_counts() {
+    let start = Instant::now();
+    let mut evidence = Evidence::new();
+    for millis in [100, 3_000, 700] {
+        let crash = late_crash(start, 1, 1_000, Duration::from_millis(millis));
+        evidence.record_crash(&[SOUND], crash);
+    }
+    let record = evidence.get(SOUND).expect("a record");
+    assert_eq!(record.count(), 1);
+    assert_eq!(record.proof_time(), Duration::from_secs(6));
+}
+
+/// Crashes of most endpoints at once say nothing of what they ran, however often they come and whichever
+/// of them ran it.
+#[test]
+fn ignores_mass_crash() {
+    let start = Instant::now();
+    let mut evidence = Evidence::new();
+    let mut told = Evidence::new();
+    for event in 1..=4 {
+        for endpoint in 1..=8 {
+            let content = if endpoint < 3 { SOUND } else { 100 };
+            let at = event * 4_000 + endpoint * 5;
+            for record in evidence.record_crash(&[content], crash(start, endpoint, at)) {
+                told.learn(&record, start);
+            }
+        }
+        for evidence in [&evidence, &told] {
+            assert_eq!(evidence.get(SOUND).map(Record::count), Some(0));
+        }
+    }
+    evidence.record_crash(&[SOUND], crash(start, 1, 30_000));
+    assert_eq!(evidence.get(SOUND).map(Record::count), Some(1));
+}
+
 /// A request that shares a sound part with those that crash endpoints is allowed, and proves the part;
 /// one with the part that they all have stays refused.
 #[test]
@@ -188,6 +260,30 @@
 }
 
 proptest! {
+    /// A content that crashes each endpoint at about the same time of its run is refused after the third
+    /// crash, however long its runs last.
+    #[test]
+    fn refuses_late_crashes(
+        base in 1_u64..15_000,
+        factors in proptest::array::uniform3(1.0_f64..2.0),
+    ) {
+        let start = Instant::now();
+        let mut evidence = Evidence::new();
+        let mut at = 0;
+        for (number, factor) in factors.into_iter().enumerate() {
+            prop_assert_eq!(evidence.verdict(&[DEADLY], start), Verdict::Allow);
+            let ran_for = Duration::from_millis((base as f64 * factor) as u64);
+            let mut lasted = Duration::from_millis(250);
+            while lasted < ran_for {
+                evidence.record_progress(&[DEADLY], lasted, after(start, at));
+                lasted *= 2;
+            }
+            at += 40_000;
+            evidence.record_crash(&[DEADLY], late_crash(start, number as u64, at, ran_for));
+        }
+        prop_assert!(evidence.verdict(&[DEADLY], start) != Verdict::Allow);
+    }
+
     /// Records that arrive in any order, repeatedly, lead all nodes to the same verdict.
     #[test]
     fn merges_any_order(
--- a/crates/daisyyard_gateway/src/content.rs
+++ b/crates/daisyyard_gateway/src/content.rs
@@ -5,13 +5,14 @@
 use std::time::{Duration, Instant};
 
 use daisyyard_core::crash::{Crash, Group, Record, Verdict};
+use daisyyard_core::endpoint::State;
 use daisyyard_core::id::Fingerprint;
 use daisyyard_core::roster::Role;
 use xtra::{Context, Handler};
 
 use crate::archive::Change;
 use crate::event::Event;
-use crate::message::{Break, EvidenceReport, Placement, Proof, ShareEvidence};
+use crate::message::{Break, EvidenceReport, Placement, Progress, ShareEvidence};
 use crate::pool::Pool;
 
 /// Time for which an observation is reported to the other gateways. Each report is repeated several
@@ -20,9 +21,13 @@
 /// Maximum number of contents in a group that is stored, as the key names them all. Larger groups become
 /// smaller with the first proofs.
 const MAX_STORED_CONTENTS: usize = 5;
-/// Maximum number of records that are reported at a time, the newest ones. When many endpoints are lost
-/// at once, the rest goes unreported; a content that crashes endpoints is soon observed again.
+/// Maximum number of records that are reported at a time, those with most crashes and the newest ones
+/// first. When many endpoints are lost at once, the rest goes unreported; a content that crashes
+/// endpoints is soon observed again.
 const MAX_REPORTED: usize = 16;
+/// Time after a crash at which the refusals that it has shown are stored. Other endpoints may turn out to
+/// have crashed at the same moment.
+const SETTLE_TIME: Duration = Duration::from_millis(250);
 /// Time after the last crash by which the refusal of a content is in the store, unless the gateway
 /// that observed the crash has ended.
 const STORE_TIME: Duration = Duration::from_secs(2);
@@ -51,6 +56,14 @@
                 self.apply_change(record.content, refused, now);
             }
         }
+        self.log_cleared(now);
+    }
+
+    /// Logs the contents that are no longer refused, as their last crash turned out to be one of many.
+    fn log_cleared(&mut self, now: Instant) {
+        for content in self.evidence.take_cleared() {
+            self.apply_change(content, true, now);
+        }
     }
 
     /// Records that the store has the refusal of a group of contents, or no longer.
@@ -63,9 +76,14 @@
         }
     }
 
-    /// Stores the refusals that the gateway which observed the last crash has not stored, because it
-    /// has ended since, or because proofs have made the group smaller.
+    /// Stores the refusals that the crashes which this gateway has observed have shown. A reader also
+    /// stores those that another gateway has not stored, because it has ended since, or because proofs
+    /// have made the group smaller.
     pub(crate) fn store_refusals(&mut self, now: Instant) {
+        let settled = |at: &mut Instant| now.saturating_duration_since(*at) >= SETTLE_TIME;
+        if let Some(crashed_at) = self.crash_observed_at.take_if(settled) {
+            self.store_groups(crashed_at, now);
+        }
         if self.members.role() == Role::Reader
             && let Some(until) = now.checked_sub(STORE_TIME)
         {
@@ -144,15 +162,22 @@
 impl Handler<Break> for Pool {
     type Return = ();
 
-    async fn handle(&mut self, Break(id): Break, _: &mut Context<Self>) {
+    async fn handle(&mut self, Break(id, ran_for): Break, _: &mut Context<Self>) {
         let Some(run) = self.runs.get(&id) else {
             return;
         };
+        // An endpoint that leaves ends its connections whatever it runs.
+        let endpoint = self.endpoints.endpoint(run.endpoint);
+        if endpoint.is_none_or(|endpoint| endpoint.state != State::Live) {
+            return;
+        }
         let now = Instant::now();
         let crash = Crash {
             endpoint: run.endpoint,
             sent_at: run.sent_at,
             at: now,
+            ran_for,
+            common: false,
         };
         let contents = Arc::clone(&run.contents);
         for content in contents.iter().copied() {
@@ -161,17 +186,25 @@
             self.report_observations(&changed, now);
             self.apply_change(content, refused, now);
         }
-        self.store_groups(now, now);
+        self.log_cleared(now);
+        self.crash_observed_at = Some(now);
     }
 }
 
-impl Handler<Proof> for Pool {
+impl Handler<Progress> for Pool {
     type Return = ();
 
-    async fn handle(&mut self, Proof(id): Proof, _: &mut Context<Self>) {
-        if let Some(run) = self.runs.get(&id) {
-            let contents = Arc::clone(&run.contents);
-            self.record_proof(&contents);
+    async fn handle(&mut self, Progress(id, lasted): Progress, _: &mut Context<Self>) {
+        let Some(run) = self.runs.get(&id) else {
+            return;
+        };
+        let now = Instant::now();
+        let contents = Arc::clone(&run.contents);
+        for content in contents.iter().copied() {
+            let refused = self.is_refused(content);
+            let changed = self.evidence.record_progress(&[content], lasted, now);
+            self.report_observations(&changed, now);
+            self.apply_change(content, refused, now);
         }
     }
 }
@@ -184,10 +217,11 @@
         let refused: Vec<Record> = self.evidence.refused(now).cloned().collect();
         self.observed_at
             .retain(|_, at| now.saturating_duration_since(*at) < REPORT_TIME);
-        let mut observed: Vec<(&Fingerprint, &Instant)> = self.observed_at.iter().collect();
-        observed.sort_by_key(|(_, at)| std::cmp::Reverse(**at));
-        let observed = observed.into_iter();
-        let observed = observed.filter_map(|(content, _)| self.evidence.get(*content));
+        let observed = self.observed_at.iter();
+        let observed = observed.filter_map(|(id, at)| Some((self.evidence.get(*id)?, *at)));
+        let mut observed: Vec<(&Record, Instant)> = observed.collect();
+        observed.sort_by_key(|(record, at)| std::cmp::Reverse((record.count(), *at)));
+        let observed = observed.into_iter().map(|(record, _)| record);
         let mut recent: Vec<Record> = observed.take(MAX_REPORTED).cloned().collect();
         if self.members.role() == Role::Reader {
             // Gateways that have just started have heard none of the earlier reports.
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -59,7 +59,7 @@
     CopyFailed = 136,
     /// The KV cache of a run is being copied because its engine is leaving.
     CopyStarted = 137,
-    /// An endpoint closed the connection of a run before it answered or had sent much of a stream.
+    /// An endpoint closed the connection of a run before its end.
     RunBroken = 138,
     /// Requests with a content are refused from now on, because it crashes endpoints, or no longer.
     ContentRefused = 139,
--- a/crates/daisyyard_gateway/src/frame.rs
+++ b/crates/daisyyard_gateway/src/frame.rs
@@ -36,7 +36,7 @@
 /// Maximum number of limits of endpoints in one datagram.
 const MAX_LIMITS: usize = 40;
 /// Maximum number of records of contents in one datagram.
-const MAX_CONTENTS: usize = 8;
+const MAX_CONTENTS: usize = 6;
 /// Maximum number of kinds of requests in one datagram, or of waiting ones in a digest.
 const MAX_KINDS: usize = 8;
 /// Maximum number of services in one datagram.
--- a/crates/daisyyard_gateway/src/message.rs
+++ b/crates/daisyyard_gateway/src/message.rs
@@ -141,13 +141,13 @@
 #[derive(Debug)]
 pub(crate) struct FirstToken(pub(crate) RequestId);
 
-/// Reports that the endpoint of a run has broken it off before it went well.
+/// Reports that the endpoint of a run has broken it off, and for how long it had sent data.
 #[derive(Debug)]
-pub(crate) struct Break(pub(crate) RequestId);
+pub(crate) struct Break(pub(crate) RequestId, pub(crate) Duration);
 
-/// Reports that a run has gone well for some time, so that it does not crash its endpoint.
+/// Reports that the endpoint of a run has sent data for some time.
 #[derive(Debug)]
-pub(crate) struct Proof(pub(crate) RequestId);
+pub(crate) struct Progress(pub(crate) RequestId, pub(crate) Duration);
 
 /// Reports gaps between events of a run.
 #[derive(Debug)]
--- a/crates/daisyyard_gateway/src/metrics.rs
+++ b/crates/daisyyard_gateway/src/metrics.rs
@@ -146,7 +146,7 @@
         self.count(RELAYS, &[("side", side), ("outcome", outcome)]);
     }
 
-    /// Counts a run that its endpoint broke off before it had gone well.
+    /// Counts a run that its endpoint broke off.
     pub(crate) fn record_break(&self, kind: &'static str) {
         self.count(BROKEN, &[("kind", kind)]);
     }
--- a/crates/daisyyard_gateway/src/pool.rs
+++ b/crates/daisyyard_gateway/src/pool.rs
@@ -107,6 +107,8 @@
     pub(crate) evidence: crash::Evidence,
     /// When this gateway last observed a crash or a proof of each content.
     pub(crate) observed_at: HashMap<Fingerprint, Instant>,
+    /// When this gateway last observed a crash whose refusals are not stored yet; none if there is none.
+    pub(crate) crash_observed_at: Option<Instant>,
     /// Number of these observations so far.
     pub(crate) observations: u64,
     /// Task that keeps refusals of contents in the store.
@@ -190,6 +192,7 @@
         retry_budget: Budget::new(settings.retry_budget.clone()),
         evidence: crash::Evidence::new(),
         observed_at: HashMap::new(),
+        crash_observed_at: None,
         observations: 0,
         archive: archive::spawn(settings.store, codec, log.clone()),
         cold: Cold::new(settings.bounds.cold.clone(), metrics),
--- a/crates/daisyyard_gateway/src/proxy.rs
+++ b/crates/daisyyard_gateway/src/proxy.rs
@@ -280,7 +280,7 @@
             Err(Unsent::Failed(failure)) => {
                 grant.place = place.filter(|_| sent::is_unsent(failure));
                 if matches!(failure, Failure::Partial | Failure::Broken) {
-                    self.report_broken(job, &grant, 0).await;
+                    self.report_broken(job, &grant, 0, Duration::ZERO).await;
                 }
                 grant.signal = health_signal(failure);
                 return connection_failed(failure);
@@ -352,7 +352,7 @@
         let bytes = match tokio::time::timeout_at(deadline.into(), read).await {
             Ok(Ok(bytes)) => bytes,
             Ok(Err(buffer::Error::Broken)) => {
-                self.report_broken(job, &grant, 0).await;
+                self.report_broken(job, &grant, 0, Duration::ZERO).await;
                 grant.signal = Signal::Failed;
                 return answer_unusable("broken_answer");
             }
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -69,8 +69,8 @@
     pub(crate) first_data_at: Option<Instant>,
     /// Whether an event shows that the current engine has taken the run.
     pub(crate) taken: bool,
-    /// Whether the run has gone well at an engine for some time.
-    pub(crate) proven: bool,
+    /// Time for which the engine had sent data when that was last reported; zero before.
+    pub(crate) reported_for: Duration,
     /// Gaps between the events.
     pub(crate) gaps: Gaps,
     /// Copy of the run at another engine that is not used yet: the engine that made it, and the handle.
@@ -162,7 +162,7 @@
             splitter,
             first_data_at: None,
             taken: false,
-            proven: false,
+            reported_for: Duration::ZERO,
             gaps: Gaps::default(),
             unused_copy: None,
             migration: State::Idle,
@@ -354,7 +354,7 @@
             // The pool ends only with the process.
             let _ = self.proxy.pool.send(FirstToken(self.grant.run)).await;
         }
-        self.report_proof().await;
+        self.report_progress().await;
         let count_before = self.splitter.event_count();
         let Ok(events) = self.splitter.push(bytes) else {
             return Delivery::Malformed;
--- a/crates/daisyyard_gateway/src/wire.rs
+++ b/crates/daisyyard_gateway/src/wire.rs
@@ -48,6 +48,9 @@
     /// Time in milliseconds since the run was broken off.
     #[prost(uint32, tag = "3")]
     pub(crate) age_ms: u32,
+    /// Time in milliseconds for which the endpoint had sent data of the run.
+    #[prost(uint32, tag = "4")]
+    pub(crate) ran_ms: u32,
 }
 
 impl ContentRecord {
@@ -58,6 +61,7 @@
             endpoint: crash.endpoint,
             sent_age_ms: age(crash.sent_at),
             age_ms: age(crash.at),
+            ran_ms: millis(crash.ran_for),
         };
         Self {
             content_high: (record.content >> u64::BITS) as u64,
@@ -75,6 +79,8 @@
                 endpoint: crash.endpoint,
                 sent_at: at(crash.sent_age_ms)?,
                 at: at(crash.age_ms)?,
+                ran_for: Duration::from_millis(crash.ran_ms.into()),
+                common: false,
             })
         };
         let mut crashes: Vec<crash::Crash> = self.crashes.iter().filter_map(crash).collect();
--- a/crates/daisyyard_standin/src/platform_engine.rs
+++ b/crates/daisyyard_standin/src/platform_engine.rs
@@ -34,10 +34,16 @@
 /// Word in the body of a request that makes each engine break off the connection when it runs the
 /// request.
 pub const CRASH_WORD: &str = "crash=1";
-/// Identifier of a part of a prompt that does the same.
+/// Word in the body of a request that does the same after some events.
+pub const LATE_CRASH_WORD: &str = "crash=late";
+/// Number of these events.
+const EVENTS_BEFORE_CRASH: u64 = 20;
+/// Identifier of a part of a prompt that does the same before the first event.
 pub const CRASH_PART: &str = "dead";
 /// Length that an answer claims to have whose connection breaks, in bytes.
 const BROKEN_ANSWER_BYTES: usize = 64;
+/// The same of an answer whose connection breaks after some events.
+const LATE_ANSWER_BYTES: usize = 1 << 20;
 
 /// Treatment of requests by an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -253,9 +259,12 @@
         let available = !resumed || self.find(&attempt).await.is_some_and(|it| it.has_memory);
         let accepts = available || mode == Mode::Careless;
         let ran = expected == self.name && mode != Mode::Declining && accepts;
-        let crashes = body
-            .windows(CRASH_WORD.len())
-            .any(|word| word == CRASH_WORD.as_bytes())
+        let has_word = |word: &str| {
+            let mut words = body.windows(word.len());
+            words.any(|found| found == word.as_bytes())
+        };
+        let crashes_late = has_word(LATE_CRASH_WORD);
+        let crashes = has_word(CRASH_WORD)
             || header_text(&headers, "x-daisyyard-prompt-prefix")
                 .split(',')
                 .any(|part| part.split(':').next() == Some(CRASH_PART));
@@ -274,6 +283,9 @@
         if crashes {
             return broken(&attempt);
         }
+        if crashes_late {
+            return self.break_late(&headers, &attempt);
+        }
         match mode {
             Mode::Careless if !available => response(
                 StatusCode::INTERNAL_SERVER_ERROR,
@@ -304,6 +316,25 @@
         let _ = self.runs.send(Command::Record(Box::new(arrival)));
     }
 
+    /// Streams some events after the last one that the caller has, and breaks the connection.
+    fn break_late(self, headers: &HeaderMap, attempt: &str) -> Response<Body> {
+        let last_event = header_text(headers, "last-event-id").parse().unwrap_or(0);
+        let (sender, receiver) = mpsc::channel(READER_BUFFER_EVENTS);
+        tokio::spawn(async move {
+            for number in last_event + 1..=last_event + EVENTS_BEFORE_CRASH {
+                tokio::time::sleep(self.event_interval).await;
+                let event = format!("id: {number}\ndata: piece {number}\n\n");
+                if sender.send(event.into()).await.is_err() {
+                    return;
+                }
+            }
+        });
+        let mut cut = response(StatusCode::OK, attempt, http::channel(receiver));
+        let length = HeaderValue::from(LATE_ANSWER_BYTES);
+        cut.headers_mut().insert(CONTENT_LENGTH, length);
+        cut
+    }
+
     /// Runs a request: streams events to an engine request, and answers any other at once.
     fn serve(self, headers: &HeaderMap, attempt: &str) -> Response<Body> {
         let usage = header_text(headers, "x-daisyyard-token-usage");
