Check in a soak that answers follow versions that may be in force

The operator adds, moves and drops routes and takes keys away and gives them back, two versions a second; reads that may be old are up to 3 s old; gateways are killed, suspended, stopped, reloaded and cut off from the store, and the store declines, is silent, discards its history or comes back from an older copy. Clients keep their connections. Each answer is judged by the versions that may be in force when it is sent, and by what an earlier answer of the same process has shown.

--- a/crates/daisyyard/src/command.rs
+++ b/crates/daisyyard/src/command.rs
@@ -116,13 +116,15 @@
              Exit codes: 0 if every checked guarantee held, 1 if not, 2 for wrong usage.\n"
         }
         "soak" => {
-            "Usage: daisyyard soak [--seed N] [--for SECONDS] [--logs DIR]\n\n\
+            "Usage: daisyyard soak [--seed N] [--for SECONDS] [--logs DIR] [--changes]\n\n\
              Runs three gateways as processes of their own, with stand-ins for the platform behind\n\
              a proxy, and callers. Faults drawn from the seed overlap: connections are delayed,\n\
              silenced, blocked in one direction or reset; gateways are killed, suspended, stopped\n\
              and reloaded; engines and the store fail; a zone is evacuated; all endpoints start\n\
              anew and are cold; engines leave in waves; crowds send bodies that stall before their\n\
-             end; one account floods a gateway with requests. Prints every broken guarantee.\n\n\
+             end; one account floods a gateway with requests. Prints every broken guarantee.\n\
+             --changes runs six gateways instead, changes the configuration several times a second,\n\
+             and checks that each answer follows a version that may be in force.\n\n\
              Exit codes: 0 if every guarantee held, 1 if not, 2 for wrong usage.\n"
         }
         _ => {
@@ -227,12 +229,18 @@
     options.optopt("s", "seed", "seed of faults and callers", "N");
     options.optopt("f", "for", "time for which faults begin", "SECONDS");
     options.optopt("l", "logs", "keep the logs of the gateways here", "DIR");
+    options.optflag(
+        "c",
+        "changes",
+        "change the configuration, and check which version is followed",
+    );
     let matches = options.parse(arguments)?;
     let choice = soak::Options {
         seed: matches.opt_get("seed")?.unwrap_or_else(rand::random),
         duration: Duration::from_secs(matches.opt_get("for")?.unwrap_or(DEFAULT_SOAK_S)),
         program: std::env::current_exe()?,
         log_directory: matches.opt_get("logs")?,
+        changes: matches.opt_present("changes"),
     };
     Ok(if runtime()?.block_on(soak::run(&choice))? {
         ExitCode::SUCCESS
--- a/crates/daisyyard/src/soak.rs
+++ b/crates/daisyyard/src/soak.rs
@@ -19,6 +19,7 @@
 use crate::gateway_process::{self, Control, Handle, Spec};
 use crate::soak_audit;
 use crate::soak_caller::{self, Kind, Record};
+use crate::soak_changes;
 use crate::soak_limit;
 use crate::soak_schedule::{self, ENGINES, Fault, GATEWAYS, PLAIN_ENDPOINTS};
 
@@ -54,6 +55,8 @@
     pub program: PathBuf,
     /// Directory for the logs of the gateways; without it they are discarded.
     pub log_directory: Option<PathBuf>,
+    /// Whether the configuration changes several times a second, in place of the other faults.
+    pub changes: bool,
 }
 
 /// Stand-ins for the platform, and the gateways.
@@ -95,6 +98,9 @@
 ///
 /// Fails if a gateway cannot be started or does not become ready, or if no port is free.
 pub async fn violations(options: &Options) -> anyhow::Result<Vec<String>> {
+    if options.changes {
+        return soak_changes::violations(options).await;
+    }
     let environment = Arc::new(Environment::start(options).await?);
     environment
         .wait_until_ready()
--- a/crates/daisyyard/tests/soak_seeds.rs
+++ b/crates/daisyyard/tests/soak_seeds.rs
@@ -12,12 +12,28 @@
         duration: Duration::from_secs(6),
         program: env!("CARGO_BIN_EXE_daisyyard").into(),
         log_directory: None,
+        changes: false,
     };
     let violations = soak::violations(&options).await;
     let violations = violations.expect("the gateways start");
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
 }
 
+/// Guards against answers that follow a version of the configuration that is no longer in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn changed_configuration() {
+    let options = Options {
+        seed: 1,
+        duration: Duration::from_secs(8),
+        program: env!("CARGO_BIN_EXE_daisyyard").into(),
+        log_directory: None,
+        changes: true,
+    };
+    let violations = soak::violations(&options).await;
+    let violations = violations.expect("the gateways start");
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 /// Guards against a gateway that `SIGHUP` terminates during startup, because it installs its signal
 /// handlers last.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/daisyyard_standin/src/platform_keys.rs
+++ b/crates/daisyyard_standin/src/platform_keys.rs
@@ -16,8 +16,8 @@
 /// Message to the task that owns the keys.
 #[derive(Debug)]
 pub(crate) enum Command {
-    /// Read the items whose keys have a prefix.
-    Range(String, oneshot::Sender<Value>),
+    /// Read the items whose keys have a prefix, as they were this long ago.
+    Range(String, Duration, oneshot::Sender<Value>),
     /// Wait for changes after a revision, up to a deadline.
     Watch(Watch),
     /// Write and delete keys in one revision.
@@ -121,14 +121,8 @@
     /// Executes a command.
     fn execute(&mut self, command: Command) {
         match command {
-            Command::Range(prefix, reply) => {
-                let items = self
-                    .items
-                    .iter()
-                    .filter(|(key, _)| key.starts_with(&prefix));
-                let items: Vec<&Value> = items.map(|(_, item)| item).collect();
-                let answer = json!({ "items": items, "more_pages": false, "at": self.revision });
-                let _ = reply.send(answer);
+            Command::Range(prefix, age, reply) => {
+                let _ = reply.send(self.range(&prefix, age));
             }
             Command::Watch(watch) => self.watches.push(watch),
             Command::Write {
@@ -168,6 +162,27 @@
         }
     }
 
+    /// Returns the items whose keys have a prefix, as they were this long ago.
+    fn range(&self, prefix: &str, age: Duration) -> Value {
+        let copy = (!age.is_zero()).then(|| self.copy_of(age)).flatten();
+        let (items, revision) = match copy {
+            Some(copy) => (&copy.items, copy.revision),
+            None => (&self.items, self.revision),
+        };
+        let items = items.iter().filter(|(key, _)| key.starts_with(prefix));
+        let items: Vec<&Value> = items.map(|(_, item)| item).collect();
+        json!({ "items": items, "more_pages": false, "at": revision })
+    }
+
+    /// Returns the newest copy that has at least an age, or the oldest one.
+    fn copy_of(&self, age: Duration) -> Option<&Copy> {
+        let now = Instant::now();
+        let old = |(at, _): &&(Instant, Copy)| now.saturating_duration_since(*at) >= age;
+        let found = self.copies.iter().rev().find(old);
+        let (_, copy) = found.or_else(|| self.copies.front())?;
+        Some(copy)
+    }
+
     /// Makes a copy if the last one is old enough.
     fn copy(&mut self, now: Instant) {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < COPY_INTERVAL;
@@ -189,13 +204,10 @@
     /// Continues from the newest copy that has at least an age. Its leases last as long as after a
     /// renewal.
     fn restore(&mut self, age: Duration) {
-        let now = Instant::now();
-        let copies = self.copies.iter().rev();
-        let old = |(at, _): &&(Instant, Copy)| now.saturating_duration_since(*at) >= age;
-        let found = copies.clone().find(old).or_else(|| self.copies.front());
-        let Some((_, copy)) = found.cloned() else {
+        let Some(copy) = self.copy_of(age).cloned() else {
             return;
         };
+        let now = Instant::now();
         (self.revision, self.last_lease) = (copy.revision, copy.last_lease);
         (self.items, self.leases) = (copy.items, copy.leases);
         let revision = self.revision;
--- a/crates/daisyyard_standin/src/platform_store.rs
+++ b/crates/daisyyard_standin/src/platform_store.rs
@@ -50,6 +50,8 @@
     mode: watch::Sender<Mode>,
     /// Era that responses state; zero if they state none.
     era: watch::Sender<u64>,
+    /// Age of the data of reads that may be old.
+    lag: watch::Sender<Duration>,
     /// Number of calls received so far, in any mode.
     calls: watch::Receiver<u64>,
     /// Number of watches among them.
@@ -68,6 +70,7 @@
         let (commands, receiver) = mpsc::unbounded_channel();
         let (mode, current_mode) = watch::channel(Mode::Serving);
         let (era, current_era) = watch::channel(0);
+        let (lag, current_lag) = watch::channel(Duration::ZERO);
         let (counter, calls) = watch::channel(0);
         let (watch_counter, watches) = watch::channel(0);
         let (meter, price) = watch::channel(0);
@@ -79,7 +82,8 @@
                 watch_counter.send_modify(|watches| *watches += 1);
             }
             meter.send_modify(|total| *total += price_of(&request));
-            let answer = handle(request, sender.clone(), *current_mode.borrow());
+            let settings = (*current_mode.borrow(), *current_lag.borrow());
+            let answer = handle(request, sender.clone(), settings);
             let era = current_era.clone();
             async move {
                 let mut response = answer.await;
@@ -95,6 +99,7 @@
             commands,
             mode,
             era,
+            lag,
             calls,
             watches,
             price,
@@ -147,6 +152,11 @@
         self.era.send_replace(era);
     }
 
+    /// Sets the age of the data of reads that may be old.
+    pub fn set_lag(&self, lag: Duration) {
+        self.lag.send_replace(lag);
+    }
+
     /// Comes back from a copy of at least this age, in the next era, after being away for a time.
     pub async fn restore(&self, age: Duration, away: Duration) {
         let mode = self.mode.send_replace(Mode::Declining);
@@ -161,7 +171,8 @@
     /// Returns the keys that have a prefix.
     pub async fn keys(&self, prefix: &str) -> Vec<String> {
         let (reply, answer) = oneshot::channel();
-        let _ = self.commands.send(Command::Range(prefix.to_owned(), reply));
+        let command = Command::Range(prefix.to_owned(), Duration::ZERO, reply);
+        let _ = self.commands.send(command);
         let answer = answer.await.unwrap_or_default();
         let items = answer["items"].as_array().cloned().unwrap_or_default();
         let keys = items.iter().filter_map(|item| item["key"].as_str());
@@ -222,7 +233,7 @@
 async fn handle(
     request: Request<Incoming>,
     commands: mpsc::UnboundedSender<Command>,
-    mode: Mode,
+    (mode, lag): (Mode, Duration),
 ) -> Response<Body> {
     match mode {
         Mode::Serving => {}
@@ -232,6 +243,11 @@
         }
         Mode::Silent => std::future::pending().await,
     }
+    let age = if is_serializable(&request) {
+        lag
+    } else {
+        Duration::ZERO
+    };
     let path = request.uri().path().to_owned();
     let query = request.uri().query().unwrap_or_default().to_owned();
     let method = request.method().clone();
@@ -241,7 +257,7 @@
     let body: Value = serde_json::from_slice(&body).unwrap_or_default();
     let lease = path.rsplit('/').next().and_then(|last| last.parse().ok());
     let answer = match (method, path.as_str(), lease) {
-        (Method::GET, "/-/kv-range", _) => range(&query, &commands).await,
+        (Method::GET, "/-/kv-range", _) => range(&query, age, &commands).await,
         (Method::GET, WATCH_PATH, _) => watch_changes(&query, &commands).await,
         (Method::POST, "/-/kv-txn", _) => write(&body, &commands).await,
         (Method::POST, "/-/kv-lease", _) => grant_lease(&body, &commands).await,
@@ -269,10 +285,14 @@
 }
 
 /// Reads the items whose keys have a prefix.
-async fn range(query: &str, commands: &mpsc::UnboundedSender<Command>) -> Option<Value> {
+async fn range(
+    query: &str,
+    age: Duration,
+    commands: &mpsc::UnboundedSender<Command>,
+) -> Option<Value> {
     let (reply, answer) = oneshot::channel();
     let prefix = parameter(query, "path_prefix");
-    commands.send(Command::Range(prefix, reply)).ok()?;
+    commands.send(Command::Range(prefix, age, reply)).ok()?;
     answer.await.ok()
 }
 
