--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub(crate) mod message;
 pub(crate) mod metrics;
 pub(crate) mod migration;
+pub(crate) mod offer;
 pub(crate) mod owners;
 pub(crate) mod passage;
 pub(crate) mod peer;
--- a/crates/daisyyard_gateway/src/member.rs
+++ b/crates/daisyyard_gateway/src/member.rs
@@ -8,7 +8,6 @@
 use daisyyard_core::roster::{Node, Role, Roster};
 use serde::{Deserialize, Serialize};
 
-use crate::isolation;
 use crate::peer::Member;
 use crate::settings::Settings;
 
@@ -24,11 +23,6 @@
 const UNLISTED_TIME: Duration = Duration::from_secs(8);
 /// Maximum number of unlisted gateways that are remembered.
 const MAX_UNLISTED: usize = 64;
-/// Maximum number of addresses in one response.
-const MAX_ADDRESSES: usize = 64;
-/// Minimum number of members in a caller's zone for which only that zone is offered; with fewer,
-/// one failure could leave the caller without a gateway until it asks again.
-const MIN_LOCAL_MEMBERS: usize = 2;
 
 /// Entry that a gateway writes about itself into the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -70,11 +64,11 @@
     /// Identifier of this gateway.
     pub(crate) own_id: InstanceId,
     /// Whether this gateway is offered to callers.
-    offered: bool,
+    pub(crate) offered: bool,
     /// Whether this gateway reaches the store.
     reaches_store: bool,
     /// Latest time up to which this gateway has read the store; none before the first read.
-    store_read_at: Option<Instant>,
+    pub(crate) store_read_at: Option<Instant>,
     /// Whether this gateway is cut off from the endpoints.
     pub(crate) isolated: bool,
     /// The other gateways.
@@ -86,7 +80,7 @@
     /// Number of changes of the list of gateways.
     pub(crate) listing: u64,
     /// Division of the gateways.
-    roster: Roster,
+    pub(crate) roster: Roster,
     /// When the gateways were last divided; none after a change.
     divided_at: Option<Instant>,
     /// Requests per second of the whole fleet.
@@ -352,68 +346,4 @@
             SILENCE_TIMEOUT
         }
     }
-
-    /// Returns whether this gateway may be the one that is cut off, so that it cannot tell which of the
-    /// others are lost: all that should send digests are silent, and the store does not show that it
-    /// is connected.
-    fn is_partitioned(&self, now: Instant) -> bool {
-        let timeout = self.silence_timeout();
-        let present = self.others.values();
-        let mut present = present.filter(|member| member.lost_since.is_none());
-        let silent =
-            |member: &Member| member.expected_since.is_none() || member.is_silent(timeout, now);
-        present.all(silent) && !self.reaches_more_than(timeout)
-    }
-
-    /// Returns whether this gateway reaches endpoints, and has read the store after all others had been
-    /// silent for the timeout.
-    fn reaches_more_than(&self, timeout: Duration) -> bool {
-        let others = self.others.values();
-        let expected =
-            others.filter_map(|member| Some(member.expected_since?.max(member.last_heard)));
-        let last_heard = expected.max();
-        !self.isolated && last_heard.is_some_and(|at| self.store_read_at >= Some(at + timeout))
-    }
-
-    /// Returns the gateway addresses that a caller in a zone may use.
-    ///
-    /// While this gateway may be the one that is cut off, it offers all that were present before.
-    pub fn offer(&mut self, zone: &str, now: Instant) -> Vec<SocketAddr> {
-        let expired = |member: &Member| {
-            member
-                .relist_deadline
-                .is_some_and(|deadline| deadline <= now)
-        };
-        let before = self.others.len();
-        self.others.retain(|_, member| !expired(member));
-        self.listing += u64::from(self.others.len() != before);
-        self.update_roster(now);
-        let timeout = self.silence_timeout();
-        let partitioned = self.is_partitioned(now);
-        let serves = |id: &InstanceId, member: &Member| {
-            self.roster.is_serving(*id) && !member.is_silent(timeout, now)
-        };
-        let others = self.others.iter();
-        let others = others.filter(|(_, member)| !member.leaving && member.lost_since.is_none());
-        let others = others.filter(|(id, member)| partitioned || serves(id, member));
-        let others = others.map(|(_, member)| (&member.entry, member.is_isolated(timeout, now)));
-        let offers_itself = self.offered && self.roster.is_serving(self.own_id);
-        let own_entry = offers_itself.then_some((&self.own_entry, self.isolated));
-        let all = isolation::leave_out(own_entry.into_iter().chain(others).collect());
-        let local: Vec<&Entry> = all
-            .iter()
-            .copied()
-            .filter(|entry| entry.zone == zone)
-            .collect();
-        let chosen = if local.len() >= MIN_LOCAL_MEMBERS {
-            local
-        } else {
-            all
-        };
-        chosen
-            .iter()
-            .take(MAX_ADDRESSES)
-            .map(|entry| entry.requests)
-            .collect()
-    }
 }
