--- a/crates/daisyyard_gateway/src/lib.rs
+++ b/crates/daisyyard_gateway/src/lib.rs
@@ -37,6 +37,7 @@
 pub(crate) mod migration;
 pub(crate) mod offer;
 pub(crate) mod owners;
+pub(crate) mod pages;
 pub(crate) mod passage;
 pub(crate) mod peer;
 pub(crate) mod pool;
--- a/crates/daisyyard_gateway/src/offer.rs
+++ b/crates/daisyyard_gateway/src/offer.rs
@@ -25,12 +25,12 @@
         let mut present = present.filter(|member| member.lost_since.is_none());
         let silent =
             |member: &Member| member.expected_since.is_none() || member.is_silent(timeout, now);
-        present.all(silent) && !self.reaches_more_than(timeout)
+        present.all(silent) && !self.is_otherwise_connected(timeout)
     }
 
     /// Returns whether this gateway reaches endpoints, and has read the store after all others had been
-    /// silent for the timeout.
-    fn reaches_more_than(&self, timeout: Duration) -> bool {
+    /// silent for the timeout: it is they who are lost then.
+    fn is_otherwise_connected(&self, timeout: Duration) -> bool {
         let others = self.others.values();
         let expected =
             others.filter_map(|member| Some(member.expected_since?.max(member.last_heard)));
--- a/crates/daisyyard_gateway/src/watcher.rs
+++ b/crates/daisyyard_gateway/src/watcher.rs
@@ -6,7 +6,7 @@
 
 use daisyyard_core::catalog::Catalog;
 use daisyyard_core::catch_up::{CatchUp, End, Next};
-use daisyyard_core::era::{Tracker, Verdict};
+use daisyyard_core::era::Tracker;
 use daisyyard_core::id::Version;
 use daisyyard_core::revision::{Era, Revision};
 use daisyyard_core::roster::Role;
@@ -14,7 +14,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 use xtra::Address;
 
-use crate::codec::{Batch, Call, Codec, Freshness, Record};
+use crate::codec::{Batch, Codec, Freshness, Record};
 use crate::event::Event;
 use crate::frame::News;
 use crate::log::Log;
@@ -23,11 +23,9 @@
 use crate::pool::Pool;
 use crate::reach::{Reach, Read};
 use crate::settings::Bounds;
-use crate::store::{self, Error, MAX_PAGE_BYTES, Timeouts};
+use crate::store::MAX_PAGE_BYTES;
+use crate::timer::sleep_until;
 
-/// Time in which the store begins to answer, and sends the next bytes of a response. It usually takes
-/// milliseconds, but it can be slow.
-const READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for which a watch waits, as a share of the time in which a change must be in force.
 /// The knowledge of the readers is then young enough for the gateways that rely on them.
 const WATCH_SHARE: f64 = 0.5;
@@ -56,9 +54,9 @@
 #[derive(Debug)]
 pub(crate) struct Watcher {
     /// Address of the store.
-    address: SocketAddr,
+    pub(crate) address: SocketAddr,
     /// Functions that encode and decode the platform's messages.
-    codec: Codec,
+    pub(crate) codec: Codec,
     /// Time for which a watch waits for changes.
     watch_timeout: Duration,
     /// Maximum pause after changes.
@@ -76,11 +74,11 @@
     /// Whether the last read of the configuration alone brought no newer one.
     catalog_was_old: bool,
     /// Outcomes of the reads.
-    reach: Reach,
+    pub(crate) reach: Reach,
     /// Chooses between the changes and the whole state.
     catch_up: CatchUp,
     /// Era of the store.
-    eras: Tracker,
+    pub(crate) eras: Tracker,
     /// Latest era that other gateways had reported at the last complete read.
     checked_era: Era,
     /// Log of the gateway.
@@ -178,7 +176,7 @@
                 }
             };
             tokio::select! {
-                () = sleep_until_some(restored) => return Read::All,
+                () = sleep_until(restored) => return Read::All,
                 () = tokio::time::sleep_until((started + pause).into()) => {
                     return match told {
                         true if self.reach.is_lost() => Read::Catalog,
@@ -234,55 +232,6 @@
         }
     }
 
-    /// Reads all pages of keys, and returns them with their size in bytes. The pages are not one snapshot,
-    /// so the watch starts at the revision of the first page.
-    async fn read_pages(&mut self, freshness: Freshness) -> Result<(Batch, usize), Error> {
-        let mut all = Batch::default();
-        let mut bytes = 0;
-        let mut after: Option<String> = None;
-        loop {
-            let call = (self.codec.store.list)(after.as_deref(), freshness);
-            let (page, size) = self.read(call, Duration::ZERO, MAX_PAGE_BYTES).await?;
-            bytes += size;
-            if after.is_none() {
-                all.revision = page.revision;
-            } else if page.revision.era != all.revision.era {
-                (all, bytes, after) = (Batch::default(), 0, None);
-                continue;
-            }
-            all.records.extend(page.records);
-            match page.next_key {
-                Some(next) => after = Some(next),
-                None => return Ok((all, bytes)),
-            }
-        }
-    }
-
-    /// Reads a response of at most `max_bytes` for which the store may wait, and returns it with its size
-    /// in bytes.
-    async fn read(
-        &mut self,
-        call: Call,
-        wait: Duration,
-        max_bytes: usize,
-    ) -> Result<(Batch, usize), Error> {
-        let timeouts = Timeouts::of_page(wait + READ_TIMEOUT, READ_TIMEOUT);
-        let (headers, response) = store::read(self.address, call, timeouts, max_bytes).await?;
-        let statement = (self.codec.store.read_era)(&headers);
-        let verdict = self.eras.record(statement);
-        let era = self.eras.era();
-        if self.eras.is_newly_doubtful(statement) {
-            self.reach.record_doubt(statement, era);
-        }
-        match verdict {
-            Verdict::Current => {}
-            Verdict::Restored(before) => self.reach.record_restore(before, era),
-            Verdict::Outdated => return Err(Error::Outdated(era)),
-        }
-        let batch = (self.codec.store.read_batch)(&response, era).map_err(Error::Unusable)?;
-        Ok((batch, response.len()))
-    }
-
     /// Reads the configuration alone; this costs a tenth of a read of the newest data.
     async fn read_catalog(&mut self, revision: Revision) {
         let call = (self.codec.store.read_catalog)();
@@ -411,11 +360,3 @@
         self.log.emit(Event::CatalogAdopted, &details);
     }
 }
-
-/// Waits until a time, or forever if there is none.
-async fn sleep_until_some(time: Option<Instant>) {
-    match time {
-        Some(time) => tokio::time::sleep_until(time.into()).await,
-        None => std::future::pending().await,
-    }
-}
