--- a/crates/daisyyard/tests/last_gateway.rs
+++ b/crates/daisyyard/tests/last_gateway.rs
@@ -5,8 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use daisyyard_core::id;
-use daisyyard_core::roster::{Node, Role, Roster};
+use daisyyard_core::roster::Role;
 use platform::{Gateway, Platform};
 
 /// Number of gateways.
@@ -16,22 +15,6 @@
 /// Time for which the answers of the directory are checked.
 const CHECK_TIME: Duration = Duration::from_secs(3);
 
-/// Returns the first gateway with a part in the fleet.
-fn first_with_role(role: Role) -> usize {
-    let gateway = |number: usize| id::of(&format!("gateway-{number}"));
-    let nodes: Vec<Node> = (0..GATEWAYS)
-        .map(|number| Node {
-            id: gateway(number),
-            zone: id::of("zone-a"),
-            reaches_store: true,
-        })
-        .collect();
-    let roster = Roster::new(&nodes, 0.0);
-    let mut numbers = 0..GATEWAYS;
-    let first = numbers.find(|number| roster.role(gateway(*number)) == role);
-    first.expect("a gateway has the part")
-}
-
 /// Starts gateways, kills all but the first with a part in the fleet, and checks what it offers.
 async fn check_last(role: Role) {
     let mut platform = Platform::start(0, 1).await;
@@ -39,7 +22,8 @@
         platform.start_gateway().await;
     }
     platform::wait_until_listed(&platform.gateways).await;
-    let last: Gateway = platform.gateways.swap_remove(first_with_role(role));
+    let first = platform::with_role(GATEWAYS, role)[0];
+    let last: Gateway = platform.gateways.swap_remove(first);
     platform.gateways.clear();
     let lost_at = Instant::now();
     tokio::time::sleep(OFFERED_BOUND).await;
--- a/crates/daisyyard/tests/platform/mod.rs
+++ b/crates/daisyyard/tests/platform/mod.rs
@@ -8,6 +8,8 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use daisyyard_core::id;
+use daisyyard_core::roster::{Node, Role, Roster};
 use daisyyard_standin::brittle_endpoint::{BrittleEndpoint, Conduct};
 use daisyyard_standin::faulty_endpoint::{Fault, FaultyEndpoint};
 use daisyyard_standin::platform_engine::{Arrival, PlatformEngine, Runs};
@@ -280,6 +282,22 @@
     }
 }
 
+/// Returns the numbers of the gateways with a part in a fleet of this size whose gateways all serve.
+pub(crate) fn with_role(gateways: usize, role: Role) -> Vec<usize> {
+    let gateway = |number: usize| id::of(&format!("gateway-{number}"));
+    let node = |number| Node {
+        id: gateway(number),
+        zone: id::of("zone-a"),
+        reaches_store: true,
+    };
+    let nodes: Vec<Node> = (0..gateways).map(node).collect();
+    let roster = Roster::new(&nodes, 0.0);
+    let numbers = 0..gateways;
+    numbers
+        .filter(|number| roster.role(gateway(*number)) == role)
+        .collect()
+}
+
 /// Waits until the condition holds; panics after [`TIMEOUT`].
 pub(crate) async fn wait_until(what: &str, condition: impl AsyncFn() -> bool) {
     let deadline = Instant::now() + TIMEOUT;
--- a/crates/daisyyard/tests/silent_readers.rs
+++ b/crates/daisyyard/tests/silent_readers.rs
@@ -6,8 +6,7 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-use daisyyard_core::id;
-use daisyyard_core::roster::{Node, Role, Roster};
+use daisyyard_core::roster::Role;
 use daisyyard_standin::proxy::{Link, Proxy};
 use hyper::{Method, StatusCode};
 use platform::{Platform, plain_request, wait_until};
@@ -50,22 +49,6 @@
         Self { platform, links }
     }
 
-    /// Returns the gateways with a part in the fleet.
-    fn with_role(role: Role) -> Vec<usize> {
-        let gateway = |number: usize| id::of(&format!("gateway-{number}"));
-        let node = |number| Node {
-            id: gateway(number),
-            zone: id::of("zone-a"),
-            reaches_store: true,
-        };
-        let nodes: Vec<Node> = (0..GATEWAYS).map(node).collect();
-        let roster = Roster::new(&nodes, 0.0);
-        let numbers = 0..GATEWAYS;
-        numbers
-            .filter(|number| roster.role(gateway(*number)) == role)
-            .collect()
-    }
-
     /// Adds a route, and checks that the gateways serve it once the bound has passed.
     async fn check_change(&self, gateways: &[usize]) {
         let mut config = platform::config(2);
@@ -87,7 +70,7 @@
 #[tokio::test]
 async fn store_lost() {
     let fleet = Fleet::start().await;
-    let told = Fleet::with_role(Role::Serving)[0];
+    let told = platform::with_role(GATEWAYS, Role::Serving)[0];
     let others = fleet.links.iter().enumerate();
     for (_, link) in others.filter(|(number, _)| *number != told) {
         link.set_link(Link::Silent);
@@ -99,10 +82,12 @@
 #[tokio::test]
 async fn readers_suspended() {
     let fleet = Fleet::start().await;
-    for number in Fleet::with_role(Role::Reader) {
+    for number in platform::with_role(GATEWAYS, Role::Reader) {
         let id = fleet.platform.gateways[number].process.id().to_string();
         let status = Command::new("kill").args(["-STOP", &id]).status();
         assert!(status.expect("the signal is sent").success());
     }
-    fleet.check_change(&Fleet::with_role(Role::Serving)).await;
+    fleet
+        .check_change(&platform::with_role(GATEWAYS, Role::Serving))
+        .await;
 }
