Test that breaks at leaving engines refuse nothing, and report progress anew at each engine

The rule that a break at a leaving endpoint says nothing of its content had no test. crashing_content::leaving_engines passes, and fails with the rule taken out (503 instead of 200).

The time that was last reported is reset when a run goes on at another engine, in place of a comparison that found it out later and left the first report there at 500 instead of 250 ms. crashing_content, crashing_part and stopped_stream pass.

--- a/crates/daisyyard/tests/crashing_content.rs
+++ b/crates/daisyyard/tests/crashing_content.rs
@@ -101,6 +101,45 @@
     assert_eq!(status, Some(StatusCode::OK));
 }
 
+/// A stream that breaks off at one leaving engine after another is not refused, as these engines end
+/// whatever they run.
+#[tokio::test]
+async fn leaving_engines() {
+    let mut platform = start(0, 0, 1).await;
+    let address = platform.gateways[0].requests;
+    for number in 0..FREE_CRASHES {
+        let name = format!("engine-{number}");
+        platform.add_engine(&name, "model").await;
+        let stream = tokio::spawn(async move {
+            let credential = format!("Bearer {}", platform::CREDENTIAL);
+            let mut request = platform::stream_request("/draft/1", "100,1600");
+            let mut headers = std::mem::take(&mut request.headers);
+            headers.extend([
+                ("x-daisyyard-attempt-id", name.as_str()),
+                ("x-daisyyard-deadline-ms", "8000"),
+                ("authorization", credential.as_str()),
+            ]);
+            platform::send(address, &request, &headers).await
+        });
+        platform::wait_until("the stream runs", async || {
+            platform.ran("/draft/1").await.len() > number
+        })
+        .await;
+        platform.put_entry(0, "model", "draining").await;
+        tokio::time::sleep(PAUSE).await;
+        let engine = platform.engines.remove(0);
+        let key = format!("servers/{}", engine.name);
+        drop(engine);
+        let (status, text) = stream.await.expect("no panic").expect("an answer");
+        assert_eq!((status, text), (StatusCode::OK, None));
+        platform.store.remove(&key).await;
+    }
+    platform.add_engine("engine-sound", "model").await;
+    let again = platform::stream_request("/draft/1", "100,20");
+    let status = send_to(&platform, 0, "again", &again).await;
+    assert_eq!(status, Some(StatusCode::OK));
+}
+
 /// A call that crashes plain endpoints is refused, also if it may be repeated.
 #[tokio::test]
 async fn call_refused() {
--- a/crates/daisyyard_gateway/src/failover.rs
+++ b/crates/daisyyard_gateway/src/failover.rs
@@ -380,6 +380,7 @@
         self.taken = false;
         self.gaps.reset();
         self.first_data_at = Some(Instant::now());
+        self.reported_for = Duration::ZERO;
         // Notices from before the failover are about the previous engine.
         while self.grant.notices.try_recv().is_ok() {}
         // Among them may be that the new engine has begun to leave.
--- a/crates/daisyyard_gateway/src/proof.rs
+++ b/crates/daisyyard_gateway/src/proof.rs
@@ -53,12 +53,7 @@
         let Some(ran_for) = self.ran_for() else {
             return;
         };
-        // The run starts anew when it resumes at another engine.
-        let due = match self.reported_for {
-            reported if reported <= ran_for => FIRST_REPORT.max(reported * 2),
-            _ => FIRST_REPORT,
-        };
-        if ran_for >= due {
+        if ran_for >= FIRST_REPORT.max(self.reported_for * 2) {
             self.reported_for = ran_for;
             // The pool ends only with the process.
             let _ = self
--- a/crates/daisyyard_gateway/src/relay.rs
+++ b/crates/daisyyard_gateway/src/relay.rs
@@ -69,7 +69,7 @@
     pub(crate) first_data_at: Option<Instant>,
     /// Whether an event shows that the current engine has taken the run.
     pub(crate) taken: bool,
-    /// Time for which the engine had sent data when that was last reported; zero before.
+    /// Time for which the current engine had sent data when that was last reported; zero before.
     pub(crate) reported_for: Duration,
     /// Gaps between the events.
     pub(crate) gaps: Gaps,
