--- a/crates/daisyyard_core/src/era.rs
+++ b/crates/daisyyard_core/src/era.rs
@@ -31,7 +31,7 @@
 pub struct Tracker {
     /// The highest era that was stated; none before the first response.
     era: Option<Era>,
-    /// Whether the last response stated no usable era although an earlier one did.
+    /// Whether the last response lacked an era although earlier ones had one, or had an unusable one.
     doubtful: bool,
 }
 
@@ -62,8 +62,8 @@
         }
     }
 
-    /// Returns whether a response is the first one in a row that lacks a usable era although the store
-    /// states eras.
+    /// Returns whether a response is the first one in a row that lacks an era although earlier ones had one,
+    /// or that has an unusable one.
     pub fn is_newly_doubtful(&mut self, statement: Statement) -> bool {
         let lacks = match statement {
             Statement::Absent => self.era() > 0,
--- a/crates/daisyyard_core/tests/store_eras.rs
+++ b/crates/daisyyard_core/tests/store_eras.rs
@@ -57,7 +57,7 @@
     assert_eq!(tracker.era(), 4);
 }
 
-/// A store without eras is as it was, and its first era is one after a restart of it.
+/// A store that states no era stays in era 0, and one that begins to state eras is read again.
 #[test]
 fn no_eras() {
     let mut tracker = Tracker::default();
--- a/crates/daisyyard_gateway/src/event.rs
+++ b/crates/daisyyard_gateway/src/event.rs
@@ -35,7 +35,8 @@
     StoreReadFailed = 117,
     /// The store has come back from an older copy, and all keys are read again.
     StoreRestored = 118,
-    /// Responses of the store state no usable era any longer; the known one is assumed.
+    /// Responses of the store lack the era that earlier ones stated, or state an unusable one; the known one
+    /// is assumed.
     EraUnusable = 119,
     /// The entry of an endpoint was added or changed.
     EndpointListed = 120,
