--- a/review/standin-3/crowd.rs
+++ b/review/standin-3/crowd.rs
@@ -22,7 +22,7 @@
 /// Size of a head of the crowd in bytes; `max_header_bytes` is 16,384.
 const HEAD_BYTES: usize = 16_300;
 /// Number of its filling headers.
-const HEAD_LINES: usize = 90;
+const HEAD_LINES: usize = 94;
 /// Size in bytes of a part of a chunked body; `max_body_bytes` is 4,194,304.
 const BODY_BYTES: usize = 16_300;
 /// Time for which the crowd stays.
--- a/review/standin-3/pause.rs
+++ b/review/standin-3/pause.rs
@@ -17,7 +17,7 @@
 /// Number of events of a stream: 8.3 s. All would end within the grace period, also after the pause.
 const EVENTS: u64 = 166;
 /// Time for which the engine is silent.
-const SILENCE: Duration = Duration::from_millis(1_900);
+const SILENCE: Duration = Duration::from_millis(1_600);
 /// Time from the start of the silence until the gateway is stopped.
 const BEFORE_STOP: Duration = Duration::from_millis(1_400);
 /// Start of the last sixth of `grace_s`, in which an engine at work excuses the end of its stream.
